--- /dev/null
+++ b/ternlane/choice.py
@@ -0,0 +1,587 @@
+"""Every decision of ternlane's router: which pair of servers reads and writes a generation, and what failures change.
+
+A host makes one Router(StartFacts) for each gateway and calls take(now, events) -> actions whenever something has
+happened; the interface is ternlane/port.py, the reasons are in docs/design.md. Inside, the Desk (sessions,
+generations) and one Engine for each model server are actors: they talk only by notes in inboxes, which
+Router.run empties. The order to read in: Desk.place (the ordinary path), Desk.leg_ended (after each outcome),
+Desk.send, Desk.finish and Desk.let_go (the only places that send, answer and release).
+"""
+from __future__ import annotations
+
+import heapq
+import zlib
+from collections import OrderedDict, deque
+from dataclasses import dataclass, field
+from math import exp
+from statistics import median
+from typing import Any, Iterator, NamedTuple
+
+from ternlane import port
+from ternlane.port import Action, Duty, Effect, Event, Generation, Group, Life, Product, Server, StartFacts, Verdict
+
+STEP = 0.3          # score lost for each step between reader and writer (design page)
+HOME_AGE_MS = 60e3  # a session idle for longer loses its home (design page)
+CROWD = 2.0         # congested: open streams over this many times the median (design page)
+SICK = 0.4          # congested: progress under this part of the peers' median
+DOUBT = 2.0         # legs at the peers' pace that a server is credited with before its own count
+GAIN = 1 / 16       # weight of a new sample in a running mean
+OUT_SHARE = 0.25    # part of the longest answer that a generation is expected to fill
+NEVER_RAN = {Verdict.FULL, Verdict.UNCONNECTED, Verdict.MOOT, Verdict.READ}
+
+
+@dataclass(slots=True, frozen=True)
+class Limits:
+    """What the start facts come to for the decisions."""
+    slo_ms: float         # the shortest SLO time of any product
+    span_ms: float        # over which progress and rates are remembered
+    beat_ms: float
+    share: float          # gateways that load the servers as much as this one, itself included
+    cold_rate: float      # part of a warm peer's rate that a server just started may be sent
+    cold_ms: float
+    burst_ms: float
+    retry_ms: float       # first pause after a server could not be reached
+    pause_ms: float
+
+    @classmethod
+    def from_facts(cls, facts: StartFacts) -> Limits:
+        slo = min((p.slo_ms for p in facts.products if p.slo_ms), default=1000.0)
+        return cls(slo, 2 * slo, max(facts.step_ms, slo / 20), facts.gateways,
+                   facts.fall_multiple * facts.cold_from / 2, facts.cold_ms, facts.fall_ms / 2,
+                   2 * facts.connect_ms, facts.longest_pause_ms if facts.may_advise else 0.0)
+
+
+@dataclass(slots=True, eq=False)
+class Leg:
+    engine: Engine
+    course: Course
+    writes: bool
+    since: float      # start of the present stage: read, open (until the first token) or stream
+    usual_ms: float   # what its peers take for that stage
+    counted: float = 0.0
+    work_ms: float = 0.0
+
+
+@dataclass(slots=True, eq=False)
+class Course:
+    """One generation on its way."""
+    gen: Generation
+    slo_at: float
+    limit_at: float
+    reader: Engine | None = None
+    writer: Engine | None = None
+    leg: Leg | None = None
+    legs: int = 0
+    state_at: Engine | None = None
+    may_have_run: tuple[float, Server] | None = None
+    over: bool = False
+    tried: set[Engine] = field(default_factory=set)
+
+
+@dataclass(slots=True, eq=False)
+class Home:
+    reader: Engine
+    writer: Engine
+    used: float
+
+
+@dataclass(slots=True, frozen=True)
+class Standing:
+    """What an Engine tells the Desk of itself."""
+    engine: Engine
+    listed: bool
+    free: float       # share of memory, or of reading time if that is scarcer
+    open: int
+    progress: float
+    shut: bool
+    trial: bool
+    credit: float     # sends that a cold server may still be given
+    rate: float
+    warm: OrderedDict[str, float]
+
+
+# Notes to an Engine. Trouble: it could not be reached, broke off, or (silent) falls far behind its peers.
+News = NamedTuple("News", [])
+Booked = NamedTuple("Booked", [("course", Course), ("toks", float)])
+Unbooked = NamedTuple("Unbooked", [("course", Course)])
+Sent = NamedTuple("Sent", [("leg", Leg)])
+StageEnded = NamedTuple("StageEnded", [("leg", Leg), ("good", bool), ("next_usual_ms", float | None)])
+Trouble = NamedTuple("Trouble", [("silent", bool)])
+Kept = NamedTuple("Kept", [("opening", str), ("toks", float), ("found", bool)])
+Reported = NamedTuple("Reported", [("mem_share", float)])
+Beat = NamedTuple("Beat", [("peer_rate", float)])
+
+
+class Actor:
+    def __init__(self, router: Router) -> None:
+        self.router, self.limits = router, router.limits
+        self.inbox: deque[Any] = deque()
+
+    def post(self, note: Any) -> None:
+        if not self.inbox:
+            self.router.ready.append(self)
+        self.inbox.append(note)
+
+    def handle(self, note: Any) -> None:
+        raise NotImplementedError
+
+
+class Engine(Actor):
+    """One model server as this gateway knows it."""
+
+    def __init__(self, router: Router, server: Server) -> None:
+        super().__init__(router)
+        self.server = server
+        self.reads, self.writes = server.duty is not Duty.WRITE, server.duty is not Duty.READ
+        self.booked: dict[Course, float] = {}
+        self.legs: dict[Leg, None] = {}
+        self.said: tuple[float, float] | None = None   # when, memory share
+        self.recent: deque[tuple[float, float]] = deque()
+        self.done = self.due = self.rate = self.credit = 0.0
+        self.strikes, self.shut_until, self.trial = 0, 0.0, False
+        self.started, self.cold_until = server.started_ms, 0.0
+        self.warm: OrderedDict[str, float] = OrderedDict()
+        self.beat_at = router.now
+
+    def handle(self, note: Any) -> None:
+        now = self.router.now
+        match note:
+            case Booked(course, toks):
+                self.booked[course] = toks
+                self.recent.append((now, toks))
+                self.credit -= 1
+                self.rate += 1
+            case Unbooked(course):
+                self.booked.pop(course, None)
+            case Sent(leg):
+                self.legs[leg] = None
+            case StageEnded(leg, good, next_usual):
+                self.count(leg)
+                self.done += good
+                if next_usual is None:
+                    self.legs.pop(leg, None)
+                else:
+                    leg.since, leg.usual_ms, leg.counted = now, next_usual, 0.0
+                if good and self.trial and now - leg.since <= CROWD * leg.usual_ms:
+                    self.trial, self.strikes = False, 0
+            case Trouble(silent):
+                if now >= self.shut_until:
+                    self.strikes += 1
+                    wait = self.limits.span_ms if silent else self.limits.retry_ms
+                    self.shut_until = now + min(wait * 2 ** (self.strikes - 1), self.limits.cold_ms)
+                    self.trial, self.done, self.due = True, 0.0, 0.0
+                    self.warm.clear()
+            case Kept(opening, toks, found):
+                if not found:
+                    self.warm.clear()    # guards against texts forgotten all at once
+                self.warm[opening] = toks
+                self.warm.move_to_end(opening)
+            case Reported(mem_share):
+                self.said = now, mem_share
+            case Beat(peer_rate):
+                fade = exp((self.beat_at - now) / self.limits.span_ms)
+                for leg in self.legs:
+                    self.count(leg)
+                self.done, self.due, self.rate = self.done * fade, self.due * fade, self.rate * fade
+                self.refill(peer_rate, now - self.beat_at)
+                self.beat_at = now
+            case News():
+                if self.server.started_ms != self.started:
+                    self.started = self.server.started_ms
+                    self.warm.clear()
+                self.cold_until = self.started + self.limits.cold_ms if self.started > 0 else 0.0
+        self.router.desk.post(self.standing())
+
+    def count(self, leg: Leg) -> None:
+        """Adds what the leg should have got done at its peers' pace; one leg alone can't condemn a server."""
+        ought = min((self.router.now - leg.since) / max(leg.usual_ms, 1.0), 2 * DOUBT)
+        self.due += ought - leg.counted
+        leg.counted = ought
+
+    def refill(self, peer_rate: float, ms: float) -> None:
+        """A cold server takes part of what a warm peer of its duty gets from this gateway, growing as it warms."""
+        left = max(0.0, self.cold_until - self.router.now) / max(self.limits.cold_ms, 1.0)
+        rate = self.limits.cold_rate * peer_rate * (2 - left)
+        self.credit = min(self.credit + rate * ms, max(1.0, rate * self.limits.burst_ms))
+
+    def standing(self) -> Standing:
+        now, mem = self.router.now, max(self.server.mem_toks, 1.0)
+        held = sum(self.booked.values())
+        if self.said is not None:
+            while self.recent and self.recent[0][0] < self.said[0] - self.limits.beat_ms:
+                self.recent.popleft()
+            free = 1 - self.said[1] - sum(t for _, t in self.recent) / mem
+        else:
+            self.recent.clear()
+            free = 1 - self.limits.share * held / mem
+        if self.reads:
+            queue = sum(leg.work_ms for leg in self.legs if not leg.writes)
+            free = min(free, 1 - self.limits.share * queue / self.limits.slo_ms)
+        return Standing(self, self.server.life is Life.UP, free, len(self.booked),
+                        (self.done + DOUBT) / (self.due + DOUBT), now < self.shut_until, self.trial,
+                        self.credit if now < self.cold_until else float("inf"), self.rate, self.warm)
+
+
+class Desk(Actor):
+    """Sessions' homes and generations' courses."""
+
+    def __init__(self, router: Router, facts: StartFacts) -> None:
+        super().__init__(router)
+        self.leg_limit, self.may_call_off = facts.leg_limit, facts.may_call_off
+        self.must_ask, self.writers_read = facts.must_ask, facts.writers_read
+        self.zone = facts.zone
+        self.board: dict[Engine, Standing] = {}
+        self.homes: OrderedDict[str, Home] = OrderedDict()
+        self.waiting: list[tuple[float, int, Course]] = []
+        self.turn, self.stuck = 0, False
+        self.usual: dict[tuple[Product, str], float] = {}
+        self.prompt: dict[Product, float] = {}
+        self.tok_ms = self.limits.slo_ms / 10e3
+        self.middle: dict[Duty, tuple[float, float]] = {}
+        self.asked = False
+
+    def handle(self, note: Any) -> None:
+        match note:
+            case Standing():
+                self.board[note.engine] = note
+            case port.Arrived(gen):
+                self.arrived(gen)
+            case port.FirstTok(gen, _, took):
+                self.first_tok(gen.seat, took)
+            case port.LegEnded():
+                self.stuck = False
+                self.leg_ended(note)
+            case port.ClientLeft(gen):
+                self.close(gen.seat)
+            case port.Listed(servers):
+                for server in servers:
+                    if server.seat is None:
+                        server.seat = Engine(self.router, server)
+                    server.seat.post(News())
+            case port.ListFailed():
+                self.asked = False
+            case port.Checked(server, _, report):
+                self.reported(server.seat, report)
+            case port.Woken(beat):
+                if beat:
+                    self.stuck = False
+                    self.beat()
+
+    # The ordinary path.
+
+    def arrived(self, gen: Generation) -> None:
+        now, product = self.router.now, gen.product
+        ktoks = gen.prompt_toks / 1000
+        gen.seat = course = Course(gen, now + (product.slo_ms or gen.patience_ms) + product.slo_per_ktok_ms * ktoks,
+                                   now + gen.patience_ms)
+        mean = self.prompt.setdefault(product, max(gen.prompt_toks, 1.0))
+        self.prompt[product] = mean + GAIN * (gen.prompt_toks - mean)
+        if self.waiting:
+            self.turn += 1
+            return heapq.heappush(self.waiting, (self.latest(course), self.turn, course))
+        self.place(course)
+
+    def usable(self, engine: Engine, course: Course) -> bool:
+        """May the course be sent to this server at all?"""
+        s = self.board.get(engine)
+        if s is None or not s.listed or s.credit < 1 or not self.effect_allows(course, engine):
+            return False
+        return True
+
+    def fit(self, s: Standing, course: Course) -> bool:
+        if s.shut or s.engine in course.tried:
+            return False
+        if s.trial:    # one leg at a time finds out, and none whose loss could not be made good
+            return not s.open and (not s.engine.writes or course.gen.product.effect is Effect.IDEMPOTENT)
+        return s.progress >= SICK * self.middle.get(s.engine.server.duty, (0, 1))[1]
+
+    def congested(self, s: Standing, course: Course) -> bool:
+        crowd = max(self.middle.get(s.engine.server.duty, (0, 1))[0], DOUBT)
+        return not self.fit(s, course) or s.free <= self.toks(course, s.engine) or s.open > CROWD * crowd
+
+    def toks(self, course: Course, engine: Engine) -> float:
+        """The share of the server's memory that the generation will take."""
+        gen = course.gen
+        out = OUT_SHARE * gen.max_toks if engine.writes else 0.0
+        return (gen.prompt_toks + out) / max(engine.server.mem_toks, 1.0)
+
+    def pairs(self, readers: list[Standing], writers: list[Standing]) -> Iterator[tuple[Standing, Standing]]:
+        """All pairs of reader and writer; a mixed server goes with itself alone."""
+        for r in readers:
+            if r.engine.writes:
+                yield r, r
+            elif r.engine.reads:
+                yield from ((r, w) for w in writers if not w.engine.reads)
+
+    def score(self, r: Standing, w: Standing, gen: Generation) -> tuple[float, float]:
+        a, b = r.engine.server, w.engine.server
+        steps = 0 if a is b or a.cell == b.cell else 1 if a.zone == b.zone else 2
+        kept = r.warm.get(gen.opening or "", 0.0)
+        unread = self.tok_ms * max(gen.prompt_toks - kept, 0.0) / self.limits.slo_ms
+        return min(r.free, w.free) - STEP * steps - unread, r.free + w.free
+
+    def best(self, course: Course, holder: Engine | None = None) -> tuple[Standing, Standing] | None:
+        """The best pair that is not congested; with none fit at all, the view is suspected and any will do."""
+        able = [s for s in self.board.values() if self.usable(s.engine, course)]
+        calm = [s for s in able if not self.congested(s, course)]
+        readers = [self.board[holder]] if holder else None
+        pairs = list(self.pairs(readers or calm, calm))
+        if not pairs:
+            fit = [s for s in able if self.fit(s, course)]
+            if next(self.pairs(readers or fit, fit), None) is None:
+                open_ = [s for s in able if not s.shut]
+                pairs = list(self.pairs(readers or open_, open_)) or list(self.pairs(readers or able, able))
+        return max(pairs, key=lambda p: self.score(*p, course.gen), default=None)
+
+    def place(self, course: Course) -> None:
+        """Home pair if it is calm, else the best calm pair; else the generation waits before its read."""
+        now, gen = self.router.now, course.gen
+        if now >= course.limit_at or course.legs >= self.leg_limit:
+            return self.finish(course)
+        home = self.homes.get(gen.session) if gen.session else None
+        if home and all(self.usable(e, course) and not self.congested(self.board[e], course)
+                        for e in (home.reader, home.writer)):
+            reader, writer = home.reader, home.writer
+        else:
+            pair = self.best(course)
+            if pair is None:
+                if not self.served() or now >= self.latest(course):
+                    return self.finish(course)
+                self.turn += 1
+                return heapq.heappush(self.waiting, (self.latest(course), self.turn, course))
+            reader, writer = pair[0].engine, pair[1].engine
+        if gen.session:
+            self.homes[gen.session] = Home(reader, writer, now)
+            self.homes.move_to_end(gen.session)
+        course.reader, course.writer = reader, writer
+        for engine in {reader: None, writer: None}:
+            engine.post(Booked(course, self.toks(course, engine) * engine.server.mem_toks))
+        self.send(course, reader)
+
+    def latest(self, course: Course) -> float:
+        """The last time at which a read may begin and the first token still come within the SLO time."""
+        product = course.gen.product
+        return course.slo_at - self.usual_ms(product, "read") - self.usual_ms(product, "open")
+
+    def served(self) -> bool:
+        """Is anyone listed who could read and anyone who could write?"""
+        listed = [s.engine for s in self.board.values() if s.listed]
+        return any(e.reads for e in listed) and any(e.writes for e in listed)
+
+    def pump(self) -> bool:
+        """Gives up on waiting generations that come too late, and places the one that is due first."""
+        while self.waiting and (self.waiting[0][2].over or self.waiting[0][0] <= self.router.now):
+            self.finish(heapq.heappop(self.waiting)[2])
+        if not self.waiting or self.stuck:
+            return False
+        course = heapq.heappop(self.waiting)[2]
+        self.place(course)
+        self.stuck = course.leg is None and not course.over
+        return not self.stuck
+
+    # The only places that send, answer and release.
+
+    def send(self, course: Course, engine: Engine) -> None:
+        assert not course.over and course.leg is None and engine.server.life is Life.UP
+        now, product = self.router.now, course.gen.product
+        writes = engine is course.writer
+        course.legs += 1
+        stage = "open" if writes else "read"
+        usual = self.usual_ms(product, stage)
+        if not writes:
+            usual *= max(1.0, course.gen.prompt_toks / self.prompt[product])
+        left = course.limit_at - now
+        patience = left
+        if course.legs < self.leg_limit and (not writes or product.effect is Effect.IDEMPOTENT):
+            patience = min(left, max(product.slo_ms / 2, 4 * usual))
+        kept = self.board[engine].warm.get(course.gen.opening or "", 0.0)
+        course.leg = Leg(engine, course, writes, now, usual,
+                         work_ms=self.tok_ms * max(course.gen.prompt_toks - kept, 0.0))
+        engine.post(Sent(course.leg))
+        self.router.out.append(port.SendLeg(course.gen, engine.server, patience))
+
+    def finish(self, course: Course) -> None:
+        """The one final answer, given at once: throttled wherever that promise is true, else terminated."""
+        if course.over:
+            return
+        product, ran = course.gen.product, course.may_have_run
+        harmless = ran is None or product.effect is Effect.IDEMPOTENT or (
+            product.effect is Effect.DEDUPLICATED and product.group is Group.ALL)
+        self.router.out.append(port.Throttle(course.gen, min(self.limits.pause_ms, product.slo_ms / 2))
+                               if harmless else port.Terminate(course.gen))
+        self.close(course)
+
+    def let_go(self, course: Course) -> None:
+        if course.state_at is not None:
+            course.state_at = None
+            self.router.out.append(port.LetGo(course.gen))
+
+    def close(self, course: Course) -> None:
+        if course.over:
+            return
+        course.over = True
+        self.let_go(course)
+        if course.leg is not None and self.may_call_off:
+            self.router.out.append(port.CallOff(course.gen))
+        if course.leg is None:
+            self.unbook(course)
+
+    def unbook(self, course: Course) -> None:
+        for engine in (course.reader, course.writer):
+            if engine is not None:
+                engine.post(Unbooked(course))
+
+    def effect_allows(self, course: Course, engine: Engine) -> bool:
+        """No effect twice: after a leg that may have run, only what its product's effect permits."""
+        if course.may_have_run is None or course.gen.product.effect is Effect.IDEMPOTENT:
+            return True
+        if course.gen.product.effect is Effect.SIDE_EFFECTING:
+            return False
+        product, (since, first), other = course.gen.product, course.may_have_run, engine.server
+        same = {Group.ALL: True, Group.ZONE: first.zone == other.zone,
+                Group.CELL: first.zone == other.zone and first.cell == other.cell}[product.group]
+        return same and self.router.now - since < product.window_ms
+
+    # What comes of a leg.
+
+    def first_tok(self, course: Course, took: float) -> None:
+        leg = course.leg
+        if leg is None:
+            return
+        product = course.gen.product
+        self.learn(product, "open", took)
+        course.state_at = None
+        if course.reader is not None and course.reader is not course.writer:
+            course.reader.post(Unbooked(course))
+        leg.engine.post(StageEnded(leg, True, self.usual_ms(product, "stream")))
+
+    def leg_ended(self, note: port.LegEnded) -> None:
+        course: Course = note.gen.seat
+        leg, course.leg = course.leg, None
+        engine: Engine = note.server.seat
+        self.reported(engine, note.report)
+        if leg is None:
+            return
+        gen, product, verdict = course.gen, course.gen.product, note.verdict
+        if verdict is Verdict.STREAMED:
+            self.learn(product, "stream", self.router.now - leg.since)
+        engine.post(StageEnded(leg, verdict in (Verdict.READ, Verdict.STREAMED), None))
+        if verdict in (Verdict.UNCONNECTED, Verdict.RESET):
+            engine.post(Trouble(silent=False))
+        if leg.writes and verdict not in NEVER_RAN and course.may_have_run is None:
+            course.may_have_run = leg.since, note.server
+        if verdict is Verdict.READ:
+            course.state_at = engine
+            self.read_back(course, leg, note)
+        elif note.state_lost:
+            course.state_at = None
+        if note.over:
+            course.over = True
+        if course.over:
+            if verdict is Verdict.READ:
+                self.let_go(course)
+            return self.unbook(course)
+        if verdict is not Verdict.READ:
+            course.tried.add(engine)
+            if verdict is Verdict.MOOT:
+                return self.finish(course)
+        if course.state_at is not None:
+            return self.hand_on(course)
+        self.unbook(course)
+        if not any(self.effect_allows(course, e) for e in self.board):
+            return self.finish(course)
+        self.place(course)
+
+    def read_back(self, course: Course, leg: Leg, note: port.LegEnded) -> None:
+        gen = course.gen
+        self.learn(gen.product, "read", note.took_ms / max(1.0, gen.prompt_toks / self.prompt[gen.product]))
+        unread = max(gen.prompt_toks - note.kept_toks, 0.0)
+        if unread > 0:
+            ratio = note.took_ms / max(unread, 256.0)
+            self.tok_ms += (ratio - self.tok_ms) * (4 * GAIN if ratio < self.tok_ms else GAIN / 4)
+        if gen.opening:
+            known = self.board[leg.engine].warm.get(gen.opening, 0.0)
+            leg.engine.post(Kept(gen.opening, gen.opening_toks, note.kept_toks >= known / 2))
+
+    def hand_on(self, course: Course) -> None:
+        """The state goes to the home writer, or, if that has congested since, straight to the next best."""
+        now, writer = self.router.now, course.writer
+        if now >= course.limit_at or course.legs >= self.leg_limit:
+            return self.finish(course)
+        s = self.board[writer]
+        if writer in course.tried or not self.usable(writer, course) or not self.fit(s, course):
+            pair = self.best(course, course.state_at)
+            if pair is None:
+                return self.finish(course)
+            writer.post(Unbooked(course))
+            writer = course.writer = pair[1].engine
+            writer.post(Booked(course, self.toks(course, writer) * writer.server.mem_toks))
+            if course.gen.session in self.homes:
+                self.homes[course.gen.session].writer = writer
+        self.send(course, writer)
+
+    # What is learnt.
+
+    def usual_ms(self, product: Product, stage: str) -> float:
+        first = product.tok_slo_ms * 100 / CROWD if stage == "stream" else (product.slo_ms or 1000.0) / 8
+        return self.usual.get((product, stage), first)
+
+    def learn(self, product: Product, stage: str, took: float) -> None:
+        mean = self.usual_ms(product, stage)
+        self.usual[product, stage] = mean + GAIN * (took - mean)
+
+    def reported(self, engine: Engine, report: port.Report | None) -> None:
+        if report is not None and report.mem_share is not None:
+            engine.post(Reported(report.mem_share))
+
+    def beat(self) -> None:
+        now, out = self.router.now, self.router.out
+        out.append(port.Wake(now + self.limits.beat_ms, True))
+        if self.must_ask and not self.asked:
+            self.asked = True
+            out.append(port.Follow())
+        while self.homes and next(iter(self.homes.values())).used < now - HOME_AGE_MS:
+            self.homes.popitem(last=False)
+        for duty in Duty:
+            peers = [s for s in self.board.values() if s.engine.server.duty is duty and s.listed]
+            fit = [s for s in peers if not s.shut and not s.trial] or peers
+            if not peers:
+                continue
+            mid = self.middle[duty] = median(s.open for s in fit), min(1.0, median(s.progress for s in fit))
+            warm = [s.rate for s in fit if s.credit == float("inf")]
+            rate = sum(warm) / len(warm) / self.limits.span_ms if warm else 0.0
+            for s in peers:
+                if s.progress < SICK * mid[1] and not s.shut and not s.trial:
+                    s.engine.post(Trouble(silent=True))
+                s.engine.post(Beat(rate))
+
+
+class Router:
+    """One gateway's decisions."""
+
+    def __init__(self, facts: StartFacts) -> None:
+        self.now = 0.0
+        self.seed, self.drawn = facts.seed, 0
+        self.limits = Limits.from_facts(facts)
+        self.ready: deque[Actor] = deque()
+        self.out: list[Action] = []
+        self.desk = Desk(self, facts)
+        self.begun = False
+
+    def take(self, now: float, events: list[Event]) -> list[Action]:
+        self.now, self.out = now, []
+        if not self.begun:
+            self.begun = True
+            self.run(port.Woken(True))
+        for event in events:
+            self.run(event)
+        return self.out
+
+    def run(self, event: Event) -> None:
+        self.desk.post(event)
+        while True:
+            while self.ready:
+                actor = self.ready.popleft()
+                while actor.inbox:
+                    actor.handle(actor.inbox.popleft())
+            if not self.desk.pump():
+                break
--- /dev/null
+++ b/ternlane/wirehost/host.py
@@ -0,0 +1,234 @@
+"""Turns the lines of a batch into events, ids into objects, and actions into lines. It decides nothing."""
+from __future__ import annotations
+
+import json
+from typing import Any, Iterator
+
+from ternlane.choice import Router
+from ternlane.port import (
+    Action, Arrived, CallOff, Checked, ClientLeft, Duty, Effect, Event, FirstTok, Follow, Generation, Group, HoldAhead,
+    LegEnded, LetGo, Life, Listed, ListFailed, Log, PlaceHeld, Probe, Product, Report, SendLeg, Server, StartFacts,
+    Terminate, Throttle, Verdict, Wake, Woken)
+
+VERDICTS = {"S": Verdict.STREAMED, "E": Verdict.ERROR, "F": Verdict.FULL, "T": Verdict.TIMED_OUT,
+            "C": Verdict.UNCONNECTED, "R": Verdict.RESET, "X": Verdict.CALLED_OFF, "N": Verdict.MOOT,
+            "prefilled": Verdict.READ}
+EFFECTS = {"idempotent": Effect.IDEMPOTENT, "deduplicated": Effect.DEDUPLICATED,
+           "at_most_once": Effect.SIDE_EFFECTING}
+GROUPS = {"all": Group.ALL, "zone": Group.ZONE, "cell": Group.CELL}
+DUTIES = {"read": Duty.READ, "write": Duty.WRITE, "both": Duty.BOTH}
+LIVES = {"healthy": Life.UP, "cordoned": Life.DRAINING, "deregistered": Life.GONE}
+BEAT, DUE = 0, 1
+
+
+class Malformed(ValueError):
+    """A line that does not say what it should."""
+
+
+def number(text: str, default: float = 0.0) -> float:
+    return default if text in ("-", "") else float(text)
+
+
+def name(text: str) -> str | None:
+    return None if text in ("-", "", "0") else text
+
+
+def ms(value: float) -> str:
+    return f"{value:.3f}"
+
+
+class Instance:
+    """One gateway's Router with the ids that its objects go by."""
+
+    def __init__(self, seed: int, told: dict[str, Any]) -> None:
+        limits, rules, spec = told.get("limits", {}), told.get("invariants", {}), told.get("specifics", {})
+        report = told.get("report", {})
+        self.columns: list[str] = report.get("columns", []) if report.get("how", "off") != "off" else []
+        kinds = told.get("kinds", [])
+        self.duty = {k: DUTIES.get(d, Duty.BOTH) for k, d in zip(kinds, spec.get("duty_by_kind", []))}
+        self.mem = dict(zip(kinds, spec.get("tokens_by_kind", [])))
+        per_ktok, tok_slo = spec.get("aim_us_per_1000_prompt_tokens", []), spec.get("token_aim", [])
+        self.products: dict[str, Product] = {}
+        for i, p in enumerate(told.get("profiles", [])):
+            self.products[p["name"]] = Product(
+                effect=EFFECTS.get(p.get("semantics", ""), Effect.SIDE_EFFECTING),
+                group=GROUPS.get(p.get("group", ""), Group.CELL), window_ms=p.get("key_ttl", 0.0),
+                slo_ms=p["aim"], slo_per_ktok_ms=per_ktok[i] / 1000.0 if i < len(per_ktok) else 0.0,
+                tok_slo_ms=tok_slo[i] if i < len(tok_slo) else 0.0, limit_ms=p["deadline"],
+                revenue=p.get("worth", 1.0), late_share=p.get("late_worth", 0.0))
+        self.servers: dict[str, Server] = {}
+        self.server_ids: dict[Server, str] = {}
+        self.gens: dict[int, Generation] = {}
+        self.gen_ids: dict[Generation, int] = {}
+        self.legs: dict[Generation, int] = {}
+        self.legs_back: dict[Generation, int] = {}
+        self.closed: set[Generation] = set()
+        self.router = Router(StartFacts(
+            seed=seed, gateways=max(1, told.get("n_instances", 1)), zone=told.get("locality", ""),
+            products=tuple(self.products.values()), leg_limit=limits.get("most_tries", 1),
+            may_call_off=bool(limits.get("cancel")), may_hold_ahead=bool(spec.get("holds_allowed")),
+            may_probe=bool(limits.get("probes")), may_advise=bool(limits.get("retry_after")),
+            must_ask=told.get("discovery") == "ask", ask_within_ms=rules.get("ask_within", 0.0),
+            writers_read=bool(spec.get("read_in_place")), reports_mem="x0" in self.columns,
+            longest_pause_ms=limits.get("max_retry_after", 0.0), connect_ms=limits.get("connect_timeout", 0.0),
+            release_ms=spec.get("release", 0.0), drain_grace_ms=rules.get("drain_grace", 0.0),
+            cold_ms=rules.get("cold", 0.0), cold_from=rules.get("cold_from", 1.0),
+            fall_multiple=rules.get("overload_factor", 1.0), fall_ms=rules.get("overload_for", 0.0),
+            step_ms=told.get("step", 1.0)))
+
+    def server(self, sid: str) -> Server | None:
+        return self.servers.get(sid)
+
+    def list_entries(self, kind: str, rows: list[str]) -> Event:
+        if kind == "Error":
+            return ListFailed()
+        news: list[Server] = []
+        for row in rows:
+            _, sid, zone, flavor, cohort, state, units, started = row.split(" ")[:8]
+            server = self.servers.get(sid)
+            if server is None:
+                server = self.servers[sid] = Server(zone, int(cohort), self.duty.get(flavor, Duty.BOTH),
+                                                    float(self.mem.get(flavor, 0.0)))
+                self.server_ids[server] = sid
+            server.size, server.started_ms = number(units, 1.0), number(started)
+            server.life = LIVES.get(state, Life.GONE)
+            news.append(server)
+        if kind != "Partial":
+            named = set(news)
+            for server in self.servers.values():
+                if server not in named and server.life is not Life.GONE:
+                    server.life = Life.GONE
+                    news.append(server)
+        return Listed(tuple(news))
+
+    def report(self, text: str) -> Report | None:
+        if text in ("-", "") or not self.columns:
+            return None
+        said = dict(zip(self.columns, (number(v) for v in text.split(","))))
+        return Report(said.get("outstanding"), said.get("x0"))
+
+    def forget(self, gen: Generation) -> None:
+        """Drops the ids of a generation that is over and whose legs have all ended."""
+        if gen in self.closed and self.legs_back.get(gen, 0) >= self.legs.get(gen, 0):
+            self.gens.pop(self.gen_ids.pop(gen, -1), None)
+            self.closed.discard(gen)
+            self.legs.pop(gen, None)
+            self.legs_back.pop(gen, None)
+
+    def event(self, part: list[str]) -> Event | None:
+        what = part[0]
+        if what == "WORK_ITEM":
+            _, _, corr, opening_toks, _, opening, lane, prompt, patience, _, session, longest, *_ = part
+            product = self.products.get(lane)
+            if product is None:
+                raise Malformed(f"product {lane} was never listed")
+            gen = Generation(product, name(session), name(opening), number(opening_toks), number(prompt),
+                             number(longest), number(patience))
+            self.gens[int(corr)], self.gen_ids[gen] = gen, int(corr)
+            return Arrived(gen)
+        if what == "DEADLINE_HIT":
+            return Woken(int(part[2]) == BEAT)
+        if what == "CHECK_RESULT":
+            server = self.server(part[3])
+            return server and Checked(server, VERDICTS.get(part[4], Verdict.ERROR),
+                                      self.report(part[5] if len(part) > 5 else "-"))
+        if what in ("SHUTDOWN", "WHISPER"):
+            return None
+        gen = self.gens.get(int(part[2]))
+        if gen is None:
+            return None
+        if what == "EXPIRED":
+            self.closed.add(gen)
+            return ClientLeft(gen)
+        server = self.server(part[4])
+        if server is None:
+            return None
+        if what == "FLOWING":
+            return FirstTok(gen, server, number(part[5]))
+        if what == "NOTE":
+            return PlaceHeld(gen, part[5] == "1")
+        if what == "REPORT_BACK":
+            verdict, note = VERDICTS.get(part[5], Verdict.ERROR), number(part[8]) if len(part) > 8 else 0.0
+            over = part[7] == "1"
+            self.legs_back[gen] = self.legs_back.get(gen, 0) + 1
+            if over:
+                self.closed.add(gen)
+            kept = note if verdict in (Verdict.READ, Verdict.STREAMED) else 0.0
+            return LegEnded(gen, server, verdict, number(part[6]), over, kept,
+                            verdict is Verdict.FULL and note == 1, self.report(part[9] if len(part) > 9 else "-"))
+        return None
+
+    def lines(self, number_: str, actions: list[Action]) -> Iterator[str]:
+        for a in actions:
+            match a:
+                case SendLeg(gen, server, timeout):
+                    self.legs[gen] = self.legs.get(gen, 0) + 1
+                    yield f"FORWARD {number_} {self.gen_ids[gen]} {ms(timeout)} {self.server_ids[server]}"
+                case CallOff(gen):
+                    yield f"CALL_OFF {number_} {self.gen_ids[gen]} {self.legs[gen] - 1}"
+                case Throttle(gen, pause):
+                    yield f"BUSY {number_} {self.gen_ids[gen]} {ms(pause)}"
+                    self.closed.add(gen)
+                case Terminate(gen):
+                    yield f"DROP_REQUEST {number_} {self.gen_ids[gen]}"
+                    self.closed.add(gen)
+                case LetGo(gen):
+                    yield f"DROP_STATE {number_} {self.gen_ids[gen]}"
+                case HoldAhead(gen, server):
+                    yield f"RESERVE {number_} {self.gen_ids[gen]} {self.server_ids[server]}"
+                case Probe(server):
+                    yield f"ASK_LOAD {number_} {self.server_ids[server]}"
+                case Follow():
+                    yield f"SUBSCRIBE {number_} 1"
+                case Wake(at, beat):
+                    yield f"ARM {number_} {BEAT if beat else DUE} {ms(at)}"
+                case Log(text):
+                    yield f"SAY_LOG {number_} {text}"
+        for gen in list(self.closed):
+            self.forget(gen)
+
+
+class Host:
+    def __init__(self) -> None:
+        self.instances: dict[str, Instance] = {}
+
+    def answer(self, batch: list[str]) -> list[str]:
+        now, out = 0.0, [""]
+        heard: dict[str, list[Event]] = {}
+        at, part = 0, [""]
+        try:
+            while at < len(batch):
+                line = batch[at]
+                at += 1
+                part = line.split(" ")
+                if part[0] == "MARK":
+                    now = float(part[1])
+                elif part[0] == "ENLIST":
+                    _, gateway, seed, told = line.split(" ", 3)
+                    self.instances[gateway] = Instance(int(seed), json.loads(told))
+                    heard[gateway] = []
+                elif part[0] == "SHUTDOWN":
+                    self.instances.pop(part[1], None)
+                    heard.pop(part[1], None)
+                elif part[1] in self.instances:
+                    instance = self.instances[part[1]]
+                    event: Event | None
+                    if part[0] == "ANNOUNCE":
+                        count = int(part[4])
+                        event = instance.list_entries(part[2], batch[at:at + count])
+                        at += count
+                    else:
+                        event = instance.event(part)
+                    if event is not None:
+                        heard.setdefault(part[1], []).append(event)
+        except (ValueError, IndexError, KeyError, TypeError, AttributeError) as why:
+            return ["", f"BUG {part[1] if len(part) > 1 and part[1].isdigit() else 0} malformed line: "
+                        f"{' '.join(part)[:200]!r} ({type(why).__name__}: {why})", "YIELD"]
+        for gateway, events in heard.items():
+            instance = self.instances[gateway]
+            try:
+                out.extend(instance.lines(gateway, instance.router.take(now, events)))
+            except Exception as why:  # said aloud, never turned into some action
+                out.append(f"BUG {gateway} {type(why).__name__}: {why} in {events!r}"[:500].replace("\n", " "))
+        out.append("YIELD")
+        return out[1:] if out[0] == "" else out
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,85 @@
+"""One tiny fake host: a few servers, a clock, and what the module said last."""
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+from typing import Any
+
+import pytest
+
+from ternlane import port
+from ternlane.choice import Router
+from ternlane.port import Duty, Effect, Group, Life, Product, Server, StartFacts, Verdict
+
+
+@dataclass
+class FakeHost:
+    router: Router
+    servers: dict[str, Server]
+    products: dict[Effect, Product]
+    now: float = 0.0
+
+    def tell(self, *events: Any, after: float = 0.0) -> list[Any]:
+        """Lets time pass beat by beat, then hands over the events; answers the actions that are not timers."""
+        until, said = self.now + after, []
+        while self.now + 50.0 <= until:
+            self.now += 50.0
+            said += self.router.take(self.now, [port.Woken(True)])
+        self.now = until
+        said += self.router.take(self.now, list(events))
+        return [a for a in said if not isinstance(a, (port.Wake, port.Log))]
+
+    def list(self, **lives: Life) -> list[Any]:
+        for name, life in lives.items():
+            self.servers[name].life = life
+        return self.tell(port.Listed(tuple(self.servers.values())))
+
+    def gen(self, effect: Effect = Effect.IDEMPOTENT, session: str | None = None, **own: Any) -> port.Generation:
+        facts = dict(opening="o", opening_toks=2000.0, prompt_toks=2400.0, max_toks=400.0, patience_ms=5000.0) | own
+        return port.Generation(self.products[effect], session, **facts)
+
+    def arrive(self, gen: port.Generation, after: float = 0.0) -> list[Any]:
+        return self.tell(port.Arrived(gen), after=after)
+
+    def end(self, gen: port.Generation, server: Server, verdict: Verdict, after: float = 100.0, over: bool = False,
+            **note: Any) -> list[Any]:
+        return self.tell(port.LegEnded(gen, server, verdict, after, over, **note), after=after)
+
+    def first(self, gen: port.Generation, server: Server, after: float = 100.0) -> list[Any]:
+        return self.tell(port.FirstTok(gen, server, after), after=after)
+
+    def written(self, effect: Effect = Effect.IDEMPOTENT, **own: Any) -> tuple[port.Generation, port.SendLeg]:
+        """A generation whose state has just been sent on to a writer, and that leg."""
+        gen = self.gen(effect, **own)
+        leg = sent(self.arrive(gen))
+        return gen, sent(self.end(gen, leg.server, Verdict.READ))
+
+
+def sent(actions: list[Any]) -> port.SendLeg:
+    legs = [a for a in actions if isinstance(a, port.SendLeg)]
+    assert len(legs) == 1, actions
+    return legs[0]
+
+
+def kinds(actions: list[Any]) -> list[type]:
+    return [type(a) for a in actions]
+
+
+FACTS = StartFacts(
+    seed=7, gateways=2, zone="east", products=(), leg_limit=5, may_call_off=True, may_hold_ahead=False,
+    may_probe=False, may_advise=True, must_ask=False, ask_within_ms=10e3, writers_read=False, reports_mem=False,
+    longest_pause_ms=500.0, connect_ms=250.0, release_ms=500.0, drain_grace_ms=250.0, cold_ms=10e3, cold_from=0.25,
+    fall_multiple=2.5, fall_ms=2000.0, step_ms=4.0)
+
+
+def build(**facts: Any) -> FakeHost:
+    products = {e: Product(e, Group.CELL, 3000.0, 1000.0, 50.0, 60.0, 5000.0, 1.0, 0.2) for e in Effect}
+    servers = {f"{duty}{cell}": Server("east", cell, Duty.READ if duty == "r" else Duty.WRITE, 200e3)
+               for cell in (0, 1) for duty in "rw"}
+    host = FakeHost(Router(replace(FACTS, products=tuple(products.values()), **facts)), servers, products, 1000.0)
+    host.list()
+    return host
+
+
+@pytest.fixture
+def host() -> FakeHost:
+    return build()
--- /dev/null
+++ b/tests/test_choice.py
@@ -0,0 +1,118 @@
+"""Stories of what went wrong, or must not, and what the decisions do about it."""
+from __future__ import annotations
+
+import pytest
+
+from ternlane import port
+from ternlane.port import Effect, Life, Verdict
+from tests.conftest import FakeHost, build, kinds, sent
+
+
+def test_a_session_keeps_a_near_home(host: FakeHost) -> None:
+    first, leg = host.written(session="s")
+    reader = first.seat.reader.server
+    assert leg.server.cell == reader.cell
+    host.first(first, leg.server)
+    host.end(first, leg.server, Verdict.STREAMED, over=True)
+    for _ in range(4):
+        host.arrive(host.gen())
+    assert sent(host.arrive(host.gen(session="s"))).server is reader
+
+
+def test_a_full_home_is_left_for_the_next_best_pair(host: FakeHost) -> None:
+    first, leg = host.written(session="s")
+    for _ in range(3):
+        host.end(first, leg.server, Verdict.STREAMED, over=True)
+    big = host.gen(prompt_toks=150e3, opening=None, opening_toks=0.0)
+    taken = sent(host.arrive(big)).server
+    again = host.gen(session="s", prompt_toks=60e3, opening=None, opening_toks=0.0)
+    assert sent(host.arrive(again)).server is not taken
+
+
+def test_a_read_that_breaks_is_read_elsewhere(host: FakeHost) -> None:
+    gen = host.gen(Effect.SIDE_EFFECTING)
+    leg = sent(host.arrive(gen))
+    assert sent(host.end(gen, leg.server, Verdict.RESET)).server is not leg.server
+
+
+def test_a_state_goes_straight_to_another_writer_when_one_is_full(host: FakeHost) -> None:
+    gen, leg = host.written(Effect.SIDE_EFFECTING)
+    other = sent(host.end(gen, leg.server, Verdict.FULL)).server
+    assert other.duty is leg.server.duty and other is not leg.server
+
+
+def test_a_lost_state_is_read_again(host: FakeHost) -> None:
+    gen, leg = host.written()
+    assert sent(host.end(gen, leg.server, Verdict.FULL, state_lost=True)).server.duty is port.Duty.READ
+
+
+@pytest.mark.parametrize("verdict", [Verdict.TIMED_OUT, Verdict.RESET, Verdict.ERROR, Verdict.CALLED_OFF])
+def test_a_side_effect_that_may_have_happened_is_not_tried_again(host: FakeHost, verdict: Verdict) -> None:
+    gen, leg = host.written(Effect.SIDE_EFFECTING)
+    assert kinds(host.end(gen, leg.server, verdict)) == [port.Terminate, port.LetGo]
+    assert host.tell(after=3000.0) == []
+
+
+def test_a_deduplicated_generation_is_repeated_only_in_its_group_and_window(host: FakeHost) -> None:
+    gen, leg = host.written(Effect.DEDUPLICATED)
+    again = sent(host.end(gen, leg.server, Verdict.RESET)).server
+    assert again.cell == leg.server.cell
+    assert kinds(host.end(gen, again, Verdict.ERROR, after=3100.0)) == [port.Terminate, port.LetGo]
+
+
+def test_nobody_to_read_or_write_is_answered_at_once(host: FakeHost) -> None:
+    host.list(w0=Life.GONE, w1=Life.DRAINING)
+    assert kinds(host.arrive(host.gen())) == [port.Throttle]
+
+
+def test_no_time_left_is_answered_at_once(host: FakeHost) -> None:
+    assert kinds(host.arrive(host.gen(patience_ms=0.0))) == [port.Throttle]
+
+
+def test_a_draining_writer_gets_nothing_new(host: FakeHost) -> None:
+    gen = host.gen()
+    leg = sent(host.arrive(gen))
+    home = gen.seat.writer.server
+    host.list(**{name: Life.DRAINING for name, s in host.servers.items() if s is home})
+    assert sent(host.end(gen, leg.server, Verdict.READ)).server is not home
+
+
+def test_a_state_read_for_a_client_that_left_is_let_go(host: FakeHost) -> None:
+    gen = host.gen()
+    leg = sent(host.arrive(gen))
+    assert kinds(host.tell(port.ClientLeft(gen))) == [port.CallOff]
+    assert kinds(host.end(gen, leg.server, Verdict.READ, over=True)) == [port.LetGo]
+
+
+def test_a_restarted_server_gets_its_cold_share_only() -> None:
+    host = build(gateways=3)
+    host.tell(after=20e3)
+    host.servers["r0"].started_ms = host.servers["w0"].started_ms = host.now
+    host.list()
+    legs = []
+    for _ in range(40):
+        gen, leg = host.written(opening=None)
+        legs.append(leg.server)
+        host.first(gen, leg.server, after=20.0)
+        host.end(gen, leg.server, Verdict.STREAMED, over=True)
+    assert 1 <= sum(s is host.servers["w0"] for s in legs) <= 12
+
+
+def test_a_silent_writer_loses_its_sessions(host: FakeHost) -> None:
+    pending = [host.written() for _ in range(6)]
+    mute = pending[0][1].server
+    for gen, leg in pending:
+        if leg.server is not mute:
+            host.first(gen, leg.server, after=20.0)
+    host.tell(after=900.0)
+    later = [host.written()[1].server for _ in range(3)]
+    assert mute not in later
+
+
+def test_bursts_wait_and_are_thrown_off_before_the_slo_time_is_lost(host: FakeHost) -> None:
+    big = [host.gen(prompt_toks=90e3, opening=None, opening_toks=0.0, max_toks=0.0) for _ in range(4)]
+    said = [a for gen in big for a in host.arrive(gen)]
+    assert port.Throttle not in kinds(said)
+    waiting = [g for g in big if g.seat.leg is None]
+    late = host.tell(after=6000.0)
+    assert waiting and {a.gen for a in late if isinstance(a, port.Throttle)} == set(waiting)
