--- a/ternlane/choice.py
+++ b/ternlane/choice.py
@@ -1,6 +1,6 @@
-"""Every decision of ternlane's router: which pair of servers reads and writes a generation, and what failures change.
+"""Every decision of ternlane's router: which pair of servers reads and writes a generation, and what then.
 
-A host makes one Router(StartFacts) for each gateway and calls take(now, events) -> actions whenever something has
+A host makes one Router(StartFacts) for each gateway and calls take(now, events) -> actions when something has
 happened; the interface is ternlane/port.py, the reasons are in docs/design.md. Inside, the Desk (sessions,
 generations) and one Engine for each model server are actors: they talk only by notes in inboxes, which
 Router.run empties. The order to read in: Desk.place (the ordinary path), Desk.leg_ended (after each outcome),
@@ -11,13 +11,16 @@
 import heapq
 import zlib
 from collections import OrderedDict, deque
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from math import exp
 from statistics import median
-from typing import Any, Iterator, NamedTuple
+from typing import Any, Iterator
 
 from ternlane import port
-from ternlane.port import Action, Duty, Effect, Event, Generation, Group, Life, Product, Server, StartFacts, Verdict
+from ternlane.notes import (Beat, Booked, Course, Home, Kept, Leg, News, Onward, Reported, Sent, StageEnded,
+                            Standing, Trouble, TurnedAway, Unbooked)
+from ternlane.port import (Action, Duty, Effect, Event, Generation, Group, Life, Product, Server, StartFacts,
+                           Verdict)
 
 STEP = 0.3          # score lost for each step between reader and writer (design page)
 HOME_AGE_MS = 60e3  # a session idle for longer loses its home (design page)
@@ -25,6 +28,7 @@
 SICK = 0.4          # congested: progress under this part of the peers' median
 DOUBT = 2.0         # legs at the peers' pace that a server is credited with before its own count
 GAIN = 1 / 16       # weight of a new sample in a running mean
+REGAIN = 0.25       # of a place that a full server is credited with anew for each stage it ends well
 OUT_SHARE = 0.25    # part of the longest answer that a generation is expected to fill
 NEVER_RAN = {Verdict.FULL, Verdict.UNCONNECTED, Verdict.MOOT, Verdict.READ}
 
@@ -50,79 +54,14 @@
                    2 * facts.connect_ms, facts.longest_pause_ms if facts.may_advise else 0.0)
 
 
-@dataclass(slots=True, eq=False)
-class Leg:
-    engine: Engine
-    course: Course
-    writes: bool
-    since: float      # start of the present stage: read, open (until the first token) or stream
-    usual_ms: float   # what its peers take for that stage
-    counted: float = 0.0
-    work_ms: float = 0.0
-
-
-@dataclass(slots=True, eq=False)
-class Course:
-    """One generation on its way."""
-    gen: Generation
-    slo_at: float
-    limit_at: float
-    reader: Engine | None = None
-    writer: Engine | None = None
-    leg: Leg | None = None
-    legs: int = 0
-    state_at: Engine | None = None
-    may_have_run: tuple[float, Server] | None = None
-    over: bool = False
-    tried: set[Engine] = field(default_factory=set)
-
-
-@dataclass(slots=True, eq=False)
-class Home:
-    reader: Engine
-    writer: Engine
-    used: float
-
-
-@dataclass(slots=True, frozen=True)
-class Standing:
-    """What an Engine tells the Desk of itself."""
-    engine: Engine
-    listed: bool
-    free: float       # share of memory, or of reading time if that is scarcer
-    open: int
-    progress: float
-    shut: bool
-    trial: bool
-    credit: float     # sends that a cold server may still be given
-    rate: float
-    warm: OrderedDict[str, float]
-
-
-# Notes to an Engine. Trouble: it could not be reached, broke off, or (silent) falls far behind its peers.
-News = NamedTuple("News", [])
-Booked = NamedTuple("Booked", [("course", Course), ("toks", float)])
-Unbooked = NamedTuple("Unbooked", [("course", Course)])
-Sent = NamedTuple("Sent", [("leg", Leg)])
-StageEnded = NamedTuple("StageEnded", [("leg", Leg), ("good", bool), ("next_usual_ms", float | None)])
-Trouble = NamedTuple("Trouble", [("silent", bool)])
-Kept = NamedTuple("Kept", [("opening", str), ("toks", float), ("found", bool)])
-Reported = NamedTuple("Reported", [("mem_share", float)])
-Beat = NamedTuple("Beat", [("peer_rate", float)])
-
-
 class Actor:
     def __init__(self, router: Router) -> None:
         self.router, self.limits = router, router.limits
         self.inbox: deque[Any] = deque()
 
     def post(self, note: Any) -> None:
-        if not self.inbox:
-            self.router.ready.append(self)
         self.inbox.append(note)
-
-    def handle(self, note: Any) -> None:
-        raise NotImplementedError
+        self.router.ready.append(self)
 
 
 class Engine(Actor):
@@ -137,6 +76,7 @@
         self.said: tuple[float, float] | None = None   # when, memory share
         self.recent: deque[tuple[float, float]] = deque()
         self.done = self.due = self.rate = self.credit = 0.0
+        self.cap = float("inf")    # own generations at which it is taken to be full
         self.strikes, self.shut_until, self.trial = 0, 0.0, False
         self.started, self.cold_until = server.started_ms, 0.0
         self.warm: OrderedDict[str, float] = OrderedDict()
@@ -149,7 +89,6 @@
                 self.booked[course] = toks
                 self.recent.append((now, toks))
                 self.credit -= 1
-                self.rate += 1
             case Unbooked(course):
                 self.booked.pop(course, None)
             case Sent(leg):
@@ -157,6 +96,8 @@
             case StageEnded(leg, good, next_usual):
                 self.count(leg)
                 self.done += good
+                self.rate += good and leg.writes is (next_usual is not None)
+                self.cap += REGAIN if good else 0.0
                 if next_usual is None:
                     self.legs.pop(leg, None)
                 else:
@@ -175,6 +116,8 @@
                     self.warm.clear()    # guards against texts forgotten all at once
                 self.warm[opening] = toks
                 self.warm.move_to_end(opening)
+            case TurnedAway():    # guards against asking a full server again and again
+                self.cap = min(self.cap, len(self.booked)) * (1 - GAIN)
             case Reported(mem_share):
                 self.said = now, mem_share
             case Beat(peer_rate):
@@ -182,6 +125,7 @@
                 for leg in self.legs:
                     self.count(leg)
                 self.done, self.due, self.rate = self.done * fade, self.due * fade, self.rate * fade
+                self.cap += REGAIN * (now - self.beat_at) / self.limits.slo_ms
                 self.refill(peer_rate, now - self.beat_at)
                 self.beat_at = now
             case News():
@@ -190,6 +134,8 @@
                     self.warm.clear()
                 self.cold_until = self.started + self.limits.cold_ms if self.started > 0 else 0.0
         self.router.desk.post(self.standing())
+        if isinstance(note, Onward):
+            self.router.desk.post(note)
 
     def count(self, leg: Leg) -> None:
         """Adds what the leg should have got done at its peers' pace; one leg alone can't condemn a server."""
@@ -198,7 +144,7 @@
         leg.counted = ought
 
     def refill(self, peer_rate: float, ms: float) -> None:
-        """A cold server takes part of what a warm peer of its duty gets from this gateway, growing as it warms."""
+        """A cold server gets part of what a warm peer gets from this gateway, more as it warms."""
         left = max(0.0, self.cold_until - self.router.now) / max(self.limits.cold_ms, 1.0)
         rate = self.limits.cold_rate * peer_rate * (2 - left)
         self.credit = min(self.credit + rate * ms, max(1.0, rate * self.limits.burst_ms))
@@ -217,7 +163,8 @@
             queue = sum(leg.work_ms for leg in self.legs if not leg.writes)
             free = min(free, 1 - self.limits.share * queue / self.limits.slo_ms)
         return Standing(self, self.server.life is Life.UP, free, len(self.booked),
-                        (self.done + DOUBT) / (self.due + DOUBT), now < self.shut_until, self.trial,
+                        self.cap - len(self.booked), (self.done + DOUBT) / (self.due + DOUBT),
+                        now < self.shut_until, self.trial,
                         self.credit if now < self.cold_until else float("inf"), self.rate, self.warm)
 
 
@@ -252,6 +199,8 @@
                 self.leg_ended(note)
             case port.ClientLeft(gen):
                 self.close(gen.seat)
+            case Onward(course, away):
+                self.onward(course, away)
             case port.Listed(servers):
                 for server in servers:
                     if server.seat is None:
@@ -271,8 +220,8 @@
     def arrived(self, gen: Generation) -> None:
         now, product = self.router.now, gen.product
         ktoks = gen.prompt_toks / 1000
-        gen.seat = course = Course(gen, now + (product.slo_ms or gen.patience_ms) + product.slo_per_ktok_ms * ktoks,
-                                   now + gen.patience_ms)
+        slo = (product.slo_ms or gen.patience_ms) + product.slo_per_ktok_ms * ktoks
+        gen.seat = course = Course(gen, now + slo, now + gen.patience_ms)
         mean = self.prompt.setdefault(product, max(gen.prompt_toks, 1.0))
         self.prompt[product] = mean + GAIN * (gen.prompt_toks - mean)
         if self.waiting:
@@ -281,22 +230,24 @@
         self.place(course)
 
     def usable(self, engine: Engine, course: Course) -> bool:
-        """May the course be sent to this server at all?"""
+        """May the course be sent to this server at all? Asked again by send()."""
         s = self.board.get(engine)
-        if s is None or not s.listed or s.credit < 1 or not self.effect_allows(course, engine):
-            return False
-        return True
+        return (s is not None and s.listed and s.credit >= 1 and engine not in course.tried
+                and self.effect_allows(course, engine))
+
+    def sound(self, s: Standing) -> bool:
+        pace = self.middle.get(s.engine.server.duty, (0, 1))[1]
+        return not s.shut and not s.trial and s.progress >= SICK * pace
 
     def fit(self, s: Standing, course: Course) -> bool:
-        if s.shut or s.engine in course.tried:
-            return False
-        if s.trial:    # one leg at a time finds out, and none whose loss could not be made good
+        if s.trial and not s.shut:    # one leg at a time finds out, and none that can't be made good
             return not s.open and (not s.engine.writes or course.gen.product.effect is Effect.IDEMPOTENT)
-        return s.progress >= SICK * self.middle.get(s.engine.server.duty, (0, 1))[1]
+        return self.sound(s)
 
     def congested(self, s: Standing, course: Course) -> bool:
         crowd = max(self.middle.get(s.engine.server.duty, (0, 1))[0], DOUBT)
-        return not self.fit(s, course) or s.free <= self.toks(course, s.engine) or s.open > CROWD * crowd
+        return (not self.fit(s, course) or s.room < 1 or s.free <= self.toks(course, s.engine)
+                or s.open > CROWD * crowd)
 
     def toks(self, course: Course, engine: Engine) -> float:
         """The share of the server's memory that the generation will take."""
@@ -307,7 +258,7 @@
     def pairs(self, readers: list[Standing], writers: list[Standing]) -> Iterator[tuple[Standing, Standing]]:
         """All pairs of reader and writer; a mixed server goes with itself alone."""
         for r in readers:
-            if r.engine.writes:
+            if r.engine.reads and r.engine.writes:
                 yield r, r
             elif r.engine.reads:
                 yield from ((r, w) for w in writers if not w.engine.reads)
@@ -320,16 +271,16 @@
         return min(r.free, w.free) - STEP * steps - unread, r.free + w.free
 
     def best(self, course: Course, holder: Engine | None = None) -> tuple[Standing, Standing] | None:
-        """The best pair that is not congested; with none fit at all, the view is suspected and any will do."""
+        """The best pair that is not congested. With no server of a duty sound, the view is suspected."""
         able = [s for s in self.board.values() if self.usable(s.engine, course)]
+        turn = self.router.chance(len(able))
+        able = able[turn:] + able[:turn]    # so that gateways with equal views don't all take the same pair
         calm = [s for s in able if not self.congested(s, course)]
-        readers = [self.board[holder]] if holder else None
-        pairs = list(self.pairs(readers or calm, calm))
-        if not pairs:
-            fit = [s for s in able if self.fit(s, course)]
-            if next(self.pairs(readers or fit, fit), None) is None:
-                open_ = [s for s in able if not s.shut]
-                pairs = list(self.pairs(readers or open_, open_)) or list(self.pairs(readers or able, able))
+        for duty in Duty:
+            peers = [s for s in self.board.values() if s.listed and s.engine.server.duty is duty]
+            if not any(self.sound(s) for s in peers):
+                calm += [s for s in able if s.engine.server.duty is duty and s not in calm and s.room >= 1]
+        pairs = self.pairs([self.board[holder]] if holder else calm, calm)
         return max(pairs, key=lambda p: self.score(*p, course.gen), default=None)
 
     def place(self, course: Course) -> None:
@@ -344,7 +295,7 @@
         else:
             pair = self.best(course)
             if pair is None:
-                if not self.served() or now >= self.latest(course):
+                if not self.served(course) or now >= self.latest(course):
                     return self.finish(course)
                 self.turn += 1
                 return heapq.heappush(self.waiting, (self.latest(course), self.turn, course))
@@ -360,12 +311,14 @@
     def latest(self, course: Course) -> float:
         """The last time at which a read may begin and the first token still come within the SLO time."""
         product = course.gen.product
-        return course.slo_at - self.usual_ms(product, "read") - self.usual_ms(product, "open")
+        end = min(course.slo_at, course.limit_at)
+        return end - self.usual_ms(product, "read") - self.usual_ms(product, "open")
 
-    def served(self) -> bool:
-        """Is anyone listed who could read and anyone who could write?"""
-        listed = [s.engine for s in self.board.values() if s.listed]
-        return any(e.reads for e in listed) and any(e.writes for e in listed)
+    def served(self, course: Course) -> bool:
+        """Is anyone listed who could still read it, and anyone who could write it?"""
+        able = [e for e in self.board if e.server.life is Life.UP and e not in course.tried
+                and self.effect_allows(course, e)]
+        return any(e.reads for e in able) and any(e.writes for e in able)
 
     def pump(self) -> bool:
         """Gives up on waiting generations that come too late, and places the one that is due first."""
@@ -480,15 +433,23 @@
             if verdict is Verdict.READ:
                 self.let_go(course)
             return self.unbook(course)
-        if verdict is not Verdict.READ:
+        if verdict is Verdict.MOOT:
+            return self.finish(course)
+        if verdict is Verdict.FULL and not note.state_lost:
+            engine.post(TurnedAway())
+        elif verdict is not Verdict.READ and not note.state_lost:
             course.tried.add(engine)
-            if verdict is Verdict.MOOT:
-                return self.finish(course)
-        if course.state_at is not None:
-            return self.hand_on(course)
-        self.unbook(course)
+        engine.post(Onward(course, verdict is Verdict.FULL))
+
+    def onward(self, course: Course, away: bool) -> None:
+        """The next leg, if the effect allows one: with the state at hand a writer, else a pair anew."""
+        if course.over:
+            return
         if not any(self.effect_allows(course, e) for e in self.board):
             return self.finish(course)
+        if course.state_at is not None:
+            return self.hand_on(course, away)
+        self.unbook(course)
         self.place(course)
 
     def read_back(self, course: Course, leg: Leg, note: port.LegEnded) -> None:
@@ -502,21 +463,23 @@
             known = self.board[leg.engine].warm.get(gen.opening, 0.0)
             leg.engine.post(Kept(gen.opening, gen.opening_toks, note.kept_toks >= known / 2))
 
-    def hand_on(self, course: Course) -> None:
+    def hand_on(self, course: Course, away: bool) -> None:
         """The state goes to the home writer, or, if that has congested since, straight to the next best."""
         now, writer = self.router.now, course.writer
         if now >= course.limit_at or course.legs >= self.leg_limit:
             return self.finish(course)
         s = self.board[writer]
-        if writer in course.tried or not self.usable(writer, course) or not self.fit(s, course):
+        if not self.usable(writer, course) or not self.fit(s, course) or s.room < 0 or away:
             pair = self.best(course, course.state_at)
-            if pair is None:
-                return self.finish(course)
+            if pair is None:    # the state is let go, and the prompt, now kept, read again
+                self.let_go(course)
+                self.unbook(course)
+                return self.place(course)
             writer.post(Unbooked(course))
             writer = course.writer = pair[1].engine
             writer.post(Booked(course, self.toks(course, writer) * writer.server.mem_toks))
             if course.gen.session in self.homes:
-                self.homes[course.gen.session].writer = writer
+                self.homes[course.gen.session] = Home(course.reader, writer, now)
         self.send(course, writer)
 
     # What is learnt.
@@ -562,7 +525,7 @@
         self.now = 0.0
         self.seed, self.drawn = facts.seed, 0
         self.limits = Limits.from_facts(facts)
-        self.ready: deque[Actor] = deque()
+        self.ready: deque[Engine | Desk] = deque()
         self.out: list[Action] = []
         self.desk = Desk(self, facts)
         self.begun = False
@@ -576,12 +539,15 @@
             self.run(event)
         return self.out
 
+    def chance(self, ways: int) -> int:
+        self.drawn += 1
+        return zlib.crc32(b"%d %d" % (self.seed, self.drawn)) % max(ways, 1)
+
     def run(self, event: Event) -> None:
         self.desk.post(event)
         while True:
             while self.ready:
                 actor = self.ready.popleft()
-                while actor.inbox:
-                    actor.handle(actor.inbox.popleft())
+                actor.handle(actor.inbox.popleft())
             if not self.desk.pump():
                 break
--- /dev/null
+++ b/ternlane/notes.py
@@ -0,0 +1,115 @@
+"""What the actors inside choice.py hold and tell each other: plain types, no decisions."""
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, NamedTuple
+
+from ternlane.port import Generation, Server
+
+if TYPE_CHECKING:
+    from ternlane.choice import Engine
+
+
+@dataclass(slots=True, eq=False)
+class Leg:
+    engine: Engine
+    course: Course
+    writes: bool
+    since: float      # start of the present stage: read, open (until the first token) or stream
+    usual_ms: float   # what its peers take for that stage
+    counted: float = 0.0
+    work_ms: float = 0.0
+
+
+@dataclass(slots=True, eq=False)
+class Course:
+    """One generation on its way."""
+    gen: Generation
+    slo_at: float
+    limit_at: float
+    reader: Engine | None = None
+    writer: Engine | None = None
+    leg: Leg | None = None
+    legs: int = 0
+    state_at: Engine | None = None
+    may_have_run: tuple[float, Server] | None = None
+    over: bool = False
+    tried: set[Engine] = field(default_factory=set)
+
+
+class Home(NamedTuple):
+    reader: Engine
+    writer: Engine
+    used: float
+
+
+class Standing(NamedTuple):
+    """What an Engine tells the Desk of itself."""
+    engine: Engine
+    listed: bool
+    free: float       # share of memory, or of reading time if that is scarcer
+    open: int
+    room: float       # further generations before it is expected to turn one away
+    progress: float
+    shut: bool
+    trial: bool
+    credit: float     # sends that a cold server may still be given
+    rate: float
+    warm: OrderedDict[str, float]
+
+
+# Notes from the Desk to an Engine.
+
+class News(NamedTuple):
+    """The list has said something of the server."""
+
+
+class Booked(NamedTuple):
+    """A generation is to be read or written here."""
+    course: Course
+    toks: float
+
+
+class Unbooked(NamedTuple):
+    course: Course
+
+
+class Sent(NamedTuple):
+    leg: Leg
+
+
+class StageEnded(NamedTuple):
+    leg: Leg
+    good: bool
+    next_usual_ms: float | None    # None: the leg has ended with this stage
+
+
+class Trouble(NamedTuple):
+    """The server could not be reached, broke off, or (silent) falls far behind its peers."""
+    silent: bool
+
+
+class TurnedAway(NamedTuple):
+    """The server said that it is full."""
+
+
+class Kept(NamedTuple):
+    """How much of an opening a reader now keeps, and whether it kept what was believed."""
+    opening: str
+    toks: float
+    found: bool
+
+
+class Reported(NamedTuple):
+    mem_share: float
+
+
+class Beat(NamedTuple):
+    peer_rate: float
+
+
+class Onward(NamedTuple):
+    """Asks the Engine for its newest Standing; then comes back to the Desk, which finds the course its next leg."""
+    course: Course
+    away: bool
