A reader agreed by hash, honest reading pace, release after the leg that held the state

Cause: a session's turns reach all gateways, so each gateway's home table saw a fraction of them and kept text was read again; short reads made the reading pace look slow and readers congested; a state whose writer leg ended after the client had left stayed pinned. Harm: the agreed reader can gather several long sessions; its weight is only the reading time that kept text was seen to save.

--- a/ternlane/choice.py
+++ b/ternlane/choice.py
@@ -25,6 +25,7 @@
 STEP = 0.3          # score lost for each step between reader and writer (design page)
 HOME_AGE_MS = 60e3  # a session idle for longer loses its home (design page)
 CROWD = 2.0         # congested: open streams over this many times the median (design page)
+MARGIN = 2.0        # usual times to the first token that must be left when a read begins
 SICK = 0.4          # congested: progress under this part of the peers' median
 DOUBT = 2.0         # legs at the peers' pace that a server is credited with before its own count
 GAIN = 1 / 16       # weight of a new sample in a running mean
@@ -182,6 +183,7 @@
         self.turn, self.stuck = 0, False
         self.usual: dict[tuple[Product, str], float] = {}
         self.prompt: dict[Product, float] = {}
+        self.told: dict[Product, float] = {}    # part of a product's unshared prompt that its reader kept
         self.tok_ms = self.limits.slo_ms / 10e3
         self.middle: dict[Duty, tuple[float, float]] = {}
         self.asked = False
@@ -222,6 +224,7 @@
         ktoks = gen.prompt_toks / 1000
         slo = (product.slo_ms or gen.patience_ms) + product.slo_per_ktok_ms * ktoks
         gen.seat = course = Course(gen, now + slo, now + gen.patience_ms)
+        self.told.setdefault(product, 0.5)
         mean = self.prompt.setdefault(product, max(gen.prompt_toks, 1.0))
         self.prompt[product] = mean + GAIN * (gen.prompt_toks - mean)
         if self.waiting:
@@ -263,11 +266,13 @@
             elif r.engine.reads:
                 yield from ((r, w) for w in writers if not w.engine.reads)
 
-    def score(self, r: Standing, w: Standing, gen: Generation) -> tuple[float, float]:
+    def score(self, r: Standing, w: Standing, gen: Generation, agreed: Engine | None) -> tuple[float, float]:
         a, b = r.engine.server, w.engine.server
         steps = 0 if a is b or a.cell == b.cell else 1 if a.zone == b.zone else 2
         kept = r.warm.get(gen.opening or "", 0.0)
         unread = self.tok_ms * max(gen.prompt_toks - kept, 0.0) / self.limits.slo_ms
+        if r.engine is agreed:
+            unread *= 1 - self.told[gen.product]
         return min(r.free, w.free) - STEP * steps - unread, r.free + w.free
 
     def best(self, course: Course, holder: Engine | None = None) -> tuple[Standing, Standing] | None:
@@ -281,7 +286,16 @@
             if not any(self.sound(s) for s in peers):
                 calm += [s for s in able if s.engine.server.duty is duty and s not in calm and s.room >= 1]
         pairs = self.pairs([self.board[holder]] if holder else calm, calm)
-        return max(pairs, key=lambda p: self.score(*p, course.gen), default=None)
+        agreed = self.agreed(course.gen)
+        return max(pairs, key=lambda p: self.score(*p, course.gen, agreed), default=None)
+
+    def agreed(self, gen: Generation) -> Engine | None:
+        """The reader that every gateway holds nearest for this session, as its turns come to all of them."""
+        if gen.session is None:
+            return None
+        key = zlib.crc32(gen.session.encode())
+        return max((e for e, s in self.board.items() if e.reads and s.listed and self.sound(s)),
+                   key=lambda e: key * (e.server.mark | 1) % 2**32, default=None)
 
     def place(self, course: Course) -> None:
         """Home pair if it is calm, else the best calm pair; else the generation waits before its read."""
@@ -312,7 +326,7 @@
         """The last time at which a read may begin and the first token still come within the SLO time."""
         product = course.gen.product
         end = min(course.slo_at, course.limit_at)
-        return end - self.usual_ms(product, "read") - self.usual_ms(product, "open")
+        return end - MARGIN * (self.usual_ms(product, "read") + self.usual_ms(product, "open"))
 
     def served(self, course: Course) -> bool:
         """Is anyone listed who could still read it, and anyone who could write it?"""
@@ -372,11 +386,11 @@
         if course.over:
             return
         course.over = True
-        self.let_go(course)
-        if course.leg is not None and self.may_call_off:
-            self.router.out.append(port.CallOff(course.gen))
         if course.leg is None:
+            self.let_go(course)
             self.unbook(course)
+        elif self.may_call_off:    # what the leg holds is let go when it ends
+            self.router.out.append(port.CallOff(course.gen))
 
     def unbook(self, course: Course) -> None:
         for engine in (course.reader, course.writer):
@@ -430,8 +444,7 @@
         if note.over:
             course.over = True
         if course.over:
-            if verdict is Verdict.READ:
-                self.let_go(course)
+            self.let_go(course)
             return self.unbook(course)
         if verdict is Verdict.MOOT:
             return self.finish(course)
@@ -456,8 +469,11 @@
         gen = course.gen
         self.learn(gen.product, "read", note.took_ms / max(1.0, gen.prompt_toks / self.prompt[gen.product]))
         unread = max(gen.prompt_toks - note.kept_toks, 0.0)
-        if unread > 0:
-            ratio = note.took_ms / max(unread, 256.0)
+        own = max(gen.prompt_toks - gen.opening_toks, 1.0)
+        told = max(note.kept_toks - gen.opening_toks, 0.0) / own
+        self.told[gen.product] += GAIN * (told - self.told[gen.product])
+        if unread > 1000:    # short reads tell of steps and queues, not of reading
+            ratio = note.took_ms / unread
             self.tok_ms += (ratio - self.tok_ms) * (4 * GAIN if ratio < self.tok_ms else GAIN / 4)
         if gen.opening:
             known = self.board[leg.engine].warm.get(gen.opening, 0.0)
--- a/ternlane/port.py
+++ b/ternlane/port.py
@@ -63,6 +63,7 @@
 
 @dataclass(slots=True, eq=False)
 class Server:
+    """`mark` is a number of the server's own that every gateway sees alike; it tells nothing else."""
     zone: str
     cell: int
     duty: Duty
@@ -70,6 +71,7 @@
     size: float = 1.0
     started_ms: float = 0.0
     life: Life = Life.UP
+    mark: int = 0
     seat: Any = None
 
 
--- a/ternlane/wirehost/host.py
+++ b/ternlane/wirehost/host.py
@@ -3,6 +3,7 @@
 
 import json
 from typing import Any, Iterator
+from zlib import crc32
 
 from ternlane.choice import Router
 from ternlane.port import (
@@ -88,7 +89,7 @@
             server = self.servers.get(sid)
             if server is None:
                 server = self.servers[sid] = Server(zone, int(cohort), self.duty.get(flavor, Duty.BOTH),
-                                                    float(self.mem.get(flavor, 0.0)))
+                                                    float(self.mem.get(flavor, 0.0)), mark=crc32(sid.encode()))
                 self.server_ids[server] = sid
             server.size, server.started_ms = number(units, 1.0), number(started)
             server.life = LIVES.get(state, Life.GONE)
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -84,6 +84,12 @@
     assert kinds(host.end(gen, leg.server, Verdict.READ, over=True)) == [port.LetGo]
 
 
+def test_a_state_that_a_writer_did_not_take_is_let_go_after_the_client_left(host: FakeHost) -> None:
+    gen, leg = host.written()
+    assert kinds(host.tell(port.ClientLeft(gen))) == [port.CallOff]
+    assert kinds(host.end(gen, leg.server, Verdict.CALLED_OFF, over=True)) == [port.LetGo]
+
+
 def test_a_restarted_server_gets_its_cold_share_only() -> None:
     host = build(gateways=3)
     host.tell(after=20e3)
