Waiting generations go by revenue; a read is expected to take its queue as well

Cause: under overload the earliest-due order served everything at the brink and shed valuable work; reads behind a long prompt looked silent. Harm: a low-revenue product waits behind the others while writers are full.

--- a/ternlane/choice.py
+++ b/ternlane/choice.py
@@ -111,7 +111,8 @@
                     wait = self.limits.span_ms if silent else self.limits.retry_ms
                     self.shut_until = now + min(wait * 2 ** (self.strikes - 1), self.limits.cold_ms)
                     self.trial, self.done, self.due = True, 0.0, 0.0
-                    self.warm.clear()
+                    if not silent:
+                        self.warm.clear()
             case Kept(opening, toks, found):
                 if not found:
                     self.warm.clear()    # guards against texts forgotten all at once
@@ -160,10 +161,10 @@
         else:
             self.recent.clear()
             free = 1 - self.limits.share * held / mem
+        queue = sum(leg.work_ms for leg in self.legs)
         if self.reads:
-            queue = sum(leg.work_ms for leg in self.legs if not leg.writes)
             free = min(free, 1 - self.limits.share * queue / self.limits.slo_ms)
-        return Standing(self, self.server.life is Life.UP, free, len(self.booked),
+        return Standing(self, self.server.life is Life.UP, free, queue, len(self.booked),
                         self.cap - len(self.booked), (self.done + DOUBT) / (self.due + DOUBT),
                         now < self.shut_until, self.trial,
                         self.credit if now < self.cold_until else float("inf"), self.rate, self.warm)
@@ -179,7 +180,7 @@
         self.zone = facts.zone
         self.board: dict[Engine, Standing] = {}
         self.homes: OrderedDict[str, Home] = OrderedDict()
-        self.waiting: list[tuple[float, int, Course]] = []
+        self.waiting: list[tuple[float, float, int, Course]] = []
         self.turn, self.stuck = 0, False
         self.usual: dict[tuple[Product, str], float] = {}
         self.prompt: dict[Product, float] = {}
@@ -215,6 +216,7 @@
             case port.Woken(beat):
                 if beat:
                     self.stuck = False
+                    self.give_up()
                     self.beat()
 
     # The ordinary path.
@@ -228,8 +230,7 @@
         mean = self.prompt.setdefault(product, max(gen.prompt_toks, 1.0))
         self.prompt[product] = mean + GAIN * (gen.prompt_toks - mean)
         if self.waiting:
-            self.turn += 1
-            return heapq.heappush(self.waiting, (self.latest(course), self.turn, course))
+            return self.wait(course)
         self.place(course)
 
     def usable(self, engine: Engine, course: Course) -> bool:
@@ -311,8 +312,7 @@
             if pair is None:
                 if not self.served(course) or now >= self.latest(course):
                     return self.finish(course)
-                self.turn += 1
-                return heapq.heappush(self.waiting, (self.latest(course), self.turn, course))
+                return self.wait(course)
             reader, writer = pair[0].engine, pair[1].engine
         if gen.session:
             self.homes[gen.session] = Home(reader, writer, now)
@@ -334,17 +334,30 @@
                 and self.effect_allows(course, e)]
         return any(e.reads for e in able) and any(e.writes for e in able)
 
+    def wait(self, course: Course) -> None:
+        """Waits before its read: what earns most for its work first, then what is due first."""
+        self.turn += 1
+        heapq.heappush(self.waiting, (-course.gen.product.revenue, self.latest(course), self.turn, course))
+
     def pump(self) -> bool:
-        """Gives up on waiting generations that come too late, and places the one that is due first."""
-        while self.waiting and (self.waiting[0][2].over or self.waiting[0][0] <= self.router.now):
-            self.finish(heapq.heappop(self.waiting)[2])
+        """Places the waiting generation that comes first, unless it comes too late."""
         if not self.waiting or self.stuck:
             return False
-        course = heapq.heappop(self.waiting)[2]
-        self.place(course)
+        course = heapq.heappop(self.waiting)[-1]
+        if not course.over:
+            self.place(course)
         self.stuck = course.leg is None and not course.over
         return not self.stuck
 
+    def give_up(self) -> None:
+        """Throws off what has waited too long, as soon as that is so."""
+        late = [c for _, latest, _, c in self.waiting if c.over or latest <= self.router.now]
+        if late:
+            for course in late:
+                self.finish(course)
+            self.waiting = [entry for entry in self.waiting if not entry[-1].over]
+            heapq.heapify(self.waiting)
+
     # The only places that send, answer and release.
 
     def send(self, course: Course, engine: Engine) -> None:
@@ -354,15 +367,12 @@
         course.legs += 1
         stage = "open" if writes else "read"
         usual = self.usual_ms(product, stage)
-        if not writes:
-            usual *= max(1.0, course.gen.prompt_toks / self.prompt[product])
-        left = course.limit_at - now
-        patience = left
-        if course.legs < self.leg_limit and (not writes or product.effect is Effect.IDEMPOTENT):
-            patience = min(left, max(product.slo_ms / 2, 4 * usual))
         kept = self.board[engine].warm.get(course.gen.opening or "", 0.0)
-        course.leg = Leg(engine, course, writes, now, usual,
-                         work_ms=self.tok_ms * max(course.gen.prompt_toks - kept, 0.0))
+        work = 0.0 if writes else self.tok_ms * max(course.gen.prompt_toks - kept, 0.0)
+        course.leg = Leg(engine, course, writes, now, max(usual, work + self.board[engine].queue_ms), work_ms=work)
+        patience = course.limit_at - now
+        if course.legs < self.leg_limit and (not writes or product.effect is Effect.IDEMPOTENT):
+            patience = min(patience, max(product.slo_ms / 2, 4 * course.leg.usual_ms))
         engine.post(Sent(course.leg))
         self.router.out.append(port.SendLeg(course.gen, engine.server, patience))
 
--- a/ternlane/notes.py
+++ b/ternlane/notes.py
@@ -49,6 +49,7 @@
     engine: Engine
     listed: bool
     free: float       # share of memory, or of reading time if that is scarcer
+    queue_ms: float   # reading that this gateway has given it and that is still out
     open: int
     room: float       # further generations before it is expected to turn one away
     progress: float
