--- a/ternlane/choice.py
+++ b/ternlane/choice.py
@@ -11,14 +11,13 @@
 import heapq
 import zlib
 from collections import OrderedDict, deque
-from dataclasses import dataclass
 from math import exp
 from statistics import median
 from typing import Any, Iterator
 
 from ternlane import port
-from ternlane.notes import (Beat, Booked, Course, Home, Kept, Leg, News, Onward, Reported, Sent, StageEnded,
-                            Standing, Trouble, TurnedAway, Unbooked)
+from ternlane.notes import (Beat, Booked, Course, Home, Kept, Leg, Limits, News, Onward, Reported, Sent,
+                            StageEnded, Standing, Trouble, TurnedAway, Unbooked)
 from ternlane.port import (Action, Duty, Effect, Event, Generation, Group, Life, Product, Server, StartFacts,
                            Verdict)
 
@@ -30,29 +29,17 @@
 DOUBT = 2.0         # legs at the peers' pace that a server is credited with before its own count
 GAIN = 1 / 16       # weight of a new sample in a running mean
 REGAIN = 0.25       # of a place that a full server is credited with anew for each stage it ends well
+LONG_READ = 1000.0  # tokens
 OUT_SHARE = 0.25    # part of the longest answer that a generation is expected to fill
 NEVER_RAN = {Verdict.FULL, Verdict.UNCONNECTED, Verdict.MOOT, Verdict.READ}
 
 
-@dataclass(slots=True, frozen=True)
-class Limits:
-    """What the start facts come to for the decisions."""
-    slo_ms: float         # the shortest SLO time of any product
-    span_ms: float        # over which progress and rates are remembered
-    beat_ms: float
-    share: float          # gateways that load the servers as much as this one, itself included
-    cold_rate: float      # part of a warm peer's rate that a server just started may be sent
-    cold_ms: float
-    burst_ms: float
-    retry_ms: float       # first pause after a server could not be reached
-    pause_ms: float
-
-    @classmethod
-    def from_facts(cls, facts: StartFacts) -> Limits:
-        slo = min((p.slo_ms for p in facts.products if p.slo_ms), default=1000.0)
-        return cls(slo, 2 * slo, max(facts.step_ms, slo / 20), facts.gateways,
-                   facts.fall_multiple * facts.cold_from / 2, facts.cold_ms, facts.fall_ms / 2,
-                   2 * facts.connect_ms, facts.longest_pause_ms if facts.may_advise else 0.0)
+def limits_from(facts: StartFacts) -> Limits:
+    slo = min((p.slo_ms for p in facts.products if p.slo_ms), default=1000.0)
+    return Limits(slo_ms=slo, span_ms=2 * slo, beat_ms=max(facts.step_ms, slo / 20), share=facts.gateways,
+                  cold_rate=facts.fall_multiple * facts.cold_from / 2, cold_ms=facts.cold_ms,
+                  burst_ms=facts.fall_ms / 2, retry_ms=2 * facts.connect_ms, leg_limit=facts.leg_limit,
+                  pause_ms=facts.longest_pause_ms if facts.may_advise else 0.0)
 
 
 class Actor:
@@ -153,14 +140,13 @@
 
     def standing(self) -> Standing:
         now, mem = self.router.now, max(self.server.mem_toks, 1.0)
-        held = sum(self.booked.values())
         if self.said is not None:
             while self.recent and self.recent[0][0] < self.said[0] - self.limits.beat_ms:
                 self.recent.popleft()
             free = 1 - self.said[1] - sum(t for _, t in self.recent) / mem
         else:
             self.recent.clear()
-            free = 1 - self.limits.share * held / mem
+            free = 1 - self.limits.share * sum(self.booked.values()) / mem
         queue = sum(leg.work_ms for leg in self.legs)
         if self.reads:
             free = min(free, 1 - self.limits.share * queue / self.limits.slo_ms)
@@ -175,9 +161,7 @@
 
     def __init__(self, router: Router, facts: StartFacts) -> None:
         super().__init__(router)
-        self.leg_limit, self.may_call_off = facts.leg_limit, facts.may_call_off
-        self.must_ask, self.writers_read = facts.must_ask, facts.writers_read
-        self.zone = facts.zone
+        self.may_call_off, self.must_ask, self.asked = facts.may_call_off, facts.must_ask, False
         self.board: dict[Engine, Standing] = {}
         self.homes: OrderedDict[str, Home] = OrderedDict()
         self.waiting: list[tuple[float, float, int, Course]] = []
@@ -187,7 +171,6 @@
         self.told: dict[Product, float] = {}    # part of a product's unshared prompt that its reader kept
         self.tok_ms = self.limits.slo_ms / 10e3
         self.middle: dict[Duty, tuple[float, float]] = {}
-        self.asked = False
 
     def handle(self, note: Any) -> None:
         match note:
@@ -211,20 +194,16 @@
                     server.seat.post(News())
             case port.ListFailed():
                 self.asked = False
-            case port.Checked(server, _, report):
-                self.reported(server.seat, report)
-            case port.Woken(beat):
-                if beat:
-                    self.stuck = False
-                    self.give_up()
-                    self.beat()
+            case port.Woken():
+                self.stuck = False
+                self.give_up()
+                self.beat()
 
     # The ordinary path.
 
     def arrived(self, gen: Generation) -> None:
         now, product = self.router.now, gen.product
-        ktoks = gen.prompt_toks / 1000
-        slo = (product.slo_ms or gen.patience_ms) + product.slo_per_ktok_ms * ktoks
+        slo = (product.slo_ms or gen.patience_ms) + product.slo_per_ktok_ms * gen.prompt_toks / 1000
         gen.seat = course = Course(gen, now + slo, now + gen.patience_ms)
         self.told.setdefault(product, 0.5)
         mean = self.prompt.setdefault(product, max(gen.prompt_toks, 1.0))
@@ -250,14 +229,12 @@
 
     def congested(self, s: Standing, course: Course) -> bool:
         crowd = max(self.middle.get(s.engine.server.duty, (0, 1))[0], DOUBT)
-        return (not self.fit(s, course) or s.room < 1 or s.free <= self.toks(course, s.engine)
-                or s.open > CROWD * crowd)
+        return (not self.fit(s, course) or s.room < 1 or s.open > CROWD * crowd
+                or s.free * s.engine.server.mem_toks <= self.toks(course, s.engine))
 
     def toks(self, course: Course, engine: Engine) -> float:
-        """The share of the server's memory that the generation will take."""
-        gen = course.gen
-        out = OUT_SHARE * gen.max_toks if engine.writes else 0.0
-        return (gen.prompt_toks + out) / max(engine.server.mem_toks, 1.0)
+        """The memory that the generation will take there."""
+        return course.gen.prompt_toks + (OUT_SHARE * course.gen.max_toks if engine.writes else 0.0)
 
     def pairs(self, readers: list[Standing], writers: list[Standing]) -> Iterator[tuple[Standing, Standing]]:
         """All pairs of reader and writer; a mixed server goes with itself alone."""
@@ -270,12 +247,14 @@
     def score(self, r: Standing, w: Standing, gen: Generation, agreed: Engine | None) -> tuple[float, float]:
         a, b = r.engine.server, w.engine.server
         steps = 0 if a is b or a.cell == b.cell else 1 if a.zone == b.zone else 2
-        kept = r.warm.get(gen.opening or "", 0.0)
-        unread = self.tok_ms * max(gen.prompt_toks - kept, 0.0) / self.limits.slo_ms
+        unread = self.unread_ms(r, gen) / self.limits.slo_ms
         if r.engine is agreed:
             unread *= 1 - self.told[gen.product]
         return min(r.free, w.free) - STEP * steps - unread, r.free + w.free
 
+    def unread_ms(self, r: Standing, gen: Generation) -> float:
+        return self.tok_ms * max(gen.prompt_toks - r.warm.get(gen.opening or "", 0.0), 0.0)
+
     def best(self, course: Course, holder: Engine | None = None) -> tuple[Standing, Standing] | None:
         """The best pair that is not congested. With no server of a duty sound, the view is suspected."""
         able = [s for s in self.board.values() if self.usable(s.engine, course)]
@@ -301,9 +280,9 @@
     def place(self, course: Course) -> None:
         """Home pair if it is calm, else the best calm pair; else the generation waits before its read."""
         now, gen = self.router.now, course.gen
-        if now >= course.limit_at or course.legs >= self.leg_limit:
+        if now >= course.limit_at or course.legs >= self.limits.leg_limit:
             return self.finish(course)
-        home = self.homes.get(gen.session) if gen.session else None
+        home = self.homes.get(gen.session or "")
         if home and all(self.usable(e, course) and not self.congested(self.board[e], course)
                         for e in (home.reader, home.writer)):
             reader, writer = home.reader, home.writer
@@ -319,13 +298,12 @@
             self.homes.move_to_end(gen.session)
         course.reader, course.writer = reader, writer
         for engine in {reader: None, writer: None}:
-            engine.post(Booked(course, self.toks(course, engine) * engine.server.mem_toks))
+            engine.post(Booked(course, self.toks(course, engine)))
         self.send(course, reader)
 
     def latest(self, course: Course) -> float:
         """The last time at which a read may begin and the first token still come within the SLO time."""
-        product = course.gen.product
-        end = min(course.slo_at, course.limit_at)
+        product, end = course.gen.product, min(course.slo_at, course.limit_at)
         return end - MARGIN * (self.usual_ms(product, "read") + self.usual_ms(product, "open"))
 
     def served(self, course: Course) -> bool:
@@ -353,7 +331,7 @@
         """Throws off what has waited too long, as soon as that is so."""
         late = [c for _, latest, _, c in self.waiting if c.over or latest <= self.router.now]
         if late:
-            for course in late:
+            for course in (c for c in late if not c.over):
                 self.finish(course)
             self.waiting = [entry for entry in self.waiting if not entry[-1].over]
             heapq.heapify(self.waiting)
@@ -362,24 +340,20 @@
 
     def send(self, course: Course, engine: Engine) -> None:
         assert not course.over and course.leg is None and engine.server.life is Life.UP
-        now, product = self.router.now, course.gen.product
+        now, product, s = self.router.now, course.gen.product, self.board[engine]
         writes = engine is course.writer
         course.legs += 1
-        stage = "open" if writes else "read"
-        usual = self.usual_ms(product, stage)
-        kept = self.board[engine].warm.get(course.gen.opening or "", 0.0)
-        work = 0.0 if writes else self.tok_ms * max(course.gen.prompt_toks - kept, 0.0)
-        course.leg = Leg(engine, course, writes, now, max(usual, work + self.board[engine].queue_ms), work_ms=work)
+        work = 0.0 if writes else self.unread_ms(s, course.gen)
+        usual = max(self.usual_ms(product, "open" if writes else "read"), work + s.queue_ms)
+        course.leg = Leg(engine, course, writes, now, now, usual, work)
         patience = course.limit_at - now
-        if course.legs < self.leg_limit and (not writes or product.effect is Effect.IDEMPOTENT):
+        if course.legs < self.limits.leg_limit and (not writes or product.effect is Effect.IDEMPOTENT):
             patience = min(patience, max(product.slo_ms / 2, 4 * course.leg.usual_ms))
         engine.post(Sent(course.leg))
         self.router.out.append(port.SendLeg(course.gen, engine.server, patience))
 
     def finish(self, course: Course) -> None:
         """The one final answer, given at once: throttled wherever that promise is true, else terminated."""
-        if course.over:
-            return
         product, ran = course.gen.product, course.may_have_run
         harmless = ran is None or product.effect is Effect.IDEMPOTENT or (
             product.effect is Effect.DEDUPLICATED and product.group is Group.ALL)
@@ -413,10 +387,9 @@
             return True
         if course.gen.product.effect is Effect.SIDE_EFFECTING:
             return False
-        product, (since, first), other = course.gen.product, course.may_have_run, engine.server
-        same = {Group.ALL: True, Group.ZONE: first.zone == other.zone,
-                Group.CELL: first.zone == other.zone and first.cell == other.cell}[product.group]
-        return same and self.router.now - since < product.window_ms
+        product, (sent, first), other = course.gen.product, course.may_have_run, engine.server
+        same = {Group.ALL: True, Group.ZONE: first.zone == other.zone, Group.CELL: first.cell == other.cell}
+        return same[product.group] and self.router.now - sent < product.window_ms
 
     # What comes of a leg.
 
@@ -424,9 +397,8 @@
         leg = course.leg
         if leg is None:
             return
-        product = course.gen.product
+        product, course.state_at = course.gen.product, None
         self.learn(product, "open", took)
-        course.state_at = None
         if course.reader is not None and course.reader is not course.writer:
             course.reader.post(Unbooked(course))
         leg.engine.post(StageEnded(leg, True, self.usual_ms(product, "stream")))
@@ -438,21 +410,20 @@
         self.reported(engine, note.report)
         if leg is None:
             return
-        gen, product, verdict = course.gen, course.gen.product, note.verdict
+        product, verdict = course.gen.product, note.verdict
         if verdict is Verdict.STREAMED:
             self.learn(product, "stream", self.router.now - leg.since)
         engine.post(StageEnded(leg, verdict in (Verdict.READ, Verdict.STREAMED), None))
         if verdict in (Verdict.UNCONNECTED, Verdict.RESET):
             engine.post(Trouble(silent=False))
         if leg.writes and verdict not in NEVER_RAN and course.may_have_run is None:
-            course.may_have_run = leg.since, note.server
+            course.may_have_run = leg.sent, note.server
         if verdict is Verdict.READ:
             course.state_at = engine
             self.read_back(course, leg, note)
         elif note.state_lost:
             course.state_at = None
-        if note.over:
-            course.over = True
+        course.over = course.over or note.over
         if course.over:
             self.let_go(course)
             return self.unbook(course)
@@ -466,8 +437,6 @@
 
     def onward(self, course: Course, away: bool) -> None:
         """The next leg, if the effect allows one: with the state at hand a writer, else a pair anew."""
-        if course.over:
-            return
         if not any(self.effect_allows(course, e) for e in self.board):
             return self.finish(course)
         if course.state_at is not None:
@@ -478,12 +447,10 @@
     def read_back(self, course: Course, leg: Leg, note: port.LegEnded) -> None:
         gen = course.gen
         self.learn(gen.product, "read", note.took_ms / max(1.0, gen.prompt_toks / self.prompt[gen.product]))
-        unread = max(gen.prompt_toks - note.kept_toks, 0.0)
-        own = max(gen.prompt_toks - gen.opening_toks, 1.0)
-        told = max(note.kept_toks - gen.opening_toks, 0.0) / own
+        told = max(note.kept_toks - gen.opening_toks, 0.0) / max(gen.prompt_toks - gen.opening_toks, 1.0)
         self.told[gen.product] += GAIN * (told - self.told[gen.product])
-        if unread > 1000:    # short reads tell of steps and queues, not of reading
-            ratio = note.took_ms / unread
+        if gen.prompt_toks - note.kept_toks > LONG_READ:    # short ones tell of steps and queues
+            ratio = note.took_ms / (gen.prompt_toks - note.kept_toks)
             self.tok_ms += (ratio - self.tok_ms) * (4 * GAIN if ratio < self.tok_ms else GAIN / 4)
         if gen.opening:
             known = self.board[leg.engine].warm.get(gen.opening, 0.0)
@@ -491,10 +458,9 @@
 
     def hand_on(self, course: Course, away: bool) -> None:
         """The state goes to the home writer, or, if that has congested since, straight to the next best."""
-        now, writer = self.router.now, course.writer
-        if now >= course.limit_at or course.legs >= self.leg_limit:
+        now, writer, s = self.router.now, course.writer, self.board[course.writer]
+        if now >= course.limit_at or course.legs >= self.limits.leg_limit:
             return self.finish(course)
-        s = self.board[writer]
         if not self.usable(writer, course) or not self.fit(s, course) or s.room < 0 or away:
             pair = self.best(course, course.state_at)
             if pair is None:    # the state is let go, and the prompt, now kept, read again
@@ -503,7 +469,7 @@
                 return self.place(course)
             writer.post(Unbooked(course))
             writer = course.writer = pair[1].engine
-            writer.post(Booked(course, self.toks(course, writer) * writer.server.mem_toks))
+            writer.post(Booked(course, self.toks(course, writer)))
             if course.gen.session in self.homes:
                 self.homes[course.gen.session] = Home(course.reader, writer, now)
         self.send(course, writer)
@@ -515,8 +481,7 @@
         return self.usual.get((product, stage), first)
 
     def learn(self, product: Product, stage: str, took: float) -> None:
-        mean = self.usual_ms(product, stage)
-        self.usual[product, stage] = mean + GAIN * (took - mean)
+        self.usual[product, stage] = (1 - GAIN) * self.usual_ms(product, stage) + GAIN * took
 
     def reported(self, engine: Engine, report: port.Report | None) -> None:
         if report is not None and report.mem_share is not None:
@@ -532,9 +497,9 @@
             self.homes.popitem(last=False)
         for duty in Duty:
             peers = [s for s in self.board.values() if s.engine.server.duty is duty and s.listed]
-            fit = [s for s in peers if not s.shut and not s.trial] or peers
             if not peers:
                 continue
+            fit = [s for s in peers if not s.shut and not s.trial] or peers
             mid = self.middle[duty] = median(s.open for s in fit), min(1.0, median(s.progress for s in fit))
             warm = [s.rate for s in fit if s.credit == float("inf")]
             rate = sum(warm) / len(warm) / self.limits.span_ms if warm else 0.0
@@ -550,19 +515,17 @@
     def __init__(self, facts: StartFacts) -> None:
         self.now = 0.0
         self.seed, self.drawn = facts.seed, 0
-        self.limits = Limits.from_facts(facts)
+        self.limits = limits_from(facts)
         self.ready: deque[Engine | Desk] = deque()
         self.out: list[Action] = []
         self.desk = Desk(self, facts)
-        self.begun = False
+        self.begun = False    # the beat is asked for with the first batch
 
     def take(self, now: float, events: list[Event]) -> list[Action]:
         self.now, self.out = now, []
-        if not self.begun:
-            self.begun = True
-            self.run(port.Woken(True))
-        for event in events:
+        for event in events if self.begun else [port.Woken(True), *events]:
             self.run(event)
+        self.begun = True
         return self.out
 
     def chance(self, ways: int) -> int:
@@ -571,9 +534,7 @@
 
     def run(self, event: Event) -> None:
         self.desk.post(event)
-        while True:
-            while self.ready:
+        while self.ready or self.desk.pump():
+            if self.ready:
                 actor = self.ready.popleft()
                 actor.handle(actor.inbox.popleft())
-            if not self.desk.pump():
-                break
--- a/ternlane/notes.py
+++ b/ternlane/notes.py
@@ -11,15 +11,30 @@
     from ternlane.choice import Engine
 
 
+class Limits(NamedTuple):
+    """What the start facts come to for the decisions."""
+    slo_ms: float         # the shortest SLO time of any product
+    span_ms: float        # over which progress and rates are remembered
+    beat_ms: float
+    share: float          # gateways that load the servers as much as this one, itself included
+    cold_rate: float      # part of a warm peer's rate that a server just started may be sent
+    cold_ms: float
+    burst_ms: float       # over which a cold server's allowance may be saved up
+    retry_ms: float       # first pause after a server could not be reached
+    leg_limit: int
+    pause_ms: float       # the longest return time a client heeds; 0 where none may be given
+
+
 @dataclass(slots=True, eq=False)
 class Leg:
     engine: Engine
     course: Course
     writes: bool
+    sent: float
     since: float      # start of the present stage: read, open (until the first token) or stream
     usual_ms: float   # what its peers take for that stage
+    work_ms: float    # reading that its server has to do for it
     counted: float = 0.0
-    work_ms: float = 0.0
 
 
 @dataclass(slots=True, eq=False)
--- a/ternlane/wirehost/host.py
+++ b/ternlane/wirehost/host.py
@@ -22,10 +22,6 @@
 BEAT, DUE = 0, 1
 
 
-class Malformed(ValueError):
-    """A line that does not say what it should."""
-
-
 def number(text: str, default: float = 0.0) -> float:
     return default if text in ("-", "") else float(text)
 
@@ -121,8 +117,9 @@
         if what == "WORK_ITEM":
             _, _, corr, opening_toks, _, opening, lane, prompt, patience, _, session, longest, *_ = part
             product = self.products.get(lane)
-            if product is None:
-                raise Malformed(f"product {lane} was never listed")
+            if product is None:    # never listed: nothing is promised of it, so nothing may be repeated
+                product = self.products[lane] = Product(Effect.SIDE_EFFECTING, Group.CELL, 0.0, 0.0, 0.0, 0.0,
+                                                        number(patience), 0.0, 0.0)
             gen = Generation(product, name(session), name(opening), number(opening_toks), number(prompt),
                              number(longest), number(patience))
             self.gens[int(corr)], self.gen_ids[gen] = gen, int(corr)
