Writers prove their size by how soon answers begin

Harm: a writer whose answers begin slowly for another reason (a slow link) is taken to be smaller for a while.

--- a/ternlane/choice.py
+++ b/ternlane/choice.py
@@ -28,6 +28,7 @@
 SICK = 0.4          # congested: progress under this part of the peers' median
 DOUBT = 2.0         # legs at the peers' pace that a server is credited with before its own count
 GAIN = 1 / 16       # weight of a new sample in a running mean
+CALM = 0.75         # part of its size that a server must be filled to before it can prove to be larger
 REGAIN = 0.25       # of a place that a full server is credited with anew for each stage it ends well
 LONG_READ = 1000.0  # tokens
 OUT_SHARE = 0.25    # part of the longest answer that a generation is expected to fill
@@ -64,6 +65,7 @@
         self.said: tuple[float, float] | None = None   # when, memory share
         self.recent: deque[tuple[float, float]] = deque()
         self.done = self.due = self.rate = self.credit = 0.0
+        self.size = 1.0            # memory it seems to have, against what the start facts say
         self.cap = float("inf")    # own generations at which it is taken to be full
         self.strikes, self.shut_until, self.trial = 0, 0.0, False
         self.started, self.cold_until = server.started_ms, 0.0
@@ -89,6 +91,7 @@
                 if next_usual is None:
                     self.legs.pop(leg, None)
                 else:
+                    self.weigh(now - leg.since)
                     leg.since, leg.usual_ms, leg.counted = now, next_usual, 0.0
                 if good and self.trial and now - leg.since <= CROWD * leg.usual_ms:
                     self.trial, self.strikes = False, 0
@@ -132,6 +135,16 @@
         self.due += ought - leg.counted
         leg.counted = ought
 
+    def weigh(self, took: float) -> None:
+        """Without reports, how soon answers begin tells whether this gateway's own count, scaled up, is right."""
+        if took > self.limits.slo_ms / 4:
+            self.size = max(self.size * (1 - GAIN), 1 / CROWD ** 2)
+        elif took < self.limits.slo_ms / 8 and self.used() > CALM * self.size:
+            self.size = min(self.size * (1 + GAIN), CROWD ** 2)
+
+    def used(self) -> float:
+        return self.limits.share * sum(self.booked.values()) / max(self.server.mem_toks, 1.0)
+
     def refill(self, peer_rate: float, ms: float) -> None:
         """A cold server gets part of what a warm peer gets from this gateway, more as it warms."""
         left = max(0.0, self.cold_until - self.router.now) / max(self.limits.cold_ms, 1.0)
@@ -146,7 +159,7 @@
             free = 1 - self.said[1] - sum(t for _, t in self.recent) / mem
         else:
             self.recent.clear()
-            free = 1 - self.limits.share * sum(self.booked.values()) / mem
+            free = 1 - self.used() / self.size
         queue = sum(leg.work_ms for leg in self.legs)
         if self.reads:
             free = min(free, 1 - self.limits.share * queue / self.limits.slo_ms)
