--- a/ternlane/choice.py
+++ b/ternlane/choice.py
@@ -16,8 +16,8 @@
 from typing import Any, Iterator
 
 from ternlane import port
-from ternlane.notes import (Beat, Booked, Course, Home, Kept, Leg, Limits, News, Onward, Reported, Sent,
-                            StageEnded, Standing, Trouble, TurnedAway, Unbooked)
+from ternlane.notes import (Adrift, Beat, Booked, Course, Home, Kept, Leg, Limits, News, Onward, Reported,
+                            Sent, StageEnded, Standing, Trouble, TurnedAway, Unbooked)
 from ternlane.port import (Action, Duty, Effect, Event, Generation, Group, Life, Product, Server, StartFacts,
                            Verdict)
 
@@ -92,7 +92,7 @@
                     self.legs.pop(leg, None)
                 else:
                     self.weigh(now - leg.since)
-                    leg.since, leg.usual_ms, leg.counted = now, next_usual, 0.0
+                    leg.since, leg.usual_ms, leg.counted, leg.flows = now, next_usual, 0.0, True
                 if good and self.trial and now - leg.since <= CROWD * leg.usual_ms:
                     self.trial, self.strikes = False, 0
             case Trouble(silent):
@@ -103,6 +103,8 @@
                     self.trial, self.done, self.due = True, 0.0, 0.0
                     if not silent:
                         self.warm.clear()
+                    else:
+                        self.router.desk.post(Adrift([leg.course for leg in self.legs if not leg.flows]))
             case Kept(opening, toks, found):
                 if not found:
                     self.warm.clear()    # guards against texts forgotten all at once
@@ -198,6 +200,11 @@
                 self.leg_ended(note)
             case port.ClientLeft(gen):
                 self.close(gen.seat)
+            case Adrift(courses):    # guards against waiting for a server that takes work and answers nothing
+                for course in courses:
+                    free = not course.leg.writes or course.gen.product.effect is Effect.IDEMPOTENT
+                    if free and self.may_call_off and course.legs < self.limits.leg_limit and not course.over:
+                        self.router.out.append(port.CallOff(course.gen))
             case Onward(course, away):
                 self.onward(course, away)
             case port.Listed(servers):
@@ -360,7 +367,8 @@
         usual = max(self.usual_ms(product, "open" if writes else "read"), work + s.queue_ms)
         course.leg = Leg(engine, course, writes, now, now, usual, work)
         patience = course.limit_at - now
-        if course.legs < self.limits.leg_limit and (not writes or product.effect is Effect.IDEMPOTENT):
+        free = not writes or product.effect is Effect.IDEMPOTENT
+        if course.legs < self.limits.leg_limit and free and not self.may_call_off:
             patience = min(patience, max(product.slo_ms / 2, 4 * course.leg.usual_ms))
         engine.post(Sent(course.leg))
         self.router.out.append(port.SendLeg(course.gen, engine.server, patience))
--- a/ternlane/notes.py
+++ b/ternlane/notes.py
@@ -35,6 +35,7 @@
     usual_ms: float   # what its peers take for that stage
     work_ms: float    # reading that its server has to do for it
     counted: float = 0.0
+    flows: bool = False
 
 
 @dataclass(slots=True, eq=False)
@@ -129,3 +130,8 @@
     """Asks the Engine for its newest Standing; then comes back to the Desk, which finds the course its next leg."""
     course: Course
     away: bool
+
+
+class Adrift(NamedTuple):
+    """Tells the Desk whose generations an Engine holds that has fallen silent."""
+    courses: list[Course]
