--- a/ternlane/choice.py
+++ b/ternlane/choice.py
@@ -138,7 +138,7 @@
         leg.counted = ought
 
     def weigh(self, took: float) -> None:
-        """Without reports, how soon answers begin tells whether this gateway's own count, scaled up, is right."""
+        """Without reports, how soon answers begin tells whether the scaled-up own count is right."""
         if took > self.limits.slo_ms / 4:
             self.size = max(self.size * (1 - GAIN), 1 / CROWD ** 2)
         elif took < self.limits.slo_ms / 8 and self.used() > CALM * self.size:
@@ -368,7 +368,7 @@
         course.leg = Leg(engine, course, writes, now, now, usual, work)
         patience = course.limit_at - now
         free = not writes or product.effect is Effect.IDEMPOTENT
-        if course.legs < self.limits.leg_limit and free and not self.may_call_off:
+        if course.legs < self.limits.leg_limit and free:
             patience = min(patience, max(product.slo_ms / 2, 4 * course.leg.usual_ms))
         engine.post(Sent(course.leg))
         self.router.out.append(port.SendLeg(course.gen, engine.server, patience))
