--- a/ternlane/choice.py
+++ b/ternlane/choice.py
@@ -16,8 +16,8 @@
 from typing import Any, Iterator
 
 from ternlane import port
-from ternlane.notes import (Adrift, Beat, Booked, Course, Home, Kept, Leg, Limits, News, Onward, Reported,
-                            Sent, StageEnded, Standing, Trouble, TurnedAway, Unbooked)
+from ternlane.notes import (Beat, Booked, Course, Home, Kept, Leg, Limits, News, Onward, Reported, Sent,
+                            StageEnded, Standing, Trouble, TurnedAway, Unbooked)
 from ternlane.port import (Action, Duty, Effect, Event, Generation, Group, Life, Product, Server, StartFacts,
                            Verdict)
 
@@ -92,7 +92,7 @@
                     self.legs.pop(leg, None)
                 else:
                     self.weigh(now - leg.since)
-                    leg.since, leg.usual_ms, leg.counted, leg.flows = now, next_usual, 0.0, True
+                    leg.since, leg.usual_ms, leg.counted = now, next_usual, 0.0
                 if good and self.trial and now - leg.since <= CROWD * leg.usual_ms:
                     self.trial, self.strikes = False, 0
             case Trouble(silent):
@@ -103,8 +103,6 @@
                     self.trial, self.done, self.due = True, 0.0, 0.0
                     if not silent:
                         self.warm.clear()
-                    else:
-                        self.router.desk.post(Adrift([leg.course for leg in self.legs if not leg.flows]))
             case Kept(opening, toks, found):
                 if not found:
                     self.warm.clear()    # guards against texts forgotten all at once
@@ -200,11 +198,6 @@
                 self.leg_ended(note)
             case port.ClientLeft(gen):
                 self.close(gen.seat)
-            case Adrift(courses):    # guards against waiting for a server that takes work and answers nothing
-                for course in courses:
-                    free = not course.leg.writes or course.gen.product.effect is Effect.IDEMPOTENT
-                    if free and self.may_call_off and course.legs < self.limits.leg_limit and not course.over:
-                        self.router.out.append(port.CallOff(course.gen))
             case Onward(course, away):
                 self.onward(course, away)
             case port.Listed(servers):
@@ -362,13 +355,12 @@
         assert not course.over and course.leg is None and engine.server.life is Life.UP
         now, product, s = self.router.now, course.gen.product, self.board[engine]
         writes = engine is course.writer
-        course.legs += 1
+        course.legs, course.holds = course.legs + 1, True
         work = 0.0 if writes else self.unread_ms(s, course.gen)
         usual = max(self.usual_ms(product, "open" if writes else "read"), work + s.queue_ms)
         course.leg = Leg(engine, course, writes, now, now, usual, work)
         patience = course.limit_at - now
-        free = not writes or product.effect is Effect.IDEMPOTENT
-        if course.legs < self.limits.leg_limit and free:
+        if course.legs < self.limits.leg_limit and (not writes or product.effect is Effect.IDEMPOTENT):
             patience = min(patience, max(product.slo_ms / 2, 4 * course.leg.usual_ms))
         engine.post(Sent(course.leg))
         self.router.out.append(port.SendLeg(course.gen, engine.server, patience))
@@ -383,8 +375,8 @@
         self.close(course)
 
     def let_go(self, course: Course) -> None:
-        if course.state_at is not None:
-            course.state_at = None
+        if course.holds:    # also what a read left behind whose end was not heard
+            course.state_at, course.holds = None, False
             self.router.out.append(port.LetGo(course.gen))
 
     def close(self, course: Course) -> None:
@@ -418,7 +410,7 @@
         leg = course.leg
         if leg is None:
             return
-        product, course.state_at = course.gen.product, None
+        product, course.state_at, course.holds = course.gen.product, None, False
         self.learn(product, "open", took)
         if course.reader is not None and course.reader is not course.writer:
             course.reader.post(Unbooked(course))
@@ -443,7 +435,7 @@
             course.state_at = engine
             self.read_back(course, leg, note)
         elif note.state_lost:
-            course.state_at = None
+            course.state_at, course.holds = None, False
         course.over = course.over or note.over
         if course.over:
             self.let_go(course)
@@ -462,6 +454,7 @@
             return self.finish(course)
         if course.state_at is not None:
             return self.hand_on(course, away)
+        self.let_go(course)
         self.unbook(course)
         self.place(course)
 
--- a/ternlane/notes.py
+++ b/ternlane/notes.py
@@ -35,7 +35,6 @@
     usual_ms: float   # what its peers take for that stage
     work_ms: float    # reading that its server has to do for it
     counted: float = 0.0
-    flows: bool = False
 
 
 @dataclass(slots=True, eq=False)
@@ -50,6 +49,7 @@
     legs: int = 0
     state_at: Engine | None = None
     may_have_run: tuple[float, Server] | None = None
+    holds: bool = False    # a state may be held for it somewhere
     over: bool = False
     tried: set[Engine] = field(default_factory=set)
 
@@ -130,8 +130,3 @@
     """Asks the Engine for its newest Standing; then comes back to the Desk, which finds the course its next leg."""
     course: Course
     away: bool
-
-
-class Adrift(NamedTuple):
-    """Tells the Desk whose generations an Engine holds that has fallen silent."""
-    courses: list[Course]
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -32,7 +32,9 @@
 def test_a_read_that_breaks_is_read_elsewhere(host: FakeHost) -> None:
     gen = host.gen(Effect.SIDE_EFFECTING)
     leg = sent(host.arrive(gen))
-    assert sent(host.end(gen, leg.server, Verdict.RESET)).server is not leg.server
+    said = host.end(gen, leg.server, Verdict.RESET)
+    assert sent(said).server is not leg.server
+    assert port.LetGo in kinds(said)    # the read may have gone on unheard and left its state
 
 
 def test_a_state_goes_straight_to_another_writer_when_one_is_full(host: FakeHost) -> None:
