--- a/ternlane/choice.py
+++ b/ternlane/choice.py
@@ -434,8 +434,8 @@
         if verdict is Verdict.READ:
             course.state_at = engine
             self.read_back(course, leg, note)
-        elif note.state_lost:
-            course.state_at, course.holds = None, False
+        elif note.state_lost:    # for this writer; its reader, cut off from there, may hold it still
+            course.state_at = None
         course.over = course.over or note.over
         if course.over:
             self.let_go(course)
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -45,7 +45,9 @@
 
 def test_a_lost_state_is_read_again(host: FakeHost) -> None:
     gen, leg = host.written()
-    assert sent(host.end(gen, leg.server, Verdict.FULL, state_lost=True)).server.duty is port.Duty.READ
+    said = host.end(gen, leg.server, Verdict.FULL, state_lost=True)
+    assert sent(said).server.duty is port.Duty.READ
+    assert port.LetGo in kinds(said)    # its reader may only be cut off from that writer
 
 
 @pytest.mark.parametrize("verdict", [Verdict.TIMED_OUT, Verdict.RESET, Verdict.ERROR, Verdict.CALLED_OFF])
