Being turned away folds into a server's proven size

One defence where two overlapped. Harm: after a short jam a server is given less than it could take until its answers begin quickly again.

--- a/ternlane/choice.py
+++ b/ternlane/choice.py
@@ -29,7 +29,6 @@
 DOUBT = 2.0         # legs at the peers' pace that a server is credited with before its own count
 GAIN = 1 / 16       # weight of a new sample in a running mean
 CALM = 0.75         # part of its size that a server must be filled to before it can prove to be larger
-REGAIN = 0.25       # of a place that a full server is credited with anew for each stage it ends well
 LONG_READ = 1000.0  # tokens
 OUT_SHARE = 0.25    # part of the longest answer that a generation is expected to fill
 NEVER_RAN = {Verdict.FULL, Verdict.UNCONNECTED, Verdict.MOOT, Verdict.READ}
@@ -65,8 +64,7 @@
         self.said: tuple[float, float] | None = None   # when, memory share
         self.recent: deque[tuple[float, float]] = deque()
         self.done = self.due = self.rate = self.credit = 0.0
-        self.size = 1.0            # memory it seems to have, against what the start facts say
-        self.cap = float("inf")    # own generations at which it is taken to be full
+        self.size = 1.0    # memory it seems to have, against what the start facts say
         self.strikes, self.shut_until, self.trial = 0, 0.0, False
         self.started, self.cold_until = server.started_ms, 0.0
         self.warm: OrderedDict[str, float] = OrderedDict()
@@ -87,7 +85,6 @@
                 self.count(leg)
                 self.done += good
                 self.rate += good and leg.writes is (next_usual is not None)
-                self.cap += REGAIN if good else 0.0
                 if next_usual is None:
                     self.legs.pop(leg, None)
                 else:
@@ -109,7 +106,7 @@
                 self.warm[opening] = toks
                 self.warm.move_to_end(opening)
             case TurnedAway():    # guards against asking a full server again and again
-                self.cap = min(self.cap, len(self.booked)) * (1 - GAIN)
+                self.size = min(self.size, self.used()) * (1 - GAIN)
             case Reported(mem_share):
                 self.said = now, mem_share
             case Beat(peer_rate):
@@ -117,7 +114,6 @@
                 for leg in self.legs:
                     self.count(leg)
                 self.done, self.due, self.rate = self.done * fade, self.due * fade, self.rate * fade
-                self.cap += REGAIN * (now - self.beat_at) / self.limits.slo_ms
                 self.refill(peer_rate, now - self.beat_at)
                 self.beat_at = now
             case News():
@@ -136,7 +132,7 @@
         leg.counted = ought
 
     def weigh(self, took: float) -> None:
-        """Without reports, how soon answers begin tells whether the scaled-up own count is right."""
+        """How soon answers begin tells whether this gateway's own count, scaled up, is right."""
         if took > self.limits.slo_ms / 4:
             self.size = max(self.size * (1 - GAIN), 1 / CROWD ** 2)
         elif took < self.limits.slo_ms / 8 and self.used() > CALM * self.size:
@@ -156,7 +152,7 @@
         if self.said is not None:
             while self.recent and self.recent[0][0] < self.said[0] - self.limits.beat_ms:
                 self.recent.popleft()
-            free = 1 - self.said[1] - sum(t for _, t in self.recent) / mem
+            free = min(1 - self.said[1] - sum(t for _, t in self.recent) / mem, 1 - self.used() / self.size)
         else:
             self.recent.clear()
             free = 1 - self.used() / self.size
@@ -164,7 +160,7 @@
         if self.reads:
             free = min(free, 1 - self.limits.share * queue / self.limits.slo_ms)
         return Standing(self, self.server.life is Life.UP, free, queue, len(self.booked),
-                        self.cap - len(self.booked), (self.done + DOUBT) / (self.due + DOUBT),
+                        (self.done + DOUBT) / (self.due + DOUBT),
                         now < self.shut_until, self.trial,
                         self.credit if now < self.cold_until else float("inf"), self.rate, self.warm)
 
@@ -242,7 +238,7 @@
 
     def congested(self, s: Standing, course: Course) -> bool:
         crowd = max(self.middle.get(s.engine.server.duty, (0, 1))[0], DOUBT)
-        return (not self.fit(s, course) or s.room < 1 or s.open > CROWD * crowd
+        return (not self.fit(s, course) or s.open > CROWD * crowd
                 or s.free * s.engine.server.mem_toks <= self.toks(course, s.engine))
 
     def toks(self, course: Course, engine: Engine) -> float:
@@ -277,7 +273,7 @@
         for duty in Duty:
             peers = [s for s in self.board.values() if s.listed and s.engine.server.duty is duty]
             if not any(self.sound(s) for s in peers):
-                calm += [s for s in able if s.engine.server.duty is duty and s not in calm and s.room >= 1]
+                calm += [s for s in able if s.engine.server.duty is duty and s not in calm]
         pairs = self.pairs([self.board[holder]] if holder else calm, calm)
         agreed = self.agreed(course.gen)
         return max(pairs, key=lambda p: self.score(*p, course.gen, agreed), default=None)
@@ -475,7 +471,7 @@
         now, writer, s = self.router.now, course.writer, self.board[course.writer]
         if now >= course.limit_at or course.legs >= self.limits.leg_limit:
             return self.finish(course)
-        if not self.usable(writer, course) or not self.fit(s, course) or s.room < 0 or away:
+        if not self.usable(writer, course) or not self.fit(s, course) or away:
             pair = self.best(course, course.state_at)
             if pair is None:    # the state is let go, and the prompt, now kept, read again
                 self.let_go(course)
--- a/ternlane/notes.py
+++ b/ternlane/notes.py
@@ -67,7 +67,6 @@
     free: float       # share of memory, or of reading time if that is scarcer
     queue_ms: float   # reading that this gateway has given it and that is still out
     open: int
-    room: float       # further generations before it is expected to turn one away
     progress: float
     shut: bool
     trial: bool
