--- a/ternlane/choice.py
+++ b/ternlane/choice.py
@@ -31,6 +31,7 @@
 CALM = 0.75         # part of its size that a server must be filled to before it can prove to be larger
 LONG_READ = 1000.0  # tokens
 OUT_SHARE = 0.25    # part of the longest answer that a generation is expected to fill
+NO_SIGN = {Verdict.FULL, Verdict.CALLED_OFF, Verdict.MOOT}    # of the server's health
 NEVER_RAN = {Verdict.FULL, Verdict.UNCONNECTED, Verdict.MOOT, Verdict.READ}
 
 
@@ -76,15 +77,16 @@
             case Booked(course, toks):
                 self.booked[course] = toks
                 self.recent.append((now, toks))
-                self.credit -= 1
+                self.credit -= now < self.cold_until
             case Unbooked(course):
                 self.booked.pop(course, None)
             case Sent(leg):
                 self.legs[leg] = None
             case StageEnded(leg, good, next_usual):
                 self.count(leg)
-                self.done += good
-                self.rate += good and leg.writes is (next_usual is not None)
+                self.done += good is True
+                self.due += good is False    # guards against a server that fails fast and so looks free
+                self.rate += good is True and leg.writes is (next_usual is not None)
                 if next_usual is None:
                     self.legs.pop(leg, None)
                 else:
@@ -92,14 +94,12 @@
                     leg.since, leg.usual_ms, leg.counted = now, next_usual, 0.0
                 if good and self.trial and now - leg.since <= CROWD * leg.usual_ms:
                     self.trial, self.strikes = False, 0
+                elif good is False and self.trial:
+                    self.shut(self.limits.retry_ms)
             case Trouble(silent):
-                if now >= self.shut_until:
-                    self.strikes += 1
-                    wait = self.limits.span_ms if silent else self.limits.retry_ms
-                    self.shut_until = now + min(wait * 2 ** (self.strikes - 1), self.limits.cold_ms)
-                    self.trial, self.done, self.due = True, 0.0, 0.0
-                    if not silent:
-                        self.warm.clear()
+                self.shut(self.limits.span_ms if silent else self.limits.retry_ms)
+                if not silent:
+                    self.warm.clear()
             case Kept(opening, toks, found):
                 if not found:
                     self.warm.clear()    # guards against texts forgotten all at once
@@ -118,13 +118,20 @@
                 self.beat_at = now
             case News():
                 if self.server.started_ms != self.started:
-                    self.started = self.server.started_ms
+                    self.started, self.credit = self.server.started_ms, 0.0
                     self.warm.clear()
                 self.cold_until = self.started + self.limits.cold_ms if self.started > 0 else 0.0
         self.router.desk.post(self.standing())
         if isinstance(note, Onward):
             self.router.desk.post(note)
 
+    def shut(self, wait: float) -> None:
+        """Nothing more for a while, twice as long each time; then one leg at a time."""
+        if self.router.now >= self.shut_until:
+            self.strikes += 1
+            self.shut_until = self.router.now + min(wait * 2 ** (self.strikes - 1), self.limits.cold_ms)
+            self.trial, self.done, self.due = True, 0.0, 0.0
+
     def count(self, leg: Leg) -> None:
         """Adds what the leg should have got done at its peers' pace; one leg alone can't condemn a server."""
         ought = min((self.router.now - leg.since) / max(leg.usual_ms, 1.0), 2 * DOUBT)
@@ -142,9 +149,9 @@
         return self.limits.share * sum(self.booked.values()) / max(self.server.mem_toks, 1.0)
 
     def refill(self, peer_rate: float, ms: float) -> None:
-        """A cold server gets part of what a warm peer gets from this gateway, more as it warms."""
-        left = max(0.0, self.cold_until - self.router.now) / max(self.limits.cold_ms, 1.0)
-        rate = self.limits.cold_rate * peer_rate * (2 - left)
+        """A cold server gets part of what a warm peer at its best took from here, more as it warms."""
+        warmth = 1 - max(0.0, self.cold_until - self.router.now) / max(self.limits.cold_ms, 1.0)
+        rate = self.limits.cold_rate * peer_rate * (1 + 2 * warmth ** 2)
         self.credit = min(self.credit + rate * ms, max(1.0, rate * self.limits.burst_ms))
 
     def standing(self) -> Standing:
@@ -180,6 +187,7 @@
         self.told: dict[Product, float] = {}    # part of a product's unshared prompt that its reader kept
         self.tok_ms = self.limits.slo_ms / 10e3
         self.middle: dict[Duty, tuple[float, float]] = {}
+        self.best_rate: dict[Duty, float] = {}    # generations that a warm server took from here, per ms
 
     def handle(self, note: Any) -> None:
         match note:
@@ -224,7 +232,7 @@
     def usable(self, engine: Engine, course: Course) -> bool:
         """May the course be sent to this server at all? Asked again by send()."""
         s = self.board.get(engine)
-        return (s is not None and s.listed and s.credit >= 1 and engine not in course.tried
+        return (s is not None and engine.server.life is Life.UP and s.credit >= 1 and engine not in course.tried
                 and self.effect_allows(course, engine))
 
     def sound(self, s: Standing) -> bool:
@@ -298,9 +306,7 @@
         else:
             pair = self.best(course)
             if pair is None:
-                if not self.served(course) or now >= self.latest(course):
-                    return self.finish(course)
-                return self.wait(course)
+                return self.wait(course) if self.served(course) else self.finish(course)
             reader, writer = pair[0].engine, pair[1].engine
         if gen.session:
             self.homes[gen.session] = Home(reader, writer, now)
@@ -312,7 +318,7 @@
 
     def latest(self, course: Course) -> float:
         """The last time at which a read may begin and the first token still come within the SLO time."""
-        product, end = course.gen.product, min(course.slo_at, course.limit_at)
+        product, end = course.gen.product, min(course.slo_at, course.limit_at) - self.limits.beat_ms
         return end - MARGIN * (self.usual_ms(product, "read") + self.usual_ms(product, "open"))
 
     def served(self, course: Course) -> bool:
@@ -323,6 +329,8 @@
 
     def wait(self, course: Course) -> None:
         """Waits before its read: what earns most for its work first, then what is due first."""
+        if self.router.now >= self.latest(course):
+            return self.finish(course)
         self.turn += 1
         heapq.heappush(self.waiting, (-course.gen.product.revenue, self.latest(course), self.turn, course))
 
@@ -338,12 +346,11 @@
 
     def give_up(self) -> None:
         """Throws off what has waited too long, as soon as that is so."""
-        late = [c for _, latest, _, c in self.waiting if c.over or latest <= self.router.now]
-        if late:
-            for course in (c for c in late if not c.over):
+        for _, latest, _, course in self.waiting:
+            if latest <= self.router.now and not course.over:
                 self.finish(course)
-            self.waiting = [entry for entry in self.waiting if not entry[-1].over]
-            heapq.heapify(self.waiting)
+        self.waiting = [entry for entry in self.waiting if not entry[-1].over]
+        heapq.heapify(self.waiting)
 
     # The only places that send, answer and release.
 
@@ -392,10 +399,8 @@
 
     def effect_allows(self, course: Course, engine: Engine) -> bool:
         """No effect twice: after a leg that may have run, only what its product's effect permits."""
-        if course.may_have_run is None or course.gen.product.effect is Effect.IDEMPOTENT:
-            return True
-        if course.gen.product.effect is Effect.SIDE_EFFECTING:
-            return False
+        if course.may_have_run is None or course.gen.product.effect is not Effect.DEDUPLICATED:
+            return course.may_have_run is None or course.gen.product.effect is Effect.IDEMPOTENT
         product, (sent, first), other = course.gen.product, course.may_have_run, engine.server
         same = {Group.ALL: True, Group.ZONE: first.zone == other.zone, Group.CELL: first.cell == other.cell}
         return same[product.group] and self.router.now - sent < product.window_ms
@@ -416,13 +421,15 @@
         course: Course = note.gen.seat
         leg, course.leg = course.leg, None
         engine: Engine = note.server.seat
-        self.reported(engine, note.report)
+        if note.report is not None and note.report.mem_share is not None:
+            engine.post(Reported(note.report.mem_share))
         if leg is None:
             return
         product, verdict = course.gen.product, note.verdict
         if verdict is Verdict.STREAMED:
             self.learn(product, "stream", self.router.now - leg.since)
-        engine.post(StageEnded(leg, verdict in (Verdict.READ, Verdict.STREAMED), None))
+        good = True if verdict in (Verdict.READ, Verdict.STREAMED) else None if verdict in NO_SIGN else False
+        engine.post(StageEnded(leg, good, None))
         if verdict in (Verdict.UNCONNECTED, Verdict.RESET):
             engine.post(Trouble(silent=False))
         if leg.writes and verdict not in NEVER_RAN and course.may_have_run is None:
@@ -493,10 +500,6 @@
     def learn(self, product: Product, stage: str, took: float) -> None:
         self.usual[product, stage] = (1 - GAIN) * self.usual_ms(product, stage) + GAIN * took
 
-    def reported(self, engine: Engine, report: port.Report | None) -> None:
-        if report is not None and report.mem_share is not None:
-            engine.post(Reported(report.mem_share))
-
     def beat(self) -> None:
         now, out = self.router.now, self.router.out
         out.append(port.Wake(now + self.limits.beat_ms, True))
@@ -513,6 +516,9 @@
             mid = self.middle[duty] = median(s.open for s in fit), min(1.0, median(s.progress for s in fit))
             warm = [s.rate for s in fit if s.credit == float("inf")]
             rate = sum(warm) / len(warm) / self.limits.span_ms if warm else 0.0
+            # Remembered, as it may be all peers that died and came back cold together.
+            rate = max(rate, self.best_rate.get(duty, 0.0) * (1 - self.limits.beat_ms / HOME_AGE_MS))
+            self.best_rate[duty] = rate
             for s in peers:
                 if s.progress < SICK * mid[1] and not s.shut and not s.trial:
                     s.engine.post(Trouble(silent=True))
--- a/ternlane/notes.py
+++ b/ternlane/notes.py
@@ -97,7 +97,7 @@
 
 class StageEnded(NamedTuple):
     leg: Leg
-    good: bool
+    good: bool | None    # None: how it ended tells nothing of the server
     next_usual_ms: float | None    # None: the leg has ended with this stage
 
 
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -79,6 +79,10 @@
     home = gen.seat.writer.server
     host.list(**{name: Life.DRAINING for name, s in host.servers.items() if s is home})
     assert sent(host.end(gen, leg.server, Verdict.READ)).server is not home
+    later = host.gen()
+    for server in host.servers.values():    # told in this batch, but after the arrival
+        server.life = Life.GONE
+    assert kinds(host.tell(port.Arrived(later), port.Listed(tuple(host.servers.values())))) == [port.Throttle]
 
 
 def test_a_state_read_for_a_client_that_left_is_let_go(host: FakeHost) -> None:
@@ -126,3 +130,36 @@
     waiting = [g for g in big if g.seat.leg is None]
     late = host.tell(after=6000.0)
     assert waiting and {a.gen for a in late if isinstance(a, port.Throttle)} == set(waiting)
+
+
+def test_a_generation_with_hardly_any_time_left_does_not_wait(host: FakeHost) -> None:
+    crowd = [host.gen(prompt_toks=90e3, opening=None, opening_toks=0.0) for _ in range(6)]
+    for gen in crowd:
+        host.arrive(gen)
+    assert kinds(host.arrive(host.gen(patience_ms=30.0))) == [port.Throttle]
+
+
+def test_a_reader_that_fails_fast_does_not_draw_everything(host: FakeHost) -> None:
+    ill, hits = host.servers["r0"], 0
+    for _ in range(12):
+        gen = host.gen(opening=None)
+        leg = sent(host.arrive(gen, after=60.0))
+        hits += leg.server is ill
+        if leg.server is ill:
+            leg = sent(host.end(gen, ill, Verdict.ERROR, after=4.0))
+        leg = sent(host.end(gen, leg.server, Verdict.READ, after=60.0))
+        host.first(gen, leg.server, after=20.0)
+        host.end(gen, leg.server, Verdict.STREAMED, over=True)
+    assert 1 <= hits <= 6
+
+
+def test_servers_that_all_came_back_cold_are_used_again(host: FakeHost) -> None:
+    for _ in range(10):
+        gen, leg = host.written(opening=None)
+        host.first(gen, leg.server, after=20.0)
+        host.end(gen, leg.server, Verdict.STREAMED, over=True)
+    for server in host.servers.values():
+        server.started_ms = host.now
+    host.list()
+    host.tell(after=3000.0)
+    assert kinds(host.arrive(host.gen())) == [port.SendLeg]
