--- a/ternlane/choice.py
+++ b/ternlane/choice.py
@@ -26,12 +26,12 @@
 CROWD = 2.0         # congested: open streams over this many times the median (design page)
 MARGIN = 2.0        # usual times to the first token that must be left when a read begins
 SICK = 0.4          # congested: progress under this part of the peers' median
-DOUBT = 2.0         # legs at the peers' pace that a server is credited with before its own count
+DOUBT = 4.0         # legs at the peers' pace that a server is credited with before its own count
 GAIN = 1 / 16       # weight of a new sample in a running mean
 CALM = 0.75         # part of its size that a server must be filled to before it can prove to be larger
 LONG_READ = 1000.0  # tokens
 OUT_SHARE = 0.25    # part of the longest answer that a generation is expected to fill
-NO_SIGN = {Verdict.FULL, Verdict.CALLED_OFF, Verdict.MOOT}    # of the server's health
+NO_SIGN = {Verdict.TIMED_OUT, Verdict.FULL, Verdict.CALLED_OFF, Verdict.MOOT}    # of the server's health
 NEVER_RAN = {Verdict.FULL, Verdict.UNCONNECTED, Verdict.MOOT, Verdict.READ}
 
 
@@ -85,7 +85,7 @@
             case StageEnded(leg, good, next_usual):
                 self.count(leg)
                 self.done += good is True
-                self.due += good is False    # guards against a server that fails fast and so looks free
+                self.due += (good is False) * DOUBT / 2    # guards against one that fails fast and looks free
                 self.rate += good is True and leg.writes is (next_usual is not None)
                 if next_usual is None:
                     self.legs.pop(leg, None)
@@ -187,7 +187,7 @@
         self.told: dict[Product, float] = {}    # part of a product's unshared prompt that its reader kept
         self.tok_ms = self.limits.slo_ms / 10e3
         self.middle: dict[Duty, tuple[float, float]] = {}
-        self.best_rate: dict[Duty, float] = {}    # generations that a warm server took from here, per ms
+        self.best_rate: dict[Duty, float] = {}    # kept, as all peers may come back cold together
 
     def handle(self, note: Any) -> None:
         match note:
@@ -195,7 +195,7 @@
                 self.board[note.engine] = note
             case port.Arrived(gen):
                 self.arrived(gen)
-            case port.FirstTok(gen, _, took):
+            case port.FirstTok(gen, _, took) if gen.seat.leg is not None:
                 self.first_tok(gen.seat, took)
             case port.LegEnded():
                 self.stuck = False
@@ -232,8 +232,8 @@
     def usable(self, engine: Engine, course: Course) -> bool:
         """May the course be sent to this server at all? Asked again by send()."""
         s = self.board.get(engine)
-        return (s is not None and engine.server.life is Life.UP and s.credit >= 1 and engine not in course.tried
-                and self.effect_allows(course, engine))
+        return (s is not None and engine.server.life is Life.UP and s.credit >= 1
+                and engine not in course.tried and self.effect_allows(course, engine))
 
     def sound(self, s: Standing) -> bool:
         pace = self.middle.get(s.engine.server.duty, (0, 1))[1]
@@ -245,7 +245,7 @@
         return self.sound(s)
 
     def congested(self, s: Standing, course: Course) -> bool:
-        crowd = max(self.middle.get(s.engine.server.duty, (0, 1))[0], DOUBT)
+        crowd = max(self.middle.get(s.engine.server.duty, (0, 1))[0], CROWD)
         return (not self.fit(s, course) or s.open > CROWD * crowd
                 or s.free * s.engine.server.mem_toks <= self.toks(course, s.engine))
 
@@ -275,8 +275,6 @@
     def best(self, course: Course, holder: Engine | None = None) -> tuple[Standing, Standing] | None:
         """The best pair that is not congested. With no server of a duty sound, the view is suspected."""
         able = [s for s in self.board.values() if self.usable(s.engine, course)]
-        turn = self.router.chance(len(able))
-        able = able[turn:] + able[:turn]    # so that gateways with equal views don't all take the same pair
         calm = [s for s in able if not self.congested(s, course)]
         for duty in Duty:
             peers = [s for s in self.board.values() if s.listed and s.engine.server.duty is duty]
@@ -346,9 +344,8 @@
 
     def give_up(self) -> None:
         """Throws off what has waited too long, as soon as that is so."""
-        for _, latest, _, course in self.waiting:
-            if latest <= self.router.now and not course.over:
-                self.finish(course)
+        for course in (c for _, latest, _, c in self.waiting if latest <= self.router.now and not c.over):
+            self.finish(course)
         self.waiting = [entry for entry in self.waiting if not entry[-1].over]
         heapq.heapify(self.waiting)
 
@@ -408,10 +405,7 @@
     # What comes of a leg.
 
     def first_tok(self, course: Course, took: float) -> None:
-        leg = course.leg
-        if leg is None:
-            return
-        product, course.state_at, course.holds = course.gen.product, None, False
+        product, leg, course.state_at, course.holds = course.gen.product, course.leg, None, False
         self.learn(product, "open", took)
         if course.reader is not None and course.reader is not course.writer:
             course.reader.post(Unbooked(course))
@@ -462,7 +456,7 @@
         self.place(course)
 
     def read_back(self, course: Course, leg: Leg, note: port.LegEnded) -> None:
-        gen = course.gen
+        gen, known = course.gen, self.board[leg.engine].warm.get(course.gen.opening or "", 0.0)
         self.learn(gen.product, "read", note.took_ms / max(1.0, gen.prompt_toks / self.prompt[gen.product]))
         told = max(note.kept_toks - gen.opening_toks, 0.0) / max(gen.prompt_toks - gen.opening_toks, 1.0)
         self.told[gen.product] += GAIN * (told - self.told[gen.product])
@@ -470,7 +464,6 @@
             ratio = note.took_ms / (gen.prompt_toks - note.kept_toks)
             self.tok_ms += (ratio - self.tok_ms) * (4 * GAIN if ratio < self.tok_ms else GAIN / 4)
         if gen.opening:
-            known = self.board[leg.engine].warm.get(gen.opening, 0.0)
             leg.engine.post(Kept(gen.opening, gen.opening_toks, note.kept_toks >= known / 2))
 
     def hand_on(self, course: Course, away: bool) -> None:
@@ -481,9 +474,8 @@
         if not self.usable(writer, course) or not self.fit(s, course) or away:
             pair = self.best(course, course.state_at)
             if pair is None:    # the state is let go, and the prompt, now kept, read again
-                self.let_go(course)
-                self.unbook(course)
-                return self.place(course)
+                course.state_at = None
+                return self.onward(course, away)
             writer.post(Unbooked(course))
             writer = course.writer = pair[1].engine
             writer.post(Booked(course, self.toks(course, writer)))
@@ -516,7 +508,6 @@
             mid = self.middle[duty] = median(s.open for s in fit), min(1.0, median(s.progress for s in fit))
             warm = [s.rate for s in fit if s.credit == float("inf")]
             rate = sum(warm) / len(warm) / self.limits.span_ms if warm else 0.0
-            # Remembered, as it may be all peers that died and came back cold together.
             rate = max(rate, self.best_rate.get(duty, 0.0) * (1 - self.limits.beat_ms / HOME_AGE_MS))
             self.best_rate[duty] = rate
             for s in peers:
@@ -530,7 +521,6 @@
 
     def __init__(self, facts: StartFacts) -> None:
         self.now = 0.0
-        self.seed, self.drawn = facts.seed, 0
         self.limits = limits_from(facts)
         self.ready: deque[Engine | Desk] = deque()
         self.out: list[Action] = []
@@ -544,10 +534,6 @@
         self.begun = True
         return self.out
 
-    def chance(self, ways: int) -> int:
-        self.drawn += 1
-        return zlib.crc32(b"%d %d" % (self.seed, self.drawn)) % max(ways, 1)
-
     def run(self, event: Event) -> None:
         self.desk.post(event)
         while self.ready or self.desk.pump():
