Cold servers may take three quarters of the stated limit

Cause: after mass crashes and releases the returned servers stayed nearly idle while others were full.

--- a/ternlane/choice.py
+++ b/ternlane/choice.py
@@ -38,7 +38,7 @@
 def limits_from(facts: StartFacts) -> Limits:
     slo = min((p.slo_ms for p in facts.products if p.slo_ms), default=1000.0)
     return Limits(slo_ms=slo, span_ms=2 * slo, beat_ms=max(facts.step_ms, slo / 20), share=facts.gateways,
-                  cold_rate=facts.fall_multiple * facts.cold_from / 2, cold_ms=facts.cold_ms,
+                  cold_rate=facts.fall_multiple * facts.cold_from * CALM, cold_ms=facts.cold_ms,
                   burst_ms=facts.fall_ms / 2, retry_ms=2 * facts.connect_ms, leg_limit=facts.leg_limit,
                   pause_ms=facts.longest_pause_ms if facts.may_advise else 0.0)
 
@@ -151,7 +151,7 @@
     def refill(self, peer_rate: float, ms: float) -> None:
         """A cold server gets part of what a warm peer at its best took from here, more as it warms."""
         warmth = 1 - max(0.0, self.cold_until - self.router.now) / max(self.limits.cold_ms, 1.0)
-        rate = self.limits.cold_rate * peer_rate * (1 + 2 * warmth ** 2)
+        rate = self.limits.cold_rate * peer_rate * (1 + 3 * warmth ** 2)
         self.credit = min(self.credit + rate * ms, max(1.0, rate * self.limits.burst_ms))
 
     def standing(self) -> Standing:
