--- a/ternlane/choice.py
+++ b/ternlane/choice.py
@@ -28,6 +28,7 @@
 SICK = 0.4          # congested: progress under this part of the peers' median
 DOUBT = 4.0         # legs at the peers' pace that a server is credited with before its own count
 GAIN = 1 / 16       # weight of a new sample in a running mean
+CARE = 0.6          # part of what the rule lets a cold server be sent that this router uses
 CALM = 0.75         # part of its size that a server must be filled to before it can prove to be larger
 LONG_READ = 1000.0  # tokens
 OUT_SHARE = 0.25    # part of the longest answer that a generation is expected to fill
@@ -38,7 +39,7 @@
 def limits_from(facts: StartFacts) -> Limits:
     slo = min((p.slo_ms for p in facts.products if p.slo_ms), default=1000.0)
     return Limits(slo_ms=slo, span_ms=2 * slo, beat_ms=max(facts.step_ms, slo / 20), share=facts.gateways,
-                  cold_rate=facts.fall_multiple * facts.cold_from * CALM, cold_ms=facts.cold_ms,
+                  cold_rate=facts.fall_multiple * facts.cold_from * CARE, cold_ms=facts.cold_ms,
                   burst_ms=facts.fall_ms / 2, retry_ms=2 * facts.connect_ms, leg_limit=facts.leg_limit,
                   pause_ms=facts.longest_pause_ms if facts.may_advise else 0.0)
 
