--- a/ternlane/choice.py
+++ b/ternlane/choice.py
@@ -178,7 +178,6 @@
 
     def __init__(self, router: Router, facts: StartFacts) -> None:
         super().__init__(router)
-        self.ahead = facts.may_hold_ahead
         self.may_call_off, self.must_ask, self.asked = facts.may_call_off, facts.must_ask, False
         self.board: dict[Engine, Standing] = {}
         self.homes: OrderedDict[str, Home] = OrderedDict()
@@ -315,8 +314,6 @@
         for engine in {reader: None, writer: None}:
             engine.post(Booked(course, self.toks(course, engine)))
         self.send(course, reader)
-        if self.ahead and reader is not writer:
-            self.router.out.append(port.HoldAhead(gen, writer.server))
 
     def latest(self, course: Course) -> float:
         """The last time at which a read may begin and the first token still come within the SLO time."""
