--- a/ternlane/choice.py
+++ b/ternlane/choice.py
@@ -129,8 +129,9 @@
     def shut(self, wait: float) -> None:
         """Nothing more for a while, twice as long each time; then one leg at a time."""
         if self.router.now >= self.shut_until:
-            self.strikes += 1
-            self.shut_until = self.router.now + min(wait * 2 ** (self.strikes - 1), self.limits.cold_ms)
+            self.strikes, wait = self.strikes + 1, min(wait * 2 ** self.strikes, self.limits.cold_ms)
+            self.shut_until = self.router.now + wait
+            self.router.out.append(port.Log(self.server, f"shut for {wait:.0f} ms (time {self.strikes})"))
             self.trial, self.done, self.due = True, 0.0, 0.0
 
     def count(self, leg: Leg) -> None:
@@ -484,8 +485,6 @@
                 self.homes[course.gen.session] = Home(course.reader, writer, now)
         self.send(course, writer)
 
-    # What is learnt.
-
     def usual_ms(self, product: Product, stage: str) -> float:
         first = product.tok_slo_ms * 100 / CROWD if stage == "stream" else (product.slo_ms or 1000.0) / 8
         return self.usual.get((product, stage), first)
--- a/ternlane/port.py
+++ b/ternlane/port.py
@@ -239,6 +239,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Log:
+    server: Server
     text: str
 
 
--- a/ternlane/wirehost/host.py
+++ b/ternlane/wirehost/host.py
@@ -180,8 +180,8 @@
                     yield f"SUBSCRIBE {number_} 1"
                 case Wake(at, beat):
                     yield f"ARM {number_} {BEAT if beat else DUE} {ms(at)}"
-                case Log(text):
-                    yield f"SAY_LOG {number_} {text}"
+                case Log(server, text):
+                    yield f"SAY_LOG {number_} {self.server_ids[server]} {text}"
         for gen in list(self.closed):
             self.forget(gen)
 
