Others' load is the fleet's mean times a shrunk crowding; equals go by chance

Also covers restarts of gateways, which know nothing of the fill. Harm: a single server's fill is seen later.

--- a/ternlane/choice.py
+++ b/ternlane/choice.py
@@ -71,6 +71,7 @@
         self.started, self.cold_until = server.started_ms, 0.0
         self.warm: OrderedDict[str, float] = OrderedDict()
         self.beat_at = router.now
+        self.sent, self.fleet = 0.0, Beat(0.0, 0.0, 0.0, 0.0, 0.0)
 
     def handle(self, note: Any) -> None:
         now = self.router.now
@@ -78,6 +79,7 @@
             case Booked(course, toks):
                 self.booked[course] = toks
                 self.recent.append((now, toks))
+                self.sent += 1
                 self.credit -= now < self.cold_until
             case Unbooked(course):
                 self.booked.pop(course, None)
@@ -110,12 +112,14 @@
                 self.size = min(self.size, self.used()) * (1 - GAIN)
             case Reported(mem_share):
                 self.said = now, mem_share
-            case Beat(peer_rate):
+            case Beat():
                 fade = exp((self.beat_at - now) / self.limits.span_ms)
+                self.sent *= exp((self.beat_at - now) / HOME_AGE_MS)
+                self.fleet = note
                 for leg in self.legs:
                     self.count(leg)
                 self.done, self.due, self.rate = self.done * fade, self.due * fade, self.rate * fade
-                self.refill(peer_rate, now - self.beat_at)
+                self.refill(note.peer_rate, now - self.beat_at)
                 self.beat_at = now
             case News():
                 if self.server.started_ms != self.started:
@@ -147,8 +151,15 @@
         elif took < self.limits.slo_ms / 8 and self.used() > CALM * self.size:
             self.size = min(self.size * (1 + GAIN), CROWD ** 2)
 
+    def crowding(self) -> float:
+        """How much more than its peers the gateways use it, believed only as far as this one has seen it happen."""
+        return (self.sent + DOUBT) / (self.fleet.mean_sent + DOUBT) * (1 - 1 / self.limits.share)
+
+    def own(self) -> float:
+        return sum(self.booked.values()) / max(self.server.mem_toks, 1.0)
+
     def used(self) -> float:
-        return self.limits.share * sum(self.booked.values()) / max(self.server.mem_toks, 1.0)
+        return self.own() + self.fleet.level * self.crowding()
 
     def refill(self, peer_rate: float, ms: float) -> None:
         """A cold server gets part of what a warm peer at its best took from here, more as it warms."""
@@ -158,20 +169,23 @@
 
     def standing(self) -> Standing:
         now, mem = self.router.now, max(self.server.mem_toks, 1.0)
+        free = 1 - self.used() / self.size
         if self.said is not None:
             while self.recent and self.recent[0][0] < self.said[0] - self.limits.beat_ms:
                 self.recent.popleft()
-            free = min(1 - self.said[1] - sum(t for _, t in self.recent) / mem, 1 - self.used() / self.size)
+            fresh = exp((self.said[0] - now) / self.limits.span_ms)
+            free = min(free, 1 - fresh * (self.said[1] + sum(t for _, t in self.recent) / mem)
+                       - (1 - fresh) * self.used())
         else:
             self.recent.clear()
-            free = 1 - self.used() / self.size
         queue = sum(leg.work_ms for leg in self.legs)
         if self.reads:
-            free = min(free, 1 - self.limits.share * queue / self.limits.slo_ms)
+            free = min(free, 1 - (queue + self.fleet.queue_ms * self.crowding()) / self.limits.slo_ms)
         return Standing(self, self.server.life is Life.UP, free, queue, len(self.booked),
                         (self.done + DOUBT) / (self.due + DOUBT),
                         now < self.shut_until, self.trial,
-                        self.credit if now < self.cold_until else float("inf"), self.rate, self.warm)
+                        self.credit if now < self.cold_until else float("inf"), self.rate, self.warm,
+                        self.own(), self.sent)
 
 
 class Desk(Actor):
@@ -180,6 +194,7 @@
     def __init__(self, router: Router, facts: StartFacts) -> None:
         super().__init__(router)
         self.may_call_off, self.must_ask, self.asked = facts.may_call_off, facts.must_ask, False
+        self.reports, self.seed, self.draws = facts.reports_mem, facts.seed, 0
         self.board: dict[Engine, Standing] = {}
         self.homes: OrderedDict[str, Home] = OrderedDict()
         self.waiting: list[tuple[float, float, int, Course]] = []
@@ -190,6 +205,8 @@
         self.tok_ms = self.limits.slo_ms / 10e3
         self.middle: dict[Duty, tuple[float, float]] = {}
         self.best_rate: dict[Duty, float] = {}    # kept, as all peers may come back cold together
+        self.level: dict[Duty, float] = {}    # how full the servers of a duty are on the mean
+        self.queue: dict[Duty, float] = {}
 
     def handle(self, note: Any) -> None:
         match note:
@@ -255,13 +272,23 @@
         """The memory that the generation will take there."""
         return course.gen.prompt_toks + (OUT_SHARE * course.gen.max_toks if engine.writes else 0.0)
 
+    def chance(self) -> float:
+        self.draws += 1
+        return zlib.crc32(b"%d %d" % (self.seed, self.draws)) / 2**32
+
     def pairs(self, readers: list[Standing], writers: list[Standing]) -> Iterator[tuple[Standing, Standing]]:
-        """All pairs of reader and writer; a mixed server goes with itself alone."""
+        """Each reader with the best writer of each cell (no other could score more); a mixed one with itself alone.
+        Equals go by chance, or all gateways would fill the first in the list."""
+        freest: dict[tuple[str, int], tuple[float, float, Standing]] = {}
+        for w in writers:
+            if w.engine.writes and not w.engine.reads:
+                at, mine = (w.engine.server.zone, w.engine.server.cell), (w.free, self.chance(), w)
+                freest[at] = max(freest.get(at, mine), mine, key=lambda m: m[:2])
         for r in readers:
             if r.engine.reads and r.engine.writes:
                 yield r, r
             elif r.engine.reads:
-                yield from ((r, w) for w in writers if not w.engine.reads)
+                yield from ((r, w) for _, _, w in freest.values())
 
     def score(self, r: Standing, w: Standing, gen: Generation, agreed: Engine | None) -> tuple[float, float]:
         a, b = r.engine.server, w.engine.server
@@ -419,6 +446,8 @@
         engine: Engine = note.server.seat
         if note.report is not None and note.report.mem_share is not None:
             engine.post(Reported(note.report.mem_share))
+            duty = note.server.duty
+            self.level[duty] = self.level.get(duty, 0.0) * (1 - 4 * GAIN) + 4 * GAIN * note.report.mem_share
         if leg is None:
             return
         product, verdict = course.gen.product, note.verdict
@@ -510,10 +539,17 @@
             rate = sum(warm) / len(warm) / self.limits.span_ms if warm else 0.0
             rate = max(rate, self.best_rate.get(duty, 0.0) * (1 - self.limits.beat_ms / HOME_AGE_MS))
             self.best_rate[duty] = rate
+            mean_sent = sum(s.sent for s in fit) / len(fit)
+            new = self.limits.beat_ms / self.limits.span_ms
+            scale = new * self.limits.share / len(fit)
+            if not self.reports:
+                self.level[duty] = (1 - new) * self.level.get(duty, 0.0) + scale * sum(s.own for s in fit)
+            self.level.setdefault(duty, 0.0)
+            self.queue[duty] = (1 - new) * self.queue.get(duty, 0.0) + scale * sum(s.queue_ms for s in fit)
             for s in peers:
                 if s.progress < SICK * mid[1] and not s.shut and not s.trial:
                     s.engine.post(Trouble(silent=True))
-                s.engine.post(Beat(rate))
+                s.engine.post(Beat(rate, self.level[duty], self.queue[duty], mean_sent, 0.0))
 
 
 class Router:
--- a/ternlane/notes.py
+++ b/ternlane/notes.py
@@ -73,6 +73,8 @@
     credit: float     # sends that a cold server may still be given
     rate: float
     warm: OrderedDict[str, float]
+    own: float        # share of memory that this gateway's generations fill
+    sent: float       # generations of this gateway that it got lately
 
 
 # Notes from the Desk to an Engine.
@@ -122,7 +124,12 @@
 
 
 class Beat(NamedTuple):
+    """What the Desk makes of all servers of the same duty."""
     peer_rate: float
+    level: float        # how full they are
+    queue_ms: float     # reading that all gateways have given each of them
+    mean_sent: float
+    steps: float
 
 
 class Onward(NamedTuple):
