Reading queues are believed as far as reads took as long; the fleet is looked at every fourth beat

Also covers wrongly learnt reading pace. Harm: a queue that grows at once is believed only after some reads.

--- a/ternlane/choice.py
+++ b/ternlane/choice.py
@@ -27,6 +27,7 @@
 MARGIN = 2.0        # usual times to the first token that must be left when a read begins
 SICK = 0.4          # congested: progress under this part of the peers' median
 DOUBT = 4.0         # legs at the peers' pace that a server is credited with before its own count
+LOOK = 4            # beats between two looks at all servers
 GAIN = 1 / 16       # weight of a new sample in a running mean
 CARE = 0.6          # part of what the rule lets a cold server be sent that this router uses
 CALM = 0.75         # part of its size that a server must be filled to before it can prove to be larger
@@ -71,7 +72,7 @@
         self.started, self.cold_until = server.started_ms, 0.0
         self.warm: OrderedDict[str, float] = OrderedDict()
         self.beat_at = router.now
-        self.sent, self.fleet = 0.0, Beat(0.0, 0.0, 0.0, 0.0, 0.0)
+        self.sent, self.fleet = 0.0, Beat(0.0, 0.0, 0.0, 0.0, 1.0)
 
     def handle(self, note: Any) -> None:
         now = self.router.now
@@ -179,13 +180,14 @@
         else:
             self.recent.clear()
         queue = sum(leg.work_ms for leg in self.legs)
+        ahead = self.fleet.trust * (queue + self.fleet.queue_ms * self.crowding())
         if self.reads:
-            free = min(free, 1 - (queue + self.fleet.queue_ms * self.crowding()) / self.limits.slo_ms)
+            free = min(free, 1 - ahead / self.limits.slo_ms)
         return Standing(self, self.server.life is Life.UP, free, queue, len(self.booked),
                         (self.done + DOUBT) / (self.due + DOUBT),
                         now < self.shut_until, self.trial,
                         self.credit if now < self.cold_until else float("inf"), self.rate, self.warm,
-                        self.own(), self.sent)
+                        self.own(), self.sent, ahead)
 
 
 class Desk(Actor):
@@ -198,7 +200,7 @@
         self.board: dict[Engine, Standing] = {}
         self.homes: OrderedDict[str, Home] = OrderedDict()
         self.waiting: list[tuple[float, float, int, Course]] = []
-        self.turn, self.stuck = 0, False
+        self.turn, self.beats, self.stuck = 0, 0, False
         self.usual: dict[tuple[Product, str], float] = {}
         self.prompt: dict[Product, float] = {}
         self.told: dict[Product, float] = {}    # part of a product's unshared prompt that its reader kept
@@ -207,6 +209,8 @@
         self.best_rate: dict[Duty, float] = {}    # kept, as all peers may come back cold together
         self.level: dict[Duty, float] = {}    # how full the servers of a duty are on the mean
         self.queue: dict[Duty, float] = {}
+        self.foreseen = self.took = self.limits.slo_ms
+        self.trust = 1.0    # how long reads took, against what the readers' queues were believed to be
 
     def handle(self, note: Any) -> None:
         match note:
@@ -387,7 +391,7 @@
         course.legs, course.holds = course.legs + 1, True
         work = 0.0 if writes else self.unread_ms(s, course.gen)
         usual = max(self.usual_ms(product, "open" if writes else "read"), work + s.queue_ms)
-        course.leg = Leg(engine, course, writes, now, now, usual, work)
+        course.leg = Leg(engine, course, writes, now, now, usual, work, work + s.ahead_ms / max(self.trust, GAIN))
         patience = course.limit_at - now
         if course.legs < self.limits.leg_limit and (not writes or product.effect is Effect.IDEMPOTENT):
             patience = min(patience, max(product.slo_ms / 2, 4 * course.leg.usual_ms))
@@ -489,6 +493,9 @@
     def read_back(self, course: Course, leg: Leg, note: port.LegEnded) -> None:
         gen, known = course.gen, self.board[leg.engine].warm.get(course.gen.opening or "", 0.0)
         self.learn(gen.product, "read", note.took_ms / max(1.0, gen.prompt_toks / self.prompt[gen.product]))
+        self.foreseen += GAIN * (leg.foreseen - self.foreseen)
+        self.took += GAIN * (note.took_ms - self.took)
+        self.trust = min(1.0, self.took / self.foreseen)
         told = max(note.kept_toks - gen.opening_toks, 0.0) / max(gen.prompt_toks - gen.opening_toks, 1.0)
         self.told[gen.product] += GAIN * (told - self.told[gen.product])
         if gen.prompt_toks - note.kept_toks > LONG_READ:    # short ones tell of steps and queues
@@ -529,7 +536,8 @@
             out.append(port.Follow())
         while self.homes and next(iter(self.homes.values())).used < now - HOME_AGE_MS:
             self.homes.popitem(last=False)
-        for duty in Duty:
+        self.beats += 1
+        for duty in Duty if self.beats % LOOK == 1 else ():
             peers = [s for s in self.board.values() if s.engine.server.duty is duty and s.listed]
             if not peers:
                 continue
@@ -537,10 +545,10 @@
             mid = self.middle[duty] = median(s.open for s in fit), min(1.0, median(s.progress for s in fit))
             warm = [s.rate for s in fit if s.credit == float("inf")]
             rate = sum(warm) / len(warm) / self.limits.span_ms if warm else 0.0
-            rate = max(rate, self.best_rate.get(duty, 0.0) * (1 - self.limits.beat_ms / HOME_AGE_MS))
+            rate = max(rate, self.best_rate.get(duty, 0.0) * (1 - LOOK * self.limits.beat_ms / HOME_AGE_MS))
             self.best_rate[duty] = rate
             mean_sent = sum(s.sent for s in fit) / len(fit)
-            new = self.limits.beat_ms / self.limits.span_ms
+            new = LOOK * self.limits.beat_ms / self.limits.span_ms
             scale = new * self.limits.share / len(fit)
             if not self.reports:
                 self.level[duty] = (1 - new) * self.level.get(duty, 0.0) + scale * sum(s.own for s in fit)
@@ -549,7 +557,7 @@
             for s in peers:
                 if s.progress < SICK * mid[1] and not s.shut and not s.trial:
                     s.engine.post(Trouble(silent=True))
-                s.engine.post(Beat(rate, self.level[duty], self.queue[duty], mean_sent, 0.0))
+                s.engine.post(Beat(rate, self.level[duty], self.queue[duty], mean_sent, self.trust))
 
 
 class Router:
--- a/ternlane/notes.py
+++ b/ternlane/notes.py
@@ -34,6 +34,7 @@
     since: float      # start of the present stage: read, open (until the first token) or stream
     usual_ms: float   # what its peers take for that stage
     work_ms: float    # reading that its server has to do for it
+    foreseen: float = 0.0    # how long a read was expected to take
     counted: float = 0.0
 
 
@@ -75,6 +76,7 @@
     warm: OrderedDict[str, float]
     own: float        # share of memory that this gateway's generations fill
     sent: float       # generations of this gateway that it got lately
+    ahead_ms: float   # reading that all gateways are believed to have given it
 
 
 # Notes from the Desk to an Engine.
@@ -129,7 +131,7 @@
     level: float        # how full they are
     queue_ms: float     # reading that all gateways have given each of them
     mean_sent: float
-    steps: float
+    trust: float        # how far that is to be believed
 
 
 class Onward(NamedTuple):
