--- a/ternlane/choice.py
+++ b/ternlane/choice.py
@@ -182,7 +182,7 @@
         queue = sum(leg.work_ms for leg in self.legs)
         ahead = self.fleet.trust * (queue + self.fleet.queue_ms * self.crowding())
         if self.reads:
-            free = min(free, 1 - ahead / self.limits.slo_ms)
+            free = min(free, 1 - CROWD * ahead / self.limits.slo_ms)
         return Standing(self, self.server.life is Life.UP, free, queue, len(self.booked),
                         (self.done + DOUBT) / (self.due + DOUBT),
                         now < self.shut_until, self.trial,
@@ -463,6 +463,8 @@
             engine.post(Trouble(silent=False))
         if leg.writes and verdict not in NEVER_RAN and course.may_have_run is None:
             course.may_have_run = leg.sent, note.server
+        if not leg.writes and verdict in (Verdict.READ, Verdict.TIMED_OUT):
+            self.read_took(course, leg, note.took_ms)
         if verdict is Verdict.READ:
             course.state_at = engine
             self.read_back(course, leg, note)
@@ -490,12 +492,16 @@
         self.unbook(course)
         self.place(course)
 
-    def read_back(self, course: Course, leg: Leg, note: port.LegEnded) -> None:
-        gen, known = course.gen, self.board[leg.engine].warm.get(course.gen.opening or "", 0.0)
-        self.learn(gen.product, "read", note.took_ms / max(1.0, gen.prompt_toks / self.prompt[gen.product]))
+    def read_took(self, course: Course, leg: Leg, took: float) -> None:
+        """One that ran out of time took at least as long; not to count it would time out ever more of them."""
+        gen = course.gen
+        self.learn(gen.product, "read", took / max(1.0, gen.prompt_toks / self.prompt[gen.product]))
         self.foreseen += GAIN * (leg.foreseen - self.foreseen)
-        self.took += GAIN * (note.took_ms - self.took)
+        self.took += GAIN * (took - self.took)
         self.trust = min(1.0, self.took / self.foreseen)
+
+    def read_back(self, course: Course, leg: Leg, note: port.LegEnded) -> None:
+        gen, known = course.gen, self.board[leg.engine].warm.get(course.gen.opening or "", 0.0)
         told = max(note.kept_toks - gen.opening_toks, 0.0) / max(gen.prompt_toks - gen.opening_toks, 1.0)
         self.told[gen.product] += GAIN * (told - self.told[gen.product])
         if gen.prompt_toks - note.kept_toks > LONG_READ:    # short ones tell of steps and queues
