The agreed reader goes by opening, then by session; an opening has readers by its traffic

Cause: each of many gateways read each opening at readers of its own, so nearly every prompt was read in full. Also covers restarted gateways, which know no warm reader. Harm: a popular opening gathers on few readers until their queues are seen.

--- a/ternlane/choice.py
+++ b/ternlane/choice.py
@@ -204,6 +204,7 @@
         self.usual: dict[tuple[Product, str], float] = {}
         self.prompt: dict[Product, float] = {}
         self.told: dict[Product, float] = {}    # part of a product's unshared prompt that its reader kept
+        self.asked_for: dict[str, float] = {}    # generations of each opening
         self.tok_ms = self.limits.slo_ms / 10e3
         self.middle: dict[Duty, tuple[float, float]] = {}
         self.best_rate: dict[Duty, float] = {}    # kept, as all peers may come back cold together
@@ -248,6 +249,8 @@
         self.told.setdefault(product, 0.5)
         mean = self.prompt.setdefault(product, max(gen.prompt_toks, 1.0))
         self.prompt[product] = mean + GAIN * (gen.prompt_toks - mean)
+        if gen.opening is not None:
+            self.asked_for[gen.opening] = self.asked_for.get(gen.opening, 0.0) + 1
         if self.waiting:
             return self.wait(course)
         self.place(course)
@@ -299,7 +302,7 @@
         steps = 0 if a is b or a.cell == b.cell else 1 if a.zone == b.zone else 2
         unread = self.unread_ms(r, gen) / self.limits.slo_ms
         if r.engine is agreed:
-            unread *= 1 - self.told[gen.product]
+            unread = min(unread, self.tok_ms * gen.prompt_toks * (1 - self.told[gen.product]) / self.limits.slo_ms)
         return min(r.free, w.free) - STEP * steps - unread, r.free + w.free
 
     def unread_ms(self, r: Standing, gen: Generation) -> float:
@@ -314,16 +317,21 @@
             if not any(self.sound(s) for s in peers):
                 calm += [s for s in able if s.engine.server.duty is duty and s not in calm]
         pairs = self.pairs([self.board[holder]] if holder else calm, calm)
-        agreed = self.agreed(course.gen)
+        agreed = course.agreed = self.agreed(course.gen)
         return max(pairs, key=lambda p: self.score(*p, course.gen, agreed), default=None)
 
     def agreed(self, gen: Generation) -> Engine | None:
-        """The reader that every gateway holds nearest for this session, as its turns come to all of them."""
-        if gen.session is None:
-            return None
-        key = zlib.crc32(gen.session.encode())
-        return max((e for e, s in self.board.items() if e.reads and s.listed and self.sound(s)),
-                   key=lambda e: key * (e.server.mark | 1) % 2**32, default=None)
+        """The reader that every gateway holds nearest for this opening and session, as both come to all of them.
+
+        An opening has as many readers as its part of the traffic, the same ones everywhere; its sessions share them."""
+        readers = [e for e, s in self.board.items() if e.reads and s.listed and self.sound(s)]
+        if gen.opening is not None:
+            key = zlib.crc32(gen.opening.encode())
+            readers.sort(key=lambda e: key * (e.server.mark | 1) % 2**32)
+            some = 1 + len(readers) * self.asked_for.get(gen.opening, 0.0) / max(sum(self.asked_for.values()), 1.0)
+            readers = readers[:round(some)]
+        key = zlib.crc32((gen.session or "").encode())
+        return max(readers, key=lambda e: key * (e.server.mark | 1) % 2**32, default=None)
 
     def place(self, course: Course) -> None:
         """Home pair if it is calm, else the best calm pair; else the generation waits before its read."""
@@ -502,8 +510,8 @@
 
     def read_back(self, course: Course, leg: Leg, note: port.LegEnded) -> None:
         gen, known = course.gen, self.board[leg.engine].warm.get(course.gen.opening or "", 0.0)
-        told = max(note.kept_toks - gen.opening_toks, 0.0) / max(gen.prompt_toks - gen.opening_toks, 1.0)
-        self.told[gen.product] += GAIN * (told - self.told[gen.product])
+        if leg.engine is course.agreed:
+            self.told[gen.product] += GAIN * (note.kept_toks / max(gen.prompt_toks, 1.0) - self.told[gen.product])
         if gen.prompt_toks - note.kept_toks > LONG_READ:    # short ones tell of steps and queues
             ratio = note.took_ms / (gen.prompt_toks - note.kept_toks)
             self.tok_ms += (ratio - self.tok_ms) * (4 * GAIN if ratio < self.tok_ms else GAIN / 4)
--- a/ternlane/notes.py
+++ b/ternlane/notes.py
@@ -46,6 +46,7 @@
     limit_at: float
     reader: Engine | None = None
     writer: Engine | None = None
+    agreed: Engine | None = None
     leg: Leg | None = None
     legs: int = 0
     state_at: Engine | None = None
