--- a/ternlane/choice.py
+++ b/ternlane/choice.py
@@ -11,7 +11,7 @@
 import heapq
 import zlib
 from collections import OrderedDict, deque
-from math import exp
+from math import exp, inf
 from statistics import median
 from typing import Any, Iterator
 
@@ -200,7 +200,7 @@
         self.board: dict[Engine, Standing] = {}
         self.homes: OrderedDict[str, Home] = OrderedDict()
         self.waiting: list[tuple[float, float, int, Course]] = []
-        self.turn, self.beats, self.stuck = 0, 0, False
+        self.turn, self.beats, self.stuck = 0, 0, inf    # prompts of this size and more find no room now
         self.usual: dict[tuple[Product, str], float] = {}
         self.prompt: dict[Product, float] = {}
         self.told: dict[Product, float] = {}    # part of a product's unshared prompt that its reader kept
@@ -222,7 +222,7 @@
             case port.FirstTok(gen, _, took) if gen.seat.leg is not None:
                 self.first_tok(gen.seat, took)
             case port.LegEnded():
-                self.stuck = False
+                self.stuck = inf
                 self.leg_ended(note)
             case port.ClientLeft(gen):
                 self.close(gen.seat)
@@ -236,7 +236,7 @@
             case port.ListFailed():
                 self.asked = False
             case port.Woken():
-                self.stuck = False
+                self.stuck = inf
                 self.give_up()
                 self.beat()
 
@@ -374,14 +374,22 @@
         heapq.heappush(self.waiting, (-course.gen.product.revenue, self.latest(course), self.turn, course))
 
     def pump(self) -> bool:
-        """Places the waiting generation that comes first, unless it comes too late."""
-        if not self.waiting or self.stuck:
+        """Places the waiting generation that comes first; smaller ones may pass a large one that finds no room."""
+        if not self.waiting or self.stuck <= 0:
             return False
-        course = heapq.heappop(self.waiting)[-1]
-        if not course.over:
+        queue, self.waiting = self.waiting, []
+        while queue and not self.router.ready:
+            entry = heapq.heappop(queue)
+            course = entry[-1]
+            if course.over or course.gen.prompt_toks >= self.stuck:
+                self.waiting += [] if course.over else [entry]
+                continue
             self.place(course)
-        self.stuck = course.leg is None and not course.over
-        return not self.stuck
+            if course.leg is None and not course.over:
+                self.stuck = course.gen.prompt_toks
+        self.waiting += queue
+        heapq.heapify(self.waiting)
+        return bool(self.router.ready)
 
     def give_up(self) -> None:
         """Throws off what has waited too long, as soon as that is so."""
@@ -473,6 +481,8 @@
             course.may_have_run = leg.sent, note.server
         if not leg.writes and verdict in (Verdict.READ, Verdict.TIMED_OUT):
             self.read_took(course, leg, note.took_ms)
+        elif verdict is Verdict.TIMED_OUT:
+            self.learn(product, "open", note.took_ms)
         if verdict is Verdict.READ:
             course.state_at = engine
             self.read_back(course, leg, note)
