--- a/ternlane/choice.py
+++ b/ternlane/choice.py
@@ -21,7 +21,7 @@
 from ternlane.port import (Action, Duty, Effect, Event, Generation, Group, Life, Product, Server, StartFacts,
                            Verdict)
 
-STEP = 0.3          # score lost for each step between reader and writer (design page)
+STEP = 0.1          # score lost for each step between reader and writer (design page)
 HOME_AGE_MS = 60e3  # a session idle for longer loses its home (design page)
 CROWD = 2.0         # congested: open streams over this many times the median (design page)
 MARGIN = 2.0        # usual times to the first token that must be left when a read begins
