The mean load is that of warm servers; crowding is learnt over seconds, with less doubt

Told from real fullness by the reads of single servers. Also covers slow servers that come back. Harm: in an overload of all, one's own few legs say more than they know.

--- a/ternlane/choice.py
+++ b/ternlane/choice.py
@@ -115,7 +115,7 @@
                 self.said = now, mem_share
             case Beat():
                 fade = exp((self.beat_at - now) / self.limits.span_ms)
-                self.sent *= exp((self.beat_at - now) / HOME_AGE_MS)
+                self.sent *= fade ** (1 / LOOK)
                 self.fleet = note
                 for leg in self.legs:
                     self.count(leg)
@@ -154,7 +154,7 @@
 
     def crowding(self) -> float:
         """How much more than its peers the gateways use it, believed only as far as this one has seen it happen."""
-        return (self.sent + DOUBT) / (self.fleet.mean_sent + DOUBT) * (1 - 1 / self.limits.share)
+        return (self.sent + 1) / (self.fleet.mean_sent + 1) * (1 - 1 / self.limits.share)
 
     def own(self) -> float:
         return sum(self.booked.values()) / max(self.server.mem_toks, 1.0)
@@ -186,7 +186,7 @@
         return Standing(self, self.server.life is Life.UP, free, queue, len(self.booked),
                         (self.done + DOUBT) / (self.due + DOUBT),
                         now < self.shut_until, self.trial,
-                        self.credit if now < self.cold_until else float("inf"), self.rate, self.warm,
+                        self.credit if now < self.cold_until else inf, self.rate, self.warm,
                         self.own(), self.sent, ahead)
 
 
@@ -567,8 +567,9 @@
                 continue
             fit = [s for s in peers if not s.shut and not s.trial] or peers
             mid = self.middle[duty] = median(s.open for s in fit), min(1.0, median(s.progress for s in fit))
-            warm = [s.rate for s in fit if s.credit == float("inf")]
-            rate = sum(warm) / len(warm) / self.limits.span_ms if warm else 0.0
+            warm = [s for s in fit if s.credit == inf]
+            rate = sum(s.rate for s in warm) / len(warm) / self.limits.span_ms if warm else 0.0
+            fit = warm or fit    # what waits at the cold must not make the warm look full
             rate = max(rate, self.best_rate.get(duty, 0.0) * (1 - LOOK * self.limits.beat_ms / HOME_AGE_MS))
             self.best_rate[duty] = rate
             mean_sent = sum(s.sent for s in fit) / len(fit)
