Where new connections fail, servers already connected count as nearer

Cause: slow handshakes run into the connect time-out, and each generation tried one unconnected server after another. The idle time of connections comes in as a start fact. Also covers crashed servers and full connection tables. Harm: gathers sessions on few servers.

--- a/ternlane/choice.py
+++ b/ternlane/choice.py
@@ -41,7 +41,7 @@
     slo = min((p.slo_ms for p in facts.products if p.slo_ms), default=1000.0)
     return Limits(slo_ms=slo, span_ms=2 * slo, beat_ms=max(facts.step_ms, slo / 20), share=facts.gateways,
                   cold_rate=facts.fall_multiple * facts.cold_from * CARE, cold_ms=facts.cold_ms,
-                  burst_ms=facts.fall_ms / 2, retry_ms=2 * facts.connect_ms, leg_limit=facts.leg_limit,
+                  burst_ms=facts.fall_ms / 2, retry_ms=2 * facts.connect_ms, idle_ms=facts.idle_ms, leg_limit=facts.leg_limit,
                   pause_ms=facts.longest_pause_ms if facts.may_advise else 0.0)
 
 
@@ -72,6 +72,7 @@
         self.started, self.cold_until = server.started_ms, 0.0
         self.warm: OrderedDict[str, float] = OrderedDict()
         self.beat_at = router.now
+        self.linked_until = 0.0
         self.sent, self.fleet = 0.0, Beat(0.0, 0.0, 0.0, 0.0, 1.0)
 
     def handle(self, note: Any) -> None:
@@ -88,6 +89,8 @@
                 self.legs[leg] = None
             case StageEnded(leg, good, next_usual):
                 self.count(leg)
+                if good is not False:
+                    self.linked_until = now + self.limits.idle_ms
                 self.done += good is True
                 self.due += (good is False) * DOUBT / 2    # guards against one that fails fast and looks free
                 self.rate += good is True and leg.writes is (next_usual is not None)
@@ -103,6 +106,7 @@
             case Trouble(silent):
                 self.shut(self.limits.span_ms if silent else self.limits.retry_ms)
                 if not silent:
+                    self.linked_until = 0.0
                     self.warm.clear()
             case Kept(opening, toks, found):
                 if not found:
@@ -187,7 +191,7 @@
                         (self.done + DOUBT) / (self.due + DOUBT),
                         now < self.shut_until, self.trial,
                         self.credit if now < self.cold_until else inf, self.rate, self.warm,
-                        self.own(), self.sent, ahead)
+                        self.own(), self.sent, ahead, now < self.linked_until)
 
 
 class Desk(Actor):
@@ -211,6 +215,7 @@
         self.level: dict[Duty, float] = {}    # how full the servers of a duty are on the mean
         self.queue: dict[Duty, float] = {}
         self.foreseen = self.took = self.limits.slo_ms
+        self.unmet = 0.0    # part of new connections that could not be made
         self.trust = 1.0    # how long reads took, against what the readers' queues were believed to be
 
     def handle(self, note: Any) -> None:
@@ -289,7 +294,7 @@
         freest: dict[tuple[str, int], tuple[float, float, Standing]] = {}
         for w in writers:
             if w.engine.writes and not w.engine.reads:
-                at, mine = (w.engine.server.zone, w.engine.server.cell), (w.free, self.chance(), w)
+                at, mine = (w.engine.server.zone, w.engine.server.cell), (w.free - self.unmet * (not w.linked), self.chance(), w)
                 freest[at] = max(freest.get(at, mine), mine, key=lambda m: m[:2])
         for r in readers:
             if r.engine.reads and r.engine.writes:
@@ -303,7 +308,8 @@
         unread = self.unread_ms(r, gen) / self.limits.slo_ms
         if r.engine is agreed:
             unread = min(unread, self.tok_ms * gen.prompt_toks * (1 - self.told[gen.product]) / self.limits.slo_ms)
-        return min(r.free, w.free) - STEP * steps - unread, r.free + w.free
+        strange = self.unmet * ((not r.linked) + (not w.linked) if a is not b else not r.linked)
+        return min(r.free, w.free) - STEP * steps - unread - strange, r.free + w.free
 
     def unread_ms(self, r: Standing, gen: Generation) -> float:
         return self.tok_ms * max(gen.prompt_toks - r.warm.get(gen.opening or "", 0.0), 0.0)
@@ -407,7 +413,7 @@
         course.legs, course.holds = course.legs + 1, True
         work = 0.0 if writes else self.unread_ms(s, course.gen)
         usual = max(self.usual_ms(product, "open" if writes else "read"), work + s.queue_ms)
-        course.leg = Leg(engine, course, writes, now, now, usual, work, work + s.ahead_ms / max(self.trust, GAIN))
+        course.leg = Leg(engine, course, writes, now, now, usual, work, work + s.ahead_ms / max(self.trust, GAIN), not s.linked)
         patience = course.limit_at - now
         if course.legs < self.limits.leg_limit and (not writes or product.effect is Effect.IDEMPOTENT):
             patience = min(patience, max(product.slo_ms / 2, 4 * course.leg.usual_ms))
@@ -456,10 +462,16 @@
     def first_tok(self, course: Course, took: float) -> None:
         product, leg, course.state_at, course.holds = course.gen.product, course.leg, None, False
         self.learn(product, "open", took)
+        self.met(leg, True)
         if course.reader is not None and course.reader is not course.writer:
             course.reader.post(Unbooked(course))
         leg.engine.post(StageEnded(leg, True, self.usual_ms(product, "stream")))
 
+    def met(self, leg: Leg, well: bool) -> None:
+        """Where new connections fail, servers that this gateway is connected to are the nearer ones."""
+        if leg.fresh:
+            self.unmet += 4 * GAIN * ((not well) - self.unmet)
+
     def leg_ended(self, note: port.LegEnded) -> None:
         course: Course = note.gen.seat
         leg, course.leg = course.leg, None
@@ -479,6 +491,8 @@
             engine.post(Trouble(silent=False))
         if leg.writes and verdict not in NEVER_RAN and course.may_have_run is None:
             course.may_have_run = leg.sent, note.server
+        if verdict in (Verdict.READ, Verdict.UNCONNECTED):
+            self.met(leg, verdict is Verdict.READ)
         if not leg.writes and verdict in (Verdict.READ, Verdict.TIMED_OUT):
             self.read_took(course, leg, note.took_ms)
         elif verdict is Verdict.TIMED_OUT:
--- a/ternlane/notes.py
+++ b/ternlane/notes.py
@@ -21,6 +21,7 @@
     cold_ms: float
     burst_ms: float       # over which a cold server's allowance may be saved up
     retry_ms: float       # first pause after a server could not be reached
+    idle_ms: float        # idle connections are closed after this
     leg_limit: int
     pause_ms: float       # the longest return time a client heeds; 0 where none may be given
 
@@ -35,6 +36,7 @@
     usual_ms: float   # what its peers take for that stage
     work_ms: float    # reading that its server has to do for it
     foreseen: float = 0.0    # how long a read was expected to take
+    fresh: bool = False    # it needs a new connection
     counted: float = 0.0
 
 
@@ -78,6 +80,7 @@
     own: float        # share of memory that this gateway's generations fill
     sent: float       # generations of this gateway that it got lately
     ahead_ms: float   # reading that all gateways are believed to have given it
+    linked: bool      # connected to this gateway
 
 
 # Notes from the Desk to an Engine.
--- a/ternlane/port.py
+++ b/ternlane/port.py
@@ -104,6 +104,7 @@
     reports_mem: bool
     longest_pause_ms: float
     connect_ms: float
+    idle_ms: float
     release_ms: float
     drain_grace_ms: float
     cold_ms: float
--- a/ternlane/wirehost/host.py
+++ b/ternlane/wirehost/host.py
@@ -68,6 +68,7 @@
             must_ask=told.get("discovery") == "ask", ask_within_ms=rules.get("ask_within", 0.0),
             writers_read=bool(spec.get("read_in_place")), reports_mem="x0" in self.columns,
             longest_pause_ms=limits.get("max_retry_after", 0.0), connect_ms=limits.get("connect_timeout", 0.0),
+            idle_ms=limits.get("conn_idle", 0.0),
             release_ms=spec.get("release", 0.0), drain_grace_ms=rules.get("drain_grace", 0.0),
             cold_ms=rules.get("cold", 0.0), cold_from=rules.get("cold_from", 1.0),
             fall_multiple=rules.get("overload_factor", 1.0), fall_ms=rules.get("overload_for", 0.0),
