--- a/ternlane/choice.py
+++ b/ternlane/choice.py
@@ -214,7 +214,7 @@
         self.best_rate: dict[Duty, float] = {}    # kept, as all peers may come back cold together
         self.level: dict[Duty, float] = {}    # how full the servers of a duty are on the mean
         self.queue: dict[Duty, float] = {}
-        self.foreseen = self.took = self.limits.slo_ms
+        self.foreseen = self.took = self.limits.slo_ms / 8
         self.unmet = 0.0    # part of new connections that could not be made
         self.trust = 1.0    # how long reads took, against what the readers' queues were believed to be
 
@@ -334,7 +334,7 @@
         if gen.opening is not None:
             key = zlib.crc32(gen.opening.encode())
             readers.sort(key=lambda e: key * (e.server.mark | 1) % 2**32)
-            some = 1 + len(readers) * self.asked_for.get(gen.opening, 0.0) / max(sum(self.asked_for.values()), 1.0)
+            some = CROWD + CROWD * len(readers) * self.asked_for.get(gen.opening, 0.0) / max(sum(self.asked_for.values()), 1.0)
             readers = readers[:round(some)]
         key = zlib.crc32((gen.session or "").encode())
         return max(readers, key=lambda e: key * (e.server.mark | 1) % 2**32, default=None)
