A read may take the SLO time before it is read anew elsewhere

Cause: a read given up at half the SLO time goes on at its reader and is done again at another. Harm: a silent reader is left later.

--- a/ternlane/choice.py
+++ b/ternlane/choice.py
@@ -416,7 +416,7 @@
         course.leg = Leg(engine, course, writes, now, now, usual, work, work + s.ahead_ms / max(self.trust, GAIN), not s.linked)
         patience = course.limit_at - now
         if course.legs < self.limits.leg_limit and (not writes or product.effect is Effect.IDEMPOTENT):
-            patience = min(patience, max(product.slo_ms / 2, 4 * course.leg.usual_ms))
+            patience = min(patience, max(product.slo_ms / (2 if writes else 1), 4 * course.leg.usual_ms))
         engine.post(Sent(course.leg))
         self.router.out.append(port.SendLeg(course.gen, engine.server, patience))
 
