--- a/ternlane/choice.py
+++ b/ternlane/choice.py
@@ -16,7 +16,7 @@
 from typing import Any, Iterator
 
 from ternlane import port
-from ternlane.notes import (Beat, Began, Booked, Course, Home, Kept, Leg, Limits, News, Onward, Reported, Sent,
+from ternlane.notes import (Beat, Booked, Course, Home, Kept, Leg, Limits, News, Onward, Reported, Sent,
                             StageEnded, Standing, Trouble, TurnedAway, Unbooked)
 from ternlane.port import (Action, Duty, Effect, Event, Generation, Group, Life, Product, Server, StartFacts,
                            Verdict)
@@ -97,6 +97,7 @@
                 if next_usual is None:
                     self.legs.pop(leg, None)
                 else:
+                    self.weigh(now - leg.since)
                     leg.since, leg.usual_ms, leg.counted = now, next_usual, 0.0
                 if good and self.trial and now - leg.since <= CROWD * leg.usual_ms:
                     self.trial, self.strikes = False, 0
@@ -114,8 +115,6 @@
                 self.warm.move_to_end(opening)
             case TurnedAway():    # guards against asking a full server again and again
                 self.size = min(self.size, self.used()) * (1 - GAIN)
-            case Began(took, here):
-                self.weigh(took, 1.0 if here else 1 / (1 + self.sent))
             case Reported(mem_share):
                 self.said = now, mem_share
             case Beat():
@@ -150,12 +149,12 @@
         self.due += ought - leg.counted
         leg.counted = ought
 
-    def weigh(self, took: float, part: float) -> None:
-        """How soon answers begin tells whether the fill is judged right; at a peer, as far as it has none of its own."""
+    def weigh(self, took: float) -> None:
+        """How soon answers begin tells whether this gateway's own count, scaled up, is right."""
         if took > self.limits.slo_ms / 4:
-            self.size = max(self.size * (1 - GAIN * part), 1 / CROWD ** 2)
+            self.size = max(self.size * (1 - GAIN), 1 / CROWD ** 2)
         elif took < self.limits.slo_ms / 8 and self.used() > CALM * self.size:
-            self.size = min(self.size * (1 + GAIN * part), CROWD ** 2)
+            self.size = min(self.size * (1 + GAIN), CROWD ** 2)
 
     def crowding(self) -> float:
         """How much more than its peers the gateways use it, believed only as far as this one has seen it happen."""
@@ -464,9 +463,6 @@
         product, leg, course.state_at, course.holds = course.gen.product, course.leg, None, False
         self.learn(product, "open", took)
         self.met(leg, True)
-        for s in self.board.values():
-            if s.listed and s.engine.server.duty is leg.engine.server.duty:
-                s.engine.post(Began(took, s.engine is leg.engine))
         if course.reader is not None and course.reader is not course.writer:
             course.reader.post(Unbooked(course))
         leg.engine.post(StageEnded(leg, True, self.usual_ms(product, "stream")))
--- a/ternlane/notes.py
+++ b/ternlane/notes.py
@@ -114,12 +114,6 @@
     silent: bool
 
 
-class Began(NamedTuple):
-    """An answer has begun, here or at a peer."""
-    took_ms: float
-    here: bool
-
-
 class TurnedAway(NamedTuple):
     """The server said that it is full."""
 
