The own reading queue weighs double, the others' is believed as far as reads took as long

Cause: one bound for what is known and what is guessed was too wide with few gateways and too tight with many.

--- a/ternlane/choice.py
+++ b/ternlane/choice.py
@@ -184,9 +184,9 @@
         else:
             self.recent.clear()
         queue = sum(leg.work_ms for leg in self.legs)
-        ahead = self.fleet.trust * (queue + self.fleet.queue_ms * self.crowding())
+        ahead = CROWD * queue + self.fleet.trust * (self.fleet.queue_ms * self.crowding())
         if self.reads:
-            free = min(free, 1 - CROWD * ahead / self.limits.slo_ms)
+            free = min(free, 1 - ahead / self.limits.slo_ms)
         return Standing(self, self.server.life is Life.UP, free, queue, len(self.booked),
                         (self.done + DOUBT) / (self.due + DOUBT),
                         now < self.shut_until, self.trial,
