--- a/ternlane/choice.py
+++ b/ternlane/choice.py
@@ -158,7 +158,7 @@
 
     def crowding(self) -> float:
         """How much more than its peers the gateways use it, believed only as far as this one has seen it happen."""
-        return (self.sent + 1) / (self.fleet.mean_sent + 1) * (1 - 1 / self.limits.share)
+        return (self.sent + CROWD) / (self.fleet.mean_sent + CROWD) * (1 - 1 / self.limits.share)
 
     def own(self) -> float:
         return sum(self.booked.values()) / max(self.server.mem_toks, 1.0)
