--- a/ternlane/choice.py
+++ b/ternlane/choice.py
@@ -10,13 +10,13 @@
 
 import heapq
 import zlib
-from collections import OrderedDict, deque
+from collections import Counter, OrderedDict, defaultdict, deque
 from math import exp, inf
 from statistics import median
 from typing import Any, Iterator
 
 from ternlane import port
-from ternlane.notes import (Beat, Booked, Course, Home, Kept, Leg, Limits, News, Onward, Reported, Sent,
+from ternlane.notes import (Actor, Beat, Booked, Course, Home, Leg, Limits, News, Onward, Reported, Sent,
                             StageEnded, Standing, Trouble, TurnedAway, Unbooked)
 from ternlane.port import (Action, Duty, Effect, Event, Generation, Group, Life, Product, Server, StartFacts,
                            Verdict)
@@ -41,18 +41,8 @@
     slo = min((p.slo_ms for p in facts.products if p.slo_ms), default=1000.0)
     return Limits(slo_ms=slo, span_ms=2 * slo, beat_ms=max(facts.step_ms, slo / 20), share=facts.gateways,
                   cold_rate=facts.fall_multiple * facts.cold_from * CARE, cold_ms=facts.cold_ms,
-                  burst_ms=facts.fall_ms / 2, retry_ms=2 * facts.connect_ms, idle_ms=facts.idle_ms, leg_limit=facts.leg_limit,
-                  pause_ms=facts.longest_pause_ms if facts.may_advise else 0.0)
-
-
-class Actor:
-    def __init__(self, router: Router) -> None:
-        self.router, self.limits = router, router.limits
-        self.inbox: deque[Any] = deque()
-
-    def post(self, note: Any) -> None:
-        self.inbox.append(note)
-        self.router.ready.append(self)
+                  burst_ms=facts.fall_ms / 2, retry_ms=2 * facts.connect_ms, idle_ms=facts.idle_ms,
+                  leg_limit=facts.leg_limit, pause_ms=facts.longest_pause_ms if facts.may_advise else 0.0)
 
 
 class Engine(Actor):
@@ -62,25 +52,22 @@
         super().__init__(router)
         self.server = server
         self.reads, self.writes = server.duty is not Duty.WRITE, server.duty is not Duty.READ
-        self.booked: dict[Course, float] = {}
+        self.booked: dict[Course, tuple[float, float]] = {}    # when, how much of its memory
         self.legs: dict[Leg, None] = {}
         self.said: tuple[float, float] | None = None   # when, memory share
-        self.recent: deque[tuple[float, float]] = deque()
         self.done = self.due = self.rate = self.credit = 0.0
         self.size = 1.0    # memory it seems to have, against what the start facts say
         self.strikes, self.shut_until, self.trial = 0, 0.0, False
         self.started, self.cold_until = server.started_ms, 0.0
-        self.warm: OrderedDict[str, float] = OrderedDict()
         self.beat_at = router.now
         self.linked_until = 0.0
-        self.sent, self.fleet = 0.0, Beat(0.0, 0.0, 0.0, 0.0, 1.0)
+        self.sent, self.fleet = 0.0, Beat()
 
     def handle(self, note: Any) -> None:
         now = self.router.now
         match note:
             case Booked(course, toks):
-                self.booked[course] = toks
-                self.recent.append((now, toks))
+                self.booked[course] = now, toks / max(self.server.mem_toks, 1.0)
                 self.sent += 1
                 self.credit -= now < self.cold_until
             case Unbooked(course):
@@ -105,14 +92,7 @@
                     self.shut(self.limits.retry_ms)
             case Trouble(silent):
                 self.shut(self.limits.span_ms if silent else self.limits.retry_ms)
-                if not silent:
-                    self.linked_until = 0.0
-                    self.warm.clear()
-            case Kept(opening, toks, found):
-                if not found:
-                    self.warm.clear()    # guards against texts forgotten all at once
-                self.warm[opening] = toks
-                self.warm.move_to_end(opening)
+                self.linked_until *= silent
             case TurnedAway():    # guards against asking a full server again and again
                 self.size = min(self.size, self.used()) * (1 - GAIN)
             case Reported(mem_share):
@@ -129,7 +109,6 @@
             case News():
                 if self.server.started_ms != self.started:
                     self.started, self.credit = self.server.started_ms, 0.0
-                    self.warm.clear()
                 self.cold_until = self.started + self.limits.cold_ms if self.started > 0 else 0.0
         self.router.desk.post(self.standing())
         if isinstance(note, Onward):
@@ -157,11 +136,11 @@
             self.size = min(self.size * (1 + GAIN), CROWD ** 2)
 
     def crowding(self) -> float:
-        """How much more than its peers the gateways use it, believed only as far as this one has seen it happen."""
+        """How much more than its peers the gateways use it, as far as this one has seen it happen."""
         return (self.sent + CROWD) / (self.fleet.mean_sent + CROWD) * (1 - 1 / self.limits.share)
 
     def own(self) -> float:
-        return sum(self.booked.values()) / max(self.server.mem_toks, 1.0)
+        return sum(share for _, share in self.booked.values())
 
     def used(self) -> float:
         return self.own() + self.fleet.level * self.crowding()
@@ -173,24 +152,19 @@
         self.credit = min(self.credit + rate * ms, max(1.0, rate * self.limits.burst_ms))
 
     def standing(self) -> Standing:
-        now, mem = self.router.now, max(self.server.mem_toks, 1.0)
-        free = 1 - self.used() / self.size
-        if self.said is not None:
-            while self.recent and self.recent[0][0] < self.said[0] - self.limits.beat_ms:
-                self.recent.popleft()
+        now, free = self.router.now, 1 - self.used() / self.size
+        if self.said is not None:    # an old report says less than the mean does
+            told = self.said[0] - self.limits.beat_ms
+            since = sum(share for at, share in self.booked.values() if at > told)
             fresh = exp((self.said[0] - now) / self.limits.span_ms)
-            free = min(free, 1 - fresh * (self.said[1] + sum(t for _, t in self.recent) / mem)
-                       - (1 - fresh) * self.used())
-        else:
-            self.recent.clear()
+            free = min(free, 1 - fresh * (self.said[1] + since) - (1 - fresh) * self.used())
         queue = sum(leg.work_ms for leg in self.legs)
         ahead = CROWD * queue + self.fleet.trust * (self.fleet.queue_ms * self.crowding())
         if self.reads:
             free = min(free, 1 - ahead / self.limits.slo_ms)
         return Standing(self, self.server.life is Life.UP, free, queue, len(self.booked),
-                        (self.done + DOUBT) / (self.due + DOUBT),
-                        now < self.shut_until, self.trial,
-                        self.credit if now < self.cold_until else inf, self.rate, self.warm,
+                        (self.done + DOUBT) / (self.due + DOUBT), now < self.shut_until, self.trial,
+                        self.credit if now < self.cold_until else inf, self.rate,
                         self.own(), self.sent, ahead, now < self.linked_until)
 
 
@@ -207,13 +181,10 @@
         self.turn, self.beats, self.stuck = 0, 0, inf    # prompts of this size and more find no room now
         self.usual: dict[tuple[Product, str], float] = {}
         self.prompt: dict[Product, float] = {}
-        self.told: dict[Product, float] = {}    # part of a product's unshared prompt that its reader kept
-        self.asked_for: dict[str, float] = {}    # generations of each opening
+        self.told: defaultdict[Product, float] = defaultdict(lambda: 0.5)    # part kept at the agreed reader
+        self.asked_for: Counter[str | None] = Counter()    # generations of each opening
         self.tok_ms = self.limits.slo_ms / 10e3
-        self.middle: dict[Duty, tuple[float, float]] = {}
-        self.best_rate: dict[Duty, float] = {}    # kept, as all peers may come back cold together
-        self.level: dict[Duty, float] = {}    # how full the servers of a duty are on the mean
-        self.queue: dict[Duty, float] = {}
+        self.fleets = {duty: Beat() for duty in Duty}
         self.foreseen = self.took = self.limits.slo_ms / 8
         self.unmet = 0.0    # part of new connections that could not be made
         self.trust = 1.0    # how long reads took, against what the readers' queues were believed to be
@@ -242,7 +213,6 @@
                 self.asked = False
             case port.Woken():
                 self.stuck = inf
-                self.give_up()
                 self.beat()
 
     # The ordinary path.
@@ -251,11 +221,9 @@
         now, product = self.router.now, gen.product
         slo = (product.slo_ms or gen.patience_ms) + product.slo_per_ktok_ms * gen.prompt_toks / 1000
         gen.seat = course = Course(gen, now + slo, now + gen.patience_ms)
-        self.told.setdefault(product, 0.5)
         mean = self.prompt.setdefault(product, max(gen.prompt_toks, 1.0))
         self.prompt[product] = mean + GAIN * (gen.prompt_toks - mean)
-        if gen.opening is not None:
-            self.asked_for[gen.opening] = self.asked_for.get(gen.opening, 0.0) + 1
+        self.asked_for[gen.opening] += gen.opening is not None
         if self.waiting:
             return self.wait(course)
         self.place(course)
@@ -267,8 +235,7 @@
                 and engine not in course.tried and self.effect_allows(course, engine))
 
     def sound(self, s: Standing) -> bool:
-        pace = self.middle.get(s.engine.server.duty, (0, 1))[1]
-        return not s.shut and not s.trial and s.progress >= SICK * pace
+        return not s.shut and not s.trial and s.progress >= SICK * self.fleets[s.engine.server.duty].pace
 
     def fit(self, s: Standing, course: Course) -> bool:
         if s.trial and not s.shut:    # one leg at a time finds out, and none that can't be made good
@@ -276,25 +243,21 @@
         return self.sound(s)
 
     def congested(self, s: Standing, course: Course) -> bool:
-        crowd = max(self.middle.get(s.engine.server.duty, (0, 1))[0], CROWD)
-        return (not self.fit(s, course) or s.open > CROWD * crowd
+        return (not self.fit(s, course) or s.open > CROWD * max(self.fleets[s.engine.server.duty].open, CROWD)
                 or s.free * s.engine.server.mem_toks <= self.toks(course, s.engine))
 
     def toks(self, course: Course, engine: Engine) -> float:
         """The memory that the generation will take there."""
         return course.gen.prompt_toks + (OUT_SHARE * course.gen.max_toks if engine.writes else 0.0)
 
-    def chance(self) -> float:
-        self.draws += 1
-        return zlib.crc32(b"%d %d" % (self.seed, self.draws)) / 2**32
-
     def pairs(self, readers: list[Standing], writers: list[Standing]) -> Iterator[tuple[Standing, Standing]]:
-        """Each reader with the best writer of each cell (no other could score more); a mixed one with itself alone.
+        """Each reader with the best writer of each cell (no other scores more), a mixed one with itself.
         Equals go by chance, or all gateways would fill the first in the list."""
-        freest: dict[tuple[str, int], tuple[float, float, Standing]] = {}
+        freest: dict[tuple[str, int], tuple[float, int, Standing]] = {}
         for w in writers:
             if w.engine.writes and not w.engine.reads:
-                at, mine = (w.engine.server.zone, w.engine.server.cell), (w.free - self.unmet * (not w.linked), self.chance(), w)
+                self.draws, at = self.draws + 1, (w.engine.server.zone, w.engine.server.cell)
+                mine = w.free - self.unmet * (not w.linked), zlib.crc32(b"%d %d" % (self.seed, self.draws)), w
                 freest[at] = max(freest.get(at, mine), mine, key=lambda m: m[:2])
         for r in readers:
             if r.engine.reads and r.engine.writes:
@@ -305,15 +268,11 @@
     def score(self, r: Standing, w: Standing, gen: Generation, agreed: Engine | None) -> tuple[float, float]:
         a, b = r.engine.server, w.engine.server
         steps = 0 if a is b or a.cell == b.cell else 1 if a.zone == b.zone else 2
-        unread = self.unread_ms(r, gen) / self.limits.slo_ms
-        if r.engine is agreed:
-            unread = min(unread, self.tok_ms * gen.prompt_toks * (1 - self.told[gen.product]) / self.limits.slo_ms)
-        strange = self.unmet * ((not r.linked) + (not w.linked) if a is not b else not r.linked)
+        kept = self.told[gen.product] if r.engine is agreed else 0.0
+        unread = self.tok_ms * gen.prompt_toks * (1 - kept) / self.limits.slo_ms
+        strange = self.unmet * ((not r.linked) + (a is not b and not w.linked))
         return min(r.free, w.free) - STEP * steps - unread - strange, r.free + w.free
 
-    def unread_ms(self, r: Standing, gen: Generation) -> float:
-        return self.tok_ms * max(gen.prompt_toks - r.warm.get(gen.opening or "", 0.0), 0.0)
-
     def best(self, course: Course, holder: Engine | None = None) -> tuple[Standing, Standing] | None:
         """The best pair that is not congested. With no server of a duty sound, the view is suspected."""
         able = [s for s in self.board.values() if self.usable(s.engine, course)]
@@ -327,15 +286,14 @@
         return max(pairs, key=lambda p: self.score(*p, course.gen, agreed), default=None)
 
     def agreed(self, gen: Generation) -> Engine | None:
-        """The reader that every gateway holds nearest for this opening and session, as both come to all of them.
-
-        An opening has as many readers as its part of the traffic, the same ones everywhere; its sessions share them."""
+        """The reader that every gateway holds nearest, as openings and sessions come to all of them.
+        An opening has readers by its part of the traffic, the same everywhere; its sessions share them."""
         readers = [e for e, s in self.board.items() if e.reads and s.listed and self.sound(s)]
         if gen.opening is not None:
             key = zlib.crc32(gen.opening.encode())
             readers.sort(key=lambda e: key * (e.server.mark | 1) % 2**32)
-            some = CROWD + CROWD * len(readers) * self.asked_for.get(gen.opening, 0.0) / max(sum(self.asked_for.values()), 1.0)
-            readers = readers[:round(some)]
+            part = self.asked_for[gen.opening] / self.asked_for.total()
+            readers = readers[:round(CROWD + CROWD * len(readers) * part)]
         key = zlib.crc32((gen.session or "").encode())
         return max(readers, key=lambda e: key * (e.server.mark | 1) % 2**32, default=None)
 
@@ -380,30 +338,23 @@
         heapq.heappush(self.waiting, (-course.gen.product.revenue, self.latest(course), self.turn, course))
 
     def pump(self) -> bool:
-        """Places the waiting generation that comes first; smaller ones may pass a large one that finds no room."""
-        if not self.waiting or self.stuck <= 0:
-            return False
+        """Places the waiting generation that comes first and throws off what has waited too long, at once.
+        Smaller ones may pass a large one that finds no room; it must not have all the others thrown off."""
         queue, self.waiting = self.waiting, []
         while queue and not self.router.ready:
-            entry = heapq.heappop(queue)
-            course = entry[-1]
-            if course.over or course.gen.prompt_toks >= self.stuck:
-                self.waiting += [] if course.over else [entry]
-                continue
-            self.place(course)
-            if course.leg is None and not course.over:
-                self.stuck = course.gen.prompt_toks
+            entry = _, latest, _, course = heapq.heappop(queue)
+            if latest <= self.router.now and not course.over:
+                self.finish(course)
+            elif course.gen.prompt_toks >= self.stuck and not course.over:
+                heapq.heappush(self.waiting, entry)
+            elif not course.over:
+                self.place(course)
+                if course.leg is None and not course.over:
+                    self.stuck = course.gen.prompt_toks
         self.waiting += queue
         heapq.heapify(self.waiting)
         return bool(self.router.ready)
 
-    def give_up(self) -> None:
-        """Throws off what has waited too long, as soon as that is so."""
-        for course in (c for _, latest, _, c in self.waiting if latest <= self.router.now and not c.over):
-            self.finish(course)
-        self.waiting = [entry for entry in self.waiting if not entry[-1].over]
-        heapq.heapify(self.waiting)
-
     # The only places that send, answer and release.
 
     def send(self, course: Course, engine: Engine) -> None:
@@ -411,9 +362,11 @@
         now, product, s = self.router.now, course.gen.product, self.board[engine]
         writes = engine is course.writer
         course.legs, course.holds = course.legs + 1, True
-        work = 0.0 if writes else self.unread_ms(s, course.gen)
+        kept = self.told[product] if engine is course.agreed else 0.0
+        work = 0.0 if writes else self.tok_ms * course.gen.prompt_toks * (1 - kept)
         usual = max(self.usual_ms(product, "open" if writes else "read"), work + s.queue_ms)
-        course.leg = Leg(engine, course, writes, now, now, usual, work, work + s.ahead_ms / max(self.trust, GAIN), not s.linked)
+        course.leg = Leg(engine, course, writes, now, now, usual, work,
+                         work + s.ahead_ms / max(self.trust, GAIN), not s.linked)
         patience = course.limit_at - now
         if course.legs < self.limits.leg_limit and (not writes or product.effect is Effect.IDEMPOTENT):
             patience = min(patience, max(product.slo_ms / (2 if writes else 1), 4 * course.leg.usual_ms))
@@ -462,24 +415,19 @@
     def first_tok(self, course: Course, took: float) -> None:
         product, leg, course.state_at, course.holds = course.gen.product, course.leg, None, False
         self.learn(product, "open", took)
-        self.met(leg, True)
         if course.reader is not None and course.reader is not course.writer:
             course.reader.post(Unbooked(course))
         leg.engine.post(StageEnded(leg, True, self.usual_ms(product, "stream")))
 
-    def met(self, leg: Leg, well: bool) -> None:
-        """Where new connections fail, servers that this gateway is connected to are the nearer ones."""
-        if leg.fresh:
-            self.unmet += 4 * GAIN * ((not well) - self.unmet)
-
     def leg_ended(self, note: port.LegEnded) -> None:
         course: Course = note.gen.seat
         leg, course.leg = course.leg, None
         engine: Engine = note.server.seat
         if note.report is not None and note.report.mem_share is not None:
             engine.post(Reported(note.report.mem_share))
-            duty = note.server.duty
-            self.level[duty] = self.level.get(duty, 0.0) * (1 - 4 * GAIN) + 4 * GAIN * note.report.mem_share
+            old = self.fleets[note.server.duty]
+            level = old.level + 4 * GAIN * (note.report.mem_share - old.level)
+            self.fleets[note.server.duty] = old._replace(level=level)
         if leg is None:
             return
         product, verdict = course.gen.product, note.verdict
@@ -491,15 +439,14 @@
             engine.post(Trouble(silent=False))
         if leg.writes and verdict not in NEVER_RAN and course.may_have_run is None:
             course.may_have_run = leg.sent, note.server
-        if verdict in (Verdict.READ, Verdict.UNCONNECTED):
-            self.met(leg, verdict is Verdict.READ)
+        if leg.fresh and good is not None:    # where these fail, the connected are nearer
+            self.unmet += 4 * GAIN * ((verdict is Verdict.UNCONNECTED) - self.unmet)
         if not leg.writes and verdict in (Verdict.READ, Verdict.TIMED_OUT):
-            self.read_took(course, leg, note.took_ms)
+            self.read_took(course, leg, note)
         elif verdict is Verdict.TIMED_OUT:
             self.learn(product, "open", note.took_ms)
         if verdict is Verdict.READ:
             course.state_at = engine
-            self.read_back(course, leg, note)
         elif note.state_lost:    # for this writer; its reader, cut off from there, may hold it still
             course.state_at = None
         course.over = course.over or note.over
@@ -524,23 +471,18 @@
         self.unbook(course)
         self.place(course)
 
-    def read_took(self, course: Course, leg: Leg, took: float) -> None:
-        """One that ran out of time took at least as long; not to count it would time out ever more of them."""
-        gen = course.gen
+    def read_took(self, course: Course, leg: Leg, note: port.LegEnded) -> None:
+        """One that ran out of time took at least as long; were it not counted, ever more would."""
+        gen, took, unread = course.gen, note.took_ms, course.gen.prompt_toks - note.kept_toks
         self.learn(gen.product, "read", took / max(1.0, gen.prompt_toks / self.prompt[gen.product]))
         self.foreseen += GAIN * (leg.foreseen - self.foreseen)
         self.took += GAIN * (took - self.took)
         self.trust = min(1.0, self.took / self.foreseen)
-
-    def read_back(self, course: Course, leg: Leg, note: port.LegEnded) -> None:
-        gen, known = course.gen, self.board[leg.engine].warm.get(course.gen.opening or "", 0.0)
-        if leg.engine is course.agreed:
-            self.told[gen.product] += GAIN * (note.kept_toks / max(gen.prompt_toks, 1.0) - self.told[gen.product])
-        if gen.prompt_toks - note.kept_toks > LONG_READ:    # short ones tell of steps and queues
-            ratio = note.took_ms / (gen.prompt_toks - note.kept_toks)
-            self.tok_ms += (ratio - self.tok_ms) * (4 * GAIN if ratio < self.tok_ms else GAIN / 4)
-        if gen.opening:
-            leg.engine.post(Kept(gen.opening, gen.opening_toks, note.kept_toks >= known / 2))
+        if note.verdict is Verdict.READ and leg.engine is course.agreed:
+            self.told[gen.product] += GAIN * (1 - unread / max(gen.prompt_toks, 1.0) - self.told[gen.product])
+        if note.verdict is Verdict.READ and unread > LONG_READ:    # short ones tell of steps and queues
+            pace = took / unread
+            self.tok_ms += (pace - self.tok_ms) * (4 * GAIN if pace < self.tok_ms else GAIN / 4)
 
     def hand_on(self, course: Course, away: bool) -> None:
         """The state goes to the home writer, or, if that has congested since, straight to the next best."""
@@ -577,26 +519,27 @@
         self.beats += 1
         for duty in Duty if self.beats % LOOK == 1 else ():
             peers = [s for s in self.board.values() if s.engine.server.duty is duty and s.listed]
-            if not peers:
-                continue
-            fit = [s for s in peers if not s.shut and not s.trial] or peers
-            mid = self.middle[duty] = median(s.open for s in fit), min(1.0, median(s.progress for s in fit))
-            warm = [s for s in fit if s.credit == inf]
-            rate = sum(s.rate for s in warm) / len(warm) / self.limits.span_ms if warm else 0.0
-            fit = warm or fit    # what waits at the cold must not make the warm look full
-            rate = max(rate, self.best_rate.get(duty, 0.0) * (1 - LOOK * self.limits.beat_ms / HOME_AGE_MS))
-            self.best_rate[duty] = rate
-            mean_sent = sum(s.sent for s in fit) / len(fit)
-            new = LOOK * self.limits.beat_ms / self.limits.span_ms
-            scale = new * self.limits.share / len(fit)
-            if not self.reports:
-                self.level[duty] = (1 - new) * self.level.get(duty, 0.0) + scale * sum(s.own for s in fit)
-            self.level.setdefault(duty, 0.0)
-            self.queue[duty] = (1 - new) * self.queue.get(duty, 0.0) + scale * sum(s.queue_ms for s in fit)
-            for s in peers:
-                if s.progress < SICK * mid[1] and not s.shut and not s.trial:
-                    s.engine.post(Trouble(silent=True))
-                s.engine.post(Beat(rate, self.level[duty], self.queue[duty], mean_sent, self.trust))
+            if peers:
+                self.look(duty, peers)
+
+    def look(self, duty: Duty, peers: list[Standing]) -> None:
+        """Sums up the servers of one duty and lets each of them know."""
+        old, ms = self.fleets[duty], LOOK * self.limits.beat_ms
+        fit = [s for s in peers if not s.shut and not s.trial] or peers
+        warm = [s for s in fit if s.credit == inf] or fit    # lest the warm look as full as the cold
+        rate = sum(s.rate for s in warm) / len(warm) / self.limits.span_ms
+        rate = max(rate, old.peer_rate * (1 - ms / HOME_AGE_MS))    # kept, as all may come back cold together
+        new = ms / self.limits.span_ms
+        scale = new * self.limits.share / len(warm)
+        level = old.level if self.reports else (1 - new) * old.level + scale * sum(s.own for s in warm)
+        queue = (1 - new) * old.queue_ms + scale * sum(s.queue_ms for s in warm)
+        sent, pace = sum(s.sent for s in warm) / len(warm), min(1.0, median(s.progress for s in fit))
+        view = Beat(median(s.open for s in fit), pace, rate, level, queue, sent, self.trust)
+        self.fleets[duty] = view
+        for s in peers:
+            if s.progress < SICK * view.pace and not s.shut and not s.trial:
+                s.engine.post(Trouble(silent=True))
+            s.engine.post(view)
 
 
 class Router:
@@ -613,13 +556,9 @@
     def take(self, now: float, events: list[Event]) -> list[Action]:
         self.now, self.out = now, []
         for event in events if self.begun else [port.Woken(True), *events]:
-            self.run(event)
-        self.begun = True
-        return self.out
-
-    def run(self, event: Event) -> None:
-        self.desk.post(event)
-        while self.ready or self.desk.pump():
-            if self.ready:
+            self.desk.post(event)
+            while self.ready or self.desk.pump():
                 actor = self.ready.popleft()
                 actor.handle(actor.inbox.popleft())
+        self.begun = True
+        return self.out
--- a/ternlane/notes.py
+++ b/ternlane/notes.py
@@ -1,14 +1,26 @@
 """What the actors inside choice.py hold and tell each other: plain types, no decisions."""
 from __future__ import annotations
 
-from collections import OrderedDict
+from collections import deque
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 from ternlane.port import Generation, Server
 
 if TYPE_CHECKING:
-    from ternlane.choice import Engine
+    from ternlane.choice import Engine, Router
+
+
+class Actor:
+    """Has an inbox that the router's one loop empties."""
+
+    def __init__(self, router: Router) -> None:
+        self.router, self.limits = router, router.limits
+        self.inbox: deque[Any] = deque()
+
+    def post(self, note: Any) -> None:
+        self.inbox.append(note)
+        self.router.ready.append(self)
 
 
 class Limits(NamedTuple):
@@ -76,7 +88,6 @@
     trial: bool
     credit: float     # sends that a cold server may still be given
     rate: float
-    warm: OrderedDict[str, float]
     own: float        # share of memory that this gateway's generations fill
     sent: float       # generations of this gateway that it got lately
     ahead_ms: float   # reading that all gateways are believed to have given it
@@ -118,24 +129,19 @@
     """The server said that it is full."""
 
 
-class Kept(NamedTuple):
-    """How much of an opening a reader now keeps, and whether it kept what was believed."""
-    opening: str
-    toks: float
-    found: bool
-
-
 class Reported(NamedTuple):
     mem_share: float
 
 
 class Beat(NamedTuple):
     """What the Desk makes of all servers of the same duty."""
-    peer_rate: float
-    level: float        # how full they are
-    queue_ms: float     # reading that all gateways have given each of them
-    mean_sent: float
-    trust: float        # how far that is to be believed
+    open: float = 0.0         # this gateway's open generations at the median one
+    pace: float = 1.0         # its progress
+    peer_rate: float = 0.0    # sends a ms that a warm one took from this gateway at its best
+    level: float = 0.0        # how full they are on the mean
+    queue_ms: float = 0.0     # reading that all gateways have given each of them
+    mean_sent: float = 0.0
+    trust: float = 1.0        # how far that reading is to be believed
 
 
 class Onward(NamedTuple):
