--- a/ternlane/choice.py
+++ b/ternlane/choice.py
@@ -58,10 +58,8 @@
         self.done = self.due = self.rate = self.credit = 0.0
         self.size = 1.0    # memory it seems to have, against what the start facts say
         self.strikes, self.shut_until, self.trial = 0, 0.0, False
-        self.started, self.cold_until = server.started_ms, 0.0
-        self.beat_at = router.now
-        self.linked_until = 0.0
-        self.sent, self.fleet = 0.0, Beat()
+        self.started, self.cold_until, self.linked_until = server.started_ms, 0.0, 0.0
+        self.beat_at, self.sent, self.fleet = router.now, 0.0, Beat()
 
     def handle(self, note: Any) -> None:
         now = self.router.now
@@ -174,7 +172,7 @@
     def __init__(self, router: Router, facts: StartFacts) -> None:
         super().__init__(router)
         self.may_call_off, self.must_ask, self.asked = facts.may_call_off, facts.must_ask, False
-        self.reports, self.seed, self.draws = facts.reports_mem, facts.seed, 0
+        self.seed, self.draws = facts.seed, 0
         self.board: dict[Engine, Standing] = {}
         self.homes: OrderedDict[str, Home] = OrderedDict()
         self.waiting: list[tuple[float, float, int, Course]] = []
@@ -224,9 +222,7 @@
         mean = self.prompt.setdefault(product, max(gen.prompt_toks, 1.0))
         self.prompt[product] = mean + GAIN * (gen.prompt_toks - mean)
         self.asked_for[gen.opening] += gen.opening is not None
-        if self.waiting:
-            return self.wait(course)
-        self.place(course)
+        self.wait(course) if self.waiting else self.place(course)
 
     def usable(self, engine: Engine, course: Course) -> bool:
         """May the course be sent to this server at all? Asked again by send()."""
@@ -246,8 +242,10 @@
         return (not self.fit(s, course) or s.open > CROWD * max(self.fleets[s.engine.server.duty].open, CROWD)
                 or s.free * s.engine.server.mem_toks <= self.toks(course, s.engine))
 
+    def spent(self, course: Course) -> bool:
+        return self.router.now >= course.limit_at or course.legs >= self.limits.leg_limit
+
     def toks(self, course: Course, engine: Engine) -> float:
-        """The memory that the generation will take there."""
         return course.gen.prompt_toks + (OUT_SHARE * course.gen.max_toks if engine.writes else 0.0)
 
     def pairs(self, readers: list[Standing], writers: list[Standing]) -> Iterator[tuple[Standing, Standing]]:
@@ -278,8 +276,7 @@
         able = [s for s in self.board.values() if self.usable(s.engine, course)]
         calm = [s for s in able if not self.congested(s, course)]
         for duty in Duty:
-            peers = [s for s in self.board.values() if s.listed and s.engine.server.duty is duty]
-            if not any(self.sound(s) for s in peers):
+            if not any(s.listed and s.engine.server.duty is duty and self.sound(s) for s in self.board.values()):
                 calm += [s for s in able if s.engine.server.duty is duty and s not in calm]
         pairs = self.pairs([self.board[holder]] if holder else calm, calm)
         agreed = course.agreed = self.agreed(course.gen)
@@ -300,7 +297,7 @@
     def place(self, course: Course) -> None:
         """Home pair if it is calm, else the best calm pair; else the generation waits before its read."""
         now, gen = self.router.now, course.gen
-        if now >= course.limit_at or course.legs >= self.limits.leg_limit:
+        if self.spent(course):
             return self.finish(course)
         home = self.homes.get(gen.session or "")
         if home and all(self.usable(e, course) and not self.congested(self.board[e], course)
@@ -425,9 +422,6 @@
         engine: Engine = note.server.seat
         if note.report is not None and note.report.mem_share is not None:
             engine.post(Reported(note.report.mem_share))
-            old = self.fleets[note.server.duty]
-            level = old.level + 4 * GAIN * (note.report.mem_share - old.level)
-            self.fleets[note.server.duty] = old._replace(level=level)
         if leg is None:
             return
         product, verdict = course.gen.product, note.verdict
@@ -463,7 +457,7 @@
 
     def onward(self, course: Course, away: bool) -> None:
         """The next leg, if the effect allows one: with the state at hand a writer, else a pair anew."""
-        if not any(self.effect_allows(course, e) for e in self.board):
+        if self.spent(course) or not any(self.effect_allows(course, e) for e in self.board):
             return self.finish(course)
         if course.state_at is not None:
             return self.hand_on(course, away)
@@ -486,9 +480,7 @@
 
     def hand_on(self, course: Course, away: bool) -> None:
         """The state goes to the home writer, or, if that has congested since, straight to the next best."""
-        now, writer, s = self.router.now, course.writer, self.board[course.writer]
-        if now >= course.limit_at or course.legs >= self.limits.leg_limit:
-            return self.finish(course)
+        writer, s = course.writer, self.board[course.writer]
         if not self.usable(writer, course) or not self.fit(s, course) or away:
             pair = self.best(course, course.state_at)
             if pair is None:    # the state is let go, and the prompt, now kept, read again
@@ -498,7 +490,7 @@
             writer = course.writer = pair[1].engine
             writer.post(Booked(course, self.toks(course, writer)))
             if course.gen.session in self.homes:
-                self.homes[course.gen.session] = Home(course.reader, writer, now)
+                self.homes[course.gen.session] = Home(course.reader, writer, self.router.now)
         self.send(course, writer)
 
     def usual_ms(self, product: Product, stage: str) -> float:
@@ -531,7 +523,7 @@
         rate = max(rate, old.peer_rate * (1 - ms / HOME_AGE_MS))    # kept, as all may come back cold together
         new = ms / self.limits.span_ms
         scale = new * self.limits.share / len(warm)
-        level = old.level if self.reports else (1 - new) * old.level + scale * sum(s.own for s in warm)
+        level = (1 - new) * old.level + scale * sum(s.own for s in warm)
         queue = (1 - new) * old.queue_ms + scale * sum(s.queue_ms for s in warm)
         sent, pace = sum(s.sent for s in warm) / len(warm), min(1.0, median(s.progress for s in fit))
         view = Beat(median(s.open for s in fit), pace, rate, level, queue, sent, self.trust)
