--- a/ternlane/choice.py
+++ b/ternlane/choice.py
@@ -17,7 +17,7 @@
 
 from ternlane import port
 from ternlane.notes import (Actor, Beat, Booked, Course, Home, Leg, Limits, News, Onward, Reported, Sent,
-                            StageEnded, Standing, Trouble, TurnedAway, Unbooked)
+                            StageEnded, Standing, Trouble, Unbooked)
 from ternlane.port import (Action, Duty, Effect, Event, Generation, Group, Life, Product, Server, StartFacts,
                            Verdict)
 
@@ -91,8 +91,6 @@
             case Trouble(silent):
                 self.shut(self.limits.span_ms if silent else self.limits.retry_ms)
                 self.linked_until *= silent
-            case TurnedAway():    # guards against asking a full server again and again
-                self.size = min(self.size, self.used()) * (1 - GAIN)
             case Reported(mem_share):
                 self.said = now, mem_share
             case Beat():
@@ -172,11 +170,10 @@
     def __init__(self, router: Router, facts: StartFacts) -> None:
         super().__init__(router)
         self.may_call_off, self.must_ask, self.asked = facts.may_call_off, facts.must_ask, False
-        self.seed, self.draws = facts.seed, 0
+        self.seed, self.turn, self.beats, self.stuck = facts.seed, 0, 0, inf    # no room for prompts so large
         self.board: dict[Engine, Standing] = {}
         self.homes: OrderedDict[str, Home] = OrderedDict()
         self.waiting: list[tuple[float, float, int, Course]] = []
-        self.turn, self.beats, self.stuck = 0, 0, inf    # prompts of this size and more find no room now
         self.usual: dict[tuple[Product, str], float] = {}
         self.prompt: dict[Product, float] = {}
         self.told: defaultdict[Product, float] = defaultdict(lambda: 0.5)    # part kept at the agreed reader
@@ -200,12 +197,11 @@
                 self.leg_ended(note)
             case port.ClientLeft(gen):
                 self.close(gen.seat)
-            case Onward(course, away):
-                self.onward(course, away)
+            case Onward(course):
+                self.onward(course)
             case port.Listed(servers):
                 for server in servers:
-                    if server.seat is None:
-                        server.seat = Engine(self.router, server)
+                    server.seat = server.seat or Engine(self.router, server)
                     server.seat.post(News())
             case port.ListFailed():
                 self.asked = False
@@ -254,14 +250,12 @@
         freest: dict[tuple[str, int], tuple[float, int, Standing]] = {}
         for w in writers:
             if w.engine.writes and not w.engine.reads:
-                self.draws, at = self.draws + 1, (w.engine.server.zone, w.engine.server.cell)
-                mine = w.free - self.unmet * (not w.linked), zlib.crc32(b"%d %d" % (self.seed, self.draws)), w
+                self.turn, at = self.turn + 1, (w.engine.server.zone, w.engine.server.cell)
+                mine = w.free - self.unmet * (not w.linked), zlib.crc32(b"%d %d" % (self.seed, self.turn)), w
                 freest[at] = max(freest.get(at, mine), mine, key=lambda m: m[:2])
         for r in readers:
-            if r.engine.reads and r.engine.writes:
-                yield r, r
-            elif r.engine.reads:
-                yield from ((r, w) for _, _, w in freest.values())
+            if r.engine.reads:
+                yield from [(r, r)] if r.engine.writes else ((r, w) for _, _, w in freest.values())
 
     def score(self, r: Standing, w: Standing, gen: Generation, agreed: Engine | None) -> tuple[float, float]:
         a, b = r.engine.server, w.engine.server
@@ -276,7 +270,7 @@
         able = [s for s in self.board.values() if self.usable(s.engine, course)]
         calm = [s for s in able if not self.congested(s, course)]
         for duty in Duty:
-            if not any(s.listed and s.engine.server.duty is duty and self.sound(s) for s in self.board.values()):
+            if not any(s.listed and e.server.duty is duty and self.sound(s) for e, s in self.board.items()):
                 calm += [s for s in able if s.engine.server.duty is duty and s not in calm]
         pairs = self.pairs([self.board[holder]] if holder else calm, calm)
         agreed = course.agreed = self.agreed(course.gen)
@@ -449,18 +443,16 @@
             return self.unbook(course)
         if verdict is Verdict.MOOT:
             return self.finish(course)
-        if verdict is Verdict.FULL and not note.state_lost:
-            engine.post(TurnedAway())
-        elif verdict is not Verdict.READ and not note.state_lost:
+        if verdict is not Verdict.READ and not note.state_lost:    # a full one is not asked again either
             course.tried.add(engine)
-        engine.post(Onward(course, verdict is Verdict.FULL))
+        engine.post(Onward(course))
 
-    def onward(self, course: Course, away: bool) -> None:
+    def onward(self, course: Course) -> None:
         """The next leg, if the effect allows one: with the state at hand a writer, else a pair anew."""
         if self.spent(course) or not any(self.effect_allows(course, e) for e in self.board):
             return self.finish(course)
         if course.state_at is not None:
-            return self.hand_on(course, away)
+            return self.hand_on(course)
         self.let_go(course)
         self.unbook(course)
         self.place(course)
@@ -478,14 +470,14 @@
             pace = took / unread
             self.tok_ms += (pace - self.tok_ms) * (4 * GAIN if pace < self.tok_ms else GAIN / 4)
 
-    def hand_on(self, course: Course, away: bool) -> None:
+    def hand_on(self, course: Course) -> None:
         """The state goes to the home writer, or, if that has congested since, straight to the next best."""
         writer, s = course.writer, self.board[course.writer]
-        if not self.usable(writer, course) or not self.fit(s, course) or away:
+        if not self.usable(writer, course) or not self.fit(s, course):
             pair = self.best(course, course.state_at)
             if pair is None:    # the state is let go, and the prompt, now kept, read again
                 course.state_at = None
-                return self.onward(course, away)
+                return self.onward(course)
             writer.post(Unbooked(course))
             writer = course.writer = pair[1].engine
             writer.post(Booked(course, self.toks(course, writer)))
--- a/ternlane/notes.py
+++ b/ternlane/notes.py
@@ -125,10 +125,6 @@
     silent: bool
 
 
-class TurnedAway(NamedTuple):
-    """The server said that it is full."""
-
-
 class Reported(NamedTuple):
     mem_share: float
 
@@ -147,4 +143,3 @@
 class Onward(NamedTuple):
     """Asks the Engine for its newest Standing; then comes back to the Desk, which finds the course its next leg."""
     course: Course
-    away: bool
