--- a/ternlane/choice.py
+++ b/ternlane/choice.py
@@ -1,10 +1,9 @@
 """Every decision of ternlane's router: which pair of servers reads and writes a generation, and what then.
 
-A host makes one Router(StartFacts) for each gateway and calls take(now, events) -> actions when something has
-happened; the interface is ternlane/port.py, the reasons are in docs/design.md. Inside, the Desk (sessions,
-generations) and one Engine for each model server are actors: they talk only by notes in inboxes, which
-Router.run empties. The order to read in: Desk.place (the ordinary path), Desk.leg_ended (after each outcome),
-Desk.send, Desk.finish and Desk.let_go (the only places that send, answer and release).
+A host makes one Router(StartFacts) for each gateway and calls take(now, events) -> actions when something
+happened; the interface is ternlane/port.py, the reasons are in docs/design.md. Inside, the Desk and an Engine
+for each server are actors that talk only by notes in inboxes, which Router.take empties. Read first Desk.place
+(the ordinary path) and leg_ended, then send, finish and let_go, the only places that send, answer, release.
 """
 from __future__ import annotations
 
@@ -31,7 +30,6 @@
 GAIN = 1 / 16       # weight of a new sample in a running mean
 CARE = 0.6          # part of what the rule lets a cold server be sent that this router uses
 CALM = 0.75         # part of its size that a server must be filled to before it can prove to be larger
-LONG_READ = 1000.0  # tokens
 OUT_SHARE = 0.25    # part of the longest answer that a generation is expected to fill
 NO_SIGN = {Verdict.TIMED_OUT, Verdict.FULL, Verdict.CALLED_OFF, Verdict.MOOT}    # of the server's health
 NEVER_RAN = {Verdict.FULL, Verdict.UNCONNECTED, Verdict.MOOT, Verdict.READ}
@@ -45,9 +43,7 @@
                   leg_limit=facts.leg_limit, pause_ms=facts.longest_pause_ms if facts.may_advise else 0.0)
 
 
-class Engine(Actor):
-    """One model server as this gateway knows it."""
-
+class Engine(Actor):    # one model server as this gateway knows it
     def __init__(self, router: Router, server: Server) -> None:
         super().__init__(router)
         self.server = server
@@ -164,9 +160,7 @@
                         self.own(), self.sent, ahead, now < self.linked_until)
 
 
-class Desk(Actor):
-    """Sessions' homes and generations' courses."""
-
+class Desk(Actor):    # sessions' homes, generations' courses
     def __init__(self, router: Router, facts: StartFacts) -> None:
         super().__init__(router)
         self.may_call_off, self.must_ask, self.asked = facts.may_call_off, facts.must_ask, False
@@ -195,7 +189,7 @@
             case port.LegEnded():
                 self.stuck = inf
                 self.leg_ended(note)
-            case port.ClientLeft(gen):
+            case port.ClientLeft(gen) if not gen.seat.over:
                 self.close(gen.seat)
             case Onward(course):
                 self.onward(course)
@@ -315,8 +309,7 @@
         product, end = course.gen.product, min(course.slo_at, course.limit_at) - self.limits.beat_ms
         return end - MARGIN * (self.usual_ms(product, "read") + self.usual_ms(product, "open"))
 
-    def served(self, course: Course) -> bool:
-        """Is anyone listed who could still read it, and anyone who could write it?"""
+    def served(self, course: Course) -> bool:    # is anyone left who could read it, and who could write it?
         able = [e for e in self.board if e.server.life is Life.UP and e not in course.tried
                 and self.effect_allows(course, e)]
         return any(e.reads for e in able) and any(e.writes for e in able)
@@ -379,8 +372,6 @@
             self.router.out.append(port.LetGo(course.gen))
 
     def close(self, course: Course) -> None:
-        if course.over:
-            return
         course.over = True
         if course.leg is None:
             self.let_go(course)
@@ -401,8 +392,6 @@
         same = {Group.ALL: True, Group.ZONE: first.zone == other.zone, Group.CELL: first.cell == other.cell}
         return same[product.group] and self.router.now - sent < product.window_ms
 
-    # What comes of a leg.
-
     def first_tok(self, course: Course, took: float) -> None:
         product, leg, course.state_at, course.holds = course.gen.product, course.leg, None, False
         self.learn(product, "open", took)
@@ -466,7 +455,7 @@
         self.trust = min(1.0, self.took / self.foreseen)
         if note.verdict is Verdict.READ and leg.engine is course.agreed:
             self.told[gen.product] += GAIN * (1 - unread / max(gen.prompt_toks, 1.0) - self.told[gen.product])
-        if note.verdict is Verdict.READ and unread > LONG_READ:    # short ones tell of steps and queues
+        if note.verdict is Verdict.READ and unread > gen.prompt_toks / CROWD:    # short ones tell of queues
             pace = took / unread
             self.tok_ms += (pace - self.tok_ms) * (4 * GAIN if pace < self.tok_ms else GAIN / 4)
 
@@ -526,9 +515,7 @@
             s.engine.post(view)
 
 
-class Router:
-    """One gateway's decisions."""
-
+class Router:    # one gateway's decisions
     def __init__(self, facts: StartFacts) -> None:
         self.now = 0.0
         self.limits = limits_from(facts)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,6 +1,7 @@
 """One tiny fake host: a few servers, a clock, and what the module said last."""
 from __future__ import annotations
 
+import zlib
 from dataclasses import dataclass, replace
 from typing import Any
 
@@ -71,10 +72,10 @@
     fall_multiple=2.5, fall_ms=2000.0, step_ms=4.0)
 
 
-def build(**facts: Any) -> FakeHost:
+def build(extra: tuple[str, ...] = (), **facts: Any) -> FakeHost:
     products = {e: Product(e, Group.CELL, 3000.0, 1000.0, 50.0, 60.0, 5000.0, 1.0, 0.2) for e in Effect}
-    servers = {f"{duty}{cell}": Server("east", cell, Duty.READ if duty == "r" else Duty.WRITE, 200e3)
-               for cell in (0, 1) for duty in "rw"}
+    servers = {name: Server("east", int(name[1]), Duty.READ if name[0] == "r" else Duty.WRITE, 200e3,
+                            mark=zlib.crc32(name.encode())) for name in ("r0", "w0", "r1", "w1", *extra)}
     host = FakeHost(Router(replace(FACTS, products=tuple(products.values()), **facts)), servers, products, 1000.0)
     host.list()
     return host
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -163,3 +163,89 @@
     host.list()
     host.tell(after=3000.0)
     assert kinds(host.arrive(host.gen())) == [port.SendLeg]
+
+
+def test_one_generation_does_not_fill_a_server_for_a_hundred_gateways() -> None:
+    host = build(gateways=130)
+    for _ in range(3):    # one's own count times 130 would be several times each server's memory
+        assert kinds(host.arrive(host.gen())) == [port.SendLeg]
+
+
+def test_gateways_that_know_nothing_do_not_all_take_the_same_writer() -> None:
+    chosen = set()
+    for seed in range(12):
+        host = build(extra=("w0a", "w0b", "w1a", "w1b"), gateways=130, seed=seed)
+        gen = host.gen(session="s")
+        host.arrive(gen)
+        chosen.add(next(name for name, s in host.servers.items() if s is gen.seat.writer.server))
+    assert len(chosen) == 3    # all in the cell of the one reader that they agree on
+
+
+def test_gateways_agree_on_the_readers_of_an_opening() -> None:
+    readers = [f"r{i % 2}{letter}" for i, letter in enumerate("abcdefgh")]
+    taken = set()
+    for seed in range(20):
+        host = build(extra=tuple(readers), gateways=130, seed=seed)
+        leg = sent(host.arrive(host.gen(session=f"s{seed}", opening="shared")))
+        taken.add(next(name for name, s in host.servers.items() if s is leg.server))
+    assert len(taken) <= 12 and len(taken) >= 2
+    first, second = (build(extra=tuple(readers), seed=seed) for seed in (1, 2))
+    for opening in "abcdef":
+        legs = [sent(h.arrive(h.gen(session=opening, opening=opening), after=3000.0)) for h in (first, second)]
+        assert len({leg.server.mark for leg in legs}) == 1
+
+
+def test_a_short_prompt_passes_a_long_one_that_finds_no_room(host: FakeHost) -> None:
+    long = host.gen(prompt_toks=250e3, opening=None, opening_toks=0.0, max_toks=0.0, patience_ms=60e3)
+    host.arrive(long)
+    assert long.seat.leg is None
+    assert kinds(host.arrive(host.gen(prompt_toks=200.0, opening=None, opening_toks=0.0))) == [port.SendLeg]
+
+
+def test_where_connections_fail_the_connected_servers_are_nearer() -> None:
+    host = build(extra=("r0a", "w0a"), gateways=130)
+    known = host.servers["r0"], host.servers["w0"]
+    linked, tries = [], 0
+    for _ in range(30):
+        gen = host.gen(session=f"s{tries}")
+        said = host.arrive(gen, after=2000.0)
+        while any(isinstance(a, port.SendLeg) for a in said):
+            leg = sent(said)
+            tries += 1
+            if leg.server not in known:
+                said = host.end(gen, leg.server, Verdict.UNCONNECTED, after=250.0)
+            elif leg.server.duty is port.Duty.READ:
+                said = host.end(gen, leg.server, Verdict.READ)
+            else:
+                host.first(gen, leg.server)
+                host.end(gen, leg.server, Verdict.STREAMED, over=True)
+                linked.append(gen)
+                break
+    assert len(linked) > 20 and tries < 100    # three tries each, where chance would need five and more
+
+
+def test_reads_that_run_out_of_time_make_the_next_ones_more_patient(host: FakeHost) -> None:
+    patience = []
+    for _ in range(8):
+        gen = host.gen(patience_ms=30e3)
+        leg = sent(host.arrive(gen, after=4000.0))
+        patience.append(leg.timeout_ms)
+        host.end(gen, leg.server, Verdict.TIMED_OUT, after=leg.timeout_ms)
+        host.tell(port.ClientLeft(gen))
+    assert patience[-1] > patience[0]
+
+
+def test_what_waits_at_a_cold_reader_does_not_make_a_warm_one_look_full() -> None:
+    host = build(gateways=14)
+    host.tell(after=20e3)
+    cold = host.servers["r0"]
+    cold.started_ms = host.now
+    host.list()
+    for _ in range(12):
+        gen = host.gen(opening=None, opening_toks=0.0)
+        said = host.arrive(gen, after=400.0)
+        assert kinds(said) == [port.SendLeg]
+        if sent(said).server is not cold:    # the cold one keeps what it was given
+            leg = sent(host.end(gen, host.servers["r1"], Verdict.READ, after=50.0))
+            host.first(gen, leg.server, after=20.0)
+            host.end(gen, leg.server, Verdict.STREAMED, over=True)
