--- a/ternlane/choice.py
+++ b/ternlane/choice.py
@@ -3,7 +3,7 @@
 A host makes one Router(StartFacts) for each gateway and calls take(now, events) -> actions when something
 happened; the interface is ternlane/port.py, the reasons are in docs/design.md. Inside, the Desk and an Engine
 for each server are actors that talk only by notes in inboxes, which Router.take empties. Read first Desk.place
-(the ordinary path) and leg_ended, then send, finish and let_go, the only places that send, answer, release.
+(the ordinary path) and leg_ended, then send, finish and let_go: nothing else sends, answers or releases.
 """
 from __future__ import annotations
 
@@ -30,6 +30,7 @@
 GAIN = 1 / 16       # weight of a new sample in a running mean
 CARE = 0.6          # part of what the rule lets a cold server be sent that this router uses
 CALM = 0.75         # part of its size that a server must be filled to before it can prove to be larger
+LONG_READ = 1000.0  # tokens
 OUT_SHARE = 0.25    # part of the longest answer that a generation is expected to fill
 NO_SIGN = {Verdict.TIMED_OUT, Verdict.FULL, Verdict.CALLED_OFF, Verdict.MOOT}    # of the server's health
 NEVER_RAN = {Verdict.FULL, Verdict.UNCONNECTED, Verdict.MOOT, Verdict.READ}
@@ -187,7 +188,6 @@
             case port.FirstTok(gen, _, took) if gen.seat.leg is not None:
                 self.first_tok(gen.seat, took)
             case port.LegEnded():
-                self.stuck = inf
                 self.leg_ended(note)
             case port.ClientLeft(gen) if not gen.seat.over:
                 self.close(gen.seat)
@@ -200,7 +200,6 @@
             case port.ListFailed():
                 self.asked = False
             case port.Woken():
-                self.stuck = inf
                 self.beat()
 
     # The ordinary path.
@@ -242,10 +241,12 @@
         """Each reader with the best writer of each cell (no other scores more), a mixed one with itself.
         Equals go by chance, or all gateways would fill the first in the list."""
         freest: dict[tuple[str, int], tuple[float, int, Standing]] = {}
+        self.turn += 1
+        draw = zlib.crc32(b"%d %d" % (self.seed, self.turn)) | 1
         for w in writers:
             if w.engine.writes and not w.engine.reads:
-                self.turn, at = self.turn + 1, (w.engine.server.zone, w.engine.server.cell)
-                mine = w.free - self.unmet * (not w.linked), zlib.crc32(b"%d %d" % (self.seed, self.turn)), w
+                at = w.engine.server.zone, w.engine.server.cell
+                mine = w.free - self.unmet * (not w.linked), draw * w.engine.server.mark % 2**32, w
                 freest[at] = max(freest.get(at, mine), mine, key=lambda m: m[:2])
         for r in readers:
             if r.engine.reads:
@@ -455,7 +456,7 @@
         self.trust = min(1.0, self.took / self.foreseen)
         if note.verdict is Verdict.READ and leg.engine is course.agreed:
             self.told[gen.product] += GAIN * (1 - unread / max(gen.prompt_toks, 1.0) - self.told[gen.product])
-        if note.verdict is Verdict.READ and unread > gen.prompt_toks / CROWD:    # short ones tell of queues
+        if note.verdict is Verdict.READ and unread > LONG_READ:    # short ones tell of steps and queues
             pace = took / unread
             self.tok_ms += (pace - self.tok_ms) * (4 * GAIN if pace < self.tok_ms else GAIN / 4)
 
@@ -517,19 +518,19 @@
 
 class Router:    # one gateway's decisions
     def __init__(self, facts: StartFacts) -> None:
-        self.now = 0.0
+        self.now = -inf    # the beat is asked for with the first batch
         self.limits = limits_from(facts)
         self.ready: deque[Engine | Desk] = deque()
         self.out: list[Action] = []
         self.desk = Desk(self, facts)
-        self.begun = False    # the beat is asked for with the first batch
 
     def take(self, now: float, events: list[Event]) -> list[Action]:
+        heard = events if self.now > -inf else [port.Woken(True), *events]
         self.now, self.out = now, []
-        for event in events if self.begun else [port.Woken(True), *events]:
+        for event in heard:
+            self.desk.stuck = inf
             self.desk.post(event)
             while self.ready or self.desk.pump():
                 actor = self.ready.popleft()
                 actor.handle(actor.inbox.popleft())
-        self.begun = True
         return self.out
