--- a/ternlane/choice.py
+++ b/ternlane/choice.py
@@ -2,7 +2,7 @@
 
 A host makes one Router(StartFacts) for each gateway and calls take(now, events) -> actions when something
 happened; the interface is ternlane/port.py, the reasons are in docs/design.md. Inside, the Desk and an Engine
-for each server are actors that talk only by notes in inboxes, which Router.take empties. Read first Desk.place
+for each server are actors that talk only by notes in inboxes, which Router.take empties. Read first place
 (the ordinary path) and leg_ended, then send, finish and let_go: nothing else sends, answers or releases.
 """
 from __future__ import annotations
@@ -279,7 +279,7 @@
             key = zlib.crc32(gen.opening.encode())
             readers.sort(key=lambda e: key * (e.server.mark | 1) % 2**32)
             part = self.asked_for[gen.opening] / self.asked_for.total()
-            readers = readers[:round(CROWD + CROWD * len(readers) * part)]
+            readers = readers[:round(1 + CROWD * len(readers) * part)]
         key = zlib.crc32((gen.session or "").encode())
         return max(readers, key=lambda e: key * (e.server.mark | 1) % 2**32, default=None)
 
