--- a/ternlane/choice.py
+++ b/ternlane/choice.py
@@ -279,7 +279,7 @@
             key = zlib.crc32(gen.opening.encode())
             readers.sort(key=lambda e: key * (e.server.mark | 1) % 2**32)
             part = self.asked_for[gen.opening] / self.asked_for.total()
-            readers = readers[:round(1 + CROWD * len(readers) * part)]
+            readers = readers[:round(CROWD + CROWD * len(readers) * part)]
         key = zlib.crc32((gen.session or "").encode())
         return max(readers, key=lambda e: key * (e.server.mark | 1) % 2**32, default=None)
 
