--- a/ternlane/choice.py
+++ b/ternlane/choice.py
@@ -145,12 +145,13 @@
         self.credit = min(self.credit + rate * ms, max(1.0, rate * self.limits.burst_ms))
 
     def standing(self) -> Standing:
-        now, free = self.router.now, 1 - self.used() / self.size
+        now, used = self.router.now, self.used()
+        free = 1 - used / self.size
         if self.said is not None:    # an old report says less than the mean does
             told = self.said[0] - self.limits.beat_ms
             since = sum(share for at, share in self.booked.values() if at > told)
             fresh = exp((self.said[0] - now) / self.limits.span_ms)
-            free = min(free, 1 - fresh * (self.said[1] + since) - (1 - fresh) * self.used())
+            free = min(free, 1 - fresh * (self.said[1] + since) - (1 - fresh) * used)
         queue = sum(leg.work_ms for leg in self.legs)
         ahead = CROWD * queue + self.fleet.trust * (self.fleet.queue_ms * self.crowding())
         if self.reads:
@@ -158,7 +159,7 @@
         return Standing(self, self.server.life is Life.UP, free, queue, len(self.booked),
                         (self.done + DOUBT) / (self.due + DOUBT), now < self.shut_until, self.trial,
                         self.credit if now < self.cold_until else inf, self.rate,
-                        self.own(), self.sent, ahead, now < self.linked_until)
+                        self.own(), self.sent, ahead, now < self.linked_until, self.fleet)
 
 
 class Desk(Actor):    # sessions' homes, generations' courses
@@ -188,6 +189,7 @@
             case port.FirstTok(gen, _, took) if gen.seat.leg is not None:
                 self.first_tok(gen.seat, took)
             case port.LegEnded():
+                self.stuck = inf
                 self.leg_ended(note)
             case port.ClientLeft(gen) if not gen.seat.over:
                 self.close(gen.seat)
@@ -202,8 +204,6 @@
             case port.Woken():
                 self.beat()
 
-    # The ordinary path.
-
     def arrived(self, gen: Generation) -> None:
         now, product = self.router.now, gen.product
         slo = (product.slo_ms or gen.patience_ms) + product.slo_per_ktok_ms * gen.prompt_toks / 1000
@@ -220,7 +220,7 @@
                 and engine not in course.tried and self.effect_allows(course, engine))
 
     def sound(self, s: Standing) -> bool:
-        return not s.shut and not s.trial and s.progress >= SICK * self.fleets[s.engine.server.duty].pace
+        return not s.shut and not s.trial and s.progress >= SICK * s.fleet.pace
 
     def fit(self, s: Standing, course: Course) -> bool:
         if s.trial and not s.shut:    # one leg at a time finds out, and none that can't be made good
@@ -228,7 +228,7 @@
         return self.sound(s)
 
     def congested(self, s: Standing, course: Course) -> bool:
-        return (not self.fit(s, course) or s.open > CROWD * max(self.fleets[s.engine.server.duty].open, CROWD)
+        return (not self.fit(s, course) or s.open > CROWD * max(s.fleet.open, CROWD)
                 or s.free * s.engine.server.mem_toks <= self.toks(course, s.engine))
 
     def spent(self, course: Course) -> bool:
@@ -340,8 +340,6 @@
         heapq.heapify(self.waiting)
         return bool(self.router.ready)
 
-    # The only places that send, answer and release.
-
     def send(self, course: Course, engine: Engine) -> None:
         assert not course.over and course.leg is None and engine.server.life is Life.UP
         now, product, s = self.router.now, course.gen.product, self.board[engine]
@@ -498,7 +496,7 @@
 
     def look(self, duty: Duty, peers: list[Standing]) -> None:
         """Sums up the servers of one duty and lets each of them know."""
-        old, ms = self.fleets[duty], LOOK * self.limits.beat_ms
+        old, ms, self.stuck = self.fleets[duty], LOOK * self.limits.beat_ms, inf
         fit = [s for s in peers if not s.shut and not s.trial] or peers
         warm = [s for s in fit if s.credit == inf] or fit    # lest the warm look as full as the cold
         rate = sum(s.rate for s in warm) / len(warm) / self.limits.span_ms
@@ -508,12 +506,13 @@
         level = (1 - new) * old.level + scale * sum(s.own for s in warm)
         queue = (1 - new) * old.queue_ms + scale * sum(s.queue_ms for s in warm)
         sent, pace = sum(s.sent for s in warm) / len(warm), min(1.0, median(s.progress for s in fit))
-        view = Beat(median(s.open for s in fit), pace, rate, level, queue, sent, self.trust)
-        self.fleets[duty] = view
-        for s in peers:
+        mid = median(s.open for s in fit)
+        self.fleets[duty] = view = Beat(mid, pace, rate, level, queue, sent, self.trust)
+        for i, s in enumerate(peers):
             if s.progress < SICK * view.pace and not s.shut and not s.trial:
                 s.engine.post(Trouble(silent=True))
-            s.engine.post(view)
+            if s.open or (i + self.beats // LOOK) % LOOK == 0:    # the idle take turns, for the CPU's sake
+                s.engine.post(view)
 
 
 class Router:    # one gateway's decisions
@@ -528,7 +527,6 @@
         heard = events if self.now > -inf else [port.Woken(True), *events]
         self.now, self.out = now, []
         for event in heard:
-            self.desk.stuck = inf
             self.desk.post(event)
             while self.ready or self.desk.pump():
                 actor = self.ready.popleft()
--- a/ternlane/notes.py
+++ b/ternlane/notes.py
@@ -92,6 +92,7 @@
     sent: float       # generations of this gateway that it got lately
     ahead_ms: float   # reading that all gateways are believed to have given it
     linked: bool      # connected to this gateway
+    fleet: Beat       # what it was told of its peers
 
 
 # Notes from the Desk to an Engine.
