All agreed readers of an opening count as keeping it, the session's also the rest

Cause: with the texts known at single readers folded away, only one agreed reader counted as near; when it was busy, any other looked as good as the ones that keep the same opening. Harm: with few openings, all go to few readers until queues are seen.

--- a/ternlane/choice.py
+++ b/ternlane/choice.py
@@ -252,11 +252,15 @@
             if r.engine.reads:
                 yield from [(r, r)] if r.engine.writes else ((r, w) for _, _, w in freest.values())
 
-    def score(self, r: Standing, w: Standing, gen: Generation, agreed: Engine | None) -> tuple[float, float]:
+    def work_ms(self, engine: Engine, course: Course) -> float:    # to read what it is not thought to keep
+        gen, agreed = course.gen, course.agreed
+        known = gen.prompt_toks if engine in agreed[:1] else gen.opening_toks if engine in agreed else 0.0
+        return self.tok_ms * (gen.prompt_toks - self.told[gen.product] * known)
+
+    def score(self, r: Standing, w: Standing, course: Course) -> tuple[float, float]:
         a, b = r.engine.server, w.engine.server
         steps = 0 if a is b or a.cell == b.cell else 1 if a.zone == b.zone else 2
-        kept = self.told[gen.product] if r.engine is agreed else 0.0
-        unread = self.tok_ms * gen.prompt_toks * (1 - kept) / self.limits.slo_ms
+        unread = self.work_ms(r.engine, course) / self.limits.slo_ms
         strange = self.unmet * ((not r.linked) + (a is not b and not w.linked))
         return min(r.free, w.free) - STEP * steps - unread - strange, r.free + w.free
 
@@ -268,10 +272,10 @@
             if not any(s.listed and e.server.duty is duty and self.sound(s) for e, s in self.board.items()):
                 calm += [s for s in able if s.engine.server.duty is duty and s not in calm]
         pairs = self.pairs([self.board[holder]] if holder else calm, calm)
-        agreed = course.agreed = self.agreed(course.gen)
-        return max(pairs, key=lambda p: self.score(*p, course.gen, agreed), default=None)
+        course.agreed = self.agreed(course.gen)
+        return max(pairs, key=lambda p: self.score(*p, course), default=None)
 
-    def agreed(self, gen: Generation) -> Engine | None:
+    def agreed(self, gen: Generation) -> list[Engine]:
         """The reader that every gateway holds nearest, as openings and sessions come to all of them.
         An opening has readers by its part of the traffic, the same everywhere; its sessions share them."""
         readers = [e for e, s in self.board.items() if e.reads and s.listed and self.sound(s)]
@@ -281,7 +285,7 @@
             part = self.asked_for[gen.opening] / self.asked_for.total()
             readers = readers[:round(CROWD + CROWD * len(readers) * part)]
         key = zlib.crc32((gen.session or "").encode())
-        return max(readers, key=lambda e: key * (e.server.mark | 1) % 2**32, default=None)
+        return sorted(readers, key=lambda e: key * (e.server.mark | 1) % 2**32)
 
     def place(self, course: Course) -> None:
         """Home pair if it is calm, else the best calm pair; else the generation waits before its read."""
@@ -290,8 +294,8 @@
             return self.finish(course)
         home = self.homes.get(gen.session or "")
         if home and all(self.usable(e, course) and not self.congested(self.board[e], course)
-                        for e in (home.reader, home.writer)):
-            reader, writer = home.reader, home.writer
+                        for e in home[:2]):
+            reader, writer = home[:2]
         else:
             pair = self.best(course)
             if pair is None:
@@ -343,14 +347,12 @@
     def send(self, course: Course, engine: Engine) -> None:
         assert not course.over and course.leg is None and engine.server.life is Life.UP
         now, product, s = self.router.now, course.gen.product, self.board[engine]
-        writes = engine is course.writer
+        writes, patience = engine is course.writer, course.limit_at - now
         course.legs, course.holds = course.legs + 1, True
-        kept = self.told[product] if engine is course.agreed else 0.0
-        work = 0.0 if writes else self.tok_ms * course.gen.prompt_toks * (1 - kept)
+        work = 0.0 if writes else self.work_ms(engine, course)
         usual = max(self.usual_ms(product, "open" if writes else "read"), work + s.queue_ms)
         course.leg = Leg(engine, course, writes, now, now, usual, work,
                          work + s.ahead_ms / max(self.trust, GAIN), not s.linked)
-        patience = course.limit_at - now
         if course.legs < self.limits.leg_limit and (not writes or product.effect is Effect.IDEMPOTENT):
             patience = min(patience, max(product.slo_ms / (2 if writes else 1), 4 * course.leg.usual_ms))
         engine.post(Sent(course.leg))
@@ -452,7 +454,7 @@
         self.foreseen += GAIN * (leg.foreseen - self.foreseen)
         self.took += GAIN * (took - self.took)
         self.trust = min(1.0, self.took / self.foreseen)
-        if note.verdict is Verdict.READ and leg.engine is course.agreed:
+        if note.verdict is Verdict.READ and leg.engine in course.agreed[:1]:
             self.told[gen.product] += GAIN * (1 - unread / max(gen.prompt_toks, 1.0) - self.told[gen.product])
         if note.verdict is Verdict.READ and unread > LONG_READ:    # short ones tell of steps and queues
             pace = took / unread
@@ -511,14 +513,13 @@
         for i, s in enumerate(peers):
             if s.progress < SICK * view.pace and not s.shut and not s.trial:
                 s.engine.post(Trouble(silent=True))
-            if s.open or (i + self.beats // LOOK) % LOOK == 0:    # the idle take turns, for the CPU's sake
+            if s.open or (i + self.beats // LOOK) % (len(peers) // LOOK**2 or 1) == 0:    # idle ones in turns
                 s.engine.post(view)
 
 
 class Router:    # one gateway's decisions
     def __init__(self, facts: StartFacts) -> None:
-        self.now = -inf    # the beat is asked for with the first batch
-        self.limits = limits_from(facts)
+        self.now, self.limits = -inf, limits_from(facts)    # the beat is asked for with the first batch
         self.ready: deque[Engine | Desk] = deque()
         self.out: list[Action] = []
         self.desk = Desk(self, facts)
--- a/ternlane/notes.py
+++ b/ternlane/notes.py
@@ -60,13 +60,13 @@
     limit_at: float
     reader: Engine | None = None
     writer: Engine | None = None
-    agreed: Engine | None = None
     leg: Leg | None = None
     legs: int = 0
     state_at: Engine | None = None
     may_have_run: tuple[float, Server] | None = None
     holds: bool = False    # a state may be held for it somewhere
     over: bool = False
+    agreed: list[Engine] = field(default_factory=list)    # keep its opening, the first its session
     tried: set[Engine] = field(default_factory=set)
 
 
@@ -142,5 +142,5 @@
 
 
 class Onward(NamedTuple):
-    """Asks the Engine for its newest Standing; then comes back to the Desk, which finds the course its next leg."""
+    """Asks the Engine for its newest Standing; then comes back to the Desk, which finds the next leg."""
     course: Course
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -113,13 +113,14 @@
 
 
 def test_a_silent_writer_loses_its_sessions(host: FakeHost) -> None:
-    pending = [host.written() for _ in range(6)]
-    mute = pending[0][1].server
-    for gen, leg in pending:
+    mute = None
+    for i in range(8):
+        gen, leg = host.written(session=f"s{i}", opening=f"o{i}")
+        mute = mute or leg.server
         if leg.server is not mute:
             host.first(gen, leg.server, after=20.0)
     host.tell(after=900.0)
-    later = [host.written()[1].server for _ in range(3)]
+    later = [host.written(session=f"t{i}")[1].server for i in range(3)]
     assert mute not in later
 
 
