--- a/ternlane/choice.py
+++ b/ternlane/choice.py
@@ -257,12 +257,11 @@
         known = gen.prompt_toks if engine in agreed[:1] else gen.opening_toks if engine in agreed else 0.0
         return self.tok_ms * (gen.prompt_toks - self.told[gen.product] * known)
 
-    def score(self, r: Standing, w: Standing, course: Course) -> tuple[float, float]:
+    def score(self, r: Standing, w: Standing, work_ms: float) -> tuple[float, float]:
         a, b = r.engine.server, w.engine.server
         steps = 0 if a is b or a.cell == b.cell else 1 if a.zone == b.zone else 2
-        unread = self.work_ms(r.engine, course) / self.limits.slo_ms
         strange = self.unmet * ((not r.linked) + (a is not b and not w.linked))
-        return min(r.free, w.free) - STEP * steps - unread - strange, r.free + w.free
+        return min(r.free, w.free) - STEP * steps - work_ms / self.limits.slo_ms - strange, r.free + w.free
 
     def best(self, course: Course, holder: Engine | None = None) -> tuple[Standing, Standing] | None:
         """The best pair that is not congested. With no server of a duty sound, the view is suspected."""
@@ -271,9 +270,9 @@
         for duty in Duty:
             if not any(s.listed and e.server.duty is duty and self.sound(s) for e, s in self.board.items()):
                 calm += [s for s in able if s.engine.server.duty is duty and s not in calm]
-        pairs = self.pairs([self.board[holder]] if holder else calm, calm)
-        course.agreed = self.agreed(course.gen)
-        return max(pairs, key=lambda p: self.score(*p, course), default=None)
+        course.agreed, readers = self.agreed(course.gen), [self.board[holder]] if holder else calm
+        work = {r.engine: self.work_ms(r.engine, course) for r in readers}
+        return max(self.pairs(readers, calm), key=lambda p: self.score(*p, work[p[0].engine]), default=None)
 
     def agreed(self, gen: Generation) -> list[Engine]:
         """The reader that every gateway holds nearest, as openings and sessions come to all of them.
