The mean load is followed the faster, the more own generations are open

Cause: smoothing over twice the SLO time suits a gateway with one generation at a time, but with dozens open a burst was believed too late. Harm: a momentary heap of own generations counts as everybody's.

--- a/ternlane/choice.py
+++ b/ternlane/choice.py
@@ -502,12 +502,12 @@
         warm = [s for s in fit if s.credit == inf] or fit    # lest the warm look as full as the cold
         rate = sum(s.rate for s in warm) / len(warm) / self.limits.span_ms
         rate = max(rate, old.peer_rate * (1 - ms / HOME_AGE_MS))    # kept, as all may come back cold together
-        new = ms / self.limits.span_ms
+        mid = median(s.open for s in fit)
+        new = min(1.0, (1 + mid) * ms / self.limits.span_ms)    # the more of one's own, the sooner believed
         scale = new * self.limits.share / len(warm)
         level = (1 - new) * old.level + scale * sum(s.own for s in warm)
         queue = (1 - new) * old.queue_ms + scale * sum(s.queue_ms for s in warm)
         sent, pace = sum(s.sent for s in warm) / len(warm), min(1.0, median(s.progress for s in fit))
-        mid = median(s.open for s in fit)
         self.fleets[duty] = view = Beat(mid, pace, rate, level, queue, sent, self.trust)
         for i, s in enumerate(peers):
             if s.progress < SICK * view.pace and not s.shut and not s.trial:
