--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -250,3 +250,13 @@
             leg = sent(host.end(gen, host.servers["r1"], Verdict.READ, after=50.0))
             host.first(gen, leg.server, after=20.0)
             host.end(gen, leg.server, Verdict.STREAMED, over=True)
+
+
+def test_a_burst_is_believed_soon_where_many_generations_are_open(host: FakeHost) -> None:
+    for i in range(16):
+        gen, leg = host.written(session=f"s{i}", opening=f"o{i}")
+        host.first(gen, leg.server, after=5.0)
+    host.tell(after=600.0)
+    engines = [host.servers[name].seat for name in ("w0", "w1")]
+    held = sum(engine.own() for engine in engines) / 2
+    assert held > 0 and engines[0].fleet.level > 0.9 * 2 * held    # two gateways that do alike
