--- a/ternlane/choice.py
+++ b/ternlane/choice.py
@@ -15,8 +15,8 @@
 from typing import Any, Iterator
 
 from ternlane import port
-from ternlane.notes import (Actor, Beat, Booked, Course, Home, Leg, Limits, News, Onward, Reported, Sent,
-                            StageEnded, Standing, Trouble, Unbooked)
+from ternlane.notes import (Actor, Beat, Booked, Course, Home, Leg, Limits, Loop, News, Onward, Reported,
+                            Seat, Sent, StageEnded, Standing, Trouble, Unbooked)
 from ternlane.port import (Action, Duty, Effect, Event, Generation, Group, Life, Product, Server, StartFacts,
                            Verdict)
 
@@ -44,8 +44,8 @@
                   leg_limit=facts.leg_limit, pause_ms=facts.longest_pause_ms if facts.may_advise else 0.0)
 
 
-class Engine(Actor):    # one model server as this gateway knows it
-    def __init__(self, router: Router, server: Server) -> None:
+class Engine(Seat):    # one model server as this gateway knows it
+    def __init__(self, router: Loop, server: Server) -> None:
         super().__init__(router)
         self.server = server
         self.reads, self.writes = server.duty is not Duty.WRITE, server.duty is not Duty.READ
@@ -163,11 +163,11 @@
 
 
 class Desk(Actor):    # sessions' homes, generations' courses
-    def __init__(self, router: Router, facts: StartFacts) -> None:
+    def __init__(self, router: Loop, facts: StartFacts) -> None:
         super().__init__(router)
         self.may_call_off, self.must_ask, self.asked = facts.may_call_off, facts.must_ask, False
         self.seed, self.turn, self.beats, self.stuck = facts.seed, 0, 0, inf    # no room for prompts so large
-        self.board: dict[Engine, Standing] = {}
+        self.board: dict[Seat, Standing] = {}
         self.homes: OrderedDict[str, Home] = OrderedDict()
         self.waiting: list[tuple[float, float, int, Course]] = []
         self.usual: dict[tuple[Product, str], float] = {}
@@ -187,7 +187,7 @@
             case port.Arrived(gen):
                 self.arrived(gen)
             case port.FirstTok(gen, _, took) if gen.seat.leg is not None:
-                self.first_tok(gen.seat, took)
+                self.first_tok(gen.seat, gen.seat.leg, took)
             case port.LegEnded():
                 self.stuck = inf
                 self.leg_ended(note)
@@ -213,7 +213,7 @@
         self.asked_for[gen.opening] += gen.opening is not None
         self.wait(course) if self.waiting else self.place(course)
 
-    def usable(self, engine: Engine, course: Course) -> bool:
+    def usable(self, engine: Seat, course: Course) -> bool:
         """May the course be sent to this server at all? Asked again by send()."""
         s = self.board.get(engine)
         return (s is not None and engine.server.life is Life.UP and s.credit >= 1
@@ -234,7 +234,7 @@
     def spent(self, course: Course) -> bool:
         return self.router.now >= course.limit_at or course.legs >= self.limits.leg_limit
 
-    def toks(self, course: Course, engine: Engine) -> float:
+    def toks(self, course: Course, engine: Seat) -> float:
         return course.gen.prompt_toks + (OUT_SHARE * course.gen.max_toks if engine.writes else 0.0)
 
     def pairs(self, readers: list[Standing], writers: list[Standing]) -> Iterator[tuple[Standing, Standing]]:
@@ -252,7 +252,7 @@
             if r.engine.reads:
                 yield from [(r, r)] if r.engine.writes else ((r, w) for _, _, w in freest.values())
 
-    def work_ms(self, engine: Engine, course: Course) -> float:    # to read what it is not thought to keep
+    def work_ms(self, engine: Seat, course: Course) -> float:    # to read what it is not thought to keep
         gen, agreed = course.gen, course.agreed
         known = gen.prompt_toks if engine in agreed[:1] else gen.opening_toks if engine in agreed else 0.0
         return self.tok_ms * (gen.prompt_toks - self.told[gen.product] * known)
@@ -263,7 +263,7 @@
         strange = self.unmet * ((not r.linked) + (a is not b and not w.linked))
         return min(r.free, w.free) - STEP * steps - work_ms / self.limits.slo_ms - strange, r.free + w.free
 
-    def best(self, course: Course, holder: Engine | None = None) -> tuple[Standing, Standing] | None:
+    def best(self, course: Course, holder: Seat | None = None) -> tuple[Standing, Standing] | None:
         """The best pair that is not congested. With no server of a duty sound, the view is suspected."""
         able = [s for s in self.board.values() if self.usable(s.engine, course)]
         calm = [s for s in able if not self.congested(s, course)]
@@ -272,9 +272,10 @@
                 calm += [s for s in able if s.engine.server.duty is duty and s not in calm]
         course.agreed, readers = self.agreed(course.gen), [self.board[holder]] if holder else calm
         work = {r.engine: self.work_ms(r.engine, course) for r in readers}
-        return max(self.pairs(readers, calm), key=lambda p: self.score(*p, work[p[0].engine]), default=None)
+        return max(self.pairs(readers, calm), default=None,
+                   key=lambda p: self.score(p[0], p[1], work[p[0].engine]))
 
-    def agreed(self, gen: Generation) -> list[Engine]:
+    def agreed(self, gen: Generation) -> list[Seat]:
         """The reader that every gateway holds nearest, as openings and sessions come to all of them.
         An opening has readers by its part of the traffic, the same everywhere; its sessions share them."""
         readers = [e for e, s in self.board.items() if e.reads and s.listed and self.sound(s)]
@@ -343,7 +344,7 @@
         heapq.heapify(self.waiting)
         return bool(self.router.ready)
 
-    def send(self, course: Course, engine: Engine) -> None:
+    def send(self, course: Course, engine: Seat) -> None:
         assert not course.over and course.leg is None and engine.server.life is Life.UP
         now, product, s = self.router.now, course.gen.product, self.board[engine]
         writes, patience = engine is course.writer, course.limit_at - now
@@ -355,7 +356,8 @@
         if course.legs < self.limits.leg_limit and (not writes or product.effect is Effect.IDEMPOTENT):
             patience = min(patience, max(product.slo_ms / (2 if writes else 1), 4 * course.leg.usual_ms))
         engine.post(Sent(course.leg))
-        self.router.out.append(port.SendLeg(course.gen, engine.server, patience))
+        quiet = max(course.gen.patience_ms / CROWD, DOUBT * product.tok_slo_ms)    # a mute stream has broken
+        self.router.out.append(port.SendLeg(course.gen, engine.server, patience, quiet))
 
     def finish(self, course: Course) -> None:
         """The one final answer, given at once: throttled wherever that promise is true, else terminated."""
@@ -384,7 +386,7 @@
             if engine is not None:
                 engine.post(Unbooked(course))
 
-    def effect_allows(self, course: Course, engine: Engine) -> bool:
+    def effect_allows(self, course: Course, engine: Seat) -> bool:
         """No effect twice: after a leg that may have run, only what its product's effect permits."""
         if course.may_have_run is None or course.gen.product.effect is not Effect.DEDUPLICATED:
             return course.may_have_run is None or course.gen.product.effect is Effect.IDEMPOTENT
@@ -392,8 +394,8 @@
         same = {Group.ALL: True, Group.ZONE: first.zone == other.zone, Group.CELL: first.cell == other.cell}
         return same[product.group] and self.router.now - sent < product.window_ms
 
-    def first_tok(self, course: Course, took: float) -> None:
-        product, leg, course.state_at, course.holds = course.gen.product, course.leg, None, False
+    def first_tok(self, course: Course, leg: Leg, took: float) -> None:
+        product, course.state_at, course.holds = course.gen.product, None, False
         self.learn(product, "open", took)
         if course.reader is not None and course.reader is not course.writer:
             course.reader.post(Unbooked(course))
@@ -402,7 +404,7 @@
     def leg_ended(self, note: port.LegEnded) -> None:
         course: Course = note.gen.seat
         leg, course.leg = course.leg, None
-        engine: Engine = note.server.seat
+        engine: Seat = note.server.seat
         if note.report is not None and note.report.mem_share is not None:
             engine.post(Reported(note.report.mem_share))
         if leg is None:
@@ -461,7 +463,9 @@
 
     def hand_on(self, course: Course) -> None:
         """The state goes to the home writer, or, if that has congested since, straight to the next best."""
-        writer, s = course.writer, self.board[course.writer]
+        writer = course.writer
+        assert writer is not None    # chosen with the reader whose state this is
+        s = self.board[writer]
         if not self.usable(writer, course) or not self.fit(s, course):
             pair = self.best(course, course.state_at)
             if pair is None:    # the state is let go, and the prompt, now kept, read again
@@ -470,8 +474,9 @@
             writer.post(Unbooked(course))
             writer = course.writer = pair[1].engine
             writer.post(Booked(course, self.toks(course, writer)))
-            if course.gen.session in self.homes:
-                self.homes[course.gen.session] = Home(course.reader, writer, self.router.now)
+            session = course.gen.session or ""
+            if session in self.homes and course.reader is not None:
+                self.homes[session] = Home(course.reader, writer, self.router.now)
         self.send(course, writer)
 
     def usual_ms(self, product: Product, stage: str) -> float:
@@ -516,12 +521,12 @@
                 s.engine.post(view)
 
 
-class Router:    # one gateway's decisions
+class Router(Loop):    # one gateway's decisions
     def __init__(self, facts: StartFacts) -> None:
         self.now, self.limits = -inf, limits_from(facts)    # the beat is asked for with the first batch
-        self.ready: deque[Engine | Desk] = deque()
+        self.ready: deque[Actor] = deque()
         self.out: list[Action] = []
-        self.desk = Desk(self, facts)
+        self.desk: Desk = Desk(self, facts)
 
     def take(self, now: float, events: list[Event]) -> list[Action]:
         heard = events if self.now > -inf else [port.Woken(True), *events]
--- a/ternlane/notes.py
+++ b/ternlane/notes.py
@@ -3,18 +3,24 @@
 
 from collections import deque
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, Any, NamedTuple
+from typing import Any, NamedTuple
 
-from ternlane.port import Generation, Server
+from ternlane.port import Action, Generation, Server
 
-if TYPE_CHECKING:
-    from ternlane.choice import Engine, Router
+
+class Loop:
+    """What the actors see of the router whose loop runs them."""
+    now: float
+    limits: Limits
+    ready: deque[Actor]
+    out: list[Action]
+    desk: Actor
 
 
 class Actor:
     """Has an inbox that the router's one loop empties."""
 
-    def __init__(self, router: Router) -> None:
+    def __init__(self, router: Loop) -> None:
         self.router, self.limits = router, router.limits
         self.inbox: deque[Any] = deque()
 
@@ -22,6 +28,16 @@
         self.inbox.append(note)
         self.router.ready.append(self)
 
+    def handle(self, note: Any) -> None:
+        raise NotImplementedError
+
+
+class Seat(Actor):
+    """The actor of one model server, as the others know it."""
+    server: Server
+    reads: bool
+    writes: bool
+
 
 class Limits(NamedTuple):
     """What the start facts come to for the decisions."""
@@ -40,7 +56,7 @@
 
 @dataclass(slots=True, eq=False)
 class Leg:
-    engine: Engine
+    engine: Seat
     course: Course
     writes: bool
     sent: float
@@ -58,27 +74,27 @@
     gen: Generation
     slo_at: float
     limit_at: float
-    reader: Engine | None = None
-    writer: Engine | None = None
+    reader: Seat | None = None
+    writer: Seat | None = None
     leg: Leg | None = None
     legs: int = 0
-    state_at: Engine | None = None
+    state_at: Seat | None = None
     may_have_run: tuple[float, Server] | None = None
     holds: bool = False    # a state may be held for it somewhere
     over: bool = False
-    agreed: list[Engine] = field(default_factory=list)    # keep its opening, the first its session
-    tried: set[Engine] = field(default_factory=set)
+    agreed: list[Seat] = field(default_factory=list)    # keep its opening, the first its session
+    tried: set[Seat] = field(default_factory=set)
 
 
 class Home(NamedTuple):
-    reader: Engine
-    writer: Engine
+    reader: Seat
+    writer: Seat
     used: float
 
 
 class Standing(NamedTuple):
     """What an Engine tells the Desk of itself."""
-    engine: Engine
+    engine: Seat
     listed: bool
     free: float       # share of memory, or of reading time if that is scarcer
     queue_ms: float   # reading that this gateway has given it and that is still out
--- a/ternlane/port.py
+++ b/ternlane/port.py
@@ -189,9 +189,11 @@
 
 @dataclass(slots=True, frozen=True)
 class SendLeg:
+    """`timeout_ms` runs until the first token; after it, a stream that is silent for `quiet_ms` has broken."""
     gen: Generation
     server: Server
     timeout_ms: float
+    quiet_ms: float
 
 
 @dataclass(slots=True, frozen=True)
--- a/ternlane/wirehost/host.py
+++ b/ternlane/wirehost/host.py
@@ -129,13 +129,14 @@
             return Woken(int(part[2]) == BEAT)
         if what == "CHECK_RESULT":
             server = self.server(part[3])
-            return server and Checked(server, VERDICTS.get(part[4], Verdict.ERROR),
-                                      self.report(part[5] if len(part) > 5 else "-"))
+            return None if server is None else Checked(server, VERDICTS.get(part[4], Verdict.ERROR),
+                                                       self.report(part[5] if len(part) > 5 else "-"))
         if what in ("SHUTDOWN", "WHISPER"):
             return None
-        gen = self.gens.get(int(part[2]))
-        if gen is None:
+        known = self.gens.get(int(part[2]))
+        if known is None:
             return None
+        gen = known
         if what == "EXPIRED":
             self.closed.add(gen)
             return ClientLeft(gen)
@@ -160,7 +161,7 @@
     def lines(self, number_: str, actions: list[Action]) -> Iterator[str]:
         for a in actions:
             match a:
-                case SendLeg(gen, server, timeout):
+                case SendLeg(gen, server, timeout, _):
                     self.legs[gen] = self.legs.get(gen, 0) + 1
                     yield f"FORWARD {number_} {self.gen_ids[gen]} {ms(timeout)} {self.server_ids[server]}"
                 case CallOff(gen):
