--- /dev/null
+++ b/ternlane/chat/intake.py
@@ -0,0 +1,71 @@
+"""Makes the Generation that the decisions see out of a chat request."""
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from xxhash import xxh3_64_hexdigest, xxh3_64_intdigest, xxh3_128_digest
+
+from ternlane.chat.openings import BLOCK, Openings, blocks
+from ternlane.chat.request import ChatAsk, Wrong, canonical
+from ternlane.chat.sessions import Sessions, chain
+from ternlane.port import Effect, Generation, Group, Product
+
+FIRST_TOKS_A_BYTE = 0.25    # until engines have said how many there were
+WEIGHT = 1 / 32             # of one more report
+BLOCKS_A_SESSION = 8        # opening blocks kept for each session that may be recognised
+
+EFFECTS = {"idempotent": Effect.IDEMPOTENT, "deduplicated": Effect.DEDUPLICATED,
+           "side-effecting": Effect.SIDE_EFFECTING}
+GROUPS = {"all": Group.ALL, "zone": Group.ZONE, "cell": Group.CELL}
+
+
+@dataclass(slots=True, eq=False)
+class Known:
+    """What the intake remembers of one generation until it ends."""
+    gen: Generation
+    session: str
+    last_hash: bytes
+    prompt_bytes: int
+
+
+class Intake:
+    """One gateway's knowledge of conversations. `models` maps each model name to its product."""
+
+    def __init__(self, models: dict[str, Product], max_toks: dict[Product, int], session_limit: int) -> None:
+        self.models, self.max_toks = models, max_toks
+        self.sessions = Sessions(2 * session_limit)
+        self.openings = Openings(BLOCKS_A_SESSION * session_limit)
+        self.toks_a_byte: dict[Product, float] = {}
+
+    def take(self, ask: ChatAsk, patience_ms: float) -> Known:
+        """Raises Wrong for a model that no product is offered under."""
+        product = self.models.get(ask.model)
+        if product is None:
+            raise Wrong("model", f"The model `{ask.model}` does not exist", "model_not_found", 404)
+        whole = b"".join(ask.texts)
+        last = chain(ask.texts, f"{ask.model}\0{ask.user or ''}".encode())
+        if ask.cache_key:
+            session = "k" + xxh3_64_hexdigest(f"{ask.user or ''}\0{ask.cache_key}".encode())
+        else:
+            session = self.sessions.find(last)
+        run = blocks(whole)
+        shared = self.openings.meet(run, xxh3_64_intdigest(session.encode()) >> 1)
+        opening = xxh3_64_hexdigest(run[:shared].tobytes()) if shared else None
+        ratio = self.toks_a_byte.get(product, FIRST_TOKS_A_BYTE)
+        limit = self.max_toks[product]
+        gen = Generation(product, session, opening, shared * BLOCK * ratio, max(1.0, len(whole) * ratio),
+                         float(min(ask.max_toks or limit, limit)), patience_ms)
+        return Known(gen, session, last[-1], len(whole))
+
+    def learn_prompt(self, known: Known, prompt_toks: float) -> None:
+        """An engine has said how many tokens the prompt had; absurd figures are not believed."""
+        if not 0 < prompt_toks <= 4 * known.prompt_bytes + 64:
+            return
+        product, ratio = known.gen.product, prompt_toks / known.prompt_bytes
+        old = self.toks_a_byte.get(product)
+        self.toks_a_byte[product] = ratio if old is None else old + WEIGHT * (ratio - old)
+
+    def answered(self, known: Known, text: str) -> None:
+        """Lets the next turn be recognised by what was answered."""
+        said = canonical({"role": "assistant", "content": text})
+        self.sessions.remember(xxh3_128_digest(known.last_hash + said), known.session)
--- /dev/null
+++ b/ternlane/days/script.py
@@ -0,0 +1,231 @@
+"""A day's script: fleet, products, load over time and troubles. JSON5, checked; times in seconds where `_s` says so."""
+from __future__ import annotations
+
+from typing import Annotated, Literal
+
+from msgspec import Meta
+
+from ternlane.paper.gateway import Count, DoorTerms, FleetTerms, Name, NotNegative, Part, Positive, ProductTerms, Sheet
+
+Span = Annotated[list[float], Meta(min_length=2, max_length=2)]
+
+
+class Kind(Sheet, frozen=True, kw_only=True):
+    """What one kind of engine can do."""
+    slots: Count = 8
+    queue: int = 40
+    mem_toks: Positive = 200e3
+    read_tok_s: Positive = 20e3
+    tok_ms: Positive = 10.0
+    tok_grow: NotNegative = 1.0
+    near_tok_s: Positive = 300e3
+    far_tok_s: Positive = 100e3
+    answer_toks: Annotated[list[int], Meta(min_length=2, max_length=2)] = [8, 40]
+    speeds: Span = [0.9, 1.1]    # drawn for each engine
+
+
+class Cell(Sheet, frozen=True, kw_only=True):
+    zone: str = "hall"
+    readers: int = 1
+    writers: int = 1
+    mixed: int = 0
+
+
+class Use(Sheet, frozen=True, kw_only=True):
+    """How clients use one product."""
+    product: Name
+    share: Positive = 1.0
+    turns: Span = [1.0, 2.0]
+    adds: Span = [100.0, 400.0]
+    openings: Count = 8
+    opening_toks: Span = [500.0, 2000.0]
+    opening_part: Part = 0.8
+    max_toks: Count = 400
+    think_ms: Positive = 300.0
+    key_part: Part = 0.5
+    plain_part: Part = 0.1
+
+
+class ClientsLine(Sheet, frozen=True, kw_only=True):
+    try_share: Span = [0.5, 1.0]
+    retries: int = 2
+    backoff_ms: Span = [50.0, 300.0]
+    honour: Part = 0.7
+    leave_part: Part = 0.0
+    leave_ms: Span = [20.0, 600.0]
+
+
+class ListTimes(Sheet, frozen=True, kw_only=True):
+    """How late the registry learns of things."""
+    notice_ms: NotNegative = 300.0      # a drain, or a start
+    silent_ms: NotNegative = 1500.0     # a death that nobody announced
+
+
+class Struck(Sheet, frozen=True, kw_only=True):
+    at_s: NotNegative
+    for_s: Positive = 10.0
+
+
+class Burst(Struck, frozen=True, kw_only=True, tag="burst", tag_field="kind"):
+    """Traffic jumps."""
+    times: Positive = 2.0
+
+
+class HeavyTail(Struck, frozen=True, kw_only=True, tag="heavy_tail", tag_field="kind"):
+    """Some prompts are many times longer."""
+    share: Part = 0.02
+    times: Positive = 10.0
+    product: str = ""
+
+
+class HotKey(Struck, frozen=True, kw_only=True, tag="hot_key", tag_field="kind"):
+    """Many new sessions begin with a long text not seen before."""
+    share: Part = 0.2
+    keys: Count = 1
+    toks: Positive = 3000.0
+
+
+class OnServers(Struck, frozen=True, kw_only=True):
+    """Strikes a part of the engines, or those named by number; `duty` narrows it."""
+    part: Part = 0.2
+    on: list[int] | None = None
+    duty: Literal["any", "read", "write", "both"] = "any"
+
+
+class Crash(OnServers, frozen=True, kw_only=True, tag="crash", tag_field="kind"):
+    """Processes die and come back cold after `for_s`."""
+
+
+class Hang(OnServers, frozen=True, kw_only=True, tag="hang", tag_field="kind"):
+    """Takes work, answers nothing."""
+
+
+class Slow(OnServers, frozen=True, kw_only=True, tag="slow", tag_field="kind"):
+    times: Positive = 4.0
+
+
+class Pauses(OnServers, frozen=True, kw_only=True, tag="pauses", tag_field="kind"):
+    """Stands still for `pause_ms` every `every_s`."""
+    pause_ms: Positive = 300.0
+    every_s: Positive = 2.0
+
+
+class Neighbour(OnServers, frozen=True, kw_only=True, tag="neighbour", tag_field="kind"):
+    """Another program takes a share of the machine, on and off."""
+    share: Part = 0.5
+    turn_s: Positive = 2.0
+
+
+class Flush(OnServers, frozen=True, kw_only=True, tag="flush", tag_field="kind"):
+    """Kept texts are forgotten at once."""
+
+
+class AnswerLost(OnServers, frozen=True, kw_only=True, tag="answer_lost", tag_field="kind"):
+    """The work runs, its answer does not come back."""
+    share: Part = 0.2
+    how: Literal["silence", "reset"] = "silence"
+
+
+class HandshakeSlow(OnServers, frozen=True, kw_only=True, tag="handshake_slow", tag_field="kind"):
+    """New connections are served late; open ones are not touched."""
+    added_ms: Positive = 200.0
+
+
+class OriginSlow(Struck, frozen=True, kw_only=True, tag="origin_slow", tag_field="kind"):
+    """The cells' links run slower."""
+    times: Positive = 4.0
+
+
+class ZoneCut(Struck, frozen=True, kw_only=True, tag="zone_cut", tag_field="kind"):
+    """One zone and the others can't reach each other."""
+    zone: str
+
+
+class MassRestart(OnServers, frozen=True, kw_only=True, tag="mass_restart", tag_field="kind"):
+    """Many engines of one kind restart at once, unannounced."""
+    within_s: NotNegative = 0.3
+
+
+class Preempt(OnServers, frozen=True, kw_only=True, tag="preempt", tag_field="kind"):
+    """Listed as draining, dead after `notice_s`; replacements start cold after `for_s`."""
+    notice_s: Positive = 2.0
+    waves: Count = 2
+
+
+class Roll(OnServers, frozen=True, kw_only=True, tag="release", tag_field="kind"):
+    """A release: drained, restarted, `batch` of those struck at a time."""
+    batch: Part = 0.25
+    drain_s: Positive = 1.0
+    down_s: Positive = 0.5
+
+
+class BalancerCrash(Struck, frozen=True, kw_only=True, tag="balancer_crash", tag_field="kind"):
+    """Gateways are killed outright and come back with their last list after `for_s`."""
+    part: Part = 0.3
+
+
+class BalancerRoll(Struck, frozen=True, kw_only=True, tag="balancer_roll", tag_field="kind"):
+    """Gateways are restarted in waves: SIGTERM, or killed."""
+    part: Part = 1.0
+    batch: Part = 0.2
+    down_s: Positive = 0.5
+    killed: bool = False
+
+
+class RegistryFails(Struck, frozen=True, kw_only=True, tag="registry_fails", tag_field="kind"):
+    how: Literal["errors", "silence", "garbage", "partial", "restart", "empty"] = "errors"
+
+
+AnyTrouble = (Burst | HeavyTail | HotKey | Crash | Hang | Slow | Pauses | Neighbour | Flush | AnswerLost | HandshakeSlow
+              | OriginSlow | ZoneCut | MassRestart | Preempt | Roll | BalancerCrash | BalancerRoll | RegistryFails)
+
+
+class DayScript(Sheet, frozen=True, kw_only=True):
+    name: Name
+    seed: int = 1
+    length_s: Positive
+    rate: Positive                    # generations a second over all gateways, without repeats
+    load: list[Span] = [[0.0, 1.0]]   # [second, times the rate], straight lines between
+    gateways: Count = 2
+    cells: Annotated[list[Cell], Meta(min_length=1)]
+    reader: Kind = Kind()
+    writer: Kind = Kind()
+    mixed: Kind = Kind()
+    products: Annotated[list[ProductTerms], Meta(min_length=1)]
+    uses: Annotated[list[Use], Meta(min_length=1)]
+    terms: FleetTerms = FleetTerms()
+    door: DoorTerms = DoorTerms()
+    clients: ClientsLine = ClientsLine()
+    lists: ListTimes = ListTimes()
+    front_notice_ms: Positive = 1500.0
+    troubles: list[AnyTrouble] = []
+
+    def __post_init__(self) -> None:
+        names = {p.name for p in self.products}
+        for i, use in enumerate(self.uses):
+            if use.product not in names:
+                raise ValueError(f"uses[{i}].product {use.product!r} is not among the products")
+        zones = {c.zone for c in self.cells}
+        engines = sum(c.readers + c.writers + c.mixed for c in self.cells)
+        for i, trouble in enumerate(self.troubles):
+            if isinstance(trouble, ZoneCut) and trouble.zone not in zones:
+                raise ValueError(f"troubles[{i}].zone {trouble.zone!r} has no cell")
+            if isinstance(trouble, OnServers) and any(not 0 <= n < engines for n in trouble.on or []):
+                raise ValueError(f"troubles[{i}].on names an engine that is not there (0 to {engines - 1})")
+            if trouble.at_s >= self.length_s:
+                raise ValueError(f"troubles[{i}].at_s lies after the day's end")
+        if [at for at, _ in self.load] != sorted(at for at, _ in self.load):
+            raise ValueError("load must go forward in time")
+
+    def rate_at(self, ms: float) -> float:
+        """Generations a second, by the straight line between two points of `load`."""
+        at = ms / 1000
+        points = self.load
+        if at <= points[0][0]:
+            return self.rate * points[0][1]
+        for (a, x), (b, y) in zip(points, points[1:], strict=False):
+            if at <= b:
+                return self.rate * (x + (y - x) * (at - a) / max(b - a, 1e-9))
+        return self.rate * points[-1][1]
+
+
--- /dev/null
+++ b/ternlane/engine/leg.py
@@ -0,0 +1,177 @@
+"""One leg over a socket: what is sent, what comes back, and what its end proves."""
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Any, Awaitable, Callable
+
+import h11
+import msgspec
+import trio
+
+from ternlane.engine.protocol import (CHAT_PATH, DONE, LOAD, NOT_RUN, RELEASE_PATH, ReadAnswer, Usage, chunk_in,
+                                      load_of, read_answer, refusal_of)
+from ternlane.http1 import EventReader, Pool, Unconnected
+from ternlane.port import Report, Verdict
+
+ANSWER_LIMIT = 4 * 2**20    # bytes of an engine's plain answer
+
+BROKEN = (trio.BrokenResourceError, trio.ClosedResourceError, OSError)
+
+
+@dataclass(slots=True)
+class LegPlan:
+    """Where to, under which names, and for how long (ms; `quiet_ms` between the events of a begun stream)."""
+    address: str
+    headers: list[tuple[str, str]]
+    body: bytes
+    timeout_ms: float
+    quiet_ms: float
+    scope: trio.CancelScope = field(default_factory=trio.CancelScope)
+    called_off: bool = False
+
+    def call_off(self) -> None:
+        self.called_off = True
+        self.scope.cancel()
+
+
+@dataclass(slots=True)
+class LegEnd:
+    verdict: Verdict
+    begun: bool = False    # the first token had come
+    why: str = ""
+    state: dict[str, Any] | None = None
+    usage: Usage | None = None
+    report: Report | None = None
+    state_lost: bool = False
+    finish: str = "stop"
+
+
+class ClientGone(Exception):
+    """The client's side broke while the answer was passed on; says nothing of the engine."""
+
+
+async def read_leg(pool: Pool, plan: LegPlan) -> LegEnd:
+    """Has a prompt read. Never raises but for an outer cancellation."""
+    end = LegEnd(Verdict.TIMED_OUT)
+
+    async def run() -> None:
+        caller = await pool.take(plan.address)
+        try:
+            head = await caller.ask("POST", CHAT_PATH, plan.headers, plan.body)
+            body = await caller.body(ANSWER_LIMIT)
+            pool.give_back(caller)
+        except BaseException:
+            caller.close_now()
+            raise
+        if refused(head, end):
+            return
+        answer: ReadAnswer = read_answer.decode(body)
+        if answer.kv_transfer_params is None:
+            end.verdict, end.why = Verdict.ERROR, "no kv_transfer_params in a reader's answer"
+            return
+        end.verdict, end.state, end.usage = Verdict.READ, answer.kv_transfer_params, answer.usage
+
+    return await ended(plan, end, run)
+
+
+async def stream_leg(pool: Pool, plan: LegPlan, pass_on: Callable[[str, bool], Awaitable[None]]) -> LegEnd:
+    """Has an answer written; `pass_on(text, first)` gets each piece. Raises ClientGone where that breaks."""
+    end = LegEnd(Verdict.TIMED_OUT)
+
+    async def run() -> None:
+        caller = await pool.take(plan.address)
+        whole = False
+        try:
+            head = await caller.ask("POST", CHAT_PATH, plan.headers, plan.body)
+            if refused(head, end):
+                await caller.body(ANSWER_LIMIT)
+                whole = True
+                return
+            events = EventReader()
+            async for piece in caller.chunks():
+                for data in events.feed(piece):
+                    if data == DONE:
+                        whole = True
+                        continue
+                    said = chunk_in.decode(data)
+                    if said.error is not None:
+                        end.verdict, end.why = Verdict.ERROR, f"the engine says: {str(said.error)[:200]}"
+                        return
+                    if said.usage is not None:
+                        end.usage = said.usage
+                    for choice in said.choices[:1]:
+                        end.finish = choice.finish_reason or end.finish
+                        if choice.delta is not None and choice.delta.content:
+                            first, end.begun = not end.begun, True
+                            plan.scope.deadline = float("inf")    # a slow client is not the engine's silence
+                            await pass_on(choice.delta.content, first)
+                plan.scope.deadline = trio.current_time() + plan.quiet_ms / 1000 if end.begun \
+                    else plan.scope.deadline
+            if not whole:
+                end.verdict, end.why = Verdict.RESET, "the stream ended before [DONE]"
+                return
+            if not end.begun:    # an answer of no tokens has begun with its end
+                end.begun = True
+                await pass_on("", True)
+            end.verdict = Verdict.STREAMED
+        finally:
+            if whole:
+                pool.give_back(caller)
+            else:
+                caller.close_now()
+
+    return await ended(plan, end, run)
+
+
+def refused(head: h11.Response, end: LegEnd) -> bool:
+    said = {name: value.decode("latin-1") for name, value in head.headers if name in (LOAD, NOT_RUN)}
+    end.report = load_of(said.get(LOAD))
+    if head.status_code == 200:
+        return False
+    refusal = refusal_of(head.status_code, said.get(NOT_RUN))
+    end.verdict, end.state_lost = refusal.verdict, refusal.state_lost
+    end.why = f"status {head.status_code} {said.get(NOT_RUN, '')}".strip()
+    return True
+
+
+async def ended(plan: LegPlan, end: LegEnd, run: Callable[[], Awaitable[None]]) -> LegEnd:
+    plan.scope.deadline = min(plan.scope.deadline, trio.current_time() + plan.timeout_ms / 1000)
+    try:
+        with plan.scope:
+            await run()
+    except Unconnected as why:
+        end.verdict, end.why = Verdict.UNCONNECTED, str(why)
+    except BROKEN as why:
+        end.verdict, end.why = Verdict.RESET, repr(why)
+    except h11.RemoteProtocolError as why:    # a torn answer is a broken connection, a wrong one an error
+        end.verdict = Verdict.RESET if "closed" in str(why) else Verdict.ERROR
+        end.why = str(why)
+    except (msgspec.DecodeError, UnicodeDecodeError, ValueError) as why:
+        end.verdict, end.why = Verdict.ERROR, f"not understood: {why}"
+    if plan.scope.cancelled_caught:
+        end.verdict = Verdict.CALLED_OFF if plan.called_off else Verdict.TIMED_OUT
+        end.why = end.why or ("silent within the stream" if end.begun else "")
+    return end
+
+
+async def release(pool: Pool, address: str, ident: str, headers: list[tuple[str, str]], within_ms: float) -> bool:
+    """Lets go of all that an engine holds for a generation. True if the engine has confirmed it."""
+    body = msgspec.json.encode({"request_id": ident})
+    with trio.move_on_after(within_ms / 1000):
+        while True:
+            caller = None
+            try:
+                caller = await pool.take(address)
+                head = await caller.ask("POST", RELEASE_PATH, headers, body)
+                await caller.body(ANSWER_LIMIT)
+                pool.give_back(caller)
+                return head.status_code in (200, 204, 404)
+            except (Unconnected, h11.RemoteProtocolError, *BROKEN):
+                if caller is not None:
+                    caller.close_now()
+                await trio.sleep(within_ms / 8000)
+            except trio.Cancelled:
+                if caller is not None:
+                    caller.close_now()
+                raise
+    return False
--- /dev/null
+++ b/ternlane/engine/protocol.py
@@ -0,0 +1,132 @@
+"""The messages between gateway and engines; docs/engine-protocol.md says which are public and which ours. No I/O."""
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum, auto
+from typing import Any
+
+import msgspec
+
+from ternlane.port import Report, Verdict
+
+CHAT_PATH = "/v1/chat/completions"
+RELEASE_PATH = "/ternlane/v1/release"
+HOLD_PATH = "/ternlane/v1/hold"
+NOT_RUN = b"x-ternlane-not-run"    # ours: the engine vouches that nothing ran, and says why
+LOAD = b"endpoint-load-metrics"    # ORCA (xDS custom load reports), as gateways of the field read it
+DONE = "[DONE]"
+
+
+class Stage(Enum):
+    READ = auto()
+    WRITE = auto()
+    WHOLE = auto()    # a mixed server reads and writes in one leg
+
+
+def read_body(raw: dict[str, Any]) -> bytes:
+    """The prompt to a reader: one token, and the state kept for another engine to fetch."""
+    body = {k: v for k, v in raw.items() if k not in ("stream_options", "max_completion_tokens")}
+    body.update(stream=False, max_tokens=1, kv_transfer_params={
+        "do_remote_decode": True, "do_remote_prefill": False, "remote_engine_id": None, "remote_block_ids": None,
+        "remote_host": None, "remote_port": None})
+    return msgspec.json.encode(body)
+
+
+def write_body(raw: dict[str, Any], state: dict[str, Any], max_toks: int) -> bytes:
+    """To a writer: the reader's parameters come back with do_remote_prefill."""
+    body = whole(raw, max_toks)
+    body["kv_transfer_params"] = {**state, "do_remote_decode": False, "do_remote_prefill": True}
+    return msgspec.json.encode(body)
+
+
+def whole_body(raw: dict[str, Any], max_toks: int) -> bytes:
+    return msgspec.json.encode(whole(raw, max_toks))
+
+
+def whole(raw: dict[str, Any], max_toks: int) -> dict[str, Any]:
+    body = {k: v for k, v in raw.items() if k not in ("max_completion_tokens", "kv_transfer_params")}
+    body.update(stream=True, max_tokens=max_toks, stream_options={"include_usage": True})
+    return body
+
+
+class Details(msgspec.Struct):
+    cached_tokens: int | None = None
+
+
+class Usage(msgspec.Struct):
+    prompt_tokens: int = 0
+    completion_tokens: int = 0
+    total_tokens: int = 0
+    prompt_tokens_details: Details | None = None
+
+    def told(self) -> dict[str, Any]:
+        out: dict[str, Any] = {"prompt_tokens": self.prompt_tokens, "completion_tokens": self.completion_tokens,
+                               "total_tokens": self.prompt_tokens + self.completion_tokens}
+        if self.prompt_tokens_details is not None:
+            out["prompt_tokens_details"] = {"cached_tokens": self.prompt_tokens_details.cached_tokens or 0}
+        return out
+
+
+class ReadAnswer(msgspec.Struct):
+    kv_transfer_params: dict[str, Any] | None = None
+    usage: Usage | None = None
+
+
+class DeltaIn(msgspec.Struct):
+    content: str | None = None
+
+
+class ChoiceIn(msgspec.Struct):
+    delta: DeltaIn | None = None
+    finish_reason: str | None = None
+
+
+class ChunkIn(msgspec.Struct):
+    choices: list[ChoiceIn] = []
+    usage: Usage | None = None
+    error: Any = None
+
+
+read_answer = msgspec.json.Decoder(ReadAnswer)
+chunk_in = msgspec.json.Decoder(ChunkIn)
+
+
+@dataclass(slots=True, frozen=True)
+class Refusal:
+    verdict: Verdict
+    state_lost: bool = False
+
+
+def refusal_of(status: int, not_run: str | None) -> Refusal:
+    """What an answer without success proves. A 429 is a refusal by its meaning; other codes only with our header."""
+    if not_run == "no-state":
+        return Refusal(Verdict.FULL, state_lost=True)
+    if not_run is not None or status == 429:
+        return Refusal(Verdict.FULL)
+    return Refusal(Verdict.ERROR)
+
+
+def load_of(said: str | None) -> Report | None:
+    """An ORCA header in its TEXT or JSON form. What can't be read counts as not said."""
+    if not said:
+        return None
+    form, _, text = said.strip().partition(" ")
+    figures: dict[str, float] = {}
+    try:
+        if form == "JSON":
+            raw = msgspec.json.decode(text)
+            for name, value in [*raw.items(), *(raw.get("named_metrics") or {}).items()]:
+                if isinstance(value, (int, float)):
+                    figures[name] = float(value)
+        elif form == "TEXT":
+            for part in text.split(","):
+                name, _, value = part.strip().partition("=")
+                figures[name.removeprefix("named_metrics.")] = float(value)
+    except (msgspec.DecodeError, ValueError, AttributeError, TypeError):
+        return None
+    mem = figures.get("kv_cache_usage_perc", figures.get("mem_utilization"))
+    running, waiting = figures.get("num_requests_running"), figures.get("num_requests_waiting")
+    out = None if running is None and waiting is None else (running or 0.0) + (waiting or 0.0)
+    if mem is not None and not 0.0 <= mem <= 1.5:    # absurd; a report is believed, so it must be possible
+        mem = None
+    return None if mem is None and out is None else Report(out, mem)
--- /dev/null
+++ b/ternlane/gateway/door.py
@@ -0,0 +1,257 @@
+"""The clients' side: OpenAI-style chat over HTTP/1.1. Each generation taken gets exactly one final answer."""
+from __future__ import annotations
+
+import re
+import time
+from contextlib import suppress
+from itertools import count
+from typing import Any
+
+import msgspec
+import trio
+from xxhash import xxh3_128_digest, xxh3_64_hexdigest
+
+from ternlane.chat import (Busy, Differs, Done, Intake, Repeats, Wrong, answer_body, chunk, error_body, read_chat,
+                           usage_chunk)
+from ternlane.gateway.host import Host, now_ms
+from ternlane.gateway.measures import Measures
+from ternlane.gateway.ticket import Final, Outlet, Streamed, Terminated, Throttled, Ticket
+from ternlane.http1 import BadRequest, Exchange, event_bytes, serve_connection
+from ternlane.paper import DoorTerms, GatewayPaper
+from ternlane.port import Effect, Product
+
+IDENT = re.compile(r"[A-Za-z0-9._:-]{1,80}")
+TIME_LIMIT = b"x-ternlane-time-limit-ms"
+STREAM_HEAD = [("Content-Type", "text/event-stream; charset=utf-8"), ("Cache-Control", "no-store"),
+               ("Transfer-Encoding", "chunked")]
+
+
+class StreamOutlet(Outlet):
+    """Text goes out as server-sent events while it comes."""
+
+    def __init__(self, exchange: Exchange, ident: str, model: str, include_usage: bool) -> None:
+        self.exchange, self.ident, self.model, self.include_usage = exchange, ident, model, include_usage
+        self.created = int(time.time())
+
+    async def piece(self, text: str, first: bool) -> None:
+        data = event_bytes(chunk(self.ident, self.created, self.model, text, None, first))
+        if first:
+            await self.exchange.begin(200, [*STREAM_HEAD, ("X-Request-Id", self.ident)], data)
+        else:
+            await self.exchange.chunk(data)
+
+    async def end(self, final: Final) -> None:
+        if isinstance(final, Streamed):
+            out = event_bytes(chunk(self.ident, self.created, self.model, None, final.finish, False))
+            if self.include_usage:
+                out += event_bytes(usage_chunk(self.ident, self.created, self.model, final.usage))
+            await self.exchange.end(out + event_bytes(b"[DONE]"))
+        else:    # the error event takes the place of [DONE]
+            why = final.why if isinstance(final, Terminated) else "throttled"
+            await self.exchange.end(event_bytes(error_body(502, f"The answer broke off: {why}", "stream_broken")))
+
+
+class PlainOutlet(Outlet):
+    """Text is kept by the ticket until the answer is whole."""
+
+    async def piece(self, text: str, first: bool) -> None:
+        pass
+
+
+class Door:
+    def __init__(self, paper: GatewayPaper, host: Host, intake: Intake, models: dict[str, Product],
+                 measures: Measures, log: Any) -> None:
+        self.paper, self.host, self.intake, self.models = paper, host, intake, models
+        self.measures, self.log = measures, log
+        self.terms: DoorTerms = paper.door
+        self.repeats = Repeats(paper.door.repeat_bytes)
+        self.count = count(1)
+        self.started = int(time.time())
+        self.birth = xxh3_64_hexdigest(f"{paper.name} {time.time_ns()}".encode())[:10]
+        self.draining = False
+        self.conns = 0
+
+    async def connection(self, stream: trio.SocketStream) -> None:
+        """Serves one client's connection."""
+        if self.conns >= self.terms.conn_limit:
+            stream.socket.close()
+            self.measures.refused.labels("conn_limit").inc()
+            return
+        self.conns += 1
+        self.measures.conns.set(self.conns)
+        with suppress(OSError):
+            stream.setsockopt(6, 1, 1)    # TCP_NODELAY: each token is a segment of its own
+        try:
+            await serve_connection(stream, self.handle, body_bytes=self.terms.body_bytes, head_ms=self.terms.head_ms,
+                                   body_ms=self.terms.body_ms, idle_ms=self.terms.idle_ms,
+                                   send_ms=self.terms.send_ms, refusal=self.refusal, draining=lambda: self.draining)
+        finally:
+            self.conns -= 1
+            self.measures.conns.set(self.conns)
+
+    def refusal(self, _: Exchange | None, bad: BadRequest) -> tuple[bytes, str]:
+        self.measures.refused.labels(bad.code).inc()
+        return error_body(bad.status, bad.why, bad.code), "application/json"
+
+    async def refuse(self, exchange: Exchange, status: int, why: str, code: str, param: str | None = None,
+                     extra: list[tuple[str, str]] | None = None) -> None:
+        self.measures.refused.labels(code).inc()
+        await exchange.answer(status, extra or [], error_body(status, why, code, param))
+
+    async def handle(self, exchange: Exchange) -> None:
+        route = exchange.method, exchange.path
+        if route == ("POST", "/v1/chat/completions"):
+            await self.chat(exchange)
+        elif route == ("GET", "/v1/models"):
+            data = [self.model(name) for name in self.models]
+            await exchange.answer(200, [], msgspec.json.encode({"object": "list", "data": data}))
+        elif route[0] == "GET" and route[1].startswith("/v1/models/"):
+            name = route[1].removeprefix("/v1/models/")
+            if name in self.models:
+                await exchange.answer(200, [], msgspec.json.encode(self.model(name)))
+            else:
+                await self.refuse(exchange, 404, f"The model `{name}` does not exist", "model_not_found", "model")
+        elif route == ("GET", "/healthz"):
+            ready = not self.draining
+            await exchange.answer(200 if ready else 503, [], b'{"ready":%s}' % (b"true" if ready else b"false"))
+        else:
+            known = route[1] in ("/v1/chat/completions", "/v1/models", "/healthz")
+            await self.refuse(exchange, 405 if known else 404, f"Unknown request: {route[0]} {route[1]}",
+                              "unknown_url")
+
+    def model(self, name: str) -> dict[str, Any]:
+        return {"id": name, "object": "model", "created": self.started, "owned_by": "ternlane"}
+
+    async def chat(self, exchange: Exchange) -> None:
+        """From the request to its one answer. What is refused here was never taken."""
+        since, key = now_ms(), exchange.header(b"idempotency-key")
+        if self.draining:
+            return await self.refuse(exchange, 503, "This gateway is going down", "draining",
+                                     extra=[("Connection", "close"), ("Retry-After", "1")])
+        try:
+            ask = read_chat(exchange.body)
+            if len(self.host.tickets) >= self.terms.open_limit:
+                return await self.refuse(exchange, 429, "This gateway holds as many generations as it may",
+                                         "open_limit", extra=[("Retry-After", "1")])
+            if key is not None and not 1 <= len(key) <= 255:
+                raise Wrong("Idempotency-Key", "Idempotency-Key must have 1 to 255 characters")
+            product = self.models.get(ask.model)
+            patience = self.patience(exchange, product)
+            scope_key = None if key is None else f"{exchange.header(b'authorization') or ''}\0{key}"
+            if scope_key is not None and product is not None:
+                found = self.repeats.begin(scope_key, xxh3_128_digest(exchange.body), since)
+                if isinstance(found, Busy):
+                    return await self.refuse(exchange, 409, "The first request with this Idempotency-Key is still "
+                                             "out", "idempotency_key_in_use", "Idempotency-Key")
+                if isinstance(found, Differs):
+                    return await self.refuse(exchange, 422, "This Idempotency-Key came with another body before",
+                                             "idempotency_key_reused", "Idempotency-Key")
+                if isinstance(found, Done):
+                    return await self.replay(exchange, found.answer, ask.model, ask.stream, ask.include_usage)
+            known = self.intake.take(ask, patience)
+        except Wrong as bad:
+            return await self.refuse(exchange, bad.status, bad.why, bad.code, bad.param)
+        ident = exchange.header(b"x-request-id") or ""
+        if not IDENT.fullmatch(ident):
+            ident = f"{self.birth}-{next(self.count)}"
+        outlet = (StreamOutlet(exchange, f"chatcmpl-{ident}", ask.model, ask.include_usage) if ask.stream
+                  else PlainOutlet())
+        # Engines drop repeats by this key; a key of the gateway's own can't meet another gateway's.
+        engine_key = (f"{self.birth}-{ident}-{next(self.count)}" if scope_key is None
+                      else xxh3_64_hexdigest(scope_key.encode()))
+        ticket = Ticket(ident, ask, known, outlet, since, engine_key)
+        try:
+            self.host.arrived(ticket)
+            await self.answer(exchange, ticket)
+        finally:
+            if not ticket.left and ticket.final is None:    # the connection's task was ended from outside
+                self.host.client_left(ticket)
+            if scope_key is not None:
+                self.remember(scope_key, ticket, known.gen.product)
+
+    def patience(self, exchange: Exchange, product: Product | None) -> float:
+        """The client's time limit where it states a shorter one, less what the answer's way back may take."""
+        limit = product.limit_ms if product is not None else 0.0
+        said = exchange.header(TIME_LIMIT)
+        if said is not None:
+            try:
+                stated = float(said)
+            except ValueError:
+                stated = -1.0
+            if not 0 < stated < 1e9:
+                raise Wrong("X-Ternlane-Time-Limit-Ms", "must be a positive number of milliseconds")
+            limit = min(limit, stated)
+        return max(0.0, limit - self.paper.door.answer_ms)
+
+    async def answer(self, exchange: Exchange, ticket: Ticket) -> None:
+        left = False
+        if ticket.final is None:
+            async with trio.open_nursery() as nursery:
+                async def watch() -> None:
+                    nonlocal left
+                    left = await exchange.until_left()
+                    if left:
+                        self.host.client_left(ticket)
+                nursery.start_soon(watch)
+                await ticket.over.wait()
+                nursery.cancel_scope.cancel()
+        if ticket.left or ticket.final is None:
+            exchange.reset()
+            return
+        try:
+            if isinstance(ticket.outlet, StreamOutlet) and ticket.begun:
+                await ticket.outlet.end(ticket.final)
+            else:
+                await self.whole(exchange, ticket, ticket.final)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            exchange.reset()    # gone before it took its answer: the answer was given all the same
+
+    async def whole(self, exchange: Exchange, ticket: Ticket, final: Final) -> None:
+        """An answer of which the client has nothing yet."""
+        ident = ("X-Request-Id", ticket.ident)
+        match final:
+            case Streamed(text, finish, usage):
+                body = answer_body(f"chatcmpl-{ticket.ident}", int(time.time()), ticket.ask.model, text, finish, usage)
+                await exchange.answer(200, [ident], body)
+            case Throttled(pause):
+                seconds = max(1, -(-int(pause) // 1000))
+                await exchange.answer(429, [ident, ("Retry-After", str(seconds)),
+                                            ("retry-after-ms", f"{max(pause, 1.0):.0f}")],
+                                      error_body(429, "The model servers are busy; nothing has run and a new try "
+                                                      "does no harm", "throttled"))
+            case Terminated(why, timed_out):
+                status = 504 if timed_out else 502
+                await exchange.answer(status, [ident, ("x-should-retry", "false")],
+                                      error_body(status, f"Terminated: {why or 'no server could finish it'}",
+                                                 "terminated"))
+
+    def remember(self, key: str, ticket: Ticket, product: Product) -> None:
+        """What a repeat under the key will hear. A throttle promises that nothing ran: the key is free again.
+        So is it where a new run does no harm anyway."""
+        final = ticket.final
+        harmless = product.effect is Effect.IDEMPOTENT
+        if isinstance(final, Throttled) or (harmless and not isinstance(final, Streamed)):
+            final_kept: Final | None = None
+        elif final is None:
+            final_kept = Terminated("the first client left; it may have run") if ticket.legs else None
+        else:
+            final_kept = final
+        cost = len(final_kept.text) if isinstance(final_kept, Streamed) else 0
+        until = now_ms() + max(product.window_ms, product.limit_ms)
+        self.repeats.end(key, final_kept, cost, until)
+        self.repeats.sweep(now_ms())
+
+    async def replay(self, exchange: Exchange, final: Final, model: str, stream: bool, include_usage: bool) -> None:
+        ident = f"chatcmpl-{self.birth}-{next(self.count)}"
+        mark = ("Idempotency-Replayed", "true")
+        match final:
+            case Streamed(text, finish, usage) if stream:
+                outlet = StreamOutlet(exchange, ident, model, include_usage)
+                await outlet.piece(text, True)
+                await outlet.end(final)
+            case Streamed(text, finish, usage):
+                await exchange.answer(200, [mark], answer_body(ident, int(time.time()), model, text, finish, usage))
+            case _:
+                why = final.why if isinstance(final, Terminated) else ""
+                await exchange.answer(502, [mark, ("x-should-retry", "false")],
+                                      error_body(502, f"Terminated: {why}", "terminated"))
--- /dev/null
+++ b/ternlane/gateway/facts.py
@@ -0,0 +1,30 @@
+"""From the operator's document to what the decisions are told at start."""
+from __future__ import annotations
+
+from ternlane.chat.intake import EFFECTS, GROUPS
+from ternlane.paper import GatewayPaper
+from ternlane.port import Product, StartFacts
+
+STEP_MS = 1.0    # the host hands events over as they come
+
+
+def products_of(paper: GatewayPaper) -> dict[str, Product]:
+    """Product by its own name; `models_of` adds the further names."""
+    return {p.name: Product(EFFECTS[p.effect], GROUPS[p.group], p.window_ms, p.slo_ms, p.slo_per_ktok_ms, p.tok_slo_ms,
+                            p.limit_ms, p.revenue, p.late_share) for p in paper.products}
+
+
+def models_of(paper: GatewayPaper, products: dict[str, Product]) -> dict[str, Product]:
+    return {model: products[p.name] for p in paper.products for model in (p.name, *p.models)}
+
+
+def facts_of(paper: GatewayPaper, products: dict[str, Product]) -> StartFacts:
+    fleet = paper.fleet
+    return StartFacts(
+        seed=paper.seed, gateways=paper.gateways, zone=paper.zone, products=tuple(products.values()),
+        leg_limit=fleet.leg_limit, may_call_off=fleet.may_call_off, may_hold_ahead=False, may_probe=False,
+        may_advise=fleet.longest_pause_ms > 0, must_ask=False, ask_within_ms=0.0, writers_read=fleet.writers_read,
+        reports_mem=fleet.reports_mem, longest_pause_ms=fleet.longest_pause_ms, connect_ms=fleet.connect_ms,
+        idle_ms=fleet.idle_ms, release_ms=fleet.release_ms, drain_grace_ms=fleet.drain_grace_ms,
+        cold_ms=fleet.cold_ms, cold_from=fleet.cold_from, fall_multiple=fleet.fall_multiple, fall_ms=fleet.fall_ms,
+        step_ms=STEP_MS)
--- /dev/null
+++ b/ternlane/gateway/gateway.py
@@ -0,0 +1,164 @@
+"""A whole gateway in a nursery: open_gateway starts it, and nothing of it is left when the block ends."""
+from __future__ import annotations
+
+import time
+from contextlib import asynccontextmanager
+from functools import partial
+from pathlib import Path
+from typing import Any, AsyncIterator, Callable
+
+import structlog
+import trio
+
+from ternlane import __version__
+from ternlane.chat import Intake
+from ternlane.choice import Router
+from ternlane.gateway.door import Door
+from ternlane.gateway.facts import facts_of, models_of, products_of
+from ternlane.gateway.host import Chooser, Host, now_ms
+from ternlane.gateway.measures import Measures
+from ternlane.http1 import Exchange, Pool, serve_connection
+from ternlane.nodes import Book, Torn, follow_consul, follow_file, keep, kept
+from ternlane.paper import ConsulSource, FileSource, GatewayPaper, NodeLine
+from ternlane.port import Life, ListFailed, StartFacts
+
+BACKLOG = 4096
+
+
+def split(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(":")
+    return host.strip("[]"), int(port)
+
+
+class Gateway:
+    def __init__(self, paper: GatewayPaper, chooser: Callable[[StartFacts], Chooser], nursery: trio.Nursery,
+                 log: Any, host_type: type[Host] = Host) -> None:
+        self.paper, self.nursery, self.log = paper, nursery, log
+        products = products_of(paper)
+        models = models_of(paper, products)
+        self.facts = facts_of(paper, products)
+        self.measures, self.book = Measures(), Book()
+        self.pool = Pool(paper.fleet.connect_ms, paper.fleet.idle_ms, paper.source)
+        intake = Intake(models, {products[p.name]: p.max_toks for p in paper.products}, paper.door.session_limit)
+        self.agent = f"ternlane/{__version__} ({paper.name})"
+        self.host = host_type(chooser(self.facts), self.facts, self.pool, self.book, intake, nursery, self.measures,
+                              self.agent, log)
+        self.door = Door(paper, self.host, intake, models, self.measures, log)
+        self.listeners: list[trio.SocketListener] = []
+        self.doors = trio.CancelScope()
+        self.address = ""
+        self.keeping: list[NodeLine] | None = None
+        self.keep_now = trio.Event()
+
+    # -- the node list
+
+    def found(self, lines: list[NodeLine]) -> None:
+        self.measures.lists.labels("read").inc()
+        news = self.book.whole(lines, time.time(), now_ms())
+        self.host.tell(news)
+        for life in Life:
+            self.measures.servers.labels(life.name.lower()).set(
+                sum(s.life is life for s in self.book.servers.values()))
+        if news.servers:
+            self.keeping = lines
+            self.keep_now.set()
+
+    def list_failed(self, why: str) -> None:
+        self.measures.lists.labels("failed").inc()
+        self.log.warning("node list", why=why)
+        self.host.tell(ListFailed())
+
+    def last_list(self) -> None:
+        """What this gateway knew before it was restarted, until its source says more."""
+        if self.paper.state is None:
+            return
+        try:
+            lines = kept(Path(self.paper.state))
+        except Torn as why:
+            self.log.error("kept node list not used", why=str(why))
+            return
+        if lines:
+            self.host.tell(self.book.whole(lines, time.time(), now_ms()))
+
+    async def keep_lists(self) -> None:
+        """Writes the newest list off the loop; a disk that fails is said aloud and costs nothing else."""
+        while self.paper.state is not None:
+            await self.keep_now.wait()
+            self.keep_now = trio.Event()
+            lines, self.keeping = self.keeping, None
+            try:
+                if lines is not None:
+                    await trio.to_thread.run_sync(keep, Path(self.paper.state), lines)
+            except OSError as why:
+                self.log.error("node list not kept", why=str(why))
+
+    async def follow(self) -> None:
+        match self.paper.nodes:
+            case FileSource() as source:
+                await follow_file(source, self.found, self.list_failed)
+            case ConsulSource() as source:
+                await follow_consul(source, self.found, self.list_failed, self.agent)
+            case inline:
+                self.found(inline.nodes)
+
+    # -- start and stop
+
+    async def start(self, listeners: list[trio.SocketListener] | None = None) -> None:
+        self.last_list()
+        if listeners is None:
+            host, port = split(self.paper.listen)
+            listeners = await trio.open_tcp_listeners(port, host=host, backlog=BACKLOG)
+        self.listeners = listeners
+        name = listeners[0].socket.getsockname()
+        self.address = f"{name[0]}:{name[1]}"
+        self.nursery.start_soon(self.follow)
+        self.nursery.start_soon(self.keep_lists)
+        self.nursery.start_soon(self.host.clock)
+        self.nursery.start_soon(self.serve)
+        if self.paper.metrics is not None:
+            host, port = split(self.paper.metrics)
+            await self.nursery.start(partial(trio.serve_tcp, self.metrics, port, host=host))
+        self.log.info("serving", address=self.address, gateway=self.paper.name)
+
+    async def serve(self) -> None:
+        with self.doors:
+            await trio.serve_listeners(self.door.connection, self.listeners, handler_nursery=self.nursery)
+
+    async def metrics(self, stream: trio.SocketStream) -> None:
+        async def handle(exchange: Exchange) -> None:
+            if exchange.path == "/metrics":
+                await exchange.answer(200, [], self.measures.text(), "text/plain; version=0.0.4")
+            else:
+                await exchange.answer(404, [], b"")
+        await serve_connection(stream, handler=handle, body_bytes=1024, head_ms=5e3, body_ms=5e3, idle_ms=60e3,
+                               send_ms=5e3)
+
+    async def drain(self) -> None:
+        """Takes nothing new, lets what is open end, and gives up on the rest when the time is over."""
+        self.door.draining = True
+        self.doors.cancel()
+        with trio.move_on_after(self.paper.door.drain_ms / 1000):
+            while self.host.tickets:
+                await trio.sleep(0.02)
+        for ticket in list(self.host.tickets.values()):
+            self.host.give_up(ticket)
+        with trio.move_on_after(0.5):    # for the last answers to go out
+            while self.host.tickets:
+                await trio.sleep(0.01)
+
+
+@asynccontextmanager
+async def open_gateway(paper: GatewayPaper, chooser: Callable[[StartFacts], Chooser] = Router, log: Any = None,
+                       host_type: type[Host] = Host,
+                       listeners: list[trio.SocketListener] | None = None) -> AsyncIterator[Gateway]:
+    """Everything lives in a nursery that this block owns."""
+    async with trio.open_nursery() as nursery:
+        gateway = Gateway(paper, chooser, nursery, log or structlog.get_logger(), host_type)
+        try:
+            await gateway.start(listeners)
+            yield gateway
+        finally:
+            nursery.cancel_scope.cancel()
+            gateway.pool.close()
+            for listener in gateway.listeners:
+                listener.socket.close()
--- /dev/null
+++ b/ternlane/gateway/host.py
@@ -0,0 +1,240 @@
+"""Tells the decisions what happens and carries out what they decide. It decides nothing.
+
+One loop owns the Router: `tell` puts an event in, and whoever finds the loop idle empties it. Sockets, timers and the
+node list all come through here.
+"""
+from __future__ import annotations
+
+from heapq import heappop, heappush
+from typing import Any, Callable, Protocol
+
+import trio
+
+from ternlane import port
+from ternlane.chat import Intake
+from ternlane.engine import LegEnd, LegPlan, Stage, read_body, read_leg, release, stream_leg, whole_body, write_body
+from ternlane.engine.leg import ClientGone
+from ternlane.gateway.measures import Measures
+from ternlane.gateway.ticket import Streamed, Terminated, Throttled, Ticket
+from ternlane.http1 import Pool
+from ternlane.nodes import Book
+from ternlane.port import Duty, Server, StartFacts, Verdict
+
+
+class Chooser(Protocol):
+    """What decides: choice.Router, or a baseline to measure against."""
+
+    def take(self, now: float, events: list[port.Event]) -> list[port.Action]: ...
+
+
+def now_ms() -> float:
+    return trio.current_time() * 1000
+
+
+class Host:
+    def __init__(self, chooser: Chooser, facts: StartFacts, pool: Pool, book: Book, intake: Intake,
+                 nursery: trio.Nursery, measures: Measures, agent: str, log: Any) -> None:
+        self.chooser, self.facts, self.pool, self.book, self.intake = chooser, facts, pool, book, intake
+        self.nursery, self.measures, self.agent, self.log = nursery, measures, agent, log
+        self.heard: list[port.Event] = []
+        self.turning = False
+        self.tickets: dict[port.Generation, Ticket] = {}
+        self.due: list[tuple[float, int, bool]] = []    # the one ordered structure of due times
+        self.turns = 0
+        self.alarm = trio.Event()
+        self.on_follow: Callable[[], None] = lambda: None
+
+    # -- the loop
+
+    def tell(self, event: port.Event) -> None:
+        self.heard.append(event)
+        if not self.turning:
+            self.turn()
+
+    def turn(self) -> None:
+        self.turning = True
+        try:
+            while self.heard:
+                events, self.heard = self.heard, []
+                for action in self.chooser.take(now_ms(), events):
+                    self.carry_out(action)
+        finally:
+            self.turning = False
+
+    def carry_out(self, action: port.Action) -> None:
+        match action:
+            case port.SendLeg(gen, server, timeout, quiet):
+                self.send(self.tickets[gen], server, timeout, quiet)
+            case port.CallOff(gen):
+                ticket = self.tickets.get(gen)
+                if ticket is not None and ticket.leg is not None and not ticket.begun:
+                    ticket.leg.call_off()
+            case port.Throttle(gen, pause):
+                self.settle(self.tickets.get(gen), Throttled(pause))
+            case port.Terminate(gen):
+                ticket = self.tickets.get(gen)
+                timed_out = ticket is not None and bool(ticket.trail) and ticket.trail[-1].endswith("TIMED_OUT")
+                self.settle(ticket, Terminated(ticket.why if ticket is not None else "", timed_out))
+            case port.LetGo(gen):
+                self.let_go(self.tickets.get(gen))
+            case port.Wake(at, beat):
+                self.turns += 1
+                heappush(self.due, (at, self.turns, beat))
+                self.alarm.set()
+            case port.Follow():
+                self.on_follow()
+            case port.Log(server, text):
+                self.log.info("server", server=self.book.places[server].ident, text=text)
+            case port.HoldAhead() | port.Probe():
+                raise AssertionError(f"{action} was not offered in the start facts")
+
+    async def clock(self) -> None:
+        """Wakes the decisions at the times they asked for; all that is due goes in one turn."""
+        while True:
+            if not self.due:
+                self.alarm = trio.Event()
+                await self.alarm.wait()
+                continue
+            wait = self.due[0][0] - now_ms()
+            if wait > 0:
+                self.alarm = trio.Event()
+                with trio.move_on_after(wait / 1000):
+                    await self.alarm.wait()
+                continue
+            while self.due and self.due[0][0] <= now_ms():
+                self.heard.append(port.Woken(heappop(self.due)[2]))
+            if not self.turning:
+                self.turn()
+            self.pool.sweep()
+            await trio.lowlevel.checkpoint()
+
+    # -- generations
+
+    def arrived(self, ticket: Ticket) -> None:
+        self.tickets[ticket.gen] = ticket
+        self.measures.open.set(len(self.tickets))
+        self.tell(port.Arrived(ticket.gen))
+
+    def client_left(self, ticket: Ticket) -> None:
+        """The client has gone: nothing is owed any more, and everything held for it is freed."""
+        if ticket.final is None and not ticket.left:
+            ticket.left = True
+            ticket.over.set()
+            if ticket.leg is not None and ticket.begun:
+                ticket.leg.call_off()    # a stream that nobody reads
+            self.tell(port.ClientLeft(ticket.gen))
+            self.close(ticket, "left")
+
+    def give_up(self, ticket: Ticket) -> None:
+        """The gateway goes down: what it still holds is terminated, and its legs are called off."""
+        if ticket.leg is not None:
+            ticket.leg.call_off()
+        if ticket.final is None and not ticket.left:
+            self.settle(ticket, Terminated("the gateway went down"))
+            self.tell(port.ClientLeft(ticket.gen))
+
+    def settle(self, ticket: Ticket | None, final: Throttled | Terminated | Streamed) -> None:
+        if ticket is None or not ticket.settle(final):
+            return
+        self.close(ticket, type(final).__name__.lower())
+
+    def close(self, ticket: Ticket, outcome: str) -> None:
+        took = now_ms() - ticket.since
+        self.measures.outcomes.labels(ticket.ask.model, outcome).inc()
+        self.log.info("generation", gen=ticket.ident, model=ticket.ask.model, session=ticket.known.session,
+                      outcome=outcome, legs=ticket.trail, took_ms=round(took, 1), why=ticket.why)
+        self.forget(ticket)
+
+    def forget(self, ticket: Ticket) -> None:
+        """A ticket stays until its answer is settled, its last leg has ended and what it held is let go."""
+        if ticket.leg is None and (ticket.final is not None or ticket.left) and not ticket.holders:
+            self.tickets.pop(ticket.gen, None)
+            self.measures.open.set(len(self.tickets))
+
+    # -- legs
+
+    def send(self, ticket: Ticket, server: Server, timeout_ms: float, quiet_ms: float) -> None:
+        place = self.book.places[server]
+        number = ticket.legs
+        ticket.legs += 1
+        headers = [("Content-Type", "application/json"), ("X-Request-Id", f"{ticket.ident}.{number}"),
+                   ("User-Agent", self.agent), ("Idempotency-Key", ticket.key)]
+        raw, toks = ticket.ask.raw, int(ticket.gen.max_toks)
+        if server.duty is Duty.READ:
+            stage, body = Stage.READ, read_body(raw)
+            ticket.holders[server] = None    # from now on: a read whose end is not heard may have left its state
+        elif server.duty is Duty.WRITE and ticket.state is not None:
+            stage, body = Stage.WRITE, write_body(raw, ticket.state, toks)
+        else:
+            stage, body = Stage.WHOLE, whole_body(raw, toks)
+        ticket.leg = LegPlan(place.address, headers, body, timeout_ms, quiet_ms)
+        self.nursery.start_soon(self.run, ticket, server, stage, ticket.leg)
+
+    async def run(self, ticket: Ticket, server: Server, stage: Stage, plan: LegPlan) -> None:
+        since = now_ms()
+
+        async def pass_on(text: str, first: bool) -> None:
+            if ticket.left:
+                raise ClientGone
+            if first:
+                ticket.begun = True
+                ticket.holders.clear()    # the writer has fetched the state
+                self.measures.first.labels(ticket.ask.model).observe((now_ms() - ticket.since) / 1000)
+                self.tell(port.FirstTok(ticket.gen, server, now_ms() - since))
+            ticket.pieces.append(text)
+            try:
+                await ticket.outlet.piece(text, first)
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                raise ClientGone from None
+
+        try:
+            end = await (read_leg(self.pool, plan) if stage is Stage.READ else stream_leg(self.pool, plan, pass_on))
+        except ClientGone:
+            end = LegEnd(Verdict.CALLED_OFF, begun=True, why="the client left")
+            self.client_left(ticket)
+        self.leg_ended(ticket, server, stage, end, now_ms() - since)
+
+    def leg_ended(self, ticket: Ticket, server: Server, stage: Stage, end: LegEnd, took: float) -> None:
+        ticket.leg = None
+        place = self.book.places[server]
+        ticket.trail.append(f"{place.ident} {stage.name} {end.verdict.name}")
+        self.measures.legs.labels(stage.name.lower(), end.verdict.name.lower()).inc()
+        self.log.debug("leg", gen=ticket.ident, leg=ticket.legs - 1, server=place.ident, stage=stage.name,
+                       verdict=end.verdict.name, took_ms=round(took, 1), why=end.why)
+        kept = 0.0
+        if end.usage is not None:
+            self.intake.learn_prompt(ticket.known, end.usage.prompt_tokens)
+            details = end.usage.prompt_tokens_details
+            kept = float(details.cached_tokens or 0) if details is not None else 0.0
+        if end.verdict is Verdict.READ:
+            ticket.state = end.state
+        elif end.why:
+            ticket.why = f"{place.ident}: {end.why}"
+        if end.verdict is Verdict.STREAMED:
+            usage = end.usage.told() if end.usage is not None else {
+                "prompt_tokens": 0, "completion_tokens": 0, "total_tokens": 0}
+            text = "".join(ticket.pieces)
+            self.intake.answered(ticket.known, text)
+            self.settle(ticket, Streamed(text, end.finish, usage))
+        elif end.begun:    # a break in a begun stream ends the generation; its client has part of the answer
+            self.settle(ticket, Terminated(end.why or "the stream broke"))
+        over = ticket.final is not None or ticket.left
+        self.tell(port.LegEnded(ticket.gen, server, end.verdict, took, over, kept, end.state_lost, end.report))
+        self.forget(ticket)
+
+    def let_go(self, ticket: Ticket | None) -> None:
+        if ticket is None:
+            return
+        ticket.state = None
+        holders, ticket.holders = list(ticket.holders), {}
+        for server in holders:
+            self.nursery.start_soon(self.release, ticket, server)
+        self.forget(ticket)
+
+    async def release(self, ticket: Ticket, server: Server) -> None:
+        place = self.book.places[server]
+        done = await release(self.pool, place.address, ticket.ident, [("User-Agent", self.agent)],
+                             self.facts.release_ms)
+        self.measures.releases.labels("confirmed" if done else "unheard").inc()
+        if not done:
+            self.log.warning("release unheard", gen=ticket.ident, server=place.ident)
--- /dev/null
+++ b/ternlane/gateway/measures.py
@@ -0,0 +1,23 @@
+"""What the gateway counts, in a registry of its own: nothing is left behind in the process."""
+from __future__ import annotations
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+
+
+class Measures:
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        r = self.registry
+        self.outcomes = Counter("ternlane_generations", "Generations by model and final answer", ["model", "outcome"],
+                                registry=r)
+        self.legs = Counter("ternlane_legs", "Legs by stage and how they ended", ["stage", "verdict"], registry=r)
+        self.first = Histogram("ternlane_first_token_seconds", "Arrival to first token", ["model"], registry=r)
+        self.open = Gauge("ternlane_open_generations", "Generations held now", registry=r)
+        self.conns = Gauge("ternlane_connections", "Clients' connections", registry=r)
+        self.refused = Counter("ternlane_refused_requests", "Requests that were not taken", ["code"], registry=r)
+        self.releases = Counter("ternlane_releases", "States let go", ["how"], registry=r)
+        self.lists = Counter("ternlane_node_lists", "Node lists by how reading them went", ["how"], registry=r)
+        self.servers = Gauge("ternlane_servers", "Model servers on the list", ["life"], registry=r)
+
+    def text(self) -> bytes:
+        return generate_latest(self.registry)
--- /dev/null
+++ b/ternlane/gateway/ticket.py
@@ -0,0 +1,74 @@
+"""One generation on the gateway, between its client and the decisions."""
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Any
+
+import trio
+
+from ternlane.chat import ChatAsk, Known
+from ternlane.engine import LegPlan
+from ternlane.port import Generation, Server
+
+
+@dataclass(slots=True)
+class Throttled:
+    pause_ms: float
+
+
+@dataclass(slots=True)
+class Terminated:
+    """`begun`: the client has part of a stream already."""
+    why: str
+    timed_out: bool = False
+
+
+@dataclass(slots=True)
+class Streamed:
+    text: str
+    finish: str
+    usage: dict[str, Any]
+
+
+Final = Throttled | Terminated | Streamed
+
+
+class Outlet:
+    """Where a generation's text goes; the door's answers are its kinds."""
+
+    async def piece(self, text: str, first: bool) -> None:
+        raise NotImplementedError
+
+
+@dataclass(slots=True, eq=False)
+class Ticket:
+    """`final` is set once, by the host; whoever waits is woken by `over`."""
+    ident: str
+    ask: ChatAsk
+    known: Known
+    outlet: Outlet
+    since: float
+    key: str    # under which engines drop repeats
+    final: Final | None = None
+    over: trio.Event = field(default_factory=trio.Event)
+    left: bool = False
+    begun: bool = False
+    leg: LegPlan | None = None
+    legs: int = 0
+    trail: list[str] = field(default_factory=list)    # server and verdict of each leg
+    why: str = ""
+    state: dict[str, Any] | None = None    # as the reader gave it, to hand to a writer
+    pieces: list[str] = field(default_factory=list)
+    holders: dict[Server, None] = field(default_factory=dict)    # servers that may hold a state for it
+
+    @property
+    def gen(self) -> Generation:
+        return self.known.gen
+
+    def settle(self, final: Final) -> bool:
+        """The one final answer; a second one is refused."""
+        if self.final is not None or self.left:
+            return False
+        self.final = final
+        self.over.set()
+        return True
--- /dev/null
+++ b/ternlane/nodes/book.py
@@ -0,0 +1,66 @@
+"""Node lines become the Server objects that host and decisions share. Free of I/O."""
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Iterable
+from zlib import crc32
+
+from ternlane.paper import NodeLine
+from ternlane.port import Duty, Life, Listed, Server
+
+DUTIES = {"read": Duty.READ, "write": Duty.WRITE, "both": Duty.BOTH}
+LIVES = {"up": Life.UP, "draining": Life.DRAINING, "gone": Life.GONE}
+
+
+@dataclass(slots=True, eq=False)
+class Place:
+    """A server's id and address, for the door and the legs alone."""
+    ident: str
+    address: str
+    line: NodeLine
+
+
+class Book:
+    """`wall` gives seconds since 1970 and `now` the router's milliseconds, both of the same moment."""
+
+    def __init__(self) -> None:
+        self.servers: dict[str, Server] = {}
+        self.places: dict[Server, Place] = {}
+
+    def whole(self, lines: Iterable[NodeLine], wall: float, now: float) -> Listed:
+        """A whole list: what it leaves out is gone. Only what changed is told."""
+        news, named = [], set()
+        for line in lines:
+            named.add(line.id)
+            server = self.servers.get(line.id)
+            place = None if server is None else self.places[server]
+            if server is not None and place is not None and place.line == line:
+                continue
+            if server is None or server.duty is not DUTIES[line.duty]:    # another duty makes it another server
+                if server is not None:
+                    server.life = Life.GONE
+                    news.append(server)
+                server = self.servers[line.id] = Server(line.zone, line.cell, DUTIES[line.duty], line.mem_toks,
+                                                        mark=crc32(line.id.encode()))
+            server.zone, server.cell, server.mem_toks, server.size = line.zone, line.cell, line.mem_toks, line.size
+            server.started_ms = max(0.0, now - (wall - line.started) * 1000) if line.started else 0.0
+            server.life = LIVES[line.state]
+            self.places[server] = Place(line.id, line.address, line)
+            news.append(server)
+        for ident, server in self.servers.items():
+            if ident not in named and server.life is not Life.GONE:
+                server.life = Life.GONE
+                self.places[server].line = NodeLine(id=ident, address=self.places[server].address, duty="both",
+                                                    mem_toks=1, state="gone")
+                news.append(server)
+        return Listed(tuple(news))
+
+    def forget(self, unused: Iterable[Server]) -> None:
+        """Drops servers that are gone and that nothing refers to any more."""
+        for server in unused:
+            place = self.places.get(server)
+            if place is not None and server.life is Life.GONE and self.servers.get(place.ident) is server:
+                del self.servers[place.ident], self.places[server]
+
+    def lines(self) -> list[NodeLine]:
+        return [self.places[s].line for s in self.servers.values() if s.life is not Life.GONE]
--- /dev/null
+++ b/ternlane/nodes/follow.py
@@ -0,0 +1,96 @@
+"""Follows a list at its source for as long as it runs, and says each whole list that it finds.
+
+A source that fails, restarts or says nonsense changes nothing: the old list stays, `failed` is told, and it is asked
+again after a pause that grows to eight times itself.
+"""
+from __future__ import annotations
+
+import os
+from pathlib import Path
+from typing import Callable
+
+import h11
+import trio
+
+from ternlane.http1 import Pool, Unconnected
+from ternlane.nodes.consul import nodes_from_health
+from ternlane.paper import ConsulSource, FileSource, NodeLine, PaperError, read_text
+from ternlane.paper.gateway import Sheet
+
+LIST_LIMIT = 64 * 2**20
+
+Found = Callable[[list[NodeLine]], None]
+Failed = Callable[[str], None]
+
+
+class NodeFile(Sheet, frozen=True, kw_only=True):
+    nodes: list[NodeLine]
+
+
+def read_nodes(text: str, name: str) -> list[NodeLine]:
+    """Raises PaperError, also for an id that is given twice."""
+    lines = read_text(text, NodeFile, name).nodes
+    seen: set[str] = set()
+    for i, line in enumerate(lines):
+        if line.id in seen:
+            raise PaperError(name, f"$.nodes[{i}].id", f"{line.id!r} is given twice")
+        seen.add(line.id)
+    return lines
+
+
+async def follow_file(source: FileSource, found: Found, failed: Failed) -> None:
+    """Looks at the file's identity, size and time; reads it when they have changed."""
+    path, last = Path(source.path), None
+    while True:
+        try:
+            stat = os.stat(path)
+            mark = stat.st_ino, stat.st_size, stat.st_mtime_ns
+            if mark != last:
+                found(read_nodes(path.read_text(encoding="utf-8"), str(path)))
+                last = mark
+        except (OSError, UnicodeDecodeError, PaperError) as why:
+            failed(str(why))
+        await trio.sleep(source.look_ms / 1000)
+
+
+async def follow_consul(source: ConsulSource, found: Found, failed: Failed, agent: str) -> None:
+    """Blocking queries. An index that goes back or to nought starts anew, as the API's description asks."""
+    pool, index, pause = Pool(1000.0, 2 * source.wait_ms), 0, source.retry_ms
+    try:
+        while True:
+            try:
+                with trio.fail_after((source.wait_ms * 1.1 + 2000) / 1000):    # the wait may be lengthened by 1/16
+                    index, lines = await ask_consul(pool, source, index, agent, failed)
+                if lines is not None:
+                    found(lines)
+                pause = source.retry_ms
+            except (Unconnected, OSError, trio.BrokenResourceError, trio.ClosedResourceError, trio.TooSlowError,
+                    h11.RemoteProtocolError, ValueError) as why:
+                failed(f"{source.address}: {why!r}")
+                index = 0    # it may have restarted with another count
+                await trio.sleep(pause / 1000)
+                pause = min(2 * pause, 8 * source.retry_ms)
+    finally:
+        pool.close()
+
+
+async def ask_consul(pool: Pool, source: ConsulSource, index: int, agent: str,
+                     failed: Failed) -> tuple[int, list[NodeLine] | None]:
+    caller = await pool.take(source.address)
+    try:
+        target = f"/v1/health/service/{source.service}?index={index}&wait={source.wait_ms:.0f}ms"
+        head = await caller.ask("GET", target, [("User-Agent", agent)])
+        body = await caller.body(LIST_LIMIT)
+        pool.give_back(caller)
+    except BaseException:
+        caller.close_now()
+        raise
+    if head.status_code != 200:
+        raise ValueError(f"status {head.status_code}")
+    said = next((int(value) for name, value in head.headers if name == b"x-consul-index"), 0)
+    if said == index and index > 0:    # nothing new within the wait
+        return index, None
+    lines, left_out = nodes_from_health(body)
+    if left_out:
+        failed("left out " + "; ".join(left_out[:5]))
+    return (0 if said < index else said), lines
--- /dev/null
+++ b/ternlane/paper/gateway.py
@@ -0,0 +1,124 @@
+"""What an operator writes about one gateway. Times are milliseconds."""
+from __future__ import annotations
+
+from typing import Annotated, Literal
+
+import msgspec
+from msgspec import Meta
+
+Positive = Annotated[float, Meta(gt=0)]
+NotNegative = Annotated[float, Meta(ge=0)]
+Part = Annotated[float, Meta(ge=0, le=1)]
+Count = Annotated[int, Meta(ge=1)]
+Name = Annotated[str, Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$")]
+Address = Annotated[str, Meta(pattern=r"^(\[[0-9a-fA-F:]+\]|[A-Za-z0-9.-]+):\d{1,5}$")]
+
+
+class Sheet(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """Unknown keys are refused: a misspelt limit would otherwise be no limit."""
+
+
+class ProductTerms(Sheet, frozen=True, kw_only=True):
+    """One product: which model names mean it, what may be repeated, what is promised, what it earns."""
+    name: Name
+    models: list[str] = []    # further model names that mean this product
+    effect: Literal["idempotent", "deduplicated", "side-effecting"] = "side-effecting"
+    group: Literal["all", "zone", "cell"] = "cell"
+    window_ms: NotNegative = 0.0
+    slo_ms: Positive
+    slo_per_ktok_ms: NotNegative = 0.0
+    tok_slo_ms: Positive = 80.0
+    limit_ms: Positive
+    revenue: NotNegative = 1.0
+    late_share: Part = 0.0
+    max_toks: Count = 1024    # of an answer whose request names no maximum
+
+    def __post_init__(self) -> None:
+        if self.limit_ms < self.slo_ms:
+            raise ValueError("limit_ms is shorter than slo_ms")
+
+
+class FleetTerms(Sheet, frozen=True, kw_only=True):
+    """What holds of the model servers and of the rules."""
+    leg_limit: Count = 5
+    connect_ms: Positive = 250.0
+    idle_ms: Positive = 30e3
+    release_ms: Positive = 500.0
+    drain_grace_ms: NotNegative = 250.0
+    cold_ms: NotNegative = 10e3
+    cold_from: Annotated[float, Meta(gt=0, le=1)] = 0.25
+    fall_multiple: Positive = 2.5
+    fall_ms: Positive = 1000.0
+    longest_pause_ms: NotNegative = 1000.0
+    reports_mem: bool = True
+    may_call_off: bool = True
+    writers_read: bool = False
+
+
+class DoorTerms(Sheet, frozen=True, kw_only=True):
+    """Limits on clients' connections and requests; none of them routes."""
+    body_bytes: Count = 4 * 2**20
+    head_ms: Positive = 10e3       # for a request's head, once begun
+    body_ms: Positive = 30e3       # for its body
+    idle_ms: Positive = 60e3       # between requests on one connection
+    answer_ms: NotNegative = 20.0  # kept back from a client's time limit for the answer's way
+    send_ms: Positive = 10e3       # for a client to take what was sent
+    open_limit: Count = 20000      # generations held at once
+    conn_limit: Count = 20000
+    drain_ms: Positive = 15e3      # from SIGTERM to the end
+    repeat_bytes: Count = 64 * 2**20    # answers kept for repeats under an Idempotency-Key
+    session_limit: Count = 200_000      # conversations recognised by their beginning
+
+
+class NodeLine(Sheet, frozen=True, kw_only=True):
+    """One model server on a list. `started` is in seconds since 1970, 0: long ago."""
+    id: Name
+    address: Address
+    zone: str = "-"
+    cell: int = 0
+    duty: Literal["read", "write", "both"]
+    mem_toks: Positive
+    size: Positive = 1.0
+    state: Literal["up", "draining", "gone"] = "up"
+    started: NotNegative = 0.0
+
+
+class FileSource(Sheet, frozen=True, kw_only=True, tag="file", tag_field="from"):
+    path: str
+    look_ms: Positive = 500.0
+
+
+class ConsulSource(Sheet, frozen=True, kw_only=True, tag="consul", tag_field="from"):
+    """A registry with blocking queries in the published Consul health form."""
+    address: Address
+    service: Name
+    wait_ms: Positive = 10e3
+    retry_ms: Positive = 500.0
+
+
+class InlineSource(Sheet, frozen=True, kw_only=True, tag="inline", tag_field="from"):
+    nodes: list[NodeLine]
+
+
+class GatewayPaper(Sheet, frozen=True, kw_only=True):
+    """The whole document of one gateway."""
+    name: Name
+    listen: Address
+    metrics: Address | None = None
+    source: str | None = None          # address that connections to model servers come from
+    zone: str = "-"
+    gateways: Count = 1                # how many share the fleet
+    seed: int = 0
+    state: str | None = None           # file that keeps the last node list over a restart
+    products: Annotated[list[ProductTerms], Meta(min_length=1)]
+    nodes: FileSource | ConsulSource | InlineSource
+    fleet: FleetTerms = FleetTerms()
+    door: DoorTerms = DoorTerms()
+
+    def __post_init__(self) -> None:
+        seen: set[str] = set()
+        for product in self.products:
+            for model in (product.name, *product.models):
+                if model in seen:
+                    raise ValueError(f"model name {model!r} is given twice")
+                seen.add(model)
--- /dev/null
+++ b/ternlane/standin/clients.py
@@ -0,0 +1,276 @@
+"""Stand-in clients: conversations that come on their own schedule, retry as the users' do, and note what they hear."""
+from __future__ import annotations
+
+import random
+import zlib
+from dataclasses import dataclass
+from typing import Any, Callable
+
+import h11
+import msgspec
+import trio
+
+from ternlane.http1 import Caller, EventReader, Pool, Unconnected
+from ternlane.standin.traffic import Traffic, clock_ms
+
+TOK_BYTES = 4
+GONE = (OSError, trio.BrokenResourceError, trio.ClosedResourceError, h11.RemoteProtocolError)
+
+
+@dataclass(frozen=True)
+class Talk:
+    """How one product is used."""
+    product: str
+    effect: str
+    share: float
+    limit_ms: float
+    turns: tuple[float, float] = (1.0, 2.0)
+    adds: tuple[float, float] = (100.0, 400.0)      # tokens a turn
+    openings: int = 8
+    opening_toks: tuple[float, float] = (500.0, 2000.0)
+    opening_part: float = 0.8
+    max_toks: int = 400
+    think_ms: float = 300.0
+    key_part: float = 0.5       # sessions that name themselves by prompt_cache_key
+    plain_part: float = 0.1     # of generations that are not streamed
+
+
+@dataclass
+class Habits:
+    try_share: tuple[float, float] = (0.5, 1.0)    # of the time limit that a try waits
+    retries: int = 2
+    backoff_ms: tuple[float, float] = (50.0, 300.0)
+    honour: float = 0.7         # of those told when to come back who do as told
+    leave_part: float = 0.0     # of clients that leave midway
+    leave_ms: tuple[float, float] = (20.0, 600.0)
+
+
+@dataclass
+class Weather:
+    """What troubles change about the traffic; looked at when a session starts."""
+    rate: float = 1.0
+    long_part: float = 0.0
+    long_times: float = 1.0
+    long_product: str = ""
+    hot_part: float = 0.0
+    hot_toks: float = 3000.0
+    hot_keys: int = 1
+    hot_seed: int = 0
+
+
+@dataclass(eq=False)
+class Session:
+    talk: Talk
+    ident: str
+    messages: list[dict[str, Any]]
+    key: str | None
+    user: str
+    left: int = 1
+    said: int = 0
+
+
+@dataclass
+class Heard:
+    """How a try ended, as the client saw it."""
+    outcome: str            # streamed, throttled, terminated, broken, unreachable, none or left
+    status: int = 0
+    text: str = ""
+    pause_ms: float | None = None
+    why: str = ""
+    usage: dict[str, Any] | None = None
+    unread: int = 0
+
+
+def words(rng: random.Random, toks: float) -> str:
+    """Text of about so many tokens that nobody else sends."""
+    n = max(1, int(toks))
+    return "".join(f"{rng.getrandbits(12):03x} " for _ in range(n))
+
+
+class Clients:
+    def __init__(self, name: str, address: str, talks: list[Talk], habits: Habits, traffic: Traffic, seed: int,
+                 source: str | None = None) -> None:
+        self.name, self.address, self.talks, self.habits, self.traffic = name, address, talks, habits, traffic
+        self.rng = random.Random(seed)
+        self.pool = Pool(1000.0, 1000.0, source)
+        self.weather = Weather()
+        self.count = self.open = 0
+        self.tally: dict[str, int] = {}
+        self.opening_texts: dict[tuple[str, int, int], str] = {}
+
+    def opening(self, talk: Talk) -> str:
+        """A text that sessions share; which are popular falls off as 1/rank."""
+        w = self.weather
+        if self.rng.random() < w.hot_part:
+            key = "hot", self.rng.randrange(w.hot_keys), w.hot_seed
+            toks = w.hot_toks
+        else:
+            ranks = [1 / (i + 1) for i in range(talk.openings)]
+            key = talk.product, self.rng.choices(range(talk.openings), ranks)[0], 0
+            low, high = talk.opening_toks
+            toks = low + (high - low) * (zlib.crc32(repr(key).encode()) % 1000) / 1000
+        if key not in self.opening_texts:
+            self.opening_texts[key] = words(random.Random(repr(key)), toks)
+        return self.opening_texts[key]
+
+    def session(self) -> Session:
+        self.count += 1
+        talk = self.rng.choices(self.talks, [t.share for t in self.talks])[0]
+        ident = f"{self.name}-{self.count}"
+        messages = []
+        if self.rng.random() < talk.opening_part:
+            messages.append({"role": "system", "content": self.opening(talk)})
+        low, high = talk.turns
+        turns = low + (high - low) * self.rng.random()
+        left = int(turns) + (self.rng.random() < turns % 1)
+        key = ident if self.rng.random() < talk.key_part else None
+        return Session(talk, ident, messages, key, f"user-{self.rng.randrange(200)}", max(1, left))
+
+    async def run(self, rate: Callable[[float], float], length_ms: float, nursery: trio.Nursery) -> None:
+        """Sessions begin so that generations come at `rate(ms since start)` a second; none waits for an answer."""
+        turns = sum(t.share * max(1.0, sum(t.turns) / 2) for t in self.talks) / sum(t.share for t in self.talks)
+        begin = due = trio.current_time()
+        while (due - begin) * 1000 < length_ms:
+            due += self.rng.expovariate(max(1e-3, rate((due - begin) * 1000) * self.weather.rate / turns))
+            await trio.sleep_until(due)
+            nursery.start_soon(self.converse, self.session())
+
+    async def converse(self, session: Session) -> None:
+        while session.left > 0:
+            session.left -= 1
+            session.said += 1
+            heard = await self.task(session)
+            if heard.outcome != "streamed" or not session.left:
+                return
+            session.messages.append({"role": "assistant", "content": heard.text})
+            await trio.sleep(self.rng.expovariate(1 / session.talk.think_ms) / 1000)
+
+    async def task(self, session: Session) -> Heard:
+        """One generation with the client's own repeats."""
+        talk, w = session.talk, self.weather
+        low, high = talk.adds
+        toks = low + (high - low) * self.rng.random()
+        if w.long_part and talk.product in (w.long_product, w.long_product or talk.product) \
+                and self.rng.random() < w.long_part:
+            toks *= w.long_times
+        session.messages.append({"role": "user", "content": words(self.rng, toks)})
+        task, begun, tries = f"{session.ident}.{session.said}", clock_ms(), 0
+        self.open += 1
+        while True:
+            low, high = self.habits.try_share
+            limit = min(talk.limit_ms * (low + (high - low) * self.rng.random()), begun + talk.limit_ms - clock_ms())
+            heard = await self.attempt(session, task, tries, limit)
+            tries += 1
+            pause = self.pause(heard)
+            if tries > self.habits.retries or not self.may_retry(talk, heard) \
+                    or clock_ms() + pause > begun + talk.limit_ms - 50:
+                break
+            await trio.sleep(pause / 1000)
+        self.open -= 1
+        self.tally[heard.outcome] = self.tally.get(heard.outcome, 0) + 1
+        self.traffic.line("task", task=task, product=talk.product, outcome=heard.outcome, tries=tries)
+        return heard
+
+    def may_retry(self, talk: Talk, heard: Heard) -> bool:
+        if heard.outcome in ("streamed", "left"):
+            return False
+        return talk.effect == "idempotent" or heard.outcome in ("throttled", "unreachable")
+
+    def pause(self, heard: Heard) -> float:
+        low, high = self.habits.backoff_ms
+        if heard.pause_ms is not None and self.rng.random() < self.habits.honour:
+            return heard.pause_ms
+        return low + (high - low) * self.rng.random()
+
+    async def attempt(self, session: Session, task: str, number: int, limit_ms: float) -> Heard:
+        talk, gen = session.talk, f"{task}.{number}"
+        stream = self.rng.random() >= talk.plain_part
+        body: dict[str, Any] = {"model": talk.product, "messages": session.messages, "stream": stream,
+                                "max_tokens": talk.max_toks, "user": session.user}
+        if stream:
+            body["stream_options"] = {"include_usage": True}
+        if session.key is not None:
+            body["prompt_cache_key"] = session.key
+        headers = [("Content-Type", "application/json"), ("X-Request-Id", gen),
+                   ("X-Ternlane-Time-Limit-Ms", f"{limit_ms:.1f}"), ("Connection", "close")]
+        if talk.effect == "deduplicated":
+            headers.append(("Idempotency-Key", task))
+        leave = self.rng.random() < self.habits.leave_part
+        low, high = self.habits.leave_ms
+        stay = low + (high - low) * self.rng.random() if leave else limit_ms
+        toks = sum(len(m["content"]) for m in session.messages) / TOK_BYTES
+        heard, caller = Heard("none"), None
+        scope = trio.CancelScope(deadline=trio.current_time() + stay / 1000)
+        try:
+            with scope:
+                caller = await self.pool.connect(self.address)
+                self.traffic.line("ask", gen=gen, task=task, product=talk.product, effect=talk.effect,
+                                  limit_ms=round(limit_ms, 1), port=caller.local[1], toks=toks, stream=stream)
+                await self.listen(caller, gen, headers, msgspec.json.encode(body), heard, scope, leave, limit_ms)
+        except Unconnected:
+            heard.outcome = "unreachable"
+        except GONE as why:
+            heard.outcome = "broken" if heard.status else "unreachable"
+            heard.why = repr(why)
+        if scope.cancelled_caught and leave:
+            heard.outcome = "left"
+        if caller is not None:
+            caller.close_now()
+            self.traffic.line("final", gen=gen, outcome=heard.outcome, status=heard.status, why=heard.why,
+                              unread=heard.unread, crc=zlib.crc32(heard.text.encode()), usage=heard.usage,
+                              pause=heard.pause_ms)
+        return heard
+
+    async def listen(self, caller: Caller, gen: str, headers: list[tuple[str, str]], body: bytes, heard: Heard,
+                     scope: trio.CancelScope, leave: bool, limit_ms: float) -> None:
+        head = await caller.ask("POST", "/v1/chat/completions", headers, body)
+        heard.status = head.status_code
+        said = {name: value.decode("latin-1") for name, value in head.headers}
+        if said.get(b"content-type", "").startswith("text/event-stream"):
+            await self.stream(caller, gen, heard, scope, leave, limit_ms)
+        else:
+            raw = await caller.body(64 * 2**20)
+            answer = msgspec.json.decode(raw)
+            if head.status_code == 200:
+                heard.outcome = "streamed"
+                heard.text, heard.usage = answer["choices"][0]["message"]["content"], answer["usage"]
+                self.traffic.line("first", gen=gen)
+            else:
+                heard.outcome = "throttled" if head.status_code == 429 else "terminated"
+                heard.why = answer["error"]["message"]
+                if b"retry-after-ms" in said:
+                    heard.pause_ms = float(said[b"retry-after-ms"])
+        try:    # the connection was asked to close: anything that still comes is something after the final answer
+            while more := await caller.stream.receive_some(65536):
+                heard.unread += len(more)
+        except GONE:
+            pass
+
+    async def stream(self, caller: Caller, gen: str, heard: Heard, scope: trio.CancelScope, leave: bool,
+                     limit_ms: float) -> None:
+        events, first = EventReader(), True
+        pieces: list[str] = []
+        finals: list[str] = []
+        async for chunk in caller.chunks():
+            if not leave:    # a begun stream has no time limit but the client's patience between events
+                scope.deadline = trio.current_time() + limit_ms / 1000
+            for data in events.feed(chunk):
+                if finals:
+                    heard.unread += len(data)
+                if data == "[DONE]":
+                    finals.append("streamed")
+                    continue
+                said = msgspec.json.decode(data)
+                if "error" in said:
+                    finals.append("terminated")
+                    heard.why = said["error"]["message"]
+                    continue
+                for choice in said["choices"]:
+                    if choice["delta"].get("content"):
+                        if first:
+                            first = False
+                            self.traffic.line("first", gen=gen)
+                        pieces.append(choice["delta"]["content"])
+                heard.usage = said.get("usage") or heard.usage
+        heard.text = "".join(pieces)
+        heard.outcome = finals[0] if finals else "broken"
--- /dev/null
+++ b/ternlane/standin/engine.py
@@ -0,0 +1,423 @@
+"""A stand-in reader, writer or mixed server: slots, a queue, memory, kept texts, warm-up, and falling over.
+
+Simple but true to what a gateway meets: work takes its time at the engine's present speed, waits in a bounded queue,
+holds memory; a process that just started does only part of its work and falls over when it is sent too much.
+"""
+from __future__ import annotations
+
+import random
+import struct
+import zlib
+from collections import OrderedDict, deque
+from dataclasses import dataclass, field
+from typing import Any, Callable
+
+import h11
+import msgspec
+import trio
+from xxhash import xxh3_64_intdigest
+
+from ternlane.http1 import Exchange, Pool, Unconnected, event_bytes, serve_connection
+from ternlane.standin.traffic import Traffic, clock_ms
+
+KEPT_BLOCK = 256      # bytes of prompt text
+TOK_BYTES = 4
+LINGER_0 = struct.pack("ii", 1, 0)    # closing resets the connection
+LEASE_MS = 30e3       # a state that nobody fetches is dropped after this
+
+
+@dataclass(frozen=True)
+class Build:
+    """What a kind of engine can do. Speeds are tokens a second, memory tokens."""
+    slots: int = 8
+    queue: int = 40
+    mem_toks: float = 200e3
+    read_tok_s: float = 20e3
+    tok_ms: float = 10.0        # from one token to the next with one stream
+    tok_grow: float = 1.0       # part by which that grows from one stream to all slots
+    near_tok_s: float = 300e3   # state to a writer of its own cell
+    far_tok_s: float = 100e3
+    cold_ms: float = 10e3
+    cold_from: float = 0.3
+    fall_multiple: float = 3.0
+    fall_ms: float = 2000.0
+    answer_toks: tuple[int, int] = (8, 40)
+    dedup_ms: float = 5000.0
+
+
+@dataclass(eq=False)
+class Trouble:
+    """What ails an engine now."""
+    hung: bool = False
+    slow: float = 1.0            # times slower
+    taken: float = 0.0           # part of the machine that another program has
+    pause_until: float = 0.0
+    lost: float = 0.0            # part of answers that never arrive
+    lost_by_reset: bool = False
+    handshake_ms: float = 0.0
+    links: float = 1.0           # times slower
+    cut: Callable[[str], bool] = field(default=lambda _: False)    # by the peer's address
+
+
+class Refused(Exception):
+    def __init__(self, status: int, reason: str) -> None:
+        super().__init__(reason)
+        self.status, self.reason = status, reason
+
+
+class Engine:
+    def __init__(self, ident: str, duty: str, zone: str, cell: int, host: str, port: int, build: Build,
+                 traffic: Traffic, seed: int, source: str | None = None) -> None:
+        self.ident, self.duty, self.zone, self.cell = ident, duty, zone, cell
+        self.host, self.port, self.build, self.traffic = host, port, build, traffic
+        self.rng = random.Random(zlib.crc32(f"{seed} {ident}".encode()))
+        self.trouble = Trouble()
+        self.pool = Pool(500.0, 20e3, source)
+        self.life = trio.CancelScope()
+        self.changed = trio.Event()
+        self.refusing = False    # told to drain
+        self.started_ms = 0.0
+        self.clear()
+
+    def clear(self) -> None:
+        self.kept: OrderedDict[int, None] = OrderedDict()
+        self.states: dict[str, tuple[float, float]] = {}    # generation -> tokens, when
+        self.busy = 0
+        self.queue: deque[trio.Event] = deque()
+        self.used = 0.0
+        self.arrived: deque[tuple[float, float]] = deque()
+        self.done: OrderedDict[str, tuple[float, str]] = OrderedDict()    # deduplication key -> when, text
+        self.fallen = False
+
+    # -- life
+
+    async def run(self, nursery: trio.Nursery, started: trio.Event | None = None) -> None:
+        """Serves until `die`; run again for a restart."""
+        listeners = await trio.open_tcp_listeners(self.port, host=self.host, backlog=4096)
+        self.port = listeners[0].socket.getsockname()[1]
+        self.life = trio.CancelScope()
+        self.traffic.line("up", id=self.ident, duty=self.duty, cold=self.started_ms > 0, zone=self.zone,
+                          cell=self.cell, slots=self.build.slots, cold_ms=self.build.cold_ms,
+                          cold_from=self.build.cold_from, fall_multiple=self.build.fall_multiple,
+                          fall_ms=self.build.fall_ms)
+        if started is not None:
+            started.set()
+        try:
+            with self.life:
+                async with trio.open_nursery() as own:
+                    own.start_soon(self.expire)
+                    await trio.serve_listeners(self.connection, listeners, handler_nursery=own)
+        finally:
+            for listener in listeners:
+                listener.socket.close()
+            for gen in self.states:
+                self.traffic.line("lost", id=self.ident, gen=gen)
+            self.traffic.line("down", id=self.ident)
+            self.pool.close()
+            self.clear()
+
+    def die(self) -> None:
+        self.life.cancel()
+
+    async def expire(self) -> None:
+        while True:
+            await trio.sleep(1.0)
+            for gen, (_, since) in list(self.states.items()):
+                if clock_ms() - since > LEASE_MS:
+                    self.drop_state(gen, "lost")
+
+    async def connection(self, stream: trio.SocketStream) -> None:
+        if self.trouble.cut(stream.socket.getpeername()[0]):
+            stream.setsockopt(1, 13, LINGER_0)
+            stream.socket.close()
+            return
+        if self.trouble.handshake_ms:
+            await trio.sleep(self.trouble.handshake_ms / 1000)
+        stream.setsockopt(6, 1, 1)
+        try:
+            await serve_connection(stream, self.handle, body_bytes=64 * 2**20, head_ms=60e3, body_ms=60e3,
+                                   idle_ms=120e3, send_ms=30e3)
+        except trio.Cancelled:
+            if stream.socket.fileno() >= 0:
+                stream.setsockopt(1, 13, LINGER_0)
+            raise
+
+    # -- speed and load
+
+    def warmth(self) -> float:
+        if not self.started_ms:
+            return 1.0
+        age = (clock_ms() - self.started_ms) / self.build.cold_ms
+        return min(1.0, self.build.cold_from + (1 - self.build.cold_from) * age)
+
+    def speed(self) -> float:
+        t = self.trouble
+        if t.hung or clock_ms() < t.pause_until:
+            return 0.0
+        return self.warmth() * (1 - t.taken) / t.slow
+
+    def alter(self) -> None:
+        """Wakes the work that goes by the speed."""
+        self.changed.set()
+        self.changed = trio.Event()
+
+    async def work(self, ms: float) -> None:
+        """Sleeps for as long as the work takes at a speed that may change meanwhile."""
+        left = ms
+        while left > 1e-6:
+            speed = self.speed()
+            if speed <= 0:
+                with trio.move_on_after(0.02):
+                    await self.changed.wait()
+                continue
+            step = min(left / speed, 50.0)
+            since = clock_ms()
+            await trio.sleep(step / 1000)
+            left -= max(step, clock_ms() - since) * speed
+        await trio.lowlevel.checkpoint()
+
+    def weigh(self, work_ms: float) -> None:
+        """Counts what was sent against what a cold engine can do; too much of it and the process falls over."""
+        now, b = clock_ms(), self.build
+        self.arrived.append((now, work_ms))
+        while self.arrived[0][0] < now - b.fall_ms:
+            self.arrived.popleft()
+        warmth = self.warmth()
+        if warmth < 1 and sum(w for _, w in self.arrived) > b.fall_multiple * warmth * b.slots * b.fall_ms:
+            self.fallen = True
+            self.traffic.line("fell", id=self.ident)
+            self.die()
+
+    def load(self) -> tuple[str, str]:
+        figures = {"named_metrics": {"kv_cache_usage_perc": round(min(1.0, self.used / self.build.mem_toks), 4),
+                                     "num_requests_running": self.busy, "num_requests_waiting": len(self.queue)}}
+        return "endpoint-load-metrics", "JSON " + msgspec.json.encode(figures).decode()
+
+    async def enter(self) -> None:
+        """A slot, at once or after the queue. Raises Refused."""
+        if self.busy < self.build.slots and not self.queue:
+            self.busy += 1
+            return
+        if len(self.queue) >= self.build.queue:
+            raise Refused(429, "queue-full")
+        turn = trio.Event()
+        self.queue.append(turn)
+        try:
+            await turn.wait()
+        except trio.Cancelled:
+            if turn in self.queue:
+                self.queue.remove(turn)
+            else:
+                self.leave()
+            raise
+
+    def leave(self) -> None:
+        self.busy -= 1
+        if self.queue and self.busy < self.build.slots:
+            self.busy += 1
+            self.queue.popleft().set()
+
+    # -- what is asked
+
+    async def handle(self, exchange: Exchange) -> None:
+        if self.trouble.cut(exchange.peer[0]):
+            exchange.reset()
+            return
+        if exchange.path == "/v1/chat/completions":
+            await self.leg(exchange)
+        elif exchange.path == "/ternlane/v1/release":
+            gen = str(msgspec.json.decode(exchange.body)["request_id"])
+            self.drop_state(gen, "released")
+            await exchange.answer(200, [self.load()], b"{}")
+        elif exchange.path == "/standin/state":
+            await self.give_state(exchange)
+        else:
+            await exchange.answer(404, [], b"{}")
+
+    def drop_state(self, gen: str, how: str) -> None:
+        held = self.states.pop(gen, None)
+        if held is not None:
+            self.used -= held[0]
+            self.traffic.line(how, id=self.ident, gen=gen)
+
+    async def give_state(self, exchange: Exchange) -> None:
+        gen = exchange.query.removeprefix("gen=")
+        toks = self.states[gen][0] if gen in self.states else None
+        if toks is None:
+            await exchange.answer(404, [], b"{}")
+            return
+        self.drop_state(gen, "taken")
+        await exchange.answer(200, [], msgspec.json.encode({"toks": toks}))
+
+    async def leg(self, exchange: Exchange) -> None:
+        ident = exchange.header(b"x-request-id") or "?"
+        gen, _, number = ident.rpartition(".")
+        body = msgspec.json.decode(exchange.body)
+        params = body.get("kv_transfer_params") or {}
+        stage = "read" if params.get("do_remote_decode") else "write" if params.get("do_remote_prefill") else "whole"
+        agent = exchange.header(b"user-agent") or ""
+        who = agent[agent.find("(") + 1:-1]
+        text = "".join(m["content"] for m in body["messages"] if isinstance(m.get("content"), str)).encode()
+        self.traffic.line("leg", id=self.ident, gen=gen, n=int(number or 0), stage=stage, gw=who,
+                          src=exchange.peer[0])
+        how = "dropped"
+        try:
+            async with trio.open_nursery() as nursery:
+                async def watch() -> None:
+                    await exchange.until_left()
+                    nursery.cancel_scope.cancel()
+                nursery.start_soon(watch)
+                try:
+                    how = await (self.read(exchange, gen, body, text) if stage == "read" else
+                                 self.write(exchange, gen, int(number or 0), stage, body, text))
+                except Refused as why:
+                    how = f"refused {why.reason}"
+                    await exchange.answer(why.status, [("x-ternlane-not-run", why.reason), self.load()], b"{}")
+                nursery.cancel_scope.cancel()
+        except (trio.BrokenResourceError, trio.ClosedResourceError, h11.LocalProtocolError):
+            pass
+        finally:
+            self.traffic.line("leg_end", id=self.ident, gen=gen, n=int(number or 0), how=how)
+        if how in ("dropped", "lost"):
+            exchange.reset()
+
+    async def silence(self, exchange: Exchange) -> str:
+        """The answer is lost: nothing comes back, or the connection breaks."""
+        if self.trouble.lost_by_reset:
+            exchange.stream.setsockopt(1, 13, LINGER_0)
+            return "lost"
+        await trio.sleep_forever()
+        raise AssertionError
+
+    def unkept(self, text: bytes) -> tuple[float, float]:
+        """Tokens to be read and tokens found kept; what is read is kept from now on."""
+        key, kept, all_kept = 0, 0, True
+        for i in range(0, len(text) - KEPT_BLOCK + 1, KEPT_BLOCK):
+            key = xxh3_64_intdigest(text[i:i + KEPT_BLOCK], key)
+            all_kept = all_kept and key in self.kept
+            kept += all_kept
+            self.kept[key] = None
+            self.kept.move_to_end(key)
+        limit = int(self.build.mem_toks / 2 * TOK_BYTES / KEPT_BLOCK)
+        while len(self.kept) > limit:
+            self.kept.popitem(last=False)
+        found = kept * KEPT_BLOCK / TOK_BYTES
+        return len(text) / TOK_BYTES - found, found
+
+    async def read(self, exchange: Exchange, gen: str, body: dict[str, Any], text: bytes) -> str:
+        toks = len(text) / TOK_BYTES
+        if self.duty == "write":
+            raise Refused(400, "not-a-reader")
+        if self.refusing:
+            raise Refused(503, "draining")
+        if self.used + toks > self.build.mem_toks:
+            raise Refused(429, "memory-full")
+        unread, kept = self.unkept(text)
+        work = 2.0 + unread / self.build.read_tok_s * 1000
+        self.weigh(work)
+        await self.enter()
+        self.used += toks
+        try:
+            await self.work(work)
+        except BaseException:
+            self.used -= toks
+            raise
+        finally:
+            self.leave()
+        self.states[gen] = toks, clock_ms()
+        self.traffic.line("state", id=self.ident, gen=gen, toks=toks)
+        if self.rng.random() < self.trouble.lost:
+            return await self.silence(exchange)
+        answer = {"id": gen, "object": "chat.completion", "choices": [
+            {"index": 0, "message": {"role": "assistant", "content": "."}, "finish_reason": "length"}],
+            "kv_transfer_params": {"do_remote_prefill": True, "do_remote_decode": False, "remote_engine_id": self.ident,
+                                   "remote_block_ids": [], "remote_host": self.host, "remote_port": self.port,
+                                   "remote_request_id": gen, "standin_cell": self.cell},
+            "usage": {"prompt_tokens": int(toks), "completion_tokens": 1, "total_tokens": int(toks) + 1,
+                      "prompt_tokens_details": {"cached_tokens": int(kept)}}}
+        await exchange.answer(200, [self.load()], msgspec.json.encode(answer))
+        return "read"
+
+    async def fetch(self, gen: str, params: dict[str, Any]) -> None:
+        """Takes the state over from its reader, at the speed of the link between them."""
+        caller = None
+        try:
+            with trio.fail_after(2.0):
+                caller = await self.pool.take(f"{params['remote_host']}:{params['remote_port']}")
+                head = await caller.ask("GET", f"/standin/state?gen={gen}", [])
+                said = msgspec.json.decode(await caller.body(4096))
+                self.pool.give_back(caller)
+        except (Unconnected, OSError, h11.RemoteProtocolError, trio.BrokenResourceError, trio.TooSlowError,
+                msgspec.DecodeError):
+            if caller is not None:
+                caller.close_now()
+            raise Refused(409, "no-state") from None
+        except trio.Cancelled:
+            if caller is not None:
+                caller.close_now()
+            raise
+        if head.status_code != 200:
+            raise Refused(409, "no-state")
+        near = params.get("standin_cell") == self.cell
+        rate = self.build.near_tok_s if near else self.build.far_tok_s / self.trouble.links
+        await self.work(said["toks"] / rate * 1000)
+
+    def answer_toks(self, text: bytes, most: int) -> int:
+        low, high = self.build.answer_toks
+        return min(most, low + zlib.crc32(text) % (high - low + 1))
+
+    async def write(self, exchange: Exchange, gen: str, number: int, stage: str, body: dict[str, Any],
+                    text: bytes) -> str:
+        if self.duty == ("write" if stage == "whole" else "read"):
+            raise Refused(409, "no-state")
+        if self.refusing:
+            raise Refused(503, "draining")
+        toks, most = len(text) / TOK_BYTES, int(body.get("max_tokens") or 1024)
+        if self.used + toks > self.build.mem_toks:
+            raise Refused(429, "memory-full")
+        out = self.answer_toks(text, most)
+        self.weigh(out * self.build.tok_ms + toks / self.build.near_tok_s * 1000)
+        await self.enter()
+        held = toks + out
+        self.used += held
+        try:
+            unread, kept = self.unkept(text) if stage == "whole" else (0.0, toks)
+            if stage == "whole":
+                await self.work(2.0 + unread / self.build.read_tok_s * 1000)
+            else:
+                await self.fetch(gen, body["kv_transfer_params"])
+            key = exchange.header(b"idempotency-key") or gen
+            words = [f"{zlib.crc32(text + bytes([i % 256])) % 9973} " for i in range(out)]
+            known = self.done.get(key)
+            if known is None or clock_ms() - known[0] > self.build.dedup_ms:
+                self.traffic.line("effect", id=self.ident, gen=gen, n=number, key=key, cell=self.cell, zone=self.zone)
+                self.done[key] = clock_ms(), ""
+                while len(self.done) > 10000:
+                    self.done.popitem(last=False)
+            lost = self.rng.random() < self.trouble.lost
+            for i, word in enumerate(words):
+                await self.work(self.build.tok_ms * (1 + self.build.tok_grow * self.busy / self.build.slots))
+                if lost:
+                    continue
+                data = event_bytes(msgspec.json.encode({
+                    "id": gen, "object": "chat.completion.chunk",
+                    "choices": [{"index": 0, "delta": {"content": word}, "finish_reason": None}]}))
+                if i == 0:
+                    await exchange.begin(200, [("Content-Type", "text/event-stream"), ("Transfer-Encoding", "chunked"),
+                                               self.load()], data)
+                else:
+                    await exchange.chunk(data)
+            if lost:
+                return await self.silence(exchange)
+            usage = {"prompt_tokens": int(toks), "completion_tokens": out, "total_tokens": int(toks) + out,
+                     "prompt_tokens_details": {"cached_tokens": int(kept)}}
+            last = event_bytes(msgspec.json.encode({
+                "id": gen, "choices": [{"index": 0, "delta": {}, "finish_reason": "stop"}]}))
+            last += event_bytes(msgspec.json.encode({"id": gen, "choices": [], "usage": usage}))
+            last += event_bytes(b"[DONE]")
+            self.traffic.line("wrote", id=self.ident, gen=gen, n=number, toks=out)
+            await exchange.end(last)
+            return "streamed"
+        finally:
+            self.used -= held
+            self.leave()
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -68,7 +68,8 @@
 FACTS = StartFacts(
     seed=7, gateways=2, zone="east", products=(), leg_limit=5, may_call_off=True, may_hold_ahead=False,
     may_probe=False, may_advise=True, must_ask=False, ask_within_ms=10e3, writers_read=False, reports_mem=False,
-    longest_pause_ms=500.0, connect_ms=250.0, idle_ms=30e3, release_ms=500.0, drain_grace_ms=250.0, cold_ms=10e3, cold_from=0.25,
+    longest_pause_ms=500.0, connect_ms=250.0, idle_ms=30e3, release_ms=500.0, drain_grace_ms=250.0, cold_ms=10e3,
+    cold_from=0.25,
     fall_multiple=2.5, fall_ms=2000.0, step_ms=4.0)
 
 
--- /dev/null
+++ b/tests/world.py
@@ -0,0 +1,147 @@
+"""A small world in one trio run: stand-in engines, gateways, clients, all over loopback sockets."""
+from __future__ import annotations
+
+import json
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field, replace
+from typing import Any, AsyncIterator
+
+import h11
+import msgspec
+import trio
+
+from ternlane.choice import Router
+from ternlane.gateway import Gateway, Host, open_gateway
+from ternlane.http1 import Caller, EventReader, Pool
+from ternlane.paper import FleetTerms, GatewayPaper, NodeLine, ProductTerms
+from ternlane.paper.gateway import DoorTerms, InlineSource
+from ternlane.standin.engine import Build, Engine
+from ternlane.standin.traffic import Traffic
+
+PRODUCTS = [
+    ProductTerms(name="summary", effect="idempotent", slo_ms=400, tok_slo_ms=60, limit_ms=2000, revenue=3),
+    ProductTerms(name="note", effect="side-effecting", slo_ms=400, tok_slo_ms=60, limit_ms=1500, revenue=2),
+    ProductTerms(name="form", effect="deduplicated", group="cell", window_ms=1500, slo_ms=400, tok_slo_ms=60,
+                 limit_ms=1500)]
+BUILD = Build(slots=8, read_tok_s=40e3, tok_ms=3.0, tok_grow=0.0, answer_toks=(6, 6), cold_ms=2000, cold_from=0.3)
+TERMS = FleetTerms(connect_ms=150, release_ms=300, cold_ms=2000, cold_from=0.3, fall_multiple=3, fall_ms=1000)
+
+
+@dataclass
+class Reply:
+    status: int = 0
+    headers: dict[str, str] = field(default_factory=dict)
+    body: bytes = b""
+    events: list[str] = field(default_factory=list)
+    broke: bool = False
+
+    @property
+    def text(self) -> str:
+        said = [json.loads(e) for e in self.events if e != "[DONE]"]
+        return "".join(c["delta"].get("content") or "" for s in said if "choices" in s for c in s["choices"])
+
+    @property
+    def done(self) -> int:
+        return self.events.count("[DONE]")
+
+    @property
+    def error(self) -> dict[str, Any] | None:
+        if self.events:
+            said = [json.loads(e) for e in self.events if e != "[DONE]"]
+            return next((s["error"] for s in said if "error" in s), None)
+        return json.loads(self.body).get("error")
+
+
+class World:
+    def __init__(self, nursery: trio.Nursery) -> None:
+        self.nursery = nursery
+        self.traffic = Traffic(None)
+        self.engines: dict[str, Engine] = {}
+        self.gateway: Gateway
+        self.pool = Pool(1000, 1000)
+
+    async def add(self, ident: str, build: Build = BUILD, zone: str = "hall") -> Engine:
+        duty = {"r": "read", "w": "write", "m": "both"}[ident[0]]
+        engine = Engine(ident, duty, zone, int(ident[1]), "127.0.0.1", 0, build, self.traffic, 1)
+        self.engines[ident] = engine
+        up = trio.Event()
+        self.nursery.start_soon(engine.run, self.nursery, up)
+        await up.wait()
+        return engine
+
+    async def revive(self, ident: str) -> None:
+        up = trio.Event()
+        self.nursery.start_soon(self.engines[ident].run, self.nursery, up)
+        await up.wait()
+
+    def lines(self, **changes: str) -> list[NodeLine]:
+        return [NodeLine(id=e.ident, address=f"{e.host}:{e.port}", zone=e.zone, cell=e.cell, duty=e.duty,
+                         mem_toks=e.build.mem_toks, state=changes.get(e.ident, "up")) for e in self.engines.values()]
+
+    def list(self, **changes: str) -> None:
+        self.gateway.found(self.lines(**changes))
+
+    async def post(self, body: dict[str, Any] | bytes, headers: dict[str, str] | None = None,
+                   path: str = "/v1/chat/completions", method: str = "POST") -> Reply:
+        caller = await self.pool.connect(self.gateway.address)
+        try:
+            return await heard(caller, body, headers or {}, path, method)
+        finally:
+            caller.close_now()
+
+    async def ask(self, model: str = "summary", text: str = "hello", stream: bool = True, **more: Any) -> Reply:
+        headers = more.pop("headers", {})
+        return await self.post({"model": model, "messages": [{"role": "user", "content": text}], "stream": stream,
+                                **more}, headers)
+
+    def said(self, kind: str, **match: Any) -> list[dict[str, Any]]:
+        return [v for v in self.traffic.lines if v["k"] == kind and all(v.get(k) == x for k, x in match.items())]
+
+    async def settled(self, within: float = 1.5) -> None:
+        """Waits until nothing is open at the gateway and nothing is held at any engine."""
+        with trio.fail_after(within):
+            while self.gateway.host.tickets or any(e.states or e.busy for e in self.engines.values()):
+                await trio.sleep(0.01)
+
+
+async def heard(caller: Caller, body: dict[str, Any] | bytes, headers: dict[str, str], path: str,
+                method: str = "POST") -> Reply:
+    reply = Reply()
+    raw = body if isinstance(body, bytes) else msgspec.json.encode(body)
+    try:
+        head = await caller.ask(method, path, list(headers.items()), raw)
+        reply.status = head.status_code
+        reply.headers = {k.decode(): v.decode() for k, v in head.headers}
+        events = EventReader()
+        async for chunk in caller.chunks():
+            reply.body += chunk
+            if reply.headers.get("content-type", "").startswith("text/event-stream"):
+                reply.events += events.feed(chunk)
+    except (trio.BrokenResourceError, trio.ClosedResourceError, h11.RemoteProtocolError):
+        reply.broke = True
+    return reply
+
+
+@asynccontextmanager
+async def world(engines: tuple[str, ...] = ("r0", "w0", "r1", "w1"), build: Build = BUILD,
+                host_type: type[Host] = Host, chooser: Any = Router, terms: FleetTerms = TERMS,
+                **changes: Any) -> AsyncIterator[World]:
+    async with trio.open_nursery() as nursery:
+        made = World(nursery)
+        for ident in engines:
+            await made.add(ident, build)
+        paper = GatewayPaper(name="g1", listen="127.0.0.1:0", products=PRODUCTS, fleet=terms,
+                             nodes=InlineSource(nodes=made.lines()), door=changes.pop("door", DoorTerms(drain_ms=800)),
+                             **changes)
+        async with open_gateway(paper, chooser=chooser, host_type=host_type) as made.gateway:
+            await trio.sleep(0.01)
+            try:
+                yield made
+            finally:
+                made.pool.close()
+                for engine in made.engines.values():
+                    engine.die()
+        nursery.cancel_scope.cancel()
+
+
+__all__ = ["BUILD", "PRODUCTS", "TERMS", "Reply", "World", "heard", "replace", "world"]
