--- a/ternlane/days/bench.py
+++ b/ternlane/days/bench.py
@@ -37,8 +37,8 @@
     cells = []
     for (zone, _), many in sorted(found.items())[:keep] if keep < len(found) else sorted(found.items()):
         shrink = scale * len(found) / keep
-        cells.append({"zone": name_of(zones[zone]), "readers": round(many.get("readers", 0) * shrink),
-                      "writers": round(many.get("writers", 0) * shrink), "mixed": round(many.get("mixed", 0) * shrink)})
+        cells.append({"zone": name_of(zones[zone]),
+                      "readers": round(many.get("readers", 0) * shrink), "writers": round(many.get("writers", 0) * shrink), "mixed": round(many.get("mixed", 0) * shrink)})
     for duty in {DUTIES[r] for r in roles}:
         if not any(c[duty] for c in cells):
             cells[0][duty] = 1
@@ -49,9 +49,10 @@
     kind, size, extra = t["kind"], t.get("size", 0.0), t.get("extra", 0.0)
     out: dict[str, Any] = {"kind": kind, "at_s": round(t["at"] / 1e6 / speed, 3),
                            "for_s": max(0.3, round(t["len"] / 1e6 / speed, 3))}
-    tier_servers = max(1, len(raw["servers"]))
+    hit = max(1, len({n for step in t.get("steps", []) for n in step["stop"]} or t["on"]))
+    servers, balancers = max(1, len(raw["servers"])), max(1, len(raw["balancers"]))
     if kind not in OWN:
-        out["part"] = round(min(1.0, max(1, len(t["on"])) / tier_servers), 3)
+        out["part"] = round(min(1.0, hit / servers), 3)
     match kind:
         case "crash" | "hang":
             pass
@@ -63,15 +64,13 @@
         case "burst":
             out["times"] = round(max(size, 0.1), 2)
         case "pauses":
-            out |= {"pause_ms": round(size / 1000 if size > 5000 else size, 1) / speed,
-                    "every_s": round(max(0.2, extra / 1e6 if extra > 1000 else extra) / speed, 2)}
+            out |= {"pause_ms": round(size / speed, 1), "every_s": round(max(0.2, extra) / speed, 2)}
         case "neighbour":
-            out |= {"share": round(min(size, 0.95), 3),
-                    "turn_s": round(max(0.3, extra / 1e6 if extra > 1000 else extra) / speed, 2)}
+            out |= {"share": round(min(size, 0.95), 3), "turn_s": round(max(0.3, extra) / speed, 2)}
         case "answer_lost":
             out |= {"share": round(size, 3), "how": t.get("how", "silence")}
         case "handshake_slow":
-            out["added_ms"] = round((size / 1000 if size > 5000 else size) / speed, 1) or 50.0
+            out["added_ms"] = round(size / speed, 1) or 50.0
         case "heavy_tail":
             classes = raw["classes"]
             out |= {"share": round(min(1.0, extra), 4), "times": round(max(size, 1.0), 1),
@@ -84,14 +83,13 @@
         case "mass_restart":
             out["within_s"] = 0.2
         case "preempt":
-            out |= {"notice_s": round(max(0.3, size / 1e6 if size > 1000 else size) / speed, 2), "waves": 2,
-                    "for_s": round(max(0.5, extra / 1e6 if extra > 1000 else extra) / speed, 2)}
+            out |= {"notice_s": round(max(0.3, size) / speed, 2), "waves": max(1, len(t["steps"])),
+                    "for_s": round(max(0.5, extra) / speed, 2)}
         case "balancer_crash":
-            out["part"] = round(max(1, len(t["on"])) / max(1, len(raw["balancers"])), 3)
+            out["part"] = round(min(1.0, hit / balancers), 3)
         case "balancer_roll":
-            down = extra / 1e6 if extra > 1000 else extra
-            out |= {"part": round(min(1.0, max(1, len(t["on"])) / max(1, len(raw["balancers"]))), 3),
-                    "batch": round(min(1.0, size or 0.2), 3), "down_s": round(max(0.2, down) / speed, 2), "killed": True}
+            out |= {"part": round(min(1.0, hit / balancers), 3), "batch": round(min(1.0, size or 0.2), 3),
+                    "down_s": round(max(0.2, extra) / speed, 2), "killed": True}
         case _:
             return None
     return out
@@ -138,7 +136,8 @@
         "gateways": gateways, "cells": cells,
         "reader": {"slots": 4, "queue": min(60, fam["engines"][0]["queue"]), "read_tok_s": round(per_reader * 1.3, 1),
                    "mem_toks": 80000, **near},
-        "writer": {"slots": slots, "queue": max(4, slots // 2), "mem_toks": 60000, "tok_ms": 9, "tok_grow": 0.5, **near},
+        "writer": {"slots": slots, "queue": max(4, slots // 2), "mem_toks": 60000, "tok_ms": 9, "tok_grow": 0.5,
+                   **near},
         "products": products, "uses": uses,
         "terms": {"leg_limit": raw["allow"]["max_attempts"], "connect_ms": max(100.0, rules["connect_timeout"] / 1000),
                   "release_ms": max(300.0, fam["release"] / 1000 / speed),
--- a/ternlane/days/script.py
+++ b/ternlane/days/script.py
@@ -177,7 +177,8 @@
 
 
 AnyTrouble = (Burst | HeavyTail | HotKey | Crash | Hang | Slow | Pauses | Neighbour | Flush | AnswerLost
-              | HandshakeSlow | OriginSlow | ZoneCut | MassRestart | Preempt | Roll | BalancerCrash | BalancerRoll | RegistryFails)
+              | HandshakeSlow | OriginSlow | ZoneCut | MassRestart | Preempt | Roll | BalancerCrash | BalancerRoll
+              | RegistryFails)
 
 
 class DayScript(Sheet, frozen=True, kw_only=True):
@@ -185,7 +186,7 @@
     seed: int = 1
     length_s: Positive
     rate: Positive                    # generations a second over all gateways, without repeats
-    load: Annotated[tuple[Span, ...], Meta(min_length=1)] = ((0.0, 1.0),)   # [second, times the rate], straight lines between
+    load: Annotated[tuple[Span, ...], Meta(min_length=1)] = ((0.0, 1.0),)    # second, times the rate; straight lines
     gateways: Count = 2
     cells: Annotated[list[Cell], Meta(min_length=1)]
     reader: Kind = Kind()
