--- a/ternlane/chat/intake.py
+++ b/ternlane/chat/intake.py
@@ -54,7 +54,7 @@
         ratio = self.toks_a_byte.get(product, FIRST_TOKS_A_BYTE)
         limit = self.max_toks[product]
         gen = Generation(product, session, opening, shared * BLOCK * ratio, max(1.0, len(whole) * ratio),
-                         float(min(ask.max_toks or limit, limit)), patience_ms)
+                         float(min(ask.max_toks or limit, limit)), patience_ms, not ask.stream)
         return Known(gen, session, last[-1], len(whole))
 
     def learn_prompt(self, known: Known, prompt_toks: float) -> None:
--- a/ternlane/choice.py
+++ b/ternlane/choice.py
@@ -348,6 +348,7 @@
         assert not course.over and course.leg is None and engine.server.life is Life.UP
         now, product, s = self.router.now, course.gen.product, self.board[engine]
         writes, patience = engine is course.writer, course.limit_at - now
+        whole = patience if course.gen.whole else inf    # else a slow writer outlasts a client that hears nothing
         course.legs, course.holds = course.legs + 1, True
         work = 0.0 if writes else self.work_ms(engine, course)
         usual = max(self.usual_ms(product, "open" if writes else "read"), work + s.queue_ms)
@@ -357,7 +358,7 @@
             patience = min(patience, max(product.slo_ms / (2 if writes else 1), 4 * course.leg.usual_ms))
         engine.post(Sent(course.leg))
         quiet = max(course.gen.patience_ms / CROWD, DOUBT * product.tok_slo_ms)    # a mute stream has broken
-        self.router.out.append(port.SendLeg(course.gen, engine.server, patience, quiet))
+        self.router.out.append(port.SendLeg(course.gen, engine.server, patience, quiet, whole))
 
     def finish(self, course: Course) -> None:
         """The one final answer, given at once: throttled wherever that promise is true, else terminated."""
--- a/ternlane/days/bench.py
+++ b/ternlane/days/bench.py
@@ -38,7 +38,7 @@
     for (zone, _), many in sorted(found.items())[:keep] if keep < len(found) else sorted(found.items()):
         shrink = scale * len(found) / keep
         cells.append({"zone": name_of(zones[zone]),
-                      "readers": round(many.get("readers", 0) * shrink), "writers": round(many.get("writers", 0) * shrink), "mixed": round(many.get("mixed", 0) * shrink)})
+                      **{duty: round(many.get(duty, 0) * shrink) for duty in DUTIES.values()}})
     for duty in {DUTIES[r] for r in roles}:
         if not any(c[duty] for c in cells):
             cells[0][duty] = 1
--- a/ternlane/engine/leg.py
+++ b/ternlane/engine/leg.py
@@ -2,6 +2,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from math import inf
 from typing import Any, Awaitable, Callable
 
 import h11
@@ -20,12 +21,14 @@
 
 @dataclass(slots=True)
 class LegPlan:
-    """Where to, under which names, and for how long (ms; `quiet_ms` between the events of a begun stream)."""
+    """Where to, under which names, and for how long (ms; `quiet_ms` between the events of a begun stream, `whole_ms`
+    from the send to its end)."""
     address: str
     headers: list[tuple[str, str]]
     body: bytes
     timeout_ms: float
     quiet_ms: float
+    whole_ms: float = inf
     scope: trio.CancelScope = field(default_factory=trio.CancelScope)
     called_off: bool = False
 
@@ -76,7 +79,7 @@
 
 async def stream_leg(pool: Pool, plan: LegPlan, pass_on: Callable[[str, bool], Awaitable[None]]) -> LegEnd:
     """Has an answer written; `pass_on(text, first)` gets each piece. Raises ClientGone where that breaks."""
-    end = LegEnd(Verdict.TIMED_OUT)
+    end, last = LegEnd(Verdict.TIMED_OUT), trio.current_time() + plan.whole_ms / 1000
 
     async def run() -> None:
         caller = await pool.take(plan.address)
@@ -103,10 +106,10 @@
                         end.finish = choice.finish_reason or end.finish
                         if choice.delta is not None and choice.delta.content:
                             first, end.begun = not end.begun, True
-                            plan.scope.deadline = float("inf")    # a slow client is not the engine's silence
+                            plan.scope.deadline = last    # a slow client is not the engine's silence
                             await pass_on(choice.delta.content, first)
-                plan.scope.deadline = trio.current_time() + plan.quiet_ms / 1000 if end.begun \
-                    else plan.scope.deadline
+                if end.begun:
+                    plan.scope.deadline = min(last, trio.current_time() + plan.quiet_ms / 1000)
             if not whole:
                 end.verdict, end.why = Verdict.RESET, "the stream ended before [DONE]"
                 return
--- a/ternlane/gateway/host.py
+++ b/ternlane/gateway/host.py
@@ -63,8 +63,8 @@
 
     def carry_out(self, action: port.Action) -> None:
         match action:
-            case port.SendLeg(gen, server, timeout, quiet):
-                self.send(self.tickets[gen], server, timeout, quiet)
+            case port.SendLeg(gen, server):
+                self.send(self.tickets[gen], server, action)
             case port.CallOff(gen):
                 ticket = self.tickets.get(gen)
                 if ticket is not None and ticket.leg is not None and not ticket.begun:
@@ -153,7 +153,7 @@
 
     # -- legs
 
-    def send(self, ticket: Ticket, server: Server, timeout_ms: float, quiet_ms: float) -> None:
+    def send(self, ticket: Ticket, server: Server, times: port.SendLeg) -> None:
         place = self.book.places[server]
         number = ticket.legs
         ticket.legs += 1
@@ -167,7 +167,7 @@
             stage, body = Stage.WRITE, write_body(raw, ticket.state, toks)
         else:
             stage, body = Stage.WHOLE, whole_body(raw, toks)
-        ticket.leg = LegPlan(place.address, headers, body, timeout_ms, quiet_ms)
+        ticket.leg = LegPlan(place.address, headers, body, times.timeout_ms, times.quiet_ms, times.whole_ms)
         self.nursery.start_soon(self.run, ticket, server, stage, ticket.leg)
 
     async def run(self, ticket: Ticket, server: Server, stage: Stage, plan: LegPlan) -> None:
--- a/ternlane/port.py
+++ b/ternlane/port.py
@@ -84,6 +84,7 @@
     prompt_toks: float
     max_toks: float
     patience_ms: float
+    whole: bool = False    # its client hears nothing before the answer is whole
     seat: Any = None
 
 
@@ -189,11 +190,13 @@
 
 @dataclass(slots=True, frozen=True)
 class SendLeg:
-    """`timeout_ms` runs until the first token; after it, a stream that is silent for `quiet_ms` has broken."""
+    """`timeout_ms` runs until the first token; after it, a stream that is silent for `quiet_ms` has broken, and one
+    that is not over after `whole_ms`, counted from the send, comes too late for its client."""
     gen: Generation
     server: Server
     timeout_ms: float
     quiet_ms: float
+    whole_ms: float
 
 
 @dataclass(slots=True, frozen=True)
--- a/ternlane/wirehost/host.py
+++ b/ternlane/wirehost/host.py
@@ -161,7 +161,7 @@
     def lines(self, number_: str, actions: list[Action]) -> Iterator[str]:
         for a in actions:
             match a:
-                case SendLeg(gen, server, timeout, _):
+                case SendLeg(gen, server, timeout):
                     self.legs[gen] = self.legs.get(gen, 0) + 1
                     yield f"FORWARD {number_} {self.gen_ids[gen]} {ms(timeout)} {self.server_ids[server]}"
                 case CallOff(gen):
