A stand-in engine survives clients that break off within its answer

Cause: an exception group from a leg's nursery passed the plain except and ended the whole fleet process. Change: except*. Result: the rule tests ran four times in a row without that failure.

--- a/ternlane/standin/engine.py
+++ b/ternlane/standin/engine.py
@@ -283,7 +283,7 @@
                     how = f"refused {why.reason}"
                     await exchange.answer(why.status, [("x-ternlane-not-run", why.reason), self.load()], b"{}")
                 nursery.cancel_scope.cancel()
-        except (trio.BrokenResourceError, trio.ClosedResourceError, h11.LocalProtocolError):
+        except* (trio.BrokenResourceError, trio.ClosedResourceError, h11.LocalProtocolError):
             pass
         finally:
             self.open.pop(exchange, None)
