--- a/ternlane/chat/openings.py
+++ b/ternlane/chat/openings.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from array import array
-from itertools import count
+from collections import OrderedDict
 from typing import Iterator
 
 from xxhash import xxh3_64_intdigest
@@ -150,8 +150,7 @@
 
     def __init__(self, block_limit: int) -> None:
         self.block_limit = block_limit
-        self.known: dict[int, int] = {}
-        self.turn = count()
+        self.known: OrderedDict[int, int] = OrderedDict()
 
     def meet(self, run: array[int], session: int) -> int:
         shared, all_shared, key = 0, True, 0
@@ -166,5 +165,5 @@
                 all_shared = all_shared and owner != session
             self.known[key] = owner if owner == session else SHARED
         while len(self.known) > self.block_limit:
-            del self.known[next(iter(self.known))]
+            self.known.popitem(last=False)
         return shared
