--- a/ternlane/gateway/door.py
+++ b/ternlane/gateway/door.py
@@ -196,17 +196,12 @@
         return max(0.0, limit - self.paper.door.answer_ms)
 
     async def answer(self, exchange: Exchange, ticket: Ticket) -> None:
-        left = False
         if ticket.final is None:
-            async with trio.open_nursery() as nursery:
-                async def watch() -> None:
-                    nonlocal left
-                    left = await exchange.until_left()
-                    if left:
-                        self.host.client_left(ticket)
-                nursery.start_soon(watch)
-                await ticket.over.wait()
-                nursery.cancel_scope.cancel()
+            with ticket.watch:    # cancelled when the answer is settled
+                if await exchange.until_left():
+                    self.host.client_left(ticket)
+                else:    # bytes of an early second request: its client's leaving can't be seen any more
+                    await trio.sleep_forever()
         if ticket.left or ticket.final is None:
             exchange.reset()
             return
--- a/ternlane/gateway/host.py
+++ b/ternlane/gateway/host.py
@@ -120,7 +120,6 @@
         """The client has gone: nothing is owed any more, and everything held for it is freed."""
         if ticket.final is None and not ticket.left:
             ticket.left = True
-            ticket.over.set()
             if ticket.leg is not None and ticket.begun:
                 ticket.leg.call_off()    # a stream that nobody reads
             self.tell(port.ClientLeft(ticket.gen))
--- a/ternlane/gateway/ticket.py
+++ b/ternlane/gateway/ticket.py
@@ -42,7 +42,7 @@
 
 @dataclass(slots=True, eq=False)
 class Ticket:
-    """`final` is set once, by the host; whoever waits is woken by `over`."""
+    """`final` is set once, by the host; the door, which watches for the client's leaving, is then woken."""
     ident: str
     ask: ChatAsk
     known: Known
@@ -50,7 +50,7 @@
     since: float
     key: str    # under which engines drop repeats
     final: Final | None = None
-    over: trio.Event = field(default_factory=trio.Event)
+    watch: trio.CancelScope = field(default_factory=trio.CancelScope)
     left: bool = False
     begun: bool = False
     leg: LegPlan | None = None
@@ -70,5 +70,5 @@
         if self.final is not None or self.left:
             return False
         self.final = final
-        self.over.set()
+        self.watch.cancel()
         return True
--- a/ternlane/http1/caller.py
+++ b/ternlane/http1/caller.py
@@ -8,6 +8,8 @@
 import h11
 import trio
 
+from ternlane.http1.sending import send
+
 Headers = Sequence[tuple[str, str]]
 CHUNK = 65536
 PER_PEER = 64    # idle connections kept for each peer
@@ -34,7 +36,7 @@
         if body:
             out += self.conn.send(h11.Data(data=body)) or b""
         out += self.conn.send(h11.EndOfMessage()) or b""
-        await self.stream.send_all(out)
+        await send(self.stream, out)
         while True:
             event = await self.event()
             if isinstance(event, h11.Response):
--- a/ternlane/http1/server.py
+++ b/ternlane/http1/server.py
@@ -6,6 +6,8 @@
 import h11
 import trio
 
+from ternlane.http1.sending import send_now
+
 CHUNK = 65536
 
 
@@ -43,8 +45,11 @@
 
     async def send(self, data: bytes) -> None:
         """A client that does not take its bytes in time counts as one that has left (trio.BrokenResourceError)."""
+        sent = send_now(self.stream, data)
+        if sent == len(data):
+            return
         with trio.move_on_after(self.send_ms / 1000) as scope:
-            await self.stream.send_all(data)
+            await self.stream.send_all(memoryview(data)[sent:])
         if scope.cancelled_caught:
             raise trio.BrokenResourceError("the client takes nothing")
 
