--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -144,3 +144,42 @@
         w.nursery.start_soon(back)
         assert await trio.to_thread.run_sync(throttled_once) == text
         assert len(w.said("effect")) == 4
+
+
+def bench_day() -> dict[str, Any]:
+    """A made-up day in the bench's form: two zones, eight servers, four troubles."""
+    kinds = [{"name": n, "effect": e, "group": "cell", "window": 4e6, "aim": 1e6, "deadline": 5e6, "worth": w,
+              "late_worth": 0.1, "share": 0.5} for n, e, w in (("ask", "safe", 2), ("file", "unsafe", 3))]
+    talk = {"aim_ms_per_k": 40, "token_ms": 60, "new_tokens": 300, "prefix_tokens": 900, "prefix_share": 0.7,
+            "prefixes": 4, "turns": 2, "think_s": 1}
+    none = {"size": 0.0, "extra": 0.0, "which": 0, "steps": []}
+    return {
+        "family": "twostage", "site": "made up", "kind": "trouble", "noise": 11, "length": 20e6, "zones": ["a", "b"],
+        "front_notice": 1e6, "drain_grace": 1e6, "fall_multiple": 3, "fall_for": 2e6, "classes": kinds,
+        "traffic": {"load": 0.5, "shape": [[0, 1.0]]}, "balancers": [{}] * 4,
+        "servers": [{"zone": i // 4, "cell": i // 4, "kind": i % 2} for i in range(8)],
+        "clients": {"retries": 2, "try_share": 0.8, "honour": 0.5, "impatient": 0, "max_retry_after": 5e5},
+        "discovery": {"notice": 5e5, "silent_notice": 2e6}, "allow": {"max_attempts": 4, "cancel": True},
+        "tiers": [{"connect_timeout": 2.5e5, "stated_cold": 8e6, "stated_cold_from": 0.3, "report_fields": ["x0"]}],
+        "fam": {"roles": ["read", "write"], "near": 3e5, "far": 1e5, "release": 5e5, "talks": [talk, talk],
+                "engines": [{"queue": 40}, {"queue": 20}]},
+        "troubles": [{"kind": "crash", "at": 4e6, "len": 6e6, "on": [0, 1]} | none,
+                     {"kind": "zone_cut", "at": 6e6, "len": 5e6, "on": []} | none | {"which": 1},
+                     {"kind": "preempt", "at": 7e6, "len": 5e6, "on": []} | none
+                     | {"size": 2.0, "extra": 6.0, "steps": [{"stop": [3], "start": [8]}, {"stop": [5], "start": [9]}]},
+                     {"kind": "unheard-of", "at": 8e6, "len": 1e6, "on": [1]} | none]}
+
+
+def test_a_bench_day_becomes_a_script_that_can_be_played(tmp_path: Path) -> None:
+    (tmp_path / "day.json").write_text(json.dumps(bench_day()))
+    done = run("day", "from-bench", str(tmp_path / "day.json"), "--speed", "2", "--engines", "8")
+    assert done.returncode == 0, done.stderr
+    (tmp_path / "d.json5").write_text(done.stdout)
+    day = read_paper(tmp_path / "d.json5", DayScript)
+    assert [(str(t.__struct_config__.tag), t.at_s) for t in day.troubles] == [
+        ("crash", 2.0), ("zone_cut", 3.0), ("preempt", 3.5)]
+    assert [p.effect for p in day.products] == ["idempotent", "side-effecting"] and day.products[0].slo_ms == 500
+    assert sorted(e.duty for e in engines_of(day)) == ["read"] * 4 + ["write"] * 4
+    assert sum(a.what == "drain" for a in acts_of(day)) == 2
+    (tmp_path / "day.json").write_text('{"family": "web"}')
+    assert run("day", "from-bench", str(tmp_path / "day.json")).returncode == 65
