--- a/ternlane/chat/intake.py
+++ b/ternlane/chat/intake.py
@@ -37,15 +37,15 @@
         self.openings = Openings(BLOCKS_A_SESSION * session_limit)
         self.toks_a_byte: dict[Product, float] = {}
 
-    def take(self, ask: ChatAsk, patience_ms: float) -> Known:
-        """Raises Wrong for a model that no product is offered under."""
+    def take(self, ask: ChatAsk, patience_ms: float, owner: str = "") -> Known:
+        """Two owners' equal conversations are two. Raises Wrong for a model that no product is offered under."""
         product = self.models.get(ask.model)
         if product is None:
             raise Wrong("model", f"The model `{ask.model}` does not exist", "model_not_found", 404)
         whole = b"".join(ask.texts)
-        last = chain(ask.texts, f"{ask.model}\0{ask.user or ''}".encode())
+        last = chain(ask.texts, f"{ask.model}\0{owner}\0{ask.user or ''}".encode())
         if ask.cache_key:
-            session = "k" + xxh3_64_hexdigest(f"{ask.user or ''}\0{ask.cache_key}".encode())
+            session = "k" + xxh3_64_hexdigest(f"{owner}\0{ask.user or ''}\0{ask.cache_key}".encode())
         else:
             session = self.sessions.find(last)
         run = blocks(whole)
--- a/ternlane/gateway/door.py
+++ b/ternlane/gateway/door.py
@@ -15,10 +15,13 @@
                            usage_chunk)
 from ternlane.gateway.host import Host, now_ms
 from ternlane.gateway.measures import Measures
+from ternlane.gateway.till import Till
 from ternlane.gateway.ticket import Final, Outlet, Streamed, Terminated, Throttled, Ticket
 from ternlane.http1 import BadRequest, Exchange, event_bytes, serve_connection
 from ternlane.paper import DoorTerms, GatewayPaper
 from ternlane.port import Effect, Product
+from ternlane.tenants import Refusal, Unknown
+from ternlane.tenants.cashier import wait_s
 
 IDENT = re.compile(r"[A-Za-z0-9._:-]{1,80}")
 TIME_LIMIT = b"x-ternlane-time-limit-ms"
@@ -31,12 +34,13 @@
 
     def __init__(self, exchange: Exchange, ident: str, model: str, include_usage: bool) -> None:
         self.exchange, self.ident, self.model, self.include_usage = exchange, ident, model, include_usage
+        self.extra: list[tuple[str, str]] = []
         self.created = int(time.time())
 
     async def piece(self, text: str, first: bool) -> None:
         data = event_bytes(chunk(self.ident, self.created, self.model, text, None, first))
         if first:
-            await self.exchange.begin(200, [*STREAM_HEAD, ("X-Request-Id", self.ident)], data)
+            await self.exchange.begin(200, [*STREAM_HEAD, ("X-Request-Id", self.ident), *self.extra], data)
         else:
             await self.exchange.chunk(data)
 
@@ -60,10 +64,11 @@
 
 class Door:
     def __init__(self, paper: GatewayPaper, host: Host, intake: Intake, models: dict[str, Product],
-                 measures: Measures, log: Any) -> None:
+                 measures: Measures, log: Any, till: Till | None = None) -> None:
         self.paper, self.host, self.intake, self.models = paper, host, intake, models
-        self.measures, self.log = measures, log
+        self.measures, self.log, self.till = measures, log, till
         self.terms: DoorTerms = paper.door
+        self.names = {product: name for name, product in reversed(models.items())}
         self.repeats = Repeats(paper.door.repeat_bytes)
         self.count = count(1)
         self.started = int(time.time())
@@ -140,6 +145,15 @@
         if self.draining:
             return await self.refuse(exchange, 503, "This gateway is going down", "draining",
                                      extra=[("Connection", "close"), ("Retry-After", "1")])
+        tenant = None
+        if self.till is not None:
+            try:
+                tenant = self.till.whose(exchange.header(b"authorization"))
+            except Unknown:
+                return await self.refuse(exchange, 401, "Incorrect API key provided", "invalid_api_key")
+            if not self.till.writer.may_take:
+                return await self.refuse(exchange, 503, "Bills can't be kept now", "ledger_full",
+                                         extra=[("Retry-After", "5")])
         try:
             ask = read_chat(exchange.body)
             if len(self.host.tickets) >= self.terms.open_limit:
@@ -149,7 +163,8 @@
                 raise Wrong("Idempotency-Key", "Idempotency-Key must have 1 to 255 characters")
             product = self.models.get(ask.model)
             patience = self.patience(exchange, product)
-            scope_key = None if key is None else f"{exchange.header(b'authorization') or ''}\0{key}"
+            owner = tenant.name if tenant is not None else exchange.header(b"authorization") or ""
+            scope_key = None if key is None else f"{owner}\0{key}"
             if scope_key is not None and product is not None:
                 found = self.repeats.begin(scope_key, xxh3_128_digest(exchange.body), since)
                 if isinstance(found, Busy):
@@ -160,18 +175,29 @@
                                              "idempotency_key_reused", "Idempotency-Key")
                 if isinstance(found, Done):
                     return await self.replay(exchange, found.answer, ask.model, ask.stream, ask.include_usage)
-            known = self.intake.take(ask, patience)
+            try:
+                known = self.intake.take(ask, patience, tenant.name if tenant is not None else "")
+                hold = None if self.till is None or tenant is None else self.till.reserve(
+                    tenant, self.names[known.gen.product], known.gen.prompt_toks, int(known.gen.max_toks))
+            except BaseException:
+                if scope_key is not None:
+                    self.repeats.end(scope_key, None, 0, 0.0)
+                raise
         except Wrong as bad:
             return await self.refuse(exchange, bad.status, bad.why, bad.code, bad.param)
-        ident = exchange.header(b"x-request-id") or ""
-        if not IDENT.fullmatch(ident):
-            ident = f"{self.birth}-{next(self.count)}"
+        if isinstance(hold, Refusal):
+            if scope_key is not None:
+                self.repeats.end(scope_key, None, 0, 0.0)
+            return await self.over_budget(exchange, hold)
+        ident = self.ident(exchange, tenant.name if tenant is not None else "")
         outlet = (StreamOutlet(exchange, f"chatcmpl-{ident}", ask.model, ask.include_usage) if ask.stream
                   else PlainOutlet())
         # Engines drop repeats by this key; a key of the gateway's own can't meet another gateway's.
         engine_key = (f"{self.birth}-{ident}-{next(self.count)}" if scope_key is None
                       else xxh3_64_hexdigest(scope_key.encode()))
-        ticket = Ticket(ident, ask, known, outlet, since, engine_key)
+        ticket = Ticket(ident, ask, known, outlet, since, engine_key, owner if tenant is not None else "", hold)
+        if self.till is not None and hold is not None and isinstance(outlet, StreamOutlet):
+            outlet.extra = self.till.headers(hold)
         try:
             self.host.arrived(ticket)
             await self.answer(exchange, ticket)
@@ -181,6 +207,23 @@
             if scope_key is not None:
                 self.remember(scope_key, ticket, known.gen.product)
 
+    def ident(self, exchange: Exchange, tenant: str) -> str:
+        """The client's own name for it if it is a plain one that is not in use; a tenant's go by the tenant, as a
+        stranger who guessed one could otherwise have its state let go."""
+        said = exchange.header(b"x-request-id") or ""
+        ident = f"{tenant}.{said}" if tenant else said
+        if not IDENT.fullmatch(said) or ident in self.host.idents:
+            ident = f"{self.birth}-{next(self.count)}"
+        return ident
+
+    async def over_budget(self, exchange: Exchange, no: Refusal) -> None:
+        """Refused before any leg: a throttle, which promises that nothing ran."""
+        why = {"minute": "tokens a minute", "period": "tokens of the billing period", "at_once": "generations at once",
+               "overdraft": "tokens a minute, the overdraft is used up"}[no.kind]
+        wait = no.wait_ms if no.wait_ms > 0 else 1000.0
+        await self.refuse(exchange, 429, f"Over budget: {why}", no.code,
+                          extra=[("Retry-After", str(wait_s(wait))), ("retry-after-ms", f"{min(wait, 1e9):.0f}")])
+
     def patience(self, exchange: Exchange, product: Product | None) -> float:
         """The client's time limit where it states a shorter one, less what the answer's way back may take."""
         limit = product.limit_ms if product is not None else 0.0
--- a/ternlane/gateway/gateway.py
+++ b/ternlane/gateway/gateway.py
@@ -19,6 +19,7 @@
 from ternlane.gateway.facts import facts_of, models_of, products_of
 from ternlane.gateway.host import Chooser, Host, now_ms
 from ternlane.gateway.measures import Measures
+from ternlane.gateway.till import Till
 from ternlane.http1 import Exchange, Pool, serve_connection
 from ternlane.nodes import Book, Torn, follow_consul, follow_file, keep, kept
 from ternlane.paper import ConsulSource, FileSource, GatewayPaper, NodeLine
@@ -46,7 +47,10 @@
         self.agent = f"ternlane/{__version__} ({paper.name})"
         self.host = host_type(chooser(self.facts), self.facts, self.pool, self.book, intake, nursery, self.measures,
                               self.agent, log)
-        self.door = Door(paper, self.host, intake, models, self.measures, log)
+        self.till = Till(paper, log) if paper.tenants is not None else None
+        self.door = Door(paper, self.host, intake, models, self.measures, log, self.till)
+        if self.till is not None:
+            self.host.on_done = self.till.done
         self.listeners: list[trio.SocketListener] = []
         self.doors = trio.CancelScope()
         self.address = ""
@@ -137,6 +141,9 @@
         self.nursery.start_soon(self.follow)
         self.nursery.start_soon(self.keep_lists)
         self.nursery.start_soon(self.host.clock)
+        if self.till is not None:
+            for run in (self.till.follow, self.till.borrow, self.till.writer.run):
+                self.nursery.start_soon(run)
         self.nursery.start_soon(self.serve)
         if self.paper.metrics is not None:
             host, port = split(self.paper.metrics)
@@ -193,6 +200,8 @@
         with trio.move_on_after(self.facts.release_ms / 1000 + 0.2):    # for last answers and what is let go
             while self.host.tickets or self.host.releasing or self.door.busy:
                 await trio.sleep(0.01)
+        if self.till is not None:
+            await self.till.close()
 
 
 @asynccontextmanager
--- a/ternlane/gateway/host.py
+++ b/ternlane/gateway/host.py
@@ -19,6 +19,7 @@
 from ternlane.http1 import Pool
 from ternlane.nodes import Book
 from ternlane.port import Duty, Server, StartFacts, Verdict
+from ternlane.tenants.cashier import Used
 
 
 class Chooser(Protocol):
@@ -42,7 +43,9 @@
         self.due: list[tuple[float, int, bool]] = []    # the one ordered structure of due times
         self.turns = 0
         self.alarm = trio.Event()
+        self.idents: set[str] = set()
         self.releasing = 0
+        self.on_done: Callable[[Ticket], None] = lambda _: None
         self.on_follow: Callable[[], None] = lambda: None
 
     # -- the loop
@@ -113,6 +116,7 @@
 
     def arrived(self, ticket: Ticket) -> None:
         self.tickets[ticket.gen] = ticket
+        self.idents.add(ticket.ident)
         self.measures.open.set(len(self.tickets))
         self.tell(port.Arrived(ticket.gen))
 
@@ -148,7 +152,9 @@
     def forget(self, ticket: Ticket) -> None:
         """A ticket stays until its answer is settled, its last leg has ended and what it held is let go."""
         if ticket.leg is None and (ticket.final is not None or ticket.left) and not ticket.holders:
-            self.tickets.pop(ticket.gen, None)
+            if self.tickets.pop(ticket.gen, None) is not None:
+                self.idents.discard(ticket.ident)
+                self.on_done(ticket)
             self.measures.open.set(len(self.tickets))
 
     # -- legs
@@ -202,6 +208,7 @@
         self.log.debug("leg", gen=ticket.ident, leg=ticket.legs - 1, server=place.ident, stage=stage.name,
                        verdict=end.verdict.name, took_ms=round(took, 1), why=end.why)
         kept = 0.0
+        ticket.made.append((stage.name, made_of(stage, end, len(ticket.pieces))))
         if end.usage is not None:
             self.intake.learn_prompt(ticket.known, end.usage.prompt_tokens)
             details = end.usage.prompt_tokens_details
@@ -242,3 +249,16 @@
         self.measures.releases.labels("confirmed" if done else "unheard").inc()
         if not done:
             self.log.warning("release unheard", gen=ticket.ident, server=place.ident)
+
+
+def made_of(stage: Stage, end: LegEnd, pieces: int) -> Used:
+    """What a leg is known to have made: by its usage, or, of a stream that broke, the pieces that came."""
+    usage = end.usage
+    details = usage.prompt_tokens_details if usage is not None else None
+    kept = (details.cached_tokens or 0) if details is not None else 0
+    if stage is Stage.READ:
+        return Used(usage.prompt_tokens, kept, 0) if usage is not None else Used()
+    answer = usage.completion_tokens if usage is not None else pieces if end.begun else 0
+    if stage is Stage.WRITE:
+        return Used(0, 0, answer)
+    return Used(usage.prompt_tokens, kept, answer) if usage is not None else Used(0, 0, answer)
--- a/ternlane/gateway/ticket.py
+++ b/ternlane/gateway/ticket.py
@@ -9,6 +9,7 @@
 from ternlane.chat import ChatAsk, Known
 from ternlane.engine import LegPlan
 from ternlane.port import Generation, Server
+from ternlane.tenants.cashier import Used
 
 
 @dataclass(slots=True)
@@ -49,6 +50,9 @@
     outlet: Outlet
     since: float
     key: str    # under which engines drop repeats
+    tenant: str = ""
+    hold: Any = None     # tenants.Hold, settled when the ticket is done
+    made: list[tuple[str, Used]] = field(default_factory=list)    # what each leg is known to have made
     final: Final | None = None
     watch: trio.CancelScope = field(default_factory=trio.CancelScope)
     left: bool = False
--- a/ternlane/paper/gateway.py
+++ b/ternlane/paper/gateway.py
@@ -112,10 +112,16 @@
     state: str | None = None           # file that keeps the last node list over a restart
     products: Annotated[list[ProductTerms], Meta(min_length=1)]
     nodes: FileSource | ConsulSource | InlineSource
+    tenants: str | None = None         # file of tenants; without it everybody is served
+    ledger: str | None = None          # folder of this gateway's bills; needed with tenants
+    lender: str | None = None          # file that all gateways share to lend parts of budgets
+    lease_s: Positive = 10.0
     fleet: FleetTerms = FleetTerms()
     door: DoorTerms = DoorTerms()
 
     def __post_init__(self) -> None:
+        if self.tenants is not None and self.ledger is None:
+            raise ValueError("tenants need a ledger, where their bills are kept")
         seen: set[str] = set()
         for product in self.products:
             for model in (product.name, *product.models):
--- /dev/null
+++ b/ternlane/tenants/__init__.py
@@ -0,0 +1,10 @@
+"""Tenants: who asks, what they may spend, what they owe. Free of I/O."""
+from ternlane.tenants.cashier import Cashier, Hold, Refusal
+from ternlane.tenants.keys import new_key
+from ternlane.tenants.lengths import Lengths
+from ternlane.tenants.meter import Meter, Period, Short
+from ternlane.tenants.parts import Lender, Lease
+from ternlane.tenants.roll import Budget, KeyLine, Prices, Roll, TenantLine, Unknown
+
+__all__ = ["Budget", "Cashier", "Hold", "KeyLine", "Lease", "Lender", "Lengths", "Meter", "Period", "Prices", "Refusal",
+           "Roll", "Short", "TenantLine", "Unknown", "new_key"]
--- /dev/null
+++ b/ternlane/tenants/cashier.py
@@ -0,0 +1,214 @@
+"""Reserves when a generation arrives, settles when it ends, and says what is to be written in the ledger.
+
+Decides nothing of routing; `choice.py` never sees tenants. Free of I/O: the gateway hands in the time, and the entry
+that `settle` gives goes to the ledger before or after the answer as the gateway likes.
+"""
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from math import ceil, inf
+
+import msgspec
+
+from ternlane.tenants.lengths import Lengths
+from ternlane.tenants.meter import Meter, Period, Short, period_at
+from ternlane.tenants.parts import FLOOR, Borrower
+from ternlane.tenants.roll import TenantLine
+
+ABSURD = 16    # times what was asked for: usage beyond that is a faulty engine's
+
+
+class Used(msgspec.Struct, array_like=True, frozen=True):
+    """Tokens: read, found kept, written."""
+    prompt: int = 0
+    kept: int = 0
+    answer: int = 0
+
+    def plus(self, other: Used) -> Used:
+        return Used(self.prompt + other.prompt, self.kept + other.kept, self.answer + other.answer)
+
+
+class Entry(msgspec.Struct, array_like=True, frozen=True):
+    """One settled generation. `bill` is the tenant's, `house` what abandoned legs made; `note` tells what was odd."""
+    gen: str
+    tenant: str
+    product: str
+    period: str
+    wall: float
+    outcome: str
+    bill: Used
+    house: Used
+    micros: int
+    legs: int
+    key: str = ""       # the client's Idempotency-Key, hashed
+    note: str = ""
+
+
+@dataclass(slots=True, frozen=True)
+class Refusal:
+    """Over budget: nothing ran. `wait_ms` until it would fit (inf: not in this period's budget at all)."""
+    code: str      # rate_limit_exceeded or insufficient_quota
+    kind: str
+    wait_ms: float
+
+
+@dataclass(slots=True, eq=False)
+class Hold:
+    """What is reserved for one generation."""
+    tenant: TenantLine
+    product: str
+    prompt: int
+    answer: int
+    most: int
+    meters: list[Meter]
+    begun: list[Period | None]
+    wall: float
+    done: bool = False
+
+    @property
+    def toks(self) -> int:
+        return self.prompt + self.answer
+
+
+@dataclass
+class Cashier:
+    gateways: int = 1
+    gateway: str = "g"
+    lends: bool = False    # a lender can be asked for more than the floor
+    lengths: Lengths = field(default_factory=Lengths)
+    meters: dict[tuple[str, str], Meter] = field(default_factory=dict)
+    borrowers: dict[str, Borrower] = field(default_factory=dict)
+    seen_wall: float = 0.0
+    past: dict[tuple[str, str, str], int] = field(default_factory=dict)    # tenant, product or "", period -> tokens
+
+    def remember(self, tenant: str, product: str, period: str, toks: int) -> None:
+        """What this gateway had settled before it was restarted, out of its ledger."""
+        for key in ((tenant, "", period), (tenant, product, period)):
+            self.past[key] = self.past.get(key, 0) + toks
+
+    @property
+    def base(self) -> float:
+        return (FLOOR if self.lends else 1.0) / self.gateways
+
+    def meter(self, tenant: TenantLine, product: str, now: float) -> Meter | None:
+        """The tenant's meter for a product, or for all ("" as product). A changed budget keeps what is open."""
+        budget = tenant.products.get(product) if product else tenant.budget
+        key = tenant.name, product
+        if budget is None:
+            self.meters.pop(key, None)
+            return None
+        meter = self.meters.get(key)
+        if meter is None:
+            borrower = self.borrowers.get(tenant.name)
+            part = borrower.part(self.seen_wall) if borrower is not None else self.base
+            meter = self.meters[key] = Meter(budget, tenant.zone, tenant.period, part, now)
+            meter.flow(now, self.seen_wall)
+            if meter.period is not None:
+                meter.spent = self.past.pop((*key, meter.period.name), 0)
+        elif meter.budget != budget or meter.zone != tenant.zone or meter.kind != tenant.period:
+            extra = 0.0 if meter.budget.period is None else meter.allowed - meter.budget.period * meter.part
+            meter.budget, meter.zone, meter.kind = budget, tenant.zone, tenant.period
+            meter.level = meter.most if meter.level == inf else min(meter.level, meter.most)
+            meter.allowed = inf if budget.period is None else budget.period * meter.part + extra
+        return meter
+
+    def clock(self, wall: float) -> float:
+        """The wall clock, which may be set back: periods and bills go by the furthest it has shown."""
+        self.seen_wall = max(self.seen_wall, wall)
+        return self.seen_wall
+
+    def reserve(self, tenant: TenantLine, product: str, prompt: int, most: int, now: float, wall: float
+                ) -> Hold | Refusal:
+        """Both the tenant's budget and the product's must have room; the first that has none gives the reason."""
+        wall = self.clock(wall)
+        answer = self.lengths.estimate(tenant.name, product, most)
+        meters = [m for m in (self.meter(tenant, "", now), self.meter(tenant, product, now)) if m is not None]
+        taken: list[Meter] = []
+        for meter in meters:
+            short = meter.reserve(prompt + answer, now, wall)
+            if short is not None:
+                for back in taken:
+                    back.settle(prompt + answer, 0, back.period, now, wall)
+                return self.refuse(tenant, prompt + answer, short)
+            taken.append(meter)
+        if self.lends and tenant.budget.minute is not None:
+            self.borrower(tenant).used += prompt + answer
+        return Hold(tenant, product, prompt, answer, most, meters, [m.period for m in meters], wall)
+
+    def refuse(self, tenant: TenantLine, toks: int, short: Short) -> Refusal:
+        if self.lends and short.kind == "minute":
+            self.borrower(tenant).refused += toks
+        return Refusal("insufficient_quota" if short.kind == "period" else "rate_limit_exceeded", short.kind,
+                       short.wait_ms)
+
+    def borrower(self, tenant: TenantLine) -> Borrower:
+        found = self.borrowers.get(tenant.name)
+        if found is None:
+            found = self.borrowers[tenant.name] = Borrower(FLOOR / self.gateways)
+        return found
+
+    def give_parts(self, tenant: str, now: float, wall: float) -> None:
+        """Puts the part that the borrower holds now into the tenant's meters."""
+        borrower = self.borrowers.get(tenant)
+        for (name, _), meter in self.meters.items() if borrower is not None else ():
+            if name == tenant and borrower is not None:
+                meter.flow(now, wall)
+                meter.give(borrower.part(wall))
+
+    def settle(self, hold: Hold, gen: str, outcome: str, bill: Used, house: Used, legs: int, now: float,
+               wall: float, key: str = "") -> Entry:
+        """What was used goes on the budgets; the entry is for the ledger. A second call for a hold is a defect."""
+        assert not hold.done, f"{gen} settled twice"
+        hold.done = True
+        bill, note = self.plausible(hold, bill)
+        used = bill.prompt + bill.answer
+        for meter, begun in zip(hold.meters, hold.begun, strict=True):
+            meter.settle(hold.toks, used, begun, now, self.clock(wall))
+        if outcome == "streamed":
+            self.lengths.learn(hold.tenant.name, hold.product, bill.answer)
+        price = hold.tenant.price(hold.product)
+        micros = (bill.prompt - bill.kept) * price.prompt + bill.kept * price.kept + bill.answer * price.answer
+        period = period_at(hold.wall, hold.tenant.zone, hold.tenant.period).name    # by its arrival
+        return Entry(gen, hold.tenant.name, hold.product, period, hold.wall, outcome, bill, house, micros, legs, key,
+                     note)
+
+    @staticmethod
+    def plausible(hold: Hold, bill: Used) -> tuple[Used, str]:
+        """A faulty engine's figures are not billed: negative ones, or many times what was asked for, are replaced by
+        what was reserved, and the entry says so."""
+        prompt, kept, answer, odd = bill.prompt, bill.kept, bill.answer, []
+        if not 0 <= prompt <= ABSURD * max(hold.prompt, 64):
+            odd.append(f"prompt {prompt}")
+            prompt = hold.prompt
+        if not 0 <= answer <= hold.most:
+            odd.append(f"answer {answer}")
+            answer = min(hold.answer, hold.most)
+        if not 0 <= kept <= prompt:
+            odd.append(f"kept {kept}")
+            kept = 0
+        return Used(prompt, kept, answer), ("usage not believed: " + ", ".join(odd)) if odd else ""
+
+    def overrun(self, hold: Hold, answer: int) -> bool:
+        """Has a stream that may be cut passed what its tenant's overdraft covers?"""
+        if answer <= hold.answer or not hold.tenant.budget.cut:
+            return False
+        return any(m.budget.minute is not None and m.level - (answer - hold.answer) < -m.budget.overdraft * m.part
+                   for m in hold.meters)
+
+    def sweep(self, now: float, wall: float, most: int = 256) -> int:
+        """Drops meters that a fresh one would equal, some at a time; gives how many."""
+        keys = list(zip(self.meters, range(most), strict=False))
+        dropped = 0
+        for key, _ in keys:
+            meter = self.meters.pop(key)
+            meter.flow(now, wall)
+            if meter.idle:
+                dropped += 1
+            else:
+                self.meters[key] = meter    # to the end: the next sweep looks at others
+        return dropped
+
+
+def wait_s(wait_ms: float) -> int:
+    """For Retry-After: whole seconds, at least one, at most a day."""
+    return max(1, min(86400, ceil(min(wait_ms, 1e9) / 1000)))
--- /dev/null
+++ b/tests/test_tenants.py
@@ -0,0 +1,393 @@
+"""Budgets, keys and the ledger, each with what goes wrong: overruns, faulty engines, clocks, crashes at every write."""
+from __future__ import annotations
+
+import random
+from datetime import datetime
+from math import inf
+from zoneinfo import ZoneInfo
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from ternlane.ledger.store import Damaged, Store, Totals, read_segment, segment_name
+from ternlane.tenants import Budget, Cashier, Hold, KeyLine, Lender, Lengths, Meter, Refusal, Roll, TenantLine, Unknown
+from ternlane.tenants.cashier import Entry, Used
+from ternlane.tenants.keys import new_key
+from ternlane.tenants.meter import period_at
+from ternlane.tenants.parts import FLOOR, Borrower
+from ternlane.tenants.roll import Prices, RollPaper
+
+NOON = datetime(2026, 12, 1, 12, tzinfo=ZoneInfo("UTC")).timestamp()
+
+
+def tenant(name: str = "noto", **budget: object) -> TenantLine:
+    limits = Budget(**budget)    # type: ignore[arg-type]
+    return TenantLine(name=name, budget=limits, prices={"*": Prices(prompt=3, kept=1, answer=12)})
+
+
+def held(got: Hold | Refusal) -> Hold:
+    assert isinstance(got, Hold), got
+    return got
+
+
+def refused(got: Hold | Refusal) -> Refusal:
+    assert isinstance(got, Refusal), got
+    return got
+
+
+# -- keys
+
+def test_keys_live_retire_and_are_revoked_and_all_wrong_ones_sound_alike() -> None:
+    key, name, salt, kept = new_key()
+    for state, until, now, good in (("live", 0, 5, True), ("retiring", 10, 9, True), ("retiring", 10, 10, False),
+                                    ("revoked", 0, 5, False)):
+        line = KeyLine(name=name, salt=salt, hash=kept, state=state, until=until)    # type: ignore
+        roll = Roll(RollPaper(tenants=[TenantLine(name="noto", keys=[line])]))
+        if good:
+            assert roll.whose(f"Bearer {key}", now).name == "noto"
+        else:
+            with pytest.raises(Unknown):
+                roll.whose(f"Bearer {key}", now)
+    for wrong in (None, "", key, f"Basic {key}", f"Bearer {key}x", f"Bearer tl-{name}-", "Bearer tl-ff-x", "Bearer é"):
+        with pytest.raises(Unknown):
+            roll.whose(wrong, 0)
+    assert key.split("-")[2] not in repr(line)
+
+
+# -- budgets
+
+def test_an_overrun_of_fifty_times_goes_on_the_overdraft_and_is_repaid_by_refills() -> None:
+    cashier, noto = Cashier(), tenant(minute=6000, burst=1000, overdraft=100)
+    hold = held(cashier.reserve(noto, "summary", 10, 10, 0.0, NOON))
+    hold.most = 10_000
+    cashier.settle(hold, "a", "streamed", Used(10, 0, 500), Used(), 2, 0.0, NOON)
+    meter = cashier.meters["noto", ""]
+    assert meter.level == 1000 - 510
+    hold = held(cashier.reserve(noto, "summary", 10, 10, 0.0, NOON))
+    hold.most = 10_000
+    cashier.settle(hold, "b", "streamed", Used(10, 0, 1000), Used(), 2, 0.0, NOON)
+    no = refused(cashier.reserve(noto, "summary", 1, 1, 0.0, NOON))
+    assert no.kind == "overdraft" and no.code == "rate_limit_exceeded"
+    assert no.wait_ms == pytest.approx(520 / 0.1)
+    held(cashier.reserve(noto, "summary", 1, 1, no.wait_ms + 100, NOON))
+
+
+def test_the_return_time_is_honest() -> None:
+    cashier, noto = Cashier(), tenant(minute=600, burst=100)
+    held(cashier.reserve(noto, "s", 90, 10, 0.0, NOON))
+    no = refused(cashier.reserve(noto, "s", 30, 10, 0.0, NOON))
+    assert isinstance(cashier.reserve(noto, "s", 30, 10, no.wait_ms - 5, NOON), Refusal)
+    held(cashier.reserve(noto, "s", 30, 10, no.wait_ms + 1, NOON))
+
+
+def test_a_refused_product_budget_gives_the_tenant_budget_back() -> None:
+    noto = TenantLine(name="n", budget=Budget(minute=1000), products={"s": Budget(minute=10)})
+    cashier = Cashier()
+    refusals = [cashier.reserve(noto, "s", 400, 10, 0.0, NOON) for _ in range(2)]
+    assert isinstance(refusals[0], Hold) or isinstance(refusals[1], Refusal)
+    cashier.meters["n", "s"].level = 0
+    before = cashier.meters["n", ""].level, cashier.meters["n", ""].open
+    refused(cashier.reserve(noto, "s", 5, 1, 0.0, NOON))
+    assert (cashier.meters["n", ""].level, cashier.meters["n", ""].open) == before
+
+
+def test_so_many_at_once_and_no_more() -> None:
+    cashier, noto = Cashier(), tenant(at_once=2)
+    holds = [held(cashier.reserve(noto, "s", 1, 1, 0.0, NOON)) for _ in range(2)]
+    assert refused(cashier.reserve(noto, "s", 1, 1, 0.0, NOON)).kind == "at_once"
+    cashier.settle(holds[0], "a", "terminated", Used(), Used(5, 0, 0), 1, 0.0, NOON)
+    held(cashier.reserve(noto, "s", 1, 1, 0.0, NOON))
+
+
+def test_a_period_ends_at_its_edge_and_a_clock_set_back_does_not_open_it_anew() -> None:
+    cashier, noto = Cashier(), tenant(period=100)
+    last = datetime(2026, 12, 31, 23, 59, 59, tzinfo=ZoneInfo("UTC")).timestamp()
+    hold = held(cashier.reserve(noto, "s", 90, 10, 0.0, last))
+    no = refused(cashier.reserve(noto, "s", 1, 1, 0.0, last))
+    assert (no.code, no.kind, no.wait_ms) == ("insufficient_quota", "period", 1000.0)
+    held(cashier.reserve(noto, "s", 90, 10, 0.0, last + 2))
+    entry = cashier.settle(hold, "a", "streamed", Used(90, 0, 10), Used(), 2, 0.0, last + 3)
+    assert entry.period == "2026-12"    # by its arrival
+    assert refused(cashier.reserve(noto, "s", 1, 1, 0.0, last - 3600)).kind == "period"
+    assert cashier.meters["noto", ""].spent == 100
+
+
+def test_days_of_daylight_saving_have_their_own_length() -> None:
+    for day, hours in ((datetime(2026, 3, 29, 9), 23), (datetime(2026, 10, 25, 9), 25), (datetime(2026, 6, 1), 24)):
+        period = period_at(day.replace(tzinfo=ZoneInfo("Europe/Rome")).timestamp(), "Europe/Rome", "day")
+        assert (period.end - period.begin) / 3600 == hours
+
+
+@pytest.mark.parametrize("said", [Used(-5, 0, 10), Used(10**9, 0, 5), Used(20, 50, 5), Used(20, 0, 10**8)])
+def test_absurd_usage_of_a_faulty_engine_is_not_billed(said: Used) -> None:
+    cashier, noto = Cashier(), tenant()
+    hold = held(cashier.reserve(noto, "s", 20, 100, 0.0, NOON))
+    entry = cashier.settle(hold, "a", "streamed", said, Used(), 2, 0.0, NOON)
+    assert entry.note and 0 <= entry.micros <= 20 * 3 + 100 * 12
+    assert min(entry.bill) >= 0 if isinstance(entry.bill, tuple) else entry.bill.prompt >= 0
+
+
+def test_a_budget_changed_with_reservations_open_keeps_them() -> None:
+    cashier = Cashier()
+    hold = held(cashier.reserve(tenant(minute=1000), "s", 500, 100, 0.0, NOON))
+    held(cashier.reserve(tenant(minute=300), "s", 10, 10, 0.0, NOON))
+    cashier.settle(hold, "a", "streamed", Used(500, 0, 100), Used(), 2, 0.0, NOON)
+    meter = cashier.meters["noto", ""]
+    assert meter.open == 1 and meter.level <= meter.most == 300
+
+
+def test_idle_tenants_cost_nothing_after_a_sweep() -> None:
+    cashier = Cashier()
+    for i in range(5000):
+        hold = held(cashier.reserve(tenant(f"t{i}", minute=6000), "s", 10, 10, 0.0, NOON))
+        cashier.settle(hold, "g", "streamed", Used(10, 0, 10), Used(), 2, 0.0, NOON)
+    for _ in range(40):
+        cashier.sweep(60e3, NOON + 60)
+    assert cashier.meters == {}
+
+
+def test_lengths_are_learnt_per_tenant_and_lean_on_the_product_before() -> None:
+    lengths, rng = Lengths(limit=50), random.Random(1)
+    assert lengths.estimate("a", "s", 400) == 400
+    for _ in range(500):
+        lengths.learn("a", "s", int(rng.lognormvariate(4, 0.5)))
+    said = lengths.estimate("a", "s", 4000)
+    true = sorted(int(rng.lognormvariate(4, 0.5)) for _ in range(20000))[18000]
+    assert abs(said / true - 1) < 0.15
+    assert lengths.estimate("new", "s", 4000) == pytest.approx(said, rel=0.2)
+    for i in range(500):
+        lengths.learn(f"t{i}", "s", 50)
+    assert len(lengths.own) <= 50
+
+
+ops = st.lists(st.tuples(st.sampled_from(["reserve", "settle", "wait"]), st.integers(0, 400), st.integers(0, 400)),
+               max_size=60)
+
+
+@settings(max_examples=200, deadline=None)
+@given(ops, st.integers(100, 2000), st.integers(50, 1000))
+def test_spending_stays_within_burst_rate_and_overruns(steps: list[tuple[str, int, int]], minute: int, burst: int
+                                                      ) -> None:
+    """What settled in any run: at most burst + rate * time + what generations overran their reservations."""
+    meter, now = Meter(Budget(minute=minute, burst=burst), "UTC", "month", 1.0, 0.0), 0.0
+    opened: list[int] = []
+    spent = overran = 0
+    for what, a, b in steps:
+        if what == "wait":
+            now += a * 10
+        elif what == "reserve" and meter.reserve(a, now, NOON) is None:
+            opened.append(a)
+        elif what == "settle" and opened:
+            reserved = opened.pop(b % len(opened))
+            used = reserved + b - 150 if b % 3 else reserved
+            used = max(0, used)
+            meter.settle(reserved, used, None, now, NOON)
+            spent += used
+            overran += max(0, used - reserved)
+        bigger = max([0, *opened, *[s[1] for s in steps]]) - burst    # one larger than the burst goes when it is full
+        assert spent + sum(opened) <= burst + minute * now / 60e3 + overran + max(0, bigger) + 1e-6
+        assert meter.open == len(opened) and meter.level <= meter.most + 1e-9
+
+
+# -- parts of several gateways
+
+@settings(max_examples=150, deadline=None)
+@given(st.integers(1, 12), st.lists(st.tuples(st.integers(0, 11), st.floats(0, 1.2), st.floats(0, 6)), max_size=80))
+def test_parts_lent_never_add_up_to_more_than_one(n: int, asks: list[tuple[int, float, float]]) -> None:
+    """Whoever asks, gives back, dies (asks no more) or comes back: all that gateways may use is at most the whole."""
+    lender, now = Lender(n, ttl_s=5, skew_s=1), 0.0
+    borrowers = [Borrower(FLOOR / n) for _ in range(n)]
+    for who, want, after in asks:
+        now += after
+        borrowers[who % n].lease = lender.ask("t", f"g{who % n}", want, now)
+        for early in (0.0, 0.9):    # clocks may differ by less than the skew
+            assert sum(b.part(now - early) for b in borrowers) <= 1 + 1e-9
+
+
+def test_a_dead_gateways_part_is_lent_again_after_its_lease() -> None:
+    lender = Lender(2, ttl_s=10, skew_s=1)
+    assert lender.ask("t", "g1", 1.0, 0.0).part == pytest.approx(0.5)
+    assert lender.ask("t", "g2", 1.0, 1.0).part == 0.0
+    assert lender.ask("t", "g2", 1.0, 11.5).part == pytest.approx(0.5)
+
+
+def test_two_that_want_all_come_to_even_shares() -> None:
+    lender, parts = Lender(2), {"g1": 0.0, "g2": 0.0}
+    for i in range(6):
+        for g in parts:
+            parts[g] = lender.ask("t", g, 1.0, float(i)).part
+    assert parts == {"g1": pytest.approx(0.25), "g2": pytest.approx(0.25)}
+
+
+def test_chunks_of_a_period_are_never_more_than_its_pool() -> None:
+    lender = Lender(3)
+    got = sum(lender.draw("t", "2026-12", 24_000) for _ in range(100))
+    assert got == pytest.approx(12_000)
+    assert lender.draw("t", "2027-01", 24_000) > 0 and lender.draw("t", "2026-12", 24_000) == 0
+
+
+# -- the ledger
+
+class CrashError(Exception):
+    pass
+
+
+class FakeDisk:
+    """A disk in memory that fails at the n-th call: torn, short, full or at a sync; a crash loses unsynced bytes."""
+
+    def __init__(self, fail_at: int = -1, how: str = "") -> None:
+        self.files: dict[str, bytearray] = {}
+        self.synced: dict[str, int] = {}
+        self.handles: dict[int, str] = {}
+        self.calls, self.fail_at, self.how, self.next = 0, fail_at, how, 1
+
+    def failing(self) -> bool:
+        self.calls += 1
+        return self.calls == self.fail_at
+
+    def names(self) -> list[str]:
+        return sorted(self.files)
+
+    def read(self, name: str) -> bytes:
+        return bytes(self.files[name])
+
+    def open(self, name: str) -> int:
+        if self.failing() and self.how == "full":
+            raise OSError(28, "full")
+        self.files.setdefault(name, bytearray())
+        self.synced.setdefault(name, 0)
+        self.next += 1
+        self.handles[self.next] = name
+        return self.next
+
+    def write(self, handle: int, data: bytes) -> int:
+        name, fails = self.handles[handle], self.failing()
+        if fails and self.how == "full":
+            self.files[name] += data[:len(data) // 2]
+            raise OSError(28, "full")
+        if fails and self.how == "crash":
+            self.files[name] += data[:len(data) // 2]
+            raise CrashError
+        part = data[:max(1, len(data) // 2)] if fails and self.how == "short" else data
+        self.files[name] += part
+        return len(part)
+
+    def sync(self, handle: int) -> None:
+        name, fails = self.handles[handle], self.failing()
+        if fails and self.how == "crash":
+            raise CrashError
+        if fails and self.how in ("sync", "full"):
+            del self.files[name][self.synced[name] + (len(self.files[name]) - self.synced[name]) // 3:]
+            raise OSError(5, "sync")
+        self.synced[name] = len(self.files[name])
+
+    def cut(self, handle: int, length: int) -> None:
+        name = self.handles[handle]
+        del self.files[name][length:]
+        self.synced[name] = min(self.synced[name], length)
+
+    def close(self, handle: int) -> None:
+        self.handles.pop(handle, None)
+
+    def rename(self, old: str, new: str) -> None:
+        if self.failing() and self.how == "crash":
+            raise CrashError
+        self.files[new], self.synced[new] = self.files.pop(old), self.synced.pop(old)
+
+    def remove(self, name: str) -> None:
+        del self.files[name], self.synced[name]
+
+    def sync_folder(self) -> None:
+        if self.failing() and self.how == "crash":
+            raise CrashError
+
+    def after_crash(self, rng: random.Random) -> FakeDisk:
+        """What a restart finds: what was synced, and any beginning of the rest."""
+        disk = FakeDisk()
+        for name, data in self.files.items():
+            keep = self.synced[name] + rng.randint(0, len(data) - self.synced[name])
+            disk.files[name], disk.synced[name] = bytearray(data[:keep]), keep
+        return disk
+
+
+def entry(i: int) -> Entry:
+    return Entry(f"g{i}", f"t{i % 3}", "s", "2026-12", NOON, "streamed", Used(i, 0, 2 * i), Used(1, 0, 0), 5 * i, 2)
+
+
+def fill(store: Store, groups: list[int], first: int = 1) -> list[Entry]:
+    """Appends and commits in groups; gives those whose commit returned. A crash ends it."""
+    kept: list[Entry] = []
+    waiting: list[Entry] = []
+    i = first
+    for size in groups:
+        for _ in range(size):
+            store.append(entry(i))
+            waiting.append(entry(i))
+            i += 1
+        try:
+            store.commit()
+        except OSError:
+            continue    # tried again with the next group
+        except CrashError:
+            return kept
+        kept += waiting
+        waiting = []
+    try:
+        store.commit()
+        kept += waiting
+    except (OSError, CrashError):
+        pass
+    return kept
+
+
+@settings(max_examples=400, deadline=None)
+@given(st.integers(1, 60), st.sampled_from(["crash", "full", "short", "sync"]),
+       st.lists(st.integers(1, 7), min_size=1, max_size=10), st.integers(0, 2**16))
+def test_no_settled_bill_is_lost_or_doubled_wherever_it_fails(at: int, how: str, groups: list[int], seed: int) -> None:
+    disk = FakeDisk(at, how)
+    store = Store(disk, segment_bytes=600)    # type: ignore[arg-type]
+    kept = fill(store, groups)
+    after = disk.after_crash(random.Random(seed))
+    again, found = Store(after), list[Entry]()    # type: ignore[arg-type]
+    again.recover(lambda _, e: found.append(e))
+    ids = [e.gen for e in found]
+    assert len(ids) == len(set(ids))
+    assert {e.gen for e in kept} <= set(ids)
+    sums = Totals()
+    for e in found:
+        sums.add(e)
+    assert again.totals.sums == sums.sums
+    more = fill(again, [3, 3], first=1000)    # and it can be written to again
+    third, all_found = Store(after), list[str]()    # type: ignore[arg-type]
+    third.recover(lambda _, e: all_found.append(e.gen))
+    assert all_found == ids + [e.gen for e in more] and third.totals.sums == again.totals.sums
+
+
+def test_every_cut_of_a_segment_is_recovered_from() -> None:
+    disk = FakeDisk()
+    fill(Store(disk), [1] * 6)    # type: ignore[arg-type]
+    raw = disk.read(segment_name(1))
+    whole = [len(read_segment(raw[:n], "s", last=True)[0]) for n in range(len(raw) + 1)]
+    assert whole[-1] == 6 and whole == sorted(whole) and set(whole) == set(range(7))
+
+
+def test_damage_that_no_crash_leaves_is_refused_by_place() -> None:
+    disk = FakeDisk()
+    fill(Store(disk), [4])    # type: ignore[arg-type]
+    disk.files[segment_name(1)][40] ^= 4
+    with pytest.raises(Damaged, match="byte 8"):
+        Store(disk).recover()    # type: ignore[arg-type]
+
+
+def test_old_segments_go_once_sums_cover_them_and_the_sums_stay_right() -> None:
+    disk = FakeDisk()
+    store = Store(disk, segment_bytes=400, keep_segments=2)    # type: ignore[arg-type]
+    kept = fill(store, [2] * 30)
+    assert sum(n.endswith(".seg") for n in disk.names()) <= 3
+    again = Store(disk)    # type: ignore[arg-type]
+    again.recover()
+    sums = Totals()
+    for e in kept:
+        sums.add(e)
+    assert again.totals.sums == sums.sums and again.seq == 60 and inf > again.cut_off == 0
