--- a/ternlane/days/parts.py
+++ b/ternlane/days/parts.py
@@ -12,7 +12,7 @@
 
 from ternlane.days.plan import Act, acts_of, address_of, engines_of, habits_of, talks_of, zones_of, ENGINE_NET
 from ternlane.days.script import (AnswerLost, Burst, DayScript, HandshakeSlow, HeavyTail, HotKey, Neighbour, OriginSlow,
-                                  Pauses, Slow, ZoneCut)
+                                  Pauses, Slow, TenantRush, ZoneCut)
 from ternlane.paper import read_paper
 from ternlane.standin.clients import Clients
 from ternlane.standin.engine import Engine
@@ -138,6 +138,8 @@
             w.rate = times if on else 1.0
         case HeavyTail(share=share, times=times, product=product):
             w.long_part, w.long_times, w.long_product = (share, times, product) if on else (0.0, 1.0, "")
+        case TenantRush(share=share):
+            w.rush_part = share if on else 0.0
         case HotKey(share=share, keys=keys, toks=toks):
             w.hot_part, w.hot_keys, w.hot_toks, w.hot_seed = (share, keys, toks, w.hot_seed + 1) if on \
                 else (0.0, 1, toks, w.hot_seed)
@@ -149,6 +151,8 @@
     host, port = scene.front
     clients = Clients(f"c{index}", f"{host}:{port}", talks_of(scene.day), habits_of(scene.day), traffic,
                       scene.day.seed * 1000 + index)
+    if (folder / "keys.json").exists():
+        clients.tenants = [(name, key) for name, key in json.loads((folder / "keys.json").read_text())]
     path = folder / f"clients-{index}.progress"
 
     async def progress() -> None:
--- a/ternlane/days/play.py
+++ b/ternlane/days/play.py
@@ -23,6 +23,8 @@
 from ternlane.rules import check_folder
 from ternlane.standin.registry import Listing, Registry
 from ternlane.standin.traffic import Traffic, clock_ms
+from ternlane.tenants import KeyLine, Prices, TenantLine, new_key
+from ternlane.tenants.roll import RollPaper
 
 FIRST_PORT, LAST_PORT = 20000, 31000    # below what the system hands out by itself
 START_MS = 4000.0
@@ -102,7 +104,7 @@
             self.registry.traffic.close()
         findings = check_folder(self.folder, rules_of(self.day))
         report = report_of(self.folder, self.day, findings)
-        (self.folder / "report.json").write_text(json.dumps(report, indent=1))
+        (self.folder / "report.json").write_bytes(msgspec.json.format(msgspec.json.encode(report), indent=1))
         self.say(table_of(report))
         return report
 
@@ -120,15 +122,37 @@
         scene = Scene(self.folder, self.day, clock_ms() + START_MS, first, gateways,
                       ("127.0.0.1", first + len(engines)), ("127.0.0.1", first + len(engines) + 1))
         scene.save()
+        self.open_accounts()
         for i, (name, (host, port)) in enumerate(gateways.items()):
             paper = GatewayPaper(
                 name=name, listen=f"{host}:{port}", source=host, zone=zones[i % len(zones)], gateways=self.day.gateways,
                 seed=self.day.seed * 100 + i, state=str(self.folder / f"{name}.nodes"), products=self.day.products,
                 nodes=ConsulSource(address=f"{scene.registry[0]}:{scene.registry[1]}", service="engines"),
-                fleet=self.day.terms, door=self.day.door)
+                fleet=self.day.terms, door=self.day.door,
+                tenants=str(self.folder / "tenants.json5") if self.day.tenants else None,
+                ledger=str(self.folder / "ledgers" / name) if self.day.tenants else None, lease_s=3.0,
+                lender=str(self.folder / "lender.json") if self.day.tenants and self.day.lent else None)
             (self.folder / f"{name}.json5").write_bytes(msgspec.json.format(msgspec.json.encode(paper), indent=1))
         return scene
 
+    def open_accounts(self) -> None:
+        """Tenants with a key each; the keys themselves go to the clients alone."""
+        for old in ("keys.json", "lender.json", "ledgers"):
+            path = self.folder / old
+            if path.is_dir():
+                shutil.rmtree(path)
+            path.unlink(missing_ok=True)
+        if not self.day.tenants:
+            return
+        lines, keys = [], []
+        for i in range(self.day.tenants):
+            key, name, salt, kept = new_key()
+            lines.append(TenantLine(name=f"t{i:03}", keys=[KeyLine(name=name, salt=salt, hash=kept)],
+                                    budget=self.day.budget, prices={"*": Prices(prompt=3, kept=1, answer=12)}))
+            keys.append((f"t{i:03}", key))
+        (self.folder / "tenants.json5").write_bytes(msgspec.json.encode(RollPaper(tenants=lines)))
+        (self.folder / "keys.json").write_text(json.dumps(keys))
+
     def start(self, name: str, *args: str) -> None:
         with open(self.folder / f"{name}.log", "ab") as log:
             self.processes[name] = subprocess.Popen([sys.executable, "-m", "ternlane", *args], stdin=subprocess.DEVNULL,
--- a/ternlane/days/report.py
+++ b/ternlane/days/report.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from ternlane.days.script import DayScript
+from ternlane.ledger.bills import entries_of, reconcile, rows_of
 from ternlane.rules import Findings, read_lines
 
 
@@ -60,12 +61,36 @@
         "day": day.name, "seed": day.seed, "gateways": day.gateways, "generations": len(tasks),
         "tries": sum(map(len, asks.values())), "per_second": round(len(tasks) / max(span / 1000, 1e-9), 1),
         "revenue_in_time": round(sum(v["earned"] for v in products.values()) / could, 4) if could else 0.0,
+        **({"accounts": accounts_of(folder, day, lines, span / 1000)} if day.tenants else {}),
         "products": products, "legs": legs, "legs_each": round(legs / max(1, len(finals)), 3),
         "legs_ended": dict(verdicts), "troubles": sorted({str(t.__struct_config__.tag) for t in day.troubles}),
         "judged": findings.counted, "rules_kept": findings.kept,
         "broken": [{"rule": f.rule, "gen": f.gen, "why": f.why, "lines": f.lines} for f in findings.broken[:200]]}
 
 
+def accounts_of(folder: Path, day: DayScript, lines: list[dict[str, Any]], span_s: float) -> dict[str, Any]:
+    """Bills against the engines' own counts, and what each tenant spent of its budget."""
+    ledgers = sorted((folder / "ledgers").iterdir())
+    found = reconcile(entries_of(ledgers), [v for v in lines if v["k"] == "made"])
+    spent: Counter[str] = Counter()
+    for row in rows_of(ledgers, None, None):
+        spent[row["tenant"]] += row["prompt"] + row["answer"]
+    allowed = None
+    if day.budget.minute is not None:
+        burst = day.budget.minute if day.budget.burst is None else day.budget.burst
+        allowed = burst + day.budget.minute * span_s / 60
+    tenants: dict[str, Counter[str]] = defaultdict(Counter)
+    for task in (v for v in lines if v["k"] == "task"):
+        tenants[task["tenant"]][task["outcome"]] += 1
+    return {"made": found.made, "billed": found.billed, "house": found.house, "off": round(found.off, 5),
+            "doubled": found.doubled, "differing": len(found.differing),
+            "differ": {k: v for k, v in list(found.differing.items())[:20]},
+            "unsettled": len(found.unsettled),
+            "unsettled_toks": sum(u.prompt + u.answer for u in found.unsettled.values()),
+            "allowed_each": allowed, "most_spent": max(spent.values(), default=0),
+            "tenants": {k: {"spent": spent[k], **v} for k, v in sorted(tenants.items())}}
+
+
 def table_of(report: dict[str, Any]) -> str:
     kinds = ["streamed", "throttled", "terminated", "left", "unreachable", "broken", "none"]
     out = [f"{report['day']}  seed {report['seed']}  {report['gateways']} gateways  {report['generations']} "
@@ -79,6 +104,12 @@
     judged = ", ".join(f"{v} {k}" for k, v in report["judged"].items())
     out.append(f"revenue within the SLO time: {report['revenue_in_time']:.3f}   "
                f"legs a try: {report['legs_each']:.2f}   judged: {judged}")
+    if "accounts" in report:
+        a = report["accounts"]
+        out.append(f"engines made {a['made'].prompt} + {a['made'].answer} tokens; billed {a['billed'].prompt} + "
+                   f"{a['billed'].answer}, house {a['house'].prompt} + {a['house'].answer}; off by {a['off']:.3%}, "
+                   f"{a['unsettled']} died unsettled ({a['unsettled_toks']} tokens), {len(a['doubled'])} doubled")
+        out.append(f"most spent by a tenant {a['most_spent']}, allowed {a['allowed_each']}")
     if report["rules_kept"]:
         out.append("rules: all five kept")
     else:
--- a/ternlane/days/script.py
+++ b/ternlane/days/script.py
@@ -5,6 +5,7 @@
 
 from msgspec import Meta
 
+from ternlane.tenants.roll import Budget
 from ternlane.paper.gateway import Count, DoorTerms, FleetTerms, Name, NotNegative, Part, Positive, ProductTerms, Sheet
 
 Span = tuple[float, float]
@@ -92,6 +93,11 @@
     duty: Literal["any", "read", "write", "both"] = "any"
 
 
+class TenantRush(Struck, frozen=True, kw_only=True, tag="tenant_rush", tag_field="kind"):
+    """Many new sessions are one tenant's."""
+    share: Part = 0.5
+
+
 class Crash(OnServers, frozen=True, kw_only=True, tag="crash", tag_field="kind"):
     """Processes die and come back cold after `for_s`."""
 
@@ -176,7 +182,8 @@
     how: Literal["errors", "silence", "garbage", "partial", "restart", "empty"] = "errors"
 
 
-AnyTrouble = (Burst | HeavyTail | HotKey | Crash | Hang | Slow | Pauses | Neighbour | Flush | AnswerLost
+AnyTrouble = (TenantRush | Burst | HeavyTail | HotKey | Crash | Hang | Slow | Pauses | Neighbour | Flush
+              | AnswerLost
               | HandshakeSlow | OriginSlow | ZoneCut | MassRestart | Preempt | Roll | BalancerCrash | BalancerRoll
               | RegistryFails)
 
@@ -199,6 +206,9 @@
     clients: ClientsLine = ClientsLine()
     lists: ListTimes = ListTimes()
     front_notice_ms: Positive = 1500.0
+    tenants: int = 0                  # 0: everybody is served; else so many, with keys, budgets and bills
+    budget: Budget = Budget()         # of each tenant
+    lent: bool = True                 # gateways lend parts of budgets to each other
     troubles: list[AnyTrouble] = []
 
     def __post_init__(self) -> None:
--- a/ternlane/gateway/door.py
+++ b/ternlane/gateway/door.py
@@ -236,7 +236,8 @@
             if not 0 < stated < 1e9:
                 raise Wrong("X-Ternlane-Time-Limit-Ms", "must be a positive number of milliseconds")
             limit = min(limit, stated)
-        return max(0.0, limit - self.paper.door.answer_ms)
+        spent = now_ms() - exchange.arrived * 1000
+        return max(0.0, limit - spent - self.paper.door.answer_ms)
 
     async def answer(self, exchange: Exchange, ticket: Ticket) -> None:
         if ticket.final is None:
--- a/ternlane/http1/server.py
+++ b/ternlane/http1/server.py
@@ -26,6 +26,7 @@
         self.stream, self.conn, self.request, self.send_ms = stream, conn, request, send_ms
         self.body = b""
         self.begun = False
+        self.arrived = trio.current_time()    # when its first byte was there
         self.peer: tuple[str, int] = stream.socket.getpeername()[:2]
 
     @property
@@ -147,15 +148,16 @@
 
 async def next_request(stream: trio.SocketStream, conn: h11.Connection, body_bytes: int, head_ms: float,
                        body_ms: float, idle_ms: float, send_ms: float) -> Exchange | None:
-    begun = bool(conn.trailing_data[0])
+    begun, arrived = bool(conn.trailing_data[0]), trio.current_time()
     try:
         scope = trio.CancelScope(deadline=trio.current_time() + (head_ms if begun else idle_ms) / 1000)
         with scope:
             event = conn.next_event()
             while event is h11.NEED_DATA:
                 data = await stream.receive_some(CHUNK)
-                if data and not begun:    # the head's own time limit starts with its first byte
-                    begun, scope.deadline = True, trio.current_time() + head_ms / 1000
+                if data and not begun:
+                    begun, arrived = True, trio.current_time()
+                    scope.deadline = arrived + head_ms / 1000    # the head's own time limit starts with its first byte
                 conn.receive_data(data)
                 event = conn.next_event()
         if scope.cancelled_caught:
@@ -165,6 +167,7 @@
         if not isinstance(event, h11.Request):
             return None
         exchange = Exchange(stream, conn, event, send_ms)
+        exchange.arrived = arrived
         stated = exchange.header(b"content-length")
         if stated is not None and int(stated) > body_bytes:
             raise BadRequest(413, f"the body is longer than {body_bytes} bytes", "body_too_large")
--- a/ternlane/standin/clients.py
+++ b/ternlane/standin/clients.py
@@ -56,6 +56,7 @@
     hot_toks: float = 3000.0
     hot_keys: int = 1
     hot_seed: int = 0
+    rush_part: float = 0.0
 
 
 @dataclass(eq=False)
@@ -65,6 +66,7 @@
     messages: list[dict[str, Any]]
     key: str | None
     user: str
+    tenant: tuple[str, str] | None    # name and API key
     left: int = 1
     said: int = 0
 
@@ -97,6 +99,7 @@
         self.count = self.open = 0
         self.tally: dict[str, int] = {}
         self.opening_texts: dict[tuple[str, int, int], str] = {}
+        self.tenants: list[tuple[str, str]] = []    # the first are the largest
 
     def opening(self, talk: Talk) -> str:
         """A text that sessions share; which are popular falls off as 1/rank."""
@@ -124,7 +127,15 @@
         turns = low + (high - low) * self.rng.random()
         left = int(turns) + (self.rng.random() < turns % 1)
         key = ident if self.rng.random() < talk.key_part else None
-        return Session(talk, ident, messages, key, f"user-{self.rng.randrange(200)}", max(1, left))
+        return Session(talk, ident, messages, key, f"user-{self.rng.randrange(200)}", self.tenant(), max(1, left))
+
+    def tenant(self) -> tuple[str, str] | None:
+        """Tenants' parts of the traffic fall off as 1/(rank + 3); in a rush many sessions are the last one's."""
+        if not self.tenants:
+            return None
+        if self.rng.random() < self.weather.rush_part:
+            return self.tenants[-1]
+        return self.rng.choices(self.tenants, [1 / (i + 3) for i in range(len(self.tenants))])[0]
 
     async def run(self, rate: Callable[[float], float], length_ms: float, nursery: trio.Nursery) -> None:
         """Sessions begin so that generations come at `rate(ms since start)` a second; none waits for an answer."""
@@ -168,7 +179,9 @@
             await trio.sleep(pause / 1000)
         self.open -= 1
         self.tally[heard.outcome] = self.tally.get(heard.outcome, 0) + 1
-        self.traffic.line("task", task=task, product=talk.product, outcome=heard.outcome, tries=tries)
+        owner = session.tenant[0] if session.tenant is not None else ""
+        self.traffic.line("task", task=f"{owner}.{task}" if owner else task, product=talk.product, tenant=owner,
+                          outcome=heard.outcome, tries=tries, why=heard.why[:60])
         return heard
 
     def may_retry(self, talk: Talk, heard: Heard) -> bool:
@@ -184,6 +197,10 @@
 
     async def attempt(self, session: Session, task: str, number: int, limit_ms: float) -> Heard:
         talk, gen = session.talk, f"{task}.{number}"
+        name = gen    # as gateway and engines have it
+        if session.tenant is not None:
+            gen = f"{session.tenant[0]}.{gen}"
+            task = f"{session.tenant[0]}.{task}"
         stream = self.rng.random() >= talk.plain_part
         body: dict[str, Any] = {"model": talk.product, "messages": session.messages, "stream": stream,
                                 "max_tokens": talk.max_toks, "user": session.user}
@@ -191,8 +208,10 @@
             body["stream_options"] = {"include_usage": True}
         if session.key is not None:
             body["prompt_cache_key"] = session.key
-        headers = [("Content-Type", "application/json"), ("X-Request-Id", gen),
+        headers = [("Content-Type", "application/json"), ("X-Request-Id", name),
                    ("X-Ternlane-Time-Limit-Ms", f"{limit_ms:.1f}"), ("Connection", "close")]
+        if session.tenant is not None:
+            headers.append(("Authorization", f"Bearer {session.tenant[1]}"))
         if talk.effect == "deduplicated":
             headers.append(("Idempotency-Key", task))
         leave = self.rng.random() < self.habits.leave_part
--- a/ternlane/standin/engine.py
+++ b/ternlane/standin/engine.py
@@ -334,6 +334,7 @@
             raise
         finally:
             self.leave()
+        self.traffic.line("made", id=self.ident, gen=gen, prompt=int(toks), kept=int(kept), answer=0)
         self.states[gen] = toks, clock_ms()
         self.traffic.line("state", id=self.ident, gen=gen, toks=toks)
         if self.rng.random() < self.trouble.lost:
@@ -390,10 +391,12 @@
         await self.enter()
         held = toks + out
         self.used += held
+        written, read, kept = 0, 0, 0.0
         try:
             unread, kept = self.unkept(text) if stage == "whole" else (0.0, toks)
             if stage == "whole":
                 await self.work(2.0 + unread / self.build.read_tok_s * 1000)
+                read = int(toks)
             else:
                 await self.fetch(gen, body["kv_transfer_params"])
             key = exchange.header(b"idempotency-key") or gen
@@ -407,6 +410,7 @@
             lost = self.rng.random() < self.trouble.lost
             for i, word in enumerate(words):
                 await self.work(self.build.tok_ms * (1 + self.build.tok_grow * self.busy / self.build.slots))
+                written += 1
                 if lost:
                     continue
                 data = event_bytes(msgspec.json.encode({
@@ -429,5 +433,8 @@
             await exchange.end(last)
             return "streamed"
         finally:
+            if read or written:
+                self.traffic.line("made", id=self.ident, gen=gen, prompt=read, kept=int(kept) if read else 0,
+                                  answer=written)
             self.used -= held
             self.leave()
