--- a/ternlane/cli.py
+++ b/ternlane/cli.py
@@ -176,3 +176,216 @@
             click.echo(f"    {json.dumps(line)}")
     click.echo("all five kept" if findings.kept else f"{len(findings.broken)} times broken")
     sys.exit(0 if findings.kept else 1)
+
+
+@main.group()
+def tenant() -> None:
+    """Tenants, their keys and budgets, in the file that gateways follow."""
+
+
+def change_roll(file: str, change: Callable[[Any], Any]) -> None:
+    """Reads the roll, changes it, and puts the new file in the old one's place whole, under a lock."""
+    import fcntl
+    import os
+
+    import msgspec
+
+    from ternlane.tenants.roll import RollPaper
+    path = Path(file)
+    with open(path.with_name(path.name + ".lock"), "w") as lock:
+        fcntl.flock(lock, fcntl.LOCK_EX)
+        roll = paper(file, RollPaper) if path.exists() else RollPaper()
+        try:
+            roll = change(roll)
+            raw = msgspec.json.format(msgspec.json.encode(roll), indent=1)
+            msgspec.json.decode(raw, type=RollPaper)
+        except (ValueError, KeyError) as why:
+            click.echo(f"ternlane: {why.args[0] if why.args else why}", err=True)
+            sys.exit(DATA)
+        fresh = path.with_name(path.name + ".new")
+        with open(fresh, "wb") as out:
+            out.write(raw)
+            out.flush()
+            os.fsync(out.fileno())
+        os.chmod(fresh, 0o600)
+        os.replace(fresh, path)
+
+
+def tenant_of(roll: Any, name: str) -> Any:
+    found = next((t for t in roll.tenants if t.name == name), None)
+    if found is None:
+        raise KeyError(f"there is no tenant {name!r}")
+    return found
+
+
+ROLL = click.option("--file", "file", default="tenants.json5", show_default=True, help="the tenants' file")
+
+
+@tenant.command("add")
+@click.argument("name")
+@click.option("--zone", default="UTC", help="of the billing period's edges")
+@click.option("--period", type=click.Choice(["day", "month"]), default="month")
+@ROLL
+def tenant_add(name: str, zone: str, period: str, file: str) -> None:
+    """Adds tenant NAME, without keys."""
+    import msgspec
+
+    from ternlane.tenants.roll import TenantLine
+
+    def change(roll: Any) -> Any:
+        if any(t.name == name for t in roll.tenants):
+            raise KeyError(f"tenant {name!r} is there already")
+        made = msgspec.convert({"name": name, "zone": zone, "period": period}, TenantLine)
+        return msgspec.structs.replace(roll, tenants=[*roll.tenants, made])
+    change_roll(file, change)
+
+
+@tenant.group("key")
+def tenant_key() -> None:
+    """API keys."""
+
+
+@tenant_key.command("new")
+@click.argument("name")
+@ROLL
+def key_new(name: str, file: str) -> None:
+    """Makes a key for tenant NAME and prints it: it is kept nowhere and not shown again."""
+    import msgspec
+
+    from ternlane.tenants import KeyLine, new_key
+    from ternlane.tenants.roll import replace_tenant
+    key, public, salt, kept = new_key()
+
+    def change(roll: Any) -> Any:
+        it = tenant_of(roll, name)
+        return replace_tenant(roll, msgspec.structs.replace(
+            it, keys=[*it.keys, KeyLine(name=public, salt=salt, hash=kept)]))
+    change_roll(file, change)
+    click.echo(key)
+
+
+@tenant_key.command("revoke")
+@click.argument("key")
+@click.option("--in", "after_s", type=click.FloatRange(min=0), default=0.0, help="seconds until it ends; 0: at once")
+@ROLL
+def key_revoke(key: str, after_s: float, file: str) -> None:
+    """Ends KEY, named whole or by its public part. Streams that run go on."""
+    import time
+
+    import msgspec
+
+    from ternlane.tenants.keys import split_key
+    from ternlane.tenants.roll import replace_tenant
+    public = split_key(key)[0] or key
+
+    def change(roll: Any) -> Any:
+        for it in roll.tenants:
+            for line in it.keys:
+                if line.name == public:
+                    ended = msgspec.structs.replace(line, state="retiring" if after_s else "revoked",
+                                                    until=time.time() + after_s)
+                    return replace_tenant(roll, msgspec.structs.replace(
+                        it, keys=[ended if k.name == public else k for k in it.keys]))
+        raise KeyError(f"there is no key {public!r}")
+    change_roll(file, change)
+
+
+@tenant.group("budget")
+def tenant_budget() -> None:
+    """What a tenant may spend."""
+
+
+@tenant_budget.command("set")
+@click.argument("name")
+@click.option("--product", default="", help="for this product alone, beside the budget for all")
+@click.option("--minute", type=int, help="tokens a minute")
+@click.option("--burst", type=int)
+@click.option("--per-period", "period", type=int, help="tokens a billing period")
+@click.option("--at-once", type=int)
+@click.option("--overdraft", type=int)
+@click.option("--cut/--no-cut", default=None, help="end streams that pass the overdraft")
+@click.option("--clear", is_flag=True, help="forget what was set before")
+@ROLL
+def budget_set(name: str, product: str, clear: bool, file: str, **given: Any) -> None:
+    """Changes the limits that are named; gateways take it over within a second, open generations keep theirs."""
+    import msgspec
+
+    from ternlane.tenants.roll import Budget, replace_tenant
+
+    def change(roll: Any) -> Any:
+        it = tenant_of(roll, name)
+        old = Budget() if clear else (it.products.get(product, Budget()) if product else it.budget)
+        limits = msgspec.to_builtins(old) | {k: v for k, v in given.items() if v is not None}
+        made = msgspec.convert(limits, Budget)
+        changed = {"products": {**it.products, product: made}} if product else {"budget": made}
+        return replace_tenant(roll, msgspec.structs.replace(it, **changed))
+    change_roll(file, change)
+
+
+@tenant.command("show")
+@click.argument("name", required=False)
+@ROLL
+def tenant_show(name: str | None, file: str) -> None:
+    """Shows tenants with their keys' public parts and budgets."""
+    from ternlane.tenants.roll import RollPaper
+    for it in paper(file, RollPaper).tenants:
+        if name in (None, it.name):
+            b = it.budget
+            click.echo(f"{it.name}  period {it.period} {it.zone}  minute {b.minute} burst {b.burst} period {b.period} "
+                       f"at once {b.at_once} overdraft {b.overdraft}")
+            for product, own in it.products.items():
+                click.echo(f"  {product}: minute {own.minute} period {own.period} at once {own.at_once}")
+            for key in it.keys:
+                click.echo(f"  key {key.name} {key.state}" + (f" until {key.until:.0f}" if key.until else ""))
+
+
+@main.group(invoke_without_command=True)
+@click.option("--ledger", "ledgers", multiple=True, type=click.Path(exists=True, file_okay=False),
+              help="a gateway's ledger folder; name all of them")
+@click.option("--tenant", "who")
+@click.option("--period")
+@click.option("--format", "form", type=click.Choice(["table", "csv", "json"]), default="table")
+@click.pass_context
+def bill(ctx: click.Context, ledgers: tuple[str, ...], who: str | None, period: str | None, form: str) -> None:
+    """Bills by tenant, product and period, summed over gateways' ledgers."""
+    if ctx.invoked_subcommand is not None:
+        ctx.obj = ledgers
+        return
+    from ternlane.ledger import Damaged
+    from ternlane.ledger.bills import rows_of, shown
+    try:
+        click.echo(shown(rows_of([Path(p) for p in ledgers], who, period), form))
+    except Damaged as why:
+        click.echo(f"ternlane: {why}", err=True)
+        sys.exit(DATA)
+
+
+@bill.command("reconcile")
+@click.option("--engines", "files", multiple=True, required=True, type=click.Path(exists=True, dir_okay=False),
+              help="JSON lines of the engines' counts: gen, prompt, kept, answer")
+@click.option("--within", type=float, default=0.01, help="part of the engines' tokens that may be off")
+@click.pass_context
+def bill_reconcile(ctx: click.Context, files: tuple[str, ...], within: float) -> None:
+    """Holds ledgers against the engines' counts and names each generation that does not add up."""
+    from ternlane.ledger.bills import entries_of, reconcile
+    lines = []
+    for file in files:
+        for raw in Path(file).read_text().splitlines():
+            try:
+                line = json.loads(raw)
+            except ValueError:
+                continue
+            if "gen" in line and "answer" in line and "prompt" in line:
+                lines.append(line)
+    found = reconcile(entries_of([Path(p) for p in ctx.obj]), lines)
+    for what, it in (("engines made", found.made), ("billed", found.billed), ("house", found.house)):
+        click.echo(f"{what:<16}{it.prompt:>12} prompt{it.answer:>12} answer")
+    for gen, (made, told) in sorted(found.differing.items()):
+        click.echo(f"differs    {gen}  made {made.prompt} + {made.answer}, "
+                   f"billed and house {told.prompt} + {told.answer}")
+    for gen, made in sorted(found.unsettled.items()):
+        click.echo(f"unsettled  {gen}  made {made.prompt} + {made.answer}")
+    for gen in found.doubled:
+        click.echo(f"doubled    {gen}")
+    click.echo(f"off by {found.off:.3%}")
+    sys.exit(0 if found.off <= within and not found.doubled else 1)
--- /dev/null
+++ b/tests/test_till.py
@@ -0,0 +1,217 @@
+"""Tenants through real sockets: who is let in, what is billed, and what a failing disk or a killed gateway leaves."""
+from __future__ import annotations
+
+import json
+import os
+import subprocess
+import sys
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any, AsyncIterator
+
+import msgspec
+import pytest
+import trio
+
+from tests.world import BUILD, Reply, World, replace, world
+from ternlane.gateway.ticket import Ticket
+from ternlane.ledger import Disk, Store
+from ternlane.ledger.bills import entries_of, reconcile, rows_of
+from ternlane.ledger.lending import lender_file
+from ternlane.tenants import Budget, KeyLine, Prices, TenantLine, new_key
+from ternlane.tenants.roll import RollPaper
+
+
+class Bank:
+    def __init__(self, folder: Path, names: tuple[str, ...], **budget: Any) -> None:
+        self.folder, self.keys, lines = folder, {}, []
+        for name in names:
+            self.keys[name], public, salt, kept = new_key()
+            lines.append(TenantLine(name=name, keys=[KeyLine(name=public, salt=salt, hash=kept)],
+                                    budget=Budget(**budget), prices={"*": Prices(prompt=3, kept=1, answer=12)}))
+        self.write(lines)
+
+    def write(self, lines: list[TenantLine]) -> None:
+        self.lines = lines
+        (self.folder / "tenants.json5").write_bytes(msgspec.json.encode(RollPaper(tenants=lines)))
+
+    async def ask(self, w: World, name: str, model: str = "summary", text: str = "hello", **more: Any) -> Reply:
+        headers = {"Authorization": f"Bearer {self.keys[name]}"} | more.pop("headers", {})
+        return await w.ask(model, text, headers=headers, **more)
+
+    def off(self, w: World) -> Any:
+        return reconcile(entries_of([self.folder / "ledger"]), w.said("made"))
+
+
+@asynccontextmanager
+async def banked(folder: Path, names: tuple[str, ...] = ("noto", "avola"), engines: tuple[str, ...] = ("r0", "w0"),
+                 build: Any = BUILD, budget: dict[str, Any] | None = None) -> AsyncIterator[tuple[World, Bank]]:
+    bank = Bank(folder, names, **(budget or {}))
+    async with world(engines, build=build, tenants=str(folder / "tenants.json5"),
+                     ledger=str(folder / "ledger")) as w:
+        yield w, bank
+        await w.gateway.drain()
+
+
+async def test_only_a_live_key_is_let_in_and_a_revoked_one_keeps_its_running_stream(tmp_path: Path) -> None:
+    async with banked(tmp_path, build=replace(BUILD, tok_ms=150.0)) as (w, bank):
+        assert (await w.ask()).status == 401
+        assert (await w.ask(headers={"Authorization": "Bearer tl-ffff-nothing"})).error == {
+            "message": "Incorrect API key provided", "type": "authentication_error", "param": None,
+            "code": "invalid_api_key"}
+        got: list[Reply] = []
+        async with trio.open_nursery() as nursery:
+            async def one() -> None:
+                got.append(await bank.ask(w, "noto"))
+            nursery.start_soon(one)
+            await trio.sleep(0.1)
+            bank.write([msgspec.structs.replace(t, keys=[msgspec.structs.replace(k, state="revoked") for k in t.keys])
+                        for t in bank.lines])
+            with trio.fail_after(2):
+                while (await bank.ask(w, "avola", text="x" * 4, model="nobody")).status != 401:
+                    await trio.sleep(0.1)
+        assert got[0].done == 1
+        assert (await bank.ask(w, "noto")).status == 401
+
+
+async def test_bills_are_what_the_engines_counted_whatever_the_legs(tmp_path: Path) -> None:
+    async with banked(tmp_path, engines=("r0", "r0b", "w0", "w0b"), build=replace(BUILD, tok_ms=12.0)) as (w, bank):
+        for i in range(12):
+            await bank.ask(w, "noto", text=f"folder {i} " * 30)
+
+        async def kill() -> None:
+            while len(w.said("effect")) < 13:
+                await trio.sleep(0.002)
+            w.engines[w.said("effect")[-1]["id"]].die()
+        w.nursery.start_soon(kill)
+        lost = await bank.ask(w, "avola", "note", text="lost midway " * 40)
+        again = await bank.ask(w, "avola", text="read again " * 40)
+        assert again.done == 1 and lost.status in (200, 502)
+        await w.settled()
+        await w.gateway.till.writer.flush(1.0)
+        found = bank.off(w)
+        assert found.off <= 0.01 and not found.doubled and not found.unsettled
+        rows = rows_of([tmp_path / "ledger"], "noto", None)
+        assert rows[0]["generations"] == 12 and rows[0]["answer"] == 72
+        assert rows[0]["micros"] == 3 * (rows[0]["prompt"] - rows[0]["kept"]) + rows[0]["kept"] + 12 * 72
+
+
+async def test_a_repeat_under_one_key_is_billed_once(tmp_path: Path) -> None:
+    async with banked(tmp_path) as (w, bank):
+        for _ in range(3):
+            assert (await bank.ask(w, "noto", headers={"Idempotency-Key": "k"})).done == 1
+        await w.gateway.till.writer.flush(1.0)
+        assert rows_of([tmp_path / "ledger"], None, None)[0]["generations"] == 1
+
+
+async def test_over_budget_is_told_with_an_honest_time_and_runs_nothing(tmp_path: Path) -> None:
+    async with banked(tmp_path, budget={"minute": 6000, "burst": 150}) as (w, bank):
+        first = await bank.ask(w, "noto", text="x" * 200, max_tokens=10)
+        assert first.done == 1 and float(first.headers["x-ratelimit-remaining-tokens"]) < 150
+        assert first.headers["x-ratelimit-limit-tokens"] == "6000"
+        legs, no = len(w.said("leg")), Reply()
+        for _ in range(6):
+            no = await bank.ask(w, "noto", text="x" * 200, max_tokens=10)
+            if no.status == 429:
+                break
+            legs = len(w.said("leg"))
+        assert no.status == 429 and no.error is not None and no.error["code"] == "rate_limit_exceeded"
+        assert len(w.said("leg")) == legs
+        assert (await bank.ask(w, "avola", text="x" * 200, max_tokens=10)).done == 1    # not another's allowance
+        await trio.sleep(float(no.headers["retry-after-ms"]) / 1000 + 0.02)
+        assert (await bank.ask(w, "noto", text="x" * 200, max_tokens=10)).done == 1
+
+
+async def test_strangers_can_not_let_go_of_each_others_states_by_a_guessed_name(tmp_path: Path) -> None:
+    async with banked(tmp_path) as (w, bank):
+        for name in bank.keys:
+            assert (await bank.ask(w, name, headers={"X-Request-Id": "same"})).done == 1
+        assert {v["gen"] for v in w.said("leg")} == {"noto.same", "avola.same"}
+
+
+async def test_a_full_disk_is_served_through_loudly_and_refused_beyond_the_bound(tmp_path: Path) -> None:
+    async with banked(tmp_path) as (w, bank):
+        assert w.gateway.till is not None
+        disk, writer = w.gateway.till.store.disk, w.gateway.till.writer
+        write, writer.limit = disk.write, 3
+
+        def full(handle: int, data: bytes) -> int:
+            raise OSError(28, "No space left on device")
+        disk.write = full    # type: ignore[method-assign]
+        answers = [(await bank.ask(w, "noto", text=str(i))).status for i in range(6)]
+        assert answers[:3] == [200] * 3 and answers[-1] == 503
+        disk.write = write    # type: ignore[method-assign]
+        with trio.fail_after(3):
+            while writer.waiting:
+                await trio.sleep(0.02)
+        assert (await bank.ask(w, "noto")).done == 1
+        await writer.flush(1.0)
+        assert rows_of([tmp_path / "ledger"], None, None)[0]["generations"] == answers.count(200) + 1
+
+
+async def test_a_killed_gateway_loses_only_what_was_open_and_it_is_listed(tmp_path: Path) -> None:
+    async with banked(tmp_path, build=replace(BUILD, tok_ms=60.0)) as (w, bank):
+        assert (await bank.ask(w, "noto")).done == 1
+        await w.gateway.till.writer.flush(1.0)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(bank.ask, w, "avola")
+            await trio.sleep(0.1)
+            w.gateway.host.on_done = lambda _: None    # from here on nothing is settled, as after kill -9
+            await trio.sleep(0.5)
+        found = bank.off(w)
+        assert list(found.unsettled.values())[0].answer == 6 and found.off == 0
+        assert isinstance(next(iter(w.gateway.host.tickets.values()), None), Ticket | None)
+
+
+async def test_what_was_spent_is_known_after_a_restart(tmp_path: Path) -> None:
+    for expected in (200, 429):
+        async with banked(tmp_path, names=("noto",), budget={"period": 120}) as (w, bank):
+            reply = await bank.ask(w, "noto", text="y" * 320, max_tokens=10)
+            assert reply.status == expected
+            if expected == 429:
+                assert reply.error is not None and reply.error["code"] == "insufficient_quota"
+
+
+def test_a_lender_file_is_changed_by_one_at_a_time_and_a_torn_one_lends_nothing(tmp_path: Path) -> None:
+    path = tmp_path / "lender.json"
+    with lender_file(path, 2, 10) as lender:
+        assert lender.ask("t", "g1", 1.0, 100.0).part == 0.5
+        with pytest.raises(OSError), lender_file(path, 2, 10):
+            pass
+    with lender_file(path, 2, 10) as lender:
+        assert lender.ask("t", "g2", 1.0, 101.0).part == 0.0
+    path.write_text('{"leases": {')
+    with pytest.raises(OSError), lender_file(path, 2, 10):
+        pass
+
+
+def test_the_operators_commands(tmp_path: Path) -> None:
+    def run(*args: str) -> subprocess.CompletedProcess[str]:
+        return subprocess.run([sys.executable, "-m", "ternlane", *args], capture_output=True, text=True, timeout=60,
+                              cwd=tmp_path, env={**os.environ, "PYTHONPATH": str(Path(__file__).parent.parent)})
+    assert run("tenant", "add", "noto", "--zone", "Europe/Rome", "--period", "day").returncode == 0
+    assert run("tenant", "add", "noto").returncode == 65
+    assert run("tenant", "add", "x", "--zone", "Mars/Base").returncode == 65
+    key = run("tenant", "key", "new", "noto").stdout.strip()
+    assert key.startswith("tl-")
+    assert run("tenant", "budget", "set", "noto", "--minute", "5000", "--overdraft", "100").returncode == 0
+    assert run("tenant", "budget", "set", "noto", "--minute", "-5").returncode == 65
+    assert run("tenant", "budget", "set", "nobody", "--minute", "5").returncode == 65
+    assert run("tenant", "key", "revoke", key, "--in", "60").returncode == 0
+    shown = run("tenant", "show").stdout
+    assert "minute 5000" in shown and "retiring" in shown and key.split("-")[2] not in shown
+    assert key.split("-")[2] not in (tmp_path / "tenants.json5").read_text()
+    store = Store(Disk(tmp_path / "ledger"))
+    from tests.test_tenants import entry
+    for i in range(1, 4):
+        store.append(entry(i))
+    store.commit()
+    rows = json.loads(run("bill", "--ledger", "ledger", "--format", "json").stdout)
+    assert sum(r["micros"] for r in rows) == 5 * 6 and run("bill", "--ledger", "ledger").stdout.count("\n") == 6
+    made = [{"gen": f"g{i}", "prompt": i + 1, "kept": 0, "answer": 2 * i} for i in range(1, 4)]
+    (tmp_path / "made.jsonl").write_text("\n".join(map(json.dumps, made)))
+    assert run("bill", "--ledger", "ledger", "reconcile", "--engines", "made.jsonl").returncode == 0
+    made[1]["answer"] += 50
+    (tmp_path / "made.jsonl").write_text("\n".join(map(json.dumps, made)))
+    wrong = run("bill", "--ledger", "ledger", "reconcile", "--engines", "made.jsonl")
+    assert wrong.returncode == 1 and "differs    g2" in wrong.stdout
