Gateways draw a budget's tokens from one bucket instead of lending its rates

Change: a floor of 0.2/n, the rest in one bucket from which tokens are drawn in the background, never less than lets one generation in.

--- a/ternlane/gateway/till.py
+++ b/ternlane/gateway/till.py
@@ -20,7 +20,7 @@
 from ternlane.paper import GatewayPaper, PaperError, read_paper
 from ternlane.tenants import Cashier, Hold, Refusal, Roll, TenantLine
 from ternlane.tenants.cashier import Used
-from ternlane.tenants.roll import RollPaper
+from ternlane.tenants.roll import Budget, RollPaper
 
 LOOK_S = 0.5
 
@@ -65,22 +65,32 @@
 
     async def borrow(self) -> None:
         """Asks the lender for what traffic showed to be wanted; nobody waits for it."""
-        span = self.paper.lease_s / 3
         while self.paper.lender is not None:
-            await trio.sleep(span)
-            wants = {name: self.cashier.borrowers[name].want(tenant.budget.minute, span)
-                     for name, tenant in self.roll.tenants.items()
-                     if name in self.cashier.borrowers and tenant.budget.minute}
+            await trio.sleep(self.paper.look_ms / 1000)
+            wall = self.cashier.clock(time.time())
+            asks = []
+            for name in list(self.cashier.borrowers):
+                tenant = self.roll.tenants.get(name)
+                if tenant is not None and tenant.budget.minute:
+                    want, target = self.cashier.wants(tenant, now_ms(), wall)
+                    if abs(want) >= 1:
+                        asks.append((name, want, target, tenant.budget, self.cashier.least(name)))
             periods = self.short_of_period()
-            if not wants and not periods:
+            if not asks and not periods:
                 continue
             try:
-                await trio.to_thread.run_sync(partial(self.ask_lender, wants, periods))
-            except OSError as why:
+                got, chunks = await trio.to_thread.run_sync(partial(self.ask_lender, asks, periods))
+            except OSError as why:    # what was to be given back is lost: the bucket refills all the same
                 self.log.warning("lender not reached", why=str(why))
-            wall = self.cashier.clock(time.time())
-            for name in wants:
-                self.cashier.give_parts(name, now_ms(), wall)
+                continue
+            for (name, _, target, _, _), toks in zip(asks, got, strict=True):
+                meter = self.cashier.meters.get((name, ""))
+                if meter is not None and toks > 0:
+                    meter.draw(toks, target)
+            for (name, product, period, _), chunk in zip(periods, chunks, strict=True):
+                meter = self.cashier.meters.get((name, product))
+                if meter is not None and meter.period is not None and meter.period.name == period:
+                    meter.allowed += chunk
 
     def short_of_period(self) -> list[tuple[str, str, str, int]]:
         """Meters that have spent most of what they may of their period."""
@@ -88,15 +98,13 @@
                 if m.budget.period and m.period is not None
                 and m.allowed != inf and m.spent > 0.75 * m.allowed and self.cashier.lends]
 
-    def ask_lender(self, wants: dict[str, float], periods: list[tuple[str, str, str, int]]) -> None:
-        with lender_file(Path(str(self.paper.lender)), self.paper.gateways, self.paper.lease_s) as lender:
-            for name, want in wants.items():
-                self.cashier.borrowers[name].lease = lender.ask(name, self.paper.name, want, time.time())
-            for name, product, period, budget in periods:
-                meter = self.cashier.meters.get((name, product))
-                chunk = lender.draw(f"{name}/{product}", period, budget)
-                if meter is not None and meter.period is not None and meter.period.name == period:
-                    meter.allowed += chunk
+    def ask_lender(self, asks: list[tuple[str, float, float, Budget, float]],
+                   periods: list[tuple[str, str, str, int]]) -> tuple[list[float], list[float]]:
+        """In a thread: one change of the lender's table for all tenants that want something."""
+        with lender_file(Path(str(self.paper.lender)), self.paper.gateways, self.paper.look_ms / 1000) as lender:
+            got = [lender.ask(name, self.paper.name, want, it.minute or 0, it.most_saved, time.time(), least)
+                   for name, want, _, it, least in asks]
+            return got, [lender.draw(f"{name}/{product}", period, budget) for name, product, period, budget in periods]
 
     def whose(self, authorization: str | None) -> TenantLine:
         """Raises tenants.Unknown."""
--- a/ternlane/paper/gateway.py
+++ b/ternlane/paper/gateway.py
@@ -115,7 +115,7 @@
     tenants: str | None = None         # file of tenants; without it everybody is served
     ledger: str | None = None          # folder of this gateway's bills; needed with tenants
     lender: str | None = None          # file that all gateways share to lend parts of budgets
-    lease_s: Positive = 10.0
+    look_ms: Positive = 1000.0         # between two looks at what traffic wants of it
     fleet: FleetTerms = FleetTerms()
     door: DoorTerms = DoorTerms()
 
--- a/ternlane/tenants/__init__.py
+++ b/ternlane/tenants/__init__.py
@@ -3,8 +3,8 @@
 from ternlane.tenants.keys import new_key
 from ternlane.tenants.lengths import Lengths
 from ternlane.tenants.meter import Meter, Period, Short
-from ternlane.tenants.parts import Lender, Lease
+from ternlane.tenants.parts import Lender
 from ternlane.tenants.roll import Budget, KeyLine, Prices, Roll, TenantLine, Unknown
 
-__all__ = ["Budget", "Cashier", "Hold", "KeyLine", "Lease", "Lender", "Lengths", "Meter", "Period", "Prices", "Refusal",
+__all__ = ["Budget", "Cashier", "Hold", "KeyLine", "Lender", "Lengths", "Meter", "Period", "Prices", "Refusal",
            "Roll", "Short", "TenantLine", "Unknown", "new_key"]
--- a/ternlane/tenants/cashier.py
+++ b/ternlane/tenants/cashier.py
@@ -12,7 +12,7 @@
 
 from ternlane.tenants.lengths import Lengths
 from ternlane.tenants.meter import Meter, Period, Short, period_at
-from ternlane.tenants.parts import FLOOR, Borrower
+from ternlane.tenants.parts import AHEAD, FLOOR, Borrower
 from ternlane.tenants.roll import TenantLine
 
 ABSURD = 16    # times what was asked for: usage beyond that is a faulty engine's
@@ -99,9 +99,7 @@
             return None
         meter = self.meters.get(key)
         if meter is None:
-            borrower = self.borrowers.get(tenant.name)
-            part = borrower.part(self.seen_wall) if borrower is not None else self.base
-            meter = self.meters[key] = Meter(budget, tenant.zone, tenant.period, part, now)
+            meter = self.meters[key] = Meter(budget, tenant.zone, tenant.period, self.base, now)
             meter.flow(now, self.seen_wall)
             if meter.period is not None:
                 meter.spent = self.past.pop((*key, meter.period.name), 0)
@@ -131,29 +129,41 @@
                     back.settle(prompt + answer, 0, back.period, now, wall)
                 return self.refuse(tenant, prompt + answer, short)
             taken.append(meter)
-        if self.lends and tenant.budget.minute is not None:
-            self.borrower(tenant).used += prompt + answer
+        if self.lends and tenant.budget.minute is not None:    # what the floor can't carry is drawn
+            self.borrower(tenant).saw(prompt + answer, True)
         return Hold(tenant, product, prompt, answer, most, meters, [m.period for m in meters], wall)
 
     def refuse(self, tenant: TenantLine, toks: int, short: Short) -> Refusal:
         if self.lends and short.kind == "minute":
-            self.borrower(tenant).refused += toks
+            self.borrower(tenant).saw(toks, False)
         return Refusal("insufficient_quota" if short.kind == "period" else "rate_limit_exceeded", short.kind,
                        short.wait_ms)
 
     def borrower(self, tenant: TenantLine) -> Borrower:
         found = self.borrowers.get(tenant.name)
         if found is None:
-            found = self.borrowers[tenant.name] = Borrower(FLOOR / self.gateways)
+            found = self.borrowers[tenant.name] = Borrower()
         return found
 
-    def give_parts(self, tenant: str, now: float, wall: float) -> None:
-        """Puts the part that the borrower holds now into the tenant's meters."""
-        borrower = self.borrowers.get(tenant)
-        for (name, _), meter in self.meters.items() if borrower is not None else ():
-            if name == tenant and borrower is not None:
-                meter.flow(now, wall)
-                meter.give(borrower.part(wall))
+    def wants(self, tenant: TenantLine, now: float, wall: float) -> tuple[float, float]:
+        """Tokens to ask the lender for (negative: to give back, taken out here at once), and the target of this look.
+        Only the tenant's budget for all products is lent."""
+        borrower, meter = self.borrowers.get(tenant.name), self.meters.get((tenant.name, ""))
+        if borrower is None or meter is None or meter.budget.minute is None:
+            return 0.0, 0.0
+        meter.flow(now, wall)
+        target = borrower.target()
+        surplus = meter.surplus(target)
+        if surplus > 0:
+            meter.draw(-surplus, target)
+        if not target and not meter.extra:
+            del self.borrowers[tenant.name]
+        return -surplus, target
+
+    def least(self, tenant: str) -> float:
+        """Tokens that let one more generation of the tenant in."""
+        borrower, meter = self.borrowers.get(tenant), self.meters.get((tenant, ""))
+        return 0.0 if borrower is None or meter is None else max(0.0, AHEAD * borrower.size - meter.level)
 
     def settle(self, hold: Hold, gen: str, outcome: str, bill: Used, house: Used, legs: int, now: float,
                wall: float, key: str = "") -> Entry:
--- a/ternlane/tenants/meter.py
+++ b/ternlane/tenants/meter.py
@@ -48,11 +48,11 @@
 
 class Meter:
     """`part` is this gateway's part of the rates (0 to 1), `allowed` its tokens of the period; both may change."""
-    __slots__ = ("budget", "part", "level", "at", "period", "spent", "open", "zone", "kind", "allowed")
+    __slots__ = ("budget", "part", "level", "at", "period", "spent", "open", "zone", "kind", "allowed", "extra")
 
     def __init__(self, budget: Budget, zone: str, kind: str, part: float, now: float) -> None:
         self.budget, self.zone, self.kind, self.part = budget, zone, kind, part
-        self.at = now
+        self.at, self.extra = now, 0.0    # room for drawn tokens, beside the burst
         self.level = self.most
         self.period: Period | None = None
         self.spent = 0      # reserved and settled tokens of the period, at this gateway
@@ -68,8 +68,7 @@
     def most(self) -> float:
         if self.budget.minute is None:
             return inf
-        burst = self.budget.minute if self.budget.burst is None else self.budget.burst
-        return burst * self.part
+        return self.budget.most_saved * self.part + self.extra
 
     @property
     def slots(self) -> float:
@@ -114,11 +113,16 @@
         if self.budget.period is not None and begun == self.period:
             self.spent += used - reserved
 
-    def give(self, part: float) -> None:
-        """Another part from now on. A bucket that grew fills by its rate: were it filled at once, tokens spent
-        elsewhere could be spent again here. One that shrank keeps what fits."""
-        self.part = part
-        self.level = min(self.level, self.most)
+    def surplus(self, target: float) -> float:
+        """What is held beyond `target`, at most what was drawn and is still there: to be given back. Negative: how
+        much is missing to it."""
+        spare = self.level - max(target, 0.0)
+        return min(spare, self.extra, max(0.0, self.level)) if spare > 0 else spare
+
+    def draw(self, toks: float, target: float) -> None:
+        """Puts drawn tokens in, or takes given-back ones out; `target` is the room for them from now on."""
+        self.level += toks
+        self.extra = max(0.0, target, self.level - self.budget.most_saved * self.part)
 
     @property
     def idle(self) -> bool:
--- a/ternlane/tenants/parts.py
+++ b/ternlane/tenants/parts.py
@@ -1,11 +1,17 @@
-"""How gateways that answer alone share one budget: floors that are always theirs, and a pool that is lent.
+"""How gateways that answer alone share one budget: a floor that is always theirs, and tokens drawn from one bucket.
 
-Of a tenant's rates each gateway holds FLOOR/n for good. The rest is lent: a gateway that runs short asks the lender,
-in the background, and holds what it got until its lease ends. A part is lent again only when its lease and the clocks'
-`skew` are over, so parts never add up to more than one: spending stays within burst + rate * time, plus what open
-generations overrun their reservations. A gateway that can't reach the lender, or dies, is back at its floor when the
-lease ends. Of a period's tokens the pool is drawn in chunks that are not returned: at most one unspent chunk a dead
-gateway is lost until the period ends.
+Of a tenant's rate and burst each gateway holds FLOOR/n for good. The rest flows into one bucket at the lender. A
+gateway looks at its traffic from time to time and, in the background, draws the tokens that it will need until the next
+look, or gives back what it will not. Nobody waits for a draw: what is not there is refused, with an honest return time.
+
+Tokens come into being at the floors and in the bucket alone, so all gateways together spend at most
+
+    burst + rate * time + what open generations overrun their reservations,
+
+whatever is lost, late or repeated between them. A gateway that dies takes what it had drawn with it: at most its want
+of AHEAD looks; the rest of the budget is the others' at once. One that can't reach the lender has its floor. Of a
+period's tokens the pool is drawn in chunks that are not returned: at most one unspent chunk of a dead gateway is lost
+until the period ends.
 
 The lender is a table and a rule; where it lies (a file, an appointed gateway) is the transport's matter.
 """
@@ -15,14 +21,16 @@
 
 import msgspec
 
-FLOOR = 0.5
-CHUNKS = 8    # that a gateway could draw of its even share of the pool
+FLOOR = 0.2
+CHUNKS = 8      # that a gateway could draw of its even share of a period's pool
+AHEAD = 1.5     # looks' worth of tokens that a gateway holds
+GAIN = 0.1      # weight of one more look, or generation, in what is expected
 
 
-class Lease(msgspec.Struct, array_like=True):
-    part: float
-    until: float    # seconds since 1970
-    want: float
+class Bucket(msgspec.Struct, array_like=True):
+    level: float
+    at: float                                  # seconds since 1970
+    asked: dict[str, tuple[float, float]]      # gateway -> when it last asked, for how much
 
 
 class Drawn(msgspec.Struct, array_like=True):
@@ -31,41 +39,41 @@
 
 
 class Table(msgspec.Struct):
-    leases: dict[str, dict[str, Lease]] = {}
+    buckets: dict[str, Bucket] = {}
     drawn: dict[str, Drawn] = {}
 
 
 @dataclass
 class Lender:
-    """One table for all gateways; every call is one atomic change of it."""
+    """One table for all gateways; every call is one atomic change of it. `span_s` is the time between two looks."""
     gateways: int
-    ttl_s: float = 10.0
-    skew_s: float = 1.0
+    span_s: float = 3.0
     table: Table = field(default_factory=Table)
 
-    @property
-    def floor(self) -> float:
-        return FLOOR / self.gateways
-
-    def ask(self, tenant: str, gateway: str, want: float, now: float) -> Lease:
-        """`want` is the part of the rates that the gateway could use beside its floor; 0 gives the lease back. Where
-        more is wanted than there is, each gets its even share and what others leave of theirs. A gateway holding more
-        than that gets less at its next renewal, and others only then get what it gave back."""
-        leases = self.table.leases.setdefault(tenant, {})
-        for name in [n for n, lease in leases.items() if n != gateway and lease.until + self.skew_s < now]:
-            del leases[name]
-        mine = leases.pop(gateway, None)
+    def ask(self, tenant: str, gateway: str, want: float, minute: int, burst: int, now: float,
+            least: float = 0.0) -> float:
+        """Tokens for `gateway`; a negative want gives tokens back. Where more is wanted than there is, each gets an
+        even share, and what others leave of theirs, but not less than `least`, which lets one generation in: slices
+        that let none in would lie about unused at many gateways. A clock set back refills nothing until it has
+        caught up."""
+        most, rate = burst * (1 - FLOOR), minute * (1 - FLOOR) / 60
+        bucket = self.table.buckets.get(tenant)
+        if bucket is None:
+            bucket = self.table.buckets[tenant] = Bucket(most, now, {})
+        bucket.level = min(most, bucket.level + max(0.0, now - bucket.at) * rate)
+        bucket.at = max(bucket.at, now)
+        bucket.asked = {g: it for g, it in bucket.asked.items() if g != gateway and it[0] > now - 2 * self.span_s}
         if want <= 0:
-            if not leases:
-                del self.table.leases[tenant]
-            return Lease(0.0, now, 0.0)
-        others = sum(lease.part for lease in leases.values())
-        entitled = fair(want, [lease.want for lease in leases.values()], 1 - FLOOR)
-        part = max(0.0, min(entitled, 1 - FLOOR - others))
-        del mine
-        lease = Lease(part, now + self.ttl_s, want)
-        leases[gateway] = lease
-        return lease
+            bucket.level = min(most, bucket.level - want)
+            return want
+        others = sum(it[1] for it in bucket.asked.values())
+        bucket.asked[gateway] = now, want
+        least = min(want, least, most)
+        if bucket.level < least:
+            return 0.0
+        got = min(want, max(least, bucket.level / len(bucket.asked), bucket.level - others))
+        bucket.level -= got
+        return got
 
     def draw(self, tenant: str, period: str, budget: int) -> float:
         """Another chunk of the period's pool; 0 when it is empty."""
@@ -78,31 +86,21 @@
         return chunk
 
 
-def fair(mine: float, others: list[float], pool: float) -> float:
-    """Max-min fair: what I get of a pool when everybody has said what they want."""
-    left, wants = pool, sorted([(w, 0) for w in others] + [(mine, 1)])
-    for i, (want, me) in enumerate(wants):
-        share = min(want, left / (len(wants) - i))
-        if me:
-            return share
-        left -= share
-    return 0.0
-
-
 @dataclass
 class Borrower:
-    """One gateway's side for one tenant: what it holds, and how much more it wants, by what it could not admit."""
-    lender_floor: float
-    lease: Lease = field(default_factory=lambda: Lease(0.0, 0.0, 0.0))
+    """One gateway's side for one tenant: what its traffic wants, by what it let in and what it could not."""
     used: float = 0.0       # tokens reserved since the last look
     refused: float = 0.0    # tokens refused for the rate since then
-
-    def part(self, now: float) -> float:
-        """What it may use now: the floor alone once the lease is over."""
-        return self.lender_floor + (self.lease.part if now < self.lease.until else 0.0)
-
-    def want(self, minute: int, span_s: float) -> float:
-        """The part of the rates beside the floor that the traffic of the last span could use; looked at once a span."""
-        seen = (self.used + self.refused) / max(minute * span_s / 60, 1e-9)
-        self.used = self.refused = 0.0
-        return min(1.0, max(0.0, 1.2 * seen - self.lender_floor))
+    expected: float = 0.0   # tokens a look
+    size: float = 0.0       # of one generation
+
+    def saw(self, toks: int, let_in: bool) -> None:
+        self.size += (toks - self.size) * (GAIN if self.size else 1.0)
+        self.used, self.refused = self.used + toks * let_in, self.refused + toks * (not let_in)
+
+    def target(self) -> float:
+        """Tokens to hold until the next look; called once a look. Up at once, down slowly; one generation's while any
+        traffic is remembered."""
+        seen, self.used, self.refused = self.used + self.refused, 0.0, 0.0
+        self.expected = max(seen, self.expected + GAIN * (seen - self.expected))
+        return max(AHEAD * self.expected, AHEAD * self.size) if self.expected >= 0.02 * self.size > 0 else 0.0
--- a/ternlane/tenants/roll.py
+++ b/ternlane/tenants/roll.py
@@ -23,6 +23,10 @@
     overdraft: Toks = 0               # how far overruns may go before new generations are refused
     cut: bool = False                 # end a stream whose overrun passes the overdraft
 
+    @property
+    def most_saved(self) -> int:
+        return (self.minute or 0) if self.burst is None else self.burst
+
 
 class Prices(Sheet, frozen=True, kw_only=True):
     """Micro-units of money a token: whole numbers, as all money here."""
