--- a/ternlane/cli.py
+++ b/ternlane/cli.py
@@ -92,8 +92,9 @@
 @click.option("--out", help="folder for everything the run writes (found/days/NAME)")
 @click.option("--seed", type=int, help="another seed than the script's")
 @click.option("--chooser", default="", help="module:name of a baseline to measure against")
+@click.option("--without", multiple=True, help="leave out troubles of this kind")
 @click.option("--quiet", is_flag=True)
-def day_play(file: str, out: str | None, seed: int | None, chooser: str, quiet: bool) -> None:
+def day_play(file: str, out: str | None, seed: int | None, chooser: str, without: tuple[str, ...], quiet: bool) -> None:
     """Plays FILE and judges it: exit code 1 if a rule was broken."""
     import msgspec
 
@@ -101,8 +102,9 @@
     from ternlane.days.script import DayScript
     script = paper(file, DayScript)
     text = Path(file).read_text()
-    if seed is not None:
-        script = msgspec.structs.replace(script, seed=seed)
+    if seed is not None or without:
+        troubles = [t for t in script.troubles if str(t.__struct_config__.tag) not in without]
+        script = msgspec.structs.replace(script, seed=script.seed if seed is None else seed, troubles=troubles)
         text = msgspec.json.encode(script).decode()
     player = Player(script, text, run_folder(script.name, out), chooser,
                     (lambda _: None) if quiet else click.echo)
--- a/ternlane/days/report.py
+++ b/ternlane/days/report.py
@@ -36,11 +36,13 @@
                 verdicts[f"{line['how'].split(' ')[0]}"] += 1
     terms = {p.name: p for p in day.products}
     products: dict[str, dict[str, Any]] = {}
+    owners: dict[str, list[float]] = defaultdict(lambda: [0.0, 0.0])    # earned in time, could be earned
     for name, p in terms.items():
         mine = [t for t in tasks.values() if t["product"] == name]
         outcomes = Counter(t["outcome"] for t in mine)
         waits, in_time, late = [], 0, 0
         for task in mine:
+            owners[task.get("tenant", "")][1] += p.revenue
             tries = asks[task["task"]]
             done = next((a for a in tries if finals.get(a["gen"], {}).get("outcome") == "streamed"), None)
             if done is None or done["gen"] not in firsts:
@@ -50,6 +52,7 @@
             slo = p.slo_ms + p.slo_per_ktok_ms * done["toks"] / 1000
             in_time += wait <= slo
             late += wait > slo
+            owners[task.get("tenant", "")][0] += p.revenue if wait <= slo else p.revenue * p.late_share
         earned = p.revenue * (in_time + p.late_share * late)
         products[name] = {"asked": len(mine), "outcomes": dict(outcomes), "in_time": in_time, "late": late,
                           "earned": round(earned, 1), "could_earn": round(p.revenue * len(mine), 1),
@@ -61,14 +64,15 @@
         "day": day.name, "seed": day.seed, "gateways": day.gateways, "generations": len(tasks),
         "tries": sum(map(len, asks.values())), "per_second": round(len(tasks) / max(span / 1000, 1e-9), 1),
         "revenue_in_time": round(sum(v["earned"] for v in products.values()) / could, 4) if could else 0.0,
-        **({"accounts": accounts_of(folder, day, lines, span / 1000)} if day.tenants else {}),
+        **({"accounts": accounts_of(folder, day, lines, span / 1000, owners)} if day.tenants else {}),
         "products": products, "legs": legs, "legs_each": round(legs / max(1, len(finals)), 3),
         "legs_ended": dict(verdicts), "troubles": sorted({str(t.__struct_config__.tag) for t in day.troubles}),
         "judged": findings.counted, "rules_kept": findings.kept,
         "broken": [{"rule": f.rule, "gen": f.gen, "why": f.why, "lines": f.lines} for f in findings.broken[:200]]}
 
 
-def accounts_of(folder: Path, day: DayScript, lines: list[dict[str, Any]], span_s: float) -> dict[str, Any]:
+def accounts_of(folder: Path, day: DayScript, lines: list[dict[str, Any]], span_s: float,
+                owners: dict[str, list[float]]) -> dict[str, Any]:
     """Bills against the engines' own counts, and what each tenant spent of its budget."""
     ledgers = sorted((folder / "ledgers").iterdir())
     found = reconcile(entries_of(ledgers), [v for v in lines if v["k"] == "made"])
@@ -80,6 +84,7 @@
         burst = day.budget.minute if day.budget.burst is None else day.budget.burst
         allowed = burst + day.budget.minute * span_s / 60
     tenants: dict[str, Counter[str]] = defaultdict(Counter)
+    rusher = f"t{day.tenants - 1:03}"    # a rush is the last tenant's
     for task in (v for v in lines if v["k"] == "task"):
         tenants[task["tenant"]][task["outcome"]] += 1
     return {"made": found.made, "billed": found.billed, "house": found.house, "off": round(found.off, 5),
@@ -87,6 +92,8 @@
             "differ": {k: v for k, v in list(found.differing.items())[:20]},
             "unsettled": len(found.unsettled),
             "unsettled_toks": sum(u.prompt + u.answer for u in found.unsettled.values()),
+            "others_in_time": round(sum(v[0] for k, v in owners.items() if k != rusher)
+                                    / max(1e-9, sum(v[1] for k, v in owners.items() if k != rusher)), 4),
             "allowed_each": allowed, "most_spent": max(spent.values(), default=0),
             "tenants": {k: {"spent": spent[k], **v} for k, v in sorted(tenants.items())}}
 
@@ -109,7 +116,8 @@
         out.append(f"engines made {a['made'].prompt} + {a['made'].answer} tokens; billed {a['billed'].prompt} + "
                    f"{a['billed'].answer}, house {a['house'].prompt} + {a['house'].answer}; off by {a['off']:.3%}, "
                    f"{a['unsettled']} died unsettled ({a['unsettled_toks']} tokens), {len(a['doubled'])} doubled")
-        out.append(f"most spent by a tenant {a['most_spent']}, allowed {a['allowed_each']}")
+        out.append(f"most spent by a tenant {a['most_spent']}, allowed {a['allowed_each']}; revenue in time of all but "
+                   f"the last tenant: {a['others_in_time']:.4f}")
     if report["rules_kept"]:
         out.append("rules: all five kept")
     else:
--- a/ternlane/engine/leg.py
+++ b/ternlane/engine/leg.py
@@ -153,7 +153,8 @@
         end.verdict, end.why = Verdict.ERROR, f"not understood: {why}"
     if plan.scope.cancelled_caught:
         end.verdict = Verdict.CALLED_OFF if plan.called_off else Verdict.TIMED_OUT
-        end.why = end.why or ("silent within the stream" if end.begun else "")
+        if end.begun and not plan.called_off:
+            end.why = end.why or "silent or too slow within the stream"
     return end
 
 
--- a/ternlane/gateway/gateway.py
+++ b/ternlane/gateway/gateway.py
@@ -50,7 +50,7 @@
         self.till = Till(paper, log) if paper.tenants is not None else None
         self.door = Door(paper, self.host, intake, models, self.measures, log, self.till)
         if self.till is not None:
-            self.host.on_done = self.till.done
+            self.host.on_done, self.host.affords = self.till.done, self.till.affords
         self.listeners: list[trio.SocketListener] = []
         self.doors = trio.CancelScope()
         self.address = ""
--- a/ternlane/gateway/host.py
+++ b/ternlane/gateway/host.py
@@ -46,6 +46,7 @@
         self.idents: set[str] = set()
         self.releasing = 0
         self.on_done: Callable[[Ticket], None] = lambda _: None
+        self.affords: Callable[[Ticket], bool] = lambda _: True
         self.on_follow: Callable[[], None] = lambda: None
 
     # -- the loop
@@ -188,6 +189,9 @@
                 self.measures.first.labels(ticket.ask.model).observe((now_ms() - ticket.since) / 1000)
                 self.tell(port.FirstTok(ticket.gen, server, now_ms() - since))
             ticket.pieces.append(text)
+            if not self.affords(ticket):    # its tenant wants streams cut that pass the overdraft
+                ticket.why = "over budget: the overdraft is used up"
+                plan.call_off()
             try:
                 await ticket.outlet.piece(text, first)
             except (trio.BrokenResourceError, trio.ClosedResourceError):
@@ -198,9 +202,10 @@
         except ClientGone:
             end = LegEnd(Verdict.CALLED_OFF, begun=True, why="the client left")
             self.client_left(ticket)
-        self.leg_ended(ticket, server, stage, end, now_ms() - since)
+        self.leg_ended(ticket, server, stage, end, now_ms() - since, plan)
 
-    def leg_ended(self, ticket: Ticket, server: Server, stage: Stage, end: LegEnd, took: float) -> None:
+    def leg_ended(self, ticket: Ticket, server: Server, stage: Stage, end: LegEnd, took: float,
+                  plan: LegPlan) -> None:
         ticket.leg = None
         place = self.book.places[server]
         ticket.trail.append(f"{place.ident} {stage.name} {end.verdict.name}")
@@ -224,7 +229,7 @@
             self.intake.answered(ticket.known, text)
             self.settle(ticket, Streamed(text, end.finish, usage))
         elif end.begun:    # a break in a begun stream ends the generation; its client has part of the answer
-            self.settle(ticket, Terminated(end.why or "the stream broke"))
+            self.settle(ticket, Terminated(ticket.why if plan.called_off else end.why or "the stream broke"))
         over = ticket.final is not None or ticket.left
         self.tell(port.LegEnded(ticket.gen, server, end.verdict, took, over, kept, end.state_lost, end.report))
         self.forget(ticket)
--- a/ternlane/gateway/till.py
+++ b/ternlane/gateway/till.py
@@ -113,6 +113,9 @@
     def reserve(self, tenant: TenantLine, product: str, prompt: float, most: int) -> Hold | Refusal:
         return self.cashier.reserve(tenant, product, int(prompt), most, now_ms(), time.time())
 
+    def affords(self, ticket: Ticket) -> bool:
+        return ticket.hold is None or not self.cashier.overrun(ticket.hold, len(ticket.pieces))
+
     def done(self, ticket: Ticket) -> None:
         """Every leg has ended: the bill is made out and kept.
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -65,10 +65,11 @@
 class Repeats(Host):
     """Rule 2: takes a broken connection for one that was never made."""
 
-    def leg_ended(self, ticket: Ticket, server: Server, stage: Stage, end: LegEnd, took: float) -> None:
+    def leg_ended(self, ticket: Ticket, server: Server, stage: Stage, end: LegEnd, took: float,
+                  plan: LegPlan) -> None:
         if end.verdict in (Verdict.RESET, Verdict.TIMED_OUT) and not end.begun:
             end.verdict = Verdict.UNCONNECTED
-        super().leg_ended(ticket, server, stage, end, took)
+        super().leg_ended(ticket, server, stage, end, took, plan)
 
 
 class Twice(Host):
--- a/tests/test_till.py
+++ b/tests/test_till.py
@@ -122,6 +122,22 @@
         assert (await bank.ask(w, "noto", text="x" * 200, max_tokens=10)).done == 1
 
 
+@pytest.mark.parametrize("cut", [False, True])
+async def test_a_stream_is_cut_for_its_overrun_only_where_the_tenant_wants_it(tmp_path: Path, cut: bool) -> None:
+    budget = {"minute": 60, "burst": 100, "overdraft": 20, "cut": cut}
+    build = replace(BUILD, answer_toks=(200, 200), tok_ms=1.0)
+    async with banked(tmp_path, names=("noto",), build=build, budget=budget) as (w, bank):
+        for _ in range(20):    # it has given short answers so far
+            w.gateway.till.cashier.lengths.learn("noto", "summary", 10)
+        reply = await bank.ask(w, "noto", max_tokens=200)
+        assert (reply.done == 0 and "over budget" in str(reply.error)) if cut else reply.done == 1
+        again = await bank.ask(w, "noto", max_tokens=200)
+        assert again.status == 429 and float(again.headers["retry-after-ms"]) > 1000
+        await w.gateway.till.writer.flush(1.0)
+        answer = rows_of([tmp_path / "ledger"], None, None)[0]["answer"]
+        assert 100 < answer < 140 if cut else answer == 200
+
+
 async def test_strangers_can_not_let_go_of_each_others_states_by_a_guessed_name(tmp_path: Path) -> None:
     async with banked(tmp_path) as (w, bank):
         for name in bank.keys:
