Transports are an interface: sockets and direct calls pass one suite; a router without a door

Need: the library's users call routing decisions without a network hop. Change: engine.transport (SocketTransport, LocalTransport), the host asks a transport; embed.open_routing with generation() as an async context manager. Result: both kinds pass the same suite; a hundred routers made and discarded leave no task, descriptor or growth in objects beyond 200.

--- /dev/null
+++ b/ternlane/embed/__init__.py
@@ -0,0 +1,4 @@
+"""Routing inside a program: no door, no daemon, and with a transport of the caller's no socket either."""
+from ternlane.embed.routing import Routing, Stream, TerminatedError, ThrottledError, open_routing
+
+__all__ = ["Routing", "Stream", "TerminatedError", "ThrottledError", "open_routing"]
--- /dev/null
+++ b/ternlane/embed/routing.py
@@ -0,0 +1,132 @@
+"""`open_routing` gives a router that owns its tasks; `generation` routes one request and gives its text as it comes.
+
+    async with open_routing(paper, transport) as routing:
+        async with routing.generation({"model": "summary", "messages": [...]}) as stream:
+            async for text in stream:
+                ...
+
+When the outer block ends nothing is left: no task, timer, descriptor or module state. Leaving the inner block early is
+what a client's leaving is to a gateway: the legs are called off and everything held is let go.
+"""
+from __future__ import annotations
+
+from contextlib import asynccontextmanager
+from itertools import count
+from typing import Any, AsyncIterator, Callable
+
+import msgspec
+import structlog
+import trio
+
+from ternlane.chat import ChatAsk, Intake, read_chat
+from ternlane.choice import Router
+from ternlane.engine import Transport
+from ternlane.gateway.facts import facts_of, models_of, products_of
+from ternlane.gateway.host import Chooser, Host, now_ms
+from ternlane.gateway.measures import Measures
+from ternlane.gateway.ticket import Outlet, Streamed, Terminated, Throttled, Ticket
+from ternlane.nodes import Book
+from ternlane.paper import GatewayPaper, NodeLine
+from ternlane.paper.gateway import InlineSource
+from ternlane.port import StartFacts
+
+
+class ThrottledError(Exception):
+    """Nothing ran, or a new try does no harm; best after `pause_ms`."""
+
+    def __init__(self, pause_ms: float) -> None:
+        super().__init__(f"throttled; come back in {pause_ms:.0f} ms")
+        self.pause_ms = pause_ms
+
+
+class TerminatedError(Exception):
+    """Given up; it may have run. `begun`: part of the text had come."""
+
+    def __init__(self, why: str, begun: bool) -> None:
+        super().__init__(why or "no server could finish it")
+        self.begun = begun
+
+
+class Stream(Outlet):
+    """The text of one generation, piece by piece. `usage` and `finish` are there once it has ended."""
+
+    def __init__(self) -> None:
+        self.sends, self.gets = trio.open_memory_channel[str](0)    # the writer waits for a slow reader
+        self.ticket: Ticket | None = None
+        self.usage: dict[str, Any] = {}
+        self.finish = ""
+
+    async def piece(self, text: str, first: bool) -> None:
+        await self.sends.send(text)
+
+    def __aiter__(self) -> AsyncIterator[str]:
+        return self.pieces()
+
+    async def pieces(self) -> AsyncIterator[str]:
+        """Raises ThrottledError or TerminatedError where it ends so."""
+        async for text in self.gets:
+            if text:
+                yield text
+        assert self.ticket is not None
+        match self.ticket.final:
+            case Streamed(_, finish, usage):
+                self.finish, self.usage = finish, usage
+            case Throttled(pause):
+                raise ThrottledError(pause)
+            case Terminated(why):
+                raise TerminatedError(why, self.ticket.begun)
+
+    async def text(self) -> str:
+        return "".join([piece async for piece in self])
+
+
+class Routing:
+    def __init__(self, paper: GatewayPaper, transport: Transport, nursery: trio.Nursery,
+                 chooser: Callable[[StartFacts], Chooser], log: Any) -> None:
+        products = products_of(paper)
+        self.paper, self.count = paper, count(1)
+        self.facts, self.book = facts_of(paper, products), Book()
+        self.intake = Intake(models_of(paper, products), {products[p.name]: p.max_toks for p in paper.products},
+                             paper.door.session_limit)
+        self.host = Host(chooser(self.facts), self.facts, transport, self.book, self.intake, nursery, Measures(), log)
+
+    def nodes(self, lines: list[NodeLine]) -> None:
+        """The whole list of model servers, now and whenever it changes."""
+        import time
+        self.host.tell(self.book.whole(lines, time.time(), now_ms()))
+
+    @asynccontextmanager
+    async def generation(self, request: dict[str, Any] | ChatAsk, time_limit_ms: float | None = None,
+                         key: str | None = None) -> AsyncIterator[Stream]:
+        """`request` as the chat API has it. Raises chat.Wrong, which names the field, before anything is sent."""
+        ask = request if isinstance(request, ChatAsk) else read_chat(msgspec.json.encode(request))
+        product = self.intake.models.get(ask.model)
+        limit = product.limit_ms if product is not None else 0.0
+        known = self.intake.take(ask, limit if time_limit_ms is None else min(limit, time_limit_ms))
+        known.gen.whole = False    # the caller sees the text as it comes
+        stream, ident = Stream(), f"{self.paper.name}-{next(self.count)}"
+        ticket = stream.ticket = Ticket(ident, ask, known, stream, now_ms(), key or ident)
+        ticket.when_over = stream.sends.close
+        try:
+            self.host.arrived(ticket)
+            yield stream
+        finally:
+            stream.gets.close()
+            if ticket.final is None:
+                self.host.client_left(ticket)
+
+
+@asynccontextmanager
+async def open_routing(paper: GatewayPaper, transport: Transport, chooser: Callable[[StartFacts], Chooser] = Router,
+                       log: Any = None) -> AsyncIterator[Routing]:
+    """A router without a door. Inline nodes of the paper are listed at once; others by `Routing.nodes`."""
+    async with trio.open_nursery() as nursery:
+        routing = Routing(paper, transport, nursery, chooser, log or structlog.get_logger())
+        if isinstance(paper.nodes, InlineSource):
+            routing.nodes(paper.nodes.nodes)
+        nursery.start_soon(routing.host.clock)
+        try:
+            yield routing
+        finally:
+            nursery.cancel_scope.cancel()
+            transport.close()
--- /dev/null
+++ b/ternlane/engine/transport.py
@@ -0,0 +1,200 @@
+"""How legs reach the model servers: an interface, and its two kinds.
+
+The host knows nothing of bytes. It hands a transport a `LegAsk` and gets a `LegEnd`; what crosses a socket, or a
+function call, is the matter of the transport. Every kind passes the same suite (tests/test_transports.py).
+"""
+from __future__ import annotations
+
+from collections.abc import AsyncIterator, Awaitable, Callable
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+import trio
+
+from ternlane.engine.leg import ClientGone, LegEnd, LegPlan, read_leg, release, stream_leg
+from ternlane.engine.protocol import Stage, Usage, read_body, whole_body, write_body
+from ternlane.http1 import Pool
+from ternlane.port import Report, Verdict
+
+PassOn = Callable[[str, bool], Awaitable[None]]
+
+
+@dataclass(slots=True)
+class LegAsk:
+    """One leg: to which server, which stage, what is asked, and for how long (`plan`)."""
+    server: str            # its id
+    address: str
+    stage: Stage
+    ident: str             # of the generation
+    number: int
+    key: str               # under which an engine drops repeats
+    raw: dict[str, Any]    # the client's request
+    state: dict[str, Any] | None
+    max_toks: int
+    plan: LegPlan
+
+
+class Transport(Protocol):
+    async def read(self, ask: LegAsk) -> LegEnd:
+        """Has a prompt read and its state kept. Never raises but for an outer cancellation."""
+
+    async def stream(self, ask: LegAsk, pass_on: PassOn) -> LegEnd:
+        """Has an answer written; each piece goes to `pass_on`. Raises ClientGone where that does."""
+
+    async def release(self, server: str, address: str, ident: str, within_ms: float) -> bool:
+        """Lets go of what a server holds for a generation; true once it has confirmed."""
+
+    def sweep(self) -> None:
+        """Called now and then: a time to close what lay idle."""
+
+    def close(self) -> None:
+        """Nothing is asked any more."""
+
+
+class SocketTransport:
+    """The engine protocol over HTTP/1.1."""
+
+    def __init__(self, pool: Pool, agent: str) -> None:
+        self.pool, self.agent = pool, agent
+
+    def fill(self, ask: LegAsk) -> LegPlan:
+        plan = ask.plan
+        plan.headers = [("Content-Type", "application/json"), ("X-Request-Id", f"{ask.ident}.{ask.number}"),
+                        ("User-Agent", self.agent), ("Idempotency-Key", ask.key)]
+        if ask.stage is Stage.READ:
+            plan.body = read_body(ask.raw)
+        elif ask.stage is Stage.WRITE:
+            plan.body = write_body(ask.raw, ask.state or {}, ask.max_toks)
+        else:
+            plan.body = whole_body(ask.raw, ask.max_toks)
+        return plan
+
+    async def read(self, ask: LegAsk) -> LegEnd:
+        return await read_leg(self.pool, self.fill(ask))
+
+    async def stream(self, ask: LegAsk, pass_on: PassOn) -> LegEnd:
+        return await stream_leg(self.pool, self.fill(ask), pass_on)
+
+    async def release(self, server: str, address: str, ident: str, within_ms: float) -> bool:
+        return await release(self.pool, address, ident, [("User-Agent", self.agent)], within_ms)
+
+    def sweep(self) -> None:
+        self.pool.sweep()
+
+    def close(self) -> None:
+        self.pool.close()
+
+
+class Refuses(Exception):
+    """A local engine turns a leg away: nothing ran. `state_lost` where it has no state to go on with."""
+
+    def __init__(self, why: str = "full", state_lost: bool = False) -> None:
+        super().__init__(why)
+        self.state_lost = state_lost
+
+
+class Unreached(Exception):
+    """A local engine could not be reached: nothing ran."""
+
+
+@dataclass(slots=True)
+class Kept:
+    """What a local engine gives for a prompt it has read: a state to hand on, and how much it had to read."""
+    state: dict[str, Any]
+    prompt_toks: int
+    kept_toks: int = 0
+    report: Report | None = None
+
+
+class LocalEngine(Protocol):
+    """A model server in the same process: three calls, no bytes. Errors of its own mean that it may have run."""
+
+    async def read(self, ask: LegAsk) -> Kept: ...
+
+    def write(self, ask: LegAsk) -> AsyncIterator[str]: ...
+
+    async def release(self, ident: str) -> None: ...
+
+
+class LocalTransport:
+    """Direct calls to engines by their ids, for a library's users and for tests."""
+
+    def __init__(self, engines: dict[str, LocalEngine]) -> None:
+        self.engines = engines
+
+    async def read(self, ask: LegAsk) -> LegEnd:
+        end = LegEnd(Verdict.TIMED_OUT)
+
+        async def run() -> None:
+            got = await self.engine(ask).read(ask)
+            end.verdict, end.state, end.report = Verdict.READ, got.state, got.report
+            end.usage = Usage(got.prompt_toks, 0, got.prompt_toks)
+        return await self.ended(ask, end, run)
+
+    async def stream(self, ask: LegAsk, pass_on: PassOn) -> LegEnd:
+        end, plan = LegEnd(Verdict.TIMED_OUT), ask.plan
+        last, written = trio.current_time() + plan.whole_ms / 1000, 0
+
+        async def run() -> None:
+            nonlocal written
+            pieces = self.engine(ask).write(ask)
+            try:
+                async for text in pieces:
+                    first, end.begun, written = not end.begun, True, written + 1
+                    plan.scope.deadline = last
+                    await pass_on(text, first)
+                    plan.scope.deadline = min(last, trio.current_time() + plan.quiet_ms / 1000)
+                    await trio.lowlevel.checkpoint()
+            finally:
+                close = getattr(pieces, "aclose", None)
+                if close is not None:
+                    with trio.CancelScope(shield=True):
+                        await close()
+            if not end.begun:
+                end.begun = True
+                await pass_on("", True)
+            end.verdict, end.usage = Verdict.STREAMED, Usage(0, written, written)
+        return await self.ended(ask, end, run)
+
+    def engine(self, ask: LegAsk) -> LocalEngine:
+        try:
+            return self.engines[ask.server]
+        except KeyError:
+            raise Unreached(f"no engine {ask.server!r}") from None
+
+    @staticmethod
+    async def ended(ask: LegAsk, end: LegEnd, run: Callable[[], Awaitable[None]]) -> LegEnd:
+        plan = ask.plan
+        plan.scope.deadline = min(plan.scope.deadline, trio.current_time() + plan.timeout_ms / 1000)
+        try:
+            with plan.scope:
+                await run()
+        except Refuses as why:
+            end.verdict, end.state_lost, end.why = Verdict.FULL, why.state_lost, str(why)
+        except Unreached as why:
+            end.verdict, end.why = Verdict.UNCONNECTED, str(why)
+        except ClientGone:
+            raise
+        except Exception as why:    # the engine is the caller's code: whatever it raises, it may have run
+            end.verdict, end.why = Verdict.ERROR, repr(why)
+        if plan.scope.cancelled_caught:
+            end.verdict = Verdict.CALLED_OFF if plan.called_off else Verdict.TIMED_OUT
+            if end.begun and not plan.called_off:
+                end.why = "silent or too slow within the stream"
+        return end
+
+    async def release(self, server: str, address: str, ident: str, within_ms: float) -> bool:
+        engine = self.engines.get(server)
+        with trio.move_on_after(within_ms / 1000) as scope:
+            try:
+                if engine is not None:
+                    await engine.release(ident)
+            except Exception:    # the caller's code: unheard, and said so by the host
+                return False
+        return engine is not None and not scope.cancelled_caught
+
+    def sweep(self) -> None:
+        pass
+
+    def close(self) -> None:
+        pass
--- a/ternlane/gateway/gateway.py
+++ b/ternlane/gateway/gateway.py
@@ -15,6 +15,7 @@
 from ternlane import __version__
 from ternlane.chat import Intake
 from ternlane.choice import Router
+from ternlane.engine import SocketTransport, Transport
 from ternlane.gateway.door import Door
 from ternlane.gateway.facts import facts_of, models_of, products_of
 from ternlane.gateway.host import Chooser, Host, now_ms
@@ -36,7 +37,7 @@
 
 class Gateway:
     def __init__(self, paper: GatewayPaper, chooser: Callable[[StartFacts], Chooser], nursery: trio.Nursery,
-                 log: Any, host_type: type[Host] = Host) -> None:
+                 log: Any, host_type: type[Host] = Host, transport: Transport | None = None) -> None:
         self.paper, self.nursery, self.log = paper, nursery, log
         products = products_of(paper)
         models = models_of(paper, products)
@@ -45,8 +46,9 @@
         self.pool = Pool(paper.fleet.connect_ms, paper.fleet.idle_ms, paper.source)
         intake = Intake(models, {products[p.name]: p.max_toks for p in paper.products}, paper.door.session_limit)
         self.agent = f"ternlane/{__version__} ({paper.name})"
-        self.host = host_type(chooser(self.facts), self.facts, self.pool, self.book, intake, nursery, self.measures,
-                              self.agent, log)
+        self.transport = transport or SocketTransport(self.pool, self.agent)
+        self.host = host_type(chooser(self.facts), self.facts, self.transport, self.book, intake, nursery,
+                              self.measures, log)
         self.till = Till(paper, log) if paper.tenants is not None else None
         self.door = Door(paper, self.host, intake, models, self.measures, log, self.till)
         if self.till is not None:
@@ -207,15 +209,16 @@
 @asynccontextmanager
 async def open_gateway(paper: GatewayPaper, chooser: Callable[[StartFacts], Chooser] = Router, log: Any = None,
                        host_type: type[Host] = Host,
-                       listeners: list[trio.SocketListener] | None = None) -> AsyncIterator[Gateway]:
+                       listeners: list[trio.SocketListener] | None = None,
+                       transport: Transport | None = None) -> AsyncIterator[Gateway]:
     """Everything lives in a nursery that this block owns."""
     async with trio.open_nursery() as nursery:
-        gateway = Gateway(paper, chooser, nursery, log or structlog.get_logger(), host_type)
+        gateway = Gateway(paper, chooser, nursery, log or structlog.get_logger(), host_type, transport)
         try:
             await gateway.start(listeners)
             yield gateway
         finally:
             nursery.cancel_scope.cancel()
-            gateway.pool.close()
+            gateway.transport.close()
             for listener in gateway.listeners:
                 listener.socket.close()
--- a/ternlane/gateway/host.py
+++ b/ternlane/gateway/host.py
@@ -12,11 +12,10 @@
 
 from ternlane import port
 from ternlane.chat import Intake
-from ternlane.engine import LegEnd, LegPlan, Stage, read_body, read_leg, release, stream_leg, whole_body, write_body
+from ternlane.engine import LegAsk, LegEnd, LegPlan, Stage, Transport
 from ternlane.engine.leg import ClientGone
 from ternlane.gateway.measures import Measures
 from ternlane.gateway.ticket import Streamed, Terminated, Throttled, Ticket
-from ternlane.http1 import Pool
 from ternlane.nodes import Book
 from ternlane.port import Duty, Server, StartFacts, Verdict
 from ternlane.tenants.cashier import Used
@@ -33,10 +32,10 @@
 
 
 class Host:
-    def __init__(self, chooser: Chooser, facts: StartFacts, pool: Pool, book: Book, intake: Intake,
-                 nursery: trio.Nursery, measures: Measures, agent: str, log: Any) -> None:
-        self.chooser, self.facts, self.pool, self.book, self.intake = chooser, facts, pool, book, intake
-        self.nursery, self.measures, self.agent, self.log = nursery, measures, agent, log
+    def __init__(self, chooser: Chooser, facts: StartFacts, transport: Transport, book: Book, intake: Intake,
+                 nursery: trio.Nursery, measures: Measures, log: Any) -> None:
+        self.chooser, self.facts, self.transport, self.book, self.intake = chooser, facts, transport, book, intake
+        self.nursery, self.measures, self.log = nursery, measures, log
         self.heard: list[port.Event] = []
         self.turning = False
         self.tickets: dict[port.Generation, Ticket] = {}
@@ -110,7 +109,7 @@
                 self.heard.append(port.Woken(heappop(self.due)[2]))
             if not self.turning:
                 self.turn()
-            self.pool.sweep()
+            self.transport.sweep()
             await trio.lowlevel.checkpoint()
 
     # -- generations
@@ -164,21 +163,19 @@
         place = self.book.places[server]
         number = ticket.legs
         ticket.legs += 1
-        headers = [("Content-Type", "application/json"), ("X-Request-Id", f"{ticket.ident}.{number}"),
-                   ("User-Agent", self.agent), ("Idempotency-Key", ticket.key)]
-        raw, toks = ticket.ask.raw, int(ticket.gen.max_toks)
+        stage = Stage.WHOLE
         if server.duty is Duty.READ:
-            stage, body = Stage.READ, read_body(raw)
+            stage = Stage.READ
             ticket.holders[server] = None    # from now on: a read whose end is not heard may have left its state
         elif server.duty is Duty.WRITE and ticket.state is not None:
-            stage, body = Stage.WRITE, write_body(raw, ticket.state, toks)
-        else:
-            stage, body = Stage.WHOLE, whole_body(raw, toks)
-        ticket.leg = LegPlan(place.address, headers, body, times.timeout_ms, times.quiet_ms, times.whole_ms)
-        self.nursery.start_soon(self.run, ticket, server, stage, ticket.leg)
+            stage = Stage.WRITE
+        ticket.leg = LegPlan(place.address, [], b"", times.timeout_ms, times.quiet_ms, times.whole_ms)
+        self.nursery.start_soon(self.run, ticket, server, LegAsk(
+            place.ident, place.address, stage, ticket.ident, number, ticket.key, ticket.ask.raw, ticket.state,
+            int(ticket.gen.max_toks), ticket.leg))
 
-    async def run(self, ticket: Ticket, server: Server, stage: Stage, plan: LegPlan) -> None:
-        since = now_ms()
+    async def run(self, ticket: Ticket, server: Server, ask: LegAsk) -> None:
+        since, stage, plan = now_ms(), ask.stage, ask.plan
 
         async def pass_on(text: str, first: bool) -> None:
             if ticket.left:
@@ -198,7 +195,7 @@
                 raise ClientGone from None
 
         try:
-            end = await (read_leg(self.pool, plan) if stage is Stage.READ else stream_leg(self.pool, plan, pass_on))
+            end = await (self.transport.read(ask) if stage is Stage.READ else self.transport.stream(ask, pass_on))
         except ClientGone:
             end = LegEnd(Verdict.CALLED_OFF, begun=True, why="the client left")
             self.client_left(ticket)
@@ -247,8 +244,7 @@
     async def release(self, ticket: Ticket, server: Server) -> None:
         place = self.book.places[server]
         try:
-            done = await release(self.pool, place.address, ticket.ident, [("User-Agent", self.agent)],
-                                 self.facts.release_ms)
+            done = await self.transport.release(place.ident, place.address, ticket.ident, self.facts.release_ms)
         finally:
             self.releasing -= 1
         self.measures.releases.labels("confirmed" if done else "unheard").inc()
--- a/ternlane/gateway/ticket.py
+++ b/ternlane/gateway/ticket.py
@@ -2,7 +2,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from typing import Any
+from typing import Any, Callable
 
 import trio
 
@@ -55,6 +55,7 @@
     made: list[tuple[str, Used]] = field(default_factory=list)    # what each leg is known to have made
     final: Final | None = None
     watch: trio.CancelScope = field(default_factory=trio.CancelScope)
+    when_over: Callable[[], None] = lambda: None
     left: bool = False
     begun: bool = False
     leg: LegPlan | None = None
@@ -75,4 +76,5 @@
             return False
         self.final = final
         self.watch.cancel()
+        self.when_over()
         return True
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -9,7 +9,7 @@
 
 from tests.world import BUILD, PRODUCTS, TERMS, World, replace, world
 from ternlane import port
-from ternlane.engine import LegEnd, Stage
+from ternlane.engine import LegAsk, LegEnd, Stage
 from ternlane.engine.leg import LegPlan
 from ternlane.gateway import Host
 from ternlane.gateway.door import StreamOutlet
@@ -80,12 +80,10 @@
         plan = ticket.leg
         if plan is not None and server.duty is port.Duty.READ:
             others = [s for s in self.book.servers.values() if s.duty is port.Duty.READ and s is not server]
-            again = LegPlan(self.book.places[others[0]].address, plan.headers, plan.body, 400, 400)
-            self.nursery.start_soon(self.beside, again)
-
-    async def beside(self, plan: LegPlan) -> None:
-        from ternlane.engine import read_leg
-        await read_leg(self.pool, plan)
+            place = self.book.places[others[0]]
+            again = LegPlan(place.address, [], b"", 400, 400)
+            self.nursery.start_soon(self.transport.read, LegAsk(
+                place.ident, place.address, Stage.READ, ticket.ident, 0, ticket.key, ticket.ask.raw, None, 1, again))
 
 
 class Undrained(Host):
--- /dev/null
+++ b/tests/test_transports.py
@@ -0,0 +1,217 @@
+"""Every transport passes the same suite; the router alone routes by direct calls and leaves nothing behind."""
+from __future__ import annotations
+
+import gc
+import os
+from collections.abc import AsyncIterator
+from typing import Any
+
+import pytest
+import trio
+
+from tests.world import BUILD, PRODUCTS, TERMS, World, replace
+from ternlane.chat import Wrong
+from ternlane.embed import TerminatedError, ThrottledError, open_routing
+from ternlane.engine import (Kept, LegAsk, LegPlan, LocalTransport, Refuses, SocketTransport, Stage, Transport,
+                             Unreached)
+from ternlane.engine.leg import ClientGone
+from ternlane.http1 import Pool
+from ternlane.paper import GatewayPaper, NodeLine
+from ternlane.paper.gateway import InlineSource
+from ternlane.port import Verdict
+
+
+class Local:
+    """A model server in this process, with the troubles that a test gives it."""
+
+    def __init__(self) -> None:
+        self.states: set[str] = set()
+        self.trouble, self.effects, self.closed = "", 0, 0
+
+    async def read(self, ask: LegAsk) -> Kept:
+        if self.trouble == "full":
+            raise Refuses("queue-full")
+        if self.trouble == "hung":
+            await trio.sleep_forever()
+        await trio.sleep(0.002)
+        self.states.add(ask.ident)
+        return Kept({"by": ask.server, "of": ask.ident}, 10)
+
+    async def write(self, ask: LegAsk) -> AsyncIterator[str]:
+        if ask.stage is Stage.WRITE and (ask.state or {}).get("of") != ask.ident:
+            raise Refuses("no-state", state_lost=True)
+        if self.trouble == "broken":
+            raise RuntimeError("out of memory")
+        self.effects += 1
+        try:
+            for i in range(6):
+                if self.trouble == "hung" or (self.trouble == "stalls" and i == 2):
+                    await trio.sleep_forever()
+                await trio.sleep(0.002)
+                yield f"{i} "
+        finally:
+            self.closed += 1
+
+    async def release(self, ident: str) -> None:
+        self.states.discard(ident)
+
+
+class Bed:
+    """A transport with one reader and one writer behind it, and the means to trouble them."""
+
+    def __init__(self, kind: str, nursery: trio.Nursery) -> None:
+        self.kind, self.world = kind, World(nursery)
+        self.local = {"r0": Local(), "w0": Local()}
+
+    async def open(self) -> Transport:
+        if self.kind == "local":
+            return LocalTransport(dict(self.local))    # type: ignore[arg-type]
+        for ident in ("r0", "w0"):
+            await self.world.add(ident, replace(BUILD, tok_ms=2.0))
+        return SocketTransport(Pool(100, 1000), "t (t)")
+
+    def ask(self, server: str, stage: Stage, state: Any = None, ident: str = "g", timeout: float = 150) -> LegAsk:
+        address = "" if self.kind == "local" else f"127.0.0.1:{self.world.engines[server].port}"
+        raw = {"model": "summary", "messages": [{"role": "user", "content": "hello"}]}
+        return LegAsk(server, address, stage, ident, 0, "k", raw, state, 6, LegPlan(address, [], b"", timeout, 60))
+
+    def trouble(self, server: str, what: str) -> None:
+        self.local[server].trouble = what
+        if self.kind == "sockets":
+            engine = self.world.engines[server]
+            engine.trouble.hung = what == "hung"
+            engine.refusing = what == "full"
+
+    def held(self) -> int:
+        return len(self.local["r0"].states) if self.kind == "local" else len(self.world.engines["r0"].states)
+
+
+async def collect(transport: Transport, ask: LegAsk) -> tuple[Any, list[str]]:
+    got: list[str] = []
+
+    async def pass_on(text: str, first: bool) -> None:
+        assert first is (not got)
+        got.append(text)
+    return await transport.stream(ask, pass_on), got
+
+
+@pytest.mark.parametrize("kind", ["local", "sockets"])
+async def test_the_suite_of_every_transport(kind: str) -> None:
+    async with trio.open_nursery() as nursery:
+        bed = Bed(kind, nursery)
+        transport = await bed.open()
+        end = await transport.read(bed.ask("r0", Stage.READ))
+        assert end.verdict is Verdict.READ and end.state is not None and end.usage is not None and bed.held() == 1
+        wrote, got = await collect(transport, bed.ask("w0", Stage.WRITE, end.state))
+        assert wrote.verdict is Verdict.STREAMED and wrote.begun and len(got) == 6
+        assert wrote.usage is not None and wrote.usage.completion_tokens == 6
+        if kind == "local":
+            bed.local["r0"].states.clear()    # a local engine hands its state on as it likes
+        again = await transport.read(bed.ask("r0", Stage.READ, ident="h"))
+        assert bed.held() == 1 and await transport.release("r0", bed.ask("r0", Stage.READ).address, "h", 200)
+        assert bed.held() == 0 and again.verdict is Verdict.READ
+
+        lost, _ = await collect(transport, bed.ask("w0", Stage.WRITE, {
+            "of": "?", "remote_host": "127.0.0.1", "remote_port": 9}, ident="i"))
+        assert (lost.verdict, lost.state_lost) == (Verdict.FULL, True)
+        bed.trouble("r0", "full")
+        assert (await transport.read(bed.ask("r0", Stage.READ))).verdict is Verdict.FULL
+        bed.trouble("r0", "hung")
+        assert (await transport.read(bed.ask("r0", Stage.READ, timeout=50))).verdict is Verdict.TIMED_OUT
+        bed.trouble("r0", "")
+
+        called = bed.ask("r0", Stage.READ)
+        bed.trouble("r0", "hung")
+        nursery.start_soon(_call_off, called)
+        assert (await transport.read(called)).verdict is Verdict.CALLED_OFF
+        bed.trouble("r0", "")
+
+        state = (await transport.read(bed.ask("r0", Stage.READ, ident="j"))).state
+
+        async def gone(text: str, first: bool) -> None:
+            raise ClientGone
+        with pytest.raises(ClientGone):
+            await transport.stream(bed.ask("w0", Stage.WRITE, state, ident="j"), gone)
+        assert kind == "sockets" or bed.local["w0"].closed == bed.local["w0"].effects
+        transport.close()
+        nursery.cancel_scope.cancel()
+
+
+async def _call_off(ask: LegAsk) -> None:
+    await trio.sleep(0.03)
+    ask.plan.call_off()
+
+
+def paper(*idents: str, **more: Any) -> GatewayPaper:
+    duty = {"r": "read", "w": "write"}
+    return GatewayPaper(name="lib", listen="127.0.0.1:0", products=PRODUCTS, fleet=TERMS, nodes=InlineSource(nodes=[
+        NodeLine(id=i, address="127.0.0.1:9", duty=duty[i[0]], mem_toks=2e5) for i in idents]), **more)    # type: ignore
+
+
+REQUEST = {"model": "note", "messages": [{"role": "user", "content": "hello"}]}
+
+
+async def test_the_router_alone_routes_by_direct_calls() -> None:
+    engines = {i: Local() for i in ("r0", "w0")}
+    async with open_routing(paper("r0", "w0"), LocalTransport(dict(engines))) as routing:    # type: ignore[arg-type]
+        async with routing.generation(REQUEST) as stream:
+            assert await stream.text() == "0 1 2 3 4 5 "
+        assert stream.usage["completion_tokens"] == 6 and stream.finish == "stop"
+        with pytest.raises(Wrong, match="does not exist"):
+            async with routing.generation(REQUEST | {"model": "x"}):
+                pass
+        assert not routing.host.tickets and engines["w0"].effects == 1
+
+
+async def test_an_engine_that_raises_is_never_asked_twice_for_a_side_effect() -> None:
+    engines = {i: Local() for i in ("r0", "w0", "w1")}
+    async with open_routing(paper("r0", "w0", "w1"), LocalTransport(dict(engines))) as routing:    # type: ignore
+        for local in ("w0", "w1"):
+            engines[local].trouble = "broken"
+        with pytest.raises(TerminatedError, match="out of memory") as bad:
+            async with routing.generation(REQUEST) as stream:
+                await stream.text()
+        assert not bad.value.begun and not engines["r0"].states
+        engines["r0"].trouble = "full"
+        with pytest.raises(ThrottledError):
+            async with routing.generation(REQUEST, time_limit_ms=200) as stream:
+                await stream.text()
+
+
+async def test_leaving_early_calls_off_and_lets_go() -> None:
+    engines = {i: Local() for i in ("r0", "w0")}
+    async with open_routing(paper("r0", "w0"), LocalTransport(dict(engines))) as routing:    # type: ignore[arg-type]
+        async with routing.generation(REQUEST) as stream:
+            async for _ in stream:
+                break
+        with trio.fail_after(1):
+            while routing.host.tickets or engines["w0"].closed < 1:
+                await trio.sleep(0.005)
+        with pytest.raises(KeyError):
+            async with routing.generation(REQUEST):
+                raise KeyError("the caller's own")
+        with trio.fail_after(1):
+            while routing.host.tickets or "lib-2" in engines["r0"].states:
+                await trio.sleep(0.005)
+
+
+async def test_routers_made_and_discarded_leave_nothing() -> None:
+    async def round_trip() -> None:
+        engines = {i: Local() for i in ("r0", "w0")}
+        async with open_routing(paper("r0", "w0"), LocalTransport(dict(engines))) as routing:    # type: ignore
+            async with routing.generation(REQUEST) as stream:
+                async for _ in stream:
+                    break
+
+    def count() -> tuple[int, int]:
+        gc.collect()
+        return len(os.listdir("/proc/self/fd")), trio.lowlevel.current_statistics().tasks_living
+    await round_trip()
+    before, objects = count(), len(gc.get_objects())
+    for _ in range(100):
+        await round_trip()
+    assert count() == before and len(gc.get_objects()) < objects + 200
+
+
+def test_unreached_is_no_refusal() -> None:
+    assert not issubclass(Unreached, Refuses)
