--- a/ternlane/tenants/lengths.py
+++ b/ternlane/tenants/lengths.py
@@ -6,6 +6,7 @@
 """
 from __future__ import annotations
 
+from collections import OrderedDict
 from math import ceil, log
 
 GAMMA = 1.15           # a bucket's upper edge over its lower: an error of at most 7.5%
@@ -45,7 +46,7 @@
 
     def __init__(self, limit: int = 100_000, q: float = QUANTILE) -> None:
         self.limit, self.q = limit, q
-        self.own: dict[tuple[str, str], Sketch] = {}
+        self.own: OrderedDict[tuple[str, str], Sketch] = OrderedDict()
         self.all: dict[str, Sketch] = {}
 
     def estimate(self, tenant: str, product: str, most: int) -> int:
@@ -59,11 +60,12 @@
 
     def learn(self, tenant: str, product: str, toks: int) -> None:
         key = tenant, product
-        sketch = self.own.pop(key, None)
+        sketch = self.own.get(key)
         if sketch is None:
-            sketch = Sketch()
-            while len(self.own) >= self.limit:
-                del self.own[next(iter(self.own))]
-        self.own[key] = sketch
+            sketch = self.own[key] = Sketch()
+            if len(self.own) > self.limit:
+                self.own.popitem(last=False)
+        else:
+            self.own.move_to_end(key)
         sketch.add(toks)
         self.all.setdefault(product, Sketch()).add(toks)
