--- a/ternlane/cli.py
+++ b/ternlane/cli.py
@@ -49,7 +49,8 @@
 @click.argument("file")
 @click.option("--log", "level", default="info", type=click.Choice(["debug", "info", "warning", "error"]))
 @click.option("--chooser", default="", hidden=True, help="module:name of a baseline to measure against")
-def serve(file: str, level: str, chooser: str) -> None:
+@click.option("--pid-file", help="file that holds the process id while it serves")
+def serve(file: str, level: str, chooser: str, pid_file: str | None) -> None:
     """Runs one gateway by the document FILE until SIGTERM, which drains it; SIGHUP reads FILE again."""
     from ternlane.gateway.daemon import run_gateway
     log_to_stderr(level)
@@ -58,7 +59,7 @@
         module, _, name = chooser.partition(":")
         choose = getattr(importlib.import_module(module), name)
     try:
-        trio.run(partial(run_gateway, file, paper(file, GatewayPaper), choose))
+        trio.run(partial(run_gateway, file, paper(file, GatewayPaper), choose, pid_file))
     except* OSError as group:
         click.echo(f"ternlane: {group.exceptions[0]}", err=True)
         sys.exit(UNAVAILABLE)
--- /dev/null
+++ b/ternlane/embed/blocking.py
@@ -0,0 +1,121 @@
+"""The router for plain threads: its loop runs in one thread of its own, which ends with the `with` block."""
+from __future__ import annotations
+
+import queue
+import threading
+from types import TracebackType
+from typing import Any, Callable, Iterator
+
+import trio
+
+from ternlane.embed.routing import Routing, open_routing
+from ternlane.engine import Transport
+from ternlane.paper import GatewayPaper
+
+END = object()
+
+
+class Blocking:
+    """`with Blocking(paper, make_transport) as routing: for text in routing.generation({...}): ...`
+
+    `make_transport` is called in the router's thread. Any thread may call `generation`; breaking off its loop, or
+    closing it, is a client's leaving. Exceptions of the router's thread come out of the `with` block.
+    """
+
+    def __init__(self, paper: GatewayPaper, make_transport: Callable[[], Transport], log: Any = None) -> None:
+        self.paper, self.make_transport, self.log = paper, make_transport, log
+        self.ready = threading.Event()
+        self.token: trio.lowlevel.TrioToken | None = None
+        self.routing: Routing | None = None
+        self.scope: trio.CancelScope | None = None
+        self.failed: BaseException | None = None
+        self.thread: threading.Thread | None = None
+
+    def __enter__(self) -> Blocking:
+        self.thread = threading.Thread(target=self.run, name="ternlane", daemon=True)
+        self.thread.start()
+        self.ready.wait()
+        if self.failed is not None:
+            raise self.failed
+        return self
+
+    def run(self) -> None:
+        try:
+            trio.run(self.main)
+        except BaseException as why:
+            self.failed = why
+        finally:
+            self.token = None
+            self.ready.set()
+
+    async def main(self) -> None:
+        self.token = trio.lowlevel.current_trio_token()
+        with trio.CancelScope() as self.scope:
+            async with open_routing(self.paper, self.make_transport(), log=self.log) as self.routing:
+                self.ready.set()
+                await trio.sleep_forever()
+
+    def generation(self, request: dict[str, Any], time_limit_ms: float | None = None) -> Iterator[str]:
+        """The text as it comes. Raises what the stream raises."""
+        token = self.token
+        if token is None:
+            raise RuntimeError("the router has ended")
+        pieces: queue.Queue[Any] = queue.Queue(maxsize=1)
+        scope = trio.CancelScope()
+        gone = threading.Event()
+
+        async def put(piece: Any) -> None:
+            while not gone.is_set():    # a slow caller holds one piece, not the loop
+                try:
+                    pieces.put_nowait(piece)
+                    return
+                except queue.Full:
+                    await trio.sleep(0.002)
+
+        async def route() -> None:
+            assert self.routing is not None
+            end: Any = END
+            try:
+                with scope:
+                    async with self.routing.generation(request, time_limit_ms) as stream:
+                        async for text in stream:
+                            await put(text)
+            except Exception as why:
+                end = why
+            finally:
+                with trio.CancelScope(shield=True):
+                    await put(end)
+
+        trio.from_thread.run_sync(trio.lowlevel.spawn_system_task, route, trio_token=token)
+        try:
+            while True:
+                try:
+                    piece = pieces.get(timeout=0.5)
+                except queue.Empty:
+                    if self.token is None:
+                        raise RuntimeError("the router has ended") from self.failed
+                    continue
+                if piece is END:
+                    return
+                if isinstance(piece, BaseException):
+                    raise piece
+                yield piece
+        finally:
+            gone.set()
+            if self.token is not None:
+                try:
+                    trio.from_thread.run_sync(scope.cancel, trio_token=token)
+                except trio.RunFinishedError:
+                    pass
+
+    def __exit__(self, kind: type[BaseException] | None, why: BaseException | None, at: TracebackType | None) -> None:
+        token, scope = self.token, self.scope
+        if token is not None and scope is not None:
+            try:
+                trio.from_thread.run_sync(scope.cancel, trio_token=token)
+            except trio.RunFinishedError:
+                pass
+        if self.thread is not None:
+            self.thread.join()
+        if self.failed is not None and kind is None:
+            raise self.failed
--- a/ternlane/gateway/daemon.py
+++ b/ternlane/gateway/daemon.py
@@ -1,7 +1,10 @@
 """The process around one gateway: signals, reload, an orderly end."""
 from __future__ import annotations
 
+import os
 import signal
+import socket
+from pathlib import Path
 from typing import Any, Callable
 
 import structlog
@@ -12,20 +15,53 @@
 from ternlane.paper import GatewayPaper, PaperError, read_paper
 
 
-async def run_gateway(path: str, paper: GatewayPaper, chooser: Callable[..., Any] | None = None) -> None:
+def passed_in() -> list[trio.SocketListener] | None:
+    """Listening sockets handed over by whoever started this process (the LISTEN_FDS protocol), or None."""
+    if os.environ.get("LISTEN_PID") not in (None, str(os.getpid())) or not os.environ.get("LISTEN_FDS"):
+        return None
+    count = int(os.environ.pop("LISTEN_FDS"))
+    os.environ.pop("LISTEN_PID", None)
+    out = []
+    for fd in range(3, 3 + count):
+        os.set_inheritable(fd, False)
+        sock = socket.socket(fileno=fd)
+        sock.setblocking(False)
+        out.append(trio.SocketListener(trio.socket.from_stdlib_socket(sock)))
+    return out
+
+
+def notify(state: str) -> None:
+    """Tells a service manager how it stands (the sd_notify protocol: one datagram to NOTIFY_SOCKET)."""
+    path = os.environ.get("NOTIFY_SOCKET")
+    if path:
+        with socket.socket(socket.AF_UNIX, socket.SOCK_DGRAM) as sock:
+            try:
+                sock.sendto(state.encode(), "\0" + path[1:] if path.startswith("@") else path)
+            except OSError:
+                pass    # who does not listen need not hear
+
+
+async def run_gateway(path: str, paper: GatewayPaper, chooser: Callable[..., Any] | None = None,
+                      pid_file: str | None = None) -> None:
     """Serves until SIGTERM or SIGINT, then drains; a second one ends it at once. SIGHUP reads the document again and
     takes over what can change without a restart."""
     log = structlog.get_logger(gateway=paper.name)
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
-        async with open_gateway(paper, chooser or Router, log) as gateway:
+        async with open_gateway(paper, chooser or Router, log, listeners=passed_in()) as gateway:
+            if pid_file is not None:
+                Path(pid_file).write_text(f"{os.getpid()}\n")
+            notify(f"READY=1\nSTATUS=serving at {gateway.address}\nMAINPID={os.getpid()}")
             async for number in signals:
                 if number != signal.SIGHUP:
                     break
+                notify("RELOADING=1")
                 try:
                     changed, kept = gateway.reload(read_paper(path, GatewayPaper))
                     log.info("reloaded", changed=changed, needs_restart=kept)
                 except PaperError as why:
                     log.error("reload refused", why=str(why))
+                notify("READY=1")
+            notify("STOPPING=1")
             log.info("draining", open=len(gateway.host.tickets))
             async with trio.open_nursery() as nursery:
                 async def at_once() -> None:
@@ -36,4 +72,6 @@
                 nursery.start_soon(at_once)
                 await gateway.drain()
                 nursery.cancel_scope.cancel()
+            if pid_file is not None:
+                Path(pid_file).unlink(missing_ok=True)
             log.info("ended")
