--- a/ternlane/tenants/cashier.py
+++ b/ternlane/tenants/cashier.py
@@ -12,7 +12,7 @@
 
 from ternlane.tenants.lengths import Lengths
 from ternlane.tenants.meter import Meter, Period, Short, period_at
-from ternlane.tenants.parts import AHEAD, FLOOR, Borrower
+from ternlane.tenants.parts import AHEAD, FLOOR, PLENTY, Borrower
 from ternlane.tenants.roll import TenantLine
 
 ABSURD = 16    # times what was asked for: usage beyond that is a faulty engine's
@@ -152,7 +152,7 @@
         if borrower is None or meter is None or meter.budget.minute is None:
             return 0.0, 0.0
         meter.flow(now, wall)
-        target = borrower.target()
+        target = borrower.target(PLENTY * (1 - FLOOR) * meter.budget.most_saved / self.gateways)
         surplus = meter.surplus(target)
         if surplus > 0:
             meter.draw(-surplus, target)
--- a/ternlane/tenants/parts.py
+++ b/ternlane/tenants/parts.py
@@ -22,6 +22,7 @@
 import msgspec
 
 FLOOR = 0.2
+PLENTY = 0.5    # part of the drawn burst that gateways may hold without present need, all together
 CHUNKS = 8      # that a gateway could draw of its even share of a period's pool
 AHEAD = 1.5     # looks' worth of tokens that a gateway holds
 GAIN = 0.1      # weight of one more look, or generation, in what is expected
@@ -98,9 +99,11 @@
         self.size += (toks - self.size) * (GAIN if self.size else 1.0)
         self.used, self.refused = self.used + toks * let_in, self.refused + toks * (not let_in)
 
-    def target(self) -> float:
-        """Tokens to hold until the next look; called once a look. Up at once, down slowly; one generation's while any
-        traffic is remembered."""
+    def target(self, plenty: float) -> float:
+        """Tokens to hold until the next look; called once a look. Up at once, down slowly. While any traffic is
+        remembered, one generation's at least, and `plenty`: what is held of a burst that is there anyway saves a
+        tenant within its budget from being refused because its traffic came to this gateway just now."""
         seen, self.used, self.refused = self.used + self.refused, 0.0, 0.0
         self.expected = max(seen, self.expected + GAIN * (seen - self.expected))
-        return max(AHEAD * self.expected, AHEAD * self.size) if self.expected >= 0.02 * self.size > 0 else 0.0
+        remembered = self.expected >= 0.02 * self.size > 0
+        return max(AHEAD * self.expected, AHEAD * self.size, plenty) if remembered else 0.0
