Plain chat servers by the node list, and a bridge for asyncio callers

Need: a second engine protocol chosen per node; asyncio callers. Change: engine.kinds (disaggregated, chat), NodeLine.protocol, Bridged. Result: a server that refuses every field and header of ours serves through the gateway; a 503 of such a server ends a side-effecting generation after one leg; a cancelled asyncio caller's leg is closed.

--- a/ternlane/__init__.py
+++ b/ternlane/__init__.py
@@ -6,7 +6,7 @@
     Router, StartFacts, ...   the decisions: feed events, get actions (ternlane.port says which)
     open_routing              a router that owns its tasks, over a transport of the caller's
     open_gateway              a whole gateway in a trio nursery
-    Blocking                  the same router for plain threads
+    Blocking, Bridged         the same router for plain threads, and for asyncio
     GatewayPaper, read_paper  the settings, typed or as JSON5, with the same checks
 """
 from __future__ import annotations
@@ -20,7 +20,7 @@
     "Router": "choice", "StartFacts": "port", "Product": "port", "Server": "port", "Generation": "port",
     "Effect": "port", "Group": "port", "Duty": "port", "Life": "port", "Verdict": "port", "Report": "port",
     "open_gateway": "gateway", "Gateway": "gateway", "open_routing": "embed", "Routing": "embed", "Stream": "embed",
-    "ThrottledError": "embed", "TerminatedError": "embed", "Blocking": "embed",
+    "ThrottledError": "embed", "TerminatedError": "embed", "Blocking": "embed", "Bridged": "embed",
     "Transport": "engine", "SocketTransport": "engine", "LocalTransport": "engine", "LocalEngine": "engine",
     "LegAsk": "engine", "Kept": "engine", "Refuses": "engine", "Unreached": "engine", "Stage": "engine",
     "Wrong": "chat", "GatewayPaper": "paper", "ProductTerms": "paper", "FleetTerms": "paper", "NodeLine": "paper",
@@ -31,7 +31,7 @@
 if TYPE_CHECKING:
     from ternlane.chat import Wrong
     from ternlane.choice import Router
-    from ternlane.embed import Blocking, Routing, Stream, TerminatedError, ThrottledError, open_routing
+    from ternlane.embed import Blocking, Bridged, Routing, Stream, TerminatedError, ThrottledError, open_routing
     from ternlane.engine import (Kept, LegAsk, LocalEngine, LocalTransport, Refuses, SocketTransport, Stage, Transport,
                                  Unreached)
     from ternlane.gateway import Gateway, open_gateway
--- a/ternlane/embed/blocking.py
+++ b/ternlane/embed/blocking.py
@@ -1,10 +1,11 @@
-"""The router for plain threads: its loop runs in one thread of its own, which ends with the `with` block."""
+"""The router for plain threads and for asyncio: its loop runs in a thread of its own, which ends with the block."""
 from __future__ import annotations
 
+import asyncio
 import queue
 import threading
 from types import TracebackType
-from typing import Any, Callable, Iterator
+from typing import Any, AsyncIterator, Callable, Iterator
 
 import trio
 
@@ -119,3 +120,25 @@
             self.thread.join()
         if self.failed is not None and kind is None:
             raise self.failed
+
+
+class Bridged(Blocking):
+    """The same for asyncio callers: `async for text in routing.agenerate({...})`. Each wait takes a thread of the
+    loop's pool for as long as it lasts, so the pool's size bounds how many may be asked at once."""
+
+    async def agenerate(self, request: dict[str, Any], time_limit_ms: float | None = None) -> AsyncIterator[str]:
+        loop, pieces = asyncio.get_running_loop(), self.generation(request, time_limit_ms)
+        pending: asyncio.Future[Any] | None = None
+        try:
+            while True:
+                pending = loop.run_in_executor(None, next, pieces, END)
+                piece = await asyncio.shield(pending)
+                pending = None
+                if piece is END:
+                    return
+                yield piece
+        finally:
+            if pending is not None and not pending.done():    # cancelled while a thread waits within the iterator
+                pending.add_done_callback(lambda _: pieces.close())    # type: ignore[attr-defined]
+            else:
+                pieces.close()    # type: ignore[attr-defined]
--- a/ternlane/engine/protocol.py
+++ b/ternlane/engine/protocol.py
@@ -39,10 +39,6 @@
     return msgspec.json.encode(body)
 
 
-def whole_body(raw: dict[str, Any], max_toks: int) -> bytes:
-    return msgspec.json.encode(whole(raw, max_toks))
-
-
 def whole(raw: dict[str, Any], max_toks: int) -> dict[str, Any]:
     body = {k: v for k, v in raw.items() if k not in ("max_completion_tokens", "kv_transfer_params")}
     body.update(stream=True, max_tokens=max_toks, stream_options={"include_usage": True})
--- a/ternlane/engine/transport.py
+++ b/ternlane/engine/transport.py
@@ -11,8 +11,9 @@
 
 import trio
 
+from ternlane.engine.kinds import KINDS
 from ternlane.engine.leg import ClientGone, LegEnd, LegPlan, read_leg, release, stream_leg
-from ternlane.engine.protocol import Stage, Usage, read_body, whole_body, write_body
+from ternlane.engine.protocol import Stage, Usage
 from ternlane.http1 import Pool
 from ternlane.port import Report, Verdict
 
@@ -32,6 +33,7 @@
     state: dict[str, Any] | None
     max_toks: int
     plan: LegPlan
+    protocol: str = "disaggregated"
 
 
 class Transport(Protocol):
@@ -41,7 +43,8 @@
     async def stream(self, ask: LegAsk, pass_on: PassOn) -> LegEnd:
         """Has an answer written; each piece goes to `pass_on`. Raises ClientGone where that does."""
 
-    async def release(self, server: str, address: str, ident: str, within_ms: float) -> bool:
+    async def release(self, server: str, address: str, ident: str, within_ms: float,
+                      protocol: str = "disaggregated") -> bool:
         """Lets go of what a server holds for a generation; true once it has confirmed."""
 
     def sweep(self) -> None:
@@ -52,22 +55,14 @@
 
 
 class SocketTransport:
-    """The engine protocol over HTTP/1.1."""
+    """Engine protocols over HTTP/1.1, each server's by the node list."""
 
     def __init__(self, pool: Pool, agent: str) -> None:
         self.pool, self.agent = pool, agent
 
     def fill(self, ask: LegAsk) -> LegPlan:
-        plan = ask.plan
-        plan.headers = [("Content-Type", "application/json"), ("X-Request-Id", f"{ask.ident}.{ask.number}"),
-                        ("User-Agent", self.agent), ("Idempotency-Key", ask.key)]
-        if ask.stage is Stage.READ:
-            plan.body = read_body(ask.raw)
-        elif ask.stage is Stage.WRITE:
-            plan.body = write_body(ask.raw, ask.state or {}, ask.max_toks)
-        else:
-            plan.body = whole_body(ask.raw, ask.max_toks)
-        return plan
+        ask.plan.headers, ask.plan.body = KINDS[ask.protocol].request(ask, self.agent)
+        return ask.plan
 
     async def read(self, ask: LegAsk) -> LegEnd:
         return await read_leg(self.pool, self.fill(ask))
@@ -75,7 +70,10 @@
     async def stream(self, ask: LegAsk, pass_on: PassOn) -> LegEnd:
         return await stream_leg(self.pool, self.fill(ask), pass_on)
 
-    async def release(self, server: str, address: str, ident: str, within_ms: float) -> bool:
+    async def release(self, server: str, address: str, ident: str, within_ms: float,
+                      protocol: str = "disaggregated") -> bool:
+        if not KINDS[protocol].lets_go:
+            return True
         return await release(self.pool, address, ident, [("User-Agent", self.agent)], within_ms)
 
     def sweep(self) -> None:
@@ -183,7 +181,8 @@
                 end.why = "silent or too slow within the stream"
         return end
 
-    async def release(self, server: str, address: str, ident: str, within_ms: float) -> bool:
+    async def release(self, server: str, address: str, ident: str, within_ms: float,
+                      protocol: str = "disaggregated") -> bool:
         engine = self.engines.get(server)
         with trio.move_on_after(within_ms / 1000) as scope:
             try:
--- a/ternlane/gateway/host.py
+++ b/ternlane/gateway/host.py
@@ -172,7 +172,7 @@
         ticket.leg = LegPlan(place.address, [], b"", times.timeout_ms, times.quiet_ms, times.whole_ms)
         self.nursery.start_soon(self.run, ticket, server, LegAsk(
             place.ident, place.address, stage, ticket.ident, number, ticket.key, ticket.ask.raw, ticket.state,
-            int(ticket.gen.max_toks), ticket.leg))
+            int(ticket.gen.max_toks), ticket.leg, place.line.protocol))
 
     async def run(self, ticket: Ticket, server: Server, ask: LegAsk) -> None:
         since, stage, plan = now_ms(), ask.stage, ask.plan
@@ -244,7 +244,8 @@
     async def release(self, ticket: Ticket, server: Server) -> None:
         place = self.book.places[server]
         try:
-            done = await self.transport.release(place.ident, place.address, ticket.ident, self.facts.release_ms)
+            done = await self.transport.release(place.ident, place.address, ticket.ident, self.facts.release_ms,
+                                                place.line.protocol)
         finally:
             self.releasing -= 1
         self.measures.releases.labels("confirmed" if done else "unheard").inc()
--- a/ternlane/nodes/consul.py
+++ b/ternlane/nodes/consul.py
@@ -54,7 +54,8 @@
                                "zone": meta.get("zone", "-"), "state": state_of(entry.checks)}
         try:
             raw |= {"cell": int(meta.get("cell", "0")), "mem_toks": float(meta.get("mem_toks", "0")),
-                    "size": float(meta.get("size", "1")), "started": float(meta.get("started", "0"))}
+                    "size": float(meta.get("size", "1")),
+                    "protocol": meta.get("protocol", "disaggregated"), "started": float(meta.get("started", "0"))}
             lines.append(msgspec.convert(raw, NodeLine))
         except (msgspec.ValidationError, ValueError) as why:
             left_out.append(f"{service.ident}: {why}")
--- a/ternlane/paper/gateway.py
+++ b/ternlane/paper/gateway.py
@@ -81,6 +81,11 @@
     size: Positive = 1.0
     state: Literal["up", "draining", "gone"] = "up"
     started: NotNegative = 0.0
+    protocol: Literal["disaggregated", "chat"] = "disaggregated"    # chat: any server of the public chat API
+
+    def __post_init__(self) -> None:
+        if self.protocol == "chat" and self.duty != "both":
+            raise ValueError("a server of the plain chat protocol has duty both")
 
 
 class FileSource(Sheet, frozen=True, kw_only=True, tag="file", tag_field="from"):
--- a/tests/test_library.py
+++ b/tests/test_library.py
@@ -1,6 +1,7 @@
 """The public face: what importing costs, use from plain threads, and a daemon whose sockets are handed over."""
 from __future__ import annotations
 
+import asyncio
 import json
 import os
 import signal
@@ -66,6 +67,29 @@
         list(routing.generation(REQUEST))
 
 
+def test_asyncio_callers_are_served_and_may_cancel() -> None:
+    made, transport = engines()
+
+    async def main() -> list[str]:
+        with ternlane.Bridged(paper("r0", "w0"), lambda: transport) as routing:
+            async def one() -> str:
+                return "".join([text async for text in routing.agenerate(REQUEST)])
+            got = list(await asyncio.gather(*[one() for _ in range(4)]))
+            made["w0"].trouble = "stalls"
+            task = asyncio.create_task(one())
+            await asyncio.sleep(0.1)
+            task.cancel()
+            with pytest.raises(asyncio.CancelledError):
+                await task
+            for _ in range(200):
+                if made["w0"].closed == 5:
+                    break
+                await asyncio.sleep(0.01)
+            return got
+    assert asyncio.run(main()) == ["0 1 2 3 4 5 "] * 4
+    assert made["w0"].closed == 5
+
+
 def test_a_router_that_can_not_start_says_so_where_it_is_made() -> None:
     def make() -> LocalTransport:
         raise OSError("no such engines")
--- a/tests/test_transports.py
+++ b/tests/test_transports.py
@@ -6,19 +6,21 @@
 from collections.abc import AsyncIterator
 from typing import Any
 
+import msgspec
 import pytest
 import trio
 
-from tests.world import BUILD, PRODUCTS, TERMS, World, replace
+from tests.world import BUILD, PRODUCTS, TERMS, World, replace, world
 from ternlane.chat import Wrong
 from ternlane.embed import TerminatedError, ThrottledError, open_routing
 from ternlane.engine import (Kept, LegAsk, LegPlan, LocalTransport, Refuses, SocketTransport, Stage, Transport,
                              Unreached)
 from ternlane.engine.leg import ClientGone
-from ternlane.http1 import Pool
-from ternlane.paper import GatewayPaper, NodeLine
+from ternlane.http1 import Exchange, Pool
+from ternlane.paper import GatewayPaper, NodeLine, PaperError, read_text
 from ternlane.paper.gateway import InlineSource
 from ternlane.port import Verdict
+from ternlane.standin.engine import Engine
 
 
 class Local:
@@ -215,3 +217,50 @@
 
 def test_unreached_is_no_refusal() -> None:
     assert not issubclass(Unreached, Refuses)
+
+
+class Public(Engine):
+    """A server of the public chat API that knows nothing of ours, and says so."""
+
+    async def handle(self, exchange: Exchange) -> None:
+        body = msgspec.json.decode(exchange.body) if exchange.body else {}
+        strange = {"kv_transfer_params", "prompt_cache_key"} & set(body)
+        if strange or exchange.path != "/v1/chat/completions" or exchange.header(b"idempotency-key"):
+            self.strange.append(exchange.path)
+            await exchange.answer(400, [], b'{"error": {"message": "unknown"}}')
+        elif self.down:
+            await exchange.answer(503, [("Retry-After", "1")], b"{}")
+        else:
+            await super().handle(exchange)
+    strange: list[str] = []
+    down = False
+
+
+@pytest.mark.parametrize("model", ["summary", "note"])
+async def test_plain_chat_servers_stand_beside_the_others(model: str) -> None:
+    async with world(("m0",)) as w:
+        engines = []
+        for i in range(2):
+            engine = Public(f"p{i}", "both", "hall", 1, "127.0.0.1", 0, BUILD, w.traffic, 1)
+            engine.strange = []
+            up = trio.Event()
+            w.nursery.start_soon(engine.run, w.nursery, up)
+            await up.wait()
+            engines.append(engine)
+        w.gateway.found([NodeLine(id=e.ident, address=f"{e.host}:{e.port}", duty="both", mem_toks=2e5, protocol="chat")
+                         for e in engines])
+        reply = await w.ask(model, prompt_cache_key="folder")
+        assert reply.done == 1 and not engines[0].strange and not engines[1].strange
+        for engine in engines:
+            engine.down = True
+        down = await w.ask(model)    # a 503 of a stranger proves nothing
+        asked = len(w.said("leg"))
+        assert down.status == (502 if model == "note" else 429) and asked == 1
+        for engine in engines:
+            engine.die()
+            assert not engine.strange
+
+
+def test_a_plain_chat_server_can_not_be_a_reader() -> None:
+    with pytest.raises(PaperError, match="duty both"):
+        read_text('{id: "a", address: "h:1", duty: "read", mem_toks: 1, protocol: "chat"}', NodeLine)
