Seventy-two scenarios driven through the library alone and through the daemon

Need: both ways in must give the same results. Change: tests/test_scenarios.py, scripted ends in the stand-in engine, x-ratelimit fields on plain answers too. Result: three products by 24 troubles, in virtual time twice alike, over sockets the same outcome, effects and text.

--- a/ternlane/embed/routing.py
+++ b/ternlane/embed/routing.py
@@ -51,6 +51,7 @@
     """The text of one generation, piece by piece. `usage` and `finish` are there once it has ended."""
 
     def __init__(self) -> None:
+        super().__init__()
         self.sends, self.gets = trio.open_memory_channel[str](0)    # the writer waits for a slow reader
         self.ticket: Ticket | None = None
         self.usage: dict[str, Any] = {}
--- a/ternlane/gateway/door.py
+++ b/ternlane/gateway/door.py
@@ -34,7 +34,7 @@
 
     def __init__(self, exchange: Exchange, ident: str, model: str, include_usage: bool) -> None:
         self.exchange, self.ident, self.model, self.include_usage = exchange, ident, model, include_usage
-        self.extra: list[tuple[str, str]] = []
+        super().__init__()
         self.created = int(time.time())
 
     async def piece(self, text: str, first: bool) -> None:
@@ -190,13 +190,13 @@
                 self.repeats.end(scope_key, None, 0, 0.0)
             return await self.over_budget(exchange, hold)
         ident = self.ident(exchange, tenant.name if tenant is not None else "")
-        outlet = (StreamOutlet(exchange, f"chatcmpl-{ident}", ask.model, ask.include_usage) if ask.stream
+        outlet: Outlet = (StreamOutlet(exchange, f"chatcmpl-{ident}", ask.model, ask.include_usage) if ask.stream
                   else PlainOutlet())
         # Engines drop repeats by this key; a key of the gateway's own can't meet another gateway's.
         engine_key = (f"{self.birth}-{ident}-{next(self.count)}" if scope_key is None
                       else xxh3_64_hexdigest(scope_key.encode()))
         ticket = Ticket(ident, ask, known, outlet, since, engine_key, owner if tenant is not None else "", hold)
-        if self.till is not None and hold is not None and isinstance(outlet, StreamOutlet):
+        if self.till is not None and hold is not None:
             outlet.extra = self.till.headers(hold)
         try:
             self.host.arrived(ticket)
@@ -259,11 +259,11 @@
 
     async def whole(self, exchange: Exchange, ticket: Ticket, final: Final) -> None:
         """An answer of which the client has nothing yet."""
-        ident = ("X-Request-Id", ticket.ident)
+        ident, extra = ("X-Request-Id", ticket.ident), ticket.outlet.extra
         match final:
             case Streamed(text, finish, usage):
                 body = answer_body(f"chatcmpl-{ticket.ident}", int(time.time()), ticket.ask.model, text, finish, usage)
-                await exchange.answer(200, [ident], body)
+                await exchange.answer(200, [ident, *extra], body)
             case Throttled(pause):
                 seconds = max(1, -(-int(pause) // 1000))
                 await exchange.answer(429, [ident, ("Retry-After", str(seconds)),
--- a/ternlane/gateway/ticket.py
+++ b/ternlane/gateway/ticket.py
@@ -35,7 +35,10 @@
 
 
 class Outlet:
-    """Where a generation's text goes; the door's answers are its kinds."""
+    """Where a generation's text goes; the door's answers are its kinds. `extra`: further fields of its head."""
+
+    def __init__(self) -> None:
+        self.extra: list[tuple[str, str]] = []
 
     async def piece(self, text: str, first: bool) -> None:
         raise NotImplementedError
--- a/ternlane/standin/engine.py
+++ b/ternlane/standin/engine.py
@@ -56,6 +56,7 @@
     lost_by_reset: bool = False
     handshake_ms: float = 0.0
     links: float = 1.0           # times slower
+    script: str = ""             # what happens to each leg: full, error, reset, midway, stall, silent or nostate
     cut: Callable[[str], bool] = field(default=lambda _: False)    # by the peer's address
 
 
@@ -291,6 +292,22 @@
         if how in ("dropped", "lost"):
             exchange.reset()
 
+    async def play(self, exchange: Exchange) -> str:
+        """The scripted ends that come before any text."""
+        match self.trouble.script:
+            case "full":
+                raise Refused(429, "queue-full")
+            case "nostate":
+                raise Refused(409, "no-state")
+            case "error":
+                await exchange.answer(500, [], b'{"error":{"message":"out of memory"}}')
+                return "error"
+            case "reset":
+                exchange.stream.setsockopt(1, 13, LINGER_0)
+                return "lost"
+        await trio.sleep_forever()
+        raise AssertionError
+
     async def silence(self, exchange: Exchange) -> str:
         """The answer is lost: nothing comes back, or the connection breaks."""
         if self.trouble.lost_by_reset:
@@ -322,6 +339,8 @@
             raise Refused(503, "draining")
         if self.used + toks > self.build.mem_toks:
             raise Refused(429, "memory-full")
+        if self.trouble.script:
+            return await self.play(exchange)
         unread, kept = self.unkept(text)
         work = 2.0 + unread / self.build.read_tok_s * 1000
         self.weigh(work)
@@ -383,6 +402,8 @@
             raise Refused(409, "no-state")
         if self.refusing:
             raise Refused(503, "draining")
+        if self.trouble.script in ("full", "nostate"):
+            return await self.play(exchange)
         toks, most = len(text) / TOK_BYTES, int(body.get("max_tokens") or 1024)
         if self.used + toks > self.build.mem_toks:
             raise Refused(429, "memory-full")
@@ -407,9 +428,16 @@
                 self.done[key] = clock_ms(), ""
                 while len(self.done) > 10000:
                     self.done.popitem(last=False)
+            if self.trouble.script in ("error", "reset", "silent"):
+                return await self.play(exchange)
             lost = self.rng.random() < self.trouble.lost
             for i, word in enumerate(words):
                 await self.work(self.build.tok_ms * (1 + self.build.tok_grow * self.busy / self.build.slots))
+                if i == 2 and self.trouble.script in ("midway", "stall"):
+                    if self.trouble.script == "stall":
+                        await trio.sleep_forever()
+                    exchange.stream.setsockopt(1, 13, LINGER_0)
+                    return "lost"
                 written += 1
                 if lost:
                     continue
--- /dev/null
+++ b/tests/test_scenarios.py
@@ -0,0 +1,245 @@
+"""One suite of scenarios, driven through the library alone in virtual time and through the daemon over sockets.
+
+Each scenario is a product and what ails the engines; both ways must come to the same outcome, the same number of
+effects and the same text. Two readers and three writers stand in two cells.
+"""
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import sys
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+import trio
+import trio.testing
+
+import ternlane
+from tests.world import BUILD, PRODUCTS, TERMS, heard, replace
+from ternlane.engine import Kept, LegAsk, LocalTransport, Refuses, Unreached
+from ternlane.http1 import Pool
+from ternlane.paper import GatewayPaper, NodeLine
+from ternlane.paper.gateway import InlineSource
+from ternlane.standin.engine import Engine
+from ternlane.standin.traffic import Traffic
+
+ROOT = Path(__file__).parent.parent
+IDENTS = ("r0", "r1", "w0", "w0b", "w1")
+READERS, WRITERS = IDENTS[:2], IDENTS[2:]
+LIMIT = 900.0
+
+# What ails which engines; "dead" ones refuse connections, "gone" and "drains" are said by the list.
+AILS: dict[str, dict[str, str]] = {
+    "all well": {},
+    "one reader full": {"r0": "full"}, "all readers full": dict.fromkeys(READERS, "full"),
+    "one reader fails": {"r0": "error"}, "all readers fail": dict.fromkeys(READERS, "error"),
+    "one reader breaks off": {"r1": "reset"}, "all readers silent": dict.fromkeys(READERS, "silent"),
+    "one reader dead": {"r0": "dead"}, "all readers dead": dict.fromkeys(READERS, "dead"),
+    "all readers gone": dict.fromkeys(READERS, "gone"), "one reader drains": {"r1": "drains"},
+    "one writer full": {"w0": "full"}, "all writers full": dict.fromkeys(WRITERS, "full"),
+    "all writers fail": dict.fromkeys(WRITERS, "error"), "all writers break off": dict.fromkeys(WRITERS, "reset"),
+    "all writers silent": dict.fromkeys(WRITERS, "silent"), "all writers stall": dict.fromkeys(WRITERS, "stall"),
+    "all writers break midway": dict.fromkeys(WRITERS, "midway"), "all writers lack the state": dict.fromkeys(
+        WRITERS, "nostate"),
+    "two writers dead": {"w0": "dead", "w1": "dead"}, "all writers dead": dict.fromkeys(WRITERS, "dead"),
+    "all writers drain": dict.fromkeys(WRITERS, "drains"), "nobody listed": dict.fromkeys(IDENTS, "gone"),
+    "a reader and two writers ail": {"r0": "error", "w0": "full", "w0b": "dead"},
+}
+SCENARIOS = [(p.name, ail) for p in PRODUCTS for ail in AILS]
+
+
+@dataclass(frozen=True)
+class Seen:
+    outcome: str
+    effects: int
+    text: str
+
+
+PORTS = iter(range(31100, 32700))    # below those that the system hands out to the engines meanwhile
+
+
+def free(port: int) -> bool:
+    with socket.socket() as probe:
+        try:
+            probe.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
+
+
+class Played:
+    """A local engine that does as its script says. A state can be fetched once, as between real engines."""
+
+    def __init__(self, script: str, effects: list[str], states: set[str]) -> None:
+        self.script, self.effects, self.states = script, effects, states
+
+    def before(self) -> None:
+        match self.script:
+            case "full":
+                raise Refuses("queue-full")
+            case "nostate":
+                raise Refuses("no-state", state_lost=True)
+            case "dead":
+                raise Unreached("refused")
+
+    async def fail(self) -> None:
+        if self.script in ("error", "reset"):
+            raise RuntimeError(self.script)
+        if self.script == "silent":
+            await trio.sleep_forever()
+
+    async def read(self, ask: LegAsk) -> Kept:
+        self.before()
+        await self.fail()
+        await trio.sleep(0.002)
+        self.states.add(ask.ident)
+        return Kept({"of": ask.ident}, 10)
+
+    async def write(self, ask: LegAsk) -> AsyncIterator[str]:
+        self.before()
+        if ask.ident not in self.states:
+            raise Refuses("no-state", state_lost=True)
+        self.states.discard(ask.ident)
+        self.effects.append(ask.ident)
+        await self.fail()
+        for i in range(6):
+            if i == 2 and self.script == "midway":
+                raise RuntimeError("broke off")
+            if i == 2 and self.script == "stall":
+                await trio.sleep_forever()
+            await trio.sleep(0.003)
+            yield "t "
+
+    async def release(self, ident: str) -> None:
+        self.states.discard(ident)
+
+
+def lines(ails: dict[str, str], ports: dict[str, int]) -> list[NodeLine]:
+    state = {"gone": "gone", "drains": "draining"}
+    return [NodeLine(id=i, address=f"127.0.0.1:{ports.get(i, 9)}", cell=int(i[1]), mem_toks=2e5,
+                     duty="read" if i[0] == "r" else "write", state=state.get(ails.get(i, ""), "up"))    # type: ignore
+            for i in IDENTS]
+
+
+def paper_of(ails: dict[str, str], ports: dict[str, int], listen: str = "127.0.0.1:0") -> GatewayPaper:
+    return GatewayPaper(name="s", listen=listen, products=PRODUCTS, fleet=TERMS,
+                        nodes=InlineSource(nodes=lines(ails, ports)))
+
+
+def request(model: str) -> dict[str, Any]:
+    return {"model": model, "messages": [{"role": "user", "content": "hello"}], "stream": True}
+
+
+async def by_library(model: str, ails: dict[str, str]) -> Seen:
+    effects: list[str] = []
+    states: set[str] = set()
+    engines = {i: Played(ails.get(i, ""), effects, states) for i in IDENTS}
+    said: list[str] = []
+    async with ternlane.open_routing(paper_of(ails, {}), LocalTransport(dict(engines))) as routing:    # type: ignore
+        try:
+            async with routing.generation(request(model), time_limit_ms=LIMIT - 50) as stream:
+                async for text in stream:
+                    said.append(text)
+            outcome = "streamed"
+        except ternlane.ThrottledError:
+            outcome = "throttled"
+        except ternlane.TerminatedError as why:
+            outcome = "broken off" if why.begun else "terminated"
+        with trio.fail_after(2):
+            while routing.host.tickets:
+                await trio.sleep(0.01)
+    return Seen(outcome, len(effects), str(len(said)))
+
+
+async def by_daemon(model: str, ails: dict[str, str], folder: Path) -> Seen:
+    traffic, ports = Traffic(None), {}
+    async with trio.open_nursery() as nursery:
+        for ident in IDENTS:
+            engine = Engine(ident, "read" if ident[0] == "r" else "write", "hall", int(ident[1]), "127.0.0.1", 0,
+                            replace(BUILD, cold_ms=2000), traffic, 1)
+            engine.trouble.script = ails.get(ident, "") if ails.get(ident) not in ("dead", "gone", "drains") else ""
+            up = trio.Event()
+            nursery.start_soon(engine.run, nursery, up)
+            await up.wait()
+            ports[ident] = engine.port
+            if ails.get(ident) == "dead":
+                engine.die()
+        port = next(p for p in PORTS if free(p))
+        path = folder / f"{port}.json5"
+        path.write_bytes(msgspec.json.encode(paper_of(ails, ports, f"127.0.0.1:{port}")))
+        process = await trio.lowlevel.open_process([sys.executable, "-m", "ternlane", "serve", str(path), "--log",
+                                                    "error"], cwd=ROOT)
+        try:
+            pool = Pool(200, 1000)
+            with trio.fail_after(20):
+                while True:
+                    try:
+                        caller = await pool.connect(f"127.0.0.1:{port}")
+                        break
+                    except Exception:
+                        await trio.sleep(0.03)
+            reply = await heard(caller, request(model), {"X-Ternlane-Time-Limit-Ms": f"{LIMIT}"},
+                                "/v1/chat/completions")
+            caller.close_now()
+        finally:
+            process.send_signal(signal.SIGTERM)
+            with trio.CancelScope(shield=True), trio.move_on_after(5):
+                await process.wait()
+        nursery.cancel_scope.cancel()
+    effects = len([v for v in traffic.lines if v["k"] == "effect"])
+    outcome = {429: "throttled", 502: "terminated", 504: "terminated"}.get(
+        reply.status, "streamed" if reply.done else "broken off")
+    said = [json.loads(e) for e in reply.events if e != "[DONE]"]
+    pieces = sum(bool(c["delta"].get("content")) for s in said for c in s.get("choices", []))
+    return Seen(outcome, effects, str(pieces))
+
+
+def coarse(scene: tuple[str, str], seen: Seen) -> Seen:
+    """How often an idempotent generation ran before it was given up goes by real time on sockets: once, or more."""
+    idempotent = next(p for p in PRODUCTS if p.name == scene[0]).effect == "idempotent"
+    return Seen(seen.outcome, min(seen.effects, 2) if idempotent else seen.effects, seen.text)
+
+
+def test_the_library_alone_and_the_daemon_come_to_the_same(tmp_path: Path) -> None:
+    assert len(SCENARIOS) >= 60
+    alone = {s: trio.run(by_library, s[0], AILS[s[1]], clock=trio.testing.MockClock(autojump_threshold=0))
+             for s in SCENARIOS}
+    again = {s: trio.run(by_library, s[0], AILS[s[1]], clock=trio.testing.MockClock(autojump_threshold=0))
+             for s in SCENARIOS}
+    assert alone == again    # virtual time: the same each time
+    sockets: dict[tuple[str, str], Seen] = {}
+
+    async def all_of_them() -> None:
+        room = trio.CapacityLimiter(max(2, (os.cpu_count() or 2) // 2))
+
+        async def one(scene: tuple[str, str]) -> None:
+            async with room:
+                sockets[scene] = await by_daemon(scene[0], AILS[scene[1]], tmp_path)
+        async with trio.open_nursery() as nursery:
+            for scene in SCENARIOS:
+                nursery.start_soon(one, scene)
+    trio.run(all_of_them)
+    differing = {s: (alone[s], sockets[s]) for s in SCENARIOS if coarse(s, alone[s]) != coarse(s, sockets[s])}
+    assert not differing, differing
+
+
+@pytest.mark.parametrize("product", PRODUCTS)
+def test_what_scenarios_must_come_to(product: Any) -> None:
+    def of(ail: str) -> Seen:
+        return trio.run(by_library, product.name, AILS[ail], clock=trio.testing.MockClock(autojump_threshold=0))
+    for ail in ("all well", "one reader full", "one reader fails", "one reader dead", "two writers dead",
+                "one writer full", "one reader drains"):
+        assert of(ail) == Seen("streamed", 1, "6"), ail
+    for ail in ("nobody listed", "all readers gone", "all writers drain", "all readers dead", "all writers full"):
+        assert of(ail) == Seen("throttled", 0, "0"), ail
+    for ail in ("all writers break midway", "all writers stall"):
+        assert of(ail) == Seen("broken off", 1, "2"), ail
+    broken = of("all writers break off")
+    assert broken.effects == 1 if product.effect == "side-effecting" else broken.effects >= 1
+    assert broken.outcome == ("throttled" if product.effect == "idempotent" else "terminated")
