A bench of the ways in; names of the public face are exported to type checkers

Cause: mypy refused ternlane.open_routing, as nothing was exported explicitly; callers in threads waited 2 ms a piece. Change: explicit exports, 64 pieces ahead.

--- /dev/null
+++ b/bench/library.py
@@ -0,0 +1,163 @@
+"""What a routed generation costs by each way in, and what importing costs, in one run.
+
+    python -m bench.library [--rounds 400] [--routers 10000]
+
+Engines answer at once with 8 pieces: in this process for the library, behind loopback sockets for the gateway.
+"""
+from __future__ import annotations
+
+import argparse
+import gc
+import os
+import statistics
+import subprocess
+import sys
+import time
+from collections.abc import AsyncIterator
+from typing import Any
+
+import structlog
+import trio
+
+import ternlane
+from ternlane.engine import Kept, LegAsk, LocalTransport
+from ternlane.paper.gateway import InlineSource
+
+REQUEST = {"model": "summary", "messages": [{"role": "user", "content": "folder 17 " * 40}], "stream": True}
+
+
+class Quick:
+    async def read(self, ask: LegAsk) -> Kept:
+        return Kept({}, 100)
+
+    async def write(self, ask: LegAsk) -> AsyncIterator[str]:
+        for _ in range(8):
+            yield "word "
+
+    async def release(self, ident: str) -> None:
+        pass
+
+
+def paper() -> ternlane.GatewayPaper:
+    nodes = [ternlane.NodeLine(id=i, address="127.0.0.1:9", duty="read" if i[0] == "r" else "write", mem_toks=1e9)
+             for i in ("r0", "r1", "w0", "w1")]
+    return ternlane.GatewayPaper(name="b", listen="127.0.0.1:0", nodes=InlineSource(nodes=nodes), products=[
+        ternlane.ProductTerms(name="summary", effect="idempotent", slo_ms=2000, limit_ms=10000)])
+
+
+def transport() -> LocalTransport:
+    return LocalTransport({i: Quick() for i in ("r0", "r1", "w0", "w1")})
+
+
+async def in_process(rounds: int) -> list[float]:
+    took = []
+    async with ternlane.open_routing(paper(), transport()) as routing:
+        for _ in range(rounds):
+            since = time.perf_counter()
+            async with routing.generation(REQUEST) as stream:
+                assert len(await stream.text()) == 40
+            took.append((time.perf_counter() - since) * 1000)
+    return took
+
+
+def from_a_thread(rounds: int) -> list[float]:
+    took = []
+    with ternlane.Blocking(paper(), transport) as routing:
+        for _ in range(rounds):
+            since = time.perf_counter()
+            assert len("".join(routing.generation(REQUEST))) == 40
+            took.append((time.perf_counter() - since) * 1000)
+    return took
+
+
+async def over_loopback(rounds: int) -> list[float]:
+    """A gateway's door in this process, with the same engines behind it: a client's hop, and no other."""
+    import msgspec
+
+    from bench.gateway import events
+    from ternlane.http1 import Pool
+    took, pool, body = [], Pool(1000, 60e3), msgspec.json.encode(REQUEST)
+    async with ternlane.open_gateway(paper(), transport=transport()) as gateway:
+        for _ in range(rounds):
+            since = time.perf_counter()
+            caller = await pool.take(gateway.address)
+            await caller.ask("POST", "/v1/chat/completions", [("Content-Type", "application/json")], body)
+            assert len(await events(pool, caller, since)) == 8
+            took.append((time.perf_counter() - since) * 1000)
+    return took
+
+
+def decisions_alone(rounds: int) -> list[float]:
+    """The same four events fed by hand: what choosing costs without any loop."""
+    from ternlane import port
+    from ternlane.gateway.facts import facts_of, products_of
+    from ternlane.nodes import Book
+    it = paper()
+    products = products_of(it)
+    router, book, took = ternlane.Router(facts_of(it, products)), Book(), []
+    router.take(0.0, [book.whole(it.nodes.nodes, 0.0, 0.0)])    # type: ignore[union-attr]
+    for i in range(rounds):
+        since, now = time.perf_counter(), 1.0 + i * 3
+        gen = port.Generation(products["summary"], f"s{i}", None, 0.0, 100.0, 8.0, 5000.0)
+        leg = next(a for a in router.take(now, [port.Arrived(gen)]) if isinstance(a, port.SendLeg))
+        leg = next(a for a in router.take(now + 1, [port.LegEnded(gen, leg.server, port.Verdict.READ, 1.0, False)])
+                   if isinstance(a, port.SendLeg))
+        router.take(now + 1.5, [port.FirstTok(gen, leg.server, 0.5)])
+        router.take(now + 2, [port.LegEnded(gen, leg.server, port.Verdict.STREAMED, 1.0, True)])
+        took.append((time.perf_counter() - since) * 1000)
+    return took
+
+
+async def many_routers(many: int) -> tuple[float, int, int, int]:
+    def count() -> tuple[int, int, int]:
+        gc.collect()
+        return len(os.listdir("/proc/self/fd")), trio.lowlevel.current_statistics().tasks_living, len(gc.get_objects())
+
+    async def one() -> None:
+        async with ternlane.open_routing(paper(), transport()) as routing:
+            async with routing.generation(REQUEST) as stream:
+                await stream.text()
+    for _ in range(20):
+        await one()
+    before, since = count(), time.perf_counter()
+    for _ in range(many):
+        await one()
+    took, after = (time.perf_counter() - since) / many * 1000, count()
+    return took, *(b - a for a, b in zip(before, after, strict=True))    # type: ignore[return-value]
+
+
+def import_ms(code: str) -> float:
+    runs = []
+    for _ in range(7):
+        said = subprocess.run([sys.executable, "-c", f"import time; t = time.perf_counter(); {code}; "
+                               "print((time.perf_counter() - t) * 1000)"], capture_output=True, text=True, check=True)
+        runs.append(float(said.stdout))
+    return statistics.median(runs)
+
+
+def main() -> None:
+    args = argparse.ArgumentParser()
+    args.add_argument("--rounds", type=int, default=400)
+    args.add_argument("--routers", type=int, default=10_000)
+    told = args.parse_args()
+    import logging
+    structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(logging.WARNING))
+    ways: dict[str, Any] = {
+        "decisions alone": decisions_alone, "library, in process": lambda n: trio.run(in_process, n),
+        "library, from a thread": from_a_thread, "door, over loopback": lambda n: trio.run(over_loopback, n)}
+    print(f"{'a generation, ms':<26}{'median':>8}{'p99':>8}")
+    for name, way in ways.items():
+        took = way(told.rounds)[told.rounds // 10:]
+        print(f"{name:<26}{statistics.median(took):>8.3f}{statistics.quantiles(took, n=100)[98]:>8.3f}")
+    print(f"\n{'import, ms (median of 7)':<26}")
+    for what, code in (("decisions", "import ternlane; ternlane.Router"),
+                       ("the library", "import ternlane; ternlane.open_routing"),
+                       ("the gateway", "import ternlane; ternlane.open_gateway")):
+        print(f"{what:<26}{import_ms(code):>8.1f}")
+    took, files, tasks, objects = trio.run(many_routers, told.routers)
+    print(f"\n{told.routers} routers made, used and discarded: {took:.2f} ms each; left behind: {files} descriptors, "
+          f"{tasks} tasks, {objects} objects")
+
+
+if __name__ == "__main__":
+    main()
--- a/ternlane/__init__.py
+++ b/ternlane/__init__.py
@@ -28,15 +28,44 @@
 
 __all__ = ["__version__", *_PLACES]
 
-if TYPE_CHECKING:
-    from ternlane.chat import Wrong
-    from ternlane.choice import Router
-    from ternlane.embed import Blocking, Bridged, Routing, Stream, TerminatedError, ThrottledError, open_routing
-    from ternlane.engine import (Kept, LegAsk, LocalEngine, LocalTransport, Refuses, SocketTransport, Stage, Transport,
-                                 Unreached)
-    from ternlane.gateway import Gateway, open_gateway
-    from ternlane.paper import FleetTerms, GatewayPaper, NodeLine, PaperError, ProductTerms, read_paper, read_text
-    from ternlane.port import (Duty, Effect, Generation, Group, Life, Product, Report, Server, StartFacts, Verdict)
+if TYPE_CHECKING:    # the same names for type checkers
+    from ternlane.chat import Wrong as Wrong
+    from ternlane.choice import Router as Router
+    from ternlane.embed import Blocking as Blocking
+    from ternlane.embed import Bridged as Bridged
+    from ternlane.embed import Routing as Routing
+    from ternlane.embed import Stream as Stream
+    from ternlane.embed import TerminatedError as TerminatedError
+    from ternlane.embed import ThrottledError as ThrottledError
+    from ternlane.embed import open_routing as open_routing
+    from ternlane.engine import Kept as Kept
+    from ternlane.engine import LegAsk as LegAsk
+    from ternlane.engine import LocalEngine as LocalEngine
+    from ternlane.engine import LocalTransport as LocalTransport
+    from ternlane.engine import Refuses as Refuses
+    from ternlane.engine import SocketTransport as SocketTransport
+    from ternlane.engine import Stage as Stage
+    from ternlane.engine import Transport as Transport
+    from ternlane.engine import Unreached as Unreached
+    from ternlane.gateway import Gateway as Gateway
+    from ternlane.gateway import open_gateway as open_gateway
+    from ternlane.paper import FleetTerms as FleetTerms
+    from ternlane.paper import GatewayPaper as GatewayPaper
+    from ternlane.paper import NodeLine as NodeLine
+    from ternlane.paper import PaperError as PaperError
+    from ternlane.paper import ProductTerms as ProductTerms
+    from ternlane.paper import read_paper as read_paper
+    from ternlane.paper import read_text as read_text
+    from ternlane.port import Duty as Duty
+    from ternlane.port import Effect as Effect
+    from ternlane.port import Generation as Generation
+    from ternlane.port import Group as Group
+    from ternlane.port import Life as Life
+    from ternlane.port import Product as Product
+    from ternlane.port import Report as Report
+    from ternlane.port import Server as Server
+    from ternlane.port import StartFacts as StartFacts
+    from ternlane.port import Verdict as Verdict
 
 
 def __getattr__(name: str) -> Any:
--- a/ternlane/embed/blocking.py
+++ b/ternlane/embed/blocking.py
@@ -14,6 +14,7 @@
 from ternlane.paper import GatewayPaper
 
 END = object()
+AHEAD = 64    # pieces that wait for a slow caller; beyond that the writer waits
 
 
 class Blocking:
@@ -61,12 +62,12 @@
         token = self.token
         if token is None:
             raise RuntimeError("the router has ended")
-        pieces: queue.Queue[Any] = queue.Queue(maxsize=1)
+        pieces: queue.Queue[Any] = queue.Queue(maxsize=AHEAD)
         scope = trio.CancelScope()
         gone = threading.Event()
 
         async def put(piece: Any) -> None:
-            while not gone.is_set():    # a slow caller holds one piece, not the loop
+            while not gone.is_set():    # a slow caller holds its pieces, not the loop
                 try:
                     pieces.put_nowait(piece)
                     return
