A missing or absurd usage is billed by what came, not as nothing or as all that was reserved

Cause: an engine that said no usage made a streamed answer free, and an absurd one had the whole reservation billed. Change: prompt as reserved, pieces as counted, noted in the entry; the door's open limit is 503, as a 429 is the module's or the budget's; actors and outlets are abstract; dead code out; a policy line under 110.

--- a/ternlane/choice.py
+++ b/ternlane/choice.py
@@ -348,7 +348,7 @@
         assert not course.over and course.leg is None and engine.server.life is Life.UP
         now, product, s = self.router.now, course.gen.product, self.board[engine]
         writes, patience = engine is course.writer, course.limit_at - now
-        whole = patience if course.gen.whole else inf    # else a slow writer outlasts a client that hears nothing
+        whole = patience if course.gen.whole else inf    # lest a slow writer outlast its client
         course.legs, course.holds = course.legs + 1, True
         work = 0.0 if writes else self.work_ms(engine, course)
         usual = max(self.usual_ms(product, "open" if writes else "read"), work + s.queue_ms)
--- a/ternlane/gateway/door.py
+++ b/ternlane/gateway/door.py
@@ -157,7 +157,7 @@
         try:
             ask = read_chat(exchange.body)
             if len(self.host.tickets) >= self.terms.open_limit:
-                return await self.refuse(exchange, 429, "This gateway holds as many generations as it may",
+                return await self.refuse(exchange, 503, "This gateway holds as many generations as it may",
                                          "open_limit", extra=[("Retry-After", "1")])
             if key is not None and not 1 <= len(key) <= 255:
                 raise Wrong("Idempotency-Key", "Idempotency-Key must have 1 to 255 characters")
--- a/ternlane/gateway/ticket.py
+++ b/ternlane/gateway/ticket.py
@@ -1,6 +1,7 @@
 """One generation on the gateway, between its client and the decisions."""
 from __future__ import annotations
 
+from abc import ABC, abstractmethod
 from dataclasses import dataclass, field
 from typing import Any, Callable
 
@@ -34,14 +35,14 @@
 Final = Throttled | Terminated | Streamed
 
 
-class Outlet:
+class Outlet(ABC):
     """Where a generation's text goes; the door's answers are its kinds. `extra`: further fields of its head."""
 
     def __init__(self) -> None:
         self.extra: list[tuple[str, str]] = []
 
-    async def piece(self, text: str, first: bool) -> None:
-        raise NotImplementedError
+    @abstractmethod
+    async def piece(self, text: str, first: bool) -> None: ...
 
 
 @dataclass(slots=True, eq=False)
--- a/ternlane/gateway/till.py
+++ b/ternlane/gateway/till.py
@@ -129,9 +129,13 @@
         for it in made:
             whole = whole.plus(it)
         reads = [it for stage, it in ticket.made if stage in ("READ", "WHOLE") and it.prompt]
-        if ticket.begun and reads:
+        note = ""
+        if ticket.begun:
             answer = ticket.made[-1][1].answer if isinstance(ticket.final, Streamed) else len(ticket.pieces)
-            bill = Used(reads[-1].prompt, reads[-1].kept, answer)
+            read = reads[-1] if reads else Used(ticket.hold.prompt)
+            if not reads or (ticket.pieces and not answer):    # an engine that says nothing does not make it free
+                note, answer = "usage missing: reserved prompt, pieces counted", max(answer, len(ticket.pieces))
+            bill = Used(read.prompt, read.kept, answer)
         else:
             bill = Used()
         house = Used(*(max(0, a - b) for a, b in ((whole.prompt, bill.prompt), (whole.kept, bill.kept),
@@ -140,7 +144,7 @@
             type(ticket.final), "left") if ticket.final is not None else "left"
         key = xxh3_64_hexdigest(ticket.key.encode())
         self.writer.add(self.cashier.settle(ticket.hold, ticket.ident, outcome, bill, house, ticket.legs, now_ms(),
-                                            time.time(), key))
+                                            time.time(), key, note, len(ticket.pieces)))
         self.settled += 1
 
     def headers(self, hold: Hold) -> list[tuple[str, str]]:
--- a/ternlane/http1/server.py
+++ b/ternlane/http1/server.py
@@ -131,7 +131,7 @@
             head = [("Content-Type", content), ("Content-Length", str(len(body))), ("Connection", "close")]
             out = (conn.send(h11.Response(status_code=bad.status, headers=head)) or b"") + \
                 (conn.send(h11.Data(data=body)) or b"") + (conn.send(h11.EndOfMessage()) or b"")
-            with trio.move_on_after(send_ms / 1000), trio.CancelScope(shield=False):
+            with trio.move_on_after(send_ms / 1000):
                 try:
                     await stream.send_all(out)
                     await stream.send_eof()
--- a/ternlane/nodes/book.py
+++ b/ternlane/nodes/book.py
@@ -55,12 +55,5 @@
                 news.append(server)
         return Listed(tuple(news))
 
-    def forget(self, unused: Iterable[Server]) -> None:
-        """Drops servers that are gone and that nothing refers to any more."""
-        for server in unused:
-            place = self.places.get(server)
-            if place is not None and server.life is Life.GONE and self.servers.get(place.ident) is server:
-                del self.servers[place.ident], self.places[server]
-
     def lines(self) -> list[NodeLine]:
         return [self.places[s].line for s in self.servers.values() if s.life is not Life.GONE]
--- a/ternlane/notes.py
+++ b/ternlane/notes.py
@@ -1,6 +1,7 @@
 """What the actors inside choice.py hold and tell each other: plain types, no decisions."""
 from __future__ import annotations
 
+from abc import ABC, abstractmethod
 from collections import deque
 from dataclasses import dataclass, field
 from typing import Any, NamedTuple
@@ -17,7 +18,7 @@
     desk: Actor
 
 
-class Actor:
+class Actor(ABC):
     """Has an inbox that the router's one loop empties."""
 
     def __init__(self, router: Loop) -> None:
@@ -28,8 +29,8 @@
         self.inbox.append(note)
         self.router.ready.append(self)
 
-    def handle(self, note: Any) -> None:
-        raise NotImplementedError
+    @abstractmethod
+    def handle(self, note: Any) -> None: ...
 
 
 class Seat(Actor):
--- a/ternlane/standin/engine.py
+++ b/ternlane/standin/engine.py
@@ -57,6 +57,7 @@
     handshake_ms: float = 0.0
     links: float = 1.0           # times slower
     script: str = ""             # what happens to each leg: full, error, reset, midway, stall, silent or nostate
+    metering: str = "true"       # what it says of usage: true, none or absurd
     cut: Callable[[str], bool] = field(default=lambda _: False)    # by the peer's address
 
 
@@ -316,6 +317,13 @@
         await trio.sleep_forever()
         raise AssertionError
 
+    def usage(self, toks: float, kept: float, out: int) -> dict[str, Any] | None:
+        if self.trouble.metering == "none":
+            return None
+        times = -10**6 if self.trouble.metering == "absurd" else 1
+        return {"prompt_tokens": int(toks) * times, "completion_tokens": out * times,
+                "total_tokens": (int(toks) + out) * times, "prompt_tokens_details": {"cached_tokens": int(kept)}}
+
     def unkept(self, text: bytes) -> tuple[float, float]:
         """Tokens to be read and tokens found kept; what is read is kept from now on."""
         key, kept, all_kept = 0, 0, True
@@ -363,8 +371,7 @@
             "kv_transfer_params": {"do_remote_prefill": True, "do_remote_decode": False, "remote_engine_id": self.ident,
                                    "remote_block_ids": [], "remote_host": self.host, "remote_port": self.port,
                                    "remote_request_id": gen, "standin_cell": self.cell},
-            "usage": {"prompt_tokens": int(toks), "completion_tokens": 1, "total_tokens": int(toks) + 1,
-                      "prompt_tokens_details": {"cached_tokens": int(kept)}}}
+            "usage": self.usage(toks, kept, 1)}
         await exchange.answer(200, [self.load()], msgspec.json.encode(answer))
         return "read"
 
@@ -451,8 +458,7 @@
                     await exchange.chunk(data)
             if lost:
                 return await self.silence(exchange)
-            usage = {"prompt_tokens": int(toks), "completion_tokens": out, "total_tokens": int(toks) + out,
-                     "prompt_tokens_details": {"cached_tokens": int(kept)}}
+            usage = self.usage(toks, kept, out)
             last = event_bytes(msgspec.json.encode({
                 "id": gen, "choices": [{"index": 0, "delta": {}, "finish_reason": "stop"}]}))
             last += event_bytes(msgspec.json.encode({"id": gen, "choices": [], "usage": usage}))
--- a/ternlane/tenants/cashier.py
+++ b/ternlane/tenants/cashier.py
@@ -166,11 +166,11 @@
         return 0.0 if borrower is None or meter is None else max(0.0, AHEAD * borrower.size - meter.level)
 
     def settle(self, hold: Hold, gen: str, outcome: str, bill: Used, house: Used, legs: int, now: float,
-               wall: float, key: str = "") -> Entry:
+               wall: float, key: str = "", note: str = "", pieces: int | None = None) -> Entry:
         """What was used goes on the budgets; the entry is for the ledger. A second call for a hold is a defect."""
         assert not hold.done, f"{gen} settled twice"
         hold.done = True
-        bill, note = self.plausible(hold, bill)
+        bill, odd = self.plausible(hold, bill, pieces)
         used = bill.prompt + bill.answer
         for meter, begun in zip(hold.meters, hold.begun, strict=True):
             meter.settle(hold.toks, used, begun, now, self.clock(wall))
@@ -180,19 +180,19 @@
         micros = (bill.prompt - bill.kept) * price.prompt + bill.kept * price.kept + bill.answer * price.answer
         period = period_at(hold.wall, hold.tenant.zone, hold.tenant.period).name    # by its arrival
         return Entry(gen, hold.tenant.name, hold.product, period, hold.wall, outcome, bill, house, micros, legs, key,
-                     note)
+                     "; ".join(filter(None, (note, odd))))
 
     @staticmethod
-    def plausible(hold: Hold, bill: Used) -> tuple[Used, str]:
+    def plausible(hold: Hold, bill: Used, pieces: int | None) -> tuple[Used, str]:
         """A faulty engine's figures are not billed: negative ones, or many times what was asked for, are replaced by
-        what was reserved, and the entry says so."""
+        the prompt that was reserved and the pieces that came, and the entry says so."""
         prompt, kept, answer, odd = bill.prompt, bill.kept, bill.answer, []
         if not 0 <= prompt <= ABSURD * max(hold.prompt, 64):
             odd.append(f"prompt {prompt}")
             prompt = hold.prompt
         if not 0 <= answer <= hold.most:
             odd.append(f"answer {answer}")
-            answer = min(hold.answer, hold.most)
+            answer = min(hold.answer, hold.most) if pieces is None else min(pieces, hold.most)
         if not 0 <= kept <= prompt:
             odd.append(f"kept {kept}")
             kept = 0
--- a/tests/test_till.py
+++ b/tests/test_till.py
@@ -138,6 +138,31 @@
         assert 100 < answer < 140 if cut else answer == 200
 
 
+@pytest.mark.parametrize("metering", ["none", "absurd"])
+async def test_an_engine_that_says_nothing_or_nonsense_of_usage_makes_no_one_free_or_ruined(
+        tmp_path: Path, metering: str) -> None:
+    async with banked(tmp_path) as (w, bank):
+        for engine in w.engines.values():
+            engine.trouble.metering = metering
+        assert (await bank.ask(w, "noto", text="x" * 400)).done == 1
+        await w.settled()
+        await w.gateway.till.writer.flush(1.0)
+        found = next(entries_of([tmp_path / "ledger"]))
+        assert found.note and found.bill.answer == 6 and 80 <= found.bill.prompt <= 120
+        assert found.micros == 3 * (found.bill.prompt - found.bill.kept) + found.bill.kept + 12 * 6
+
+
+async def test_a_gateway_killed_between_reserve_and_send_owes_and_bills_nothing(tmp_path: Path) -> None:
+    async with banked(tmp_path) as (w, bank):
+        w.gateway.host.send = lambda *_: None    # type: ignore[method-assign]
+        with trio.move_on_after(0.2):
+            await bank.ask(w, "noto")
+        assert w.gateway.till.cashier.meters == {} or w.said("leg") == []
+        found = bank.off(w)
+        assert not w.said("leg") and not found.unsettled and found.billed.prompt == 0
+        w.gateway.host.tickets.clear()
+
+
 async def test_one_members_storm_of_repeats_costs_the_others_nothing(tmp_path: Path) -> None:
     async with banked(tmp_path, budget={"minute": 3000, "burst": 200, "at_once": 4}) as (w, bank):
         got: dict[str, list[int]] = {"noto": [], "avola": []}
