Stories of upkeep, and a state machine over reserve, settle, expire, crash and recover

Cause: idle limits, the followed file, metrics, an accepted reload, slow connects, clocks set ahead and the books as a whole had no test. Change: tests/test_upkeep.py.

--- /dev/null
+++ b/tests/test_upkeep.py
@@ -0,0 +1,190 @@
+"""What a gateway does beside generations: connections kept and closed, the followed file, metrics, a reload."""
+from __future__ import annotations
+
+import json
+from pathlib import Path
+
+import msgspec
+import pytest
+import trio
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import Bundle, RuleBasedStateMachine, consumes, invariant, rule
+
+from tests.test_chat import ask
+from tests.test_tenants import NOON, FakeDisk, tenant
+from tests.world import BUILD, heard, replace, world
+from ternlane.chat import Intake
+from ternlane.ledger.store import Store
+from ternlane.nodes import follow_file
+from ternlane.paper import FileSource, NodeLine
+from ternlane.paper.gateway import DoorTerms
+from ternlane.port import Effect, Group, Product
+from ternlane.tenants import Cashier, Hold
+from ternlane.tenants.cashier import Used
+
+BODY = {"model": "summary", "messages": [{"role": "user", "content": "a"}], "stream": True}
+
+
+async def test_one_connection_serves_many_requests_and_an_idle_one_is_closed() -> None:
+    async with world(door=DoorTerms(idle_ms=150)) as w:
+        caller = await w.pool.connect(w.gateway.address)
+        for _ in range(3):
+            assert (await heard(caller, BODY, {}, "/v1/chat/completions")).done == 1
+            caller.conn.start_next_cycle()
+        since = trio.current_time()
+        with trio.fail_after(1):
+            assert await caller.stream.receive_some(1) == b""
+        assert 0.1 < trio.current_time() - since < 0.6 and len(w.said("effect")) == 3
+
+
+async def test_engines_whose_new_connections_are_slow_still_serve() -> None:
+    async with world(build=replace(BUILD)) as w:
+        for engine in w.engines.values():
+            engine.trouble.handshake_ms = 80.0
+        since = trio.current_time()
+        assert (await w.ask("note")).done == 1
+        assert trio.current_time() - since > 0.15 and len(w.said("effect")) == 1
+
+
+async def test_a_file_of_nodes_is_followed_and_a_wrong_one_changes_nothing(tmp_path: Path) -> None:
+    path, found, failed = tmp_path / "nodes.json5", list[list[NodeLine]](), list[str]()
+    node = {"id": "a", "address": "h:1", "duty": "read", "mem_toks": 5}
+
+    def put(text: str) -> None:
+        (tmp_path / "new").write_text(text)
+        (tmp_path / "new").rename(path)
+    put(json.dumps({"nodes": [node]}))
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(follow_file, FileSource(path=str(path), look_ms=10), found.append, failed.append)
+
+        async def until(many: int, bad: int) -> None:
+            with trio.fail_after(1):
+                while len(found) < many or len(failed) < bad:
+                    await trio.sleep(0.005)
+        await until(1, 0)
+        put(json.dumps({"nodes": [node, node]}))
+        await until(1, 1)
+        assert "given twice" in failed[0] and len(found) == 1
+        put("{nodes: [{id: 'a', adress: 'h:1'}]}")
+        await until(1, len(failed) + 1)
+        assert any("adress" in why for why in failed)
+        path.unlink()
+        await until(1, len(failed) + 1)
+        put(json.dumps({"nodes": [node | {"state": "draining"}]}))
+        await until(2, 0)
+        assert found[1][0].state == "draining"
+        nursery.cancel_scope.cancel()
+
+
+async def test_metrics_on_their_own_port_and_a_reload_of_the_doors_limits() -> None:
+    async with world(metrics="127.0.0.1:31099") as w:
+        assert (await w.ask()).done == 1
+        caller = await w.pool.connect("127.0.0.1:31099")
+        text = (await heard(caller, b"", {}, "/metrics", "GET")).body.decode()
+        assert 'ternlane_generations_total{model="summary",outcome="streamed"} 1.0' in text
+        assert 'ternlane_legs_total{stage="write",verdict="streamed"} 1.0' in text
+        changed = msgspec.structs.replace(w.gateway.paper, door=DoorTerms(body_bytes=50), seed=5)
+        assert w.gateway.reload(changed) == (["door"], ["seed"])
+        assert (await w.ask(text="x" * 60)).status == 413
+
+
+def test_a_user_of_very_many_sessions_is_held_in_bounds() -> None:
+    product = Product(Effect.IDEMPOTENT, Group.ALL, 0, 400, 0, 60, 2000, 1, 0)
+    intake = Intake({"m": product}, {product: 100}, 500)
+    for i in range(20_000):
+        intake.take(ask(f"folder {i} " * 60), 1000)    # type: ignore[arg-type]
+    assert len(intake.sessions.ends) <= 1000 and intake.openings.held <= 4000
+
+
+def test_two_gateways_spending_the_last_tokens_at_once_spend_no_more_than_there_are() -> None:
+    line = tenant(minute=600, burst=600)
+    cashiers = [Cashier(2, f"g{i}") for i in range(2)]
+    let_in = sum(isinstance(c.reserve(line, "s", 90, 10, 0.0, NOON), Hold) for _ in range(20) for c in cashiers)
+    assert let_in == 6
+
+
+def test_a_clock_set_far_ahead_stays_in_the_later_period_until_time_has_caught_up() -> None:
+    cashier, line = Cashier(), tenant(period=100)
+    assert isinstance(cashier.reserve(line, "s", 90, 10, 0.0, NOON), Hold)
+    assert isinstance(cashier.reserve(line, "s", 90, 10, 0.0, NOON + 40 * 86400), Hold)
+    assert not isinstance(cashier.reserve(line, "s", 1, 1, 0.0, NOON), Hold)
+
+
+class Books(RuleBasedStateMachine):
+    """Reserve, settle, let time and periods pass, crash and recover: the ledger, the meters and a plain sum agree."""
+
+    holds = Bundle("holds")
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.disk, self.now, self.n = FakeDisk(), 0.0, 0
+        self.line = tenant(period=3000, minute=60_000, overdraft=1000)
+        self.kept: dict[str, tuple[str, int]] = {}
+        self.start()
+
+    def start(self) -> None:
+        self.store, self.cashier, self.life = Store(self.disk, 500), Cashier(), object()    # type: ignore[arg-type]
+        self.cashier.clock(NOON + self.now / 1000)
+        self.store.recover()
+        for (name, product, period), it in self.store.totals.sums.items():
+            self.cashier.remember(name, product, period, it.bill.prompt + it.bill.answer)
+
+    @rule(target=holds, prompt=st.integers(1, 400))
+    def reserve(self, prompt: int) -> object:
+        got = self.cashier.reserve(self.line, "s", prompt, 100, self.now, NOON + self.now / 1000)
+        return (self.life, got) if isinstance(got, Hold) else None
+
+    @rule(it=consumes(holds), answer=st.integers(0, 100), commit=st.booleans())
+    def settle(self, it: object, answer: int, commit: bool) -> None:
+        if not isinstance(it, tuple) or it[0] is not self.life:
+            return    # refused, or died with a gateway
+        self.n += 1
+        hold = it[1]
+        entry = self.cashier.settle(hold, f"g{self.n}", "streamed", Used(hold.prompt, 0, answer), Used(), 2, self.now,
+                                    NOON + self.now / 1000)
+        self.store.append(entry)
+        if commit:
+            self.store.commit()
+            for _, e in [*self.pending, (0, entry)]:
+                self.kept[e.gen] = e.period, e.bill.prompt + e.bill.answer
+            self.pending = []
+        else:
+            self.pending = [*self.pending, (0, entry)]
+
+    pending: list[tuple[int, object]] = []
+
+    @rule(days=st.integers(0, 12))
+    def wait(self, days: int) -> None:
+        self.now += days * 86400e3 + 1000
+
+    @rule()
+    def crash(self) -> None:
+        self.pending = []
+        self.start()
+
+    @invariant()
+    def books_agree(self) -> None:
+        sums: dict[str, int] = {}
+        for period, toks in self.kept.values():
+            sums[period] = sums.get(period, 0) + toks
+        told = {key[2]: it.bill.prompt + it.bill.answer for key, it in self.store.totals.sums.items()}
+        assert told == sums
+        meter = self.cashier.meters.get(("noto", ""))
+        if meter is not None and meter.period is not None:
+            assert meter.spent >= sums.get(meter.period.name, 0) - 1e-9 or meter.period.begin > NOON + self.now / 1000
+
+
+TestBooks = Books.TestCase
+TestBooks.settings = settings(max_examples=60, stateful_step_count=30, deadline=None)
+
+
+@pytest.mark.parametrize("n", [1, 3])
+def test_segments_beyond_those_to_be_kept_are_dropped(n: int) -> None:
+    disk = FakeDisk()
+    store = Store(disk, 300, keep_segments=n)    # type: ignore[arg-type]
+    from tests.test_tenants import entry
+    for i in range(1, 40):
+        store.append(entry(i))
+        store.commit()
+    assert sum(name.endswith(".seg") for name in disk.names()) <= n + 1
