A place can be held ahead at a writer; old segments of bills can be dropped

Change: Transport.hold, host and stand-in, fleet.holds; ledger_segments. Result: a held place is taken by the write or released when the client leaves, as a story through sockets.

--- a/ternlane/engine/leg.py
+++ b/ternlane/engine/leg.py
@@ -9,8 +9,8 @@
 import msgspec
 import trio
 
-from ternlane.engine.protocol import (CHAT_PATH, DONE, LOAD, NOT_RUN, RELEASE_PATH, ReadAnswer, Usage, chunk_in,
-                                      load_of, read_answer, refusal_of)
+from ternlane.engine.protocol import (CHAT_PATH, DONE, HOLD_PATH, LOAD, NOT_RUN, RELEASE_PATH, ReadAnswer, Usage,
+                                      chunk_in, load_of, read_answer, refusal_of)
 from ternlane.http1 import EventReader, Pool, Unconnected
 from ternlane.port import Report, Verdict
 
@@ -180,3 +180,21 @@
                 raise
             await trio.sleep(within_ms / 8000)
     return False
+
+
+async def hold(pool: Pool, address: str, ident: str, toks: float, headers: list[tuple[str, str]],
+               within_ms: float) -> bool:
+    """Asks a writer to hold a slot and memory for a generation. One try: a place that is not free at once is none."""
+    body, caller = msgspec.json.encode({"request_id": ident, "tokens": toks}), None
+    with trio.move_on_after(within_ms / 1000) as scope:
+        try:
+            caller = await pool.take(address)
+            head = await caller.ask("POST", HOLD_PATH, headers, body)
+            await caller.body(ANSWER_LIMIT)
+            pool.give_back(caller)
+            return head.status_code in (200, 204)
+        except (Unconnected, h11.RemoteProtocolError, *BROKEN):
+            pass
+    if caller is not None and (scope.cancelled_caught or not caller.reusable):
+        caller.close_now()
+    return False
--- a/ternlane/engine/transport.py
+++ b/ternlane/engine/transport.py
@@ -12,7 +12,7 @@
 import trio
 
 from ternlane.engine.kinds import KINDS
-from ternlane.engine.leg import ClientGone, LegEnd, LegPlan, read_leg, release, stream_leg
+from ternlane.engine.leg import ClientGone, LegEnd, LegPlan, hold, read_leg, release, stream_leg
 from ternlane.engine.protocol import Stage, Usage
 from ternlane.http1 import Pool
 from ternlane.port import Report, Verdict
@@ -47,6 +47,10 @@
                       protocol: str = "disaggregated") -> bool:
         """Lets go of what a server holds for a generation; true once it has confirmed."""
 
+    async def hold(self, server: str, address: str, ident: str, toks: float, within_ms: float,
+                   protocol: str = "disaggregated") -> bool:
+        """Holds a place ahead at a writer, if one is free at once."""
+
     def sweep(self) -> None:
         """Called now and then: a time to close what lay idle."""
 
@@ -76,6 +80,11 @@
             return True
         return await release(self.pool, address, ident, [("User-Agent", self.agent)], within_ms)
 
+    async def hold(self, server: str, address: str, ident: str, toks: float, within_ms: float,
+                   protocol: str = "disaggregated") -> bool:
+        return KINDS[protocol].lets_go and await hold(self.pool, address, ident, toks, [("User-Agent", self.agent)],
+                                                      within_ms)
+
     def sweep(self) -> None:
         self.pool.sweep()
 
@@ -192,6 +201,10 @@
                 return False
         return engine is not None and not scope.cancelled_caught
 
+    async def hold(self, server: str, address: str, ident: str, toks: float, within_ms: float,
+                   protocol: str = "disaggregated") -> bool:
+        return False    # an engine in this process has no place to hold ahead
+
     def sweep(self) -> None:
         pass
 
--- a/ternlane/gateway/facts.py
+++ b/ternlane/gateway/facts.py
@@ -22,7 +22,7 @@
     fleet = paper.fleet
     return StartFacts(
         seed=paper.seed, gateways=paper.gateways, zone=paper.zone, products=tuple(products.values()),
-        leg_limit=fleet.leg_limit, may_call_off=fleet.may_call_off, may_hold_ahead=False, may_probe=False,
+        leg_limit=fleet.leg_limit, may_call_off=fleet.may_call_off, may_hold_ahead=fleet.holds, may_probe=False,
         may_advise=fleet.longest_pause_ms > 0, must_ask=False, ask_within_ms=0.0, writers_read=fleet.writers_read,
         reports_mem=fleet.reports_mem, longest_pause_ms=fleet.longest_pause_ms, connect_ms=fleet.connect_ms,
         idle_ms=fleet.idle_ms, release_ms=fleet.release_ms, drain_grace_ms=fleet.drain_grace_ms,
--- a/ternlane/gateway/host.py
+++ b/ternlane/gateway/host.py
@@ -89,7 +89,9 @@
                 self.on_follow()
             case port.Log(server, text):
                 self.log.info("server", server=self.book.places[server].ident, text=text)
-            case port.HoldAhead() | port.Probe():
+            case port.HoldAhead(gen, server):
+                self.hold(self.tickets.get(gen), server)
+            case port.Probe():
                 raise AssertionError(f"{action} was not offered in the start facts")
 
     async def clock(self) -> None:
@@ -241,6 +243,19 @@
             self.nursery.start_soon(self.release, ticket, server)
         self.forget(ticket)
 
+    def hold(self, ticket: Ticket | None, server: Server) -> None:
+        """A place ahead: let go of like a state, so the server counts as a holder from now on."""
+        if ticket is not None:
+            ticket.holders[server] = None
+            self.nursery.start_soon(self.hold_ahead, ticket, server)
+
+    async def hold_ahead(self, ticket: Ticket, server: Server) -> None:
+        place, gen = self.book.places[server], ticket.gen
+        held = await self.transport.hold(place.ident, place.address, ticket.ident, gen.prompt_toks + gen.max_toks,
+                                         self.facts.release_ms, place.line.protocol)
+        if ticket.gen in self.tickets and not ticket.left and ticket.final is None:
+            self.tell(port.PlaceHeld(gen, held))
+
     async def release(self, ticket: Ticket, server: Server) -> None:
         place = self.book.places[server]
         try:
--- a/ternlane/gateway/till.py
+++ b/ternlane/gateway/till.py
@@ -37,7 +37,8 @@
         self.mark = self.stat()
         self.cashier = Cashier(paper.gateways, paper.name, paper.lender is not None)
         self.cashier.clock(time.time())
-        self.store = Store(Disk(Path(paper.ledger)))
+        kept = {} if paper.ledger_segments is None else {"keep_segments": paper.ledger_segments}
+        self.store = Store(Disk(Path(paper.ledger)), **kept)
         self.store.recover()
         if self.store.cut_off:
             log.warning("a torn bill was cut off", bytes=self.store.cut_off)
--- a/ternlane/paper/gateway.py
+++ b/ternlane/paper/gateway.py
@@ -53,6 +53,7 @@
     reports_mem: bool = True
     may_call_off: bool = True
     writers_read: bool = False
+    holds: bool = False    # engines hold places ahead (our extension)
 
 
 class DoorTerms(Sheet, frozen=True, kw_only=True):
@@ -119,6 +120,7 @@
     nodes: FileSource | ConsulSource | InlineSource
     tenants: str | None = None         # file of tenants; without it everybody is served
     ledger: str | None = None          # folder of this gateway's bills; needed with tenants
+    ledger_segments: Count | None = None    # of 16 MB kept beside the sums; None: all, for bills in detail
     lender: str | None = None          # file that all gateways share to lend parts of budgets
     look_ms: Positive = 1000.0         # between two looks at what traffic wants of it
     fleet: FleetTerms = FleetTerms()
--- a/ternlane/standin/engine.py
+++ b/ternlane/standin/engine.py
@@ -239,6 +239,16 @@
             gen = str(msgspec.json.decode(exchange.body)["request_id"])
             self.drop_state(gen, "released")
             await exchange.answer(200, [self.load()], b"{}")
+        elif exchange.path == "/ternlane/v1/hold":
+            asked = msgspec.json.decode(exchange.body)
+            gen, toks = str(asked["request_id"]), float(asked["tokens"])
+            fits = self.duty != "read" and not self.queue and self.busy < self.build.slots \
+                and self.used + toks <= self.build.mem_toks and gen not in self.states
+            if fits:
+                self.states[gen] = toks, clock_ms()
+                self.used += toks
+                self.traffic.line("state", id=self.ident, gen=gen, toks=toks)
+            await exchange.answer(200 if fits else 409, [self.load()], b"{}")
         elif exchange.path == "/standin/state":
             await self.give_state(exchange)
         else:
@@ -414,6 +424,7 @@
         toks, most = len(text) / TOK_BYTES, int(body.get("max_tokens") or 1024)
         if self.used + toks > self.build.mem_toks:
             raise Refused(429, "memory-full")
+        self.drop_state(gen, "taken")    # the place that was held for it, if one was
         out = self.answer_toks(text, most)
         self.weigh(out * self.build.tok_ms + toks / self.build.near_tok_s * 1000)
         await self.enter()
--- a/tests/test_upkeep.py
+++ b/tests/test_upkeep.py
@@ -13,8 +13,10 @@
 
 from tests.test_chat import ask
 from tests.test_tenants import NOON, FakeDisk, tenant
-from tests.world import BUILD, heard, replace, world
+from tests.world import BUILD, TERMS, heard, replace, world
+from ternlane import port
 from ternlane.chat import Intake
+from ternlane.choice import Router
 from ternlane.ledger.store import Store
 from ternlane.nodes import follow_file
 from ternlane.paper import FileSource, NodeLine
@@ -188,3 +190,26 @@
         store.append(entry(i))
         store.commit()
     assert sum(name.endswith(".seg") for name in disk.names()) <= n + 1
+
+
+async def test_a_place_held_ahead_is_taken_by_the_write_or_let_go() -> None:
+    class Holds(Router):
+        """The decisions, with a place held at the home writer beside each read."""
+
+        def take(self, now: float, events: list[port.Event]) -> list[port.Action]:
+            out = super().take(now, events)
+            for action in list(out):
+                if isinstance(action, port.SendLeg) and action.server.duty is port.Duty.READ:
+                    out.append(port.HoldAhead(action.gen, action.gen.seat.writer.server))
+            told.extend(e for e in events if isinstance(e, port.PlaceHeld))
+            return out
+    told: list[port.PlaceHeld] = []
+    terms = msgspec.structs.replace(TERMS, holds=True)
+    async with world(("r0", "w0"), build=replace(BUILD, read_tok_s=4000.0), chooser=Holds, terms=terms) as w:
+        assert (await w.ask("note", "x" * 800)).done == 1
+        assert [e.held for e in told] == [True]
+        assert len(w.said("taken", id="w0")) == 1 and w.engines["w0"].used == 0
+        with trio.move_on_after(0.05):    # a client that leaves within the read
+            await w.ask("note", "y" * 1600)
+        await w.settled()
+        assert len(w.said("released", id="w0")) == 1 and w.engines["w0"].used == 0
