--- a/ternlane/days/parts.py
+++ b/ternlane/days/parts.py
@@ -17,7 +17,7 @@
 from ternlane.standin.clients import Clients
 from ternlane.standin.engine import Engine
 from ternlane.standin.front import Front
-from ternlane.standin.traffic import Traffic, clock_ms
+from ternlane.standin.traffic import Progress, Traffic, clock_ms
 
 
 @dataclass(frozen=True)
@@ -148,6 +148,7 @@
 async def clients_part(folder: Path, index: int, of: int) -> None:
     scene = Scene.load(folder)
     traffic = Traffic(folder / f"clients-{index}.jsonl")
+    shown = Progress(folder / f"clients-{index}.progress")
     host, port = scene.front
     clients = Clients(f"c{index}", f"{host}:{port}", talks_of(scene.day), habits_of(scene.day), traffic,
                       scene.day.seed * 1000 + index)
@@ -155,11 +156,8 @@
         clients.tenants = [(name, key) for name, key in json.loads((folder / "keys.json").read_text())]
 
     async def progress() -> None:
-        """Lines are only ever added: a file that is cut and written anew is flushed by some file systems as it closes,
-        which held up all clients of this process for a tenth of a second, twice a second."""
         while True:
-            shown.write(json.dumps({"open": clients.open, **clients.tally}) + "\n")
-            shown.flush()
+            shown.add({"open": clients.open, **clients.tally})
             await trio.sleep(0.5)
 
     async def weather() -> None:
@@ -174,13 +172,13 @@
         nursery.start_soon(weather)
         async with trio.open_nursery() as talks:
             await clients.run(lambda ms: scene.day.rate_at(ms) / of, scene.day.length_s * 1000, talks)
-        shown.write(json.dumps({"open": 0, **clients.tally}) + "\n")
+        shown.add({"open": 0, **clients.tally})
 
     try:
-        with open(folder / f"clients-{index}.progress", "a") as shown:
-            await until_signal(run)
+        await until_signal(run)
     finally:
         traffic.close()
+        shown.close()
 
 
 # -- the front layer
--- a/ternlane/paper/gateway.py
+++ b/ternlane/paper/gateway.py
@@ -62,7 +62,7 @@
     head_ms: Positive = 10e3       # for a request's head, once begun
     body_ms: Positive = 30e3       # for its body
     idle_ms: Positive = 60e3       # between requests on one connection
-    answer_ms: NotNegative = 100.0  # kept back from a client's time limit for the answer's way
+    answer_ms: NotNegative = 50.0  # kept back from a client's time limit for the answer's way
     send_ms: Positive = 10e3       # for a client to take what was sent
     open_limit: Count = 20000      # generations held at once
     conn_limit: Count = 20000
--- a/ternlane/standin/traffic.py
+++ b/ternlane/standin/traffic.py
@@ -28,3 +28,17 @@
     def close(self) -> None:
         if self.out is not None:
             self.out.close()
+
+
+class Progress:
+    """How far a process is, a line at a time. Lines are only ever added: a file that is cut and written anew is flushed
+    by some file systems as it closes, which held up all clients of the process for a tenth of a second each time."""
+
+    def __init__(self, path: Path) -> None:
+        self.out = open(path, "ab", buffering=0)
+
+    def add(self, said: dict[str, Any]) -> None:
+        self.out.write(msgspec.json.encode(said) + b"\n")
+
+    def close(self) -> None:
+        self.out.close()
