The door's way from request to generation reads in steps; what a repeat hears is decided in chat

Need: chat() held seven matters in one ladder, and the rule of what a repeat hears stood beside sockets. Change: tenant, repeat_key, repeated, ticket raise NotTaken; chat.kept_for_repeats decides. A first draft let a refused repeat end the first's key, and the engines' own dropping of repeats hid it: the story now counts legs.

--- a/ternlane/chat/__init__.py
+++ b/ternlane/chat/__init__.py
@@ -2,9 +2,10 @@
 from ternlane.chat.answers import ErrorBody, answer_body, chunk, error_body, usage_chunk
 from ternlane.chat.intake import Intake, Known
 from ternlane.chat.openings import Openings
-from ternlane.chat.repeats import Busy, Differs, Done, Fresh, Repeats
+from ternlane.chat.repeats import Busy, Differs, Done, Fresh, Keep, Repeats, kept_for_repeats
 from ternlane.chat.request import ChatAsk, Wrong, read_chat
 from ternlane.chat.sessions import Sessions, chain
 
-__all__ = ["Busy", "ChatAsk", "Differs", "Done", "ErrorBody", "Fresh", "Intake", "Known", "Openings", "Repeats",
-           "Sessions", "Wrong", "answer_body", "chain", "chunk", "error_body", "read_chat", "usage_chunk"]
+__all__ = ["Busy", "ChatAsk", "Differs", "Done", "ErrorBody", "Fresh", "Intake", "Keep", "Known", "Openings", "Repeats",
+           "Sessions", "Wrong", "answer_body", "chain", "chunk", "error_body",
+           "kept_for_repeats", "read_chat", "usage_chunk"]
--- a/ternlane/chat/repeats.py
+++ b/ternlane/chat/repeats.py
@@ -7,8 +7,11 @@
 
 from collections import OrderedDict
 from dataclasses import dataclass
+from enum import Enum, auto
 from typing import Any
 
+from ternlane.port import Effect
+
 OWN_BYTES = 400    # of a record, beside the answer that it keeps
 
 
@@ -32,6 +35,23 @@
     answer: Any
 
 
+class Keep(Enum):
+    """What a repeat hears once the first request has ended."""
+    NOTHING = auto()    # it may run: the key is free
+    ANSWER = auto()     # the same answer
+    UNSURE = auto()     # that it may have run
+
+
+def kept_for_repeats(effect: Effect, outcome: str, legs: int) -> Keep:
+    """`outcome` is streamed, throttled, terminated or left. A throttle promises that nothing ran; where a second run
+    does no harm, only a whole answer is worth keeping; a client that left before any leg was sent never came."""
+    if outcome == "streamed":
+        return Keep.ANSWER
+    if outcome == "throttled" or effect is Effect.IDEMPOTENT or (outcome == "left" and not legs):
+        return Keep.NOTHING
+    return Keep.UNSURE if outcome == "left" else Keep.ANSWER
+
+
 @dataclass(slots=True)
 class Record:
     mark: bytes
--- a/ternlane/gateway/door.py
+++ b/ternlane/gateway/door.py
@@ -11,16 +11,16 @@
 import trio
 from xxhash import xxh3_128_digest, xxh3_64_hexdigest
 
-from ternlane.chat import (Busy, Differs, Done, Intake, Repeats, Wrong, answer_body, chunk, error_body, read_chat,
-                           usage_chunk)
+from ternlane.chat import (Busy, ChatAsk, Differs, Done, Intake, Keep, Repeats, Wrong, answer_body, chunk, error_body,
+                           kept_for_repeats, read_chat, usage_chunk)
 from ternlane.gateway.host import Host, now_ms
 from ternlane.gateway.measures import Measures
 from ternlane.gateway.till import Till
 from ternlane.gateway.ticket import Final, Outlet, Streamed, Terminated, Throttled, Ticket
 from ternlane.http1 import BadRequest, Exchange, event_bytes, serve_connection
 from ternlane.paper import DoorTerms, GatewayPaper
-from ternlane.port import Effect, Product
-from ternlane.tenants import Refusal, Unknown
+from ternlane.port import Product
+from ternlane.tenants import Hold, Refusal, TenantLine, Unknown
 from ternlane.tenants.cashier import wait_s
 
 IDENT = re.compile(r"[A-Za-z0-9._:-]{1,80}")
@@ -29,6 +29,25 @@
                ("Transfer-Encoding", "chunked")]
 
 
+class NotTaken(Exception):
+    """A request that is refused before it became a generation; `after_s` says when to come back."""
+
+    def __init__(self, status: int, why: str, code: str, after_s: int | None = None, param: str | None = None,
+                 extra: list[tuple[str, str]] | None = None) -> None:
+        super().__init__(why)
+        self.status, self.why, self.code, self.param = status, why, code, param
+        self.extra = [*(extra or []), *([] if after_s is None else [("Retry-After", str(after_s))])]
+
+
+def over_budget(no: Refusal) -> NotTaken:
+    """Refused before any leg: a throttle, which promises that nothing ran."""
+    why = {"minute": "tokens a minute", "period": "tokens of the billing period", "at_once": "generations at once",
+           "overdraft": "tokens a minute, the overdraft is used up"}[no.kind]
+    wait = no.wait_ms if no.wait_ms > 0 else 1000.0
+    return NotTaken(429, f"Over budget: {why}", no.code, wait_s(wait),
+                    extra=[("retry-after-ms", f"{min(wait, 1e9):.0f}")])
+
+
 class StreamOutlet(Outlet):
     """Text goes out as server-sent events while it comes."""
 
@@ -141,71 +160,97 @@
 
     async def chat(self, exchange: Exchange) -> None:
         """From the request to its one answer. What is refused here was never taken."""
-        since, key = now_ms(), exchange.header(b"idempotency-key")
-        if self.draining:
-            return await self.refuse(exchange, 503, "This gateway is going down", "draining",
-                                     extra=[("Connection", "close"), ("Retry-After", "1")])
-        tenant = None
-        if self.till is not None:
-            try:
-                tenant = self.till.whose(exchange.header(b"authorization"))
-            except Unknown:
-                return await self.refuse(exchange, 401, "Incorrect API key provided", "invalid_api_key")
-            if not self.till.writer.may_take:
-                return await self.refuse(exchange, 503, "Bills can't be kept now", "ledger_full",
-                                         extra=[("Retry-After", "5")])
+        since = now_ms()
+        begun: str | None = None    # the repeat key whose first request this is: it must be ended
+        ticket: Ticket | None = None
         try:
+            tenant = self.tenant(exchange)
             ask = read_chat(exchange.body)
             if len(self.host.tickets) >= self.terms.open_limit:
-                return await self.refuse(exchange, 503, "This gateway holds as many generations as it may",
-                                         "open_limit", extra=[("Retry-After", "1")])
-            if key is not None and not 1 <= len(key) <= 255:
-                raise Wrong("Idempotency-Key", "Idempotency-Key must have 1 to 255 characters")
-            product = self.models.get(ask.model)
-            patience = self.patience(exchange, product)
-            owner = tenant.name if tenant is not None else exchange.header(b"authorization") or ""
-            scope_key = None if key is None else f"{owner}\0{key}"
-            if scope_key is not None and product is not None:
-                found = self.repeats.begin(scope_key, xxh3_128_digest(exchange.body), since)
-                if isinstance(found, Busy):
-                    return await self.refuse(exchange, 409, "The first request with this Idempotency-Key is still "
-                                             "out", "idempotency_key_in_use", "Idempotency-Key")
-                if isinstance(found, Differs):
-                    return await self.refuse(exchange, 422, "This Idempotency-Key came with another body before",
-                                             "idempotency_key_reused", "Idempotency-Key")
-                if isinstance(found, Done):
-                    return await self.replay(exchange, found.answer, ask.model, ask.stream, ask.include_usage)
-            try:
-                known = self.intake.take(ask, patience, tenant.name if tenant is not None else "")
-                hold = None if self.till is None or tenant is None else self.till.reserve(
-                    tenant, self.names[known.gen.product], known.gen.prompt_toks, int(known.gen.max_toks))
-            except BaseException:
-                if scope_key is not None:
-                    self.repeats.end(scope_key, None, 0, 0.0)
-                raise
+                raise NotTaken(503, "This gateway holds as many generations as it may", "open_limit", 1)
+            patience = self.patience(exchange, self.models.get(ask.model))
+            key = self.repeat_key(exchange, tenant) if ask.model in self.models else None
+            if key is not None:
+                done = self.repeated(key, exchange.body, since)
+                if done is not None:
+                    return await self.replay(exchange, done, ask)
+                begun = key
+            ticket = self.ticket(exchange, ask, tenant, key, patience, since)
         except Wrong as bad:
             return await self.refuse(exchange, bad.status, bad.why, bad.code, bad.param)
-        if isinstance(hold, Refusal):
-            if scope_key is not None:
-                self.repeats.end(scope_key, None, 0, 0.0)
-            return await self.over_budget(exchange, hold)
-        ident = self.ident(exchange, tenant.name if tenant is not None else "")
-        outlet: Outlet = (StreamOutlet(exchange, f"chatcmpl-{ident}", ask.model, ask.include_usage) if ask.stream
-                  else PlainOutlet())
-        # Engines drop repeats by this key; a key of the gateway's own can't meet another gateway's.
-        engine_key = (f"{self.birth}-{ident}-{next(self.count)}" if scope_key is None
-                      else xxh3_64_hexdigest(scope_key.encode()))
-        ticket = Ticket(ident, ask, known, outlet, since, engine_key, hold)
-        if self.till is not None and hold is not None:
-            outlet.extra = self.till.headers(hold)
+        except NotTaken as no:
+            return await self.refuse(exchange, no.status, no.why, no.code, no.param, no.extra)
+        finally:
+            if begun is not None and ticket is None:
+                self.repeats.end(begun, None, 0, 0.0)
         try:
             self.host.arrived(ticket)
             await self.answer(exchange, ticket)
         finally:
             if not ticket.left and ticket.final is None:    # the connection's task was ended from outside
                 self.host.client_left(ticket)
-            if scope_key is not None:
-                self.remember(scope_key, ticket, known.gen.product)
+            if begun is not None:
+                self.remember(begun, ticket)
+
+    def tenant(self, exchange: Exchange) -> TenantLine | None:
+        """Who asks; None where the gateway has no tenants. Raises NotTaken."""
+        if self.draining:
+            raise NotTaken(503, "This gateway is going down", "draining", 1)
+        if self.till is None:
+            return None
+        try:
+            tenant = self.till.whose(exchange.header(b"authorization"))
+        except Unknown:
+            raise NotTaken(401, "Incorrect API key provided", "invalid_api_key") from None
+        if not self.till.writer.may_take:
+            raise NotTaken(503, "Bills can't be kept now", "ledger_full", 5)
+        return tenant
+
+    def repeat_key(self, exchange: Exchange, tenant: TenantLine | None) -> str | None:
+        """The Idempotency-Key with its owner: one owner's keys are no other's."""
+        said = exchange.header(b"idempotency-key")
+        if said is None:
+            return None
+        if not 1 <= len(said) <= 255:
+            raise Wrong("Idempotency-Key", "Idempotency-Key must have 1 to 255 characters")
+        owner = tenant.name if tenant is not None else exchange.header(b"authorization") or ""
+        return f"{owner}\0{said}"
+
+    def repeated(self, key: str, body: bytes, now: float) -> Final | None:
+        """The answer that a repeat hears; None for the first of its key, which `remember` or `Repeats.end` then ends.
+        Raises NotTaken."""
+        match self.repeats.begin(key, xxh3_128_digest(body), now):
+            case Busy():
+                raise NotTaken(409, "The first request with this Idempotency-Key is still out",
+                               "idempotency_key_in_use", param="Idempotency-Key")
+            case Differs():
+                raise NotTaken(422, "This Idempotency-Key came with another body before", "idempotency_key_reused",
+                               param="Idempotency-Key")
+            case Done(answer):
+                final: Final = answer
+                return final
+        return None
+
+    def ticket(self, exchange: Exchange, ask: ChatAsk, tenant: TenantLine | None, key: str | None, patience: float,
+               since: float) -> Ticket:
+        """Makes the generation and reserves for it. Raises Wrong, or NotTaken where the budget has no room."""
+        owner = tenant.name if tenant is not None else ""
+        known = self.intake.take(ask, patience, owner)
+        hold: Hold | None = None
+        if self.till is not None and tenant is not None:
+            got = self.till.reserve(tenant, self.names[known.gen.product], known.gen.prompt_toks,
+                                    int(known.gen.max_toks))
+            if isinstance(got, Refusal):
+                raise over_budget(got)
+            hold = got
+        ident = self.ident(exchange, owner)
+        outlet: Outlet = (StreamOutlet(exchange, f"chatcmpl-{ident}", ask.model, ask.include_usage) if ask.stream
+                          else PlainOutlet())
+        if self.till is not None and hold is not None:
+            outlet.extra = self.till.headers(hold)
+        # Engines drop repeats by this key; a key of the gateway's own can't meet another gateway's.
+        engine_key = (f"{self.birth}-{ident}-{next(self.count)}" if key is None else xxh3_64_hexdigest(key.encode()))
+        return Ticket(ident, ask, known, outlet, since, engine_key, hold)
 
     def ident(self, exchange: Exchange, tenant: str) -> str:
         """The client's own name for it if it is a plain one that is not in use; a tenant's go by the tenant, as a
@@ -216,14 +261,6 @@
             ident = f"{self.birth}-{next(self.count)}"
         return ident
 
-    async def over_budget(self, exchange: Exchange, no: Refusal) -> None:
-        """Refused before any leg: a throttle, which promises that nothing ran."""
-        why = {"minute": "tokens a minute", "period": "tokens of the billing period", "at_once": "generations at once",
-               "overdraft": "tokens a minute, the overdraft is used up"}[no.kind]
-        wait = no.wait_ms if no.wait_ms > 0 else 1000.0
-        await self.refuse(exchange, 429, f"Over budget: {why}", no.code,
-                          extra=[("Retry-After", str(wait_s(wait))), ("retry-after-ms", f"{min(wait, 1e9):.0f}")])
-
     def patience(self, exchange: Exchange, product: Product | None) -> float:
         """The client's time limit where it states a shorter one, less what the answer's way back may take."""
         limit = product.limit_ms if product is not None else 0.0
@@ -276,33 +313,32 @@
                                       error_body(status, f"Terminated: {why or 'no server could finish it'}",
                                                  "terminated"))
 
-    def remember(self, key: str, ticket: Ticket, product: Product) -> None:
-        """What a repeat under the key will hear. A throttle promises that nothing ran: the key is free again.
-        So is it where a new run does no harm anyway."""
-        final = ticket.final
-        harmless = product.effect is Effect.IDEMPOTENT
-        if isinstance(final, Throttled) or (harmless and not isinstance(final, Streamed)):
-            final_kept: Final | None = None
-        elif final is None:
-            final_kept = Terminated("the first client left; it may have run") if ticket.legs else None
-        else:
-            final_kept = final
-        cost = len(final_kept.text) if isinstance(final_kept, Streamed) else 0
-        until = now_ms() + max(product.window_ms, product.limit_ms)
-        self.repeats.end(key, final_kept, cost, until)
+    def remember(self, key: str, ticket: Ticket) -> None:
+        """Ends the key's first request with what a repeat will hear."""
+        product, final = ticket.gen.product, ticket.final
+        outcome = "left" if final is None else type(final).__name__.lower()
+        match kept_for_repeats(product.effect, outcome, ticket.legs):
+            case Keep.NOTHING:
+                final = None
+            case Keep.UNSURE:
+                final = Terminated("the first client left; it may have run")
+        cost = len(final.text) if isinstance(final, Streamed) else 0
+        self.repeats.end(key, final, cost, now_ms() + max(product.window_ms, product.limit_ms))
         self.repeats.sweep(now_ms())
 
-    async def replay(self, exchange: Exchange, final: Final, model: str, stream: bool, include_usage: bool) -> None:
+    async def replay(self, exchange: Exchange, final: Final, ask: ChatAsk) -> None:
+        """The first request's answer again, in the form that is asked for now; nothing runs."""
         ident = f"chatcmpl-{self.birth}-{next(self.count)}"
         mark = ("Idempotency-Replayed", "true")
         match final:
-            case Streamed(text, finish, usage) if stream:
-                outlet = StreamOutlet(exchange, ident, model, include_usage)
+            case Streamed(text, finish, usage) if ask.stream:
+                outlet = StreamOutlet(exchange, ident, ask.model, ask.include_usage)
                 outlet.extra = [mark]
                 await outlet.piece(text, True)
                 await outlet.end(final)
             case Streamed(text, finish, usage):
-                await exchange.answer(200, [mark], answer_body(ident, int(time.time()), model, text, finish, usage))
+                await exchange.answer(200, [mark], answer_body(ident, int(time.time()), ask.model, text, finish,
+                                                                    usage))
             case _:
                 why = final.why if isinstance(final, Terminated) else ""
                 await exchange.answer(502, [mark, ("x-should-retry", "false")],
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -353,10 +353,12 @@
             nursery.start_soon(first)
             await trio.sleep(0.06)
             assert (await w.ask("note", headers=key)).status == 409
+        legs = len(w.said("leg"))
         again = await w.ask("note", headers=key)
-        assert again.text == got[0].text and again.done == 1
+        assert again.text == got[0].text and again.done == 1 and again.headers["idempotency-replayed"] == "true"
         assert (await w.ask("note", text="other", headers=key)).status == 422
-        assert len(w.said("effect")) == 1
+        assert (await w.ask("note", headers=key)).done == 1    # a refused one has not unsettled the first
+        assert len(w.said("effect")) == 1 and len(w.said("leg")) == legs
 
 
 async def test_an_effect_that_may_have_happened_is_remembered_under_its_key() -> None:
