--- a/ternlane/cli.py
+++ b/ternlane/cli.py
@@ -53,6 +53,7 @@
 def serve(file: str, level: str, chooser: str, pid_file: str | None) -> None:
     """Runs one gateway by the document FILE until SIGTERM, which drains it; SIGHUP reads FILE again."""
     from ternlane.gateway.daemon import run_gateway
+    from ternlane.ledger import Damaged
     log_to_stderr(level)
     choose: Callable[..., Any] | None = None
     if chooser:
@@ -63,6 +64,9 @@
     except* OSError as group:
         click.echo(f"ternlane: {group.exceptions[0]}", err=True)
         sys.exit(UNAVAILABLE)
+    except* (Damaged, PaperError) as group:
+        click.echo(f"ternlane: {group.exceptions[0]}", err=True)
+        sys.exit(DATA)
 
 
 @main.group()
--- a/ternlane/days/plan.py
+++ b/ternlane/days/plan.py
@@ -112,6 +112,9 @@
             groups = [on[k:k + batch] for k in range(0, len(on), batch)]
             for k, group in enumerate(groups):
                 when = at + (end - at) * k / len(groups)
+                if trouble.handover:
+                    out.append(Act(when, "relieve gateway", group, trouble))
+                    continue
                 out.append(Act(when, "kill gateway" if trouble.killed else "stop gateway", group, trouble))
                 out.append(Act(when + trouble.down_s * 1000, "start gateway", group, trouble))
         elif isinstance(trouble, OnServers):
--- a/ternlane/days/play.py
+++ b/ternlane/days/play.py
@@ -5,6 +5,7 @@
 import os
 import shutil
 import signal
+import socket
 import subprocess
 import sys
 from dataclasses import dataclass, field
@@ -17,7 +18,7 @@
 from ternlane.days.parts import Scene, wall_of
 from ternlane.days.plan import GATEWAY_NET, Act, acts_of, address_of, engines_of, zones_of
 from ternlane.days.report import report_of, table_of
-from ternlane.days.script import DayScript, RegistryFails
+from ternlane.days.script import BalancerRoll, DayScript, RegistryFails
 from ternlane.paper import GatewayPaper
 from ternlane.paper.gateway import ConsulSource
 from ternlane.rules import check_folder
@@ -37,7 +38,6 @@
 
 def free_ports(many: int) -> int:
     """The first of so many ports in a row that nobody listens on."""
-    import socket
     first = FIRST_PORT
     while first + many < LAST_PORT:
         for port in range(first, first + many):
@@ -70,10 +70,13 @@
     chooser: str = ""          # module:name of a baseline to measure against
     say: Callable[[str], None] = print
     processes: dict[str, subprocess.Popen[bytes]] = field(default_factory=dict)
+    relieved: list[subprocess.Popen[bytes]] = field(default_factory=list)    # by their next, and told to end
+    doors: dict[str, socket.socket] = field(default_factory=dict)
 
     async def play(self) -> dict[str, Any]:
         """Gives the report; raises CantPlay."""
         self.scene = self.prepare()
+        self.open_doors()
         self.traffic = Traffic(self.folder / "day.jsonl")
         self.registry = Registry(Traffic(self.folder / "registry.jsonl"))
         engines = engines_of(self.day)
@@ -153,16 +156,46 @@
         (self.folder / "tenants.json5").write_bytes(msgspec.json.encode(RollPaper(tenants=lines)))
         (self.folder / "keys.json").write_text(json.dumps(keys))
 
-    def start(self, name: str, *args: str) -> None:
+    def start(self, name: str, *args: str, door: socket.socket | None = None) -> None:
+        """A process of the day. One that is given a listening socket finds it as its descriptor 3."""
+        command, env = [sys.executable, "-m", "ternlane", *args], dict(os.environ)
+        fds: tuple[int, ...] = ()
+        if door is not None:
+            fd = door.fileno()
+            command = [sys.executable, "-c", f"import os, sys; os.dup2({fd}, 3); os.execv(sys.argv[1], sys.argv[1:])",
+                       *command]
+            env |= {"LISTEN_FDS": "1", "NOTIFY_SOCKET": str(self.folder / "notify")}
+            fds = (fd,)
         with open(self.folder / f"{name}.log", "ab") as log:
-            self.processes[name] = subprocess.Popen([sys.executable, "-m", "ternlane", *args], stdin=subprocess.DEVNULL,
-                                                    stdout=log, stderr=log)
+            self.processes[name] = subprocess.Popen(command, stdin=subprocess.DEVNULL, stdout=log, stderr=log, env=env,
+                                                    pass_fds=fds)
 
     def start_gateway(self, name: str) -> None:
         extra = ("--chooser", self.chooser) if self.chooser else ()
-        self.start(name, "serve", str(self.folder / f"{name}.json5"), *extra)
+        self.start(name, "serve", str(self.folder / f"{name}.json5"), *extra, door=self.doors.get(name))
         self.traffic.line("gateway", gw=name, what="start")
 
+    def open_doors(self) -> None:
+        """Where sockets are handed over, they are this process's: they outlive every gateway."""
+        if any(isinstance(t, BalancerRoll) and t.handover for t in self.day.troubles):
+            self.doors = {name: socket.create_server(address, backlog=4096)
+                          for name, address in self.scene.gateways.items()}
+
+    async def relieve(self, name: str) -> None:
+        """Starts the next process on the same socket, waits for its READY=1, and tells the old one to end."""
+        old = self.processes[name]
+        with trio.socket.socket(socket.AF_UNIX, socket.SOCK_DGRAM) as heard:
+            path = self.folder / "notify"
+            path.unlink(missing_ok=True)
+            await heard.bind(str(path))
+            self.start_gateway(name)
+            with trio.fail_after(10):
+                while b"READY=1" not in await heard.recv(4096):
+                    pass
+        self.relieved.append(old)
+        old.send_signal(signal.SIGTERM)
+        self.traffic.line("gateway", gw=name, what="relieved")
+
     async def ready(self, names: list[str]) -> None:
         with trio.move_on_after(START_MS / 1000 + 20):
             while not all((self.folder / f"{n}.ready").exists() for n in names):
@@ -196,6 +229,9 @@
                     await trio.sleep(0.02)
             self.start_gateway(name)
             return
+        if act.what == "relieve gateway":
+            await self.relieve(name)
+            return
         self.traffic.line("gateway", gw=name, what="kill" if act.what == "kill gateway" else "stop")
         process.send_signal(signal.SIGKILL if act.what == "kill gateway" else signal.SIGTERM)
 
@@ -255,10 +291,12 @@
 
     def stop_all(self) -> None:
         """Ends the processes that this run started, by their ids."""
-        for process in self.processes.values():
+        for process in (*self.processes.values(), *self.relieved):
             if process.poll() is None:
                 process.send_signal(signal.SIGTERM)
-        for process in self.processes.values():
+        for door in self.doors.values():
+            door.close()
+        for process in (*self.processes.values(), *self.relieved):
             try:
                 process.wait(8)
             except subprocess.TimeoutExpired:
--- a/ternlane/days/script.py
+++ b/ternlane/days/script.py
@@ -171,11 +171,13 @@
 
 
 class BalancerRoll(Struck, frozen=True, kw_only=True, tag="balancer_roll", tag_field="kind"):
-    """Gateways are restarted in waves: SIGTERM, or killed."""
+    """Gateways are restarted in waves: SIGTERM, or killed. With `handover` the next process gets the listening socket,
+    serves first, and then the old one is told to end."""
     part: Part = 1.0
     batch: Part = 0.2
     down_s: Positive = 0.5
     killed: bool = False
+    handover: bool = False
 
 
 class RegistryFails(Struck, frozen=True, kw_only=True, tag="registry_fails", tag_field="kind"):
--- a/ternlane/gateway/daemon.py
+++ b/ternlane/gateway/daemon.py
@@ -10,9 +10,7 @@
 import structlog
 import trio
 
-from ternlane.choice import Router
-from ternlane.gateway.gateway import open_gateway
-from ternlane.paper import GatewayPaper, PaperError, read_paper
+from ternlane import GatewayPaper, PaperError, Router, open_gateway, read_paper
 
 
 def passed_in() -> list[trio.SocketListener] | None:
--- a/ternlane/gateway/gateway.py
+++ b/ternlane/gateway/gateway.py
@@ -54,6 +54,7 @@
         if self.till is not None:
             self.host.on_done, self.host.affords = self.till.done, self.till.affords
         self.listeners: list[trio.SocketListener] = []
+        self.handed_over = False
         self.doors = trio.CancelScope()
         self.address = ""
         self.keeping: list[NodeLine] | None = None
@@ -134,9 +135,11 @@
 
     async def start(self, listeners: list[trio.SocketListener] | None = None) -> None:
         self.last_list()
+        self.handed_over = True
         if listeners is None:
             host, port = split(self.paper.listen)
             listeners = await trio.open_tcp_listeners(port, host=host, backlog=BACKLOG)
+            self.handed_over = False
         self.listeners = listeners
         name = listeners[0].socket.getsockname()
         self.address = f"{name[0]}:{name[1]}"
@@ -184,7 +187,7 @@
         """Takes nothing new, lets what is open end, and gives up on the rest when the time is over."""
         self.doors.cancel()
         for listener in self.listeners:    # who has come already is served; who comes now hears that nobody listens
-            while True:
+            while not self.handed_over:    # where another process has the socket too, its queue is that one's
                 stream = None
                 with trio.move_on_after(0.01):
                     stream = await listener.accept()
--- a/ternlane/gateway/till.py
+++ b/ternlane/gateway/till.py
@@ -15,7 +15,7 @@
 
 from ternlane.gateway.host import now_ms
 from ternlane.gateway.ticket import Streamed, Ticket
-from ternlane.ledger import Disk, Store, Writer
+from ternlane.ledger import Disk, Store, Totals, Writer
 from ternlane.ledger.lending import lender_file
 from ternlane.paper import GatewayPaper, PaperError, read_paper
 from ternlane.tenants import Cashier, Hold, Refusal, Roll, TenantLine, bill_for
@@ -34,14 +34,19 @@
         self.cashier.clock(time.time())
         kept = {} if paper.ledger_segments is None else {"keep_segments": paper.ledger_segments}
         self.store = Store(Disk(Path(paper.ledger)), **kept)
-        self.store.recover()
-        if self.store.cut_off:
-            log.warning("a torn bill was cut off", bytes=self.store.cut_off)
-        for (tenant, product, period), it in self.store.totals.sums.items():
-            self.cashier.remember(tenant, product, period, it.bill.prompt + it.bill.answer)
-        self.writer = Writer(self.store, log)
+        self.told: dict[tuple[str, str, str], int] = {}
+        self.remember(Store(Disk(Path(paper.ledger))).read_sums())
+        self.writer = Writer(self.store, log, on_own=self.remember)
         self.closed = False
 
+    def remember(self, totals: Totals) -> None:
+        """Tells the cashier what the ledger holds beyond what it was told before."""
+        for key, it in totals.sums.items():
+            toks = it.bill.prompt + it.bill.answer
+            if toks > self.told.get(key, 0):
+                self.cashier.remember(*key, toks - self.told.get(key, 0))
+                self.told[key] = toks
+
     def stat(self) -> tuple[int, int, int]:
         it = os.stat(self.path)
         return it.st_ino, it.st_size, it.st_mtime_ns
@@ -134,5 +139,6 @@
             self.log.error("bills not kept at the end", waiting=self.writer.waiting)
             return
         self.closed = True
-        self.store.snapshot()
+        if self.writer.own:
+            self.store.snapshot()
         self.store.close()
--- a/ternlane/ledger/bills.py
+++ b/ternlane/ledger/bills.py
@@ -10,7 +10,7 @@
 from typing import Any, Iterable, Iterator
 
 from ternlane.ledger.disk import Disk
-from ternlane.ledger.store import Store, read_segment
+from ternlane.ledger.store import Store
 from ternlane.tenants.billing import Used
 from ternlane.tenants.cashier import Entry
 
@@ -25,14 +25,8 @@
     """A line for each tenant, product and period, by the sums (also of segments that have been dropped)."""
     sums: defaultdict[tuple[str, str, str], list[Any]] = defaultdict(lambda: [0, Used(), Used(), 0])
     for folder in folders:
-        store = Store(Disk(folder))
-        store.load_snapshot()
-        for name in [n for n in store.disk.names() if n.endswith(".seg")]:
-            for seq, entry in read_segment(store.disk.read(name), name, last=True)[0]:
-                if seq > store.snapshot_seq and seq > store.seq:
-                    store.seq = seq
-                    store.totals.add(entry)
-        for key, it in store.totals.sums.items():
+        totals = Store(Disk(folder)).read_sums()
+        for key, it in totals.sums.items():
             row = sums[key]
             row[0], row[1], row[2], row[3] = (row[0] + it.count, row[1].plus(it.bill), row[2].plus(it.house),
                                               row[3] + it.micros)
--- a/ternlane/ledger/disk.py
+++ b/ternlane/ledger/disk.py
@@ -1,6 +1,7 @@
 """The few calls that the ledger makes of a file system, so that tests can make each of them fail."""
 from __future__ import annotations
 
+import fcntl
 import os
 from pathlib import Path
 
@@ -10,8 +11,26 @@
 
     def __init__(self, folder: Path) -> None:
         self.folder = folder
+        self.locked: int | None = None
         folder.mkdir(parents=True, exist_ok=True)
 
+    def lock(self) -> bool:
+        """Takes the folder for this process; false while another has it. It goes with the process, however it ends."""
+        if self.locked is None:
+            handle = os.open(self.folder / "lock", os.O_RDWR | os.O_CREAT, 0o640)
+            try:
+                fcntl.flock(handle, fcntl.LOCK_EX | fcntl.LOCK_NB)
+            except BlockingIOError:
+                os.close(handle)
+                return False
+            self.locked = handle
+        return True
+
+    def unlock(self) -> None:
+        if self.locked is not None:
+            os.close(self.locked)
+            self.locked = None
+
     def names(self) -> list[str]:
         return sorted(os.listdir(self.folder))
 
--- a/ternlane/ledger/store.py
+++ b/ternlane/ledger/store.py
@@ -104,7 +104,7 @@
 
 
 class Store:
-    """Synchronous; the writer calls it off the loop. One process owns a folder."""
+    """Synchronous; the writer calls it off the loop. One process writes a folder: the one that has its lock."""
 
     def __init__(self, disk: Disk, segment_bytes: int = 16 << 20, keep_segments: int = 1 << 30) -> None:
         self.disk, self.segment_bytes, self.keep_segments = disk, segment_bytes, keep_segments
@@ -277,5 +277,17 @@
                     last = seq
                     yield entry
 
+    def read_sums(self) -> Totals:
+        """The sums as they stand, without owning the folder or mending anything: another process may be writing."""
+        self.load_snapshot()
+        seq = self.snapshot_seq
+        for name in [n for n in self.disk.names() if n.endswith(".seg")]:
+            for at, entry in read_segment(self.disk.read(name), name, last=True)[0]:
+                if at > seq:
+                    seq = at
+                    self.totals.add(entry)
+        return self.totals
+
     def close(self) -> None:
         self.leave_segment()
+        self.disk.unlock()
--- a/ternlane/ledger/writer.py
+++ b/ternlane/ledger/writer.py
@@ -5,22 +5,25 @@
 
 import trio
 
-from ternlane.ledger.store import Store
+from ternlane.ledger.store import Store, Totals
 from ternlane.tenants.cashier import Entry
 
 RETRY_MS = 500.0
+TAKE_MS = 50.0
 
 
 class Writer:
-    """Takes entries at once and keeps them in the background.
+    """Takes entries at once and keeps them in the background, once the folder is its own: after a restart with sockets
+    handed over the process before may still be settling what it holds. `on_own` then hears the sums that it left.
 
     A full or failing disk is said aloud at every try; serving goes on while fewer than `limit` entries wait, and
     beyond that `may_take` is false: the door refuses (503), as a bill that can't be kept must not come about.
     """
 
     def __init__(self, store: Store, log: Any, limit: int = 100_000,
-                 on_fail: Callable[[], None] = lambda: None) -> None:
-        self.store, self.log, self.limit, self.on_fail = store, log, limit, on_fail
+                 on_own: Callable[[Totals], None] = lambda _: None) -> None:
+        self.store, self.log, self.limit, self.on_own = store, log, limit, on_own
+        self.own = False
         self.fresh: list[Entry] = []
         self.waiting = 0
         self.wake, self.failing = trio.Event(), False
@@ -34,7 +37,22 @@
         self.waiting += 1
         self.wake.set()
 
+    async def take_over(self) -> None:
+        """Waits for the folder, then recovers. Raises Damaged."""
+        said = False
+        while not self.store.disk.lock():
+            if not said:
+                said = True
+                self.log.warning("another process keeps this ledger; bills wait in memory until it ends")
+            await trio.sleep(TAKE_MS / 1000)
+        await trio.to_thread.run_sync(self.store.recover)
+        if self.store.cut_off:
+            self.log.warning("a torn bill was cut off", bytes=self.store.cut_off)
+        self.own = True
+        self.on_own(self.store.totals)
+
     async def run(self) -> None:
+        await self.take_over()
         while True:
             await self.wake.wait()
             self.wake = trio.Event()
@@ -50,7 +68,6 @@
                 await trio.to_thread.run_sync(self.store.commit)
             except OSError as why:
                 self.failing = True
-                self.on_fail()
                 self.log.error("bills not kept yet", why=str(why), waiting=self.waiting)
                 self.waiting = len(self.store.pending) + len(self.fresh)
                 await trio.sleep(RETRY_MS / 1000)
--- a/ternlane/rules/check.py
+++ b/ternlane/rules/check.py
@@ -122,6 +122,8 @@
         it had taken by then."""
         down: float | None = None
         for line in self.kills.get(gateway or "", []):
+            if line["what"] == "relieved":
+                continue    # its next serves already: nothing is excused
             if line["what"] == "start":
                 if down is not None and down - TOLERANCE <= begin <= line["t"] + STARTING:
                     return True
--- a/ternlane/tenants/cashier.py
+++ b/ternlane/tenants/cashier.py
@@ -74,9 +74,16 @@
     past: dict[tuple[str, str, str], int] = field(default_factory=dict)    # tenant, product or "", period -> tokens
 
     def remember(self, tenant: str, product: str, period: str, toks: int) -> None:
-        """What this gateway had settled before it was restarted, out of its ledger."""
-        for key in ((tenant, "", period), (tenant, product, period)):
-            self.past[key] = self.past.get(key, 0) + toks
+        """What this gateway had settled before it was restarted, out of its ledger; also while it serves already, as
+        the process before may end later."""
+        for name in ("", product):
+            meter = self.meters.get((tenant, name))
+            if meter is not None and meter.period is not None and meter.period.name == period:
+                meter.spent += toks
+                meter.allowed = max(meter.allowed, meter.spent)
+            else:
+                key = tenant, name, period
+                self.past[key] = self.past.get(key, 0) + toks
 
     @property
     def base(self) -> float:
--- a/tests/test_tenants.py
+++ b/tests/test_tenants.py
@@ -266,6 +266,12 @@
         self.calls += 1
         return self.calls == self.fail_at
 
+    def lock(self) -> bool:
+        return True
+
+    def unlock(self) -> None:
+        pass
+
     def names(self) -> list[str]:
         return sorted(self.files)
 
--- a/tests/test_till.py
+++ b/tests/test_till.py
@@ -221,6 +221,26 @@
         assert [e.outcome for e in found] == ["streamed", "terminated"] and 0 < found[1].bill.answer < 6
 
 
+async def test_two_processes_with_one_ledger_write_one_after_the_other(tmp_path: Path) -> None:
+    """As after sockets were handed over: the second serves at once and keeps its bills when the first has ended."""
+    bank = Bank(tmp_path, ("noto",), period=100_000)
+    more: dict[str, Any] = {"tenants": str(tmp_path / "tenants.json5"), "ledger": str(tmp_path / "ledger")}
+    async with world(("r0", "w0"), **more) as first:
+        assert (await bank.ask(first, "noto")).done == 1
+        async with world(("r0", "w0"), **more) as second:
+            for _ in range(3):
+                assert (await bank.ask(second, "noto")).done == 1
+            assert (await bank.ask(first, "noto")).done == 1
+            assert second.gateway.till is not None and not second.gateway.till.writer.own
+            await first.gateway.drain()
+            with trio.fail_after(2):
+                while second.gateway.till.writer.waiting or not second.gateway.till.writer.own:
+                    await trio.sleep(0.01)
+            row = rows_of([tmp_path / "ledger"], None, None)[0]
+            assert row["generations"] == 5
+            assert second.gateway.till.cashier.meters["noto", ""].spent == row["prompt"] + row["answer"]
+
+
 async def test_names_can_not_be_made_to_meet(tmp_path: Path) -> None:
     async with banked(tmp_path, names=("a", "a.b")) as (w, bank):
         assert (await bank.ask(w, "a.b", headers={"X-Request-Id": "c"})).done == 1
