--- /dev/null
+++ b/examples/embed_in_a_script.py
@@ -0,0 +1,41 @@
+"""A plain script that routes over two engines in its own process, from two threads."""
+import threading
+from collections.abc import AsyncIterator
+
+import ternlane
+from ternlane.paper.gateway import InlineSource
+
+
+class Engine:
+    """Reads and writes by calling whatever model this process holds; here it counts words."""
+
+    async def read(self, ask: ternlane.LegAsk) -> ternlane.Kept:
+        text = ask.raw["messages"][-1]["content"]
+        return ternlane.Kept({"words": len(text.split())}, prompt_toks=len(text) // 4)
+
+    async def write(self, ask: ternlane.LegAsk) -> AsyncIterator[str]:
+        for piece in ("there ", "are ", str(ask.state["words"]), " words"):
+            yield piece
+
+    async def release(self, ident: str) -> None:
+        pass
+
+
+paper = ternlane.GatewayPaper(
+    name="script", listen="127.0.0.1:0",
+    products=[ternlane.ProductTerms(name="count", effect="idempotent", slo_ms=500, limit_ms=2000)],
+    nodes=InlineSource(nodes=[
+        ternlane.NodeLine(id="reader", address="here:1", duty="read", mem_toks=1e5),
+        ternlane.NodeLine(id="writer", address="here:2", duty="write", mem_toks=1e5)]))
+
+
+def count(routing: ternlane.Blocking, text: str) -> None:
+    print("".join(routing.generation({"model": "count", "messages": [{"role": "user", "content": text}]})))
+
+
+with ternlane.Blocking(paper, lambda: ternlane.LocalTransport({"reader": Engine(), "writer": Engine()})) as routing:
+    threads = [threading.Thread(target=count, args=(routing, "one two three " * n)) for n in (1, 2)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
--- /dev/null
+++ b/examples/three_gateways.py
@@ -0,0 +1,49 @@
+"""Three daemons on one host, each a process of its own, over stand-in engines; asks each with the Python client."""
+import json
+import signal
+import subprocess
+import sys
+import tempfile
+import threading
+from pathlib import Path
+
+import trio
+
+from ternlane.client import Client
+from ternlane.days.play import free_ports
+from ternlane.standin.engine import Build, Engine
+from ternlane.standin.traffic import Traffic
+
+
+def engines(port: int) -> None:
+    async def serve() -> None:
+        async with trio.open_nursery() as nursery:
+            for i, duty in enumerate(("read", "write")):
+                build = Build(answer_toks=(5, 5))
+                engine = Engine(duty, duty, "hall", 0, "127.0.0.1", port + i, build, Traffic(None), 1)
+                nursery.start_soon(engine.run, nursery)
+    trio.run(serve)
+
+
+first = free_ports(5)
+threading.Thread(target=engines, args=(first,), daemon=True).start()
+nodes = [{"id": duty, "address": f"127.0.0.1:{first + i}", "duty": duty, "mem_toks": 1e5}
+         for i, duty in enumerate(("read", "write"))]
+with tempfile.TemporaryDirectory() as folder:
+    daemons = []
+    for i in range(3):
+        paper = Path(folder) / f"g{i}.json5"
+        paper.write_text(json.dumps({
+            "name": f"g{i}", "listen": f"127.0.0.1:{first + 2 + i}", "gateways": 3, "seed": i,
+            "products": [{"name": "summary", "effect": "idempotent", "slo_ms": 1000, "limit_ms": 5000}],
+            "nodes": {"from": "inline", "nodes": nodes}}))
+        daemons.append(subprocess.Popen([sys.executable, "-m", "ternlane", "serve", str(paper), "--log", "error"]))
+    try:
+        for i in range(3):
+            with Client(f"http://127.0.0.1:{first + 2 + i}", retries=8) as client:
+                text = "".join(client.stream({"model": "summary", "messages": [{"role": "user", "content": "folder"}]}))
+                print(f"g{i}: {len(text.split())} words, models {client.models()}")
+    finally:
+        for daemon in daemons:
+            daemon.send_signal(signal.SIGTERM)
+        print("ended with", [daemon.wait(10) for daemon in daemons])
--- /dev/null
+++ b/examples/write_a_transport.py
@@ -0,0 +1,62 @@
+"""A transport of one's own: legs go to a folder of files instead of sockets. Whatever carries them, a transport says
+how each leg ended by a verdict, and the decisions do the rest."""
+import tempfile
+from pathlib import Path
+
+import trio
+
+import ternlane
+from ternlane.engine import LegEnd
+from ternlane.paper.gateway import InlineSource
+
+
+class FolderTransport:
+    """Readers keep the prompt in a file; writers answer with its words, upside down. One writer is broken."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder, self.asked = folder, list[str]()
+
+    async def read(self, ask: ternlane.LegAsk) -> LegEnd:
+        self.asked.append(ask.server)
+        path = self.folder / ask.ident
+        path.write_text(ask.raw["messages"][-1]["content"])
+        return LegEnd(ternlane.Verdict.READ, state={"path": str(path)})
+
+    async def stream(self, ask: ternlane.LegAsk, pass_on) -> LegEnd:
+        self.asked.append(ask.server)
+        if ask.server == "broken":
+            return LegEnd(ternlane.Verdict.UNCONNECTED, why="no such folder")
+        for i, word in enumerate(Path(ask.state["path"]).read_text().split()):
+            await pass_on(word[::-1] + " ", i == 0)
+        return LegEnd(ternlane.Verdict.STREAMED, begun=True)
+
+    async def release(self, server, address, ident, within_ms, protocol="disaggregated") -> bool:
+        (self.folder / ident).unlink(missing_ok=True)
+        return True
+
+    async def hold(self, server, address, ident, toks, within_ms, protocol="disaggregated") -> bool:
+        return False
+
+    def sweep(self) -> None:
+        pass
+
+    def close(self) -> None:
+        pass
+
+
+async def main() -> None:
+    nodes = [ternlane.NodeLine(id=name, address="folder:1", duty=duty, mem_toks=1e5)
+             for name, duty in (("reader", "read"), ("broken", "write"), ("whole", "write"))]
+    paper = ternlane.GatewayPaper(name="folder", listen="127.0.0.1:0", nodes=InlineSource(nodes=nodes), products=[
+        ternlane.ProductTerms(name="mirror", effect="side-effecting", slo_ms=500, limit_ms=2000)])
+    with tempfile.TemporaryDirectory() as name:
+        transport = FolderTransport(Path(name))
+        async with ternlane.open_routing(paper, transport) as routing:
+            for text in ("never odd", "or even"):
+                request = {"model": "mirror", "messages": [{"role": "user", "content": text}]}
+                async with routing.generation(request) as stream:
+                    print(await stream.text())
+        print("legs went to", ", ".join(transport.asked))
+
+
+trio.run(main)
--- a/ternlane/embed/routing.py
+++ b/ternlane/embed/routing.py
@@ -15,7 +15,6 @@
 from typing import Any, AsyncIterator, Callable
 
 import msgspec
-import structlog
 import trio
 
 from ternlane.chat import ChatAsk, Intake, read_chat
@@ -23,6 +22,7 @@
 from ternlane.engine import Transport
 from ternlane.gateway.facts import facts_of, models_of, products_of
 from ternlane.gateway.host import Chooser, Host, now_ms
+from ternlane.gateway.logs import library_log
 from ternlane.gateway.measures import Measures
 from ternlane.gateway.ticket import Outlet, Streamed, Terminated, Throttled, Ticket
 from ternlane.nodes import Book
@@ -122,7 +122,7 @@
                        log: Any = None) -> AsyncIterator[Routing]:
     """A router without a door. Inline nodes of the paper are listed at once; others by `Routing.nodes`."""
     async with trio.open_nursery() as nursery:
-        routing = Routing(paper, transport, nursery, chooser, log or structlog.get_logger())
+        routing = Routing(paper, transport, nursery, chooser, log or library_log())
         if isinstance(paper.nodes, InlineSource):
             routing.nodes(paper.nodes.nodes)
         nursery.start_soon(routing.host.clock)
--- a/ternlane/gateway/gateway.py
+++ b/ternlane/gateway/gateway.py
@@ -9,7 +9,6 @@
 from typing import Any, AsyncIterator, Callable
 
 import msgspec
-import structlog
 import trio
 
 from ternlane import __version__
@@ -19,6 +18,7 @@
 from ternlane.gateway.door import Door
 from ternlane.gateway.facts import facts_of, models_of, products_of
 from ternlane.gateway.host import Chooser, Host, now_ms
+from ternlane.gateway.logs import library_log
 from ternlane.gateway.measures import Measures
 from ternlane.gateway.till import Till
 from ternlane.http1 import Exchange, Pool, serve_connection
@@ -221,7 +221,7 @@
                        transport: Transport | None = None) -> AsyncIterator[Gateway]:
     """Everything lives in a nursery that this block owns."""
     async with trio.open_nursery() as nursery:
-        gateway = Gateway(paper, chooser, nursery, log or structlog.get_logger(), host_type, transport)
+        gateway = Gateway(paper, chooser, nursery, log or library_log(), host_type, transport)
         try:
             await gateway.start(listeners)
             yield gateway
