--- a/tests/test_library.py
+++ b/tests/test_library.py
@@ -156,6 +156,57 @@
         door.close()
 
 
+def test_a_fork_after_import_can_route_in_both(tmp_path: Path) -> None:
+    """Nothing is started by importing, so a child has all that its parent has."""
+    said = python("import os\nfrom tests.test_library import *\nternlane.Blocking, ternlane.open_gateway\n"
+                  "pid = os.fork()\n_, t = engines()\n"
+                  "with ternlane.Blocking(paper('r0', 'w0'), lambda: t) as r:\n"
+                  "    text = ''.join(r.generation(REQUEST)).strip()\n"
+                  "os.write(1, (text[-1] + chr(10)).encode())\n"
+                  "pid and os.waitpid(pid, 0)\n")
+    assert said.split() == ["5", "5"]
+
+
+@pytest.mark.parametrize("after_ms", [0, 60, 150, 250, 400])
+def test_a_daemon_told_to_end_during_its_start_ends(tmp_path: Path, after_ms: float) -> None:
+    with socket.create_server(("127.0.0.1", 0)) as probe:
+        port = probe.getsockname()[1]
+    process = serve(tmp_path, port, "")
+    time.sleep(after_ms / 1000)
+    process.send_signal(signal.SIGTERM)
+    assert process.wait(5) in (0, -signal.SIGTERM) and not (tmp_path / "pid").exists()
+
+
+def test_a_daemon_told_twice_ends_at_once_and_one_told_within_a_reload_drains(tmp_path: Path) -> None:
+    manager = socket.socket(socket.AF_UNIX, socket.SOCK_DGRAM)
+    manager.bind(str(tmp_path / "notify"))
+    manager.settimeout(10)
+    for signals, ready in (((signal.SIGTERM, signal.SIGTERM), 0), ((signal.SIGHUP, signal.SIGTERM), 1)):
+        with socket.create_server(("127.0.0.1", 0)) as probe:
+            port = probe.getsockname()[1]
+        process = serve(tmp_path, port, str(tmp_path / "notify"))
+        try:
+            assert b"READY=1" in manager.recv(4096)
+            for number in signals:
+                process.send_signal(number)
+                time.sleep(0.01 if ready else 0.0)
+            assert process.wait(5) == 0
+            told = []
+            manager.setblocking(False)
+            while True:
+                try:
+                    told.append(manager.recv(4096))
+                except BlockingIOError:
+                    break
+            manager.settimeout(10)
+            assert told[-1] == b"STOPPING=1" and (b"RELOADING=1" in told) is bool(ready)
+        finally:
+            if process.poll() is None:
+                process.kill()
+                process.wait()
+    manager.close()
+
+
 async def test_two_routers_in_one_process_do_not_know_each_other() -> None:
     (one, first), (two, second) = engines(), engines()
     async with ternlane.open_routing(paper("r0", "w0"), first) as a, ternlane.open_routing(
