--- a/bench/library.py
+++ b/bench/library.py
@@ -12,8 +12,10 @@
 import statistics
 import subprocess
 import sys
+import threading
 import time
 from collections.abc import AsyncIterator
+from pathlib import Path
 from typing import Any
 
 import structlog
@@ -108,22 +110,39 @@
     return took
 
 
-async def many_routers(many: int) -> tuple[float, int, int, int]:
-    def count() -> tuple[int, int, int]:
-        gc.collect()
-        return len(os.listdir("/proc/self/fd")), trio.lowlevel.current_statistics().tasks_living, len(gc.get_objects())
+def slope(xs: list[float], ys: list[float]) -> tuple[float, float]:
+    """Least squares, with half the width of the 95% interval of the slope."""
+    n, fit = len(xs), statistics.linear_regression(xs, ys)
+    left = sum((y - fit.intercept - fit.slope * x) ** 2 for x, y in zip(xs, ys, strict=True))
+    mean = sum(xs) / n
+    error = (left / (n - 2) / sum((x - mean) ** 2 for x in xs)) ** 0.5
+    return fit.slope, 1.96 * error
+
 
+async def many_routers(many: int) -> dict[str, tuple[float, float]]:
+    """Routers made, used and discarded; what each leaves behind, by the slope over all of them."""
     async def one() -> None:
         async with ternlane.open_routing(paper(), transport()) as routing:
             async with routing.generation(REQUEST) as stream:
                 await stream.text()
-    for _ in range(20):
+
+    def look() -> dict[str, float]:
+        gc.collect()
+        pages = int(Path("/proc/self/statm").read_text().split()[1])
+        return {"bytes": pages * os.sysconf("SC_PAGE_SIZE"), "objects": len(gc.get_objects()),
+                "descriptors": len(os.listdir("/proc/self/fd")), "threads": threading.active_count(),
+                "tasks": trio.lowlevel.current_statistics().tasks_living}
+    for _ in range(500):    # allocators and caches settle
         await one()
-    before, since = count(), time.perf_counter()
-    for _ in range(many):
+    at, seen, since = [0.0], [look()], time.perf_counter()
+    step = max(1, many // 50)
+    for i in range(many):
         await one()
-    took, after = (time.perf_counter() - since) / many * 1000, count()
-    return took, *(b - a for a, b in zip(before, after, strict=True))    # type: ignore[return-value]
+        if i % step == step - 1:
+            at.append(i + 1.0)
+            seen.append(look())
+    took = (time.perf_counter() - since) / many * 1000
+    return {"ms": (took, 0.0), **{name: slope(at, [s[name] for s in seen]) for name in seen[0]}}
 
 
 def import_ms(code: str) -> float:
@@ -154,9 +173,10 @@
                        ("the library", "import ternlane; ternlane.open_routing"),
                        ("the gateway", "import ternlane; ternlane.open_gateway")):
         print(f"{what:<26}{import_ms(code):>8.1f}")
-    took, files, tasks, objects = trio.run(many_routers, told.routers)
-    print(f"\n{told.routers} routers made, used and discarded: {took:.2f} ms each; left behind: {files} descriptors, "
-          f"{tasks} tasks, {objects} objects")
+    left = trio.run(many_routers, told.routers)
+    print(f"\n{told.routers} routers made, used and discarded, {left.pop('ms')[0]:.2f} ms each; one leaves behind:")
+    for name, (each, half) in left.items():
+        print(f"{name:<26}{each:>12.5f} +- {half:.5f}")
 
 
 if __name__ == "__main__":
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -12,6 +12,7 @@
 import sys
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -21,6 +22,7 @@
 import trio.testing
 
 import ternlane
+from ternlane import port
 from tests.world import BUILD, PRODUCTS, TERMS, heard, replace
 from ternlane.engine import Kept, LegAsk, LocalTransport, Refuses, Unreached
 from ternlane.http1 import Pool
@@ -49,6 +51,9 @@
         WRITERS, "nostate"),
     "two writers dead": {"w0": "dead", "w1": "dead"}, "all writers dead": dict.fromkeys(WRITERS, "dead"),
     "all writers drain": dict.fromkeys(WRITERS, "drains"), "nobody listed": dict.fromkeys(IDENTS, "gone"),
+    "all writers slow": dict.fromkeys(WRITERS, "slow"), "one reader slow": {"r0": "slow"},
+    "new connections slow": dict.fromkeys(IDENTS, "handshake"), "all readers forgot": dict.fromkeys(READERS, "flushed"),
+    "answers lost at one writer, one dead": {"w0": "silent", "w0b": "dead"},
     "a reader and two writers ail": {"r0": "error", "w0": "full", "w0b": "dead"},
 }
 SCENARIOS = [(p.name, ail) for p in PRODUCTS for ail in AILS]
@@ -88,6 +93,11 @@
             case "dead":
                 raise Unreached("refused")
 
+    async def slowly(self) -> None:
+        """What a slow engine, or a slow handshake, takes longer."""
+        if self.script in ("slow", "handshake"):
+            await trio.sleep(0.02)
+
     async def fail(self) -> None:
         if self.script in ("error", "reset"):
             raise RuntimeError(self.script)
@@ -96,6 +106,7 @@
 
     async def read(self, ask: LegAsk) -> Kept:
         self.before()
+        await self.slowly()
         await self.fail()
         await trio.sleep(0.002)
         self.states.add(ask.ident)
@@ -106,6 +117,7 @@
         if ask.ident not in self.states:
             raise Refuses("no-state", state_lost=True)
         self.states.discard(ask.ident)
+        await self.slowly()
         self.effects.append(ask.ident)
         await self.fail()
         for i in range(6):
@@ -136,12 +148,29 @@
     return {"model": model, "messages": [{"role": "user", "content": "hello"}], "stream": True}
 
 
-async def by_library(model: str, ails: dict[str, str]) -> Seen:
+class Noted(ternlane.Router):
+    """The decisions, with every event and action written down with its time."""
+
+    def __init__(self, facts: ternlane.StartFacts, notes: list[str]) -> None:
+        super().__init__(facts)
+        self.notes, self.start = notes, -1.0
+
+    def take(self, now: float, events: list[port.Event]) -> list[port.Action]:
+        actions = super().take(now, events)
+        self.start = now if self.start < 0 else self.start
+        self.notes.append(f"{now - self.start:.3f} {[type(e).__name__ for e in events]} -> "
+                          f"{[type(a).__name__ for a in actions]}")
+        return actions
+
+
+async def by_library(model: str, ails: dict[str, str], notes: list[str] | None = None) -> Seen:
     effects: list[str] = []
     states: set[str] = set()
     engines = {i: Played(ails.get(i, ""), effects, states) for i in IDENTS}
     said: list[str] = []
-    async with ternlane.open_routing(paper_of(ails, {}), LocalTransport(dict(engines))) as routing:    # type: ignore
+    chooser = partial(Noted, notes=[] if notes is None else notes)
+    transport = LocalTransport(dict(engines))    # type: ignore[arg-type]
+    async with ternlane.open_routing(paper_of(ails, {}), transport, chooser) as routing:
         try:
             async with routing.generation(request(model), time_limit_ms=LIMIT - 50) as stream:
                 async for text in stream:
@@ -163,7 +192,10 @@
         for ident in IDENTS:
             engine = Engine(ident, "read" if ident[0] == "r" else "write", "hall", int(ident[1]), "127.0.0.1", 0,
                             replace(BUILD, cold_ms=2000), traffic, 1)
-            engine.trouble.script = ails.get(ident, "") if ails.get(ident) not in ("dead", "gone", "drains") else ""
+            ail = ails.get(ident, "")
+            engine.trouble.script = "" if ail in ("dead", "gone", "drains", "slow", "handshake", "flushed") else ail
+            engine.trouble.slow = 6.0 if ail == "slow" else 1.0
+            engine.trouble.handshake_ms = 20.0 if ail == "handshake" else 0.0
             up = trio.Event()
             nursery.start_soon(engine.run, nursery, up)
             await up.wait()
@@ -206,13 +238,22 @@
     return Seen(seen.outcome, min(seen.effects, 2) if idempotent else seen.effects, seen.text)
 
 
+def played() -> tuple[dict[tuple[str, str], Seen], dict[tuple[str, str], list[str]]]:
+    seen, events = {}, {}
+    for scene in SCENARIOS:
+        events[scene] = []
+        seen[scene] = trio.run(by_library, scene[0], AILS[scene[1]], events[scene],
+                               clock=trio.testing.MockClock(autojump_threshold=0))
+    return seen, events
+
+
 def test_the_library_alone_and_the_daemon_come_to_the_same(tmp_path: Path) -> None:
     assert len(SCENARIOS) >= 60
-    alone = {s: trio.run(by_library, s[0], AILS[s[1]], clock=trio.testing.MockClock(autojump_threshold=0))
-             for s in SCENARIOS}
-    again = {s: trio.run(by_library, s[0], AILS[s[1]], clock=trio.testing.MockClock(autojump_threshold=0))
-             for s in SCENARIOS}
-    assert alone == again    # virtual time: the same each time
+    alone, events = played()
+    again, events_again = played()
+    assert alone == again    # virtual time: the same each time, event by event
+    for scene in SCENARIOS:
+        assert events[scene] == events_again[scene] and len(events[scene]) >= 2, scene
     sockets: dict[tuple[str, str], Seen] = {}
 
     async def all_of_them() -> None:
