API reference made from docstrings; a pid file is left to the process that took over

Need: the public names had no reference, several said nothing of themselves, and internals of Gateway, Blocking and the transports looked public. A process that ended after a hand-over removed the pid file of its successor.

Change: ternlane.reference prints docs/api.md from signatures, fields and docstrings, events and actions among them; a test fails when a public name is silent. LegEnd, LegPlan, ClientGone and Usage, which a transport needs, are public. The pid file is put in place by a rename and removed only while it names the process that ends.

--- a/ternlane/__init__.py
+++ b/ternlane/__init__.py
@@ -23,6 +23,7 @@
     "ThrottledError": "embed", "TerminatedError": "embed", "Blocking": "embed", "Bridged": "embed",
     "Transport": "engine", "SocketTransport": "engine", "LocalTransport": "engine", "LocalEngine": "engine",
     "LegAsk": "engine", "Kept": "engine", "Refuses": "engine", "Unreached": "engine", "Stage": "engine",
+    "LegEnd": "engine", "LegPlan": "engine", "ClientGone": "engine", "Usage": "engine",
     "Wrong": "chat", "GatewayPaper": "paper", "ProductTerms": "paper", "FleetTerms": "paper", "NodeLine": "paper",
     "PaperError": "paper", "read_paper": "paper", "read_text": "paper"}
 
@@ -38,8 +39,11 @@
     from ternlane.embed import TerminatedError as TerminatedError
     from ternlane.embed import ThrottledError as ThrottledError
     from ternlane.embed import open_routing as open_routing
+    from ternlane.engine import ClientGone as ClientGone
     from ternlane.engine import Kept as Kept
     from ternlane.engine import LegAsk as LegAsk
+    from ternlane.engine import LegEnd as LegEnd
+    from ternlane.engine import LegPlan as LegPlan
     from ternlane.engine import LocalEngine as LocalEngine
     from ternlane.engine import LocalTransport as LocalTransport
     from ternlane.engine import Refuses as Refuses
@@ -47,6 +51,7 @@
     from ternlane.engine import Stage as Stage
     from ternlane.engine import Transport as Transport
     from ternlane.engine import Unreached as Unreached
+    from ternlane.engine import Usage as Usage
     from ternlane.gateway import Gateway as Gateway
     from ternlane.gateway import open_gateway as open_gateway
     from ternlane.paper import FleetTerms as FleetTerms
--- a/ternlane/choice.py
+++ b/ternlane/choice.py
@@ -522,7 +522,9 @@
                 s.engine.post(view)
 
 
-class Router(Loop):    # one gateway's decisions
+class Router(Loop):
+    """One gateway's decisions, without clock, loop or sockets. Nothing is shared between two of them."""
+
     def __init__(self, facts: StartFacts) -> None:
         self.now, self.limits = -inf, limits_from(facts)    # the beat is asked for with the first batch
         self.ready: deque[Actor] = deque()
@@ -530,6 +532,7 @@
         self.desk: Desk = Desk(self, facts)
 
     def take(self, now: float, events: list[Event]) -> list[Action]:
+        """What to do about `events`, in this order. `now` is in ms of any clock that never goes back."""
         heard = events if self.now > -inf else [port.Woken(True), *events]
         self.now, self.out = now, []
         for event in heard:
--- a/ternlane/embed/blocking.py
+++ b/ternlane/embed/blocking.py
@@ -34,23 +34,23 @@
         self.thread: threading.Thread | None = None
 
     def __enter__(self) -> Blocking:
-        self.thread = threading.Thread(target=self.run, name="ternlane", daemon=True)
+        self.thread = threading.Thread(target=self._run, name="ternlane", daemon=True)
         self.thread.start()
         self.ready.wait()
         if self.failed is not None:
             raise self.failed
         return self
 
-    def run(self) -> None:
+    def _run(self) -> None:
         try:
-            trio.run(self.main)
+            trio.run(self._main)
         except BaseException as why:
             self.failed = why
         finally:
             self.token = None
             self.ready.set()
 
-    async def main(self) -> None:
+    async def _main(self) -> None:
         self.token = trio.lowlevel.current_trio_token()
         with trio.CancelScope() as self.scope:
             async with open_routing(self.paper, self.make_transport(), log=self.log) as self.routing:
@@ -58,7 +58,7 @@
                 await trio.sleep_forever()
 
     def generation(self, request: dict[str, Any], time_limit_ms: float | None = None) -> Iterator[str]:
-        """The text as it comes. Raises what the stream raises."""
+        """The text as it comes. Raises Wrong before anything is sent, ThrottledError or TerminatedError at the end."""
         token = self.token
         if token is None:
             raise RuntimeError("the router has ended")
@@ -128,6 +128,7 @@
     loop's pool for as long as it lasts, so the pool's size bounds how many may be asked at once."""
 
     async def agenerate(self, request: dict[str, Any], time_limit_ms: float | None = None) -> AsyncIterator[str]:
+        """`generation` for an asyncio task. Cancelling the task is a client's leaving."""
         loop, pieces = asyncio.get_running_loop(), self.generation(request, time_limit_ms)
         pending: asyncio.Future[Any] | None = None
         try:
--- a/ternlane/embed/routing.py
+++ b/ternlane/embed/routing.py
@@ -58,6 +58,7 @@
         self.finish = ""
 
     async def piece(self, text: str, first: bool) -> None:
+        """The host's side: waits until the reader has taken it."""
         await self.sends.send(text)
 
     def __aiter__(self) -> AsyncIterator[str]:
@@ -78,10 +79,13 @@
                 raise TerminatedError(why, self.ticket.begun)
 
     async def text(self) -> str:
+        """The whole text, once it is there. Raises ThrottledError or TerminatedError."""
         return "".join([piece async for piece in self])
 
 
 class Routing:
+    """A router without a door, in its owner's nursery. Open one by `open_routing`."""
+
     def __init__(self, paper: GatewayPaper, transport: Transport, nursery: trio.Nursery,
                  chooser: Callable[[StartFacts], Chooser], log: Any) -> None:
         products = products_of(paper)
@@ -99,7 +103,8 @@
     @asynccontextmanager
     async def generation(self, request: dict[str, Any] | ChatAsk, time_limit_ms: float | None = None,
                          key: str | None = None) -> AsyncIterator[Stream]:
-        """`request` as the chat API has it. Raises chat.Wrong, which names the field, before anything is sent."""
+        """`request` as the chat API has it; `time_limit_ms` at most the product's own; `key` under which engines drop
+        repeats. Raises Wrong, which names the field, before anything is sent."""
         ask = request if isinstance(request, ChatAsk) else read_chat(msgspec.json.encode(request))
         product = self.intake.models.get(ask.model)
         limit = product.limit_ms if product is not None else 0.0
--- a/ternlane/engine/leg.py
+++ b/ternlane/engine/leg.py
@@ -33,14 +33,16 @@
     called_off: bool = False
 
     def call_off(self) -> None:
+        """Ends the wait at once; the leg ends as CALLED_OFF."""
         self.called_off = True
         self.scope.cancel()
 
 
 @dataclass(slots=True)
 class LegEnd:
+    """How a leg ended. `begun`: its first token had come; `state` is a reader's, to hand on."""
     verdict: Verdict
-    begun: bool = False    # the first token had come
+    begun: bool = False
     why: str = ""
     state: dict[str, Any] | None = None
     usage: Usage | None = None
--- a/ternlane/engine/protocol.py
+++ b/ternlane/engine/protocol.py
@@ -18,6 +18,7 @@
 
 
 class Stage(Enum):
+    """Which part of a generation a leg asks for."""
     READ = auto()
     WRITE = auto()
     WHOLE = auto()    # a mixed server reads and writes in one leg
@@ -50,12 +51,15 @@
 
 
 class Usage(msgspec.Struct):
+    """Tokens as an engine counted them, in the public API's form."""
+
     prompt_tokens: int = 0
     completion_tokens: int = 0
     total_tokens: int = 0
     prompt_tokens_details: Details | None = None
 
     def told(self) -> dict[str, Any]:
+        """As the client is told."""
         out: dict[str, Any] = {"prompt_tokens": self.prompt_tokens, "completion_tokens": self.completion_tokens,
                                "total_tokens": self.prompt_tokens + self.completion_tokens}
         if self.prompt_tokens_details is not None:
--- a/ternlane/engine/transport.py
+++ b/ternlane/engine/transport.py
@@ -37,6 +37,8 @@
 
 
 class Transport(Protocol):
+    """How legs reach model servers. An implementation never raises for what a server does: it says so in a LegEnd."""
+
     async def read(self, ask: LegAsk) -> LegEnd:
         """Has a prompt read and its state kept. Never raises but for an outer cancellation."""
 
@@ -58,21 +60,21 @@
         """Nothing is asked any more."""
 
 
-class SocketTransport:
+class SocketTransport(Transport):
     """Engine protocols over HTTP/1.1, each server's by the node list."""
 
     def __init__(self, pool: Pool, agent: str) -> None:
         self.pool, self.agent = pool, agent
 
-    def fill(self, ask: LegAsk) -> LegPlan:
+    def _fill(self, ask: LegAsk) -> LegPlan:
         ask.plan.headers, ask.plan.body = KINDS[ask.protocol].request(ask, self.agent)
         return ask.plan
 
     async def read(self, ask: LegAsk) -> LegEnd:
-        return await read_leg(self.pool, self.fill(ask))
+        return await read_leg(self.pool, self._fill(ask))
 
     async def stream(self, ask: LegAsk, pass_on: PassOn) -> LegEnd:
-        return await stream_leg(self.pool, self.fill(ask), pass_on)
+        return await stream_leg(self.pool, self._fill(ask), pass_on)
 
     async def release(self, server: str, address: str, ident: str, within_ms: float,
                       protocol: str = "disaggregated") -> bool:
@@ -116,14 +118,17 @@
 class LocalEngine(Protocol):
     """A model server in the same process: three calls, no bytes. Errors of its own mean that it may have run."""
 
-    async def read(self, ask: LegAsk) -> Kept: ...
+    async def read(self, ask: LegAsk) -> Kept:
+        """Reads the prompt of `ask.raw` and keeps its state until written or released."""
 
-    def write(self, ask: LegAsk) -> AsyncIterator[str]: ...
+    def write(self, ask: LegAsk) -> AsyncIterator[str]:
+        """Writes the answer from `ask.state`, or from the prompt where that is None; a piece counts as a token."""
 
-    async def release(self, ident: str) -> None: ...
+    async def release(self, ident: str) -> None:
+        """Drops what is kept for a generation; nothing kept is no error."""
 
 
-class LocalTransport:
+class LocalTransport(Transport):
     """Direct calls to engines by their ids, for a library's users and for tests."""
 
     def __init__(self, engines: dict[str, LocalEngine]) -> None:
@@ -133,10 +138,10 @@
         end = LegEnd(Verdict.TIMED_OUT)
 
         async def run() -> None:
-            got = await self.engine(ask).read(ask)
+            got = await self._engine(ask).read(ask)
             end.verdict, end.state, end.report = Verdict.READ, got.state, got.report
             end.usage = Usage(got.prompt_toks, 0, got.prompt_toks)
-        return await self.ended(ask, end, run)
+        return await self._ended(ask, end, run)
 
     async def stream(self, ask: LegAsk, pass_on: PassOn) -> LegEnd:
         end, plan = LegEnd(Verdict.TIMED_OUT), ask.plan
@@ -144,7 +149,7 @@
 
         async def run() -> None:
             nonlocal written
-            pieces = self.engine(ask).write(ask)
+            pieces = self._engine(ask).write(ask)
             try:
                 async for text in pieces:
                     first, end.begun, written = not end.begun, True, written + 1
@@ -161,16 +166,16 @@
                 end.begun = True
                 await pass_on("", True)
             end.verdict, end.usage = Verdict.STREAMED, Usage(0, written, written)
-        return await self.ended(ask, end, run)
+        return await self._ended(ask, end, run)
 
-    def engine(self, ask: LegAsk) -> LocalEngine:
+    def _engine(self, ask: LegAsk) -> LocalEngine:
         try:
             return self.engines[ask.server]
         except KeyError:
             raise Unreached(f"no engine {ask.server!r}") from None
 
     @staticmethod
-    async def ended(ask: LegAsk, end: LegEnd, run: Callable[[], Awaitable[None]]) -> LegEnd:
+    async def _ended(ask: LegAsk, end: LegEnd, run: Callable[[], Awaitable[None]]) -> LegEnd:
         plan = ask.plan
         plan.scope.deadline = min(plan.scope.deadline, trio.current_time() + plan.timeout_ms / 1000)
         try:
--- a/ternlane/gateway/daemon.py
+++ b/ternlane/gateway/daemon.py
@@ -39,6 +39,22 @@
                 pass    # who does not listen need not hear
 
 
+def write_pid(path: Path) -> None:
+    """Whole or not at all: whoever reads it meanwhile sees the old number or the new one."""
+    fresh = path.with_name(f"{path.name}.{os.getpid()}")
+    fresh.write_text(f"{os.getpid()}\n")
+    fresh.replace(path)
+
+
+def drop_pid(path: Path) -> None:
+    """Removes the file unless a process that took over has put its own number there."""
+    try:
+        if path.read_text().strip() == str(os.getpid()):
+            path.unlink()
+    except OSError:
+        pass
+
+
 async def run_gateway(path: str, paper: GatewayPaper, chooser: Callable[..., Any] | None = None,
                       pid_file: str | None = None) -> None:
     """Serves until SIGTERM or SIGINT, then drains; a second one ends it at once. SIGHUP reads the document again and
@@ -47,7 +63,7 @@
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
         async with open_gateway(paper, chooser or Router, log, listeners=passed_in()) as gateway:
             if pid_file is not None:
-                Path(pid_file).write_text(f"{os.getpid()}\n")
+                write_pid(Path(pid_file))
             notify(f"READY=1\nSTATUS=serving at {gateway.address}\nMAINPID={os.getpid()}")
             async for number in signals:
                 if number != signal.SIGHUP:
@@ -71,5 +87,5 @@
                 await gateway.drain()
                 nursery.cancel_scope.cancel()
             if pid_file is not None:
-                Path(pid_file).unlink(missing_ok=True)
+                drop_pid(Path(pid_file))
             log.info("ended")
--- a/ternlane/gateway/gateway.py
+++ b/ternlane/gateway/gateway.py
@@ -36,6 +36,8 @@
 
 
 class Gateway:
+    """A gateway that runs in its owner's nursery: `address` is where it listens, as host:port."""
+
     def __init__(self, paper: GatewayPaper, chooser: Callable[[StartFacts], Chooser], nursery: trio.Nursery,
                  log: Any, host_type: type[Host] = Host, transport: Transport | None = None) -> None:
         self.paper, self.nursery, self.log = paper, nursery, log
@@ -64,6 +66,7 @@
     # -- the node list
 
     def found(self, lines: list[NodeLine]) -> None:
+        """The whole list of model servers has been read anew."""
         self.measures.lists.labels("read").inc()
         news = self.book.whole(lines, time.time(), now_ms())
         self.host.tell(news)
@@ -75,11 +78,12 @@
             self.keep_now.set()
 
     def list_failed(self, why: str) -> None:
+        """The list could not be read; the last one holds."""
         self.measures.lists.labels("failed").inc()
         self.log.warning("node list", why=why)
         self.host.tell(ListFailed())
 
-    def last_list(self) -> None:
+    def _last_list(self) -> None:
         """What this gateway knew before it was restarted, until its source says more."""
         if self.paper.state is None:
             return
@@ -91,7 +95,7 @@
         if lines:
             self.host.tell(self.book.whole(lines, time.time(), now_ms()))
 
-    async def keep_lists(self) -> None:
+    async def _keep_lists(self) -> None:
         """Writes the newest list off the loop; a disk that fails is said aloud and costs nothing else."""
         while self.paper.state is not None:
             await self.keep_now.wait()
@@ -103,7 +107,7 @@
             except OSError as why:
                 self.log.error("node list not kept", why=str(why))
 
-    async def follow(self) -> None:
+    async def _follow(self) -> None:
         while True:
             with trio.CancelScope() as self.following:
                 match self.paper.nodes:
@@ -116,7 +120,7 @@
                         await trio.sleep_forever()
 
     def reload(self, paper: GatewayPaper) -> tuple[list[str], list[str]]:
-        """Takes over what can change while running; names that, and what waits for a restart."""
+        """Takes over what can change while running. Gives the fields that did, and those that wait for a restart."""
         old, changed, kept_back = self.paper, [], []
         for field in paper.__struct_fields__:
             if getattr(old, field) == getattr(paper, field):
@@ -133,8 +137,8 @@
 
     # -- start and stop
 
-    async def start(self, listeners: list[trio.SocketListener] | None = None) -> None:
-        self.last_list()
+    async def _start(self, listeners: list[trio.SocketListener] | None = None) -> None:
+        self._last_list()
         self.handed_over = True
         if listeners is None:
             host, port = split(self.paper.listen)
@@ -143,25 +147,25 @@
         self.listeners = listeners
         name = listeners[0].socket.getsockname()
         self.address = f"{name[0]}:{name[1]}"
-        self.nursery.start_soon(self.follow)
-        self.nursery.start_soon(self.keep_lists)
+        self.nursery.start_soon(self._follow)
+        self.nursery.start_soon(self._keep_lists)
         self.nursery.start_soon(self.host.clock)
         if self.till is not None:
             for run in (self.till.follow, self.till.borrow, self.till.writer.run):
                 self.nursery.start_soon(run)
-        self.nursery.start_soon(self.serve)
+        self.nursery.start_soon(self._serve)
         if self.paper.metrics is not None:
             host, port = split(self.paper.metrics)
-            await self.nursery.start(partial(trio.serve_tcp, self.metrics, port, host=host))
+            await self.nursery.start(partial(trio.serve_tcp, self._metrics, port, host=host))
         self.log.info("serving", address=self.address, gateway=self.paper.name)
 
-    async def serve(self) -> None:
+    async def _serve(self) -> None:
         with self.doors:
             async with trio.open_nursery() as nursery:
                 for listener in self.listeners:
-                    nursery.start_soon(self.accept, listener)
+                    nursery.start_soon(self._accept, listener)
 
-    async def accept(self, listener: trio.SocketListener) -> None:
+    async def _accept(self, listener: trio.SocketListener) -> None:
         """Takes connections until told to stop; does not close the listener, whose queue `drain` still empties."""
         while True:
             try:
@@ -174,7 +178,7 @@
             else:
                 self.nursery.start_soon(self.door.connection, stream)
 
-    async def metrics(self, stream: trio.SocketStream) -> None:
+    async def _metrics(self, stream: trio.SocketStream) -> None:
         async def handle(exchange: Exchange) -> None:
             if exchange.path == "/metrics":
                 await exchange.answer(200, [], self.measures.text(), "text/plain; version=0.0.4")
@@ -223,7 +227,7 @@
     async with trio.open_nursery() as nursery:
         gateway = Gateway(paper, chooser, nursery, log or library_log(), host_type, transport)
         try:
-            await gateway.start(listeners)
+            await gateway._start(listeners)
             yield gateway
         finally:
             with trio.CancelScope(shield=True):
--- a/ternlane/paper/reading.py
+++ b/ternlane/paper/reading.py
@@ -80,6 +80,7 @@
 
 
 def read_paper(path: Path | str, into: type[T]) -> T:
+    """The JSON5 file as `into`. Raises PaperError with file, line and field."""
     try:
         text = Path(path).read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as why:
--- a/ternlane/port.py
+++ b/ternlane/port.py
@@ -12,6 +12,7 @@
 
 
 class Effect(Enum):
+    """What a generation that runs twice does: nothing more, nothing more within a group and window, or harm."""
     IDEMPOTENT = auto()
     DEDUPLICATED = auto()
     SIDE_EFFECTING = auto()
@@ -25,18 +26,22 @@
 
 
 class Duty(Enum):
+    """What a server is for: prompts (prefill), answers (decode), or whole generations."""
     READ = auto()
     WRITE = auto()
     BOTH = auto()
 
 
 class Life(Enum):
+    """A server by the list: to be used, to be given nothing new, or no longer there."""
     UP = auto()
     DRAINING = auto()
     GONE = auto()
 
 
 class Verdict(Enum):
+    """How a leg or a probe ended. FULL and UNCONNECTED: it ran nothing; MOOT: its client had left; CALLED_OFF: by
+    CallOff; READ: the prompt is kept; ERROR, TIMED_OUT, RESET: it may have run."""
     STREAMED = auto()
     ERROR = auto()
     FULL = auto()
@@ -50,6 +55,9 @@
 
 @dataclass(slots=True, eq=False)
 class Product:
+    """What is known of a kind of generation. Its first token is due `slo_ms` + `slo_per_ktok_ms` for each thousand
+    tokens of the prompt, the others each `tok_slo_ms` after; all of it within `limit_ms`. In time it earns `revenue`,
+    late `late_share` of it. Servers of `group` drop repeats for `window_ms`, where the effect is DEDUPLICATED."""
     effect: Effect
     group: Group
     window_ms: float
@@ -63,7 +71,8 @@
 
 @dataclass(slots=True, eq=False)
 class Server:
-    """`mark` is a number of the server's own that every gateway sees alike; it tells nothing else."""
+    """A model server: room for `mem_toks` tokens, `size` times as fast as the usual, up since `started_ms`. `mark` is a
+    number of the server's own that every gateway sees alike; it tells nothing else. `seat` is the module's."""
     zone: str
     cell: int
     duty: Duty
@@ -77,6 +86,8 @@
 
 @dataclass(slots=True, eq=False)
 class Generation:
+    """A request to be routed. `session`: turns of one conversation; `opening`: a beginning of `opening_toks` tokens
+    that others share; `patience_ms`: until its client gives up; `whole`: it hears nothing before all of it is there."""
     product: Product
     session: str | None
     opening: str | None
@@ -84,12 +95,13 @@
     prompt_toks: float
     max_toks: float
     patience_ms: float
-    whole: bool = False    # its client hears nothing before the answer is whole
+    whole: bool = False
     seat: Any = None
 
 
 @dataclass(slots=True, frozen=True)
 class StartFacts:
+    """What a Router is told once: the deployment's limits and rights, and how long things take (ms)."""
     seed: int
     gateways: int
     zone: str
@@ -137,11 +149,13 @@
 
 @dataclass(slots=True, frozen=True)
 class Arrived:
+    """A generation to be answered: by a leg that streams, a Throttle or a Terminate."""
     gen: Generation
 
 
 @dataclass(slots=True, frozen=True)
 class FirstTok:
+    """The leg's first token has come, `took_ms` after it was sent."""
     gen: Generation
     server: Server
     took_ms: float
@@ -149,6 +163,8 @@
 
 @dataclass(slots=True, frozen=True)
 class LegEnded:
+    """`over`: the client has its final answer by this leg. `kept_toks`: so much of the prompt need not be read anew;
+    `state_lost`: a writer found nothing to go on with."""
     gen: Generation
     server: Server
     verdict: Verdict
@@ -161,12 +177,14 @@
 
 @dataclass(slots=True, frozen=True)
 class PlaceHeld:
+    """The answer to HoldAhead."""
     gen: Generation
     held: bool
 
 
 @dataclass(slots=True, frozen=True)
 class Checked:
+    """The answer to Probe."""
     server: Server
     verdict: Verdict
     report: Report | None
@@ -174,6 +192,7 @@
 
 @dataclass(slots=True, frozen=True)
 class ClientLeft:
+    """Nobody waits for it any more; its leg is called off by the host."""
     gen: Generation
 
 
@@ -207,28 +226,33 @@
 
 @dataclass(slots=True, frozen=True)
 class Throttle:
+    """The final answer "not now": nothing ran that a new try would double. Best after `pause_ms`."""
     gen: Generation
     pause_ms: float
 
 
 @dataclass(slots=True, frozen=True)
 class Terminate:
+    """The final answer "given up": it may have run."""
     gen: Generation
 
 
 @dataclass(slots=True, frozen=True)
 class LetGo:
+    """Frees what is held for it, at whichever server."""
     gen: Generation
 
 
 @dataclass(slots=True, frozen=True)
 class HoldAhead:
+    """Asks a writer to keep a place free for it."""
     gen: Generation
     server: Server
 
 
 @dataclass(slots=True, frozen=True)
 class Probe:
+    """Asks how a server is, outside any generation."""
     server: Server
 
 
@@ -239,12 +263,14 @@
 
 @dataclass(slots=True, frozen=True)
 class Wake:
+    """Asks for Woken at `at_ms`; each of the two kinds has one time at most, the newest."""
     at_ms: float
     beat: bool
 
 
 @dataclass(slots=True, frozen=True)
 class Log:
+    """Advice for the operators."""
     server: Server
     text: str
 
--- a/tests/test_library.py
+++ b/tests/test_library.py
@@ -39,6 +39,13 @@
         ternlane.nothing    # noqa: B018
 
 
+def test_all_that_is_public_says_what_it_is_for() -> None:
+    from ternlane.reference import page, without_words
+    assert without_words() == []
+    text = "\n".join(page())
+    assert all(f"### `{name}" in text for name in ternlane.__all__[1:]) and "`.take(now: float," in text
+
+
 def engines() -> tuple[dict[str, Local], LocalTransport]:
     made = {i: Local() for i in ("r0", "w0")}
     return made, LocalTransport(dict(made))    # type: ignore[arg-type]
@@ -140,6 +147,7 @@
         assert b"READY=1" in manager.recv(4096)
         first.send_signal(signal.SIGTERM)
         assert b"STOPPING=1" in manager.recv(4096) and first.wait(10) == 0
+        assert (tmp_path / "pid").read_text() == f"{second.pid}\n"    # the one that ended left the other's number
         time.sleep(0.3)
         stop.set()
         client.join(10)
