Settings made as typed objects meet the checks of a document

Cause: only JSON5 documents were checked; a typed GatewayPaper with a negative time-out or a name with a space was taken by open_gateway and open_routing, which then worked on nonsense.

Change: paper.checked puts typed settings through the same conversion; both openers call it and raise PaperError with the field.

--- a/ternlane/__init__.py
+++ b/ternlane/__init__.py
@@ -25,6 +25,7 @@
     "LegAsk": "engine", "Kept": "engine", "Refuses": "engine", "Unreached": "engine", "Stage": "engine",
     "LegEnd": "engine", "LegPlan": "engine", "ClientGone": "engine", "Usage": "engine",
     "Wrong": "chat", "GatewayPaper": "paper", "ProductTerms": "paper", "FleetTerms": "paper", "NodeLine": "paper",
+    "DoorTerms": "paper", "InlineSource": "paper", "FileSource": "paper", "ConsulSource": "paper", "checked": "paper",
     "PaperError": "paper", "read_paper": "paper", "read_text": "paper"}
 
 __all__ = ["__version__", *_PLACES]
@@ -54,11 +55,16 @@
     from ternlane.engine import Usage as Usage
     from ternlane.gateway import Gateway as Gateway
     from ternlane.gateway import open_gateway as open_gateway
+    from ternlane.paper import ConsulSource as ConsulSource
+    from ternlane.paper import DoorTerms as DoorTerms
+    from ternlane.paper import FileSource as FileSource
     from ternlane.paper import FleetTerms as FleetTerms
     from ternlane.paper import GatewayPaper as GatewayPaper
+    from ternlane.paper import InlineSource as InlineSource
     from ternlane.paper import NodeLine as NodeLine
     from ternlane.paper import PaperError as PaperError
     from ternlane.paper import ProductTerms as ProductTerms
+    from ternlane.paper import checked as checked
     from ternlane.paper import read_paper as read_paper
     from ternlane.paper import read_text as read_text
     from ternlane.port import Duty as Duty
--- a/ternlane/embed/routing.py
+++ b/ternlane/embed/routing.py
@@ -26,8 +26,7 @@
 from ternlane.gateway.measures import Measures
 from ternlane.gateway.ticket import Outlet, Streamed, Terminated, Throttled, Ticket
 from ternlane.nodes import Book
-from ternlane.paper import GatewayPaper, NodeLine
-from ternlane.paper.gateway import InlineSource
+from ternlane.paper import GatewayPaper, InlineSource, NodeLine, checked
 from ternlane.port import StartFacts
 
 
@@ -125,7 +124,9 @@
 @asynccontextmanager
 async def open_routing(paper: GatewayPaper, transport: Transport, chooser: Callable[[StartFacts], Chooser] = Router,
                        log: Any = None) -> AsyncIterator[Routing]:
-    """A router without a door. Inline nodes of the paper are listed at once; others by `Routing.nodes`."""
+    """A router without a door. Inline nodes of the paper are listed at once; others by `Routing.nodes`. Raises
+    PaperError for settings that no document could hold."""
+    paper = checked(paper)
     async with trio.open_nursery() as nursery:
         routing = Routing(paper, transport, nursery, chooser, log or library_log())
         if isinstance(paper.nodes, InlineSource):
--- a/ternlane/gateway/gateway.py
+++ b/ternlane/gateway/gateway.py
@@ -23,7 +23,7 @@
 from ternlane.gateway.till import Till
 from ternlane.http1 import Exchange, Pool, serve_connection
 from ternlane.nodes import Book, Torn, follow_consul, follow_file, keep, kept
-from ternlane.paper import ConsulSource, FileSource, GatewayPaper, NodeLine
+from ternlane.paper import ConsulSource, FileSource, GatewayPaper, NodeLine, checked
 from ternlane.port import Life, ListFailed, StartFacts
 
 BACKLOG = 4096
@@ -223,7 +223,9 @@
                        host_type: type[Host] = Host,
                        listeners: list[trio.SocketListener] | None = None,
                        transport: Transport | None = None) -> AsyncIterator[Gateway]:
-    """Everything lives in a nursery that this block owns."""
+    """Everything lives in a nursery that this block owns. Raises PaperError for settings that no document could hold,
+    OSError where its address is taken, Damaged where the ledger is."""
+    paper = checked(paper)
     async with trio.open_nursery() as nursery:
         gateway = Gateway(paper, chooser, nursery, log or library_log(), host_type, transport)
         try:
--- a/ternlane/paper/gateway.py
+++ b/ternlane/paper/gateway.py
@@ -90,6 +90,7 @@
 
 
 class FileSource(Sheet, frozen=True, kw_only=True, tag="file", tag_field="from"):
+    """The node list is a JSON5 file, looked at every `look_ms`."""
     path: str
     look_ms: Positive = 500.0
 
@@ -103,6 +104,7 @@
 
 
 class InlineSource(Sheet, frozen=True, kw_only=True, tag="inline", tag_field="from"):
+    """The node list stands in the document, or is given later by `Routing.nodes`."""
     nodes: list[NodeLine]
 
 
--- a/ternlane/paper/reading.py
+++ b/ternlane/paper/reading.py
@@ -66,17 +66,28 @@
     try:
         return msgspec.convert(raw, into)
     except msgspec.ValidationError as why:
-        said = str(why)
-        at = AT.search(said)
-        field = at[1] if at else "$"
-        unknown = UNKNOWN.search(said)
-        if unknown:
-            field += f".{unknown[1]}"
+        field, said = field_of(why)
         lines = lines_by_field(text)
         near = field
         while near not in lines and near != "$":
             near = re.sub(r"(\.[^.\[]*|\[[^\]]*\])$", "", near) or "$"
-        raise PaperError(f"{name}:{lines.get(near, 1)}", field, AT.sub("", said)) from None
+        raise PaperError(f"{name}:{lines.get(near, 1)}", field, said) from None
+
+
+def field_of(why: msgspec.ValidationError) -> tuple[str, str]:
+    """Which field a refusal means, and what it says of it."""
+    said = str(why)
+    at, unknown = AT.search(said), UNKNOWN.search(said)
+    field = at[1] if at else "$"
+    return field + (f".{unknown[1]}" if unknown else ""), AT.sub("", said)
+
+
+def checked(made: T) -> T:
+    """Settings made as typed objects, put to the checks that a document goes through. Raises PaperError."""
+    try:
+        return msgspec.convert(msgspec.to_builtins(made), type(made))
+    except msgspec.ValidationError as why:
+        raise PaperError(type(made).__name__, *field_of(why)) from None
 
 
 def read_paper(path: Path | str, into: type[T]) -> T:
--- a/tests/test_transports.py
+++ b/tests/test_transports.py
@@ -10,6 +10,7 @@
 import pytest
 import trio
 
+import ternlane
 from tests.world import BUILD, PRODUCTS, TERMS, World, replace, world
 from ternlane.chat import Wrong
 from ternlane.embed import TerminatedError, ThrottledError, open_routing
@@ -267,3 +268,17 @@
 def test_a_plain_chat_server_can_not_be_a_reader() -> None:
     with pytest.raises(PaperError, match="duty both"):
         read_text('{id: "a", address: "h:1", duty: "read", mem_toks: 1, protocol: "chat"}', NodeLine)
+
+
+async def test_typed_settings_meet_the_checks_of_a_document() -> None:
+    good = paper("r0", "w0")
+    assert ternlane.checked(good) == good
+    for changes, field in (({"gateways": 0}, r"\$.gateways"), ({"fleet": ternlane.FleetTerms(connect_ms=-1)},
+                           r"\$.fleet.connect_ms"), ({"name": "has a space"}, r"\$.name")):
+        wrong = msgspec.structs.replace(good, **changes)    # type: ignore[arg-type]
+        with pytest.raises(PaperError, match=field):
+            async with ternlane.open_routing(wrong, LocalTransport({})):
+                pass
+        with pytest.raises(PaperError, match=field):
+            async with ternlane.open_gateway(wrong, transport=LocalTransport({})):
+                pass
