Streams that lose their writer go on at another, joined so that the client sees one

Need: a writer lost after the first token ended the stream, however idempotent its generation; clients had to ask anew.

Change: ternlane/recover (free of I/O) says which requests may be continued, repeated and compared, or must end; joins the text over legs (nothing twice, nothing missing; stop strings over the join, torn characters, other answers, readers that know no continuing are caught); and paces reading anew by a share of what readers are seen to do. Bills go by the prompt as first read. What a client is told of cached tokens is the reader's figure, no more the writer's, who took the state over.

--- a/ternlane/__init__.py
+++ b/ternlane/__init__.py
@@ -26,6 +26,7 @@
     "LegEnd": "engine", "LegPlan": "engine", "ClientGone": "engine", "Usage": "engine",
     "Wrong": "chat", "GatewayPaper": "paper", "ProductTerms": "paper", "FleetTerms": "paper", "NodeLine": "paper",
     "DoorTerms": "paper", "InlineSource": "paper", "FileSource": "paper", "ConsulSource": "paper", "checked": "paper",
+    "StreamTerms": "paper",
     "PaperError": "paper", "read_paper": "paper", "read_text": "paper"}
 
 __all__ = ["__version__", *_PLACES]
@@ -64,6 +65,7 @@
     from ternlane.paper import NodeLine as NodeLine
     from ternlane.paper import PaperError as PaperError
     from ternlane.paper import ProductTerms as ProductTerms
+    from ternlane.paper import StreamTerms as StreamTerms
     from ternlane.paper import checked as checked
     from ternlane.paper import read_paper as read_paper
     from ternlane.paper import read_text as read_text
--- a/ternlane/choice.py
+++ b/ternlane/choice.py
@@ -195,6 +195,8 @@
                 self.close(gen.seat)
             case Onward(course):
                 self.onward(course)
+            case port.GoOn(gen) if not gen.seat.over and gen.seat.leg is None:
+                self.onward(gen.seat)
             case port.Listed(servers):
                 for server in servers:
                     server.seat = server.seat or Engine(self.router, server)
@@ -437,6 +439,9 @@
             return self.finish(course)
         if verdict is not Verdict.READ and not note.state_lost:    # a full one is not asked again either
             course.tried.add(engine)
+        if note.broken:    # only the time limit binds one whose client has a part; GoOn says when
+            course.slo_at = course.limit_at
+            return self.unbook(course)
         engine.post(Onward(course))
 
     def onward(self, course: Course) -> None:
--- a/ternlane/embed/routing.py
+++ b/ternlane/embed/routing.py
@@ -92,7 +92,8 @@
         self.facts, self.book = facts_of(paper, products), Book()
         self.intake = Intake(models_of(paper, products), {products[p.name]: p.max_toks for p in paper.products},
                              paper.door.session_limit)
-        self.host = Host(chooser(self.facts), self.facts, transport, self.book, self.intake, nursery, Measures(), log)
+        self.host = Host(chooser(self.facts), self.facts, transport, self.book, self.intake, nursery, Measures(), log,
+                         paper.streams)
 
     def nodes(self, lines: list[NodeLine]) -> None:
         """The whole list of model servers, now and whenever it changes."""
@@ -110,7 +111,8 @@
         known = self.intake.take(ask, limit if time_limit_ms is None else min(limit, time_limit_ms))
         known.gen.whole = False    # the caller sees the text as it comes
         stream, ident = Stream(), f"{self.paper.name}-{next(self.count)}"
-        ticket = stream.ticket = Ticket(ident, ask, known, stream, now_ms(), key or ident)
+        ticket = stream.ticket = Ticket(ident, ask, known, stream, now_ms(), key or ident,
+                                        self.host.join_for(ask.raw, known.gen))
         ticket.when_over = stream.sends.close
         try:
             self.host.arrived(ticket)
--- a/ternlane/engine/kinds.py
+++ b/ternlane/engine/kinds.py
@@ -23,6 +23,7 @@
 
 class EngineProtocol(Protocol):
     lets_go: bool    # is there anything held that can be let go?
+    goes_on: bool    # can it continue a last message? (continue_final_message, as servers of the field have it)
 
     def request(self, ask: Asked, agent: str) -> tuple[Headers, bytes]:
         """Headers and body of POST /v1/chat/completions. Raises ValueError for a stage that it does not know."""
@@ -30,7 +31,7 @@
 
 class Disaggregated:
     """Readers and writers that hand a state on by kv_transfer_params; mixed ones too."""
-    lets_go = True
+    lets_go = goes_on = True
 
     def request(self, ask: Asked, agent: str) -> tuple[Headers, bytes]:
         headers = [("Content-Type", "application/json"), ("X-Request-Id", f"{ask.ident}.{ask.number}"),
@@ -45,7 +46,7 @@
 class PlainChat:
     """Any server of the public chat completions API: it reads and writes whole generations, and nothing of ours is
     asked of it. It keeps no state between legs, and vouches for nothing: only a 429 proves that nothing ran."""
-    lets_go = False
+    lets_go = goes_on = False
 
     def request(self, ask: Asked, agent: str) -> tuple[Headers, bytes]:
         if ask.stage is not Stage.WHOLE:
--- a/ternlane/engine/transport.py
+++ b/ternlane/engine/transport.py
@@ -34,6 +34,7 @@
     max_toks: int
     plan: LegPlan
     protocol: str = "disaggregated"
+    goes_on: bool = False    # `raw` ends with what the client has of the answer, to be continued from there
 
 
 class Transport(Protocol):
@@ -60,6 +61,10 @@
         """Nothing is asked any more."""
 
 
+class Unable(Exception):
+    """A server is not asked for what its protocol can't say: nothing ran."""
+
+
 class SocketTransport(Transport):
     """Engine protocols over HTTP/1.1, each server's by the node list."""
 
@@ -67,14 +72,23 @@
         self.pool, self.agent = pool, agent
 
     def _fill(self, ask: LegAsk) -> LegPlan:
+        """Raises Unable where the server's protocol has no words for it."""
+        if ask.goes_on and not KINDS[ask.protocol].goes_on:
+            raise Unable("it can't go on with a text")
         ask.plan.headers, ask.plan.body = KINDS[ask.protocol].request(ask, self.agent)
         return ask.plan
 
     async def read(self, ask: LegAsk) -> LegEnd:
-        return await read_leg(self.pool, self._fill(ask))
+        try:
+            return await read_leg(self.pool, self._fill(ask))
+        except Unable as why:
+            return LegEnd(Verdict.FULL, why=str(why))
 
     async def stream(self, ask: LegAsk, pass_on: PassOn) -> LegEnd:
-        return await stream_leg(self.pool, self._fill(ask), pass_on)
+        try:
+            return await stream_leg(self.pool, self._fill(ask), pass_on)
+        except Unable as why:
+            return LegEnd(Verdict.FULL, why=str(why))
 
     async def release(self, server: str, address: str, ident: str, within_ms: float,
                       protocol: str = "disaggregated") -> bool:
@@ -119,10 +133,12 @@
     """A model server in the same process: three calls, no bytes. Errors of its own mean that it may have run."""
 
     async def read(self, ask: LegAsk) -> Kept:
-        """Reads the prompt of `ask.raw` and keeps its state until written or released."""
+        """Reads the prompt of `ask.raw` and keeps its state until written or released. Where `ask.goes_on` its last
+        message is the beginning of the answer, and counts as read."""
 
     def write(self, ask: LegAsk) -> AsyncIterator[str]:
-        """Writes the answer from `ask.state`, or from the prompt where that is None; a piece counts as a token."""
+        """Writes the answer from `ask.state`, or from the prompt where that is None; a piece counts as a token.
+        Where `ask.goes_on`, only what comes after the last message."""
 
     async def release(self, ident: str) -> None:
         """Drops what is kept for a generation; nothing kept is no error."""
--- a/ternlane/gateway/door.py
+++ b/ternlane/gateway/door.py
@@ -250,7 +250,7 @@
             outlet.extra = self.till.headers(hold)
         # Engines drop repeats by this key; a key of the gateway's own can't meet another gateway's.
         engine_key = (f"{self.birth}-{ident}-{next(self.count)}" if key is None else xxh3_64_hexdigest(key.encode()))
-        return Ticket(ident, ask, known, outlet, since, engine_key, hold)
+        return Ticket(ident, ask, known, outlet, since, engine_key, self.host.join_for(ask.raw, known.gen), hold)
 
     def ident(self, exchange: Exchange, tenant: str) -> str:
         """The client's own name for it if it is a plain one that is not in use; a tenant's go by the tenant, as a
--- a/ternlane/gateway/gateway.py
+++ b/ternlane/gateway/gateway.py
@@ -50,7 +50,7 @@
         self.agent = f"ternlane/{__version__} ({paper.name})"
         self.transport = transport or SocketTransport(self.pool, self.agent)
         self.host = host_type(chooser(self.facts), self.facts, self.transport, self.book, intake, nursery,
-                              self.measures, log)
+                              self.measures, log, paper.streams)
         self.till = Till(paper, log) if paper.tenants is not None else None
         self.door = Door(paper, self.host, intake, models, self.measures, log, self.till)
         if self.till is not None:
--- a/ternlane/gateway/host.py
+++ b/ternlane/gateway/host.py
@@ -12,12 +12,13 @@
 
 from ternlane import port
 from ternlane.chat import Intake
-from ternlane.engine import LegAsk, LegEnd, LegPlan, Stage, Transport
-from ternlane.engine.leg import ClientGone
+from ternlane.engine import ClientGone, LegAsk, LegEnd, LegPlan, Stage, Transport, Usage
 from ternlane.gateway.measures import Measures
 from ternlane.gateway.ticket import Streamed, Terminated, Throttled, Ticket
 from ternlane.nodes import Book
+from ternlane.paper import StreamTerms
 from ternlane.port import Duty, Server, StartFacts, Verdict
+from ternlane.recover import Differs, Join, Pace, Shelf, Way, way_of
 from ternlane.tenants.billing import Used
 
 
@@ -33,13 +34,18 @@
 
 class Host:
     def __init__(self, chooser: Chooser, facts: StartFacts, transport: Transport, book: Book, intake: Intake,
-                 nursery: trio.Nursery, measures: Measures, log: Any) -> None:
+                 nursery: trio.Nursery, measures: Measures, log: Any, streams: StreamTerms | None = None) -> None:
         self.chooser, self.facts, self.transport, self.book, self.intake = chooser, facts, transport, book, intake
         self.nursery, self.measures, self.log = nursery, measures, log
         self.heard: list[port.Event] = []
         self.turning = False
         self.tickets: dict[port.Generation, Ticket] = {}
-        self.due: list[tuple[float, int, bool]] = []    # the one ordered structure of due times
+        self.due: list[tuple[float, int, bool | None]] = []    # the one ordered structure of due times; None: `resume`
+        self.streams = streams or StreamTerms()
+        self.shelf = Shelf(self.streams.keep_toks, self.streams.keep_bytes, self.streams.keep_all_bytes)
+        limits = [p.limit_ms for p in facts.products]
+        self.pace: Pace[Ticket] = Pace(self.streams.share, max(limits, default=1000.0) / 4)
+        self.resume_at = float("inf")
         self.turns = 0
         self.alarm = trio.Event()
         self.idents: set[str] = set()
@@ -71,7 +77,7 @@
                 self.send(self.tickets[gen], server, action)
             case port.CallOff(gen):
                 ticket = self.tickets.get(gen)
-                if ticket is not None and ticket.leg is not None and not ticket.begun:
+                if ticket is not None and ticket.leg is not None and not ticket.flowing:
                     ticket.leg.call_off()
             case port.Throttle(gen, pause):
                 self.settle(self.tickets.get(gen), Throttled(pause))
@@ -108,16 +114,25 @@
                     await self.alarm.wait()
                 continue
             while self.due and self.due[0][0] <= now_ms():
-                self.heard.append(port.Woken(heappop(self.due)[2]))
-            if not self.turning:
+                beat = heappop(self.due)[2]
+                if beat is None:
+                    self.resume_at = float("inf")
+                    self.resume()
+                else:
+                    self.heard.append(port.Woken(beat))
+            if self.heard and not self.turning:
                 self.turn()
             self.transport.sweep()
             await trio.lowlevel.checkpoint()
 
     # -- generations
 
+    def join_for(self, raw: dict[str, Any], gen: port.Generation) -> Join:
+        way, why = way_of(raw, gen.product.effect) if self.streams.resume else (Way.END, "resuming is off")
+        return Join(way, why, self.shelf, int(gen.max_toks), raw.get("stop"))
+
     def arrived(self, ticket: Ticket) -> None:
-        self.tickets[ticket.gen] = ticket
+        self.tickets[ticket.gen], ticket.taken = ticket, now_ms()
         self.idents.add(ticket.ident)
         self.measures.open.set(len(self.tickets))
         self.tell(port.Arrived(ticket.gen))
@@ -126,7 +141,7 @@
         """The client has gone: nothing is owed any more, and everything held for it is freed."""
         if ticket.final is None and not ticket.left:
             ticket.left = True
-            if ticket.leg is not None and ticket.begun:
+            if ticket.leg is not None and ticket.flowing:
                 ticket.leg.call_off()    # a stream that nobody reads
             self.tell(port.ClientLeft(ticket.gen))
             self.close(ticket, "left")
@@ -140,7 +155,11 @@
             self.tell(port.ClientLeft(ticket.gen))
 
     def settle(self, ticket: Ticket | None, final: Throttled | Terminated | Streamed) -> None:
-        if ticket is None or not ticket.settle(final):
+        if ticket is None:
+            return
+        if ticket.begun and isinstance(final, Throttled):    # its client has a part: nothing to come back for
+            final = Terminated(ticket.why or "nobody could go on with it")
+        if not ticket.settle(final):
             return
         self.close(ticket, type(final).__name__.lower())
 
@@ -155,6 +174,8 @@
         """A ticket stays until its answer is settled, its last leg has ended and what it held is let go."""
         if ticket.leg is None and (ticket.final is not None or ticket.left) and not ticket.holders:
             if self.tickets.pop(ticket.gen, None) is not None:
+                ticket.join.over()
+                self.pace.landed(ticket)
                 self.idents.discard(ticket.ident)
                 self.on_done(ticket)
             self.measures.open.set(len(self.tickets))
@@ -172,9 +193,11 @@
         elif server.duty is Duty.WRITE and ticket.state is not None:
             stage = Stage.WRITE
         ticket.leg = LegPlan(place.address, [], b"", times.timeout_ms, times.quiet_ms, times.whole_ms)
+        join, goes_on = ticket.join, ticket.join.resumed and ticket.join.way is Way.GO_ON
         self.nursery.start_soon(self.run, ticket, server, LegAsk(
-            place.ident, place.address, stage, ticket.ident, number, ticket.key, ticket.ask.raw, ticket.state,
-            int(ticket.gen.max_toks), ticket.leg, place.line.protocol))
+            place.ident, place.address, stage, ticket.ident, number,
+            f"{ticket.key}.{join.legs}" if goes_on else ticket.key,    # another request than the first: no repeat
+            join.request(ticket.ask.raw), ticket.state, join.left(), ticket.leg, place.line.protocol, goes_on))
 
     async def run(self, ticket: Ticket, server: Server, ask: LegAsk) -> None:
         since, stage, plan = now_ms(), ask.stage, ask.plan
@@ -183,16 +206,27 @@
             if ticket.left:
                 raise ClientGone
             if first:
-                ticket.begun = True
+                ticket.flowing = True
                 ticket.holders.clear()    # the writer has fetched the state
-                self.measures.first.labels(ticket.ask.model).observe((now_ms() - ticket.since) / 1000)
+                if not ticket.begun:
+                    self.measures.first.labels(ticket.ask.model).observe((now_ms() - ticket.since) / 1000)
+                self.pace.landed(ticket)
                 self.tell(port.FirstTok(ticket.gen, server, now_ms() - since))
-            ticket.pieces.append(text)
+            try:
+                new = ticket.join.take(text)
+            except Differs:
+                ticket.why = ticket.join.why
+                return plan.call_off()
+            if ticket.join.stopped:
+                return plan.call_off()
             if not self.affords(ticket):    # its tenant wants streams cut that pass the overdraft
                 ticket.why = "over budget: the overdraft is used up"
                 plan.call_off()
+            head, ticket.begun = not ticket.begun, True
+            if not new and not head:
+                return    # a repeat's, which the client has
             try:
-                await ticket.outlet.piece(text, first)
+                await ticket.outlet.piece(new, head)
             except (trio.BrokenResourceError, trio.ClosedResourceError):
                 raise ClientGone from None
 
@@ -205,33 +239,90 @@
 
     def leg_ended(self, ticket: Ticket, server: Server, stage: Stage, end: LegEnd, took: float,
                   plan: LegPlan) -> None:
-        ticket.leg = None
+        ticket.leg, ticket.flowing = None, False
         place = self.book.places[server]
         ticket.trail.append(f"{place.ident} {stage.name} {end.verdict.name}")
         self.measures.legs.labels(stage.name.lower(), end.verdict.name.lower()).inc()
         self.log.debug("leg", gen=ticket.ident, leg=ticket.legs - 1, server=place.ident, stage=stage.name,
                        verdict=end.verdict.name, took_ms=round(took, 1), why=end.why)
         kept = 0.0
-        ticket.made.append(made_of(stage, end, len(ticket.pieces)))
+        if end.verdict is Verdict.READ and end.usage is not None \
+                and not ticket.join.took_in(end.usage.prompt_tokens, ticket.prompt_said):
+            end.verdict, end.why = Verdict.ERROR, "it read no more than the prompt, and can't go on with the text"
+        ticket.made.append(made_of(stage, end, ticket.join.leg_pieces))
         if end.usage is not None:
-            self.intake.learn_prompt(ticket.known, end.usage.prompt_tokens)
+            if not ticket.join.resumed:
+                self.intake.learn_prompt(ticket.known, end.usage.prompt_tokens)
+                if stage is not Stage.WRITE:
+                    ticket.prompt_said, ticket.kept_said = end.usage.prompt_tokens, ticket.made[-1].kept
+                    self.pace.read(now_ms(), ticket.made[-1].prompt - ticket.made[-1].kept)
             details = end.usage.prompt_tokens_details
             kept = float(details.cached_tokens or 0) if details is not None else 0.0
         if end.verdict is Verdict.READ:
             ticket.state = end.state
         elif end.why:
             ticket.why = f"{place.ident}: {end.why}"
-        if end.verdict is Verdict.STREAMED:
-            usage = end.usage.told() if end.usage is not None else {
-                "prompt_tokens": 0, "completion_tokens": 0, "total_tokens": 0}
-            text = "".join(ticket.pieces)
-            self.intake.answered(ticket.known, text)
-            self.settle(ticket, Streamed(text, end.finish, usage))
-        elif end.begun:    # a break in a begun stream ends the generation; its client has part of the answer
-            self.settle(ticket, Terminated(ticket.why if plan.called_off else end.why or "the stream broke"))
+        broken = False
+        if end.verdict is Verdict.STREAMED and not ticket.join.ends():
+            self.settle(ticket, Terminated(ticket.join.why))
+        elif end.verdict is Verdict.STREAMED or ticket.join.stopped:
+            self.streamed(ticket, "stop" if ticket.join.stopped else end.finish, end.usage)
+        elif end.begun:
+            broken = not plan.called_off and not ticket.left and self.broke(ticket, end)
+            if not broken:    # its client has part of the answer, and hears that there is no more
+                self.settle(ticket, Terminated(ticket.why if plan.called_off else end.why or "the stream broke"))
         over = ticket.final is not None or ticket.left
-        self.tell(port.LegEnded(ticket.gen, server, end.verdict, took, over, kept, end.state_lost, end.report))
+        self.tell(port.LegEnded(ticket.gen, server, end.verdict, took, over, kept, end.state_lost, end.report, broken))
         self.forget(ticket)
+        if broken:
+            self.resume()
+
+    def streamed(self, ticket: Ticket, finish: str, usage: Usage | None) -> None:
+        join, said = ticket.join, (usage or Usage()).told()
+        self.intake.answered(ticket.known, join.text)
+        self.settle(ticket, Streamed(join.text, finish, join.usage(ticket.prompt_said, ticket.kept_said, said)))
+
+    # -- streams that broke
+
+    def broke(self, ticket: Ticket, end: LegEnd) -> bool:
+        """Whether another leg may give the rest; if so it waits for its turn. Its Generation grows by what is there."""
+        join, gen = ticket.join, ticket.gen
+        ticket.broke_at = len(ticket.made) if ticket.broke_at is None else ticket.broke_at
+        before = join.toks
+        again = join.broke(None if end.usage is None else end.usage.completion_tokens)
+        if again is None:
+            end.why = f"{end.why or 'the stream broke'}; {join.why}"
+            self.measures.breaks.labels("ended").inc()
+            return False
+        if join.left() <= 0:    # lost between its last token and its end
+            self.streamed(ticket, "length", Usage())
+            self.measures.breaks.labels("whole").inc()
+            return False
+        self.measures.breaks.labels("replay" if join.way is Way.REPLAY else "go_on").inc()
+        gen.prompt_toks += again - before
+        gen.max_toks = float(join.left())
+        self.pace.wait(ticket, gen.prompt_toks, gen.product.revenue, float(join.toks),
+                       ticket.taken + gen.patience_ms)
+        return True
+
+    def resume(self) -> None:
+        """Lets broken streams go on whose turn it is; those that have waited too long are given up."""
+        go, late = self.pace.next(now_ms())
+        for ticket in go:
+            if ticket.final is None and not ticket.left:
+                self.tell(port.GoOn(ticket.gen))
+            else:
+                self.pace.landed(ticket)
+        for ticket in late:
+            if ticket.final is None and not ticket.left:
+                self.settle(ticket, Terminated(ticket.why or "the stream broke"))
+                self.tell(port.ClientLeft(ticket.gen))
+        at = self.pace.due(now_ms())
+        if at is not None and at < self.resume_at:
+            self.resume_at = at
+            self.turns += 1
+            heappush(self.due, (at, self.turns, None))
+            self.alarm.set()
 
     def let_go(self, ticket: Ticket | None) -> None:
         if ticket is None:
--- a/ternlane/gateway/ticket.py
+++ b/ternlane/gateway/ticket.py
@@ -10,6 +10,7 @@
 from ternlane.chat import ChatAsk, Known
 from ternlane.engine import LegPlan
 from ternlane.port import Generation, Server
+from ternlane.recover import Join
 from ternlane.tenants.billing import Used
 
 
@@ -54,25 +55,34 @@
     outlet: Outlet
     since: float
     key: str    # under which engines drop repeats
+    join: Join    # its text, over all legs
     hold: Any = None     # tenants.Hold, settled when the ticket is done
     made: list[Used] = field(default_factory=list)    # by each leg, as far as it is known
     final: Final | None = None
     watch: trio.CancelScope = field(default_factory=trio.CancelScope)
     when_over: Callable[[], None] = lambda: None
     left: bool = False
-    begun: bool = False
+    taken: float = 0.0       # by the decisions, ms
+    begun: bool = False      # the client has a part
+    flowing: bool = False    # the present leg streams
+    prompt_said: int = 0     # tokens of the prompt, by the first engine that said
+    kept_said: int = 0       # of them found kept
+    broke_at: int | None = None    # legs in `made` when its stream broke first
     leg: LegPlan | None = None
     legs: int = 0
     trail: list[str] = field(default_factory=list)    # server and verdict of each leg
     why: str = ""
     state: dict[str, Any] | None = None    # as the reader gave it, to hand to a writer
-    pieces: list[str] = field(default_factory=list)
     holders: dict[Server, None] = field(default_factory=dict)    # servers that may hold a state for it
 
     @property
     def gen(self) -> Generation:
         return self.known.gen
 
+    @property
+    def pieces(self) -> list[str]:
+        return self.join.pieces
+
     def settle(self, final: Final) -> bool:
         """The one final answer; a second one is refused."""
         if self.final is not None or self.left:
--- a/ternlane/gateway/till.py
+++ b/ternlane/gateway/till.py
@@ -117,7 +117,8 @@
             return
         outcome = "left" if ticket.final is None else type(ticket.final).__name__.lower()
         billed = bill_for(ticket.made, ticket.begun, isinstance(ticket.final, Streamed), len(ticket.pieces),
-                          ticket.hold.prompt)
+                          ticket.hold.prompt, ticket.broke_at,
+                          ticket.final.usage["completion_tokens"] if isinstance(ticket.final, Streamed) else 0)
         self.writer.add(self.cashier.settle(ticket.hold, ticket.ident, outcome, billed, ticket.legs, now_ms(),
                                             time.time(), xxh3_64_hexdigest(ticket.key.encode()), len(ticket.pieces)))
 
--- a/ternlane/paper/gateway.py
+++ b/ternlane/paper/gateway.py
@@ -71,6 +71,15 @@
     session_limit: Count = 200_000      # conversations recognised by their beginning
 
 
+class StreamTerms(Sheet, frozen=True, kw_only=True):
+    """What becomes of streams that break off (docs/streams.md)."""
+    resume: bool = True
+    share: Annotated[float, Meta(ge=0, le=1)] = 0.25    # of the readers' work that may go to reading anew
+    keep_toks: Count = 32_768      # of one answer, kept for a loss
+    keep_bytes: Count = 2**18
+    keep_all_bytes: Count = 2**27
+
+
 class NodeLine(Sheet, frozen=True, kw_only=True):
     """One model server on a list. `started` is in seconds since 1970, 0: long ago."""
     id: Name
@@ -127,6 +136,7 @@
     look_ms: Positive = 1000.0         # between two looks at what traffic wants of it
     fleet: FleetTerms = FleetTerms()
     door: DoorTerms = DoorTerms()
+    streams: StreamTerms = StreamTerms()
 
     def __post_init__(self) -> None:
         if self.tenants is not None and self.ledger is None:
--- a/ternlane/port.py
+++ b/ternlane/port.py
@@ -164,7 +164,8 @@
 @dataclass(slots=True, frozen=True)
 class LegEnded:
     """`over`: the client has its final answer by this leg. `kept_toks`: so much of the prompt need not be read anew;
-    `state_lost`: a writer found nothing to go on with."""
+    `state_lost`: a writer found nothing to go on with. `broken`: its client has a part of the answer, and another leg
+    may give the rest once GoOn says so."""
     gen: Generation
     server: Server
     verdict: Verdict
@@ -173,6 +174,13 @@
     kept_toks: float = 0.0
     state_lost: bool = False
     report: Report | None = None
+    broken: bool = False
+
+
+@dataclass(slots=True, frozen=True)
+class GoOn:
+    """It is the turn of a generation whose stream broke; its prompt has grown by what its client has."""
+    gen: Generation
 
 
 @dataclass(slots=True, frozen=True)
@@ -202,7 +210,7 @@
     beat: bool
 
 
-Event = Listed | ListFailed | Arrived | FirstTok | LegEnded | PlaceHeld | Checked | ClientLeft | Woken
+Event = Listed | ListFailed | Arrived | FirstTok | LegEnded | GoOn | PlaceHeld | Checked | ClientLeft | Woken
 
 
 # What the module asks for.
--- /dev/null
+++ b/ternlane/recover/pace.py
@@ -0,0 +1,75 @@
+"""Keeps the reading anew of broken streams within a share of what this gateway's readers are seen to do.
+
+When a cell is lost its streams all break at once. Each would be read anew at once, on fewer servers, before anything
+new: that storm is what takes the rest of the fleet down. So they go in turn, out of a bucket that fills at `share` of
+the reading rate seen in the best spans of late; one at a time always may, or nothing would ever be learnt.
+"""
+from __future__ import annotations
+
+from heapq import heappop, heappush
+from typing import Generic, TypeVar
+
+T = TypeVar("T")
+
+
+class Pace(Generic[T]):
+    """Over any time t no more is read anew than `share` * peak * (t + `span_ms`), one prompt for each try that is
+    alone, and the last prompt's excess. Tokens; ms. What waits is ordered by revenue, then by what was streamed."""
+
+    def __init__(self, share: float, span_ms: float) -> None:
+        self.share, self.span_ms = share, span_ms
+        self.peak = 0.0          # tokens a ms, the best span of late
+        self.level = 0.0         # tokens that may be read anew now
+        self.at = 0.0
+        self.span_at, self.span_toks = 0.0, 0.0
+        self.out: dict[T, None] = {}
+        self.turn = 0
+        self.queue: list[tuple[float, float, int, float, float, T]] = []
+
+    def clock(self, now: float) -> None:
+        spent = now - self.at
+        self.at = now
+        self.level = min(self.share * self.peak * self.span_ms, self.level + self.share * self.peak * spent)
+        passed = now - self.span_at
+        if passed >= self.span_ms:
+            rate = self.span_toks / passed
+            self.peak = max(rate, self.peak * 0.5 ** (passed / (64 * self.span_ms)))
+            self.span_at, self.span_toks = now, 0.0
+
+    def read(self, now: float, toks: float) -> None:
+        """A reader has read an ordinary prompt."""
+        self.clock(now)
+        self.span_toks += toks
+
+    def wait(self, item: T, toks: float, revenue: float, streamed: float, until: float) -> None:
+        """Queues what broke. After `until` its client can't be helped any more."""
+        self.turn += 1
+        heappush(self.queue, (-revenue, -streamed, self.turn, until, toks, item))
+
+    def next(self, now: float) -> tuple[list[T], list[T]]:
+        """Which may go on now, and which have waited too long."""
+        self.clock(now)
+        go: list[T] = []
+        late = [e[5] for e in self.queue if e[3] <= now]
+        if late:
+            self.queue = [e for e in self.queue if e[3] > now]
+            self.queue.sort()
+        while self.queue and (self.level > 0 or not self.out):
+            *_, toks, item = heappop(self.queue)
+            if self.level > 0:    # one that goes because it is alone is not charged, or a debt would only grow
+                self.level -= toks
+            self.out[item] = None
+            go.append(item)
+        return go, late
+
+    def landed(self, item: T) -> None:
+        """It streams again, or has ended: the place is free."""
+        self.out.pop(item, None)
+
+    def due(self, now: float) -> float | None:
+        """When to ask again, if nothing else happens before."""
+        if not self.queue:
+            return None
+        rate = self.share * self.peak
+        wait = max(1.0, -self.level / rate) if rate > 0 else self.span_ms
+        return min(now + wait, min(e[3] for e in self.queue))
--- a/ternlane/tenants/billing.py
+++ b/ternlane/tenants/billing.py
@@ -27,20 +27,23 @@
     note: str = ""
 
 
-def bill_for(made: Sequence[Used], begun: bool, streamed: bool, pieces: int, prompt: int) -> Billed:
+def bill_for(made: Sequence[Used], begun: bool, streamed: bool, pieces: int, prompt: int,
+             broke_at: int | None = None, answered: int = 0) -> Billed:
     """The bill by what each leg made, in their order.
 
     Streamed: billed once, whatever it took. Broken off, or left by its client, midway (`begun`): for the prompt and the
     `pieces` that were passed on. Of which the client got nothing: not at all. The rest is the house's. An engine that
-    says nothing of its usage does not make an answer free: then the reserved `prompt` and the pieces count.
+    says nothing of its usage does not make an answer free: then the reserved `prompt` and the pieces count. A stream
+    that broke after `broke_at` legs and went on is billed as if it had not: its prompt as first read, its answer of
+    `answered` tokens over all legs.
     """
     whole = Used()
     for it in made:
         whole = whole.plus(it)
     if not begun:
         return Billed(Used(), whole)
-    read = next((it for it in reversed(made) if it.prompt), None)
-    answer = made[-1].answer if streamed and made else pieces
+    read = next((it for it in reversed(made[:broke_at]) if it.prompt), None)
+    answer = pieces if not streamed or not made else made[-1].answer if broke_at is None else answered
     if read is None or (pieces and not answer):
         bill = Used(prompt if read is None else read.prompt, 0 if read is None else read.kept, max(answer, pieces))
         return Billed(bill, whole.less(bill), "usage missing: reserved prompt, pieces counted")
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -207,7 +207,7 @@
             await trio.sleep(0.1)
             w.engines[w.said("effect")[0]["id"]].die()
         w.nursery.start_soon(kill)
-        reply = await w.ask()
+        reply = await w.ask("note")
         assert reply.status == 200 and reply.done == 0 and reply.error is not None
 
 
