--- a/ternlane/days/parts.py
+++ b/ternlane/days/parts.py
@@ -12,7 +12,7 @@
 
 from ternlane.days.plan import Act, acts_of, address_of, engines_of, habits_of, talks_of, zones_of, ENGINE_NET
 from ternlane.days.script import (AnswerLost, Burst, DayScript, HandshakeSlow, HeavyTail, HotKey, Neighbour, OriginSlow,
-                                  Pauses, Slow, TenantRush, ZoneCut)
+                                  Pauses, Slow, StreamBroken, TenantRush, ZoneCut)
 from ternlane.paper import read_paper
 from ternlane.standin.clients import Clients
 from ternlane.standin.engine import Engine
@@ -76,6 +76,8 @@
             t.taken = share if on and not (act.args and act.args[0] % 2) else 0.0
         case AnswerLost(share=share, how=way):
             t.lost, t.lost_by_reset = (share, way == "reset") if on else (0.0, False)
+        case StreamBroken(share=share, how=by):
+            t.breaks, t.breaks_by = share if on else 0.0, by
         case HandshakeSlow(added_ms=added):
             t.handshake_ms = added if on else 0.0
         case OriginSlow(times=times):
--- a/ternlane/days/play.py
+++ b/ternlane/days/play.py
@@ -131,7 +131,7 @@
                 name=name, listen=f"{host}:{port}", source=host, zone=zones[i % len(zones)], gateways=self.day.gateways,
                 seed=self.day.seed * 100 + i, state=str(self.folder / f"{name}.nodes"), products=self.day.products,
                 nodes=ConsulSource(address=f"{scene.registry[0]}:{scene.registry[1]}", service="engines"),
-                fleet=self.day.terms, door=self.day.door,
+                fleet=self.day.terms, door=self.day.door, streams=self.day.streams,
                 tenants=str(self.folder / "tenants.json5") if self.day.tenants else None,
                 ledger=str(self.folder / "ledgers" / name) if self.day.tenants else None, look_ms=500.0,
                 lender=str(self.folder / "lender.json") if self.day.tenants and self.day.lent else None)
--- a/ternlane/days/report.py
+++ b/ternlane/days/report.py
@@ -65,12 +65,50 @@
         "tries": sum(map(len, asks.values())), "per_second": round(len(tasks) / max(span / 1000, 1e-9), 1),
         "revenue_in_time": round(sum(v["earned"] for v in products.values()) / could, 4) if could else 0.0,
         **({"accounts": accounts_of(folder, day, lines, span / 1000, owners)} if day.tenants else {}),
+        "streams": streams_of(lines),
         "products": products, "legs": legs, "legs_each": round(legs / max(1, len(finals)), 3),
         "legs_ended": dict(verdicts), "troubles": sorted({str(t.__struct_config__.tag) for t in day.troubles}),
         "judged": findings.counted, "rules_kept": findings.kept,
         "broken": [{"rule": f.rule, "gen": f.gen, "why": f.why, "lines": f.lines} for f in findings.broken[:200]]}
 
 
+def streams_of(lines: list[dict[str, Any]]) -> dict[str, Any]:
+    """What became of begun answers whose leg broke after its first piece, by effect and by how far they were. Tries of
+    clients that left are not counted. `gap_ms`: the longest pause within a stream."""
+    said: dict[str, list[dict[str, Any]]] = defaultdict(list)
+    ends, asks, finals = {}, {}, {}
+    for line in lines:
+        match line["k"]:
+            case "said":
+                said[line["gen"]].append(line)
+            case "leg_end":
+                ends[line["id"], line["gen"], line["n"]] = line["how"]
+            case "ask":
+                asks[line["gen"]] = line
+            case "final":
+                finals[line["gen"]] = line
+    kinds: dict[str, Counter[str]] = defaultdict(Counter)
+    far: dict[str, Counter[str]] = defaultdict(Counter)
+    gaps: dict[str, list[float]] = {"unbroken": [], "joined": []}
+    for gen, ask in asks.items():
+        final, legs = finals.get(gen), said.get(gen, [])
+        if final is None or final["outcome"] == "left":
+            continue
+        broken = [v for v in legs if v["text"] and ends.get((v["id"], gen, v["n"])) != "streamed"]
+        if broken:
+            outcome = "whole" if final["outcome"] == "streamed" else "in part"
+            kinds[ask["effect"]][outcome] += 1
+            if ask["effect"] == "idempotent":
+                words = len(broken[0]["text"].split())
+                far["1" if words == 1 else "2-7" if words < 8 else "8-15" if words < 16 else "16+"][outcome] += 1
+        if ask["stream"] and final["outcome"] == "streamed":
+            gaps["joined" if broken else "unbroken"].append(final["gap"])
+    return {"broke": {k: dict(v) for k, v in kinds.items()},
+            "by pieces before": {k: dict(v) for k, v in sorted(far.items())},
+            "gap_ms": {k: {"n": len(v), **{q: round(quantile(v, float(q)), 1) for q in ("0.5", "0.9", "0.99")}}
+                       for k, v in gaps.items()}}
+
+
 def accounts_of(folder: Path, day: DayScript, lines: list[dict[str, Any]], span_s: float,
                 owners: dict[str, list[float]]) -> dict[str, Any]:
     """Bills against the engines' own counts, and what each tenant spent of its budget."""
@@ -111,6 +149,12 @@
     judged = ", ".join(f"{v} {k}" for k, v in report["judged"].items())
     out.append(f"revenue within the SLO time: {report['revenue_in_time']:.3f}   "
                f"legs a try: {report['legs_each']:.2f}   judged: {judged}")
+    broke = report["streams"]["broke"]
+    if broke:
+        out.append("streams that broke, whole / in part: " + ", ".join(
+            f"{k} {v.get('whole', 0)} / {v.get('in part', 0)}" for k, v in broke.items())
+            + "; longest pause, ms, unbroken / joined, median: " + " / ".join(
+                f"{report['streams']['gap_ms'][k]['0.5']:.0f}" for k in ("unbroken", "joined")))
     if "accounts" in report:
         a = report["accounts"]
         out.append(f"engines made {a['made'].prompt} + {a['made'].answer} tokens; billed {a['billed'].prompt} + "
--- a/ternlane/days/script.py
+++ b/ternlane/days/script.py
@@ -6,7 +6,8 @@
 from msgspec import Meta
 
 from ternlane.tenants.roll import Budget
-from ternlane.paper.gateway import Count, DoorTerms, FleetTerms, Name, NotNegative, Part, Positive, ProductTerms, Sheet
+from ternlane.paper.gateway import (Count, DoorTerms, FleetTerms, Name, NotNegative, Part, Positive, ProductTerms,
+                                    Sheet, StreamTerms)
 
 Span = tuple[float, float]
 
@@ -132,6 +133,12 @@
     how: Literal["silence", "reset"] = "silence"
 
 
+class StreamBroken(OnServers, frozen=True, kw_only=True, tag="stream_broken", tag_field="kind"):
+    """Answers break off after some piece, the last included: the connection is reset, or nothing more comes."""
+    share: Part = 0.1
+    how: Literal["reset", "stall"] = "reset"
+
+
 class HandshakeSlow(OnServers, frozen=True, kw_only=True, tag="handshake_slow", tag_field="kind"):
     """New connections are served late; open ones are not touched."""
     added_ms: Positive = 200.0
@@ -185,7 +192,7 @@
 
 
 AnyTrouble = (TenantRush | Burst | HeavyTail | HotKey | Crash | Hang | Slow | Pauses | Neighbour | Flush
-              | AnswerLost
+              | AnswerLost | StreamBroken
               | HandshakeSlow | OriginSlow | ZoneCut | MassRestart | Preempt | Roll | BalancerCrash | BalancerRoll
               | RegistryFails)
 
@@ -205,6 +212,7 @@
     uses: Annotated[list[Use], Meta(min_length=1)]
     terms: FleetTerms = FleetTerms()
     door: DoorTerms = DoorTerms()
+    streams: StreamTerms = StreamTerms()
     clients: ClientsLine = ClientsLine()
     lists: ListTimes = ListTimes()
     front_notice_ms: Positive = 1500.0
--- a/ternlane/gateway/host.py
+++ b/ternlane/gateway/host.py
@@ -128,7 +128,9 @@
     # -- generations
 
     def join_for(self, raw: dict[str, Any], gen: port.Generation) -> Join:
-        way, why = way_of(raw, gen.product.effect) if self.streams.resume else (Way.END, "resuming is off")
+        way, why = Way.END, "resuming is off"
+        if self.streams.resume:
+            way, why = way_of(raw, gen.product.effect, self.streams.continues)
         return Join(way, why, self.shelf, int(gen.max_toks), raw.get("stop"))
 
     def arrived(self, ticket: Ticket) -> None:
--- a/ternlane/recover/ways.py
+++ b/ternlane/recover/ways.py
@@ -17,8 +17,8 @@
     END = auto()
 
 
-def way_of(raw: dict[str, Any], effect: Effect) -> tuple[Way, str]:
-    """The way for a request, and why it is not GO_ON.
+def way_of(raw: dict[str, Any], effect: Effect, continues: bool = True) -> tuple[Way, str]:
+    """The way for a request, and why it is not GO_ON. `continues`: engines can go on with a text.
 
     A text can be continued where nothing but the text is carried on. Where more is (a grammar's state, an open tool
     call, the draws of a seed), only a whole new run joins on, and only if it must come out the same.
@@ -29,7 +29,7 @@
         return Way.REPLAY, "engines drop its repeats by the request itself"
     if raw.get("n") not in (None, 1):
         return Way.END, "several answers at once can't be joined"
-    carried = beyond_text(raw)
+    carried = beyond_text(raw) if continues else "engines can't go on with a text"
     if not carried:
         return Way.GO_ON, ""
     if raw.get("temperature") == 0 or raw.get("seed") is not None:
--- a/ternlane/rules/check.py
+++ b/ternlane/rules/check.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import json
+import zlib
 from bisect import bisect_right
 from collections import defaultdict
 from dataclasses import dataclass, field
@@ -71,7 +72,8 @@
 def check(lines: list[Line], rules: dict[str, Any]) -> Findings:
     run = Run(lines, rules)
     counted: dict[str, int] = {}
-    broken = [f for judge in (run.answers, run.effects, run.one_leg, run.drains, run.cold, run.pinned)
+    broken = [f for judge in (run.answers, run.effects, run.one_leg, run.drains, run.cold, run.pinned,
+                                       run.texts)
               for f in judge(counted)]
     return Findings(broken, counted)
 
@@ -315,3 +317,30 @@
                 continue
             yield Finding(5, state["gen"], f"held at {state['id']} for {idle:.0f} ms with no leg out",
                           [state, *map(vars, legs)])
+
+    # -- rule 6
+
+    def texts(self, counted: dict[str, int]) -> Iterable[Finding]:
+        """What a client was told is what engines produced, in order and once, over however many legs: by the engines'
+        own journals of from where they went on and what they said. A whole answer is the one that an unbroken leg
+        would have given. Not judged: answers given anew from a gateway's store, which had no leg."""
+        said: defaultdict[str, list[Line]] = defaultdict(list)
+        for line in self.by["said"]:
+            said[line["gen"]].append(line)
+        for final in self.by["final"]:
+            legs, text = sorted(said.get(final["gen"], []), key=lambda v: v["n"]), final.get("text", "")
+            if not legs or final["outcome"] not in FINALS:
+                continue
+            counted["texts"] = counted.get("texts", 0) + 1
+            counted["texts of several legs"] = counted.get("texts of several legs", 0) + (len(legs) > 1)
+            for i, leg in enumerate(legs):
+                if leg["after"] and not any((v["after"] + v["text"]).startswith(leg["after"]) for v in legs[:i]):
+                    yield Finding(6, final["gen"], "a leg went on from what no engine had said", [final, *legs])
+                    break
+            if final["outcome"] == "streamed":
+                if text != legs[-1]["after"] + legs[-1]["text"]:
+                    yield Finding(6, final["gen"], "the text is not what the engines said", [final, *legs])
+                elif zlib.crc32(text.encode()) != legs[0]["whole"]:
+                    yield Finding(6, final["gen"], "the text is not what an unbroken leg gives", [final, *legs])
+            elif not any((v["after"] + v["text"]).startswith(text) for v in legs):
+                yield Finding(6, final["gen"], "a part of a text that no engine said so", [final, *legs])
--- a/ternlane/standin/clients.py
+++ b/ternlane/standin/clients.py
@@ -82,6 +82,7 @@
     why: str = ""
     usage: dict[str, Any] | None = None
     unread: int = 0
+    gap_ms: float = 0.0     # the longest pause within its stream
 
 
 def words(rng: random.Random, toks: float) -> str:
@@ -203,7 +204,7 @@
             task = f"{session.tenant[0]}:{task}"
         stream = self.rng.random() >= talk.plain_part
         body: dict[str, Any] = {"model": talk.product, "messages": session.messages, "stream": stream,
-                                "max_tokens": talk.max_toks, "user": session.user}
+                                "max_tokens": talk.max_toks, "user": session.user, "temperature": 0}
         if stream:
             body["stream_options"] = {"include_usage": True}
         if session.key is not None:
@@ -237,7 +238,7 @@
             caller.close_now()
             self.traffic.line("final", gen=gen, outcome=heard.outcome, status=heard.status, why=heard.why,
                               unread=heard.unread, crc=zlib.crc32(heard.text.encode()), usage=heard.usage,
-                              pause=heard.pause_ms)
+                              pause=heard.pause_ms, text=heard.text, gap=round(heard.gap_ms, 1))
         return heard
 
     async def listen(self, caller: Caller, gen: str, headers: list[tuple[str, str]], body: bytes, heard: Heard,
@@ -268,10 +269,12 @@
 
     async def stream(self, caller: Caller, gen: str, heard: Heard, scope: trio.CancelScope, leave: bool,
                      limit_ms: float) -> None:
-        events, first = EventReader(), True
+        events, first, last = EventReader(), True, 0.0
         pieces: list[str] = []
         finals: list[str] = []
         async for chunk in caller.chunks():
+            now, last = clock_ms(), last or clock_ms()
+            heard.gap_ms, last = max(heard.gap_ms, now - last), now
             if not leave:    # a begun stream has no time limit but the client's patience between events
                 scope.deadline = trio.current_time() + limit_ms / 1000
             for data in events.feed(chunk):
--- a/ternlane/standin/engine.py
+++ b/ternlane/standin/engine.py
@@ -54,6 +54,8 @@
     pause_until: float = 0.0
     lost: float = 0.0            # part of answers that never arrive
     lost_by_reset: bool = False
+    breaks: float = 0.0          # part of answers that break off after some piece, the last included
+    breaks_by: str = "reset"     # or stall
     handshake_ms: float = 0.0
     links: float = 1.0           # times slower
     script: str = ""             # what happens to each leg: full, error, reset, midway, stall, silent, nostate, ...
@@ -323,8 +325,8 @@
         await trio.sleep_forever()
         raise AssertionError
 
-    async def break_off(self, exchange: Exchange) -> str:
-        if self.trouble.script == "stall":
+    async def break_off(self, exchange: Exchange, how: str) -> str:
+        if how == "stall":
             await trio.sleep_forever()
         exchange.stream.setsockopt(1, 13, LINGER_0)
         return "lost"
@@ -419,9 +421,18 @@
         rate = self.build.near_tok_s if near else self.build.far_tok_s / self.trouble.links
         await self.work(said["toks"] / rate * 1000)
 
-    def answer(self, body: dict[str, Any], text: bytes) -> list[str]:
-        """The same words for the same prompt at every engine; of a text to be continued, those that are missing. A text
-        that is not the beginning of its own answer it continues in its own way."""
+    def break_of(self, out: int) -> tuple[int | None, str]:
+        """After how many pieces the answer breaks off, if it does, and how."""
+        t = self.trouble
+        if t.script in ("midway", "stall"):
+            return t.at, "reset" if t.script == "midway" else "stall"
+        if out and self.rng.random() < t.breaks:
+            return self.rng.randint(1, out), t.breaks_by
+        return None, ""
+
+    def answer(self, body: dict[str, Any], text: bytes) -> tuple[str, list[str]]:
+        """What is to be continued, and the words that come after it: the same for the same prompt at every engine. A
+        text that is not the beginning of its own answer it continues in its own way."""
         begun = ""
         if body.get("continue_final_message"):
             begun = body["messages"][-1]["content"]
@@ -431,11 +442,12 @@
         low, high = self.build.answer_toks
         many = low + zlib.crc32(text) % (high - low + 1)
         words = [f"{zlib.crc32(text + bytes([i % 256])) % 9973} " for i in range(many)]
-        while begun and words and begun.startswith(words[0]):
-            begun = begun[len(words.pop(0)):]
-        if begun and words and words[0].startswith(begun):    # broken off within a word
-            words[0] = words[0][len(begun):]
-        return words
+        rest = begun
+        while rest and words and rest.startswith(words[0]):
+            rest = rest[len(words.pop(0)):]
+        if rest and words and words[0].startswith(rest):    # broken off within a word
+            words[0] = words[0][len(rest):]
+        return begun, words
 
     async def write(self, exchange: Exchange, gen: str, number: int, stage: str, body: dict[str, Any],
                     text: bytes) -> str:
@@ -449,8 +461,10 @@
         if self.used + toks > self.build.mem_toks:
             raise Refused(429, "memory-full")
         self.drop_state(gen, "taken")    # the place that was held for it, if one was
-        words = self.answer(body, text)[:most]
-        out = len(words)
+        after, words = self.answer(body, text)
+        words = words[:most]
+        out, said = len(words), 0
+        break_at, break_by = self.break_of(out)
         self.weigh(out * self.build.tok_ms + toks / self.build.near_tok_s * 1000)
         await self.enter()
         held = toks + out
@@ -475,11 +489,12 @@
             lost = self.rng.random() < self.trouble.lost
             for i, word in enumerate(words):
                 await self.work(self.build.tok_ms * (1 + self.build.tok_grow * self.busy / self.build.slots))
-                if i == self.trouble.at and self.trouble.script in ("midway", "stall"):
-                    return await self.break_off(exchange)
+                if i == break_at:
+                    return await self.break_off(exchange, break_by)
                 written += 1
                 if lost:
                     continue
+                said += 1
                 data = event_bytes(msgspec.json.encode({
                     "id": gen, "object": "chat.completion.chunk",
                     "choices": [{"index": 0, "delta": {"content": word}, "finish_reason": None}]}))
@@ -490,8 +505,8 @@
                     await exchange.chunk(data)
             if lost:
                 return await self.silence(exchange)
-            if words and self.trouble.at == out and self.trouble.script in ("midway", "stall"):
-                return await self.break_off(exchange)    # after the last token, before the end
+            if words and break_at == out:
+                return await self.break_off(exchange, break_by)    # after the last token, before the end
             usage = self.usage(toks, kept, out)
             last = event_bytes(msgspec.json.encode({
                 "id": gen, "choices": [{"index": 0, "delta": {}, "finish_reason": "stop"}]}))
@@ -504,6 +519,9 @@
                 await exchange.answer(200, [self.load()], last, "text/event-stream")
             return "streamed"
         finally:
+            if written or not words:    # its journal: from where on, what was said, and what the whole would be
+                self.traffic.line("said", id=self.ident, gen=gen, n=number, after=after, text="".join(words[:said]),
+                                  whole=zlib.crc32((after + "".join(words)).encode()))
             if read or written:
                 self.traffic.line("made", id=self.ident, gen=gen, prompt=read, kept=int(kept) if read else 0,
                                   answer=written)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -16,6 +16,7 @@
 from ternlane.gateway.ticket import Final, Streamed, Ticket
 from ternlane.http1 import event_bytes
 from ternlane.port import Life, Server, Verdict
+from ternlane.recover import Join
 from ternlane.rules import Findings, check
 from ternlane.standin.clients import Clients, Habits, Talk
 from ternlane.standin.traffic import clock_ms
@@ -115,6 +116,44 @@
             self.forget(ticket)
 
 
+class Wrongly(Join):
+    """Joins what comes after a loss wrongly."""
+    how = ""
+
+    def take(self, piece: str) -> str:
+        new = super().take(piece)
+        if not self.resumed or self.leg_pieces != 1:
+            return new
+        return new + new if self.how == "twice" else "" if self.how == "skips" else new
+
+    def request(self, raw: dict[str, Any]) -> dict[str, Any]:
+        return raw if self.how == "anew" else super().request(raw)
+
+    def took_in(self, prompt: int, first: int) -> bool:
+        return True
+
+
+class Stutters(Host):
+    """Rule 6: says a piece twice."""
+    how = "twice"
+
+    def join_for(self, raw: dict[str, Any], gen: port.Generation) -> Join:
+        it = super().join_for(raw, gen)
+        wrong = Wrongly(it.way, it.why, it.shelf, it.max_toks)
+        wrong.how = self.how
+        return wrong
+
+
+class Skips(Stutters):
+    """Rule 6: leaves a piece out."""
+    how = "skips"
+
+
+class Anew(Stutters):
+    """Rule 6: begins again from the start."""
+    how = "anew"
+
+
 async def talk(w: World, rate: float, length_ms: float, **habits: Any) -> None:
     clients = Clients("c", w.gateway.address, TALKS, Habits(**habits), w.traffic, 3)
     async with trio.open_nursery() as nursery:
@@ -200,12 +239,20 @@
         return check(w.traffic.lines, RULES | {"fall_ms": 500.0})
 
 
+async def torn(host: type[Host]) -> Findings:
+    async with world(("r0", "r0b", "w0", "w0b", "w1", "w1b"), host_type=host) as w:
+        for ident in ("w0", "w0b", "w1", "w1b"):
+            w.engines[ident].trouble.breaks = 0.3
+        await talk(w, 60, 1200)
+        return check(w.traffic.lines, RULES)
+
+
 def replace_paper(**changes: Any) -> Any:
     import msgspec
     return msgspec.structs.replace(TERMS, **changes)
 
 
-SCENES = {"troubled": troubled, "slowly read": slowly_read, "drained": drained, "restarted": restarted}
+SCENES = {"troubled": troubled, "slowly read": slowly_read, "drained": drained, "restarted": restarted, "torn": torn}
 
 
 @pytest.mark.parametrize("scene", list(SCENES))
@@ -224,6 +271,9 @@
     (Undrained, "drained", 3, "told that w"),
     (Careless, "restarted", 4, "fell over"),
     (Keeper, "troubled", 5, "no leg out"),
+    (Stutters, "torn", 6, "not what the engines said"),
+    (Skips, "torn", 6, "not what the engines said"),
+    (Anew, "torn", 6, "not what"),
 ])
 async def test_a_wrong_gateway_is_caught(host: type[Host], scene: str, rule: int, word: str) -> None:
     seen = []
