A stall is judged by how unlikely the silence is among peers, and never sooner than a resume pays

Change: recover.Rhythm learns each server's pace and, over all of them, how much longer waits come to be; quiet_ms of a leg that can be joined on is the smaller of that and what the decisions allow.

--- a/ternlane/gateway/host.py
+++ b/ternlane/gateway/host.py
@@ -18,10 +18,13 @@
 from ternlane.nodes import Book
 from ternlane.paper import StreamTerms
 from ternlane.port import Duty, Server, StartFacts, Verdict
-from ternlane.recover import Differs, Join, Pace, Shelf, Way, way_of
+from ternlane.recover import Differs, Join, Pace, Rhythm, Shelf, Way, way_of
 from ternlane.tenants.billing import Used
 
 
+SAME_MS = 0.2    # pieces closer than that came in one read
+
+
 class Chooser(Protocol):
     """What decides: choice.Router, or a baseline to measure against."""
 
@@ -44,6 +47,7 @@
         self.streams = streams or StreamTerms()
         self.shelf = Shelf(self.streams.keep_toks, self.streams.keep_bytes, self.streams.keep_all_bytes)
         limits = [p.limit_ms for p in facts.products]
+        self.rhythm = Rhythm(self.streams.alarms, facts.seed)
         self.pace: Pace[Ticket] = Pace(self.streams.share, max(limits, default=1000.0) / 4)
         self.resume_at = float("inf")
         self.turns = 0
@@ -202,9 +206,21 @@
             join.request(ticket.ask.raw), ticket.state, join.left(), ticket.leg, place.line.protocol, goes_on))
 
     async def run(self, ticket: Ticket, server: Server, ask: LegAsk) -> None:
-        since, stage, plan = now_ms(), ask.stage, ask.plan
+        since, stage, plan, last = now_ms(), ask.stage, ask.plan, 0.0
+        longest, explores = plan.quiet_ms, self.rhythm.explores()
 
         async def pass_on(text: str, first: bool) -> None:
+            nonlocal last
+            if not first and now_ms() - last > SAME_MS:    # not what came with the piece before
+                self.rhythm.heard(server, now_ms() - last, explores)
+            try:
+                await pass_piece(text, first)
+            finally:
+                last = now_ms()    # a client that takes its time is not the engine's silence
+            if ticket.join.way is not Way.END and self.streams.alarms and not explores:
+                plan.quiet_ms = min(longest, self.rhythm.quiet_ms(server) or longest)
+
+        async def pass_piece(text: str, first: bool) -> None:
             if ticket.left:
                 raise ClientGone
             if first:
@@ -213,6 +229,10 @@
                 if not ticket.begun:
                     self.measures.first.labels(ticket.ask.model).observe((now_ms() - ticket.since) / 1000)
                 self.pace.landed(ticket)
+                if ticket.broke_ms:
+                    self.rhythm.resumed(now_ms() - ticket.broke_ms)
+                    self.measures.resumed.observe((now_ms() - ticket.broke_ms) / 1000)
+                    ticket.broke_ms = 0.0
                 self.tell(port.FirstTok(ticket.gen, server, now_ms() - since))
             try:
                 new = ticket.join.take(text)
@@ -282,6 +302,7 @@
     def streamed(self, ticket: Ticket, finish: str, usage: Usage | None) -> None:
         join, said = ticket.join, (usage or Usage()).told()
         self.intake.answered(ticket.known, join.text)
+        self.rhythm.ended(len(join.pieces))
         self.settle(ticket, Streamed(join.text, finish, join.usage(ticket.prompt_said, ticket.kept_said, said)))
 
     # -- streams that broke
@@ -300,6 +321,7 @@
             self.streamed(ticket, "length", Usage())
             self.measures.breaks.labels("whole").inc()
             return False
+        ticket.broke_ms = now_ms()
         self.measures.breaks.labels("replay" if join.way is Way.REPLAY else "go_on").inc()
         gen.prompt_toks += again - before
         gen.max_toks = float(join.left())
--- a/ternlane/gateway/measures.py
+++ b/ternlane/gateway/measures.py
@@ -14,6 +14,7 @@
         self.first = Histogram("ternlane_first_token_seconds", "Arrival to first token", ["model"], registry=r)
         self.breaks = Counter("ternlane_broken_streams", "Streams that broke, by what became of them", ["way"],
                               registry=r)
+        self.resumed = Histogram("ternlane_resume_seconds", "From a stream's break to its next piece", registry=r)
         self.open = Gauge("ternlane_open_generations", "Generations held now", registry=r)
         self.conns = Gauge("ternlane_connections", "Clients' connections", registry=r)
         self.refused = Counter("ternlane_refused_requests", "Requests that were not taken", ["code"], registry=r)
--- a/ternlane/paper/gateway.py
+++ b/ternlane/paper/gateway.py
@@ -75,6 +75,7 @@
     """What becomes of streams that break off (docs/streams.md)."""
     resume: bool = True
     continues: bool = True    # engines know continue_final_message; else whole runs are repeated, compared and skipped
+    alarms: Annotated[float, Meta(ge=0, le=1)] = 1e-3    # part of streams wrongly given up as stalled; 0: none are
     share: Annotated[float, Meta(ge=0, le=1)] = 0.25    # of the readers' work that may go to reading anew
     keep_toks: Count = 32_768      # of one answer, kept for a loss
     keep_bytes: Count = 2**18
--- a/ternlane/recover/__init__.py
+++ b/ternlane/recover/__init__.py
@@ -1,6 +1,7 @@
 """What becomes of a stream that breaks off: may it go on, where does its text join, when is its turn. Free of I/O."""
 from ternlane.recover.join import Differs, Join, Shelf
 from ternlane.recover.pace import Pace
+from ternlane.recover.rhythm import Rhythm
 from ternlane.recover.ways import Way, way_of
 
-__all__ = ["Differs", "Join", "Pace", "Shelf", "Way", "way_of"]
+__all__ = ["Differs", "Join", "Pace", "Rhythm", "Shelf", "Way", "way_of"]
--- /dev/null
+++ b/ternlane/recover/rhythm.py
@@ -0,0 +1,103 @@
+"""When a silent stream has stalled: by how unlikely the silence is among its peers, never sooner than a resume pays.
+
+A server's own pace is a running median of the waits between its pieces. How much longer than that a wait may be is
+learnt from all servers together, as a histogram of ratios that fades: pauses that writers do make (a big prompt joins
+the batch, a collection, a preemption) are in it, so they raise no alarm. Beyond what was seen its tail is carried on as
+a power law by Hill's estimate. And since giving up costs a resume, no stream is given up before it has been silent for
+as long as one takes: whatever then turns out, it has cost at most twice the best.
+
+A stream that is given up never shows how long it would have been silent, so the rule would unlearn the pauses that it
+cuts off. One stream in `EXPLORE` is therefore left to the host's own bound, and its longer waits count for the others.
+"""
+from __future__ import annotations
+
+import zlib
+from collections.abc import Hashable
+from math import ceil, log, log2
+
+PER_OCTAVE = 8
+LOWEST = -6 * PER_OCTAVE      # ratios below 2**-6 are all alike
+BUCKETS = 22 * PER_OCTAVE
+STEP = 0.05                   # of the running median, relative
+TAIL = 32                     # waits that the tail's slope is taken from
+LEAST = 2000                  # waits before anything is said, and between two looks at the tail
+EXPLORE = 16
+FADE = 1 / 4                  # what stays of the histogram when it is full
+FULL = 200_000
+
+
+class Rhythm:
+    """`alarms`: how many false ones there may be a stream. All times in ms."""
+
+    def __init__(self, alarms: float, seed: int = 0) -> None:
+        self.alarms, self.seed, self.turn = alarms, seed, 0
+        self.counts = [0.0] * BUCKETS
+        self.total = 0.0
+        self.paces: dict[Hashable, float] = {}
+        self.toks = 32.0         # pieces a stream, mean
+        self.resume_ms = 0.0     # what a resume takes, mean; 0: not known
+        self.worst = 0.0         # ratio that is passed by a part `alarms / toks` of waits
+        self.stale = 0
+
+    def explores(self) -> bool:
+        """Whether the next stream is one of those that are never given up early."""
+        self.turn += 1
+        return zlib.crc32(b"%d %d" % (self.seed, self.turn)) % EXPLORE == 0
+
+    def heard(self, server: Hashable, wait_ms: float, explored: bool = False) -> None:
+        """A piece came `wait_ms` after the one before; `explored`: in a stream that `explores` had chosen."""
+        pace = self.paces.get(server)
+        if pace is None:
+            self.paces[server] = max(wait_ms, 0.01)
+            return
+        ratio = max(wait_ms, 1e-3) / pace
+        self.paces[server] = pace * (1 + STEP) if ratio > 1 else pace / (1 + STEP)
+        bucket = min(BUCKETS - 1, max(0, ceil(PER_OCTAVE * log2(ratio)) - LOWEST))
+        weight = EXPLORE if explored and self.worst and ratio > self.worst else 1
+        self.counts[bucket] += weight
+        self.total += weight
+        self.stale += 1
+        if self.total > FULL:
+            self.counts = [n * FADE for n in self.counts]
+            self.total *= FADE
+
+    def ended(self, pieces: int) -> None:
+        """A stream came to its end with so many pieces."""
+        self.toks += (pieces - self.toks) / 64
+
+    def resumed(self, took_ms: float) -> None:
+        """From a loss to the next piece."""
+        self.resume_ms = took_ms if not self.resume_ms else self.resume_ms + (took_ms - self.resume_ms) / 16
+
+    def forget(self, server: Hashable) -> None:
+        self.paces.pop(server, None)
+
+    def quiet_ms(self, server: Hashable) -> float | None:
+        """How long a stream of this server may be silent; None while too little is known."""
+        pace = self.paces.get(server)
+        if pace is None or self.total < LEAST or not self.resume_ms:
+            return None
+        if self.stale >= LEAST:
+            self.stale, self.worst = 0, self.passed_by(self.alarms / max(self.toks, 1.0))
+        elif not self.worst:
+            self.worst = self.passed_by(self.alarms / max(self.toks, 1.0))
+        return max(pace * self.worst, self.resume_ms)
+
+    def passed_by(self, part: float) -> float:
+        """The ratio that only this part of waits passes."""
+        want, seen = part * self.total, 0.0
+        logs = seen_logs = 0.0    # of the tail
+        for i in range(BUCKETS - 1, -1, -1):
+            n = self.counts[i]
+            if not n:
+                continue
+            seen += n
+            top = (i + LOWEST) / PER_OCTAVE
+            if seen >= max(want, TAIL) or i == 0:
+                if want >= TAIL:
+                    return float(2.0 ** top)
+                slope = logs / seen_logs - top if seen_logs else 0.0    # mean excess: 1 / index
+                return float(2.0 ** (top + max(slope, 1 / PER_OCTAVE) * log(seen / want)))
+            logs += n * top
+            seen_logs += n
+        return float(2.0 ** ((BUCKETS + LOWEST) / PER_OCTAVE))
--- a/tests/test_recover.py
+++ b/tests/test_recover.py
@@ -2,6 +2,7 @@
 from __future__ import annotations
 
 import json
+import random
 from typing import Any
 
 import pytest
@@ -12,7 +13,7 @@
 from tests.world import BUILD, TERMS, Reply, World, replace, world
 from ternlane.paper import FleetTerms, StreamTerms
 from ternlane.port import Effect
-from ternlane.recover import Differs, Join, Pace, Shelf, Way, way_of
+from ternlane.recover import Differs, Join, Pace, Rhythm, Shelf, Way, way_of
 
 WHOLE = 10**9
 
@@ -375,3 +376,69 @@
         pace.out.clear()
         order += pace.next(7.0)[0]
     assert order == ["long", "short", "low"]
+
+
+def waits_of(rng: random.Random, pace: float, pauses: float) -> float:
+    return pace * rng.lognormvariate(0, 0.3) * (25 * rng.random() if rng.random() < pauses else 1.0)
+
+
+def test_a_stall_is_told_from_the_pauses_that_peers_make() -> None:
+    """Told within a few waits where writers are steady; later, by itself, where they pause now and then."""
+    quiet = {}
+    for pauses in (0.0, 0.01):
+        rng, it = random.Random(5), Rhythm(1e-3)
+        it.toks = 30
+        it.resumed(20.0)
+        assert it.quiet_ms("w0") is None    # nothing is known yet
+        paces = {f"w{i}": 5.0 * (i + 1) for i in range(6)}
+        alarms = 0
+        for n in range(60_000):
+            name = rng.choice(list(paces))
+            wait, limit = waits_of(rng, paces[name], pauses), it.quiet_ms(name)
+            explored = n % 30 < 2
+            if limit is not None and wait > limit and n > 20_000 and not explored:
+                alarms += 1
+                continue    # given up: how long it would have been is never known
+            it.heard(name, wait, explored)
+        assert alarms <= 40_000 / 30 * 1e-3 * 6 + 2
+        quiet[pauses] = it.quiet_ms("w3") or 0.0
+        assert quiet[pauses] > (it.quiet_ms("w0") or 0.0)    # each server by its own pace
+    assert 20 <= quiet[0.0] < 20 * 12 and quiet[0.01] > 1.5 * quiet[0.0]
+
+
+def test_no_stream_is_given_up_sooner_than_a_resume_takes_and_a_slower_fleet_is_soon_believed() -> None:
+    rng, it = random.Random(6), Rhythm(1e-2)
+    it.resumed(400.0)
+    for _ in range(5000):
+        it.heard("w0", waits_of(rng, 10.0, 0.0))
+    assert it.quiet_ms("w0") == 400.0
+    it.resume_ms = 1.0
+    before = it.quiet_ms("w0") or 0.0
+    for _ in range(60):    # all writers are four times slower from now on
+        it.heard("w0", waits_of(rng, 40.0, 0.0))
+    assert (it.quiet_ms("w0") or 0.0) > 3 * before
+    it.forget("w0")
+    assert it.quiet_ms("w0") is None
+
+
+async def test_a_stalled_stream_goes_on_long_before_the_silence_that_was_allowed() -> None:
+    async with world(("r0", "w0", "w0b"), build=replace(BUILD, answer_toks=(30, 30)), terms=terms(),
+                     streams=StreamTerms(alarms=1e-3)) as w:
+        rhythm, rng = w.gateway.host.rhythm, random.Random(1)
+        for _ in range(4000):
+            for server in w.gateway.host.book.servers.values():
+                rhythm.heard(server, waits_of(rng, 4.0, 0.0))
+        rhythm.resumed(30.0)
+        rhythm.explores = lambda: False    # type: ignore[method-assign]
+        for ident in ("w0", "w0b"):
+            await broken_at(w, ident, 12, "stall")
+
+        async def mend() -> None:
+            while not w.said("effect"):
+                await trio.sleep(0.0005)
+            w.engines["w0b" if w.said("effect")[0]["id"] == "w0" else "w0"].trouble.script = ""
+        w.nursery.start_soon(mend)
+        since = trio.current_time()
+        reply = await w.ask()
+        assert reply.done == 1 and len(reply.text.split()) == 30 and trio.current_time() - since < 0.8
+        assert w.gateway.host.facts.products[0].limit_ms / 2 == 1000    # the silence that the decisions allow
