--- a/ternlane/chat/repeats.py
+++ b/ternlane/chat/repeats.py
@@ -82,6 +82,12 @@
             return Differs()
         return Busy() if record.out else Done(record.answer)
 
+    def restore(self, key: str, mark: bytes, answer: Any, cost: int, until: float) -> None:
+        """What a process before this one knew. Nothing that this one has met since is touched."""
+        if key not in self.out and key not in self.ended:
+            self.out[key] = Record(mark, 0.0)
+            self.end(key, answer, cost, until)
+
     def end(self, key: str, answer: Any, cost: int, until: float) -> None:
         """`answer` None: nothing ran or nothing need be kept, the key is free again."""
         record = self.out.pop(key, None)
--- a/ternlane/gateway/door.py
+++ b/ternlane/gateway/door.py
@@ -15,11 +15,13 @@
                            kept_for_repeats, read_chat, usage_chunk)
 from ternlane.gateway.host import Host, now_ms
 from ternlane.gateway.measures import Measures
+from ternlane.gateway.scribe import final_of
 from ternlane.gateway.till import Till
 from ternlane.gateway.ticket import Final, Outlet, Streamed, Terminated, Throttled, Ticket
 from ternlane.http1 import BadRequest, Exchange, event_bytes, serve_connection
 from ternlane.paper import DoorTerms, GatewayPaper
 from ternlane.port import Product
+from ternlane.recover.inflight import Known
 from ternlane.tenants import Hold, Refusal, TenantLine, Unknown
 from ternlane.tenants.cashier import wait_s
 
@@ -213,6 +215,8 @@
             return None
         if not 1 <= len(said) <= 255:
             raise Wrong("Idempotency-Key", "Idempotency-Key must have 1 to 255 characters")
+        if self.host.scribe is not None and not self.host.scribe.ready:    # a repeat's first may be out there
+            raise NotTaken(503, "The journal of the process before is being taken over", "taking_over", 1)
         owner = tenant.name if tenant is not None else exchange.header(b"authorization") or ""
         return f"{owner}\0{said}"
 
@@ -250,7 +254,8 @@
             outlet.extra = self.till.headers(hold)
         # Engines drop repeats by this key; a key of the gateway's own can't meet another gateway's.
         engine_key = (f"{self.birth}-{ident}-{next(self.count)}" if key is None else xxh3_64_hexdigest(key.encode()))
-        return Ticket(ident, ask, known, outlet, since, engine_key, self.host.join_for(ask.raw, known.gen), hold)
+        return Ticket(ident, ask, known, outlet, since, engine_key, self.host.join_for(ask.raw, known.gen),
+                      key or "", xxh3_128_digest(exchange.body) if key is not None else b"", hold=hold)
 
     def ident(self, exchange: Exchange, tenant: str) -> str:
         """The client's own name for it if it is a plain one that is not in use; a tenant's go by the tenant, as a
@@ -313,6 +318,13 @@
                                       error_body(status, f"Terminated: {why or 'no server could finish it'}",
                                                  "terminated"))
 
+    def restore(self, found: list[Known]) -> None:
+        """What a process before this one had answered, or had out when it was lost."""
+        now, wall = now_ms(), time.time() * 1000
+        for it in found:
+            self.repeats.restore(it.taken.key, it.taken.mark, final_of(it), len(it.ended.text),
+                                 now + it.taken.until - wall)
+
     def remember(self, key: str, ticket: Ticket) -> None:
         """Ends the key's first request with what a repeat will hear."""
         product, final = ticket.gen.product, ticket.final
--- a/ternlane/gateway/gateway.py
+++ b/ternlane/gateway/gateway.py
@@ -20,6 +20,7 @@
 from ternlane.gateway.host import Chooser, Host, now_ms
 from ternlane.gateway.logs import library_log
 from ternlane.gateway.measures import Measures
+from ternlane.gateway.scribe import Scribe
 from ternlane.gateway.till import Till
 from ternlane.http1 import Exchange, Pool, serve_connection
 from ternlane.nodes import Book, Torn, follow_consul, follow_file, keep, kept
@@ -55,6 +56,8 @@
         self.door = Door(paper, self.host, intake, models, self.measures, log, self.till)
         if self.till is not None:
             self.host.on_done, self.host.affords = self.till.done, self.till.affords
+        self.scribe = Scribe(Path(paper.journal), log) if paper.journal is not None else None
+        self.host.scribe = self.scribe
         self.listeners: list[trio.SocketListener] = []
         self.handed_over = False
         self.doors = trio.CancelScope()
@@ -119,6 +122,12 @@
                         self.found(inline.nodes)
                         await trio.sleep_forever()
 
+    async def _take_up(self) -> None:
+        """What the process before had in flight when it was lost."""
+        assert self.scribe is not None
+        self.door.restore(await self.scribe.take_up(self.transport, self.facts.release_ms))
+        self.scribe.ready = True
+
     def reload(self, paper: GatewayPaper) -> tuple[list[str], list[str]]:
         """Takes over what can change while running. Gives the fields that did, and those that wait for a restart."""
         old, changed, kept_back = self.paper, [], []
@@ -153,6 +162,9 @@
         if self.till is not None:
             for run in (self.till.follow, self.till.borrow, self.till.writer.run):
                 self.nursery.start_soon(run)
+        if self.scribe is not None:
+            self.nursery.start_soon(self.scribe.writer.run)
+            self.nursery.start_soon(self._take_up)
         self.nursery.start_soon(self._serve)
         if self.paper.metrics is not None:
             host, port = split(self.paper.metrics)
@@ -216,6 +228,8 @@
                 await trio.sleep(0.01)
         if self.till is not None:
             await self.till.close()
+        if self.scribe is not None:
+            await self.scribe.close()
 
 
 @asynccontextmanager
--- a/ternlane/gateway/host.py
+++ b/ternlane/gateway/host.py
@@ -14,6 +14,7 @@
 from ternlane.chat import Intake
 from ternlane.engine import ClientGone, LegAsk, LegEnd, LegPlan, Stage, Transport, Usage
 from ternlane.gateway.measures import Measures
+from ternlane.gateway.scribe import Scribe
 from ternlane.gateway.ticket import Streamed, Terminated, Throttled, Ticket
 from ternlane.nodes import Book
 from ternlane.paper import StreamTerms
@@ -54,6 +55,7 @@
         self.alarm = trio.Event()
         self.idents: set[str] = set()
         self.releasing = 0
+        self.scribe: Scribe | None = None
         self.on_done: Callable[[Ticket], None] = lambda _: None
         self.affords: Callable[[Ticket], bool] = lambda _: True
         self.on_follow: Callable[[], None] = lambda: None
@@ -140,6 +142,8 @@
     def arrived(self, ticket: Ticket) -> None:
         self.tickets[ticket.gen], ticket.taken = ticket, now_ms()
         self.idents.add(ticket.ident)
+        if self.scribe is not None:
+            self.scribe.took(ticket)
         self.measures.open.set(len(self.tickets))
         self.tell(port.Arrived(ticket.gen))
 
@@ -171,6 +175,8 @@
 
     def close(self, ticket: Ticket, outcome: str) -> None:
         took = now_ms() - ticket.since
+        if self.scribe is not None:
+            self.scribe.ended(ticket, outcome)
         self.measures.outcomes.labels(ticket.ask.model, outcome).inc()
         self.log.info("generation", gen=ticket.ident, model=ticket.ask.model, session=ticket.known.session,
                       outcome=outcome, legs=ticket.trail, took_ms=round(took, 1), why=ticket.why)
@@ -200,12 +206,16 @@
             stage = Stage.WRITE
         ticket.leg = LegPlan(place.address, [], b"", times.timeout_ms, times.quiet_ms, times.whole_ms)
         join, goes_on = ticket.join, ticket.join.resumed and ticket.join.way is Way.GO_ON
-        self.nursery.start_soon(self.run, ticket, server, LegAsk(
+        first = None
+        if self.scribe is not None:
+            first = self.scribe.sends(ticket, place.ident, place.address, place.line.protocol, stage is Stage.READ,
+                                      stage is not Stage.READ)
+        self.nursery.start_soon(self.run, ticket, server, first, LegAsk(
             place.ident, place.address, stage, ticket.ident, number,
             f"{ticket.key}.{join.legs}" if goes_on else ticket.key,    # another request than the first: no repeat
             join.request(ticket.ask.raw), ticket.state, join.left(), ticket.leg, place.line.protocol, goes_on))
 
-    async def run(self, ticket: Ticket, server: Server, ask: LegAsk) -> None:
+    async def run(self, ticket: Ticket, server: Server, first_kept: int | None, ask: LegAsk) -> None:
         since, stage, plan, last = now_ms(), ask.stage, ask.plan, 0.0
         longest, explores = plan.quiet_ms, self.rhythm.explores()
 
@@ -225,6 +235,8 @@
                 raise ClientGone
             if first:
                 ticket.flowing = True
+                if ticket.holders and self.scribe is not None:
+                    self.scribe.freed(ticket)
                 ticket.holders.clear()    # the writer has fetched the state
                 if not ticket.begun:
                     self.measures.first.labels(ticket.ask.model).observe((now_ms() - ticket.since) / 1000)
@@ -252,6 +264,10 @@
             except (trio.BrokenResourceError, trio.ClosedResourceError):
                 raise ClientGone from None
 
+        if first_kept is not None and not await self.noted(first_kept, plan):
+            return self.leg_ended(ticket, server, stage, LegEnd(
+                Verdict.CALLED_OFF if plan.called_off else Verdict.FULL, why="the journal can't be kept"),
+                now_ms() - since, plan)
         try:
             end = await (self.transport.read(ask) if stage is Stage.READ else self.transport.stream(ask, pass_on))
         except ClientGone:
@@ -259,6 +275,14 @@
             self.client_left(ticket)
         self.leg_ended(ticket, server, stage, end, now_ms() - since, plan)
 
+    async def noted(self, number: int, plan: LegPlan) -> bool:
+        """Waits until the disk has it that this leg goes out; where it hasn't in time, the leg is not sent."""
+        assert self.scribe is not None
+        with plan.scope, trio.move_on_after(self.facts.connect_ms / 1000):
+            await self.scribe.writer.until_kept(number)
+            return True
+        return False
+
     def leg_ended(self, ticket: Ticket, server: Server, stage: Stage, end: LegEnd, took: float,
                   plan: LegPlan) -> None:
         ticket.leg, ticket.flowing = None, False
@@ -378,6 +402,8 @@
                                                 place.line.protocol)
         finally:
             self.releasing -= 1
+            if self.scribe is not None:
+                self.scribe.freed(ticket)
         self.measures.releases.labels("confirmed" if done else "unheard").inc()
         if not done:
             self.log.warning("release unheard", gen=ticket.ident, server=place.ident)
--- /dev/null
+++ b/ternlane/gateway/scribe.py
@@ -0,0 +1,104 @@
+"""Keeps the journal of what is in flight, and takes it up after a loss."""
+from __future__ import annotations
+
+import time
+from itertools import count
+from pathlib import Path
+from typing import Any
+
+import trio
+
+from ternlane.engine import Transport
+from ternlane.gateway.ticket import Final, Streamed, Terminated, Ticket
+from ternlane.ledger import Disk, Kind, Segmented, Writer
+from ternlane.port import Effect
+from ternlane.recover.inflight import MAY_HAVE_RUN, Ended, Freed, InFlight, Known, Record, Sent, Taken, decode_record
+
+JOURNAL: Kind[Record, InFlight] = Kind("takes", b"TLTAKES1", decode_record, InFlight)
+SEGMENT = 4 << 20
+
+
+class Scribe:
+    """`until_kept` is waited for where an effect must not be doubled: such a leg goes out only once the disk has it."""
+
+    def __init__(self, folder: Path, log: Any) -> None:
+        self.log = log
+        self.store = Segmented(JOURNAL, Disk(folder), SEGMENT, keep_segments=1)
+        self.writer: Writer[Record, InFlight] = Writer(self.store, log, on_own=self.taken_up, what="journal")
+        self.lost: InFlight | None = None    # what the process before had open
+        self.up, self.ready = trio.Event(), False    # the folder is ours; repeats know what they hear
+        self.birth, self.count = f"{time.time_ns():x}", count(1)
+
+    def taken_up(self, found: InFlight) -> None:
+        self.lost = InFlight(dict(found.opened), dict(found.known), found.at)
+        self.up.set()
+
+    # -- what happens
+
+    def took(self, ticket: Ticket) -> None:
+        product, now = ticket.gen.product, time.time() * 1000
+        ticket.noted = f"{self.birth}.{next(self.count)}"
+        self.writer.add(Taken(ticket.noted, ticket.ident, ticket.repeat_key, ticket.mark, product.effect.name, now,
+                              now + max(product.window_ms, product.limit_ms)))
+
+    def sends(self, ticket: Ticket, server: str, address: str, protocol: str, reads: bool, writes: bool) -> int | None:
+        """Gives the number to wait for, where the leg must not go out before it is kept."""
+        number = self.writer.add(Sent(ticket.noted, server, address, protocol, reads, writes))
+        needed = writes and ticket.repeat_key and ticket.gen.product.effect is not Effect.IDEMPOTENT
+        return number if needed else None
+
+    def freed(self, ticket: Ticket) -> None:
+        self.writer.add(Freed(ticket.noted))
+
+    def ended(self, ticket: Ticket, outcome: str) -> None:
+        kept = Ended(ticket.noted, outcome)
+        if ticket.repeat_key:
+            match ticket.final:
+                case Streamed(text, finish, usage):
+                    kept = Ended(ticket.noted, outcome, text, finish,
+                                 {k: v for k, v in usage.items() if isinstance(v, int)})
+                case Terminated(why):
+                    kept = Ended(ticket.noted, outcome, why=why)
+                case None if ticket.gen.product.effect is not Effect.IDEMPOTENT and ticket.legs:
+                    kept = Ended(ticket.noted, "terminated", why="the first client left; it may have run")
+                case _:
+                    pass
+        self.writer.add(kept)
+
+    # -- after a loss
+
+    async def take_up(self, transport: Transport, within_ms: float) -> list[Known]:
+        """Waits until the folder is this process's; lets go of what servers hold still. Gives what repeats hear."""
+        await self.up.wait()
+        lost, self.lost = self.lost or InFlight(), None
+        answers = lost.answers(time.time() * 1000)    # before the ends below come to the same objects
+        async with trio.open_nursery() as nursery:
+            for ident, held in lost.held():
+                nursery.start_soon(self.let_go, transport, ident, held, within_ms)
+        for ident, it in lost.opened.items():
+            if not it.ended and it.taken.effect != Effect.IDEMPOTENT.name and it.may_have_run:
+                self.writer.add(Ended(ident, "terminated", why=MAY_HAVE_RUN))
+            else:
+                self.writer.add(Ended(ident, "lost"))
+            self.writer.add(Freed(ident))
+        if lost.opened:
+            self.log.warning("generations were open when the process before was lost", open=len(lost.opened))
+        return answers
+
+    async def let_go(self, transport: Transport, ident: str, held: list[tuple[str, str, str]],
+                     within_ms: float) -> None:
+        for server, address, protocol in held:
+            if not await transport.release(server, address, ident, within_ms, protocol):
+                self.log.warning("release unheard", gen=ident, server=server)
+
+    async def close(self, within_s: float = 2.0) -> None:
+        if self.writer.own and not await self.writer.flush(within_s):
+            self.log.error("journal not kept at the end", waiting=self.writer.waiting)
+            return
+        self.store.close()
+
+
+def final_of(known: Known) -> Final:
+    it = known.ended
+    return Streamed(it.text, it.finish, dict(it.usage)) if it.outcome == "streamed" else Terminated(it.why)
+
--- a/ternlane/gateway/ticket.py
+++ b/ternlane/gateway/ticket.py
@@ -56,6 +56,9 @@
     since: float
     key: str    # under which engines drop repeats
     join: Join    # its text, over all legs
+    repeat_key: str = ""    # Idempotency-Key with its owner; "": none
+    mark: bytes = b""       # digest of the body
+    noted: str = ""         # its name in the journal
     hold: Any = None     # tenants.Hold, settled when the ticket is done
     made: list[Used] = field(default_factory=list)    # by each leg, as far as it is known
     final: Final | None = None
--- a/ternlane/ledger/store.py
+++ b/ternlane/ledger/store.py
@@ -14,7 +14,7 @@
 
 import struct
 from dataclasses import dataclass, field
-from typing import Callable, Iterator
+from typing import Callable, Generic, Iterator, Protocol, TypeVar
 from zlib import crc32
 
 import msgspec
@@ -27,13 +27,38 @@
 MAGIC = b"TLBILLS1"
 RECORD_LIMIT = 1 << 20
 encode = msgspec.msgpack.Encoder().encode
-decode = msgspec.msgpack.Decoder(Entry).decode
+E = TypeVar("E")
+C = TypeVar("C", contravariant=True)
+F = TypeVar("F", bound="Fold")    # type: ignore[type-arg]
 
 
 class Damaged(Exception):
     """A ledger that no crash can have left so."""
 
 
+class Fold(Protocol[C]):
+    """What a log comes to, entry by entry; a snapshot of it stands for the segments that it covers."""
+
+    def add(self, entry: C) -> None: ...
+
+    def dump(self, seq: int) -> bytes: ...
+
+    def load(self, raw: bytes) -> int:
+        """Takes over a dump; gives its number."""
+
+
+@dataclass(frozen=True)
+class Kind(Generic[E, F]):
+    """One sort of log: five letters that its files begin with, their first bytes, and what its entries come to."""
+    prefix: str
+    magic: bytes
+    decode: Callable[[bytes], E]
+    fold: Callable[[], F]
+
+    def segment_name(self, first: int) -> str:
+        return f"{self.prefix}-{first:016d}.seg"
+
+
 class Sum(msgspec.Struct, array_like=True):
     count: int = 0
     bill: Used = Used()
@@ -60,24 +85,32 @@
         it.bill, it.house = it.bill.plus(entry.bill), it.house.plus(entry.house)
         it.micros += entry.micros
 
+    def dump(self, seq: int) -> bytes:
+        return msgspec.msgpack.encode(Snapshot(seq, [(*key, it) for key, it in self.sums.items()]))
 
-def segment_name(first: int) -> str:
-    return f"bills-{first:016d}.seg"
+    def load(self, raw: bytes) -> int:
+        snapshot = msgspec.msgpack.decode(raw, type=Snapshot)
+        self.sums = {(a, b, c): it for a, b, c, it in snapshot.sums}
+        return snapshot.seq
 
 
-def record(seq: int, entry: Entry) -> bytes:
+BILLS: Kind[Entry, Totals] = Kind("bills", MAGIC, msgspec.msgpack.Decoder(Entry).decode, Totals)
+
+
+def record(seq: int, entry: object) -> bytes:
     body = encode(entry)
     return HEAD.pack(len(body), crc32(body, seq & 0xFFFFFFFF), seq) + body
 
 
-def read_segment(raw: bytes, name: str, last: bool) -> tuple[list[tuple[int, Entry]], int]:
+def read_segment(raw: bytes, name: str, last: bool, kind: Kind[E, F]) -> tuple[list[tuple[int, E]], int]:
     """Its records, and how many bytes of it are whole. Raises Damaged unless the trouble is at the end of the last."""
-    out: list[tuple[int, Entry]] = []
-    if raw[:len(MAGIC)] != MAGIC:
-        if last and MAGIC.startswith(raw[:len(MAGIC)]):
+    out: list[tuple[int, E]] = []
+    magic = kind.magic
+    if raw[:len(magic)] != magic:
+        if last and magic.startswith(raw[:len(magic)]):
             return out, 0
         raise Damaged(f"{name}: not a ledger segment")
-    at = len(MAGIC)
+    at = len(magic)
     while at < len(raw):
         whole = False
         if len(raw) - at >= HEAD.size:
@@ -88,7 +121,7 @@
             if last and not later_record(raw, at + 1):
                 return out, at
             raise Damaged(f"{name}: damaged at byte {at}, and it goes on behind")
-        out.append((seq, decode(body)))
+        out.append((seq, kind.decode(body)))
         at += HEAD.size + length
     return out, at
 
@@ -103,13 +136,15 @@
     return False
 
 
-class Store:
+class Segmented(Generic[E, F]):
     """Synchronous; the writer calls it off the loop. One process writes a folder: the one that has its lock."""
 
-    def __init__(self, disk: Disk, segment_bytes: int = 16 << 20, keep_segments: int = 1 << 30) -> None:
-        self.disk, self.segment_bytes, self.keep_segments = disk, segment_bytes, keep_segments
-        self.totals, self.seq, self.kept = Totals(), 0, 0    # last number given; last number on disk
-        self.pending: list[tuple[int, Entry]] = []
+    def __init__(self, kind: Kind[E, F], disk: Disk, segment_bytes: int = 16 << 20,
+                 keep_segments: int = 1 << 30) -> None:
+        self.kind, self.disk, self.segment_bytes, self.keep_segments = kind, disk, segment_bytes, keep_segments
+        self.totals: F = kind.fold()
+        self.seq, self.kept = 0, 0    # last number given; last number on disk
+        self.pending: list[tuple[int, E]] = []
         self.handle: int | None = None
         self.name, self.length = "", 0
         self.cut_off = 0    # bytes of torn tails that recovery dropped
@@ -117,7 +152,7 @@
 
     # -- recovery
 
-    def recover(self, each: Callable[[int, Entry], None] | None = None) -> None:
+    def recover(self, each: Callable[[int, E], None] | None = None) -> None:
         """Brings the sums back: by the last snapshot and the segments that it does not cover, so the time is that of
         one segment or two, however long the ledger. With `each`, which gets every entry that segments still hold,
         all are read. Raises Damaged."""
@@ -127,7 +162,7 @@
             covered = i + 1 < len(segments) and int(segments[i + 1][6:22]) <= self.snapshot_seq + 1
             if covered and each is None:
                 continue
-            records, whole = read_segment(raw := self.disk.read(name), name, last=True)
+            records, whole = read_segment(raw := self.disk.read(name), name, True, self.kind)
             if whole < len(raw):
                 if i < len(segments) - 1 and not self.followed(segments[i + 1], records):
                     raise Damaged(f"{name}: torn at byte {whole}, but not the last")
@@ -151,7 +186,7 @@
         self.seq = max(self.seq, self.snapshot_seq)
         self.kept = self.seq
 
-    def followed(self, following: str, records: list[tuple[int, Entry]]) -> bool:
+    def followed(self, following: str, records: list[tuple[int, E]]) -> bool:
         """After a failed sync the next segment repeats from where the torn one was last known whole."""
         first = int(following[6:22])
         return first <= (records[-1][0] if records else first) + 1
@@ -162,14 +197,13 @@
             crc, body = raw[:4], raw[4:]
             if len(raw) < 5 or struct.unpack("<I", crc)[0] != crc32(body):
                 continue    # torn while it was written: an older one and the segments say the same
-            snapshot = msgspec.msgpack.decode(body, type=Snapshot)
-            self.totals = Totals({(a, b, c): it for a, b, c, it in snapshot.sums})
-            self.snapshot_seq = snapshot.seq
+            self.totals = self.kind.fold()
+            self.snapshot_seq = self.totals.load(body)
             return
 
     # -- writing
 
-    def append(self, entry: Entry) -> int:
+    def append(self, entry: E) -> int:
         """Gives the entry its number; kept only once `commit` has returned."""
         self.seq += 1
         self.pending.append((self.seq, entry))
@@ -227,23 +261,23 @@
         self.handle = None
 
     def begin_segment(self) -> None:
-        name = segment_name(self.pending[0][0])
+        name = self.kind.segment_name(self.pending[0][0])
         if name in self.disk.names():    # left after a failed sync before anything of it was kept
             self.disk.remove(name)
         self.handle, self.name, self.length = self.disk.open(name), name, 0
         try:
-            self.write_all(MAGIC)
+            self.write_all(self.kind.magic)
             self.disk.sync(self.handle)
             self.disk.sync_folder()
         except OSError:
             self.leave_segment()
             raise
-        self.length = len(MAGIC)
+        self.length = len(self.kind.magic)
 
     def snapshot(self) -> None:
         """Writes the sums beside, syncs, renames; then drops segments that it covers, but for the newest ones. What
         fails here costs only time at the next recovery."""
-        body = msgspec.msgpack.encode(Snapshot(self.kept, [(*key, it) for key, it in self.totals.sums.items()]))
+        body = self.totals.dump(self.kept)
         name = f"sums-{self.kept:016d}.sums"
         try:
             handle = self.disk.open(name + ".new")
@@ -268,21 +302,21 @@
         except OSError:
             return
 
-    def entries(self) -> Iterator[Entry]:
+    def entries(self) -> Iterator[E]:
         """All that segments still hold, in order, each once. For bills and reconciling; reads only."""
         last = 0
         for name in [n for n in self.disk.names() if n.endswith(".seg")]:
-            for seq, entry in read_segment(self.disk.read(name), name, last=True)[0]:
+            for seq, entry in read_segment(self.disk.read(name), name, True, self.kind)[0]:
                 if seq > last:
                     last = seq
                     yield entry
 
-    def read_sums(self) -> Totals:
+    def read_sums(self) -> F:
         """The sums as they stand, without owning the folder or mending anything: another process may be writing."""
         self.load_snapshot()
         seq = self.snapshot_seq
         for name in [n for n in self.disk.names() if n.endswith(".seg")]:
-            for at, entry in read_segment(self.disk.read(name), name, last=True)[0]:
+            for at, entry in read_segment(self.disk.read(name), name, True, self.kind)[0]:
                 if at > seq:
                     seq = at
                     self.totals.add(entry)
@@ -291,3 +325,10 @@
     def close(self) -> None:
         self.leave_segment()
         self.disk.unlock()
+
+
+class Store(Segmented[Entry, Totals]):
+    """The bills of one gateway."""
+
+    def __init__(self, disk: Disk, segment_bytes: int = 16 << 20, keep_segments: int = 1 << 30) -> None:
+        super().__init__(BILLS, disk, segment_bytes, keep_segments)
--- a/ternlane/ledger/writer.py
+++ b/ternlane/ledger/writer.py
@@ -1,18 +1,17 @@
 """Group commit off the loop: entries that come while one sync is under way share the next."""
 from __future__ import annotations
 
-from typing import Any, Callable
+from typing import Any, Callable, Generic
 
 import trio
 
-from ternlane.ledger.store import Store, Totals
-from ternlane.tenants.cashier import Entry
+from ternlane.ledger.store import E, F, Segmented
 
 RETRY_MS = 500.0
 TAKE_MS = 50.0
 
 
-class Writer:
+class Writer(Generic[E, F]):
     """Takes entries at once and keeps them in the background, once the folder is its own: after a restart with sockets
     handed over the process before may still be settling what it holds. `on_own` then hears the sums that it left.
 
@@ -20,11 +19,13 @@
     beyond that `may_take` is false: the door refuses (503), as a bill that can't be kept must not come about.
     """
 
-    def __init__(self, store: Store, log: Any, limit: int = 100_000,
-                 on_own: Callable[[Totals], None] = lambda _: None) -> None:
-        self.store, self.log, self.limit, self.on_own = store, log, limit, on_own
+    def __init__(self, store: Segmented[E, F], log: Any, limit: int = 100_000,
+                 on_own: Callable[[F], None] = lambda _: None, what: str = "bills") -> None:
+        self.store, self.log, self.limit, self.on_own, self.what = store, log, limit, on_own, what
         self.own = False
-        self.fresh: list[Entry] = []
+        self.fresh: list[E] = []
+        self.added = self.done = 0    # entries given, and kept
+        self.turned = trio.Event()    # after each group
         self.waiting = 0
         self.wake, self.failing = trio.Event(), False
 
@@ -32,10 +33,17 @@
     def may_take(self) -> bool:
         return self.waiting < self.limit
 
-    def add(self, entry: Entry) -> None:
+    def add(self, entry: E) -> int:
+        """Gives a number that `until_kept` knows."""
         self.fresh.append(entry)
         self.waiting += 1
+        self.added += 1
         self.wake.set()
+        return self.added
+
+    async def until_kept(self, number: int) -> None:
+        while self.done < number:
+            await self.turned.wait()
 
     async def take_over(self) -> None:
         """Waits for the folder, then recovers. Raises Damaged."""
@@ -43,11 +51,11 @@
         while not self.store.disk.lock():
             if not said:
                 said = True
-                self.log.warning("another process keeps this ledger; bills wait in memory until it ends")
+                self.log.warning(f"another process keeps this ledger; {self.what} wait in memory until it ends")
             await trio.sleep(TAKE_MS / 1000)
         await trio.to_thread.run_sync(self.store.recover)
         if self.store.cut_off:
-            self.log.warning("a torn bill was cut off", bytes=self.store.cut_off)
+            self.log.warning(f"torn {self.what} were cut off", bytes=self.store.cut_off)
         self.own = True
         self.on_own(self.store.totals)
 
@@ -61,21 +69,23 @@
     async def keep(self) -> None:
         """One group; on failure it is tried again until it is kept."""
         while self.fresh or self.store.pending:
-            group, self.fresh = self.fresh, []
+            group, self.fresh, upto = self.fresh, [], self.added
             for entry in group:
                 self.store.append(entry)
             try:
                 await trio.to_thread.run_sync(self.store.commit)
             except OSError as why:
                 self.failing = True
-                self.log.error("bills not kept yet", why=str(why), waiting=self.waiting)
+                self.log.error(f"{self.what} not kept yet", why=str(why), waiting=self.waiting)
                 self.waiting = len(self.store.pending) + len(self.fresh)
                 await trio.sleep(RETRY_MS / 1000)
                 continue
             if self.failing:
                 self.failing = False
-                self.log.warning("bills are kept again")
+                self.log.warning(f"{self.what} are kept again")
             self.waiting = len(self.fresh)
+            self.done, turned, self.turned = upto, self.turned, trio.Event()
+            turned.set()
 
     async def flush(self, within_s: float) -> bool:
         """Waits until nothing waits, at the end of a process."""
--- a/ternlane/paper/gateway.py
+++ b/ternlane/paper/gateway.py
@@ -132,6 +132,7 @@
     products: Annotated[list[ProductTerms], Meta(min_length=1)]
     nodes: FileSource | ConsulSource | InlineSource
     tenants: str | None = None         # file of tenants; without it everybody is served
+    journal: str | None = None         # folder of what is in flight, for a restart after a loss
     ledger: str | None = None          # folder of this gateway's bills; needed with tenants
     ledger_segments: Count | None = None    # of 16 MB kept beside the sums; None: all, for bills in detail
     lender: str | None = None          # file that all gateways share to lend parts of budgets
--- a/tests/test_tenants.py
+++ b/tests/test_tenants.py
@@ -10,7 +10,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from ternlane.ledger.store import Damaged, Store, Totals, read_segment, segment_name
+from ternlane.ledger.store import BILLS, Damaged, Store, Totals, read_segment
 from ternlane.tenants import Budget, Cashier, Hold, KeyLine, Lender, Lengths, Meter, Refusal, Roll, TenantLine, Unknown
 from ternlane.tenants.billing import Billed, Used
 from ternlane.tenants.cashier import Entry
@@ -393,15 +393,15 @@
 def test_every_cut_of_a_segment_is_recovered_from() -> None:
     disk = FakeDisk()
     fill(Store(disk), [1] * 6)    # type: ignore[arg-type]
-    raw = disk.read(segment_name(1))
-    whole = [len(read_segment(raw[:n], "s", last=True)[0]) for n in range(len(raw) + 1)]
+    raw = disk.read(BILLS.segment_name(1))
+    whole = [len(read_segment(raw[:n], "s", True, BILLS)[0]) for n in range(len(raw) + 1)]
     assert whole[-1] == 6 and whole == sorted(whole) and set(whole) == set(range(7))
 
 
 def test_damage_that_no_crash_leaves_is_refused_by_place() -> None:
     disk = FakeDisk()
     fill(Store(disk), [4])    # type: ignore[arg-type]
-    disk.files[segment_name(1)][40] ^= 4
+    disk.files[BILLS.segment_name(1)][40] ^= 4
     with pytest.raises(Damaged, match="byte 8"):
         Store(disk).recover()    # type: ignore[arg-type]
 
