--- a/ternlane/gateway/host.py
+++ b/ternlane/gateway/host.py
@@ -278,10 +278,11 @@
     async def noted(self, number: int, plan: LegPlan) -> bool:
         """Waits until the disk has it that this leg goes out; where it hasn't in time, the leg is not sent."""
         assert self.scribe is not None
-        with plan.scope, trio.move_on_after(self.facts.connect_ms / 1000):
+        legs_own, plan.scope = plan.scope, trio.CancelScope(deadline=trio.current_time() + self.facts.connect_ms / 1000)
+        with plan.scope:    # which a call-off ends
             await self.scribe.writer.until_kept(number)
-            return True
-        return False
+        kept, plan.scope = not plan.scope.cancelled_caught, legs_own
+        return kept and not plan.called_off
 
     def leg_ended(self, ticket: Ticket, server: Server, stage: Stage, end: LegEnd, took: float,
                   plan: LegPlan) -> None:
--- /dev/null
+++ b/tests/test_inflight.py
@@ -0,0 +1,294 @@
+"""A gateway is lost with generations in flight: the next process knows what may have run, wherever its journal ends."""
+from __future__ import annotations
+
+import shutil
+import signal
+import sys
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+import trio
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from tests.test_tenants import CrashError, FakeDisk
+from tests.world import BUILD, PRODUCTS, TERMS, Reply, World, heard, replace, world
+from ternlane.gateway import open_gateway
+from ternlane.gateway.scribe import JOURNAL
+from ternlane.http1 import Pool, Unconnected
+from ternlane.ledger import Damaged, Disk, Segmented
+from ternlane.ledger.store import read_segment
+from ternlane.recover.inflight import Ended, Freed, InFlight, Record, Sent, Taken
+
+ROOT = Path(__file__).parent.parent
+NOW, LATER = 1000.0, 5000.0
+
+
+def history(draws: list[tuple[int, int, bool]]) -> list[Record]:
+    """Interleaved courses of generations, each as far as it was drawn: taken, read, written, freed, ended."""
+    courses: list[list[Record]] = []
+    for i, (upto, effect, keyed) in enumerate(draws):
+        ident, kind = f"g{i}", ("IDEMPOTENT", "DEDUPLICATED", "SIDE_EFFECTING")[effect]
+        course = [Taken(ident, f"n{i}", f"k{i}" if keyed else "", b"m", kind, NOW, LATER),
+                  Sent(ident, "r0", "a", "d", True, False), Sent(ident, "w0", "b", "d", False, True), Freed(ident),
+                  Ended(ident, "streamed", f"text {i}")]
+        courses.append(course[:upto])
+    out: list[Record] = []
+    while any(courses):
+        for course in courses:
+            out += course[:1]
+            del course[:1]
+    return out
+
+
+def store_of(disk: Any, **sizes: int) -> Segmented[Record, InFlight]:
+    return Segmented(JOURNAL, disk, **sizes)
+
+
+def must_be_safe(found: InFlight, records: list[Record]) -> None:
+    """What is recovered, against the records that it was recovered from, gone through one by one."""
+    taken = {r.ident: r for r in records if isinstance(r, Taken)}
+    ended = {r.ident: r for r in records if isinstance(r, Ended)}
+    ran = {r.ident for r in records if isinstance(r, Sent) and r.writes}
+    held = {r.ident for r in records if isinstance(r, Sent) and r.reads} - {
+        r.ident for r in records if isinstance(r, Freed)}
+    answers = {v.taken.ident: v.ended for v in found.answers(NOW)}
+    for ident, it in taken.items():
+        if ident in ended:
+            assert (ident in answers) == bool(it.key) and (not it.key or answers[ident].text == ended[ident].text)
+        elif it.key and ident in ran and it.effect != "IDEMPOTENT":
+            assert answers[ident].outcome == "terminated" and "may have run" in answers[ident].why
+        else:
+            assert ident not in answers
+    assert {name for name, _ in found.held()} == {taken[i].name for i in held}
+    assert found.answers(LATER + 1) == []
+
+
+@given(st.lists(st.tuples(st.integers(1, 5), st.integers(0, 2), st.booleans()), min_size=1, max_size=5))
+@settings(max_examples=25, deadline=None)
+def test_every_cut_of_the_journal_is_recovered_from(draws: list[tuple[int, int, bool]]) -> None:
+    records, disk = history(draws), FakeDisk()
+    store = store_of(disk)
+    for record in records:
+        store.append(record)
+    store.commit()
+    raw = disk.read(JOURNAL.segment_name(1))
+    for cut in range(len(raw) + 1):
+        torn = FakeDisk()
+        torn.files[JOURNAL.segment_name(1)], torn.synced[JOURNAL.segment_name(1)] = bytearray(raw[:cut]), cut
+        again = store_of(torn)
+        again.recover()
+        whole = len(read_segment(raw[:cut], "s", True, JOURNAL)[0])
+        must_be_safe(again.totals, records[:whole])
+        again.append(Ended("g0", "lost"))    # and it goes on from there
+        again.commit()
+        third = store_of(torn)
+        third.recover()
+        assert third.seq == again.seq
+
+
+@pytest.mark.parametrize("how", ["crash", "full", "short", "sync"])
+def test_whichever_call_of_the_disk_fails_what_was_kept_is_known(how: str) -> None:
+    records = history([(5, 2, True), (3, 2, True), (4, 1, True), (2, 0, False)] * 6)
+    for fail_at in range(1, 90):
+        disk = FakeDisk(fail_at, how)
+        store, told = store_of(disk, segment_bytes=300, keep_segments=1), 0
+        try:
+            for i in range(0, len(records), 5):
+                for record in records[i:i + 5]:
+                    store.append(record)
+                while store.pending:
+                    try:
+                        store.commit()
+                    except OSError:
+                        continue
+                told = store.kept
+        except CrashError:
+            pass
+        after = FakeDisk()
+        after.files, after.synced = disk.files, disk.synced
+        again = store_of(after)
+        again.recover()
+        assert again.seq >= told
+        must_be_safe(again.totals, records[:again.seq])
+
+
+def test_a_journal_stays_small_however_many_it_has_seen() -> None:
+    disk = FakeDisk()
+    store = store_of(disk, segment_bytes=4000, keep_segments=1)
+    for i in range(3000):
+        late = NOW + i
+        for record in (Taken(f"g{i}", f"n{i}", f"k{i}", b"m", "SIDE_EFFECTING", late, late + 50.0),
+                       Sent(f"g{i}", "w", "a", "d", False, True), Ended(f"g{i}", "streamed", "x" * 40)):
+            store.append(record)
+        store.commit()
+    assert sum(map(len, disk.files.values())) < 400_000 and len(store.totals.opened) == 0
+    again = store_of(disk)
+    again.recover()
+    assert [v.taken.ident for v in again.totals.answers(NOW + 2999)] == [f"g{i}" for i in range(2950, 3000)]
+
+
+def test_damage_that_no_crash_leaves_is_refused(tmp_path: Path) -> None:
+    disk = Disk(tmp_path)
+    store = store_of(disk)
+    for record in history([(5, 2, True)] * 3):
+        store.append(record)
+    store.commit()
+    store.close()
+    path = tmp_path / JOURNAL.segment_name(1)
+    raw = bytearray(path.read_bytes())
+    raw[40] ^= 8
+    path.write_bytes(raw)
+    with pytest.raises(Damaged, match="byte"):
+        store_of(Disk(tmp_path)).recover()
+
+
+# -- over sockets
+
+@asynccontextmanager
+async def next_gateway(w: World, folder: Path) -> AsyncIterator[str]:
+    """The next process, with the journal as a kill at this moment would leave it."""
+    copy = folder.with_name(folder.name + "-after")
+    shutil.copytree(folder, copy)
+    paper = msgspec.structs.replace(w.gateway.paper, journal=str(copy), listen="127.0.0.1:0")
+    async with open_gateway(paper) as gateway:
+        with trio.fail_after(2):
+            while not gateway.scribe.ready:    # type: ignore[union-attr]
+                await trio.sleep(0.005)
+        yield gateway.address
+
+
+async def ask_at(address: str, model: str, key: str) -> Reply:
+    caller = await Pool(1000, 1000).connect(address)
+    try:
+        return await heard(caller, {"model": model, "messages": [{"role": "user", "content": "hello"}], "stream": True},
+                           {"Idempotency-Key": key}, "/v1/chat/completions")
+    finally:
+        caller.close_now()
+
+
+@pytest.mark.parametrize("model", ["note", "form", "summary"])
+async def test_a_repeat_after_the_loss_hears_that_it_may_have_run(model: str, tmp_path: Path) -> None:
+    async with world(("r0", "w0"), build=replace(BUILD, tok_ms=60.0), journal=str(tmp_path / "j")) as w:
+        replies: list[Reply] = []
+
+        async def first() -> None:
+            replies.append(await w.ask(model, headers={"Idempotency-Key": "k1"}))
+        w.nursery.start_soon(first)
+        with trio.fail_after(2):
+            while not w.said("effect"):
+                await trio.sleep(0.002)
+        async with next_gateway(w, tmp_path / "j") as address:
+            reply = await ask_at(address, model, "k1")
+            if model == "summary":    # harmless: it simply runs
+                assert reply.done == 1
+            else:
+                assert reply.status == 502 and "may have run" in reply.error["message"]    # type: ignore[index]
+                assert reply.headers["x-should-retry"] == "false" and len(w.said("effect")) == 1
+            other = await ask_at(address, model, "k2")
+            assert other.done == 1
+
+
+async def test_a_repeat_after_the_loss_hears_the_answer_that_was_given(tmp_path: Path) -> None:
+    async with world(("r0", "w0"), journal=str(tmp_path / "j")) as w:
+        reply = await w.ask("note", headers={"Idempotency-Key": "k1"})
+        await w.gateway.scribe.writer.flush(1.0)    # type: ignore[union-attr]
+        async with next_gateway(w, tmp_path / "j") as address:
+            again = await ask_at(address, "note", "k1")
+            assert again.text == reply.text and again.done == 1 and again.headers["idempotency-replayed"] == "true"
+            assert len(w.said("effect")) == 1
+
+
+async def test_states_that_the_lost_gateway_held_are_let_go(tmp_path: Path) -> None:
+    async with world(("r0", "w0"), journal=str(tmp_path / "j")) as w:
+        w.engines["w0"].busy = w.engines["w0"].build.slots    # writes wait: the state stays at its reader
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(w.ask)
+            with trio.fail_after(2):
+                while not w.said("leg", stage="write"):
+                    await trio.sleep(0.002)
+            await trio.sleep(0.05)
+            assert len(w.engines["r0"].states) == 1
+            async with next_gateway(w, tmp_path / "j"):
+                assert w.engines["r0"].states == {} and len(w.said("released")) == 1
+            w.engines["w0"].busy = 0
+            nursery.cancel_scope.cancel()
+
+
+async def test_with_a_full_disk_nothing_runs_that_could_not_be_remembered(tmp_path: Path) -> None:
+    async with world(("r0", "w0"), journal=str(tmp_path / "j")) as w:
+        scribe = w.gateway.scribe
+        assert scribe is not None
+        with trio.fail_after(1):
+            while not scribe.ready:
+                await trio.sleep(0.005)
+
+        def full(handle: int, data: bytes) -> int:
+            raise OSError(28, "full")
+        write, scribe.store.disk.write = scribe.store.disk.write, full    # type: ignore[method-assign]
+        reply = await w.ask("note", headers={"Idempotency-Key": "k1"})
+        assert reply.status == 429 and w.said("effect") == []
+        assert (await w.ask("note")).done == 1    # without a key nobody was promised anything
+        scribe.store.disk.write = write    # type: ignore[method-assign]
+        with trio.fail_after(3):
+            while scribe.writer.waiting:
+                await trio.sleep(0.01)
+        assert (await w.ask("note", headers={"Idempotency-Key": "k1"})).done == 1
+
+
+async def test_while_the_process_before_has_the_journal_keyed_requests_are_not_taken(tmp_path: Path) -> None:
+    async with world(("r0", "w0"), journal=str(tmp_path / "j")) as w:
+        with trio.fail_after(1):
+            while not w.gateway.scribe.ready:    # type: ignore[union-attr]
+                await trio.sleep(0.005)
+        paper = msgspec.structs.replace(w.gateway.paper, listen="127.0.0.1:0")
+        async with open_gateway(paper) as second:
+            reply = await ask_at(second.address, "note", "k1")
+            assert reply.status == 503 and reply.error["code"] == "taking_over"    # type: ignore[index]
+            await w.gateway.drain()
+            with trio.fail_after(2):
+                while not second.scribe.ready:    # type: ignore[union-attr]
+                    await trio.sleep(0.005)
+            assert (await ask_at(second.address, "note", "k1")).done == 1
+
+
+async def test_a_daemon_killed_outright_doubles_nothing(tmp_path: Path) -> None:
+    async with world(("r0", "w0"), build=replace(BUILD, tok_ms=60.0)) as w:
+        with trio.socket.socket() as probe:
+            await probe.bind(("127.0.0.1", 0))
+            port = probe.getsockname()[1]
+        paper = msgspec.structs.replace(w.gateway.paper, listen=f"127.0.0.1:{port}", journal=str(tmp_path / "j"),
+                                        products=PRODUCTS, fleet=TERMS)
+        (tmp_path / "g.json5").write_bytes(msgspec.json.encode(paper))
+
+        async def start() -> Any:
+            process = await trio.lowlevel.open_process([sys.executable, "-m", "ternlane", "serve", str(
+                tmp_path / "g.json5"), "--log", "error"], cwd=ROOT)
+            with trio.fail_after(20):
+                while True:
+                    try:
+                        (await Pool(200, 1000).connect(f"127.0.0.1:{port}")).close_now()
+                        return process
+                    except Unconnected:
+                        await trio.sleep(0.03)
+        process = await start()
+        try:
+            w.nursery.start_soon(ask_at, f"127.0.0.1:{port}", "note", "k1")
+            with trio.fail_after(10):
+                while not w.said("effect"):
+                    await trio.sleep(0.002)
+            process.send_signal(signal.SIGKILL)
+            await process.wait()
+            process = await start()
+            reply = await ask_at(f"127.0.0.1:{port}", "note", "k1")
+            while reply.status == 503:    # it takes the journal up
+                await trio.sleep(0.02)
+                reply = await ask_at(f"127.0.0.1:{port}", "note", "k1")
+            assert reply.status == 502 and len(w.said("effect")) == 1
+        finally:
+            process.kill()
+            await process.wait()
