--- a/ternlane/gateway/host.py
+++ b/ternlane/gateway/host.py
@@ -18,7 +18,7 @@
 from ternlane.gateway.ticket import Streamed, Terminated, Throttled, Ticket
 from ternlane.nodes import Book
 from ternlane.paper import StreamTerms
-from ternlane.port import Duty, Server, StartFacts, Verdict
+from ternlane.port import Duty, Life, Server, StartFacts, Verdict
 from ternlane.recover import Differs, Join, Pace, Rhythm, Shelf, Way, way_of
 from ternlane.tenants.billing import Used
 
@@ -49,7 +49,7 @@
         self.shelf = Shelf(self.streams.keep_toks, self.streams.keep_bytes, self.streams.keep_all_bytes)
         limits = [p.limit_ms for p in facts.products]
         self.rhythm = Rhythm(self.streams.alarms, facts.seed)
-        self.pace: Pace[Ticket] = Pace(self.streams.share, max(limits, default=1000.0) / 4)
+        self.pace: Pace[Ticket] = Pace(self.streams.share, max(limits, default=1000.0) / 4, facts.gateways)
         self.resume_at = float("inf")
         self.turns = 0
         self.alarm = trio.Event()
@@ -302,7 +302,7 @@
                 self.intake.learn_prompt(ticket.known, end.usage.prompt_tokens)
                 if stage is not Stage.WRITE:
                     ticket.prompt_said, ticket.kept_said = end.usage.prompt_tokens, ticket.made[-1].kept
-                    self.pace.read(now_ms(), ticket.made[-1].prompt - ticket.made[-1].kept)
+                    self.pace.read(now_ms(), ticket.made[-1].prompt - ticket.made[-1].kept, took)
             details = end.usage.prompt_tokens_details
             kept = float(details.cached_tokens or 0) if details is not None else 0.0
         if end.verdict is Verdict.READ:
@@ -350,6 +350,7 @@
         self.measures.breaks.labels("replay" if join.way is Way.REPLAY else "go_on").inc()
         gen.prompt_toks += again - before
         gen.max_toks = float(join.left())
+        self.pace.readers = sum(s.life is Life.UP and s.duty is not Duty.WRITE for s in self.book.servers.values())
         self.pace.wait(ticket, gen.prompt_toks, gen.product.revenue, float(join.toks),
                        ticket.taken + gen.patience_ms)
         return True
--- a/ternlane/recover/pace.py
+++ b/ternlane/recover/pace.py
@@ -1,8 +1,10 @@
-"""Keeps the reading anew of broken streams within a share of what this gateway's readers are seen to do.
+"""Keeps the reading anew of broken streams within a share of what readers can do for this gateway.
 
 When a cell is lost its streams all break at once. Each would be read anew at once, on fewer servers, before anything
 new: that storm is what takes the rest of the fleet down. So they go in turn, out of a bucket that fills at `share` of
-the reading rate seen in the best spans of late; one at a time always may, or nothing would ever be learnt.
+what readers can do: what they were seen to do in the best span of late, or, if that is more, each doing one prompt
+after the other at the pace of late, divided among the gateways. As queues at readers slow that pace, a crowded fleet is
+given less. One at a time always may, or nothing would ever be learnt.
 """
 from __future__ import annotations
 
@@ -13,11 +15,13 @@
 
 
 class Pace(Generic[T]):
-    """Over any time t no more is read anew than `share` * peak * (t + `span_ms`), one prompt for each try that is
+    """Over any time t no more is read anew than `share` * `able` * (t + `span_ms`), one prompt for each try that is
     alone, and the last prompt's excess. Tokens; ms. What waits is ordered by revenue, then by what was streamed."""
 
-    def __init__(self, share: float, span_ms: float) -> None:
-        self.share, self.span_ms = share, span_ms
+    def __init__(self, share: float, span_ms: float, gateways: int = 1) -> None:
+        self.share, self.span_ms, self.gateways = share, span_ms, gateways
+        self.readers = 0         # that may be read at
+        self.speed = 0.0         # tokens a ms of one prompt's reading, its wait included; mean
         self.peak = 0.0          # tokens a ms, the best span of late
         self.level = 0.0         # tokens that may be read anew now
         self.at = 0.0
@@ -26,20 +30,28 @@
         self.turn = 0
         self.queue: list[tuple[float, float, int, float, float, T]] = []
 
+    def able(self) -> float:
+        """Tokens a ms that readers can do for this gateway."""
+        return max(self.peak, self.speed * self.readers / self.gateways)
+
     def clock(self, now: float) -> None:
         spent = now - self.at
         self.at = now
-        self.level = min(self.share * self.peak * self.span_ms, self.level + self.share * self.peak * spent)
+        rate = self.share * self.able()
+        self.level = min(rate * self.span_ms, self.level + rate * spent)
         passed = now - self.span_at
         if passed >= self.span_ms:
             rate = self.span_toks / passed
             self.peak = max(rate, self.peak * 0.5 ** (passed / (64 * self.span_ms)))
             self.span_at, self.span_toks = now, 0.0
 
-    def read(self, now: float, toks: float) -> None:
-        """A reader has read an ordinary prompt."""
+    def read(self, now: float, toks: float, took_ms: float) -> None:
+        """A reader has read an ordinary prompt, of which so many tokens were not kept."""
         self.clock(now)
         self.span_toks += toks
+        if toks > 0 and took_ms > 0:
+            speed = toks / took_ms
+            self.speed = speed if not self.speed else self.speed + (speed - self.speed) / 32
 
     def wait(self, item: T, toks: float, revenue: float, streamed: float, until: float) -> None:
         """Queues what broke. After `until` its client can't be helped any more."""
@@ -70,6 +82,6 @@
         """When to ask again, if nothing else happens before."""
         if not self.queue:
             return None
-        rate = self.share * self.peak
+        rate = self.share * self.able()
         wait = max(1.0, -self.level / rate) if rate > 0 else self.span_ms
         return min(now + wait, min(e[3] for e in self.queue))
--- a/tests/test_recover.py
+++ b/tests/test_recover.py
@@ -335,13 +335,14 @@
 @settings(max_examples=200, deadline=None)
 def test_reading_anew_stays_within_its_share(steps: list[tuple[float, str, int, int]]) -> None:
     share, span = 0.25, 500.0
-    pace: Pace[int] = Pace(share, span)
+    pace: Pace[int] = Pace(share, span, 3)
+    pace.readers = 7
     now, charged, alone, peak, largest = 0.0, 0.0, 0, 0.0, 0
     waiting: dict[int, int] = {}
     for i, (wait, what, toks, revenue) in enumerate(steps):
         now += wait
         if what == "read":
-            pace.read(now, toks)
+            pace.read(now, toks, 10.0 + toks / 5)
         elif what == "break":
             waiting[i], largest = toks, max(largest, toks)
             pace.wait(i, toks, revenue, 1.0, now + 3000)
@@ -349,7 +350,7 @@
             pace.landed(next(iter(pace.out)))
         out_before, level = len(pace.out), pace.level
         go, late = pace.next(now)
-        peak = max(peak, pace.peak)
+        peak = max(peak, pace.able())
         for item in go:
             if out_before == 0 and item == go[0] and level <= 0:
                 alone += 1
