Tool calls, reasoning and probabilities come through, streamed, whole and to repeats

Cause: the gateway read `content` alone out of an engine's events; a client with tools got an empty answer.

A stream that breaks after more than text was passed on ends honestly. Stand-in engines call tools and say probabilities.

--- a/ternlane/chat/answers.py
+++ b/ternlane/chat/answers.py
@@ -5,6 +5,8 @@
 
 import msgspec
 
+from ternlane.chat.beyond import Beyond, More
+
 encode = msgspec.json.encode
 
 
@@ -49,7 +51,14 @@
     return encode(ErrorBody(ErrorInfo(why, TYPES.get(status, "server_error"), param, code)))
 
 
-def chunk(ident: str, created: int, model: str, text: str | None, finish: str | None, first: bool) -> bytes:
+def chunk(ident: str, created: int, model: str, text: str | None, finish: str | None, first: bool,
+          more: More | None = None) -> bytes:
+    """One event; `more` is what it has besides the text."""
+    if more:
+        said = {**({"role": "assistant"} if first else {}), **({"content": text} if text else {}),
+                **(more.get("delta") or {})}
+        return encode({"id": ident, "object": "chat.completion.chunk", "created": created, "model": model, "choices": [
+            {"index": 0, "delta": said, "finish_reason": finish, "logprobs": more.get("logprobs")}]})
     delta = Delta("assistant" if first else None, text)
     return encode(Chunk(ident, "chat.completion.chunk", created, model, [Choice(0, delta, finish)]))
 
@@ -59,8 +68,11 @@
                    "usage": usage})
 
 
-def answer_body(ident: str, created: int, model: str, text: str, finish: str, usage: dict[str, Any]) -> bytes:
-    message = {"role": "assistant", "content": text, "refusal": None}
+def answer_body(ident: str, created: int, model: str, text: str, finish: str, usage: dict[str, Any],
+                more: More | None = None) -> bytes:
+    beyond = Beyond()
+    beyond.add(more or {})
     return encode({"id": ident, "object": "chat.completion", "created": created, "model": model,
-                   "choices": [{"index": 0, "message": message, "logprobs": None, "finish_reason": finish}],
+                   "choices": [{"index": 0, "message": beyond.message(text), "logprobs": beyond.logprobs(),
+                                "finish_reason": finish}],
                    "usage": usage})
--- a/ternlane/chat/intake.py
+++ b/ternlane/chat/intake.py
@@ -2,6 +2,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import Any
 
 from xxhash import xxh3_64_hexdigest, xxh3_64_intdigest, xxh3_128_digest
 
@@ -65,7 +66,7 @@
         old = self.toks_a_byte.get(product)
         self.toks_a_byte[product] = ratio if old is None else old + WEIGHT * (ratio - old)
 
-    def answered(self, known: Known, text: str) -> None:
-        """Lets the next turn be recognised by what was answered."""
-        said = canonical({"role": "assistant", "content": text})
+    def answered(self, known: Known, message: dict[str, Any]) -> None:
+        """Lets the next turn be recognised by the message that was answered."""
+        said = canonical(message)
         self.sessions.remember(xxh3_128_digest(known.last_hash + said), known.session)
--- a/ternlane/embed/routing.py
+++ b/ternlane/embed/routing.py
@@ -18,6 +18,7 @@
 import trio
 
 from ternlane.chat import ChatAsk, Intake, read_chat
+from ternlane.chat.beyond import More
 from ternlane.choice import Router
 from ternlane.engine import Transport
 from ternlane.gateway.facts import facts_of, models_of, products_of
@@ -56,7 +57,7 @@
         self.usage: dict[str, Any] = {}
         self.finish = ""
 
-    async def piece(self, text: str, first: bool) -> None:
+    async def piece(self, text: str, first: bool, more: More | None = None) -> None:
         """The host's side: waits until the reader has taken it."""
         await self.sends.send(text)
 
--- a/ternlane/engine/leg.py
+++ b/ternlane/engine/leg.py
@@ -3,7 +3,7 @@
 
 from dataclasses import dataclass, field
 from math import inf
-from typing import Any, Awaitable, Callable
+from typing import Any, Awaitable, Callable, Protocol
 
 import h11
 import msgspec
@@ -51,6 +51,12 @@
     finish: str = "stop"
 
 
+class PassOn(Protocol):
+    """Takes one piece of an answer; `more` is what it has besides text (chat.More)."""
+
+    def __call__(self, text: str, first: bool, more: dict[str, Any] | None = None) -> Awaitable[None]: ...
+
+
 class ClientGone(Exception):
     """The client's side broke while the answer was passed on; says nothing of the engine."""
 
@@ -79,8 +85,9 @@
     return await ended(plan, end, run)
 
 
-async def stream_leg(pool: Pool, plan: LegPlan, pass_on: Callable[[str, bool], Awaitable[None]]) -> LegEnd:
-    """Has an answer written; `pass_on(text, first)` gets each piece. Raises ClientGone where that breaks."""
+async def stream_leg(pool: Pool, plan: LegPlan, pass_on: PassOn) -> LegEnd:
+    """Has an answer written; `pass_on(text, first)` gets each piece, with a third value where it has
+    more than text (chat.More). Raises ClientGone where that breaks."""
     end, last = LegEnd(Verdict.TIMED_OUT), trio.current_time() + plan.whole_ms / 1000
 
     async def run() -> None:
@@ -106,10 +113,11 @@
                         end.usage = said.usage
                     for choice in said.choices[:1]:
                         end.finish = choice.finish_reason or end.finish
-                        if choice.delta is not None and choice.delta.content:
+                        more, text = choice.more(), choice.delta.content if choice.delta is not None else None
+                        if text or more:
                             first, end.begun = not end.begun, True
                             plan.scope.deadline = last    # a slow client is not the engine's silence
-                            await pass_on(choice.delta.content, first)
+                            await (pass_on(text or "", first) if more is None else pass_on(text or "", first, more))
                 if end.begun:
                     plan.scope.deadline = min(last, trio.current_time() + plan.quiet_ms / 1000)
             if not whole:
--- a/ternlane/engine/protocol.py
+++ b/ternlane/engine/protocol.py
@@ -74,11 +74,26 @@
 
 class DeltaIn(msgspec.Struct):
     content: str | None = None
+    tool_calls: list[dict[str, Any]] | None = None
+    refusal: str | None = None
+    reasoning_content: str | None = None
+    reasoning: str | None = None
 
 
 class ChoiceIn(msgspec.Struct):
     delta: DeltaIn | None = None
     finish_reason: str | None = None
+    logprobs: dict[str, Any] | None = None
+
+    def more(self) -> dict[str, Any] | None:
+        """What it has besides text, as chat.Beyond puts it together; None for nothing."""
+        delta, out = self.delta, {}
+        if delta is not None and (delta.tool_calls or delta.refusal or delta.reasoning_content or delta.reasoning):
+            out["delta"] = {k: v for k in ("tool_calls", "refusal", "reasoning_content", "reasoning")
+                            if (v := getattr(delta, k))}
+        if self.logprobs:
+            out["logprobs"] = self.logprobs
+        return out or None
 
 
 class ChunkIn(msgspec.Struct):
--- a/ternlane/engine/transport.py
+++ b/ternlane/engine/transport.py
@@ -12,13 +12,11 @@
 import trio
 
 from ternlane.engine.kinds import KINDS
-from ternlane.engine.leg import ClientGone, LegEnd, LegPlan, hold, read_leg, release, stream_leg
+from ternlane.engine.leg import ClientGone, LegEnd, LegPlan, PassOn, hold, read_leg, release, stream_leg
 from ternlane.engine.protocol import Stage, Usage
 from ternlane.http1 import Pool
 from ternlane.port import Report, Verdict
 
-PassOn = Callable[[str, bool], Awaitable[None]]
-
 
 @dataclass(slots=True)
 class LegAsk:
--- a/ternlane/gateway/door.py
+++ b/ternlane/gateway/door.py
@@ -13,6 +13,7 @@
 
 from ternlane.chat import (Busy, ChatAsk, Differs, Done, Intake, Keep, Repeats, Wrong, answer_body, chunk, error_body,
                            kept_for_repeats, read_chat, usage_chunk)
+from ternlane.chat.beyond import More
 from ternlane.gateway.host import Host, now_ms
 from ternlane.gateway.measures import Measures
 from ternlane.gateway.scribe import final_of
@@ -58,8 +59,8 @@
         super().__init__()
         self.created = int(time.time())
 
-    async def piece(self, text: str, first: bool) -> None:
-        data = event_bytes(chunk(self.ident, self.created, self.model, text, None, first))
+    async def piece(self, text: str, first: bool, more: More | None = None) -> None:
+        data = event_bytes(chunk(self.ident, self.created, self.model, text, None, first, more))
         if first:
             await self.exchange.begin(200, [*STREAM_HEAD, ("X-Request-Id", self.ident), *self.extra], data)
         else:
@@ -79,7 +80,7 @@
 class PlainOutlet(Outlet):
     """Text is kept by the ticket until the answer is whole."""
 
-    async def piece(self, text: str, first: bool) -> None:
+    async def piece(self, text: str, first: bool, more: More | None = None) -> None:
         pass
 
 
@@ -303,8 +304,9 @@
         """An answer of which the client has nothing yet."""
         ident, extra = ("X-Request-Id", ticket.ident), ticket.outlet.extra
         match final:
-            case Streamed(text, finish, usage):
-                body = answer_body(f"chatcmpl-{ticket.ident}", int(time.time()), ticket.ask.model, text, finish, usage)
+            case Streamed(text, finish, usage, more):
+                body = answer_body(f"chatcmpl-{ticket.ident}", int(time.time()), ticket.ask.model, text, finish, usage,
+                                   more)
                 await exchange.answer(200, [ident, *extra], body)
             case Throttled(pause):
                 seconds = max(1, -(-int(pause) // 1000))
@@ -343,14 +345,14 @@
         ident = f"chatcmpl-{self.birth}-{next(self.count)}"
         mark = ("Idempotency-Replayed", "true")
         match final:
-            case Streamed(text, finish, usage) if ask.stream:
+            case Streamed(text, finish, usage, more) if ask.stream:
                 outlet = StreamOutlet(exchange, ident, ask.model, ask.include_usage)
                 outlet.extra = [mark]
-                await outlet.piece(text, True)
+                await outlet.piece(text, True, more)
                 await outlet.end(final)
-            case Streamed(text, finish, usage):
+            case Streamed(text, finish, usage, more):
                 await exchange.answer(200, [mark], answer_body(ident, int(time.time()), ask.model, text, finish,
-                                                                    usage))
+                                                                    usage, more))
             case _:
                 why = final.why if isinstance(final, Terminated) else ""
                 await exchange.answer(502, [mark, ("x-should-retry", "false")],
--- a/ternlane/gateway/host.py
+++ b/ternlane/gateway/host.py
@@ -12,6 +12,7 @@
 
 from ternlane import port
 from ternlane.chat import Intake
+from ternlane.chat.beyond import More
 from ternlane.engine import ClientGone, LegAsk, LegEnd, LegPlan, Stage, Transport, Usage
 from ternlane.gateway.measures import Measures
 from ternlane.gateway.scribe import Scribe
@@ -219,18 +220,18 @@
         since, stage, plan, last = now_ms(), ask.stage, ask.plan, 0.0
         longest, explores = plan.quiet_ms, self.rhythm.explores()
 
-        async def pass_on(text: str, first: bool) -> None:
+        async def pass_on(text: str, first: bool, more: More | None = None) -> None:
             nonlocal last
             if not first and now_ms() - last > SAME_MS:    # not what came with the piece before
                 self.rhythm.heard(server, now_ms() - last, explores)
             try:
-                await pass_piece(text, first)
+                await pass_piece(text, first, more)
             finally:
                 last = now_ms()    # a client that takes its time is not the engine's silence
             if ticket.join.way is not Way.END and self.streams.alarms and not explores:
                 plan.quiet_ms = min(longest, self.rhythm.quiet_ms(server) or longest)
 
-        async def pass_piece(text: str, first: bool) -> None:
+        async def pass_piece(text: str, first: bool, more: More | None) -> None:
             if ticket.left:
                 raise ClientGone
             if first:
@@ -257,10 +258,13 @@
                 ticket.why = "over budget: the overdraft is used up"
                 plan.call_off()
             head, ticket.begun = not ticket.begun, True
-            if not new and not head:
+            if more is not None:
+                ticket.beyond.add(more)
+                ticket.join.beyond()
+            elif not new and not head:
                 return    # a repeat's, which the client has
             try:
-                await ticket.outlet.piece(new, head)
+                await (ticket.outlet.piece(new, head) if more is None else ticket.outlet.piece(new, head, more))
             except (trio.BrokenResourceError, trio.ClosedResourceError):
                 raise ClientGone from None
 
@@ -326,9 +330,10 @@
 
     def streamed(self, ticket: Ticket, finish: str, usage: Usage | None) -> None:
         join, said = ticket.join, (usage or Usage()).told()
-        self.intake.answered(ticket.known, join.text)
+        self.intake.answered(ticket.known, ticket.beyond.echoed(join.text))
         self.rhythm.ended(len(join.pieces))
-        self.settle(ticket, Streamed(join.text, finish, join.usage(ticket.prompt_said, ticket.kept_said, said)))
+        self.settle(ticket, Streamed(join.text, finish, join.usage(ticket.prompt_said, ticket.kept_said, said),
+                                      ticket.beyond.whole() if ticket.beyond else None))
 
     # -- streams that broke
 
--- a/ternlane/gateway/scribe.py
+++ b/ternlane/gateway/scribe.py
@@ -54,9 +54,9 @@
         kept = Ended(ticket.noted, outcome)
         if ticket.repeat_key:
             match ticket.final:
-                case Streamed(text, finish, usage):
+                case Streamed(text, finish, usage, more):
                     kept = Ended(ticket.noted, outcome, text, finish,
-                                 {k: v for k, v in usage.items() if isinstance(v, int)})
+                                 {k: v for k, v in usage.items() if isinstance(v, int)}, more=more or {})
                 case Terminated(why):
                     kept = Ended(ticket.noted, outcome, why=why)
                 case None if ticket.gen.product.effect is not Effect.IDEMPOTENT and ticket.legs:
@@ -100,5 +100,7 @@
 
 def final_of(known: Known) -> Final:
     it = known.ended
-    return Streamed(it.text, it.finish, dict(it.usage)) if it.outcome == "streamed" else Terminated(it.why)
+    if it.outcome != "streamed":
+        return Terminated(it.why)
+    return Streamed(it.text, it.finish, dict(it.usage), it.more or None)
 
--- a/ternlane/gateway/ticket.py
+++ b/ternlane/gateway/ticket.py
@@ -8,6 +8,7 @@
 import trio
 
 from ternlane.chat import ChatAsk, Known
+from ternlane.chat.beyond import Beyond, More
 from ternlane.engine import LegPlan
 from ternlane.port import Generation, Server
 from ternlane.recover import Join
@@ -31,6 +32,7 @@
     text: str
     finish: str
     usage: dict[str, Any]
+    more: More | None = None    # besides the text
 
 
 Final = Throttled | Terminated | Streamed
@@ -43,7 +45,7 @@
         self.extra: list[tuple[str, str]] = []
 
     @abstractmethod
-    async def piece(self, text: str, first: bool) -> None: ...
+    async def piece(self, text: str, first: bool, more: More | None = None) -> None: ...
 
 
 @dataclass(slots=True, eq=False)
@@ -76,6 +78,7 @@
     legs: int = 0
     trail: list[str] = field(default_factory=list)    # server and verdict of each leg
     why: str = ""
+    beyond: Beyond = field(default_factory=Beyond)    # its text apart
     state: dict[str, Any] | None = None    # as the reader gave it, to hand to a writer
     holders: dict[Server, None] = field(default_factory=dict)    # servers that may hold a state for it
 
--- a/ternlane/recover/inflight.py
+++ b/ternlane/recover/inflight.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from typing import Any
 
 import msgspec
 
@@ -50,6 +51,7 @@
     finish: str = ""
     usage: dict[str, int] = {}
     why: str = ""
+    more: dict[str, Any] = {}
 
 
 Record = Taken | Sent | Freed | Ended
--- a/ternlane/recover/join.py
+++ b/ternlane/recover/join.py
@@ -114,6 +114,11 @@
         goes_on = self.resumed and self.way is Way.GO_ON
         return not (goes_on and prompt and first) or prompt >= first + self.toks / 2
 
+    def beyond(self) -> None:
+        """The client has more than text, which no other leg can go on from."""
+        if self.way is not Way.END:
+            self.end("it had more than text")
+
     def end(self, why: str) -> None:
         self.way, self.why = Way.END, why
 
--- a/ternlane/standin/engine.py
+++ b/ternlane/standin/engine.py
@@ -70,6 +70,19 @@
         self.status, self.reason = status, reason
 
 
+def piece(body: dict[str, Any], i: int, word: str) -> dict[str, Any]:
+    """One choice of an event: the word as text, with its probability where asked for; or, for a request with tools, as
+    a bit of the arguments of a call to the first of them."""
+    if not body.get("tools"):
+        probs = {"content": [{"token": word, "logprob": -0.5, "bytes": None, "top_logprobs": []}]}
+        return {"index": 0, "delta": {"content": word}, "finish_reason": None,
+                **({"logprobs": probs} if body.get("logprobs") else {})}
+    name = body["tools"][0]["function"]["name"]
+    call = {"index": 0, "function": {"arguments": word}} if i else {
+        "index": 0, "id": "call_1", "type": "function", "function": {"name": name, "arguments": word}}
+    return {"index": 0, "delta": {"tool_calls": [call]}, "finish_reason": None}
+
+
 class Engine:
     def __init__(self, ident: str, duty: str, zone: str, cell: int, host: str, port: int, build: Build,
                  traffic: Traffic, seed: int, source: str | None = None) -> None:
@@ -497,7 +510,7 @@
                 said += 1
                 data = event_bytes(msgspec.json.encode({
                     "id": gen, "object": "chat.completion.chunk",
-                    "choices": [{"index": 0, "delta": {"content": word}, "finish_reason": None}]}))
+                    "choices": [piece(body, i, word)]}))
                 if i == 0:
                     await exchange.begin(200, [("Content-Type", "text/event-stream"), ("Transfer-Encoding", "chunked"),
                                                self.load()], data)
@@ -509,7 +522,8 @@
                 return await self.break_off(exchange, break_by)    # after the last token, before the end
             usage = self.usage(toks, kept, out)
             last = event_bytes(msgspec.json.encode({
-                "id": gen, "choices": [{"index": 0, "delta": {}, "finish_reason": "stop"}]}))
+                "id": gen, "choices": [{"index": 0, "delta": {},
+                                        "finish_reason": "tool_calls" if body.get("tools") else "stop"}]}))
             last += event_bytes(msgspec.json.encode({"id": gen, "choices": [], "usage": usage}))
             last += event_bytes(b"[DONE]")
             self.traffic.line("wrote", id=self.ident, gen=gen, n=number, toks=out)
--- a/tests/test_chat.py
+++ b/tests/test_chat.py
@@ -36,7 +36,7 @@
 def test_a_conversation_is_recognised_by_what_was_said() -> None:
     known = intake()
     first = known.take(ask("hello there"), 1000)    # type: ignore[arg-type]
-    known.answered(first, "good day")
+    known.answered(first, {"role": "assistant", "content": "good day"})
     assert known.take(ask("hello there", "good day", "more"), 1000).session == first.session    # type: ignore[arg-type]
     assert known.take(ask("hello there", "other words", "more"), 1000).session == first.session    # type: ignore[arg-type]
     assert known.take(ask("hello there", user="v"), 1000).session != first.session    # type: ignore[arg-type]
--- a/tests/test_recover.py
+++ b/tests/test_recover.py
@@ -443,3 +443,36 @@
         reply = await w.ask()
         assert reply.done == 1 and len(reply.text.split()) == 30 and trio.current_time() - since < 0.8
         assert w.gateway.host.facts.products[0].limit_ms / 2 == 1000    # the silence that the decisions allow
+
+
+# -- what an answer has besides its text
+
+TOOLS = [{"type": "function", "function": {"name": "look_up", "parameters": {}}}]
+
+
+async def test_tool_calls_and_probabilities_come_through_streamed_whole_and_again() -> None:
+    async with world(("r0", "w0")) as w:
+        streamed = await w.ask(tools=TOOLS)
+        said = [json.loads(e)["choices"][0] for e in streamed.events if e != "[DONE]" and json.loads(e)["choices"]]
+        calls = [c["delta"]["tool_calls"][0] for c in said if c["delta"].get("tool_calls")]
+        arguments = "".join(c["function"]["arguments"] for c in calls)
+        assert calls[0]["id"] == "call_1" and calls[0]["function"]["name"] == "look_up" and len(arguments.split()) == 6
+        assert said[0]["delta"]["role"] == "assistant" and said[-1]["finish_reason"] == "tool_calls"
+        for _ in range(2):    # as it runs, and as its repeat hears it
+            whole = json.loads((await w.ask(stream=False, tools=TOOLS, headers={"Idempotency-Key": "k"})).body)
+            message = whole["choices"][0]["message"]
+            assert message["content"] is None and message["tool_calls"] == [
+                {"id": "call_1", "type": "function", "function": {"name": "look_up", "arguments": arguments}}]
+        probs = json.loads((await w.ask(stream=False, logprobs=True)).body)["choices"][0]
+        assert "".join(t["token"] for t in probs["logprobs"]["content"]) == probs["message"]["content"]
+        assert len(w.said("effect")) == 3
+
+
+async def test_a_stream_lost_within_a_tool_call_ends_honestly() -> None:
+    async with world(("r0", "w0", "w0b"), terms=terms()) as w:
+        for ident in ("w0", "w0b"):
+            await broken_at(w, ident, 3)
+        reply = await w.ask(tools=TOOLS, temperature=0)
+        assert reply.done == 0 and "more than text" in reply.error["message"]    # type: ignore[index]
+        assert len(legs_at(w)) == 1
+        await w.settled()
