Last-Event-ID: the rest of a stream, out of the kept answer or by a run that comes out the same

Need: a client that lost its gateway within a stream had to hear all of it again, or nothing.

Change: with streams.ids events carry the characters so far as their id. What may not run again, or would not come out the same, hears 409 and nothing runs. Ids beyond the answer end in an error event.

Measured: taken up after each of several events and within one, with a loss inside, byte for byte the rest.

--- a/ternlane/gateway/door.py
+++ b/ternlane/gateway/door.py
@@ -22,6 +22,7 @@
 from ternlane.http1 import BadRequest, Exchange, event_bytes, serve_connection
 from ternlane.paper import DoorTerms, GatewayPaper
 from ternlane.port import Product
+from ternlane.recover import comes_out_the_same
 from ternlane.recover.inflight import Known
 from ternlane.tenants import Hold, Refusal, TenantLine, Unknown
 from ternlane.tenants.cashier import wait_s
@@ -54,13 +55,18 @@
 class StreamOutlet(Outlet):
     """Text goes out as server-sent events while it comes."""
 
-    def __init__(self, exchange: Exchange, ident: str, model: str, include_usage: bool) -> None:
+    def __init__(self, exchange: Exchange, ident: str, model: str, include_usage: bool,
+                 after: int | None = None) -> None:
+        """`after`: characters that the client has already; None where events carry no ids."""
+        self.after = after
         self.exchange, self.ident, self.model, self.include_usage = exchange, ident, model, include_usage
         super().__init__()
         self.created = int(time.time())
 
     async def piece(self, text: str, first: bool, more: More | None = None) -> None:
-        data = event_bytes(chunk(self.ident, self.created, self.model, text, None, first, more))
+        if self.after is not None:
+            self.after += len(text)
+        data = event_bytes(chunk(self.ident, self.created, self.model, text, None, first, more), self.after)
         if first:
             await self.exchange.begin(200, [*STREAM_HEAD, ("X-Request-Id", self.ident), *self.extra], data)
         else:
@@ -172,13 +178,14 @@
             if len(self.host.tickets) >= self.terms.open_limit:
                 raise NotTaken(503, "This gateway holds as many generations as it may", "open_limit", 1)
             patience = self.patience(exchange, self.models.get(ask.model))
+            after = self.resumes_after(exchange, ask)
             key = self.repeat_key(exchange, tenant) if ask.model in self.models else None
             if key is not None:
                 done = self.repeated(key, exchange.body, since)
                 if done is not None:
-                    return await self.replay(exchange, done, ask)
+                    return await self.replay(exchange, done, ask, after)
                 begun = key
-            ticket = self.ticket(exchange, ask, tenant, key, patience, since)
+            ticket = self.ticket(exchange, ask, tenant, key, patience, since, after)
         except Wrong as bad:
             return await self.refuse(exchange, bad.status, bad.why, bad.code, bad.param)
         except NotTaken as no:
@@ -236,11 +243,25 @@
                 return final
         return None
 
+    def resumes_after(self, exchange: Exchange, ask: ChatAsk) -> int:
+        """How much of its answer the client has, by Last-Event-ID: the rest is what it asks for. Raises NotTaken."""
+        said = exchange.header(b"last-event-id")
+        if not said:
+            return 0
+        if not self.paper.streams.ids or not ask.stream:
+            raise NotTaken(409, "Streams can't be taken up again here", "resume_not_offered", param="Last-Event-ID")
+        if not said.isascii() or not said.isdecimal() or len(said) > 9:
+            raise Wrong("Last-Event-ID", "must be the id of an event of this stream")
+        return int(said)
+
     def ticket(self, exchange: Exchange, ask: ChatAsk, tenant: TenantLine | None, key: str | None, patience: float,
-               since: float) -> Ticket:
+               since: float, after: int) -> Ticket:
         """Makes the generation and reserves for it. Raises Wrong, or NotTaken where the budget has no room."""
         owner = tenant.name if tenant is not None else ""
         known = self.intake.take(ask, patience, owner)
+        if after and not comes_out_the_same(ask.raw, known.gen.product.effect):
+            raise NotTaken(409, "The rest of this answer can't be had: it is not kept, and another run must not be, or "
+                                "would not come out the same", "resume_not_possible", param="Last-Event-ID")
         hold: Hold | None = None
         if self.till is not None and tenant is not None:
             got = self.till.reserve(tenant, self.names[known.gen.product], known.gen.prompt_toks,
@@ -249,13 +270,17 @@
                 raise over_budget(got)
             hold = got
         ident = self.ident(exchange, owner)
-        outlet: Outlet = (StreamOutlet(exchange, f"chatcmpl-{ident}", ask.model, ask.include_usage) if ask.stream
-                          else PlainOutlet())
+        outlet: Outlet = PlainOutlet()
+        if ask.stream:
+            outlet = StreamOutlet(exchange, f"chatcmpl-{ident}", ask.model, ask.include_usage,
+                                  after if self.paper.streams.ids else None)
         if self.till is not None and hold is not None:
             outlet.extra = self.till.headers(hold)
         # Engines drop repeats by this key; a key of the gateway's own can't meet another gateway's.
         engine_key = (f"{self.birth}-{ident}-{next(self.count)}" if key is None else xxh3_64_hexdigest(key.encode()))
-        return Ticket(ident, ask, known, outlet, since, engine_key, self.host.join_for(ask.raw, known.gen),
+        join = self.host.join_for(ask.raw, known.gen)
+        join.ahead = after
+        return Ticket(ident, ask, known, outlet, since, engine_key, join,
                       key or "", xxh3_128_digest(exchange.body) if key is not None else b"", hold=hold)
 
     def ident(self, exchange: Exchange, tenant: str) -> str:
@@ -340,15 +365,17 @@
         self.repeats.end(key, final, cost, now_ms() + max(product.window_ms, product.limit_ms))
         self.repeats.sweep(now_ms())
 
-    async def replay(self, exchange: Exchange, final: Final, ask: ChatAsk) -> None:
-        """The first request's answer again, in the form that is asked for now; nothing runs."""
+    async def replay(self, exchange: Exchange, final: Final, ask: ChatAsk, after: int) -> None:
+        """The first request's answer again, or what comes `after` so many characters of it, in the form that is asked
+        for now; nothing runs."""
         ident = f"chatcmpl-{self.birth}-{next(self.count)}"
         mark = ("Idempotency-Replayed", "true")
         match final:
             case Streamed(text, finish, usage, more) if ask.stream:
-                outlet = StreamOutlet(exchange, ident, ask.model, ask.include_usage)
+                outlet = StreamOutlet(exchange, ident, ask.model, ask.include_usage,
+                                      after if self.paper.streams.ids else None)
                 outlet.extra = [mark]
-                await outlet.piece(text, True, more)
+                await outlet.piece(text[after:], True, more)
                 await outlet.end(final)
             case Streamed(text, finish, usage, more):
                 await exchange.answer(200, [mark], answer_body(ident, int(time.time()), ask.model, text, finish,
--- a/ternlane/http1/events.py
+++ b/ternlane/http1/events.py
@@ -39,5 +39,5 @@
         return out
 
 
-def event_bytes(data: bytes) -> bytes:
-    return b"data: " + data + b"\n\n"
+def event_bytes(data: bytes, ident: int | None = None) -> bytes:
+    return (b"" if ident is None else b"id: %d\n" % ident) + b"data: " + data + b"\n\n"
--- a/ternlane/paper/gateway.py
+++ b/ternlane/paper/gateway.py
@@ -74,6 +74,7 @@
 class StreamTerms(Sheet, frozen=True, kw_only=True):
     """What becomes of streams that break off (docs/streams.md)."""
     resume: bool = True
+    ids: bool = False         # events carry ids, and Last-Event-ID asks for the rest of an answer
     continues: bool = True    # engines know continue_final_message; else whole runs are repeated, compared and skipped
     alarms: Annotated[float, Meta(ge=0, le=1)] = 1e-3    # part of streams wrongly given up as stalled; 0: none are
     share: Annotated[float, Meta(ge=0, le=1)] = 0.25    # of the readers' work that may go to reading anew
--- a/ternlane/recover/__init__.py
+++ b/ternlane/recover/__init__.py
@@ -2,6 +2,6 @@
 from ternlane.recover.join import Differs, Join, Shelf
 from ternlane.recover.pace import Pace
 from ternlane.recover.rhythm import Rhythm
-from ternlane.recover.ways import Way, way_of
+from ternlane.recover.ways import Way, comes_out_the_same, way_of
 
-__all__ = ["Differs", "Join", "Pace", "Rhythm", "Shelf", "Way", "way_of"]
+__all__ = ["Differs", "Join", "Pace", "Rhythm", "Shelf", "Way", "comes_out_the_same", "way_of"]
--- a/ternlane/recover/join.py
+++ b/ternlane/recover/join.py
@@ -38,6 +38,7 @@
         self.legs = 0                 # that broke after their first piece
         self.skip = ""                # what a repeat has still to say before anything new
         self.stopped = self.differs = False
+        self.ahead = 0                # characters that the client has of a run that is not known here
         stops = [stop] if isinstance(stop, str) else stop if isinstance(stop, list) else []
         self.stops = [s for s in stops if isinstance(s, str) and s]
 
@@ -70,6 +71,9 @@
             piece = self.up_to_stop(piece)
         if piece:
             self.keep(piece)
+        if self.ahead and piece:
+            had = min(self.ahead, len(piece))
+            self.ahead, piece = self.ahead - had, piece[had:]
         return piece
 
     def up_to_stop(self, piece: str) -> str:
@@ -104,7 +108,7 @@
 
     def ends(self) -> bool:
         """The present leg has ended well; false where it is a repeat that said less than the client has."""
-        if self.skip:
+        if self.skip or self.ahead:
             self.other()
         return not self.differs
 
--- a/ternlane/recover/ways.py
+++ b/ternlane/recover/ways.py
@@ -37,6 +37,12 @@
     return Way.END, f"{carried}, and another run would not come out the same"
 
 
+def comes_out_the_same(raw: dict[str, Any], effect: Effect) -> bool:
+    """May a whole new run stand for one that was lost, whose text is not known here?"""
+    fixed = raw.get("temperature") == 0 or raw.get("seed") is not None
+    return effect is Effect.IDEMPOTENT and fixed and not raw.get("tools") and not raw.get("logprobs")
+
+
 def beyond_text(raw: dict[str, Any]) -> str:
     """What an answer carries on besides its text; empty if nothing."""
     form = raw.get("response_format")
--- a/tests/test_recover.py
+++ b/tests/test_recover.py
@@ -476,3 +476,41 @@
         assert reply.done == 0 and "more than text" in reply.error["message"]    # type: ignore[index]
         assert len(legs_at(w)) == 1
         await w.settled()
+
+
+# -- Last-Event-ID
+
+async def test_a_stream_is_taken_up_again_where_its_client_had_it() -> None:
+    async with world(("r0", "w0", "w0b"), terms=terms(), streams=StreamTerms(ids=True)) as w:
+        whole = await w.ask(temperature=0)
+        ids = [int(line[4:]) for line in whole.body.decode().splitlines() if line.startswith("id: ")]
+        assert ids[-1] == len(whole.text) and ids == sorted(ids) and len(set(ids)) == 6
+        for at in (ids[0], ids[2], ids[2] - 1, ids[-1]):
+            rest = await w.ask(temperature=0, headers={"Last-Event-ID": str(at)})
+            assert rest.text == whole.text[at:] and rest.done == 1
+            assert f"id: {len(whole.text)}\n" in rest.body.decode() or not rest.text
+        for ident in ("w0", "w0b"):    # and a loss within it is joined as any other
+            await broken_at(w, ident, 4)
+        rest = await w.ask(temperature=0, headers={"Last-Event-ID": str(ids[1])})
+        assert rest.text == whole.text[ids[1]:] and rest.done == 1
+        for engine in w.engines.values():
+            engine.trouble.script = ""
+        beyond = await w.ask(temperature=0, headers={"Last-Event-ID": str(len(whole.text) + 5)})
+        assert beyond.done == 0 and beyond.error is not None
+
+
+async def test_what_may_not_run_again_is_taken_up_only_from_what_is_kept() -> None:
+    async with world(("r0", "w0"), streams=StreamTerms(ids=True)) as w:
+        whole = await w.ask("note", headers={"Idempotency-Key": "k"})
+        rest = await w.ask("note", headers={"Idempotency-Key": "k", "Last-Event-ID": "5"})
+        assert rest.text == whole.text[5:] and rest.done == 1 and len(w.said("effect")) == 1
+        for model, more in (("note", {}), ("summary", {}), ("form", {"temperature": 0})):
+            reply = await w.ask(model, headers={"Last-Event-ID": "5"}, **more)
+            assert reply.status == 409 and reply.error["code"] == "resume_not_possible"    # type: ignore[index]
+        reply = await w.ask("note", headers={"Last-Event-ID": "five"})
+        assert reply.status == 400 and len(w.said("effect")) == 1
+        free = await w.ask("note", headers={"Idempotency-Key": "k2", "Last-Event-ID": "5"})
+        assert free.status == 409 and (await w.ask("note", headers={"Idempotency-Key": "k2"})).done == 1
+    async with world(("r0", "w0")) as w:
+        assert b"id: " not in (await w.ask()).body
+        assert (await w.ask(temperature=0, headers={"Last-Event-ID": "5"})).status == 409
