--- a/ternlane/gateway/scribe.py
+++ b/ternlane/gateway/scribe.py
@@ -16,6 +16,7 @@
 
 JOURNAL: Kind[Record, InFlight] = Kind("takes", b"TLTAKES1", decode_record, InFlight)
 SEGMENT = 4 << 20
+GATHER_MS = 20.0    # what nobody waits for may share a sync
 
 
 class Scribe:
@@ -24,7 +25,8 @@
     def __init__(self, folder: Path, log: Any) -> None:
         self.log = log
         self.store = Segmented(JOURNAL, Disk(folder), SEGMENT, keep_segments=1)
-        self.writer: Writer[Record, InFlight] = Writer(self.store, log, on_own=self.taken_up, what="journal")
+        self.writer: Writer[Record, InFlight] = Writer(self.store, log, on_own=self.taken_up, what="journal",
+                                                        gather_ms=GATHER_MS)
         self.lost: InFlight | None = None    # what the process before had open
         self.up, self.ready = trio.Event(), False    # the folder is ours; repeats know what they hear
         self.birth, self.count = f"{time.time_ns():x}", count(1)
@@ -37,32 +39,40 @@
 
     def took(self, ticket: Ticket) -> None:
         product, now = ticket.gen.product, time.time() * 1000
+        if not ticket.repeat_key:    # nobody can ask for it again: only what it holds need be known
+            ticket.noted = ""
+            return
         ticket.noted = f"{self.birth}.{next(self.count)}"
         self.writer.add(Taken(ticket.noted, ticket.ident, ticket.repeat_key, ticket.mark, product.effect.name, now,
                               now + max(product.window_ms, product.limit_ms)))
 
     def sends(self, ticket: Ticket, server: str, address: str, protocol: str, reads: bool, writes: bool) -> int | None:
         """Gives the number to wait for, where the leg must not go out before it is kept."""
-        number = self.writer.add(Sent(ticket.noted, server, address, protocol, reads, writes))
+        if not ticket.repeat_key and not reads:
+            return None
+        ticket.noted = ticket.noted or f"{self.birth}.{next(self.count)}"
+        number = self.writer.add(Sent(ticket.noted, ticket.ident, server, address, protocol, reads, writes))
         needed = writes and ticket.repeat_key and ticket.gen.product.effect is not Effect.IDEMPOTENT
         return number if needed else None
 
     def freed(self, ticket: Ticket) -> None:
-        self.writer.add(Freed(ticket.noted))
+        if ticket.noted:
+            self.writer.add(Freed(ticket.noted))
 
     def ended(self, ticket: Ticket, outcome: str) -> None:
         kept = Ended(ticket.noted, outcome)
-        if ticket.repeat_key:
-            match ticket.final:
-                case Streamed(text, finish, usage, more):
-                    kept = Ended(ticket.noted, outcome, text, finish,
-                                 {k: v for k, v in usage.items() if isinstance(v, int)}, more=more or {})
-                case Terminated(why):
-                    kept = Ended(ticket.noted, outcome, why=why)
-                case None if ticket.gen.product.effect is not Effect.IDEMPOTENT and ticket.legs:
-                    kept = Ended(ticket.noted, "terminated", why="the first client left; it may have run")
-                case _:
-                    pass
+        if not ticket.repeat_key:
+            return
+        match ticket.final:
+            case Streamed(text, finish, usage, more):
+                kept = Ended(ticket.noted, outcome, text, finish,
+                             {k: v for k, v in usage.items() if isinstance(v, int)}, more=more or {})
+            case Terminated(why):
+                kept = Ended(ticket.noted, outcome, why=why)
+            case None if ticket.gen.product.effect is not Effect.IDEMPOTENT and ticket.legs:
+                kept = Ended(ticket.noted, "terminated", why="the first client left; it may have run")
+            case _:
+                pass
         self.writer.add(kept)
 
     # -- after a loss
--- a/ternlane/ledger/writer.py
+++ b/ternlane/ledger/writer.py
@@ -20,7 +20,9 @@
     """
 
     def __init__(self, store: Segmented[E, F], log: Any, limit: int = 100_000,
-                 on_own: Callable[[F], None] = lambda _: None, what: str = "bills") -> None:
+                 on_own: Callable[[F], None] = lambda _: None, what: str = "bills", gather_ms: float = 0.0) -> None:
+        """`gather_ms`: how long a group waits for more while nobody waits for it."""
+        self.gather_ms, self.hurry, self.awaited = gather_ms, trio.Event(), 0
         self.store, self.log, self.limit, self.on_own, self.what = store, log, limit, on_own, what
         self.own = False
         self.fresh: list[E] = []
@@ -42,6 +44,8 @@
         return self.added
 
     async def until_kept(self, number: int) -> None:
+        self.awaited = max(self.awaited, number)
+        self.hurry.set()
         while self.done < number:
             await self.turned.wait()
 
@@ -64,6 +68,10 @@
         while True:
             await self.wake.wait()
             self.wake = trio.Event()
+            if self.gather_ms and self.awaited <= self.done:
+                self.hurry = trio.Event()
+                with trio.move_on_after(self.gather_ms / 1000):
+                    await self.hurry.wait()
             await self.keep()
 
     async def keep(self) -> None:
--- a/ternlane/recover/inflight.py
+++ b/ternlane/recover/inflight.py
@@ -29,8 +29,10 @@
 
 
 class Sent(msgspec.Struct, array_like=True, tag="s"):
-    """A leg is about to be sent. `reads`: the server may hold a state from now on; `writes`: it may run."""
+    """A leg is about to be sent; without a key only reads are noted, for what they hold. `reads`: the server may hold a
+    state from now on; `writes`: it may run."""
     ident: str
+    name: str
     server: str
     address: str
     protocol: str
@@ -95,7 +97,9 @@
                 if entry.key:
                     self.known.pop(entry.key, None)
                 self.sweep()
-            case Sent(ident=ident) if ident in self.opened:
+            case Sent(ident=ident, name=name) if ident in self.opened or entry.reads:
+                if ident not in self.opened:
+                    self.opened[ident] = Open(Taken(ident, name, "", b"", Effect.IDEMPOTENT.name, 0.0, 0.0), ended=True)
                 it = self.opened[ident]
                 if entry.reads:
                     it.held = [*it.held, (entry.server, entry.address, entry.protocol)]
