Broken streams counted by cause; a writer that never ends an answer is found by outcomes

A story has a writer that breaks off, is silent or stalls at each answer.

The bad writer gets under a tenth of the later legs.

--- a/ternlane/days/report.py
+++ b/ternlane/days/report.py
@@ -10,6 +10,9 @@
 from ternlane.rules import Findings, read_lines
 
 
+NEAR_MS = 60.0    # two processes write of one moment
+
+
 def quantile(values: list[float], q: float) -> float:
     """The value below which a part q of the values lie; 0.0 for none."""
     return sorted(values)[min(len(values) - 1, int(q * len(values)))] if values else 0.0
@@ -73,8 +76,10 @@
 
 
 def streams_of(lines: list[dict[str, Any]]) -> dict[str, Any]:
-    """What became of begun answers whose leg broke after its first piece, by effect and by how far they were. Tries of
-    clients that left are not counted. `gap_ms`: the longest pause within a stream."""
+    """What became of begun answers whose leg broke after its first piece: by effect; of idempotent ones by how far they
+    were and by cause, with the longest pause that their clients saw. Tries of clients that left are not counted."""
+    downs: dict[str, list[float]] = defaultdict(list)
+    cuts: list[tuple[float, float]] = []
     said: dict[str, list[dict[str, Any]]] = defaultdict(list)
     ends, asks, finals = {}, {}, {}
     for line in lines:
@@ -82,28 +87,51 @@
             case "said":
                 said[line["gen"]].append(line)
             case "leg_end":
-                ends[line["id"], line["gen"], line["n"]] = line["how"]
+                ends[line["id"], line["gen"], line["n"]] = line
+            case "down":
+                downs[line["id"]].append(line["t"])
+            case "trouble" if line["trouble"] == "zone_cut" and line["what"].startswith("begin"):
+                cuts.append((line["t"], float("inf")))
+            case "trouble" if line["trouble"] == "zone_cut":
+                cuts[-1] = cuts[-1][0], line["t"]
             case "ask":
                 asks[line["gen"]] = line
             case "final":
                 finals[line["gen"]] = line
+    def cause(leg: dict[str, Any]) -> str:
+        """By the engine's own lines: its process ended, it broke off, or the gateway did."""
+        end = ends.get((leg["id"], leg["gen"], leg["n"]))
+        if end is None or any(abs(t - end["t"]) < NEAR_MS for t in downs[leg["id"]]):
+            return "process died"
+        if any(since - NEAR_MS <= end["t"] <= until + NEAR_MS for since, until in cuts):
+            return "zone cut"
+        return "reset" if end["how"] == "lost" else "stalled"
+
     kinds: dict[str, Counter[str]] = defaultdict(Counter)
+    causes: dict[str, Counter[str]] = defaultdict(Counter)
+    pauses: dict[str, list[float]] = defaultdict(list)
     far: dict[str, Counter[str]] = defaultdict(Counter)
     gaps: dict[str, list[float]] = {"unbroken": [], "joined": []}
     for gen, ask in asks.items():
         final, legs = finals.get(gen), said.get(gen, [])
         if final is None or final["outcome"] == "left":
             continue
-        broken = [v for v in legs if v["text"] and ends.get((v["id"], gen, v["n"])) != "streamed"]
+        broken = [v for v in legs if v["text"] and ends.get((v["id"], gen, v["n"]), {"how": ""})["how"] != "streamed"]
         if broken:
             outcome = "whole" if final["outcome"] == "streamed" else "in part"
             kinds[ask["effect"]][outcome] += 1
             if ask["effect"] == "idempotent":
+                causes[cause(broken[0])][outcome] += 1
+                if ask["stream"] and outcome == "whole":
+                    pauses[cause(broken[0])].append(final["gap"])
                 words = len(broken[0]["text"].split())
                 far["1" if words == 1 else "2-7" if words < 8 else "8-15" if words < 16 else "16+"][outcome] += 1
         if ask["stream"] and final["outcome"] == "streamed":
             gaps["joined" if broken else "unbroken"].append(final["gap"])
     return {"broke": {k: dict(v) for k, v in kinds.items()},
+            "by cause": {k: {**v, "pause_ms": {
+                q: round(quantile(pauses[k], float(q)), 1) for q in ("0.5", "0.9", "0.99")}}
+                for k, v in sorted(causes.items())},
             "by pieces before": {k: dict(v) for k, v in sorted(far.items())},
             "gap_ms": {k: {"n": len(v), **{q: round(quantile(v, float(q)), 1) for q in ("0.5", "0.9", "0.99")}}
                        for k, v in gaps.items()}}
--- a/tests/test_recover.py
+++ b/tests/test_recover.py
@@ -583,3 +583,27 @@
         reply = await w.ask()
         assert reply.done == 1 and len(reply.text.split()) == 30 and reply.text.startswith(whole.text)
         assert len(legs_at(w)) == 2 and check(w.traffic.lines, RULES).broken == []
+
+
+@pytest.mark.parametrize("script", ["midway", "silent", "stall"])
+async def test_a_writer_that_never_ends_an_answer_is_found_by_outcomes_alone(script: str) -> None:
+    """Its list entry, its handshake and its reads of the prompt are all well."""
+    async with world(("r0", "w0", "w0b", "w1"), terms=terms()) as w:
+        await broken_at(w, "w0", 2, script)
+        replies: list[Reply] = []
+
+        async def ask(i: int) -> None:
+            replies.append(await w.ask(text=f"folder {i}"))
+        for i in range(60):
+            w.nursery.start_soon(ask, i)
+            await trio.sleep(0.04)
+        early = len(legs_at(w))
+        for i in range(60, 90):
+            w.nursery.start_soon(ask, i)
+            await trio.sleep(0.04)
+        late = legs_at(w)[early:]
+        assert len(late) >= 20 and late.count("w0") <= len(late) / 10
+        with trio.fail_after(4):
+            while len(replies) < 90:
+                await trio.sleep(0.05)
+        assert sum(r.done for r in replies) >= 85
