Bills of joined streams are tested

Need: the bill of a stream that broke and went on had no test of its own.

Change: two cases of bill_for with broke_at: joined, and lost again.

Measured: the prompt is billed as first read, the answer over all legs; the reading anew is the house's.

--- a/tests/test_recover.py
+++ b/tests/test_recover.py
@@ -21,6 +21,7 @@
 from ternlane.engine import Kept, LegAsk, LocalTransport
 from ternlane.recover import Differs, Join, Pace, Rhythm, Shelf, Way, way_of
 from ternlane.rules import check
+from ternlane.tenants import Used, bill_for
 
 WHOLE = 10**9
 
@@ -607,3 +608,11 @@
             while len(replies) < 90:
                 await trio.sleep(0.05)
         assert sum(r.done for r in replies) >= 85
+
+
+def test_a_stream_that_went_on_is_billed_as_if_it_had_not_broken() -> None:
+    made = [Used(100, 0, 0), Used(0, 0, 3), Used(103, 80, 0), Used(0, 0, 5)]
+    whole = bill_for(made, True, True, 8, 100, broke_at=2, answered=8)
+    assert whole.bill == Used(100, 0, 8) and whole.house == Used(103, 80, 0) and not whole.note
+    left = bill_for(made[:3], True, False, 3, 100, broke_at=2)    # lost again, or its client left
+    assert left.bill == Used(100, 0, 3) and left.house == Used(103, 80, 0)
