Continuous batching in the emulator: steps, chunked reading, preemption by recompute

Measured: property tests over drawn loads: each sequence taken ends with all its tokens, once, none passes memory.

--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -7,7 +7,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from ternlane.emulator import Blocks, Held, chain
+from ternlane.emulator import Batch, Blocks, Build, Course, Held, chain
 
 STEPS = st.lists(st.tuples(st.sampled_from(["take", "grow", "seal", "back", "cut"]), st.integers(0, 11),
                            st.integers(0, 7)), max_size=120)
@@ -113,3 +113,64 @@
             it.give_back(held)
         hits[policy] = found / asked
     assert hits["clock"] > hits["lru"] > 0.2
+
+
+# -- batches
+
+LOADS = st.lists(st.tuples(st.integers(1, 150), st.integers(0, 60), st.integers(0, 3)), min_size=1, max_size=25)
+
+
+@given(LOADS, st.integers(4, 30), st.integers(1, 6), st.integers(8, 64), st.data())
+@settings(max_examples=150, deadline=None)
+def test_every_sequence_comes_to_its_end_or_was_refused_and_none_passes_memory(
+        loads: list[tuple[int, int, int]], blocks: int, slots: int, step_toks: int, data: st.DataObject) -> None:
+    it = Batch(Build(blocks=blocks, block_toks=16, slots=slots, step_toks=step_toks))
+    texts = [bytes([i]) * 400 for i in range(4)]
+    taken: list[Course] = []
+    for prompt, answer, text in loads:
+        course = Course(prompt, answer, chain(texts[text][:prompt], 16))
+        if it.add(course):
+            taken.append(course)
+        else:
+            assert -(-(prompt + answer) // 16) > blocks
+    wrote = {c: 0 for c in taken}
+    finished: list[Course] = []
+    leaves = data.draw(st.integers(0, 40))
+    for n in range(20_000):
+        step = it.step()
+        if step is None:
+            break
+        assert len(it.running) <= slots and step.read_toks + len(step.wrote) <= step_toks + slots and step.ms > 0
+        for course in step.wrote:
+            wrote[course] += 1
+        finished += step.finished
+        whole(it.memory, [c.held for c in it.running if c.held is not None])
+        if n == leaves and it.running:
+            it.cancel(it.running[0])
+    left = [c for c in taken if c not in finished]
+    assert all(c.ended for c in taken) and len(left) <= 1 and not it.queue
+    assert all(wrote[c] == c.answer == c.made for c in finished)
+    assert it.memory.used == 0 and it.memory.room == blocks
+
+
+def test_a_batch_grows_slower_with_each_that_writes_and_a_long_prompt_is_read_between_them() -> None:
+    it = Batch(Build(blocks=4000, slots=32, step_toks=128))
+    for _ in range(8):
+        it.add(Course(10, 400))
+    it.step()
+    alone = it.step()
+    it.add(Course(1000, 5))
+    steps = [it.step() for _ in range(9)]
+    assert alone is not None and len(alone.wrote) == 8
+    assert all(s is not None and len(s.wrote) >= 8 and s.read_toks <= 120 for s in steps)    # nobody waits for it
+    assert all(s is not None and s.ms > alone.ms for s in steps[:8])
+
+
+def test_what_was_put_back_is_written_on_not_anew() -> None:
+    it = Batch(Build(blocks=6, block_toks=16, slots=4, step_toks=64))
+    courses = [Course(20, 50), Course(20, 50)]
+    for course in courses:
+        assert it.add(course)
+    while it.step() is not None:
+        pass
+    assert [c.made for c in courses] == [50, 50] and courses[1].preempted >= 1 and courses[0].preempted == 0
