--- a/bench/lab.py
+++ b/bench/lab.py
@@ -59,8 +59,8 @@
         took = time.perf_counter() - since
         held_bytes = tracemalloc.get_traced_memory()[0] - begin
         tracemalloc.stop()
-        print(f"{name:<8}{took / many * 1e6:>8.2f} us a block taken, known, given back and found{held_bytes / many:>8.0f} "
-              "bytes a block")
+        print(f"{name:<8}{took / many * 1e6:>8.2f} us a block taken, known, given back and found"
+              f"{held_bytes / many:>8.0f} bytes a block")
 
 
 def main() -> None:
