--- a/ternlane/gateway/door.py
+++ b/ternlane/gateway/door.py
@@ -11,8 +11,8 @@
 import trio
 from xxhash import xxh3_128_digest, xxh3_64_hexdigest
 
-from ternlane.chat import (Busy, ChatAsk, Differs, Done, Intake, Keep, Repeats, Wrong, answer_body, chunk, error_body,
-                           kept_for_repeats, read_chat, usage_chunk)
+from ternlane.chat import (Busy, ChatAsk, Differs, Done, Intake, Repeats, Wrong, answer_body, chunk, error_body,
+                           read_chat, usage_chunk)
 from ternlane.chat.beyond import More
 from ternlane.gateway.host import Host, now_ms
 from ternlane.gateway.measures import Measures
@@ -354,13 +354,7 @@
 
     def remember(self, key: str, ticket: Ticket) -> None:
         """Ends the key's first request with what a repeat will hear."""
-        product, final = ticket.gen.product, ticket.final
-        outcome = "left" if final is None else type(final).__name__.lower()
-        match kept_for_repeats(product.effect, outcome, ticket.legs):
-            case Keep.NOTHING:
-                final = None
-            case Keep.UNSURE:
-                final = Terminated("the first client left; it may have run")
+        product, final = ticket.gen.product, ticket.for_repeats()
         cost = len(final.text) if isinstance(final, Streamed) else 0
         self.repeats.end(key, final, cost, now_ms() + max(product.window_ms, product.limit_ms))
         self.repeats.sweep(now_ms())
--- a/ternlane/gateway/scribe.py
+++ b/ternlane/gateway/scribe.py
@@ -12,7 +12,7 @@
 from ternlane.gateway.ticket import Final, Streamed, Terminated, Ticket
 from ternlane.ledger import Disk, Kind, Segmented, Writer
 from ternlane.port import Effect
-from ternlane.recover.inflight import MAY_HAVE_RUN, Ended, Freed, InFlight, Known, Record, Sent, Taken, decode_record
+from ternlane.recover.inflight import Ended, Freed, InFlight, Known, Record, Sent, Taken, decode_record
 
 JOURNAL: Kind[Record, InFlight] = Kind("takes", b"TLTAKES1", decode_record, InFlight)
 SEGMENT = 4 << 20
@@ -60,19 +60,15 @@
             self.writer.add(Freed(ticket.noted))
 
     def ended(self, ticket: Ticket, outcome: str) -> None:
-        kept = Ended(ticket.noted, outcome)
         if not ticket.repeat_key:
             return
-        match ticket.final:
+        kept = Ended(ticket.noted, outcome)
+        match ticket.for_repeats():
             case Streamed(text, finish, usage, more):
-                kept = Ended(ticket.noted, outcome, text, finish,
+                kept = Ended(ticket.noted, outcome, True, text, finish,
                              {k: v for k, v in usage.items() if isinstance(v, int)}, more=more or {})
             case Terminated(why):
-                kept = Ended(ticket.noted, outcome, why=why)
-            case None if ticket.gen.product.effect is not Effect.IDEMPOTENT and ticket.legs:
-                kept = Ended(ticket.noted, "terminated", why="the first client left; it may have run")
-            case _:
-                pass
+                kept = Ended(ticket.noted, "terminated", True, why=why)
         self.writer.add(kept)
 
     # -- after a loss
@@ -86,10 +82,8 @@
             for ident, held in lost.held():
                 nursery.start_soon(self.let_go, transport, ident, held, within_ms)
         for ident, it in lost.opened.items():
-            if not it.ended and it.taken.effect != Effect.IDEMPOTENT.name and it.may_have_run:
-                self.writer.add(Ended(ident, "terminated", why=MAY_HAVE_RUN))
-            else:
-                self.writer.add(Ended(ident, "lost"))
+            if not it.ended:
+                self.writer.add(it.lost())
             self.writer.add(Freed(ident))
         if lost.opened:
             self.log.warning("generations were open when the process before was lost", open=len(lost.opened))
--- a/ternlane/gateway/ticket.py
+++ b/ternlane/gateway/ticket.py
@@ -7,7 +7,7 @@
 
 import trio
 
-from ternlane.chat import ChatAsk, Known
+from ternlane.chat import ChatAsk, Keep, Known, kept_for_repeats
 from ternlane.chat.beyond import Beyond, More
 from ternlane.engine import LegPlan
 from ternlane.port import Generation, Server
@@ -90,6 +90,16 @@
     def pieces(self) -> list[str]:
         return self.join.pieces
 
+    def for_repeats(self) -> Final | None:
+        """What a repeat under its key hears once it has ended; None: it may run."""
+        outcome = "left" if self.final is None else type(self.final).__name__.lower()
+        match kept_for_repeats(self.gen.product.effect, outcome, self.legs):
+            case Keep.NOTHING:
+                return None
+            case Keep.UNSURE:
+                return Terminated("the first client left; it may have run")
+        return self.final
+
     def settle(self, final: Final) -> bool:
         """The one final answer; a second one is refused."""
         if self.final is not None or self.left:
--- a/ternlane/recover/inflight.py
+++ b/ternlane/recover/inflight.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from ternlane.chat import Keep, kept_for_repeats
 from ternlane.port import Effect
 
 MAY_HAVE_RUN = "the gateway was lost while it was out; it may have run"
@@ -46,9 +47,10 @@
 
 
 class Ended(msgspec.Struct, array_like=True, tag="e"):
-    """Its final answer. What a repeat under its key hears is kept: a whole answer, or why it was terminated."""
+    """Its final answer; `kept`: a repeat under its key hears it, a whole answer or why it was terminated."""
     ident: str
     outcome: str
+    kept: bool = False
     text: str = ""
     finish: str = ""
     usage: dict[str, int] = {}
@@ -67,6 +69,11 @@
     may_have_run: bool = False
     ended: bool = False
 
+    def lost(self) -> Ended:
+        """How it ends where its gateway was lost: as one whose client left, by the same rule for repeats."""
+        kept = kept_for_repeats(Effect[self.taken.effect], "left", int(self.may_have_run)) is Keep.UNSURE
+        return Ended(self.taken.ident, "terminated" if kept else "lost", kept, why=MAY_HAVE_RUN if kept else "")
+
 
 class Known(msgspec.Struct, array_like=True):
     """What a repeat hears."""
@@ -110,7 +117,7 @@
             case Ended(ident=ident) if ident in self.opened:
                 it = self.opened[ident]
                 it.ended = True
-                if it.taken.key and entry.outcome in ("streamed", "terminated"):
+                if it.taken.key and entry.kept:
                     self.known[it.taken.key] = Known(it.taken, entry)
                 self.drop(ident)
             case _:
@@ -144,9 +151,8 @@
         What can't have run, or may run again without harm, is free."""
         out = [v for v in self.known.values() if v.taken.until > now]
         for it in self.opened.values():
-            if it.taken.key and not it.ended and it.may_have_run and it.taken.until > now \
-                    and it.taken.effect != Effect.IDEMPOTENT.name:
-                out.append(Known(it.taken, Ended(it.taken.ident, "terminated", why=MAY_HAVE_RUN)))
+            if it.taken.key and not it.ended and it.taken.until > now and it.lost().kept:
+                out.append(Known(it.taken, it.lost()))
         return out
 
     def held(self) -> list[tuple[str, list[tuple[str, str, str]]]]:
--- a/tests/test_inflight.py
+++ b/tests/test_inflight.py
@@ -36,7 +36,7 @@
         course = [Taken(ident, f"n{i}", f"k{i}" if keyed else "", b"m", kind, NOW, LATER),
                   Sent(ident, f"n{i}", "r0", "a", "d", True, False),
                   Sent(ident, f"n{i}", "w0", "b", "d", False, True), Freed(ident),
-                  Ended(ident, "streamed", f"text {i}")]
+                  Ended(ident, "streamed", True, f"text {i}")]
         courses.append(course[:upto])
     out: list[Record] = []
     while any(courses):
@@ -124,7 +124,7 @@
     for i in range(3000):
         late = NOW + i
         for record in (Taken(f"g{i}", f"n{i}", f"k{i}", b"m", "SIDE_EFFECTING", late, late + 50.0),
-                       Sent(f"g{i}", f"n{i}", "w", "a", "d", False, True), Ended(f"g{i}", "streamed", "x" * 40)):
+                       Sent(f"g{i}", f"n{i}", "w", "a", "d", False, True), Ended(f"g{i}", "streamed", True, "x" * 40)):
             store.append(record)
         store.commit()
     assert sum(map(len, disk.files.values())) < 400_000 and len(store.totals.opened) == 0
@@ -216,6 +216,17 @@
             assert len(w.said("effect")) == 1
 
 
+async def test_an_idempotent_one_that_was_terminated_may_run_again_before_a_loss_and_after(tmp_path: Path) -> None:
+    async with world(("r0", "w0"), journal=str(tmp_path / "j")) as w:
+        w.engines["w0"].trouble.script = "midway"
+        assert (await w.ask(headers={"Idempotency-Key": "k1"})).done == 0
+        w.engines["w0"].trouble.script = ""
+        await w.gateway.scribe.writer.flush(1.0)    # type: ignore[union-attr]
+        async with next_gateway(w, tmp_path / "j") as address:
+            assert (await ask_at(address, "summary", "k1")).done == 1
+        assert (await w.ask(headers={"Idempotency-Key": "k1"})).done == 1
+
+
 async def test_states_that_the_lost_gateway_held_are_let_go(tmp_path: Path) -> None:
     async with world(("r0", "w0"), journal=str(tmp_path / "j")) as w:
         w.engines["w0"].busy = w.engines["w0"].build.slots    # writes wait: the state stays at its reader
