What is decided about broken streams moves out of the host into recover.Mender

Cause: the host chose spans, counted silence, weighed rhythm against the decisions' bound and kept the fates of broken streams, which are decisions and belong in a module free of I/O. A client that left while its stream waited for its turn still used up a part of the reading budget, and a place that fell free was noticed only at the next due time.

Change: recover/mender.py holds shelf, rhythm and pace; the host tells it what happens and carries out what it says. Who has gone leaves the queue; a freed place lets the next go at once.

--- a/ternlane/gateway/host.py
+++ b/ternlane/gateway/host.py
@@ -20,13 +20,10 @@
 from ternlane.nodes import Book
 from ternlane.paper import StreamTerms
 from ternlane.port import Duty, Life, Server, StartFacts, Verdict
-from ternlane.recover import Differs, Join, Pace, Rhythm, Shelf, Way, way_of
+from ternlane.recover import Differs, Fate, Join, Mender, Way
 from ternlane.tenants.billing import Used
 
 
-SAME_MS = 0.2    # pieces closer than that came in one read
-
-
 class Chooser(Protocol):
     """What decides: choice.Router, or a baseline to measure against."""
 
@@ -46,11 +43,7 @@
         self.turning = False
         self.tickets: dict[port.Generation, Ticket] = {}
         self.due: list[tuple[float, int, bool | None]] = []    # the one ordered structure of due times; None: `resume`
-        self.streams = streams or StreamTerms()
-        self.shelf = Shelf(self.streams.keep_toks, self.streams.keep_bytes, self.streams.keep_all_bytes)
-        limits = [p.limit_ms for p in facts.products]
-        self.rhythm = Rhythm(self.streams.alarms, facts.seed)
-        self.pace: Pace[Ticket] = Pace(self.streams.share, max(limits, default=1000.0) / 4, facts.gateways)
+        self.mender: Mender[Ticket] = Mender(streams or StreamTerms(), facts)
         self.resume_at = float("inf")
         self.turns = 0
         self.alarm = trio.Event()
@@ -135,10 +128,7 @@
     # -- generations
 
     def join_for(self, raw: dict[str, Any], gen: port.Generation) -> Join:
-        way, why = Way.END, "resuming is off"
-        if self.streams.resume:
-            way, why = way_of(raw, gen.product.effect, self.streams.continues)
-        return Join(way, why, self.shelf, int(gen.max_toks), raw.get("stop"))
+        return self.mender.join(raw, gen)
 
     def arrived(self, ticket: Ticket) -> None:
         self.tickets[ticket.gen], ticket.taken = ticket, now_ms()
@@ -187,8 +177,9 @@
         """A ticket stays until its answer is settled, its last leg has ended and what it held is let go."""
         if ticket.leg is None and (ticket.final is not None or ticket.left) and not ticket.holders:
             if self.tickets.pop(ticket.gen, None) is not None:
-                ticket.join.over()
-                self.pace.landed(ticket)
+                self.mender.ended(ticket, ticket.join, isinstance(ticket.final, Streamed))
+                if self.resume_at < float("inf"):    # others wait, perhaps for its place
+                    self.resume()
                 self.idents.discard(ticket.ident)
                 self.on_done(ticket)
             self.measures.open.set(len(self.tickets))
@@ -218,18 +209,17 @@
 
     async def run(self, ticket: Ticket, server: Server, first_kept: int | None, ask: LegAsk) -> None:
         since, stage, plan, last = now_ms(), ask.stage, ask.plan, 0.0
-        longest, explores = plan.quiet_ms, self.rhythm.explores()
+        longest, explores = plan.quiet_ms, self.mender.rhythm.explores()
 
         async def pass_on(text: str, first: bool, more: More | None = None) -> None:
             nonlocal last
-            if not first and now_ms() - last > SAME_MS:    # not what came with the piece before
-                self.rhythm.heard(server, now_ms() - last, explores)
+            if not first:
+                self.mender.heard(server, now_ms() - last, explores)
             try:
                 await pass_piece(text, first, more)
             finally:
                 last = now_ms()    # a client that takes its time is not the engine's silence
-            if ticket.join.way is not Way.END and self.streams.alarms and not explores:
-                plan.quiet_ms = min(longest, self.rhythm.quiet_ms(server) or longest)
+            plan.quiet_ms = self.mender.quiet_ms(ticket.join, server, longest, explores)
 
         async def pass_piece(text: str, first: bool, more: More | None) -> None:
             if ticket.left:
@@ -241,11 +231,10 @@
                 ticket.holders.clear()    # the writer has fetched the state
                 if not ticket.begun:
                     self.measures.first.labels(ticket.ask.model).observe((now_ms() - ticket.since) / 1000)
-                self.pace.landed(ticket)
-                if ticket.broke_ms:
-                    self.rhythm.resumed(now_ms() - ticket.broke_ms)
-                    self.measures.resumed.observe((now_ms() - ticket.broke_ms) / 1000)
-                    ticket.broke_ms = 0.0
+                paused = self.mender.first(ticket, now_ms())
+                if paused is not None:
+                    self.measures.resumed.observe(paused / 1000)
+                    self.resume()    # its place is free
                 self.tell(port.FirstTok(ticket.gen, server, now_ms() - since))
             try:
                 new = ticket.join.take(text)
@@ -306,7 +295,7 @@
                 self.intake.learn_prompt(ticket.known, end.usage.prompt_tokens)
                 if stage is not Stage.WRITE:
                     ticket.prompt_said, ticket.kept_said = end.usage.prompt_tokens, ticket.made[-1].kept
-                    self.pace.read(now_ms(), ticket.made[-1].prompt - ticket.made[-1].kept, took)
+                    self.mender.read(now_ms(), ticket.made[-1].prompt - ticket.made[-1].kept, took)
             details = end.usage.prompt_tokens_details
             kept = float(details.cached_tokens or 0) if details is not None else 0.0
         if end.verdict is Verdict.READ:
@@ -331,49 +320,35 @@
     def streamed(self, ticket: Ticket, finish: str, usage: Usage | None) -> None:
         join, said = ticket.join, (usage or Usage()).told()
         self.intake.answered(ticket.known, ticket.beyond.echoed(join.text))
-        self.rhythm.ended(len(join.pieces))
         self.settle(ticket, Streamed(join.text, finish, join.usage(ticket.prompt_said, ticket.kept_said, said),
                                       ticket.beyond.whole() if ticket.beyond else None))
 
     # -- streams that broke
 
     def broke(self, ticket: Ticket, end: LegEnd) -> bool:
-        """Whether another leg may give the rest; if so it waits for its turn. Its Generation grows by what is there."""
-        join, gen = ticket.join, ticket.gen
+        """Whether another leg may give the rest; if so it waits for its turn."""
         ticket.broke_at = len(ticket.made) if ticket.broke_at is None else ticket.broke_at
-        before = join.toks
-        again = join.broke(None if end.usage is None else end.usage.completion_tokens)
-        if again is None:
-            end.why = f"{end.why or 'the stream broke'}; {join.why}"
-            self.measures.breaks.labels("ended").inc()
-            return False
-        if join.left() <= 0:    # lost between its last token and its end
+        fate = self.mender.broke(
+            ticket, ticket.join, ticket.gen, None if end.usage is None else end.usage.completion_tokens, now_ms(),
+            ticket.taken + ticket.gen.patience_ms,
+            sum(s.life is Life.UP and s.duty is not Duty.WRITE for s in self.book.servers.values()))
+        self.measures.breaks.labels(fate.name.lower()).inc()
+        if fate is Fate.ENDS:
+            end.why = f"{end.why or 'the stream broke'}; {ticket.join.why}"
+        elif fate is Fate.WHOLE:
             self.streamed(ticket, "length", Usage())
-            self.measures.breaks.labels("whole").inc()
-            return False
-        ticket.broke_ms = now_ms()
-        self.measures.breaks.labels("replay" if join.way is Way.REPLAY else "go_on").inc()
-        gen.prompt_toks += again - before
-        gen.max_toks = float(join.left())
-        self.pace.readers = sum(s.life is Life.UP and s.duty is not Duty.WRITE for s in self.book.servers.values())
-        self.pace.wait(ticket, gen.prompt_toks, gen.product.revenue, float(join.toks),
-                       ticket.taken + gen.patience_ms)
-        return True
+        return fate is Fate.GOES_ON
 
     def resume(self) -> None:
         """Lets broken streams go on whose turn it is; those that have waited too long are given up."""
-        go, late = self.pace.next(now_ms())
+        go, late = self.mender.next(now_ms())
         for ticket in go:
-            if ticket.final is None and not ticket.left:
-                self.tell(port.GoOn(ticket.gen))
-            else:
-                self.pace.landed(ticket)
+            self.tell(port.GoOn(ticket.gen))
         for ticket in late:
-            if ticket.final is None and not ticket.left:
-                self.settle(ticket, Terminated(ticket.why or "the stream broke"))
-                self.tell(port.ClientLeft(ticket.gen))
-        at = self.pace.due(now_ms())
-        if at is not None and at < self.resume_at:
+            self.settle(ticket, Terminated(ticket.why or "the stream broke"))
+            self.tell(port.ClientLeft(ticket.gen))
+        at = self.mender.due(now_ms())
+        if at < self.resume_at:
             self.resume_at = at
             self.turns += 1
             heappush(self.due, (at, self.turns, None))
--- a/ternlane/gateway/ticket.py
+++ b/ternlane/gateway/ticket.py
@@ -72,7 +72,6 @@
     flowing: bool = False    # the present leg streams
     prompt_said: int = 0     # tokens of the prompt, by the first engine that said
     kept_said: int = 0       # of them found kept
-    broke_ms: float = 0.0    # when; 0.0 while its text flows, or never did
     broke_at: int | None = None    # legs in `made` when its stream broke first
     leg: LegPlan | None = None
     legs: int = 0
--- /dev/null
+++ b/ternlane/recover/mender.py
@@ -0,0 +1,104 @@
+"""One gateway's broken streams: what may be joined, when silence is a stall, whose turn it is. A host tells it what
+happens and carries out what it says; which server goes on is the decisions' word."""
+from __future__ import annotations
+
+from collections.abc import Hashable
+from enum import Enum, auto
+from math import inf
+from typing import Any, Generic, TypeVar
+
+from ternlane.paper import StreamTerms
+from ternlane.port import Generation, StartFacts
+from ternlane.recover.join import Join, Shelf
+from ternlane.recover.pace import Pace
+from ternlane.recover.rhythm import Rhythm
+from ternlane.recover.ways import Way, way_of
+
+SAME_MS = 0.2        # pieces closer than that came in one read
+SPAN_SHARE = 1 / 4   # of the longest time limit: what may be saved up for reading anew
+T = TypeVar("T", bound=Hashable)
+
+
+class Fate(Enum):
+    """Of a stream whose leg broke: it waits for its turn, it is whole but for its end, or it ends in part."""
+    GOES_ON = auto()
+    WHOLE = auto()
+    ENDS = auto()
+
+
+class Mender(Generic[T]):
+    """`T`: what the host knows a generation by. Times are ms."""
+
+    def __init__(self, terms: StreamTerms, facts: StartFacts) -> None:
+        self.terms = terms
+        self.shelf = Shelf(terms.keep_toks, terms.keep_bytes, terms.keep_all_bytes)
+        self.rhythm = Rhythm(terms.alarms, facts.seed)
+        longest = max((p.limit_ms for p in facts.products), default=1000.0)
+        self.pace: Pace[T] = Pace(terms.share, longest * SPAN_SHARE, facts.gateways)
+        self.broke_at: dict[T, float] = {}
+
+    def join(self, raw: dict[str, Any], gen: Generation) -> Join:
+        way, why = Way.END, "resuming is off"
+        if self.terms.resume:
+            way, why = way_of(raw, gen.product.effect, self.terms.continues)
+        return Join(way, why, self.shelf, int(gen.max_toks), raw.get("stop"))
+
+    # -- a leg streams
+
+    def first(self, item: T, now: float) -> float | None:
+        """A leg's first piece; how long its client had waited since a break, if one there was."""
+        self.pace.landed(item)
+        broke = self.broke_at.pop(item, None)
+        if broke is None:
+            return None
+        self.rhythm.resumed(now - broke)
+        return now - broke
+
+    def heard(self, server: Hashable, wait_ms: float, explored: bool) -> None:
+        if wait_ms > SAME_MS:
+            self.rhythm.heard(server, wait_ms, explored)
+
+    def quiet_ms(self, join: Join, server: Hashable, most: float, explored: bool) -> float:
+        """How long the present leg may be silent: `most`, by the decisions, or less where it can be joined on."""
+        if join.way is Way.END or explored or not self.terms.alarms:
+            return most
+        return min(most, self.rhythm.quiet_ms(server) or most)
+
+    def read(self, now: float, toks: float, took_ms: float) -> None:
+        self.pace.read(now, toks, took_ms)
+
+    # -- a leg broke
+
+    def broke(self, item: T, join: Join, gen: Generation, made: int | None, now: float, until: float,
+              readers: int) -> Fate:
+        """`made`: tokens of the leg by its engine's word; `until`: the client's time limit; `readers` to be asked.
+        A generation that goes on grows by what is there."""
+        before = join.toks
+        again = join.broke(made)
+        if again is None:
+            return Fate.ENDS
+        if join.left() <= 0:    # lost between its last token and its end
+            return Fate.WHOLE
+        self.broke_at[item] = now
+        gen.prompt_toks += again - before
+        gen.max_toks = float(join.left())
+        self.pace.readers = readers
+        self.pace.wait(item, gen.prompt_toks, gen.product.revenue, float(join.toks), until)
+        return Fate.GOES_ON
+
+    def next(self, now: float) -> tuple[list[T], list[T]]:
+        """Which may go on now, and which have waited too long."""
+        return self.pace.next(now)
+
+    def due(self, now: float) -> float:
+        """When to ask `next` again."""
+        at = self.pace.due(now)
+        return inf if at is None else at
+
+    def ended(self, item: T, join: Join, whole: bool) -> None:
+        """Its final answer is given, or its client has left."""
+        if whole:
+            self.rhythm.ended(len(join.pieces))
+        join.over()
+        self.broke_at.pop(item, None)
+        self.pace.gone(item)
--- a/ternlane/recover/pace.py
+++ b/ternlane/recover/pace.py
@@ -75,9 +75,15 @@
         return go, late
 
     def landed(self, item: T) -> None:
-        """It streams again, or has ended: the place is free."""
+        """It streams again: the place is free."""
         self.out.pop(item, None)
 
+    def gone(self, item: T) -> None:
+        """It has ended, be it in the queue: nothing is read for it."""
+        self.landed(item)
+        if any(e[5] is item for e in self.queue):
+            self.queue = sorted(e for e in self.queue if e[5] is not item)
+
     def due(self, now: float) -> float | None:
         """When to ask again, if nothing else happens before."""
         if not self.queue:
--- a/tests/test_recover.py
+++ b/tests/test_recover.py
@@ -223,7 +223,7 @@
         reply = await w.ask()
         assert reply.done == 0 and "outgrew" in reply.error["message"]    # type: ignore[index]
         await w.settled()
-        assert w.gateway.host.shelf.used == 0 and w.gateway.host.shelf.dropped == 1
+        assert w.gateway.host.mender.shelf.used == 0 and w.gateway.host.mender.shelf.dropped == 1
     async with world(("r0", "w0", "w0b"), terms=terms(), streams=StreamTerms(resume=False)) as w:
         for ident in ("w0", "w0b"):
             await broken_at(w, ident, 4)
@@ -379,6 +379,8 @@
     for name, revenue, streamed, until in (("low", 1, 9, 99.0), ("short", 3, 1, 99.0), ("long", 3, 8, 99.0),
                                            ("late", 9, 9, 5.0)):
         pace.wait(name, 10, revenue, streamed, until)
+    pace.wait("left", 10, 9, 9, 99.0)
+    pace.gone("left")    # its client has left: nothing is read for it
     assert pace.next(6.0) == ([], ["late"])
     order = []
     for _ in range(3):
@@ -433,7 +435,7 @@
 async def test_a_stalled_stream_goes_on_long_before_the_silence_that_was_allowed() -> None:
     async with world(("r0", "w0", "w0b"), build=replace(BUILD, answer_toks=(30, 30)), terms=terms(),
                      streams=StreamTerms(alarms=1e-3)) as w:
-        rhythm, rng = w.gateway.host.rhythm, random.Random(1)
+        rhythm, rng = w.gateway.host.mender.rhythm, random.Random(1)
         for _ in range(4000):
             for server in w.gateway.host.book.servers.values():
                 rhythm.heard(server, waits_of(rng, 4.0, 0.0))
@@ -562,7 +564,7 @@
     build = replace(BUILD, tok_ms=8.0, answer_toks=(30, 30))
     whole = await unbroken()
     async with world(("r0", "w0", "w0b"), build=build, terms=terms()) as w:
-        rhythm, rng = w.gateway.host.rhythm, random.Random(2)
+        rhythm, rng = w.gateway.host.mender.rhythm, random.Random(2)
         for _ in range(4000):
             for server in w.gateway.host.book.servers.values():
                 rhythm.heard(server, waits_of(rng, 9.0, 0.0))
