Stories of streams share what breaks and what mends; each kind of request is played over sockets

Cause: four stories had the same few lines for "the others are well from now on", and seeds, JSON mode, stop strings and probabilities were tested as a table only.

Change: break_all and others serve them all; five kinds of request lose their writer over sockets and are joined or ended by their rule, with the unbroken answer's text and usage.

--- a/tests/test_recover.py
+++ b/tests/test_recover.py
@@ -40,8 +40,20 @@
         return await w.ask(model, stream_options={"include_usage": True}, **more)
 
 
-async def broken_at(w: World, ident: str, at: int, script: str = "midway") -> None:
-    w.engines[ident].trouble.script, w.engines[ident].trouble.at = script, at
+def break_all(w: World, at: int, script: str = "midway") -> None:
+    """Every writer breaks off after so many pieces."""
+    for ident, engine in w.engines.items():
+        if ident[0] == "w":
+            engine.trouble.script, engine.trouble.at = script, at
+
+
+async def others(w: World, script: str = "") -> None:
+    """Once a writer has begun, all others do something else."""
+    while not w.said("effect"):
+        await trio.sleep(0.0005)
+    for engine in w.engines.values():
+        if engine.ident != w.said("effect")[0]["id"]:
+            engine.trouble.script = script
 
 
 def legs_at(w: World, stage: str = "write") -> list[str]:
@@ -52,16 +64,8 @@
 async def test_a_stream_goes_on_elsewhere_wherever_it_broke(at: int) -> None:
     whole = await unbroken()
     async with world(("r0", "w0", "w0b"), terms=terms()) as w:
-        await broken_at(w, "w0", at)
-        await broken_at(w, "w0b", at)
-        first: list[str] = []
-
-        async def mend() -> None:    # whichever is asked first breaks; the other is well
-            while not w.said("effect"):
-                await trio.sleep(0.0005)
-            first.append(w.said("effect")[0]["id"])
-            w.engines["w0b" if first[0] == "w0" else "w0"].trouble.script = ""
-        w.nursery.start_soon(mend)
+        break_all(w, at)
+        w.nursery.start_soon(others, w)
         reply = await w.ask(stream_options={"include_usage": True})
         assert reply.done == 1 and reply.error is None and reply.text == whole.text
         ids = {json.loads(e)["id"] for e in reply.events if e != "[DONE]"}
@@ -75,8 +79,7 @@
     async with world(("r0", "w0")) as w:
         whole = json.loads((await w.ask(stream=False)).body)
     async with world(("r0", "w0", "w0b"), terms=terms()) as w:
-        for ident in ("w0", "w0b"):
-            await broken_at(w, ident, 4)
+        break_all(w, 4)
         reply = await w.ask(stream=False)
         said = json.loads(reply.body)
         assert reply.status == 200 and said["choices"] == whole["choices"] and said["usage"] == whole["usage"]
@@ -85,15 +88,13 @@
 async def test_lost_again_and_again_it_goes_on_until_its_legs_are_used_up() -> None:
     whole = await unbroken()
     async with world(("r0", "w0", "w0b", "w1", "w1b"), terms=terms()) as w:
-        for ident in ("w0", "w0b", "w1", "w1b"):
-            await broken_at(w, ident, 2)
+        break_all(w, 2)
         reply = await w.ask(stream_options={"include_usage": True})
         assert reply.text == whole.text and reply.done == 1    # 2 + 2 + 2 pieces, and then only its end
         assert usage_of(reply)["completion_tokens"] == 6 and len(set(legs_at(w))) >= 3
         await w.settled()
     async with world(("r0", "w0", "w0b"), terms=terms()) as w:
-        for ident in ("w0", "w0b"):
-            await broken_at(w, ident, 1)
+        break_all(w, 1)
         reply = await w.ask()
         assert reply.done == 0 and reply.error is not None and whole.text.startswith(reply.text) and reply.text
         await w.settled()
@@ -102,8 +103,7 @@
 async def test_the_reader_of_a_resume_dies_and_another_reads() -> None:
     whole = await unbroken()
     async with world(("r0", "r0b", "w0", "w0b"), terms=terms()) as w:
-        for ident in ("w0", "w0b"):
-            await broken_at(w, ident, 4)
+        break_all(w, 4)
 
         async def kill() -> None:
             while len(w.said("leg", stage="read")) < 2:
@@ -119,16 +119,8 @@
     """A side-effecting one ends; a deduplicated one is repeated as it was, within its cell, and joined by comparing."""
     whole = await unbroken(model)
     async with world(("r0", "w0", "w0b", "r1", "w1", "w1b"), terms=terms()) as w:
-        for ident in ("w0", "w0b", "w1", "w1b"):
-            await broken_at(w, ident, 3)
-
-        async def mend() -> None:
-            while not w.said("effect"):
-                await trio.sleep(0.0005)
-            for engine in w.engines.values():
-                if engine.ident != w.said("effect")[0]["id"]:
-                    engine.trouble.script = ""
-        w.nursery.start_soon(mend)
+        break_all(w, 3)
+        w.nursery.start_soon(others, w)
         reply = await w.ask(model)
         if model == "note":
             assert len(w.said("effect")) == 1 and reply.done == 0 and reply.error is not None
@@ -141,26 +133,35 @@
 
 async def test_a_repeat_that_answers_otherwise_is_not_joined() -> None:
     async with world(("r0", "w0", "w0b"), terms=terms()) as w:
-        for ident in ("w0", "w0b"):
-            await broken_at(w, ident, 3)
-
-        async def change() -> None:
-            while not w.said("effect"):
-                await trio.sleep(0.0005)
-            other = "w0b" if w.said("effect")[0]["id"] == "w0" else "w0"
-            w.engines[other].trouble.script = "other"
-        w.nursery.start_soon(change)
+        break_all(w, 3)
+        w.nursery.start_soon(others, w, "other")
         reply = await w.ask("form")
         assert reply.done == 0 and "another answer" in reply.error["message"]    # type: ignore[index]
         assert len(reply.text.split()) == 3
         await w.settled()
 
 
+JSON = {"type": "json_object"}
+
+
+@pytest.mark.parametrize("more, joined", [
+    ({"seed": 7}, True), ({"response_format": JSON, "temperature": 0}, True), ({"response_format": JSON}, False),
+    ({"logprobs": True}, False), ({"stop": ["nowhere"], "max_tokens": 5}, True)])
+async def test_each_kind_of_request_is_joined_or_ended_by_its_rule(more: dict[str, Any], joined: bool) -> None:
+    whole = await unbroken(**more)
+    async with world(("r0", "w0", "w0b"), terms=terms()) as w:
+        break_all(w, 3)
+        w.nursery.start_soon(others, w)
+        reply = await w.ask(stream_options={"include_usage": True}, **more)
+        assert reply.done == joined and (reply.text == whole.text) == joined and len(legs_at(w)) == 1 + joined
+        assert not joined or usage_of(reply) == usage_of(whole)
+        await w.settled()
+
+
 async def test_readers_that_do_not_know_how_to_go_on_are_found_out() -> None:
     whole = await unbroken()
     async with world(("r0", "r0b", "w0", "w0b"), terms=terms()) as w:
-        for ident in ("w0", "w0b"):
-            await broken_at(w, ident, 4)
+        break_all(w, 4)
         for ident in ("r0", "r0b"):
             w.engines[ident].trouble.script = "deaf"
         reply = await w.ask()
@@ -170,8 +171,7 @@
 
 async def test_a_client_that_leaves_during_a_resume_leaves_nothing() -> None:
     async with world(("r0", "w0", "w0b"), build=replace(BUILD, read_tok_s=50.0), terms=terms()) as w:
-        for ident in ("w0", "w0b"):
-            await broken_at(w, ident, 2)
+        break_all(w, 2)
         with trio.move_on_after(5):
             async with trio.open_nursery() as nursery:
                 async def leave() -> None:
@@ -186,8 +186,7 @@
 
 async def test_a_time_limit_within_a_resume_is_kept() -> None:
     async with world(("r0", "w0", "w0b"), terms=terms()) as w:
-        for ident in ("w0", "w0b"):
-            await broken_at(w, ident, 2)
+        break_all(w, 2)
 
         async def hang() -> None:
             while not w.said("effect"):
@@ -204,8 +203,7 @@
 async def test_a_gateway_that_drains_lets_resumes_end() -> None:
     whole = await unbroken()
     async with world(("r0", "w0", "w0b"), build=replace(BUILD, tok_ms=20.0), terms=terms()) as w:
-        for ident in ("w0", "w0b"):
-            await broken_at(w, ident, 4)
+        break_all(w, 4)
 
         async def drain() -> None:
             while len(w.said("leg", stage="read")) < 2:
@@ -218,15 +216,13 @@
 
 async def test_what_is_kept_is_bounded_and_what_outgrew_it_ends_honestly() -> None:
     async with world(("r0", "w0", "w0b"), terms=terms(), streams=StreamTerms(keep_bytes=12)) as w:
-        for ident in ("w0", "w0b"):
-            await broken_at(w, ident, 4)
+        break_all(w, 4)
         reply = await w.ask()
         assert reply.done == 0 and "outgrew" in reply.error["message"]    # type: ignore[index]
         await w.settled()
         assert w.gateway.host.mender.shelf.used == 0 and w.gateway.host.mender.shelf.dropped == 1
     async with world(("r0", "w0", "w0b"), terms=terms(), streams=StreamTerms(resume=False)) as w:
-        for ident in ("w0", "w0b"):
-            await broken_at(w, ident, 4)
+        break_all(w, 4)
         reply = await w.ask()
         assert reply.done == 0 and len(legs_at(w)) == 1
 
@@ -441,14 +437,8 @@
                 rhythm.heard(server, waits_of(rng, 4.0, 0.0))
         rhythm.resumed(30.0)
         rhythm.explores = lambda: False    # type: ignore[method-assign]
-        for ident in ("w0", "w0b"):
-            await broken_at(w, ident, 12, "stall")
-
-        async def mend() -> None:
-            while not w.said("effect"):
-                await trio.sleep(0.0005)
-            w.engines["w0b" if w.said("effect")[0]["id"] == "w0" else "w0"].trouble.script = ""
-        w.nursery.start_soon(mend)
+        break_all(w, 12, "stall")
+        w.nursery.start_soon(others, w)
         since = trio.current_time()
         reply = await w.ask()
         assert reply.done == 1 and len(reply.text.split()) == 30 and trio.current_time() - since < 0.8
@@ -480,8 +470,7 @@
 
 async def test_a_stream_lost_within_a_tool_call_ends_honestly() -> None:
     async with world(("r0", "w0", "w0b"), terms=terms()) as w:
-        for ident in ("w0", "w0b"):
-            await broken_at(w, ident, 3)
+        break_all(w, 3)
         reply = await w.ask(tools=TOOLS, temperature=0)
         assert reply.done == 0 and "more than text" in reply.error["message"]    # type: ignore[index]
         assert len(legs_at(w)) == 1
@@ -499,8 +488,7 @@
             rest = await w.ask(temperature=0, headers={"Last-Event-ID": str(at)})
             assert rest.text == whole.text[at:] and rest.done == 1
             assert f"id: {len(whole.text)}\n" in rest.body.decode() or not rest.text
-        for ident in ("w0", "w0b"):    # and a loss within it is joined as any other
-            await broken_at(w, ident, 4)
+        break_all(w, 4)
         rest = await w.ask(temperature=0, headers={"Last-Event-ID": str(ids[1])})
         assert rest.text == whole.text[ids[1]:] and rest.done == 1
         for engine in w.engines.values():
@@ -592,7 +580,7 @@
 async def test_a_writer_that_never_ends_an_answer_is_found_by_outcomes_alone(script: str) -> None:
     """Its list entry, its handshake and its reads of the prompt are all well."""
     async with world(("r0", "w0", "w0b", "w1"), terms=terms()) as w:
-        await broken_at(w, "w0", 2, script)
+        w.engines["w0"].trouble.script, w.engines["w0"].trouble.at = script, 2
         replies: list[Reply] = []
 
         async def ask(i: int) -> None:
