A refilled fleet is not pushed over by streams that go on

Change: a scene in which half the writers die with streams open and come back cold while those go on, for the honest host and for one that takes cold servers for warm.

--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -239,6 +239,33 @@
         return check(w.traffic.lines, RULES | {"fall_ms": 500.0})
 
 
+async def refilled(host: type[Host]) -> Findings:
+    """Half the writers die with their streams open and come back cold while those go on."""
+    build = replace(BUILD, cold_ms=3000, cold_from=0.15, fall_multiple=1.2, fall_ms=500, slots=4, tok_ms=12.0,
+                    answer_toks=(20, 20))
+    terms = replace_paper(cold_ms=3000, cold_from=0.15, fall_multiple=1.2, fall_ms=500, leg_limit=10)
+    async with world(("r0", "r0b", "w0", "w0b", "w1", "w1b"), build=build, host_type=host, terms=terms,
+                     gateways=1) as w:
+        for ident in ("r0", "r0b"):
+            w.engines[ident].build = BUILD
+        told(w)
+
+        async def strike() -> None:
+            await trio.sleep(0.6)
+            for ident in ("w0", "w1"):
+                w.engines[ident].die()
+            await trio.sleep(0.02)
+            for ident in ("w0", "w1"):
+                w.engines[ident].started_ms = clock_ms()
+                await w.revive(ident)
+            told(w, w0="cold", w1="cold")
+        w.nursery.start_soon(strike)
+        await talk(w, 25, 1600)
+        findings = check(w.traffic.lines, RULES | {"fall_ms": 500.0})
+        assert findings.counted["texts of several legs"] >= 1 and findings.counted["cold starts"] == 2
+        return findings
+
+
 async def torn(host: type[Host]) -> Findings:
     async with world(("r0", "r0b", "w0", "w0b", "w1", "w1b"), host_type=host) as w:
         for ident in ("w0", "w0b", "w1", "w1b"):
@@ -252,7 +279,8 @@
     return msgspec.structs.replace(TERMS, **changes)
 
 
-SCENES = {"troubled": troubled, "slowly read": slowly_read, "drained": drained, "restarted": restarted, "torn": torn}
+SCENES = {scene.__name__.replace("_", " "): scene for scene in (
+    troubled, slowly_read, drained, restarted, torn, refilled)}
 
 
 @pytest.mark.parametrize("scene", list(SCENES))
@@ -270,6 +298,7 @@
     (Twice, "slowly read", 2, "two legs at once"),
     (Undrained, "drained", 3, "told that w"),
     (Careless, "restarted", 4, "fell over"),
+    (Careless, "refilled", 4, "fell over"),
     (Keeper, "troubled", 5, "no leg out"),
     (Stutters, "torn", 6, "not what the engines said"),
     (Skips, "torn", 6, "not what the engines said"),
