The first stalls need no first resume; servers that left the list are forgotten by the rhythm

Cause: until a resume had been seen nothing was known of its cost, so the first stalls waited for the decisions' bound of half the patience; and the paces of servers that had gone were kept for ever, a leak over many restarts.

Change: the mean time to a first piece stands for a resume's cost until one was seen. Servers listed as gone are dropped.

--- a/ternlane/embed/routing.py
+++ b/ternlane/embed/routing.py
@@ -99,7 +99,7 @@
     def nodes(self, lines: list[NodeLine]) -> None:
         """The whole list of model servers, now and whenever it changes."""
         import time
-        self.host.tell(self.book.whole(lines, time.time(), now_ms()))
+        self.host.listed(self.book.whole(lines, time.time(), now_ms()))
 
     @asynccontextmanager
     async def generation(self, request: dict[str, Any] | ChatAsk, time_limit_ms: float | None = None,
--- a/ternlane/gateway/gateway.py
+++ b/ternlane/gateway/gateway.py
@@ -72,7 +72,7 @@
         """The whole list of model servers has been read anew."""
         self.measures.lists.labels("read").inc()
         news = self.book.whole(lines, time.time(), now_ms())
-        self.host.tell(news)
+        self.host.listed(news)
         for life in Life:
             self.measures.servers.labels(life.name.lower()).set(
                 sum(s.life is life for s in self.book.servers.values()))
@@ -96,7 +96,7 @@
             self.log.error("kept node list not used", why=str(why))
             return
         if lines:
-            self.host.tell(self.book.whole(lines, time.time(), now_ms()))
+            self.host.listed(self.book.whole(lines, time.time(), now_ms()))
 
     async def _keep_lists(self) -> None:
         """Writes the newest list off the loop; a disk that fails is said aloud and costs nothing else."""
--- a/ternlane/gateway/host.py
+++ b/ternlane/gateway/host.py
@@ -61,6 +61,12 @@
         if not self.turning:
             self.turn()
 
+    def listed(self, news: port.Listed) -> None:
+        for server in news.servers:
+            if server.life is Life.GONE:
+                self.mender.left(server)
+        self.tell(news)
+
     def turn(self) -> None:
         self.turning = True
         try:
@@ -231,7 +237,7 @@
                 ticket.holders.clear()    # the writer has fetched the state
                 if not ticket.begun:
                     self.measures.first.labels(ticket.ask.model).observe((now_ms() - ticket.since) / 1000)
-                paused = self.mender.first(ticket, now_ms())
+                paused = self.mender.first(ticket, now_ms(), ticket.taken)
                 if paused is not None:
                     self.measures.resumed.observe(paused / 1000)
                     self.resume()    # its place is free
--- a/ternlane/recover/mender.py
+++ b/ternlane/recover/mender.py
@@ -45,11 +45,13 @@
 
     # -- a leg streams
 
-    def first(self, item: T, now: float) -> float | None:
-        """A leg's first piece; how long its client had waited since a break, if one there was."""
+    def first(self, item: T, now: float, since: float) -> float | None:
+        """A leg's first piece, of a generation that came at `since`; how long its client had waited since a break, if
+        one there was."""
         self.pace.landed(item)
         broke = self.broke_at.pop(item, None)
         if broke is None:
+            self.rhythm.first(now - since)
             return None
         self.rhythm.resumed(now - broke)
         return now - broke
@@ -64,6 +66,10 @@
             return most
         return min(most, self.rhythm.quiet_ms(server) or most)
 
+    def left(self, server: Hashable) -> None:
+        """A server is no longer listed."""
+        self.rhythm.forget(server)
+
     def read(self, now: float, toks: float, took_ms: float) -> None:
         self.pace.read(now, toks, took_ms)
 
--- a/ternlane/recover/rhythm.py
+++ b/ternlane/recover/rhythm.py
@@ -35,6 +35,7 @@
         self.total = 0.0
         self.paces: dict[Hashable, float] = {}
         self.toks = 32.0         # pieces a stream, mean
+        self.first_ms = 0.0      # arrival to first piece, mean: what a resume is taken to cost until one was seen
         self.resume_ms = 0.0     # what a resume takes, mean; 0: not known
         self.worst = 0.0         # ratio that is passed by a part `alarms / toks` of waits
         self.stale = 0
@@ -65,6 +66,10 @@
         """A stream came to its end with so many pieces."""
         self.toks += (pieces - self.toks) / 64
 
+    def first(self, took_ms: float) -> None:
+        """A stream's first piece, since its arrival."""
+        self.first_ms += (took_ms - self.first_ms) / (64 if self.first_ms else 1)
+
     def resumed(self, took_ms: float) -> None:
         """From a loss to the next piece."""
         self.resume_ms = took_ms if not self.resume_ms else self.resume_ms + (took_ms - self.resume_ms) / 16
@@ -75,13 +80,14 @@
     def quiet_ms(self, server: Hashable) -> float | None:
         """How long a stream of this server may be silent; None while too little is known."""
         pace = self.paces.get(server)
-        if pace is None or self.total < LEAST or not self.resume_ms:
+        cost = self.resume_ms or self.first_ms
+        if pace is None or self.total < LEAST or not cost:
             return None
         if self.stale >= LEAST:
             self.stale, self.worst = 0, self.passed_by(self.alarms / max(self.toks, 1.0))
         elif not self.worst:
             self.worst = self.passed_by(self.alarms / max(self.toks, 1.0))
-        return max(pace * self.worst, self.resume_ms)
+        return max(pace * self.worst, cost)
 
     def passed_by(self, part: float) -> float:
         """The ratio that only this part of waits passes."""
--- a/tests/test_recover.py
+++ b/tests/test_recover.py
@@ -419,6 +419,9 @@
     for _ in range(5000):
         it.heard("w0", waits_of(rng, 10.0, 0.0))
     assert it.quiet_ms("w0") == 400.0
+    it.resume_ms = 0.0
+    it.first(300.0)    # until a resume was seen, a first token is what one is taken to cost
+    assert it.quiet_ms("w0") == 300.0
     it.resume_ms = 1.0
     before = it.quiet_ms("w0") or 0.0
     for _ in range(60):    # all writers are four times slower from now on
@@ -606,3 +609,13 @@
     assert whole.bill == Used(100, 0, 8) and whole.house == Used(103, 80, 0) and not whole.note
     left = bill_for(made[:3], True, False, 3, 100, broke_at=2)    # lost again, or its client left
     assert left.bill == Used(100, 0, 3) and left.house == Used(103, 80, 0)
+
+
+async def test_servers_that_left_the_list_are_forgotten() -> None:
+    async with world(("r0", "w0", "w1")) as w:
+        for _ in range(12):
+            await w.ask()
+        paces = w.gateway.host.mender.rhythm.paces
+        assert paces
+        w.list(w0="gone", w1="gone")
+        assert not paces
