Long waiting lines are not gone through for each event; pairs are looked at by three writers a reader

A profile of one router with 100 and 1,000 arrivals: scoring readers times cells, and popping the whole line for each event.

Change: a line with nothing due and nothing short enough is left alone; a reader is paired with the best writer of its cell, its zone and of all, which scores no less.

--- a/ternlane/choice.py
+++ b/ternlane/choice.py
@@ -170,6 +170,7 @@
         self.board: dict[Seat, Standing] = {}
         self.homes: OrderedDict[str, Home] = OrderedDict()
         self.waiting: list[tuple[float, float, int, Course]] = []
+        self.next_due = self.least = inf    # of those waiting: when the first must begin, the shortest prompt
         self.usual: dict[tuple[Product, str], float] = {}
         self.prompt: dict[Product, float] = {}
         self.told: defaultdict[Product, float] = defaultdict(lambda: 0.5)    # part kept at the agreed reader
@@ -240,19 +241,25 @@
         return course.gen.prompt_toks + (OUT_SHARE * course.gen.max_toks if engine.writes else 0.0)
 
     def pairs(self, readers: list[Standing], writers: list[Standing]) -> Iterator[tuple[Standing, Standing]]:
-        """Each reader with the best writer of each cell (no other scores more), a mixed one with itself.
-        Equals go by chance, or all gateways would fill the first in the list."""
-        freest: dict[tuple[str, int], tuple[float, int, Standing]] = {}
+        """Each reader with the best writer of its cell, of its zone and of all (no other scores more), a mixed one
+        with itself. Equals go by chance, or all gateways would fill the first in the list."""
+        freest: dict[Any, tuple[float, int, Standing]] = {}
         self.turn += 1
         draw = zlib.crc32(b"%d %d" % (self.seed, self.turn)) | 1
         for w in writers:
+            at = w.engine.server
             if w.engine.writes and not w.engine.reads:
-                at = w.engine.server.zone, w.engine.server.cell
-                mine = w.free - self.unmet * (not w.linked), draw * w.engine.server.mark % 2**32, w
-                freest[at] = max(freest.get(at, mine), mine, key=lambda m: m[:2])
+                mine = w.free - self.unmet * (not w.linked), draw * at.mark % 2**32, w
+                for near in (at.cell, at.zone, None):
+                    if near not in freest or mine[:2] > freest[near][:2]:
+                        freest[near] = mine
         for r in readers:
-            if r.engine.reads:
-                yield from [(r, r)] if r.engine.writes else ((r, w) for _, _, w in freest.values())
+            if r.engine.writes and r.engine.reads:
+                yield r, r
+            elif r.engine.reads:
+                found = {m[2].engine: m[2] for m in map(freest.get, (r.engine.server.cell, r.engine.server.zone, None))
+                         if m is not None}
+                yield from ((r, w) for w in found.values())
 
     def work_ms(self, engine: Seat, course: Course) -> float:    # to read what it is not thought to keep
         gen, agreed = course.gen, course.agreed
@@ -326,11 +333,15 @@
         if self.router.now >= self.latest(course):
             return self.finish(course)
         self.turn += 1
-        heapq.heappush(self.waiting, (-course.gen.product.revenue, self.latest(course), self.turn, course))
+        latest = self.latest(course)
+        heapq.heappush(self.waiting, (-course.gen.product.revenue, latest, self.turn, course))
+        self.next_due, self.least = min(self.next_due, latest), min(self.least, course.gen.prompt_toks)
 
     def pump(self) -> bool:
         """Places the waiting generation that comes first and throws off what has waited too long, at once.
         Smaller ones may pass a large one that finds no room; it must not have all the others thrown off."""
+        if self.router.now < self.next_due and self.least >= self.stuck:
+            return False    # lest a long line be gone through for each event
         queue, self.waiting = self.waiting, []
         while queue and not self.router.ready:
             entry = _, latest, _, course = heapq.heappop(queue)
@@ -344,6 +355,8 @@
                     self.stuck = course.gen.prompt_toks
         self.waiting += queue
         heapq.heapify(self.waiting)
+        self.next_due = min((entry[1] for entry in self.waiting), default=inf)
+        self.least = min((entry[3].gen.prompt_toks for entry in self.waiting), default=inf)
         return bool(self.router.ready)
 
     def send(self, course: Course, engine: Seat) -> None:
