Gateways agree on a session's reader: few generations no longer make an opening popular

Replayed events showed why: an opening's share was taken from a handful of own generations, so gateways held 3 to 12 and more readers of it agreed, each its own; where the first was congested the next was left to noise.

Change: shares are shrunk by FEW generations; a session's readers have an order, the next keeps half of what the first does; reading weighs four times against room.

--- a/ternlane/choice.py
+++ b/ternlane/choice.py
@@ -30,6 +30,8 @@
 GAIN = 1 / 16       # weight of a new sample in a running mean
 CARE = 0.6          # part of what the rule lets a cold server be sent that this router uses
 CALM = 0.75         # part of its size that a server must be filled to before it can prove to be larger
+WORTH = 4.0         # what reading a text anew weighs against room: the readers' time is everybody's
+FEW = 64            # generations before this gateway's own count of an opening says much
 LONG_READ = 1000.0  # tokens
 OUT_SHARE = 0.25    # part of the longest answer that a generation is expected to fill
 NO_SIGN = {Verdict.TIMED_OUT, Verdict.FULL, Verdict.CALLED_OFF, Verdict.MOOT}    # of the server's health
@@ -263,14 +265,16 @@
 
     def work_ms(self, engine: Seat, course: Course) -> float:    # to read what it is not thought to keep
         gen, agreed = course.gen, course.agreed
-        known = gen.prompt_toks if engine in agreed[:1] else gen.opening_toks if engine in agreed else 0.0
+        if engine not in agreed:
+            return self.tok_ms * gen.prompt_toks
+        known = gen.opening_toks + (gen.prompt_toks - gen.opening_toks) / (1 + agreed.index(engine))
         return self.tok_ms * (gen.prompt_toks - self.told[gen.product] * known)
 
     def score(self, r: Standing, w: Standing, work_ms: float) -> tuple[float, float]:
         a, b = r.engine.server, w.engine.server
         steps = 0 if a is b or a.cell == b.cell else 1 if a.zone == b.zone else 2
         strange = self.unmet * ((not r.linked) + (a is not b and not w.linked))
-        return min(r.free, w.free) - STEP * steps - work_ms / self.limits.slo_ms - strange, r.free + w.free
+        return min(r.free, w.free) - STEP * steps - WORTH * work_ms / self.limits.slo_ms - strange, r.free + w.free
 
     def best(self, course: Course, holder: Seat | None = None) -> tuple[Standing, Standing] | None:
         """The best pair that is not congested. With no server of a duty sound, the view is suspected."""
@@ -291,7 +295,7 @@
         if gen.opening is not None:
             key = zlib.crc32(gen.opening.encode())
             readers.sort(key=lambda e: key * (e.server.mark | 1) % 2**32)
-            part = self.asked_for[gen.opening] / self.asked_for.total()
+            part = self.asked_for[gen.opening] / (self.asked_for.total() + FEW)    # lest few make it look popular
             readers = readers[:round(CROWD + CROWD * len(readers) * part)]
         key = zlib.crc32((gen.session or "").encode())
         return sorted(readers, key=lambda e: key * (e.server.mark | 1) % 2**32)
