Errors are remembered by server and product, refusals by server and tenant

Change: Desk.record keeps, for each product and tenant, how legs ended at each server, shrunk to the rate of all by half a leg; the risk takes room in the pair's score, all of it where an error of a writer is final, and a home that is ill for this generation is left. Errors no longer count against a server's general progress. The adapter passes tenants on.

--- a/ternlane/choice.py
+++ b/ternlane/choice.py
@@ -15,8 +15,8 @@
 from typing import Any, Iterator
 
 from ternlane import port
-from ternlane.notes import (Actor, Beat, Booked, Course, Home, Leg, Limits, Loop, News, Onward, Reported,
-                            Seat, Sent, StageEnded, Standing, Trouble, Unbooked)
+from ternlane.notes import (Actor, Beat, Booked, Course, Home, Leg, Limits, Loop, News, Onward, Record,
+                            Reported, Seat, Sent, StageEnded, Standing, Trouble, Unbooked)
 from ternlane.port import (Action, Duty, Effect, Event, Generation, Group, Life, Product, Server, StartFacts,
                            Verdict)
 
@@ -31,10 +31,11 @@
 CARE = 0.6          # part of what the rule lets a cold server be sent that this router uses
 CALM = 0.75         # part of its size that a server must be filled to before it can prove to be larger
 WORTH = 4.0         # what reading a text anew weighs against room: the readers' time is everybody's
+FAINT = 0.02        # failures of a kind below this part are chance
 FEW = 64            # generations before this gateway's own count of an opening says much
 LONG_READ = 1000.0  # tokens
 OUT_SHARE = 0.25    # part of the longest answer that a generation is expected to fill
-NO_SIGN = {Verdict.TIMED_OUT, Verdict.FULL, Verdict.CALLED_OFF, Verdict.MOOT}    # of the server's health
+NO_SIGN = {Verdict.TIMED_OUT, Verdict.ERROR, Verdict.FULL, Verdict.CALLED_OFF, Verdict.MOOT}    # of the server's health
 NEVER_RAN = {Verdict.FULL, Verdict.UNCONNECTED, Verdict.MOOT, Verdict.READ}
 
 
@@ -181,6 +182,8 @@
         self.fleets = {duty: Beat() for duty in Duty}
         self.foreseen = self.took = self.limits.slo_ms / 8
         self.unmet = 0.0    # part of new connections that could not be made
+        self.records: defaultdict[Any, dict[Seat, Record]] = defaultdict(dict)    # by product or tenant
+        self.rates: defaultdict[tuple[Any, bool], float] = defaultdict(float)    # of failures, at readers and writers
         self.trust = 1.0    # how long reads took, against what the readers' queues were believed to be
 
     def handle(self, note: Any) -> None:
@@ -242,7 +245,8 @@
     def toks(self, course: Course, engine: Seat) -> float:
         return course.gen.prompt_toks + (OUT_SHARE * course.gen.max_toks if engine.writes else 0.0)
 
-    def pairs(self, readers: list[Standing], writers: list[Standing]) -> Iterator[tuple[Standing, Standing]]:
+    def pairs(self, readers: list[Standing], writers: list[Standing],
+              lost: dict[Seat, float]) -> Iterator[tuple[Standing, Standing]]:
         """Each reader with the best writer of its cell, of its zone and of all (no other scores more), a mixed one
         with itself. Equals go by chance, or all gateways would fill the first in the list."""
         freest: dict[Any, tuple[float, int, Standing]] = {}
@@ -251,7 +255,7 @@
         for w in writers:
             at = w.engine.server
             if w.engine.writes and not w.engine.reads:
-                mine = w.free - self.unmet * (not w.linked), draw * at.mark % 2**32, w
+                mine = w.free - lost[w.engine] - self.unmet * (not w.linked), draw * at.mark % 2**32, w
                 for near in (at.cell, at.zone, None):
                     if near not in freest or mine[:2] > freest[near][:2]:
                         freest[near] = mine
@@ -270,11 +274,11 @@
         known = gen.opening_toks + (gen.prompt_toks - gen.opening_toks) / (1 + agreed.index(engine))
         return self.tok_ms * (gen.prompt_toks - self.told[gen.product] * known)
 
-    def score(self, r: Standing, w: Standing, work_ms: float) -> tuple[float, float]:
+    def score(self, r: Standing, w: Standing, less: float) -> tuple[float, float]:
         a, b = r.engine.server, w.engine.server
         steps = 0 if a is b or a.cell == b.cell else 1 if a.zone == b.zone else 2
         strange = self.unmet * ((not r.linked) + (a is not b and not w.linked))
-        return min(r.free, w.free) - STEP * steps - WORTH * work_ms / self.limits.slo_ms - strange, r.free + w.free
+        return min(r.free, w.free) - STEP * steps - less - strange, r.free + w.free
 
     def best(self, course: Course, holder: Seat | None = None) -> tuple[Standing, Standing] | None:
         """The best pair that is not congested. With no server of a duty sound, the view is suspected."""
@@ -284,9 +288,10 @@
             if not any(s.listed and e.server.duty is duty and self.sound(s) for e, s in self.board.items()):
                 calm += [s for s in able if s.engine.server.duty is duty and s not in calm]
         course.agreed, readers = self.agreed(course.gen), [self.board[holder]] if holder else calm
-        work = {r.engine: self.work_ms(r.engine, course) for r in readers}
-        return max(self.pairs(readers, calm), default=None,
-                   key=lambda p: self.score(p[0], p[1], work[p[0].engine]))
+        lost = {s.engine: self.loss(s.engine, course) for s in calm}
+        work = {r.engine: WORTH * self.work_ms(r.engine, course) / self.limits.slo_ms for r in readers}
+        return max(self.pairs(readers, calm, lost), default=None, key=lambda p: self.score(
+            p[0], p[1], work[p[0].engine] + lost[p[1].engine] + lost.get(p[0].engine, 0.0) * (p[0] is not p[1])))
 
     def agreed(self, gen: Generation) -> list[Seat]:
         """The reader that every gateway holds nearest, as openings and sessions come to all of them.
@@ -307,7 +312,7 @@
             return self.finish(course)
         home = self.homes.get(gen.session or "")
         if home and all(self.usable(e, course) and not self.congested(self.board[e], course)
-                        for e in home[:2]):
+                        and not self.ill(e, course) for e in home[:2]):
             reader, writer = home[:2]
         else:
             pair = self.best(course)
@@ -322,6 +327,33 @@
             engine.post(Booked(course, self.toks(course, engine)))
         self.send(course, reader)
 
+    def record(self, engine: Seat, kind: Any, bad: bool) -> None:
+        """Guards against servers that fail one product or refuse one tenant, and are well for all others."""
+        if kind is not None:
+            now, rate = self.router.now, self.rates[kind, engine.writes]
+            self.rates[kind, engine.writes] = rate + GAIN * (bad - rate)
+            known = self.records[kind].setdefault(engine, Record(at=now))
+            fade = exp((known.at - now) / (HOME_AGE_MS / CROWD))
+            known.bad, known.tries, known.at = known.bad * fade + bad, known.tries * fade + 1, now
+
+    def risk(self, engine: Seat, kind: Any) -> float:
+        """The chance that this server fails this product or refuses this tenant; half a leg's doubt goes to the rest."""
+        rate = self.rates.get((kind, engine.writes), 0.0)
+        if rate < FAINT:
+            return 0.0
+        known = self.records[kind].get(engine, Record())
+        fade = exp((known.at - self.router.now) / (HOME_AGE_MS / CROWD))
+        return (known.bad * fade + rate / CROWD) / (known.tries * fade + 1 / CROWD)
+
+    def loss(self, engine: Seat, course: Course) -> float:
+        """What that risk costs: a leg's time, or all where an error of a writer ends it."""
+        gen = course.gen
+        last = engine.writes and gen.product.effect is not Effect.IDEMPOTENT
+        return self.risk(engine, gen.product) * (1.0 if last else SICK) + self.risk(engine, gen.tenant) * SICK
+
+    def ill(self, engine: Seat, course: Course) -> bool:    # for this generation
+        return max(self.risk(engine, course.gen.product), self.risk(engine, course.gen.tenant)) > 1 / CROWD
+
     def latest(self, course: Course) -> float:
         """The last time at which a read may begin and the first token still come within the SLO time."""
         product, end = course.gen.product, min(course.slo_at, course.limit_at) - self.limits.beat_ms
@@ -419,6 +451,8 @@
         self.learn(product, "open", took)
         if course.reader is not None and course.reader is not course.writer:
             course.reader.post(Unbooked(course))
+        self.record(leg.engine, product, False)
+        self.record(leg.engine, course.gen.tenant, False)
         leg.engine.post(StageEnded(leg, True, self.usual_ms(product, "stream")))
 
     def leg_ended(self, note: port.LegEnded) -> None:
@@ -436,6 +470,10 @@
         engine.post(StageEnded(leg, good, None))
         if verdict in (Verdict.UNCONNECTED, Verdict.RESET):
             engine.post(Trouble(silent=False))
+        if verdict in (Verdict.ERROR, Verdict.READ):
+            self.record(engine, product, verdict is Verdict.ERROR)
+        if verdict in (Verdict.FULL, Verdict.READ) and not note.state_lost:
+            self.record(engine, course.gen.tenant, verdict is Verdict.FULL)
         if leg.writes and verdict not in NEVER_RAN and course.may_have_run is None:
             course.may_have_run = leg.sent, note.server
         if leg.fresh and good is not None:    # where these fail, the connected are nearer
@@ -489,8 +527,10 @@
         writer = course.writer
         assert writer is not None    # chosen with the reader whose state this is
         s = self.board[writer]
-        if not self.usable(writer, course) or not self.fit(s, course):
+        if not self.usable(writer, course) or not self.fit(s, course) or self.ill(writer, course):
             pair = self.best(course, course.state_at)
+            if pair is None and self.usable(writer, course) and self.fit(s, course):
+                return self.send(course, writer)
             if pair is None:    # the state is let go, and the prompt, now kept, read again
                 course.state_at = None
                 return self.onward(course)
--- a/ternlane/notes.py
+++ b/ternlane/notes.py
@@ -87,6 +87,14 @@
     tried: set[Seat] = field(default_factory=set)
 
 
+@dataclass(slots=True)
+class Record:
+    """How the legs of one kind (of a product, of a tenant) ended at one server lately."""
+    bad: float = 0.0
+    tries: float = 0.0
+    at: float = 0.0
+
+
 class Home(NamedTuple):
     reader: Seat
     writer: Seat
--- a/ternlane/port.py
+++ b/ternlane/port.py
@@ -69,6 +69,13 @@
     late_share: float
 
 
+@dataclass(slots=True, eq=False)
+class Tenant:
+    """A customer: its part of the service, and the generations a ms of all gateways that lie within its share."""
+    portion: float
+    quota_per_ms: float
+
+
 @dataclass(slots=True, eq=False)
 class Server:
     """A model server: room for `mem_toks` tokens, `size` times as fast as the usual, up since `started_ms`. `mark` is a
@@ -97,6 +104,7 @@
     patience_ms: float
     whole: bool = False
     seat: Any = None
+    tenant: Tenant | None = None
 
 
 @dataclass(slots=True, frozen=True)
--- a/ternlane/wirehost/host.py
+++ b/ternlane/wirehost/host.py
@@ -9,7 +9,7 @@
 from ternlane.port import (
     Action, Arrived, CallOff, Checked, ClientLeft, Duty, Effect, Event, FirstTok, Follow, Generation, Group, HoldAhead,
     LegEnded, LetGo, Life, Listed, ListFailed, Log, PlaceHeld, Probe, Product, Report, SendLeg, Server, StartFacts,
-    Terminate, Throttle, Verdict, Wake, Woken)
+    Tenant, Terminate, Throttle, Verdict, Wake, Woken)
 
 VERDICTS = {"S": Verdict.STREAMED, "E": Verdict.ERROR, "F": Verdict.FULL, "T": Verdict.TIMED_OUT,
             "C": Verdict.UNCONNECTED, "R": Verdict.RESET, "X": Verdict.CALLED_OFF, "N": Verdict.MOOT,
@@ -53,6 +53,8 @@
                 slo_ms=p["aim"], slo_per_ktok_ms=per_ktok[i] / 1000.0 if i < len(per_ktok) else 0.0,
                 tok_slo_ms=tok_slo[i] if i < len(tok_slo) else 0.0, limit_ms=p["deadline"],
                 revenue=p.get("worth", 1.0), late_share=p.get("late_worth", 0.0))
+        self.tenants = {t["name"]: Tenant(t.get("portion", 0.0), t.get("quota_per_s", 0.0) / 1000.0)
+                        for t in told.get("tenants", [])}
         self.servers: dict[str, Server] = {}
         self.server_ids: dict[Server, str] = {}
         self.gens: dict[int, Generation] = {}
@@ -116,13 +118,14 @@
     def event(self, part: list[str]) -> Event | None:
         what = part[0]
         if what == "WORK_ITEM":
-            _, _, corr, opening_toks, _, opening, lane, prompt, patience, _, session, longest, *_ = part
+            _, _, corr, opening_toks, _, opening, lane, prompt, patience, _, session, longest, *rest = part
             product = self.products.get(lane)
             if product is None:    # never listed: nothing is promised of it, so nothing may be repeated
                 product = self.products[lane] = Product(Effect.SIDE_EFFECTING, Group.CELL, 0.0, 0.0, 0.0, 0.0,
                                                         number(patience), 0.0, 0.0)
             gen = Generation(product, name(session), name(opening), number(opening_toks), number(prompt),
-                             number(longest), number(patience))
+                             number(longest), number(patience),
+                             tenant=self.tenants.get(rest[0]) if rest else None)
             self.gens[int(corr)], self.gen_ids[gen] = gen, int(corr)
             return Arrived(gen)
         if what == "DEADLINE_HIT":
