A read may wait twice its SLO time; writers that lose answers are remembered

Change: a read waits twice its SLO time. An error that would be final weighs twice in a pair's score. Writers' time-outs before the first token are kept per server, as product errors are.

--- a/ternlane/choice.py
+++ b/ternlane/choice.py
@@ -328,7 +328,7 @@
         self.send(course, reader)
 
     def record(self, engine: Seat, kind: Any, bad: bool) -> None:
-        """Guards against servers that fail one product or refuse one tenant, and are well for all others."""
+        """Guards against servers that fail one product, refuse one tenant or lose answers, and else look well."""
         if kind is not None:
             now, rate = self.router.now, self.rates[kind, engine.writes]
             self.rates[kind, engine.writes] = rate + GAIN * (bad - rate)
@@ -349,7 +349,8 @@
         """What that risk costs: a leg's time, or all where an error of a writer ends it."""
         gen = course.gen
         last = engine.writes and gen.product.effect is not Effect.IDEMPOTENT
-        return self.risk(engine, gen.product) * (1.0 if last else SICK) + self.risk(engine, gen.tenant) * SICK
+        fails = self.risk(engine, gen.product) + self.risk(engine, Verdict.TIMED_OUT) * engine.writes
+        return fails * (CROWD if last else SICK) + self.risk(engine, gen.tenant) * SICK
 
     def ill(self, engine: Seat, course: Course) -> bool:    # for this generation
         return max(self.risk(engine, course.gen.product), self.risk(engine, course.gen.tenant)) > 1 / CROWD
@@ -406,7 +407,7 @@
         course.leg = Leg(engine, course, writes, now, now, usual, work,
                          work + s.ahead_ms / max(self.trust, GAIN), not s.linked)
         if course.legs < self.limits.leg_limit and (not writes or product.effect is Effect.IDEMPOTENT):
-            patience = min(patience, max(product.slo_ms / (2 if writes else 1), 4 * course.leg.usual_ms))
+            patience = min(patience, max(product.slo_ms * (0.5 if writes else CROWD), 4 * course.leg.usual_ms))
         engine.post(Sent(course.leg))
         quiet = max(course.gen.patience_ms / CROWD, DOUBT * product.tok_slo_ms)    # a mute stream has broken
         self.router.out.append(port.SendLeg(course.gen, engine.server, patience, quiet, whole))
@@ -452,6 +453,7 @@
         if course.reader is not None and course.reader is not course.writer:
             course.reader.post(Unbooked(course))
         self.record(leg.engine, product, False)
+        self.record(leg.engine, Verdict.TIMED_OUT, False)
         self.record(leg.engine, course.gen.tenant, False)
         leg.engine.post(StageEnded(leg, True, self.usual_ms(product, "stream")))
 
@@ -481,6 +483,7 @@
         if not leg.writes and verdict in (Verdict.READ, Verdict.TIMED_OUT):
             self.read_took(course, leg, note)
         elif verdict is Verdict.TIMED_OUT:
+            self.record(engine, verdict, True)
             self.learn(product, "open", note.took_ms)
         if verdict is Verdict.READ:
             course.state_at = engine
