A session's two agreed readers are asked for their load before a pair is chosen

Cause: where reports come to probes only, reports_mem was true and nothing ever probed: the design's free memory rested on own counts, at one or two generations a second a gateway.

Change: StartFacts.told_if_asked; an arrival probes the first two of its agreed readers whose report is older than a beat, and is placed when they have answered, at the next beat at the latest. A reader's queue is what it says it holds times the mean read.

--- a/ternlane/choice.py
+++ b/ternlane/choice.py
@@ -54,7 +54,7 @@
         self.reads, self.writes = server.duty is not Duty.WRITE, server.duty is not Duty.READ
         self.booked: dict[Course, tuple[float, float]] = {}    # when, how much of its memory
         self.legs: dict[Leg, None] = {}
-        self.said: tuple[float, float] | None = None   # when, memory share
+        self.said: tuple[float, float, float | None] | None = None   # when, memory share, generations held
         self.done = self.due = self.rate = self.credit = 0.0
         self.size = 1.0    # memory it seems to have, against what the start facts say
         self.strikes, self.shut_until, self.trial = 0, 0.0, False
@@ -91,8 +91,8 @@
             case Trouble(silent):
                 self.shut(self.limits.span_ms if silent else self.limits.retry_ms)
                 self.linked_until *= silent
-            case Reported(mem_share):
-                self.said = now, mem_share
+            case Reported(mem_share, held):
+                self.said = now, mem_share, held
             case Beat():
                 fade = exp((self.beat_at - now) / self.limits.span_ms)
                 self.sent *= fade ** (1 / LOOK)
@@ -157,6 +157,8 @@
             free = min(free, 1 - fresh * (self.said[1] + since) - (1 - fresh) * used)
         queue = sum(leg.work_ms for leg in self.legs)
         ahead = CROWD * queue + self.fleet.trust * (self.fleet.queue_ms * self.crowding())
+        if self.reads and self.said is not None and self.said[2] is not None:
+            ahead = fresh * self.said[2] * self.fleet.read_ms + (1 - fresh) * ahead
         if self.reads:
             free = min(free, 1 - ahead / self.limits.slo_ms)
         return Standing(self, self.server.life is Life.UP, free, queue, len(self.booked),
@@ -168,6 +170,9 @@
 class Desk(Actor):    # sessions' homes, generations' courses
     def __init__(self, router: Loop, facts: StartFacts) -> None:
         super().__init__(router)
+        self.told_if_asked = facts.may_probe and facts.told_if_asked
+        self.asking: list[Course] = []
+        self.read_ms = 0.0
         self.may_call_off, self.must_ask, self.asked = facts.may_call_off, facts.must_ask, False
         self.seed, self.turn, self.beats, self.stuck = facts.seed, 0, 0, inf    # no room for prompts so large
         self.board: dict[Seat, Standing] = {}
@@ -207,6 +212,8 @@
                 for server in servers:
                     server.seat = server.seat or Engine(self.router, server)
                     server.seat.post(News())
+            case port.Checked(server, _, report):
+                self.checked(server.seat, report)
             case port.ListFailed():
                 self.asked = False
             case port.Woken():
@@ -219,7 +226,28 @@
         mean = self.prompt.setdefault(product, max(gen.prompt_toks, 1.0))
         self.prompt[product] = mean + GAIN * (gen.prompt_toks - mean)
         self.asked_for[gen.opening] += gen.opening is not None
-        self.wait(course) if self.waiting else self.place(course)
+        if self.told_if_asked:
+            course.agreed = self.agreed(gen)
+            for engine in course.agreed[:round(CROWD)]:
+                said = engine.said
+                if said is None or now - said[0] > self.limits.beat_ms:
+                    course.asked.add(engine)
+                    self.router.out.append(port.Probe(engine.server))
+        if course.asked:
+            self.asking.append(course)
+        else:
+            self.wait(course) if self.waiting else self.place(course)
+
+    def checked(self, engine: Seat, report: port.Report | None) -> None:
+        """A report takes the place of the one in an answer; who waited for it is placed."""
+        if report is not None and report.mem_share is not None:
+            engine.post(Reported(report.mem_share, report.open_gens))
+        for course in [c for c in self.asking if engine in c.asked]:
+            course.asked.discard(engine)
+            if not course.asked:
+                self.asking.remove(course)
+                if not course.over:
+                    engine.post(Onward(course))
 
     def usable(self, engine: Seat, course: Course) -> bool:
         """May the course be sent to this server at all? Asked again by send()."""
@@ -462,7 +490,7 @@
         leg, course.leg = course.leg, None
         engine: Seat = note.server.seat
         if note.report is not None and note.report.mem_share is not None:
-            engine.post(Reported(note.report.mem_share))
+            engine.post(Reported(note.report.mem_share, note.report.open_gens))
         if leg is None:
             return
         product, verdict = course.gen.product, note.verdict
@@ -521,6 +549,7 @@
         self.trust = min(1.0, self.took / self.foreseen)
         if note.verdict is Verdict.READ and leg.engine in course.agreed[:1]:
             self.told[gen.product] += GAIN * (1 - unread / max(gen.prompt_toks, 1.0) - self.told[gen.product])
+        self.read_ms += GAIN * (self.tok_ms * unread - self.read_ms)
         if note.verdict is Verdict.READ and unread > LONG_READ:    # short ones tell of steps and queues
             pace = took / unread
             self.tok_ms += (pace - self.tok_ms) * (4 * GAIN if pace < self.tok_ms else GAIN / 4)
@@ -561,6 +590,10 @@
         while self.homes and next(iter(self.homes.values())).used < now - HOME_AGE_MS:
             self.homes.popitem(last=False)
         self.beats += 1
+        late, self.asking = self.asking, []
+        for course in late:    # a server that does not answer holds nobody up
+            if not course.over:
+                self.onward(course)
         for duty in Duty if self.beats % LOOK == 1 else ():
             peers = [s for s in self.board.values() if s.engine.server.duty is duty and s.listed]
             if peers:
@@ -579,7 +612,7 @@
         level = (1 - new) * old.level + scale * sum(s.own for s in warm)
         queue = (1 - new) * old.queue_ms + scale * sum(s.queue_ms for s in warm)
         sent, pace = sum(s.sent for s in warm) / len(warm), min(1.0, median(s.progress for s in fit))
-        self.fleets[duty] = view = Beat(mid, pace, rate, level, queue, sent, self.trust)
+        self.fleets[duty] = view = Beat(mid, pace, rate, level, queue, sent, self.trust, self.read_ms)
         for i, s in enumerate(peers):
             if s.progress < SICK * view.pace and not s.shut and not s.trial:
                 s.engine.post(Trouble(silent=True))
--- a/ternlane/notes.py
+++ b/ternlane/notes.py
@@ -38,6 +38,7 @@
     server: Server
     reads: bool
     writes: bool
+    said: tuple[float, float, float | None] | None    # its last report: when, memory share, generations held
 
 
 class Limits(NamedTuple):
@@ -83,6 +84,7 @@
     may_have_run: tuple[float, Server] | None = None
     holds: bool = False    # a state may be held for it somewhere
     over: bool = False
+    asked: set[Seat] = field(default_factory=set)    # whose report the choice of a pair waits for
     agreed: list[Seat] = field(default_factory=list)    # keep its opening, the first its session
     tried: set[Seat] = field(default_factory=set)
 
@@ -153,6 +155,7 @@
 
 class Reported(NamedTuple):
     mem_share: float
+    open: float | None    # generations that the server holds
 
 
 class Beat(NamedTuple):
@@ -164,6 +167,7 @@
     queue_ms: float = 0.0     # reading that all gateways have given each of them
     mean_sent: float = 0.0
     trust: float = 1.0        # how far that reading is to be believed
+    read_ms: float = 0.0      # what one read costs its reader on the mean
 
 
 class Onward(NamedTuple):
--- a/ternlane/port.py
+++ b/ternlane/port.py
@@ -133,6 +133,7 @@
     fall_multiple: float
     fall_ms: float
     step_ms: float
+    told_if_asked: bool = False    # model servers report their load to Probe, and in no answer
 
 
 @dataclass(slots=True, frozen=True)
--- a/ternlane/wirehost/host.py
+++ b/ternlane/wirehost/host.py
@@ -74,7 +74,7 @@
             release_ms=spec.get("release", 0.0), drain_grace_ms=rules.get("drain_grace", 0.0),
             cold_ms=rules.get("cold", 0.0), cold_from=rules.get("cold_from", 1.0),
             fall_multiple=rules.get("overload_factor", 1.0), fall_ms=rules.get("overload_for", 0.0),
-            step_ms=told.get("step", 1.0)))
+            step_ms=told.get("step", 1.0), told_if_asked=report.get("how") == "on_probe"))
 
     def server(self, sid: str) -> Server | None:
         return self.servers.get(sid)
