The home writer is asked while the prompt is read, and left if its memory is full

Change: the pair's writer is probed when the read is sent; with reports by probe, hand_on leaves a writer that has congested.

--- a/ternlane/choice.py
+++ b/ternlane/choice.py
@@ -228,16 +228,19 @@
         self.asked_for[gen.opening] += gen.opening is not None
         if self.told_if_asked:
             course.agreed = self.agreed(gen)
-            for engine in course.agreed[:round(CROWD)]:
-                said = engine.said
-                if said is None or now - said[0] > self.limits.beat_ms:
-                    course.asked.add(engine)
-                    self.router.out.append(port.Probe(engine.server))
+            course.asked = {e for e in course.agreed[:round(CROWD)] if self.ask(e)}
         if course.asked:
             self.asking.append(course)
         else:
             self.wait(course) if self.waiting else self.place(course)
 
+    def ask(self, engine: Seat) -> bool:
+        """Probes it unless its last report is fresh."""
+        stale = engine.said is None or self.router.now - engine.said[0] > self.limits.beat_ms
+        if stale:
+            self.router.out.append(port.Probe(engine.server))
+        return stale
+
     def checked(self, engine: Seat, report: port.Report | None) -> None:
         """A report takes the place of the one in an answer; who waited for it is placed."""
         if report is not None and report.mem_share is not None:
@@ -353,6 +356,8 @@
         course.reader, course.writer = reader, writer
         for engine in {reader: None, writer: None}:
             engine.post(Booked(course, self.toks(course, engine)))
+        if self.told_if_asked and writer is not reader:    # its report comes while the prompt is read
+            self.ask(writer)
         self.send(course, reader)
 
     def record(self, engine: Seat, kind: Any, bad: bool) -> None:
@@ -559,7 +564,8 @@
         writer = course.writer
         assert writer is not None    # chosen with the reader whose state this is
         s = self.board[writer]
-        if not self.usable(writer, course) or not self.fit(s, course) or self.ill(writer, course):
+        if not self.usable(writer, course) or not self.fit(s, course) or self.ill(writer, course) or (
+                self.told_if_asked and self.congested(s, course)):
             pair = self.best(course, course.state_at)
             if pair is None and self.usable(writer, course) and self.fit(s, course):
                 return self.send(course, writer)
