--- a/ternlane/choice.py
+++ b/ternlane/choice.py
@@ -382,7 +382,7 @@
         """What that risk costs: a leg's time, or all where an error of a writer ends it."""
         gen = course.gen
         last = engine.writes and gen.product.effect is not Effect.IDEMPOTENT
-        fails = self.risk(engine, gen.product) + self.risk(engine, Verdict.TIMED_OUT) * engine.writes
+        fails = self.risk(engine, gen.product) + self.risk(engine, Verdict.TIMED_OUT)
         return fails * (CROWD if last else SICK) + self.risk(engine, gen.tenant) * SICK
 
     def ill(self, engine: Seat, course: Course) -> bool:    # for this generation
@@ -505,6 +505,8 @@
         engine.post(StageEnded(leg, good, None))
         if verdict in (Verdict.UNCONNECTED, Verdict.RESET):
             engine.post(Trouble(silent=False))
+        if verdict in (Verdict.TIMED_OUT, Verdict.READ):
+            self.record(engine, Verdict.TIMED_OUT, verdict is Verdict.TIMED_OUT)
         if verdict in (Verdict.ERROR, Verdict.READ):
             self.record(engine, product, verdict is Verdict.ERROR)
         if verdict in (Verdict.FULL, Verdict.READ) and not note.state_lost:
@@ -516,7 +518,6 @@
         if not leg.writes and verdict in (Verdict.READ, Verdict.TIMED_OUT):
             self.read_took(course, leg, note)
         elif verdict is Verdict.TIMED_OUT:
-            self.record(engine, verdict, True)
             self.learn(product, "open", note.took_ms)
         if verdict is Verdict.READ:
             course.state_at = engine
