New settings are taken over by a running gateway, both ways; ill servers are left out of a choice

Need: the move must work in a running program and back.

Change: SIGHUP takes over products, fleet, gateways and zone too: port.Altered carries the new facts, homes and what was learnt stay, a product whose terms are the same stays the same object, what was taken before keeps its own. fleet.ask_load: engines are asked for their load at /metrics (Prometheus text). Tenants reach the decisions. A server that failed this product or refused this tenant more often than not in the last quarter minute is left out of a choice, unless all have.

--- a/ternlane/chat/intake.py
+++ b/ternlane/chat/intake.py
@@ -9,7 +9,7 @@
 from ternlane.chat.openings import BLOCK, Openings, blocks
 from ternlane.chat.request import ChatAsk, Wrong, canonical
 from ternlane.chat.sessions import Sessions, chain
-from ternlane.port import Effect, Generation, Group, Product
+from ternlane.port import Effect, Generation, Group, Product, Tenant
 
 FIRST_TOKS_A_BYTE = 0.25    # until engines have said how many there were
 WEIGHT = 1 / 32             # of one more report
@@ -36,8 +36,13 @@
         self.models, self.max_toks = models, max_toks
         self.sessions = Sessions(2 * session_limit)
         self.openings = Openings(BLOCKS_A_SESSION * session_limit)
+        self.tenants: dict[str, Tenant] = {}    # by owner
         self.toks_a_byte: dict[Product, float] = {}
 
+    def offer(self, models: dict[str, Product], max_toks: dict[Product, int]) -> None:
+        """Other products from the next request on; what is known of conversations stays."""
+        self.models, self.max_toks = models, max_toks
+
     def take(self, ask: ChatAsk, patience_ms: float, owner: str = "") -> Known:
         """Two owners' equal conversations are two. Raises Wrong for a model that no product is offered under."""
         product = self.models.get(ask.model)
@@ -55,7 +60,8 @@
         ratio = self.toks_a_byte.get(product, FIRST_TOKS_A_BYTE)
         limit = self.max_toks[product]
         gen = Generation(product, session, opening, shared * BLOCK * ratio, max(1.0, len(whole) * ratio),
-                         float(min(ask.max_toks or limit, limit)), patience_ms, not ask.stream)
+                         float(min(ask.max_toks or limit, limit)), patience_ms, not ask.stream,
+                         tenant=self.tenants.setdefault(owner, Tenant()) if owner else None)
         return Known(gen, session, last[-1], len(whole))
 
     def learn_prompt(self, known: Known, prompt_toks: float) -> None:
--- a/ternlane/choice.py
+++ b/ternlane/choice.py
@@ -35,7 +35,7 @@
 FEW = 64            # generations before this gateway's own count of an opening says much
 LONG_READ = 1000.0  # tokens
 OUT_SHARE = 0.25    # part of the longest answer that a generation is expected to fill
-NO_SIGN = {Verdict.TIMED_OUT, Verdict.ERROR, Verdict.FULL, Verdict.CALLED_OFF, Verdict.MOOT}    # of the server's health
+NO_SIGN = {Verdict.TIMED_OUT, Verdict.ERROR, Verdict.FULL, Verdict.CALLED_OFF, Verdict.MOOT}    # of health
 NEVER_RAN = {Verdict.FULL, Verdict.UNCONNECTED, Verdict.MOOT, Verdict.READ}
 
 
@@ -170,10 +170,10 @@
 class Desk(Actor):    # sessions' homes, generations' courses
     def __init__(self, router: Loop, facts: StartFacts) -> None:
         super().__init__(router)
-        self.told_if_asked = facts.may_probe and facts.told_if_asked
+        self.adopt(facts)
         self.asking: list[Course] = []
         self.read_ms = 0.0
-        self.may_call_off, self.must_ask, self.asked = facts.may_call_off, facts.must_ask, False
+        self.asked = False
         self.seed, self.turn, self.beats, self.stuck = facts.seed, 0, 0, inf    # no room for prompts so large
         self.board: dict[Seat, Standing] = {}
         self.homes: OrderedDict[str, Home] = OrderedDict()
@@ -188,9 +188,13 @@
         self.foreseen = self.took = self.limits.slo_ms / 8
         self.unmet = 0.0    # part of new connections that could not be made
         self.records: defaultdict[Any, dict[Seat, Record]] = defaultdict(dict)    # by product or tenant
-        self.rates: defaultdict[tuple[Any, bool], float] = defaultdict(float)    # of failures, at readers and writers
+        self.rates: defaultdict[tuple[Any, bool], float] = defaultdict(float)    # of all writers, or readers
         self.trust = 1.0    # how long reads took, against what the readers' queues were believed to be
 
+    def adopt(self, facts: StartFacts) -> None:
+        self.may_call_off, self.must_ask = facts.may_call_off, facts.must_ask
+        self.told_if_asked = facts.may_probe and facts.told_if_asked
+
     def handle(self, note: Any) -> None:
         match note:
             case Standing():
@@ -214,6 +218,11 @@
                     server.seat.post(News())
             case port.Checked(server, _, report):
                 self.checked(server.seat, report)
+            case port.Altered(facts):
+                self.router.limits, self.next_due = limits_from(facts), -inf
+                self.adopt(facts)
+                for engine in self.board:
+                    engine.post(News())
             case port.ListFailed():
                 self.asked = False
             case port.Woken():
@@ -278,8 +287,8 @@
 
     def pairs(self, readers: list[Standing], writers: list[Standing],
               lost: dict[Seat, float]) -> Iterator[tuple[Standing, Standing]]:
-        """Each reader with the best writer of its cell, of its zone and of all (no other scores more), a mixed one
-        with itself. Equals go by chance, or all gateways would fill the first in the list."""
+        """Each reader with the best writer of its cell, of its zone and of all (no other scores more), a
+        mixed one with itself. Equals go by chance, or all gateways would fill the first in the list."""
         freest: dict[Any, tuple[float, int, Standing]] = {}
         self.turn += 1
         draw = zlib.crc32(b"%d %d" % (self.seed, self.turn)) | 1
@@ -294,9 +303,8 @@
             if r.engine.writes and r.engine.reads:
                 yield r, r
             elif r.engine.reads:
-                found = {m[2].engine: m[2] for m in map(freest.get, (r.engine.server.cell, r.engine.server.zone, None))
-                         if m is not None}
-                yield from ((r, w) for w in found.values())
+                at = r.engine.server
+                yield from ((r, freest[by][2]) for by in (at.cell, at.zone, None) if by in freest)
 
     def work_ms(self, engine: Seat, course: Course) -> float:    # to read what it is not thought to keep
         gen, agreed = course.gen, course.agreed
@@ -314,15 +322,20 @@
     def best(self, course: Course, holder: Seat | None = None) -> tuple[Standing, Standing] | None:
         """The best pair that is not congested. With no server of a duty sound, the view is suspected."""
         able = [s for s in self.board.values() if self.usable(s.engine, course)]
-        calm = [s for s in able if not self.congested(s, course)]
+        ill = {s.engine for s in able if self.ill(s.engine, course)}
+        for duty in Duty:    # where all are, it is not theirs
+            if all(s.engine in ill for s in able if s.engine.server.duty is duty):
+                ill = {e for e in ill if e.server.duty is not duty}
+        calm = [s for s in able if s.engine not in ill and not self.congested(s, course)]
         for duty in Duty:
             if not any(s.listed and e.server.duty is duty and self.sound(s) for e, s in self.board.items()):
                 calm += [s for s in able if s.engine.server.duty is duty and s not in calm]
         course.agreed, readers = self.agreed(course.gen), [self.board[holder]] if holder else calm
         lost = {s.engine: self.loss(s.engine, course) for s in calm}
         work = {r.engine: WORTH * self.work_ms(r.engine, course) / self.limits.slo_ms for r in readers}
-        return max(self.pairs(readers, calm, lost), default=None, key=lambda p: self.score(
-            p[0], p[1], work[p[0].engine] + lost[p[1].engine] + lost.get(p[0].engine, 0.0) * (p[0] is not p[1])))
+        less = {r: work[r] + lost.get(r, 0.0) * (not r.writes) for r in work}
+        return max(self.pairs(readers, calm, lost), default=None,
+                   key=lambda p: self.score(p[0], p[1], less[p[0].engine] + lost[p[1].engine]))
 
     def agreed(self, gen: Generation) -> list[Seat]:
         """The reader that every gateway holds nearest, as openings and sessions come to all of them.
@@ -331,7 +344,7 @@
         if gen.opening is not None:
             key = zlib.crc32(gen.opening.encode())
             readers.sort(key=lambda e: key * (e.server.mark | 1) % 2**32)
-            part = self.asked_for[gen.opening] / (self.asked_for.total() + FEW)    # lest few make it look popular
+            part = self.asked_for[gen.opening] / (self.asked_for.total() + FEW)
             readers = readers[:round(CROWD + CROWD * len(readers) * part)]
         key = zlib.crc32((gen.session or "").encode())
         return sorted(readers, key=lambda e: key * (e.server.mark | 1) % 2**32)
@@ -361,7 +374,7 @@
         self.send(course, reader)
 
     def record(self, engine: Seat, kind: Any, bad: bool) -> None:
-        """Guards against servers that fail one product, refuse one tenant or lose answers, and else look well."""
+        """Guards against servers that fail one product, refuse one tenant or lose answers, and look well."""
         if kind is not None:
             now, rate = self.router.now, self.rates[kind, engine.writes]
             self.rates[kind, engine.writes] = rate + GAIN * (bad - rate)
@@ -370,7 +383,7 @@
             known.bad, known.tries, known.at = known.bad * fade + bad, known.tries * fade + 1, now
 
     def risk(self, engine: Seat, kind: Any) -> float:
-        """The chance that this server fails this product or refuses this tenant; half a leg's doubt goes to the rest."""
+        """The chance that this server fails this product or refuses this tenant, shrunk to that of all."""
         rate = self.rates.get((kind, engine.writes), 0.0)
         if rate < FAINT:
             return 0.0
@@ -385,8 +398,14 @@
         fails = self.risk(engine, gen.product) + self.risk(engine, Verdict.TIMED_OUT)
         return fails * (CROWD if last else SICK) + self.risk(engine, gen.tenant) * SICK
 
-    def ill(self, engine: Seat, course: Course) -> bool:    # for this generation
-        return max(self.risk(engine, course.gen.product), self.risk(engine, course.gen.tenant)) > 1 / CROWD
+    def ill(self, engine: Seat, course: Course) -> bool:
+        """Has it failed this product, or refused this tenant, more often than not lately?"""
+        for kind in (course.gen.product, course.gen.tenant):
+            common = self.rates.get((kind, engine.writes), 0.0) > FAINT
+            known = self.records[kind].get(engine) if common else None
+            if known and 2 * known.bad > known.tries and self.router.now - known.at < HOME_AGE_MS / DOUBT:
+                return True
+        return False
 
     def latest(self, course: Course) -> float:
         """The last time at which a read may begin and the first token still come within the SLO time."""
@@ -440,7 +459,8 @@
         course.leg = Leg(engine, course, writes, now, now, usual, work,
                          work + s.ahead_ms / max(self.trust, GAIN), not s.linked)
         if course.legs < self.limits.leg_limit and (not writes or product.effect is Effect.IDEMPOTENT):
-            patience = min(patience, max(product.slo_ms * (0.5 if writes else CROWD), 4 * course.leg.usual_ms))
+            slo = product.slo_ms * (1 / CROWD if writes else CROWD)    # reads thrown away are only read anew
+            patience = min(patience, max(slo, 4 * course.leg.usual_ms))
         engine.post(Sent(course.leg))
         quiet = max(course.gen.patience_ms / CROWD, DOUBT * product.tok_slo_ms)    # a mute stream has broken
         self.router.out.append(port.SendLeg(course.gen, engine.server, patience, quiet, whole))
--- a/ternlane/engine/leg.py
+++ b/ternlane/engine/leg.py
@@ -9,8 +9,8 @@
 import msgspec
 import trio
 
-from ternlane.engine.protocol import (CHAT_PATH, DONE, HOLD_PATH, LOAD, NOT_RUN, RELEASE_PATH, ReadAnswer, Usage,
-                                      chunk_in, load_of, read_answer, refusal_of)
+from ternlane.engine.protocol import (CHAT_PATH, DONE, HOLD_PATH, LOAD, LOAD_PATH, NOT_RUN, RELEASE_PATH, ReadAnswer,
+                                      Usage, chunk_in, load_of, read_answer, refusal_of)
 from ternlane.http1 import EventReader, Pool, Unconnected
 from ternlane.port import Report, Verdict
 
@@ -192,6 +192,25 @@
     return False
 
 
+async def load(pool: Pool, address: str, headers: list[tuple[str, str]], within_ms: float) -> tuple[Verdict, str]:
+    """Asks an engine for its metrics. One try: the text, or how it failed."""
+    caller = None
+    with trio.move_on_after(within_ms / 1000) as scope:
+        try:
+            caller = await pool.take(address)
+            head = await caller.ask("GET", LOAD_PATH, headers, b"")
+            text = (await caller.body(ANSWER_LIMIT)).decode(errors="replace")
+            pool.give_back(caller)
+            return (Verdict.STREAMED, text) if head.status_code == 200 else (Verdict.ERROR, "")
+        except Unconnected:
+            return Verdict.UNCONNECTED, ""
+        except (h11.RemoteProtocolError, *BROKEN):
+            pass
+    if caller is not None:
+        caller.close_now()
+    return (Verdict.TIMED_OUT if scope.cancelled_caught else Verdict.RESET), ""
+
+
 async def hold(pool: Pool, address: str, ident: str, toks: float, headers: list[tuple[str, str]],
                within_ms: float) -> bool:
     """Asks a writer to hold a slot and memory for a generation. One try: a place that is not free at once is none."""
--- a/ternlane/engine/protocol.py
+++ b/ternlane/engine/protocol.py
@@ -6,12 +6,14 @@
 from typing import Any
 
 import msgspec
+from prometheus_client.parser import text_string_to_metric_families
 
 from ternlane.port import Report, Verdict
 
 CHAT_PATH = "/v1/chat/completions"
 RELEASE_PATH = "/ternlane/v1/release"
 HOLD_PATH = "/ternlane/v1/hold"
+LOAD_PATH = "/metrics"    # public: Prometheus text, as engines of the field serve it
 NOT_RUN = b"x-ternlane-not-run"    # ours: the engine vouches that nothing ran, and says why
 LOAD = b"endpoint-load-metrics"    # ORCA (xDS custom load reports), as gateways of the field read it
 DONE = "[DONE]"
@@ -121,6 +123,22 @@
     return Refusal(Verdict.ERROR)
 
 
+def load_told(text: str) -> Report | None:
+    """The load in an engine's metrics (Prometheus text); the engine's own prefix does not matter."""
+    figures: dict[str, float] = {}
+    try:
+        for family in text_string_to_metric_families(text):
+            for sample in family.samples:
+                name = sample.name.rpartition(":")[2]
+                if name in ("num_requests_running", "num_requests_waiting"):    # one a model that it serves
+                    figures[name] = figures.get(name, 0.0) + sample.value
+                elif name in ("kv_cache_usage_perc", "gpu_cache_usage_perc"):
+                    figures["kv_cache_usage_perc"] = max(figures.get("kv_cache_usage_perc", 0.0), sample.value)
+    except (ValueError, KeyError, IndexError):
+        return None
+    return report_of(figures)
+
+
 def load_of(said: str | None) -> Report | None:
     """An ORCA header in its TEXT or JSON form. What can't be read counts as not said."""
     if not said:
@@ -139,6 +157,10 @@
                 figures[name.removeprefix("named_metrics.")] = float(value)
     except (msgspec.DecodeError, ValueError, AttributeError, TypeError):
         return None
+    return report_of(figures)
+
+
+def report_of(figures: dict[str, float]) -> Report | None:
     mem = figures.get("kv_cache_usage_perc", figures.get("mem_utilization"))
     running, waiting = figures.get("num_requests_running"), figures.get("num_requests_waiting")
     out = None if running is None and waiting is None else (running or 0.0) + (waiting or 0.0)
--- a/ternlane/engine/transport.py
+++ b/ternlane/engine/transport.py
@@ -12,8 +12,8 @@
 import trio
 
 from ternlane.engine.kinds import KINDS
-from ternlane.engine.leg import ClientGone, LegEnd, LegPlan, PassOn, hold, read_leg, release, stream_leg
-from ternlane.engine.protocol import Stage, Usage
+from ternlane.engine.leg import ClientGone, LegEnd, LegPlan, PassOn, hold, load, read_leg, release, stream_leg
+from ternlane.engine.protocol import Stage, Usage, load_told
 from ternlane.http1 import Pool
 from ternlane.port import Report, Verdict
 
@@ -52,6 +52,10 @@
                    protocol: str = "disaggregated") -> bool:
         """Holds a place ahead at a writer, if one is free at once."""
 
+    async def load(self, server: str, address: str, within_ms: float,
+                   protocol: str = "disaggregated") -> tuple[Verdict, Report | None]:
+        """Asks a server how loaded it is, outside any generation; None where it does not say."""
+
     def sweep(self) -> None:
         """Called now and then: a time to close what lay idle."""
 
@@ -99,6 +103,11 @@
         return KINDS[protocol].lets_go and await hold(self.pool, address, ident, toks, [("User-Agent", self.agent)],
                                                       within_ms)
 
+    async def load(self, server: str, address: str, within_ms: float,
+                   protocol: str = "disaggregated") -> tuple[Verdict, Report | None]:
+        verdict, text = await load(self.pool, address, [("User-Agent", self.agent)], within_ms)
+        return verdict, load_told(text) if verdict is Verdict.STREAMED else None
+
     def sweep(self) -> None:
         self.pool.sweep()
 
@@ -224,6 +233,10 @@
                    protocol: str = "disaggregated") -> bool:
         return False    # an engine in this process has no place to hold ahead
 
+    async def load(self, server: str, address: str, within_ms: float,
+                   protocol: str = "disaggregated") -> tuple[Verdict, Report | None]:
+        return Verdict.ERROR, None    # it has no way to say
+
     def sweep(self) -> None:
         pass
 
--- a/ternlane/gateway/door.py
+++ b/ternlane/gateway/door.py
@@ -104,9 +104,11 @@
         self.draining = False
         self.conns = self.busy = 0    # connections, and requests being answered
 
-    def alter(self, paper: GatewayPaper) -> None:
-        """New limits, from the next connection on; the answers kept for repeats stay."""
-        self.paper, self.terms = paper, paper.door
+    def alter(self, paper: GatewayPaper, models: dict[str, Product]) -> None:
+        """New limits, from the next connection on, and other products, from the next request on; the answers kept for
+        repeats stay."""
+        self.paper, self.terms, self.models = paper, paper.door, models
+        self.names = {product: name for name, product in reversed(models.items())}
         self.repeats.byte_limit = paper.door.repeat_bytes
 
     async def connection(self, stream: trio.SocketStream) -> None:
--- a/ternlane/gateway/facts.py
+++ b/ternlane/gateway/facts.py
@@ -1,6 +1,8 @@
 """From the operator's document to what the decisions are told at start."""
 from __future__ import annotations
 
+from dataclasses import astuple
+
 from ternlane.chat.intake import EFFECTS, GROUPS
 from ternlane.paper import GatewayPaper
 from ternlane.port import Product, StartFacts
@@ -8,10 +10,17 @@
 STEP_MS = 1.0    # the host hands events over as they come
 
 
-def products_of(paper: GatewayPaper) -> dict[str, Product]:
-    """Product by its own name; `models_of` adds the further names."""
-    return {p.name: Product(EFFECTS[p.effect], GROUPS[p.group], p.window_ms, p.slo_ms, p.slo_per_ktok_ms, p.tok_slo_ms,
-                            p.limit_ms, p.revenue, p.late_share) for p in paper.products}
+def products_of(paper: GatewayPaper, held: dict[str, Product] | None = None) -> dict[str, Product]:
+    """Product by its own name; `models_of` adds the further names. One of `held` whose terms are the same stays the
+    object that it is, with all that was learnt of it; a changed one is another, and what was taken before keeps its
+    own."""
+    out: dict[str, Product] = {}
+    for p in paper.products:
+        new = Product(EFFECTS[p.effect], GROUPS[p.group], p.window_ms, p.slo_ms, p.slo_per_ktok_ms, p.tok_slo_ms,
+                      p.limit_ms, p.revenue, p.late_share)
+        old = (held or {}).get(p.name)
+        out[p.name] = old if old is not None and astuple(old) == astuple(new) else new
+    return out
 
 
 def models_of(paper: GatewayPaper, products: dict[str, Product]) -> dict[str, Product]:
@@ -22,9 +31,10 @@
     fleet = paper.fleet
     return StartFacts(
         seed=paper.seed, gateways=paper.gateways, zone=paper.zone, products=tuple(products.values()),
-        leg_limit=fleet.leg_limit, may_call_off=fleet.may_call_off, may_hold_ahead=fleet.holds, may_probe=False,
-        may_advise=fleet.longest_pause_ms > 0, must_ask=False, ask_within_ms=0.0, writers_read=fleet.writers_read,
+        leg_limit=fleet.leg_limit, may_call_off=fleet.may_call_off, may_hold_ahead=fleet.holds,
+        may_probe=fleet.ask_load, may_advise=fleet.longest_pause_ms > 0, must_ask=False, ask_within_ms=0.0,
+        writers_read=fleet.writers_read,
         reports_mem=fleet.reports_mem, longest_pause_ms=fleet.longest_pause_ms, connect_ms=fleet.connect_ms,
         idle_ms=fleet.idle_ms, release_ms=fleet.release_ms, drain_grace_ms=fleet.drain_grace_ms,
         cold_ms=fleet.cold_ms, cold_from=fleet.cold_from, fall_multiple=fleet.fall_multiple, fall_ms=fleet.fall_ms,
-        step_ms=STEP_MS)
+        step_ms=STEP_MS, told_if_asked=fleet.ask_load)
--- a/ternlane/gateway/gateway.py
+++ b/ternlane/gateway/gateway.py
@@ -28,6 +28,7 @@
 from ternlane.port import Life, ListFailed, StartFacts
 
 BACKLOG = 4096
+ALTERED = ("door", "nodes", "products", "fleet", "gateways", "zone")    # taken over by a running gateway
 SHORT_OF = (errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.ENOBUFS, errno.ECONNABORTED)
 
 
@@ -42,12 +43,13 @@
     def __init__(self, paper: GatewayPaper, chooser: Callable[[StartFacts], Chooser], nursery: trio.Nursery,
                  log: Any, host_type: type[Host] = Host, transport: Transport | None = None) -> None:
         self.paper, self.nursery, self.log = paper, nursery, log
-        products = products_of(paper)
-        models = models_of(paper, products)
-        self.facts = facts_of(paper, products)
+        self.products = products_of(paper)
+        models = models_of(paper, self.products)
+        self.facts = facts_of(paper, self.products)
         self.measures, self.book = Measures(), Book()
         self.pool = Pool(paper.fleet.connect_ms, paper.fleet.idle_ms, paper.source)
-        intake = Intake(models, {products[p.name]: p.max_toks for p in paper.products}, paper.door.session_limit)
+        intake = Intake(models, {self.products[p.name]: p.max_toks for p in paper.products},
+                        paper.door.session_limit)
         self.agent = f"ternlane/{__version__} ({paper.name})"
         self.transport = transport or SocketTransport(self.pool, self.agent)
         self.host = host_type(chooser(self.facts), self.facts, self.transport, self.book, intake, nursery,
@@ -134,12 +136,19 @@
         for field in paper.__struct_fields__:
             if getattr(old, field) == getattr(paper, field):
                 continue
-            if field in ("door", "nodes"):
+            if field in ALTERED:
                 changed.append(field)
             else:
                 kept_back.append(field)
-        self.paper = msgspec.structs.replace(old, door=paper.door, nodes=paper.nodes)
-        self.door.alter(self.paper)
+        self.paper = msgspec.structs.replace(old, **{field: getattr(paper, field) for field in changed})
+        self.products = products_of(self.paper, self.products)
+        models = models_of(self.paper, self.products)
+        self.door.alter(self.paper, models)
+        self.host.intake.offer(models, {self.products[p.name]: p.max_toks for p in self.paper.products})
+        if set(changed) - {"door", "nodes"}:
+            self.facts = facts_of(self.paper, self.products)
+            self.pool.connect_ms, self.pool.idle_ms = self.paper.fleet.connect_ms, self.paper.fleet.idle_ms
+            self.host.alter(self.facts)
         if "nodes" in changed:
             self.following.cancel()    # and followed anew at the new source
         return changed, kept_back
--- a/ternlane/gateway/host.py
+++ b/ternlane/gateway/host.py
@@ -49,6 +49,7 @@
         self.alarm = trio.Event()
         self.idents: set[str] = set()
         self.releasing = 0
+        self.mute: set[str] = set()    # servers that were asked for their load and did not say
         self.scribe: Scribe | None = None
         self.on_done: Callable[[Ticket], None] = lambda _: None
         self.affords: Callable[[Ticket], bool] = lambda _: True
@@ -67,6 +68,13 @@
                 self.mender.left(server)
         self.tell(news)
 
+    def alter(self, facts: StartFacts) -> None:
+        """Other settings from now on. Legs that are out end as they began; homes and what was learnt stay."""
+        self.facts = facts
+        self.mute.clear()
+        self.mender.alter(facts)
+        self.tell(port.Altered(facts))
+
     def turn(self) -> None:
         self.turning = True
         try:
@@ -103,8 +111,8 @@
                 self.log.info("server", server=self.book.places[server].ident, text=text)
             case port.HoldAhead(gen, server):
                 self.hold(self.tickets.get(gen), server)
-            case port.Probe():
-                raise AssertionError(f"{action} was not offered in the start facts")
+            case port.Probe(server):
+                self.nursery.start_soon(self.probe, server)
 
     async def clock(self) -> None:
         """Wakes the decisions at the times they asked for; all that is due goes in one turn."""
@@ -383,6 +391,17 @@
         if ticket.gen in self.tickets and not ticket.left and ticket.final is None:
             self.tell(port.PlaceHeld(gen, held))
 
+    async def probe(self, server: Server) -> None:
+        """Asks an engine for its load; one that does not say is heard all the same, and named in the log once."""
+        place = self.book.places[server]
+        verdict, report = await self.transport.load(place.ident, place.address, self.facts.connect_ms,
+                                                    place.line.protocol)
+        self.measures.probes.labels("told" if report is not None else verdict.name.lower()).inc()
+        if report is None and verdict in (Verdict.STREAMED, Verdict.ERROR) and place.ident not in self.mute:
+            self.mute.add(place.ident)
+            self.log.warning("load not told", server=place.ident, why="no metrics that can be read at /metrics")
+        self.tell(port.Checked(server, verdict, report))
+
     async def release(self, ticket: Ticket, server: Server) -> None:
         place = self.book.places[server]
         try:
--- a/ternlane/notes.py
+++ b/ternlane/notes.py
@@ -22,9 +22,13 @@
     """Has an inbox that the router's one loop empties."""
 
     def __init__(self, router: Loop) -> None:
-        self.router, self.limits = router, router.limits
+        self.router = router
         self.inbox: deque[Any] = deque()
 
+    @property
+    def limits(self) -> Limits:
+        return self.router.limits
+
     def post(self, note: Any) -> None:
         self.inbox.append(note)
         self.router.ready.append(self)
--- a/ternlane/paper/gateway.py
+++ b/ternlane/paper/gateway.py
@@ -51,6 +51,7 @@
     fall_ms: Positive = 1000.0
     longest_pause_ms: NotNegative = 1000.0
     reports_mem: bool = True
+    ask_load: bool = False    # engines tell their load when asked (GET /metrics), and in no answer
     may_call_off: bool = True
     writers_read: bool = False
     holds: bool = False    # engines hold places ahead (our extension)
--- a/ternlane/port.py
+++ b/ternlane/port.py
@@ -71,9 +71,7 @@
 
 @dataclass(slots=True, eq=False)
 class Tenant:
-    """A customer: its part of the service, and the generations a ms of all gateways that lie within its share."""
-    portion: float
-    quota_per_ms: float
+    """A customer. Nothing is known of one but that it is not another."""
 
 
 @dataclass(slots=True, eq=False)
@@ -151,6 +149,13 @@
     servers: tuple[Server, ...]
 
 
+@dataclass(slots=True, frozen=True)
+class Altered:
+    """Other settings from now on. What was taken in before keeps its product's terms; legs that are out end as they
+    began."""
+    facts: StartFacts
+
+
 @dataclass(slots=True, frozen=True)
 class ListFailed:
     """A call for the list, or the subscription to its changes, came to nothing."""
@@ -219,7 +224,7 @@
     beat: bool
 
 
-Event = Listed | ListFailed | Arrived | FirstTok | LegEnded | GoOn | PlaceHeld | Checked | ClientLeft | Woken
+Event = Listed | Altered | ListFailed | Arrived | FirstTok | LegEnded | GoOn | PlaceHeld | Checked | ClientLeft | Woken
 
 
 # What the module asks for.
--- a/ternlane/recover/mender.py
+++ b/ternlane/recover/mender.py
@@ -37,6 +37,11 @@
         self.pace: Pace[T] = Pace(terms.share, longest * SPAN_SHARE, facts.gateways)
         self.broke_at: dict[T, float] = {}
 
+    def alter(self, facts: StartFacts) -> None:
+        """The fleet's figures have changed; what waits keeps its turn."""
+        self.pace.span_ms = max((p.limit_ms for p in facts.products), default=1000.0) * SPAN_SHARE
+        self.pace.gateways = facts.gateways
+
     def join(self, raw: dict[str, Any], gen: Generation) -> Join:
         way, why = Way.END, "resuming is off"
         if self.terms.resume:
--- a/ternlane/standin/engine.py
+++ b/ternlane/standin/engine.py
@@ -265,6 +265,11 @@
                 self.used += toks
                 self.traffic.line("state", id=self.ident, gen=gen, toks=toks)
             await exchange.answer(200 if fits else 409, [self.load()], b"{}")
+        elif exchange.path == "/metrics":
+            self.traffic.line("asked", id=self.ident)
+            text = (f"vllm:num_requests_running {self.busy}\nvllm:num_requests_waiting {len(self.queue)}\n"
+                    f"vllm:kv_cache_usage_perc {min(1.0, self.used / self.build.mem_toks):.4f}\n")
+            await exchange.answer(200, [], text.encode(), "text/plain; version=0.0.4")
         elif exchange.path == "/standin/state":
             await self.give_state(exchange)
         else:
--- a/ternlane/wirehost/host.py
+++ b/ternlane/wirehost/host.py
@@ -53,8 +53,7 @@
                 slo_ms=p["aim"], slo_per_ktok_ms=per_ktok[i] / 1000.0 if i < len(per_ktok) else 0.0,
                 tok_slo_ms=tok_slo[i] if i < len(tok_slo) else 0.0, limit_ms=p["deadline"],
                 revenue=p.get("worth", 1.0), late_share=p.get("late_worth", 0.0))
-        self.tenants = {t["name"]: Tenant(t.get("portion", 0.0), t.get("quota_per_s", 0.0) / 1000.0)
-                        for t in told.get("tenants", [])}
+        self.tenants = {t["name"]: Tenant() for t in told.get("tenants", [])}
         self.servers: dict[str, Server] = {}
         self.server_ids: dict[Server, str] = {}
         self.gens: dict[int, Generation] = {}
