--- a/ternlane/choice.py
+++ b/ternlane/choice.py
@@ -23,7 +23,7 @@
 STEP = 0.1          # score lost for each step between reader and writer (design page)
 HOME_AGE_MS = 60e3  # a session idle for longer loses its home (design page)
 CROWD = 2.0         # congested: open streams over this many times the median (design page)
-MARGIN = 1.0        # usual times to the first token that must be left when a read begins
+MARGIN = 2.0        # usual times to the first token that must be left when a read begins
 SICK = 0.4          # congested: progress under this part of the peers' median
 DOUBT = 4.0         # legs at the peers' pace that a server is credited with before its own count
 LOOK = 4            # beats between two looks at all servers
