Last tries without time for a first token are answered at once; cut reads teach nothing

Answering them at once by that usual time alone did nothing; the usual time had to stop learning from reads that were cut short.

Change: a generation with less than MARGIN usual times to a first token before its limit is throttled on arrival. A read that ended by its time-out below the usual time is not learnt from.

--- a/ternlane/choice.py
+++ b/ternlane/choice.py
@@ -352,8 +352,8 @@
     def place(self, course: Course) -> None:
         """Home pair if it is calm, else the best calm pair; else the generation waits before its read."""
         now, gen = self.router.now, course.gen
-        if self.spent(course):
-            return self.finish(course)
+        if self.spent(course) or now + MARGIN * self.first_ms(gen.product) > course.limit_at:
+            return self.finish(course)    # a client's last try, whose read could only be thrown away
         home = self.homes.get(gen.session or "")
         if home and all(self.usable(e, course) and not self.congested(self.board[e], course)
                         and not self.ill(e, course) for e in home[:2]):
@@ -410,7 +410,10 @@
     def latest(self, course: Course) -> float:
         """The last time at which a read may begin and the first token still come within the SLO time."""
         product, end = course.gen.product, min(course.slo_at, course.limit_at) - self.limits.beat_ms
-        return end - MARGIN * (self.usual_ms(product, "read") + self.usual_ms(product, "open"))
+        return end - MARGIN * self.first_ms(product)
+
+    def first_ms(self, product: Product) -> float:
+        return self.usual_ms(product, "read") + self.usual_ms(product, "open")
 
     def served(self, course: Course) -> bool:    # is anyone left who could read it, and who could write it?
         able = [e for e in self.board if e.server.life is Life.UP and e not in course.tried
@@ -569,7 +572,9 @@
     def read_took(self, course: Course, leg: Leg, note: port.LegEnded) -> None:
         """One that ran out of time took at least as long; were it not counted, ever more would."""
         gen, took, unread = course.gen, note.took_ms, course.gen.prompt_toks - note.kept_toks
-        self.learn(gen.product, "read", took / max(1.0, gen.prompt_toks / self.prompt[gen.product]))
+        usual = took / max(1.0, gen.prompt_toks / self.prompt[gen.product])
+        if note.verdict is Verdict.READ or usual > self.usual_ms(gen.product, "read"):    # else it was cut short
+            self.learn(gen.product, "read", usual)
         self.foreseen += GAIN * (leg.foreseen - self.foreseen)
         self.took += GAIN * (took - self.took)
         self.trust = min(1.0, self.took / self.foreseen)
