--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -196,6 +196,73 @@
         assert len({leg.server.mark for leg in legs}) == 1
 
 
+def test_a_handful_of_generations_does_not_make_an_opening_popular() -> None:
+    readers = tuple(f"r{i % 2}{letter}" for i, letter in enumerate("abcdefghijkl"))
+    seen: list[set[int]] = []
+    for seed in range(6):    # gateways that have met one opening, or six others before it
+        host = build(extra=readers, gateways=90, seed=seed)
+        for i in range(seed):
+            host.arrive(host.gen(opening=f"x{i}"))
+        gen = host.gen(session="s", opening="shared")
+        host.arrive(gen)
+        seen.append({engine.server.mark for engine in gen.seat.agreed})
+    assert all(marks == seen[0] for marks in seen) and len(seen[0]) <= 4
+
+
+def test_a_writer_that_fails_one_product_keeps_the_other() -> None:
+    host = build(gateways=50)
+    ill, hits = host.servers["w0"], {Effect.SIDE_EFFECTING: 0, Effect.IDEMPOTENT: 0}
+    for i in range(60):
+        effect = Effect.SIDE_EFFECTING if i % 2 else Effect.IDEMPOTENT
+        gen, leg = host.written(effect, opening=None)
+        hits[effect] += leg.server is ill
+        if leg.server is ill and effect is Effect.SIDE_EFFECTING:
+            host.end(gen, ill, Verdict.ERROR, after=20.0)
+        else:
+            host.first(gen, leg.server, after=20.0)
+            host.end(gen, leg.server, Verdict.STREAMED, over=True)
+    assert hits[Effect.SIDE_EFFECTING] <= 4 and hits[Effect.IDEMPOTENT] >= 8
+
+
+def test_a_reader_that_refuses_one_tenant_is_left_out_for_that_one_alone(host: FakeHost) -> None:
+    one, other, asked = port.Tenant(), port.Tenant(), {"one": 0, "other": 0}
+    shut = host.servers["r0"]
+    for i in range(40):
+        name, tenant = ("one", one) if i % 2 else ("other", other)
+        gen = host.gen(opening=None, tenant=tenant)
+        leg = sent(host.arrive(gen, after=100.0))
+        asked[name] += leg.server is shut
+        if leg.server is shut and tenant is one:
+            leg = sent(host.end(gen, shut, Verdict.FULL))
+        leg = sent(host.end(gen, leg.server, Verdict.READ))
+        host.first(gen, leg.server, after=20.0)
+        host.end(gen, leg.server, Verdict.STREAMED, over=True)
+    assert asked["one"] <= 4 and asked["other"] >= 6
+
+
+def test_a_last_try_without_time_for_a_first_token_is_answered_at_once(host: FakeHost) -> None:
+    for _ in range(20):
+        gen = host.gen()
+        leg = sent(host.arrive(gen))
+        leg = sent(host.end(gen, leg.server, Verdict.READ, after=400.0))
+        host.first(gen, leg.server, after=100.0)
+        host.end(gen, leg.server, Verdict.STREAMED, over=True)
+    assert kinds(host.arrive(host.gen(patience_ms=600.0))) == [port.Throttle]
+    assert kinds(host.arrive(host.gen(patience_ms=3000.0))) == [port.SendLeg]
+
+
+def test_a_long_line_is_not_gone_through_for_each_event(host: FakeHost) -> None:
+    host.arrive(host.gen(prompt_toks=190e3, opening=None, opening_toks=0.0, max_toks=0.0, patience_ms=60e3))
+    for _ in range(300):
+        host.arrive(host.gen(prompt_toks=190e3, opening=None, opening_toks=0.0, max_toks=0.0, patience_ms=60e3))
+    desk = host.router.desk
+    before, tried = len(desk.waiting), []    # type: ignore[attr-defined]
+    place, desk.place = desk.place, tried.append    # type: ignore[attr-defined, method-assign]
+    host.tell(*[port.ListFailed()] * 50)
+    desk.place = place    # type: ignore[attr-defined, method-assign]
+    assert before > 250 and len(desk.waiting) == before and not tried    # type: ignore[attr-defined]
+
+
 def test_a_short_prompt_passes_a_long_one_that_finds_no_room(host: FakeHost) -> None:
     long = host.gen(prompt_toks=250e3, opening=None, opening_toks=0.0, max_toks=0.0, patience_ms=60e3)
     host.arrive(long)
