--- a/ternlane/engine/transport.py
+++ b/ternlane/engine/transport.py
@@ -54,7 +54,8 @@
 
     async def load(self, server: str, address: str, within_ms: float,
                    protocol: str = "disaggregated") -> tuple[Verdict, Report | None]:
-        """Asks a server how loaded it is, outside any generation; None where it does not say."""
+        """Asks a server how loaded it is, outside any generation; None where it does not say, as here."""
+        return Verdict.ERROR, None
 
     def sweep(self) -> None:
         """Called now and then: a time to close what lay idle."""
@@ -233,10 +234,6 @@
                    protocol: str = "disaggregated") -> bool:
         return False    # an engine in this process has no place to hold ahead
 
-    async def load(self, server: str, address: str, within_ms: float,
-                   protocol: str = "disaggregated") -> tuple[Verdict, Report | None]:
-        return Verdict.ERROR, None    # it has no way to say
-
     def sweep(self) -> None:
         pass
 
--- a/tests/test_switch.py
+++ b/tests/test_switch.py
@@ -8,6 +8,7 @@
 import time
 from collections import Counter
 from pathlib import Path
+from typing import Any
 
 import httpx
 import msgspec
@@ -16,6 +17,7 @@
 
 from ternlane import port
 from ternlane.engine.protocol import load_told
+from ternlane.http1 import Exchange
 from ternlane.paper import GatewayPaper, ProductTerms
 from tests.conftest import FACTS, FakeHost, build, kinds, sent
 from tests.test_days import gate, wait_for
@@ -94,6 +96,23 @@
         assert max(written(w).values()) == 1    # neither may run again: its effect is its own product's
 
 
+async def test_engines_that_do_not_say_their_load_serve_all_the_same() -> None:
+    async with world(terms=msgspec.structs.replace(TERMS, ask_load=True)) as w:
+        for engine in w.engines.values():
+            known = engine.handle
+
+            async def without(exchange: Exchange, known: Any = known) -> None:
+                if exchange.path == "/metrics":
+                    await exchange.answer(404, [], b"{}")
+                else:
+                    await known(exchange)
+
+            engine.handle = without    # type: ignore[method-assign]
+        replies = [await w.ask() for _ in range(3)]
+        assert [r.done for r in replies] == [1, 1, 1]
+        assert w.gateway.host.mute and 'ternlane_probes_total{how="error"}' in w.gateway.measures.text().decode()
+
+
 def test_a_wrong_document_changes_nothing_and_is_named(tmp_path: Path) -> None:
     path, number = gate(tmp_path)
     old = path.read_text()
