A read waits twice its SLO time only where readers tell their load

Where readers were asked and said they are well, a slow read is a queue; elsewhere it may be lost.

Change: twice only with told_if_asked; risks are worked out only once failures of a kind pass FAINT (no change in decisions).

--- a/ternlane/choice.py
+++ b/ternlane/choice.py
@@ -322,8 +322,10 @@
     def best(self, course: Course, holder: Seat | None = None) -> tuple[Standing, Standing] | None:
         """The best pair that is not congested. With no server of a duty sound, the view is suspected."""
         able = [s for s in self.board.values() if self.usable(s.engine, course)]
-        ill = {s.engine for s in able if self.ill(s.engine, course)}
-        for duty in Duty:    # where all are, it is not theirs
+        kinds = course.gen.product, course.gen.tenant, Verdict.TIMED_OUT
+        doubt = any(self.rates.get((kind, writes), 0.0) > FAINT for kind in kinds for writes in (False, True))
+        ill = {s.engine for s in able if self.ill(s.engine, course)} if doubt else set()
+        for duty in Duty if ill else ():    # where all are, it is not theirs
             if all(s.engine in ill for s in able if s.engine.server.duty is duty):
                 ill = {e for e in ill if e.server.duty is not duty}
         calm = [s for s in able if s.engine not in ill and not self.congested(s, course)]
@@ -331,7 +333,7 @@
             if not any(s.listed and e.server.duty is duty and self.sound(s) for e, s in self.board.items()):
                 calm += [s for s in able if s.engine.server.duty is duty and s not in calm]
         course.agreed, readers = self.agreed(course.gen), [self.board[holder]] if holder else calm
-        lost = {s.engine: self.loss(s.engine, course) for s in calm}
+        lost = {s.engine: self.loss(s.engine, course) if doubt else 0.0 for s in calm}
         work = {r.engine: WORTH * self.work_ms(r.engine, course) / self.limits.slo_ms for r in readers}
         less = {r: work[r] + lost.get(r, 0.0) * (not r.writes) for r in work}
         return max(self.pairs(readers, calm, lost), default=None,
@@ -462,8 +464,8 @@
         course.leg = Leg(engine, course, writes, now, now, usual, work,
                          work + s.ahead_ms / max(self.trust, GAIN), not s.linked)
         if course.legs < self.limits.leg_limit and (not writes or product.effect is Effect.IDEMPOTENT):
-            slo = product.slo_ms * (1 / CROWD if writes else CROWD)    # reads thrown away are only read anew
-            patience = min(patience, max(slo, 4 * course.leg.usual_ms))
+            slow = 1 / CROWD if writes else CROWD if self.told_if_asked else 1    # one that tells is not silent
+            patience = min(patience, max(slow * product.slo_ms, 4 * course.leg.usual_ms))
         engine.post(Sent(course.leg))
         quiet = max(course.gen.patience_ms / CROWD, DOUBT * product.tok_slo_ms)    # a mute stream has broken
         self.router.out.append(port.SendLeg(course.gen, engine.server, patience, quiet, whole))
@@ -573,7 +575,7 @@
         """One that ran out of time took at least as long; were it not counted, ever more would."""
         gen, took, unread = course.gen, note.took_ms, course.gen.prompt_toks - note.kept_toks
         usual = took / max(1.0, gen.prompt_toks / self.prompt[gen.product])
-        if note.verdict is Verdict.READ or usual > self.usual_ms(gen.product, "read"):    # else it was cut short
+        if note.verdict is Verdict.READ or usual > self.usual_ms(gen.product, "read"):    # or it was cut
             self.learn(gen.product, "read", usual)
         self.foreseen += GAIN * (leg.foreseen - self.foreseen)
         self.took += GAIN * (took - self.took)
