--- a/ternlane/choice.py
+++ b/ternlane/choice.py
@@ -464,7 +464,7 @@
         course.leg = Leg(engine, course, writes, now, now, usual, work,
                          work + s.ahead_ms / max(self.trust, GAIN), not s.linked)
         if course.legs < self.limits.leg_limit and (not writes or product.effect is Effect.IDEMPOTENT):
-            slow = 1 / CROWD if writes else CROWD if self.told_if_asked else 1    # one that tells is not silent
+            slow = 1 / CROWD if writes else CROWD if self.told_if_asked else 1    # a told one is not mute
             patience = min(patience, max(slow * product.slo_ms, 4 * course.leg.usual_ms))
         engine.post(Sent(course.leg))
         quiet = max(course.gen.patience_ms / CROWD, DOUBT * product.tok_slo_ms)    # a mute stream has broken
