--- a/ternlane/choice.py
+++ b/ternlane/choice.py
@@ -669,7 +669,12 @@
         self.now, self.out = now, []
         for event in heard:
             self.desk.post(event)
-            while self.ready or self.desk.pump():
-                actor = self.ready.popleft()
-                actor.handle(actor.inbox.popleft())
+            self.empty()
+        while self.desk.pump():    # once all is heard, lest thousands at once cost as many tries
+            self.empty()
         return self.out
+
+    def empty(self) -> None:
+        while self.ready:
+            actor = self.ready.popleft()
+            actor.handle(actor.inbox.popleft())
