--- a/ternlane/embed/routing.py
+++ b/ternlane/embed/routing.py
@@ -21,7 +21,7 @@
 from ternlane.chat.beyond import More
 from ternlane.choice import Router
 from ternlane.engine import Transport
-from ternlane.gateway.facts import facts_of, models_of, products_of
+from ternlane.gateway.facts import offer_of
 from ternlane.gateway.host import Chooser, Host, now_ms
 from ternlane.gateway.logs import library_log
 from ternlane.gateway.measures import Measures
@@ -88,11 +88,9 @@
 
     def __init__(self, paper: GatewayPaper, transport: Transport, nursery: trio.Nursery,
                  chooser: Callable[[StartFacts], Chooser], log: Any) -> None:
-        products = products_of(paper)
-        self.paper, self.count = paper, count(1)
-        self.facts, self.book = facts_of(paper, products), Book()
-        self.intake = Intake(models_of(paper, products), {products[p.name]: p.max_toks for p in paper.products},
-                             paper.door.session_limit)
+        self.paper, self.count, self.offer, self.book = paper, count(1), offer_of(paper), Book()
+        self.facts = self.offer.facts
+        self.intake = Intake(self.offer.models, self.offer.max_toks, paper.door.session_limit)
         self.host = Host(chooser(self.facts), self.facts, transport, self.book, self.intake, nursery, Measures(), log,
                          paper.streams)
 
@@ -101,6 +99,16 @@
         import time
         self.host.listed(self.book.whole(lines, time.time(), now_ms()))
 
+    def alter(self, paper: GatewayPaper) -> None:
+        """Takes over `products`, `fleet`, `gateways`, `zone` and inline nodes of another paper, and back by the same
+        call; what was taken in keeps its product's terms. Raises PaperError, and then nothing has changed."""
+        self.paper = checked(paper)
+        self.offer = offer_of(self.paper, self.offer.products)
+        self.facts = self.offer.facts
+        self.host.alter(self.offer)
+        if isinstance(self.paper.nodes, InlineSource):
+            self.nodes(self.paper.nodes.nodes)
+
     @asynccontextmanager
     async def generation(self, request: dict[str, Any] | ChatAsk, time_limit_ms: float | None = None,
                          key: str | None = None) -> AsyncIterator[Stream]:
--- a/ternlane/engine/leg.py
+++ b/ternlane/engine/leg.py
@@ -192,38 +192,34 @@
     return False
 
 
-async def load(pool: Pool, address: str, headers: list[tuple[str, str]], within_ms: float) -> tuple[Verdict, str]:
-    """Asks an engine for its metrics. One try: the text, or how it failed."""
-    caller = None
-    with trio.move_on_after(within_ms / 1000) as scope:
+async def once(pool: Pool, address: str, method: str, path: str, headers: list[tuple[str, str]], body: bytes,
+               within_ms: float) -> tuple[Verdict, bytes]:
+    """Asks an engine for something small. One try: the answer's body, or how it failed."""
+    caller, failed = None, Verdict.TIMED_OUT
+    with trio.move_on_after(within_ms / 1000):
         try:
             caller = await pool.take(address)
-            head = await caller.ask("GET", LOAD_PATH, headers, b"")
-            text = (await caller.body(ANSWER_LIMIT)).decode(errors="replace")
+            head = await caller.ask(method, path, headers, body)
+            answer = await caller.body(ANSWER_LIMIT)
             pool.give_back(caller)
-            return (Verdict.STREAMED, text) if head.status_code == 200 else (Verdict.ERROR, "")
+            return (Verdict.STREAMED, answer) if head.status_code in (200, 204) else (Verdict.ERROR, b"")
         except Unconnected:
-            return Verdict.UNCONNECTED, ""
+            return Verdict.UNCONNECTED, b""
         except (h11.RemoteProtocolError, *BROKEN):
-            pass
+            failed = Verdict.RESET
     if caller is not None:
         caller.close_now()
-    return (Verdict.TIMED_OUT if scope.cancelled_caught else Verdict.RESET), ""
+    return failed, b""
+
+
+async def load(pool: Pool, address: str, headers: list[tuple[str, str]], within_ms: float) -> tuple[Verdict, str]:
+    """Asks an engine for its metrics: the text, or how it failed."""
+    verdict, answer = await once(pool, address, "GET", LOAD_PATH, headers, b"", within_ms)
+    return verdict, answer.decode(errors="replace")
 
 
 async def hold(pool: Pool, address: str, ident: str, toks: float, headers: list[tuple[str, str]],
                within_ms: float) -> bool:
-    """Asks a writer to hold a slot and memory for a generation. One try: a place that is not free at once is none."""
-    body, caller = msgspec.json.encode({"request_id": ident, "tokens": toks}), None
-    with trio.move_on_after(within_ms / 1000) as scope:
-        try:
-            caller = await pool.take(address)
-            head = await caller.ask("POST", HOLD_PATH, headers, body)
-            await caller.body(ANSWER_LIMIT)
-            pool.give_back(caller)
-            return head.status_code in (200, 204)
-        except (Unconnected, h11.RemoteProtocolError, *BROKEN):
-            pass
-    if caller is not None and (scope.cancelled_caught or not caller.reusable):
-        caller.close_now()
-    return False
+    """Asks a writer to hold a slot and memory for a generation. A place that is not free at once is none."""
+    body = msgspec.json.encode({"request_id": ident, "tokens": toks})
+    return (await once(pool, address, "POST", HOLD_PATH, headers, body, within_ms))[0] is Verdict.STREAMED
--- a/ternlane/engine/protocol.py
+++ b/ternlane/engine/protocol.py
@@ -1,6 +1,7 @@
 """The messages between gateway and engines; docs/engine-protocol.md says which are public and which ours. No I/O."""
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass
 from enum import Enum, auto
 from typing import Any
@@ -17,6 +18,7 @@
 NOT_RUN = b"x-ternlane-not-run"    # ours: the engine vouches that nothing ran, and says why
 LOAD = b"endpoint-load-metrics"    # ORCA (xDS custom load reports), as gateways of the field read it
 DONE = "[DONE]"
+SAYS_LOAD = re.compile(r"(\w+:)?(num_requests_running|num_requests_waiting|(kv|gpu)_cache_usage_perc)[ {]")
 
 
 class Stage(Enum):
@@ -126,13 +128,14 @@
 def load_told(text: str) -> Report | None:
     """The load in an engine's metrics (Prometheus text); the engine's own prefix does not matter."""
     figures: dict[str, float] = {}
+    lines = [line for line in text.splitlines() if SAYS_LOAD.match(line)]    # of pages that hold thousands
     try:
-        for family in text_string_to_metric_families(text):
+        for family in text_string_to_metric_families("\n".join(lines) + "\n"):
             for sample in family.samples:
                 name = sample.name.rpartition(":")[2]
-                if name in ("num_requests_running", "num_requests_waiting"):    # one a model that it serves
+                if name.startswith("num_requests"):    # one a model that it serves
                     figures[name] = figures.get(name, 0.0) + sample.value
-                elif name in ("kv_cache_usage_perc", "gpu_cache_usage_perc"):
+                else:
                     figures["kv_cache_usage_perc"] = max(figures.get("kv_cache_usage_perc", 0.0), sample.value)
     except (ValueError, KeyError, IndexError):
         return None
--- a/ternlane/gateway/facts.py
+++ b/ternlane/gateway/facts.py
@@ -1,7 +1,7 @@
 """From the operator's document to what the decisions are told at start."""
 from __future__ import annotations
 
-from dataclasses import astuple
+from dataclasses import astuple, dataclass
 
 from ternlane.chat.intake import EFFECTS, GROUPS
 from ternlane.paper import GatewayPaper
@@ -10,21 +10,27 @@
 STEP_MS = 1.0    # the host hands events over as they come
 
 
-def products_of(paper: GatewayPaper, held: dict[str, Product] | None = None) -> dict[str, Product]:
-    """Product by its own name; `models_of` adds the further names. One of `held` whose terms are the same stays the
-    object that it is, with all that was learnt of it; a changed one is another, and what was taken before keeps its
-    own."""
-    out: dict[str, Product] = {}
+@dataclass(slots=True, frozen=True)
+class Offer:
+    """What a document comes to: products by their names and by all model names, the longest answer of each, and what
+    the decisions are told."""
+    products: dict[str, Product]
+    models: dict[str, Product]
+    max_toks: dict[Product, int]
+    facts: StartFacts
+
+
+def offer_of(paper: GatewayPaper, held: dict[str, Product] | None = None) -> Offer:
+    """A product of `held` whose terms are the same stays the object that it is, with all that was learnt of it; a
+    changed one is another, and what was taken before keeps its own."""
+    products: dict[str, Product] = {}
     for p in paper.products:
         new = Product(EFFECTS[p.effect], GROUPS[p.group], p.window_ms, p.slo_ms, p.slo_per_ktok_ms, p.tok_slo_ms,
                       p.limit_ms, p.revenue, p.late_share)
         old = (held or {}).get(p.name)
-        out[p.name] = old if old is not None and astuple(old) == astuple(new) else new
-    return out
-
-
-def models_of(paper: GatewayPaper, products: dict[str, Product]) -> dict[str, Product]:
-    return {model: products[p.name] for p in paper.products for model in (p.name, *p.models)}
+        products[p.name] = old if old is not None and astuple(old) == astuple(new) else new
+    return Offer(products, {model: products[p.name] for p in paper.products for model in (p.name, *p.models)},
+                 {products[p.name]: p.max_toks for p in paper.products}, facts_of(paper, products))
 
 
 def facts_of(paper: GatewayPaper, products: dict[str, Product]) -> StartFacts:
--- a/ternlane/gateway/gateway.py
+++ b/ternlane/gateway/gateway.py
@@ -16,7 +16,7 @@
 from ternlane.choice import Router
 from ternlane.engine import SocketTransport, Transport
 from ternlane.gateway.door import Door
-from ternlane.gateway.facts import facts_of, models_of, products_of
+from ternlane.gateway.facts import offer_of
 from ternlane.gateway.host import Chooser, Host, now_ms
 from ternlane.gateway.logs import library_log
 from ternlane.gateway.measures import Measures
@@ -43,19 +43,17 @@
     def __init__(self, paper: GatewayPaper, chooser: Callable[[StartFacts], Chooser], nursery: trio.Nursery,
                  log: Any, host_type: type[Host] = Host, transport: Transport | None = None) -> None:
         self.paper, self.nursery, self.log = paper, nursery, log
-        self.products = products_of(paper)
-        models = models_of(paper, self.products)
-        self.facts = facts_of(paper, self.products)
+        self.offer = offer_of(paper)
+        self.facts = self.offer.facts
         self.measures, self.book = Measures(), Book()
         self.pool = Pool(paper.fleet.connect_ms, paper.fleet.idle_ms, paper.source)
-        intake = Intake(models, {self.products[p.name]: p.max_toks for p in paper.products},
-                        paper.door.session_limit)
+        intake = Intake(self.offer.models, self.offer.max_toks, paper.door.session_limit)
         self.agent = f"ternlane/{__version__} ({paper.name})"
         self.transport = transport or SocketTransport(self.pool, self.agent)
         self.host = host_type(chooser(self.facts), self.facts, self.transport, self.book, intake, nursery,
                               self.measures, log, paper.streams)
         self.till = Till(paper, log) if paper.tenants is not None else None
-        self.door = Door(paper, self.host, intake, models, self.measures, log, self.till)
+        self.door = Door(paper, self.host, intake, self.offer.models, self.measures, log, self.till)
         if self.till is not None:
             self.host.on_done, self.host.affords = self.till.done, self.till.affords
         self.scribe = Scribe(Path(paper.journal), log) if paper.journal is not None else None
@@ -141,14 +139,12 @@
             else:
                 kept_back.append(field)
         self.paper = msgspec.structs.replace(old, **{field: getattr(paper, field) for field in changed})
-        self.products = products_of(self.paper, self.products)
-        models = models_of(self.paper, self.products)
-        self.door.alter(self.paper, models)
-        self.host.intake.offer(models, {self.products[p.name]: p.max_toks for p in self.paper.products})
         if set(changed) - {"door", "nodes"}:
-            self.facts = facts_of(self.paper, self.products)
+            self.offer = offer_of(self.paper, self.offer.products)
+            self.facts = self.offer.facts
             self.pool.connect_ms, self.pool.idle_ms = self.paper.fleet.connect_ms, self.paper.fleet.idle_ms
-            self.host.alter(self.facts)
+            self.host.alter(self.offer)
+        self.door.alter(self.paper, self.offer.models)
         if "nodes" in changed:
             self.following.cancel()    # and followed anew at the new source
         return changed, kept_back
--- a/ternlane/gateway/host.py
+++ b/ternlane/gateway/host.py
@@ -14,6 +14,7 @@
 from ternlane.chat import Intake
 from ternlane.chat.beyond import More
 from ternlane.engine import ClientGone, LegAsk, LegEnd, LegPlan, Stage, Transport, Usage
+from ternlane.gateway.facts import Offer
 from ternlane.gateway.measures import Measures
 from ternlane.gateway.scribe import Scribe
 from ternlane.gateway.ticket import Streamed, Terminated, Throttled, Ticket
@@ -68,12 +69,13 @@
                 self.mender.left(server)
         self.tell(news)
 
-    def alter(self, facts: StartFacts) -> None:
+    def alter(self, offer: Offer) -> None:
         """Other settings from now on. Legs that are out end as they began; homes and what was learnt stay."""
-        self.facts = facts
+        self.facts = offer.facts
         self.mute.clear()
-        self.mender.alter(facts)
-        self.tell(port.Altered(facts))
+        self.intake.offer(offer.models, offer.max_toks)
+        self.mender.alter(offer.facts)
+        self.tell(port.Altered(offer.facts))
 
     def turn(self) -> None:
         self.turning = True
