The loop's inner step is not part of the public face

Cause: test_all_that_is_public_says_what_it_is_for failed since: Router.empty had no words.

Change: it is private.

--- a/ternlane/choice.py
+++ b/ternlane/choice.py
@@ -669,12 +669,12 @@
         self.now, self.out = now, []
         for event in heard:
             self.desk.post(event)
-            self.empty()
+            self._empty()
         while self.desk.pump():    # once all is heard, lest thousands at once cost as many tries
-            self.empty()
+            self._empty()
         return self.out
 
-    def empty(self) -> None:
+    def _empty(self) -> None:
         while self.ready:
             actor = self.ready.popleft()
             actor.handle(actor.inbox.popleft())
