A story over sockets: a read whose answer is lost is told by a later one

Need: calling a leg off for another is new to the real host. Change: a reader that is silent once and then well; the silent read is called off and read elsewhere, for idempotent and side-effecting products, and one writer's leg is seen.

--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -7,10 +7,11 @@
 from pathlib import Path
 from typing import Any
 
+import msgspec
 import pytest
 import trio
 
-from tests.world import BUILD, World, heard, replace, world
+from tests.world import BUILD, PRODUCTS, Reply, World, heard, replace, world
 from ternlane.engine.leg import LegPlan, read_leg, stream_leg
 from ternlane.http1 import Caller, Pool
 from ternlane.paper import ConsulSource, NodeLine
@@ -492,3 +493,28 @@
         await w.revive("r0")
         assert (await w.ask("note")).done == 1
         assert isinstance(await w.pool.connect(w.gateway.address), Caller)
+
+
+@pytest.mark.parametrize("model", ["summary", "note"])
+async def test_a_read_whose_answer_is_lost_is_told_by_a_later_one(model: str) -> None:
+    patient = [msgspec.structs.replace(p, slo_ms=8 * p.slo_ms, limit_ms=8 * p.limit_ms) for p in PRODUCTS]
+    async with world(products=patient) as w, trio.open_nursery() as nursery:
+        await w.ask(text="the same")
+        reader = w.engines[w.said("leg", stage="read")[0]["id"]]
+        reader.trouble.script = "silent"
+        replies: list[Reply] = []
+
+        async def mute() -> None:
+            replies.append(await w.ask(model, text="the same"))
+        nursery.start_soon(mute)
+        with trio.fail_after(3):    # under the 3.2 s for which it would be waited
+            while len(w.said("leg", stage="read", id=reader.ident)) < 2:
+                await trio.sleep(0.001)
+            gen = w.said("leg", stage="read")[-1]["gen"]
+            reader.trouble.script = ""
+            while not replies:
+                await w.ask(text="the same")
+        reads = [line["id"] for line in w.said("leg", stage="read", gen=gen)]
+        assert len(reads) == 2 and reads[0] == reader.ident != reads[1]
+        assert replies[0].done == 1 and len(w.said("leg", stage="write", gen=gen)) == 1
+        await w.settled()
