--- a/ternlane/choice.py
+++ b/ternlane/choice.py
@@ -247,7 +247,7 @@
         mean = self.prompt.setdefault(product, max(gen.prompt_toks, 1.0))
         self.prompt[product] = mean + GAIN * (gen.prompt_toks - mean)
         self.asked_for[gen.opening] += gen.opening is not None
-        if self.told_if_asked:
+        if self.told_if_asked and course.limit_at > now + CROWD * self.limits.beat_ms:    # or time runs out
             course.agreed = self.agreed(gen)
             course.asked = {e for e in course.agreed[:round(CROWD)] if self.ask(e)}
         if course.asked:
@@ -606,7 +606,7 @@
             self.learn(gen.product, "read", usual)
         self.foreseen += GAIN * (leg.foreseen - self.foreseen)
         self.took += GAIN * (took - self.took)
-        self.trust = min(1.0, self.took / self.foreseen)
+        self.trust = min(CROWD ** 2, self.took / self.foreseen)
         if note.verdict is Verdict.READ and leg.engine in course.agreed[:1]:
             self.told[gen.product] += GAIN * (1 - unread / max(gen.prompt_toks, 1.0) - self.told[gen.product])
         self.read_ms += GAIN * (self.tok_ms * unread - self.read_ms)
--- a/tests/test_switch.py
+++ b/tests/test_switch.py
@@ -186,6 +186,18 @@
     assert port.SendLeg in kinds(host.tell(after=100.0))    # none has answered
 
 
+@pytest.mark.parametrize("patience", [20.0, 40.0, 80.0, 150.0])
+def test_nobody_waits_for_loads_beyond_its_clients_patience(patience: float) -> None:
+    host = build(may_probe=True, told_if_asked=True)
+    gen = host.gen(patience_ms=patience)
+    said = host.arrive(gen, after=20.0)    # between two beats
+    answered = host.now
+    while not any(isinstance(a, (port.SendLeg, port.Throttle)) for a in said):
+        said = host.tell(after=50.0)    # no engine says its load
+        answered = host.now
+    assert answered <= gen.seat.limit_at - 0.5 * patience
+
+
 @pytest.mark.parametrize("text, report", [
     ("vllm:num_requests_running 3\nvllm:num_requests_waiting 2\nvllm:kv_cache_usage_perc 0.25\n", (5.0, 0.25)),
     ('sglang:num_requests_running{model="a"} 1\nsglang:num_requests_running{model="b"} 2\n', (3.0, None)),
