--- a/ternlane/emulator/batch.py
+++ b/ternlane/emulator/batch.py
@@ -43,6 +43,8 @@
     kept: int = 0         # tokens found kept when it was first let in
     preempted: int = 0
     ended: bool = False
+    stays: bool = False     # its memory is kept once it is read, until it is let go
+    fetches: bool = False   # its prompt comes from elsewhere: it holds slot and memory until `came`
 
     @property
     def to_read(self) -> int:
@@ -64,6 +66,7 @@
         self.build, self.memory = build, memory or Blocks(build.blocks)
         self.queue: deque[Course] = deque()
         self.running: list[Course] = []    # the oldest first
+        self.entered: list[Course] = []    # let in, and waiting for what they fetch, since the driver last looked
 
     def blocks_for(self, toks: int) -> int:
         return -(-toks // self.build.block_toks)
@@ -98,10 +101,17 @@
                 return
             self.queue.popleft()
             found = held.kept * self.build.block_toks
+            if it.fetches:
+                self.entered.append(it)
             it.held, it.read = held, min(found, it.to_read - 1)    # at least one token is read: the next hangs on it
             it.kept = found if not it.preempted else it.kept
             self.running.append(it)
 
+    def came(self, it: Course) -> None:
+        """What it fetched is there: it writes from the next step on."""
+        if it.fetches and it.held is not None:
+            it.fetches, it.read = False, it.to_read
+
     def put_back(self, it: Course, step: Step) -> None:
         """Recomputed later: its memory goes, what it has written stays."""
         assert it.held is not None
@@ -118,7 +128,7 @@
         while len(it.held.blocks) < self.blocks_for(it.read + 1):
             if self.memory.grow(it.held, 1):
                 return True
-            youngest = self.running[-1]
+            youngest = next(r for r in reversed(self.running) if not r.fetches)
             self.put_back(youngest, step)
             if youngest is it:
                 return False
@@ -127,10 +137,10 @@
     def step(self) -> Step | None:
         """One step; None where there is nothing to do."""
         self.let_in()
-        if not self.running:
+        if all(it.fetches for it in self.running):
             return None
         out, pace, budget, back = Step(self.build.pace.step_ms), self.build.pace, self.build.step_toks, 0
-        for it in [r for r in self.running if r.read >= r.to_read]:
+        for it in [r for r in self.running if r.read >= r.to_read and r.made < r.answer and not r.fetches]:
             if budget <= 0 or it not in self.running or not self.room_for(it, out):
                 continue
             it.made += 1
@@ -138,7 +148,7 @@
             budget -= 1
             back += it.read
             out.wrote.append(it)
-        for it in [r for r in self.running if r.read < r.to_read]:
+        for it in [r for r in self.running if r.read < r.to_read and not r.fetches]:
             chunk = min(budget, it.to_read - it.read)
             if it.held is None:    # put back by one before it
                 continue
@@ -152,9 +162,12 @@
                 it.made += 1    # the reading's last token gives the first of the answer
                 it.read += 1
                 out.wrote.append(it)
-        for it in [r for r in self.running if r.made >= r.answer and r.read >= r.to_read]:
+        for it in [r for r in self.running if r.made >= r.answer and r.read >= r.to_read and not r.fetches]:
             self.running.remove(it)
-            self.let_go(it)
+            if it.stays:
+                it.ended = True
+            else:
+                self.let_go(it)
             out.finished.append(it)
         out.ms += pace.write_ms * len(out.wrote) + pace.read_ms * out.read_toks + pace.back_ms * back / 1000
         return out
