--- a/bench/lab.py
+++ b/bench/lab.py
@@ -1,6 +1,7 @@
-"""What emulated engines cost: simulated seconds a real second, time and bytes a block, against a plain dict in one run.
+"""What emulated engines cost: simulated seconds a real second, time and bytes a block, against a plain dict in one run;
+and how near those fitted to the described curves come.
 
-    python -m bench.lab [--seconds 20] [--blocks 1000000]
+    python -m bench.lab [--seconds 20] [--blocks 1000000] [--no-fit]
 """
 from __future__ import annotations
 
@@ -8,8 +9,12 @@
 import random
 import time
 import tracemalloc
+from math import inf
+from pathlib import Path
 
-from ternlane.emulator import Batch, Blocks, Build, Course, chain
+from ternlane.emulator import Batch, Blocks, Build, Course, Engine, Fleet, Job, Nature, Seat, What, chain
+from ternlane.emulator.describe import EngineKind
+from ternlane.paper import read_paper
 
 
 def one_engine(seconds: float, rate: float, seed: int) -> tuple[float, int, float]:
@@ -30,6 +35,50 @@
     return now / 1000 / (time.perf_counter() - since), steps, ended / (now / 1000)
 
 
+def a_fleet(many: int, seconds: float, seed: int) -> tuple[float, int, int]:
+    """So many engines, two readers for three writers, a generation a second for each: simulated against real seconds,
+    tokens written, and bytes an engine. Pairs are drawn by chance, half of them within a cell."""
+    rng, fleet = random.Random(seed), Fleet(300.0, 600.0)
+    tracemalloc.start()
+    seats = [fleet.add(Engine(Build(blocks=8000), Nature(jitter=0.05), i), "a", i // 5) for i in range(many)]
+    size = tracemalloc.get_traced_memory()[0] // many
+    tracemalloc.stop()
+    readers = [s for i, s in enumerate(seats) if i % 5 < 2]
+    writers = [s for i, s in enumerate(seats) if i % 5 >= 2]
+    texts = [chain(rng.randbytes(4 * 600), 64) for _ in range(40)]
+    due, wrote, held = 0.0, 0, dict[Job, Seat]()
+    since = time.perf_counter()
+    while True:
+        at = min(due, fleet.next_at())
+        if at > seconds * 1000:
+            return seconds / (time.perf_counter() - since), wrote, size
+        for seat, told in fleet.advance(at):
+            if told.what is What.READ:
+                near = [w for w in writers if w.cell == seat.cell]
+                job = Job(Course(told.job.course.prompt, rng.randrange(20, 200)))
+                writer = rng.choice(near if rng.random() < 0.5 else writers)
+                if not fleet.write(at, writer, job, held[told.job], told.job):
+                    fleet.let_go(at, seat, told.job)
+                del held[told.job]
+            wrote += told.what is What.TOKEN
+        while due <= at:
+            due += rng.expovariate(many / 1000) if many else inf
+            read = Job(Course(600 + rng.randrange(400), 0, texts[min(39, int(rng.paretovariate(0.9)) - 1)]))
+            reader = rng.choice(readers)
+            if fleet.read(at, reader, read):
+                held[read] = reader
+
+
+def fits() -> None:
+    from ternlane.emulator.fit import fit
+    for path in sorted((Path(__file__).parent.parent / "examples" / "engines").glob("*.json5")):
+        since = time.perf_counter()
+        found = fit(read_paper(path, EngineKind))
+        (a, b), (c, d) = found.worst(False), found.worst(True)
+        print(f"{path.stem:<14} off at most {a:.1%} and {b:.1%} (median, 99th percentile) at points of the fit, "
+              f"{c:.1%} and {d:.1%} at those held out; {time.perf_counter() - since:.0f} s")
+
+
 def blocks_against_dict(many: int) -> None:
     """Take, know and give back every block once, then find them all again; a dict of hashes to counts beside it."""
     keys = [(i * 2654435761 % 2**64, i % 2**32) for i in range(many)]
@@ -67,12 +116,19 @@
     args = argparse.ArgumentParser()
     args.add_argument("--seconds", type=float, default=20.0)
     args.add_argument("--blocks", type=int, default=1_000_000)
+    args.add_argument("--no-fit", action="store_true")
     told = args.parse_args()
     for rate in (2.0, 10.0, 40.0):
         ratio, steps, ended = one_engine(told.seconds, rate, 1)
         print(f"one engine, {rate:>4.0f} a second: {ratio:>7.1f} simulated seconds a real one, {steps} steps, "
               f"{ended:.1f} ended a second")
+    for many in (20, 75, 300):
+        ratio, wrote, size = a_fleet(many, min(told.seconds, 10.0), 1)
+        print(f"{many:>3} engines: {ratio:>6.2f} simulated seconds a real one, {wrote} tokens, "
+              f"{size} bytes an engine at rest")
     blocks_against_dict(told.blocks)
+    if not told.no_fit:
+        fits()
 
 
 if __name__ == "__main__":
--- a/ternlane/cli.py
+++ b/ternlane/cli.py
@@ -396,3 +396,45 @@
         click.echo(f"doubled    {gen}")
     click.echo(f"off by {found.off:.3%}")
     sys.exit(0 if found.off <= within and not found.doubled else 1)
+
+
+@main.group()
+def lab() -> None:
+    """The laboratory: emulated engines."""
+
+
+@lab.command("fit")
+@click.argument("files", nargs=-1, required=True, type=click.Path(dir_okay=False))
+@click.option("--within", nargs=2, type=float, default=(0.05, 0.10), show_default=True,
+              help="parts by which medians and 99th percentiles may be off at points held out")
+def lab_fit(files: tuple[str, ...], within: tuple[float, float]) -> None:
+    """Fits emulated engines to described latency curves and holds them against the points left out of the fit."""
+    from ternlane.emulator.describe import EngineKind
+    kinds = [paper(file, EngineKind) for file in files]
+    try:
+        from ternlane.emulator.fit import fit
+    except ImportError as why:
+        click.echo(f"ternlane: {why}: install ternlane[lab]", err=True)
+        sys.exit(UNAVAILABLE)
+    well = True
+    for file, kind in zip(files, kinds):
+        try:
+            found = fit(kind)
+        except ValueError as why:
+            click.echo(f"ternlane: {file}: {why}", err=True)
+            sys.exit(DATA)
+        pace = found.build.pace
+        click.echo(f"{kind.name}: a step {pace.step_ms:.3f} ms, {pace.write_ms:.4f} a writer, {pace.read_ms:.4f} a "
+                   f"token read beyond {pace.free_toks}, {pace.back_ms:.4f} a thousand looked back at; spread "
+                   f"{found.nature.jitter:.1%}")
+        click.echo("  at once  prompt  answer       first token    between tokens   off: median, 99th percentile")
+        for point, off in found.off:
+            click.echo(f"{point.at_once:>9}{point.prompt:>8}{point.answer:>8}{point.first_ms[0]:>9.1f}"
+                       f"{point.first_ms[1]:>9.1f}{point.between_ms[0]:>9.2f}{point.between_ms[1]:>9.2f}   "
+                       + " ".join(f"{part:>+7.1%}" for part in off) + ("  held out" if point.held_out else ""))
+        held = any(point.held_out for point, _ in found.off)
+        median, tail = found.worst(held)
+        click.echo(f"  worst {'held out' if held else 'of the fit'}: {median:.1%} at medians, {tail:.1%} at 99th "
+                   "percentiles")
+        well = well and median <= within[0] and tail <= within[1]
+    sys.exit(0 if well else 1)
--- a/ternlane/emulator/batch.py
+++ b/ternlane/emulator/batch.py
@@ -13,11 +13,17 @@
 @dataclass(frozen=True)
 class Pace:
     """What a step takes, ms: `step_ms`, and for each sequence that writes, each token that is read, and each thousand
-    tokens that are looked back at."""
+    tokens that are looked back at. The first `free_toks` of a step cost no reading: weights are fetched anyway."""
     step_ms: float = 6.0
     write_ms: float = 0.15
     read_ms: float = 0.02
     back_ms: float = 0.01
+    free_toks: int = 0
+
+    def ms(self, wrote: int, read: int, back: int) -> float:
+        """A step in which so many write, so many tokens are read, and so many are looked back at."""
+        charged = max(0, wrote + read - self.free_toks) if self.free_toks else read
+        return self.step_ms + self.write_ms * wrote + self.read_ms * charged + self.back_ms * back / 1000
 
 
 @dataclass(frozen=True)
@@ -139,7 +145,7 @@
         self.let_in()
         if all(it.fetches for it in self.running):
             return None
-        out, pace, budget, back = Step(self.build.pace.step_ms), self.build.pace, self.build.step_toks, 0
+        out, budget, back = Step(0.0), self.build.step_toks, 0
         for it in [r for r in self.running if r.read >= r.to_read and r.made < r.answer and not r.fetches]:
             if budget <= 0 or it not in self.running or not self.room_for(it, out):
                 continue
@@ -169,7 +175,7 @@
             else:
                 self.let_go(it)
             out.finished.append(it)
-        out.ms += pace.write_ms * len(out.wrote) + pace.read_ms * out.read_toks + pace.back_ms * back / 1000
+        out.ms = self.build.pace.ms(len(out.wrote), out.read_toks, back)
         return out
 
     def seal(self, it: Course) -> None:
--- /dev/null
+++ b/ternlane/emulator/describe.py
@@ -0,0 +1,35 @@
+"""Short descriptions of a kind of engine: its size, and points of its latency curve as it was measured (JSON5)."""
+from __future__ import annotations
+
+from typing import Annotated, Literal
+
+import msgspec
+from msgspec import Meta
+
+Positive = Annotated[float, Meta(gt=0)]
+Whole = Annotated[int, Meta(ge=1)]
+
+
+class Point(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """Times, ms, while `at_once` sequences run at every moment, each of `prompt` tokens and an answer of `answer`: to
+    the first token, and between tokens, each at the median and the 99th percentile. `held_out`: not for the fit."""
+    at_once: Whole
+    prompt: Whole
+    answer: Whole
+    first_ms: tuple[Positive, Positive]
+    between_ms: tuple[Positive, Positive]
+    held_out: bool = False
+
+
+class EngineKind(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """A kind of engine. `memory_toks`: of read state; `step_toks`: that a step may read and write."""
+    name: str
+    memory_toks: Whole
+    slots: Whole
+    step_toks: Whole
+    curve: Annotated[list[Point], Meta(min_length=1)]
+    block_toks: Whole = 16
+    queue: Whole = 100
+    cold_ms: float = 10e3
+    cold_from: Annotated[float, Meta(gt=0, le=1)] = 0.3
+    evicts: Literal["lru", "clock"] = "lru"
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -3,12 +3,19 @@
 
 from collections import Counter
 from math import inf
+from pathlib import Path
 
+import msgspec
 import pytest
+from click.testing import CliRunner
 from hypothesis import Phase, given, settings
 from hypothesis import strategies as st
 
+from ternlane.cli import main
 from ternlane.emulator import Build, Course, Engine, Fleet, Job, Link, Nature, Pace, Seat, Told, Transfer, What
+from ternlane.emulator.describe import EngineKind
+from ternlane.emulator.fit import fit
+from ternlane.paper import read_paper
 
 PACE = Pace(step_ms=5.0, write_ms=0.1, read_ms=0.02, back_ms=0.0)
 BUILD = Build(blocks=400, slots=8, step_toks=256, queue=20, pace=PACE)
@@ -220,3 +227,37 @@
     assert fleet.write(0.0, seat, job)
     told = fleet.advance(60.0) + fleet.advance(20.0) + fleet.advance(0.0) + fleet.advance(61.0) + run(fleet)
     assert counted(told, What.TOKEN) == {job: 30} and [t.at for _, t in told] == sorted(t.at for _, t in told)
+
+
+# -- kinds of engines, fitted to curves
+
+KINDS = Path(__file__).parent.parent / "examples" / "engines"
+
+
+def test_an_engine_fitted_to_a_curve_has_the_points_left_out_too() -> None:
+    told = CliRunner().invoke(main, ["lab", "fit", str(KINDS / "prefill.json5")])
+    assert told.exit_code == 0, told.output    # within 5% at medians and 10% at 99th percentiles
+    assert told.output.count("held out") == 3
+    strict = read_paper(KINDS / "prefill.json5", EngineKind)
+    crooked = msgspec.structs.replace(strict, curve=[    # no pace has shorter steps with more in them
+        msgspec.structs.replace(p, between_ms=(40.0 / p.at_once, 50.0 / p.at_once)) for p in strict.curve])
+    assert fit(crooked).worst(held_out=True)[0] > 0.3
+
+
+@pytest.mark.parametrize("change, word", [
+    ("slots: 0", "slots"), ("step_toks: 'many'", "step_toks"), ("evicts: 'fifo'", "evicts"), ("curve: []", "curve"),
+    ("curve: [{at_once: 1, prompt: 10, answer: 5, first_ms: [1, 0], between_ms: [1, 1]}]", "first_ms"),
+    ("curve: [{at_once: 1, prompt: 10, answer: 5, first_ms: [1, 2], between_ms: [1, 1]}]", "at least two points"),
+    ("colour: 'red'", "colour")])
+def test_a_wrong_description_is_named_by_its_field(tmp_path: Path, change: str, word: str) -> None:
+    path = tmp_path / "kind.json5"
+    path.write_text("{name: 'a', memory_toks: 1000, slots: 4, step_toks: 64, curve: "
+                    "[{at_once: 1, prompt: 10, answer: 5, first_ms: [1, 2], between_ms: [1, 1]},"
+                    " {at_once: 2, prompt: 10, answer: 5, first_ms: [1, 2], between_ms: [1, 1]}]}")
+    text = path.read_text()
+    field = change.split(":")[0]
+    at = text.find(f"{field}:")
+    end = len(text) - 1 if field == "curve" else text.find(",", at)
+    path.write_text(text[:at] + change + text[end:] if at > 0 else text[:-1] + ", " + change + "}")
+    told = CliRunner().invoke(main, ["lab", "fit", str(path)])
+    assert told.exit_code == 65 and word in told.output
