A load tool that counts from when requests were due, and is honest about its own lateness

Change: ternlane/load: open loop by a schedule known ahead (Poisson, bursty, diurnal, recorded) or closed loop, sessions with turns, openings by Zipf, lengths, tenants; quantiles by a sketch with a stated error and bounded buckets; ternlane load FILE URL, to loopback addresses only, JSON lines and a summary.

Measured: drawn sets of times within 1% at any quantile, merged or not; a stall of 0.9 s shows in over a quarter of what was due in 1.2 s, and nothing that was due is left out; a tool held up by other work refuses to report.

--- a/ternlane/cli.py
+++ b/ternlane/cli.py
@@ -438,3 +438,53 @@
                    "percentiles")
         well = well and median <= within[0] and tail <= within[1]
     sys.exit(0 if well else 1)
+
+
+@main.command()
+@click.argument("file", type=click.Path(dir_okay=False))
+@click.argument("url")
+@click.option("--out", type=click.Path(dir_okay=False), help="JSON lines, one for each request as it ends")
+@click.option("--quiet", is_flag=True, help="no progress line")
+def load(file: str, url: str, out: str | None, quiet: bool) -> None:
+    """Sends the load of FILE to an OpenAI-style address URL on loopback and prints its times as JSON.
+
+    Times count from when a request was due. Where the tool itself could not keep its schedule it says so, reports
+    nothing and ends with 75."""
+    from ternlane.load import LoadPaper
+    from ternlane.load.run import Load, NotLocal, TooSlow
+    told = paper(file, LoadPaper)
+    sink = open(out, "w", encoding="utf-8") if out else None
+
+    def line(said: dict[str, Any]) -> None:
+        if sink is not None:
+            sink.write(json.dumps(said) + "\n")
+
+    async def play(it: Load) -> None:
+        async def progress() -> None:
+            while True:
+                await trio.sleep(1.0)
+                click.echo(f"\r{it.now_s():6.0f} s  {it.open} open  {dict(it.tally.outcomes)}", nl=False, err=True)
+        async with trio.open_nursery() as nursery:
+            if not quiet:
+                nursery.start_soon(progress)
+            try:
+                await it.run()
+            finally:
+                nursery.cancel_scope.cancel()
+                if not quiet:
+                    click.echo(err=True)
+
+    try:
+        it = Load(told, url, line)
+    except NotLocal as why:
+        raise click.UsageError(str(why)) from None
+    try:
+        trio.run(play, it)
+    except* TooSlow as group:
+        click.echo(f"ternlane: {group.exceptions[0]}", err=True)
+        sys.exit(75)
+    finally:
+        if sink is not None:
+            sink.close()
+    click.echo(json.dumps(it.tally.told()))
+
--- /dev/null
+++ b/tests/test_load.py
@@ -0,0 +1,159 @@
+"""The load tool: its quantiles, what it sends and when, and that it is honest about stalls, its own included."""
+from __future__ import annotations
+
+import json
+import random
+import time
+from pathlib import Path
+
+import pytest
+import trio
+from click.testing import CliRunner
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from tests.world import BUILD, replace, world
+from ternlane.cli import main
+from ternlane.load import LoadPaper, Sketch, asks, times_of
+from ternlane.load.plan import Arrivals, Mix
+from ternlane.load.run import Load, NotLocal, TooSlow, address_of
+import trio.lowlevel
+
+
+@given(st.lists(st.floats(1e-6, 1e9), min_size=1, max_size=300), st.floats(0, 1), st.integers(0, 300))
+@settings(max_examples=200, deadline=None)
+def test_a_quantile_is_within_the_stated_error_merged_or_not(values: list[float], part: float, cut: int) -> None:
+    one, two, whole = Sketch(0.01), Sketch(0.01), Sketch(0.01)
+    for i, value in enumerate(values):
+        (one if i < cut else two).add(value)
+        whole.add(value)
+    one.merge(two)
+    true = sorted(values)[int(part * (len(values) - 1))]
+    for it in (one, whole):
+        assert abs(it.quantile(part) - true) <= 0.0101 * true
+    assert one.counts == whole.counts and one.many == whole.many == len(values)
+
+
+def test_a_sketch_keeps_its_bounds_and_the_upper_quantiles_and_refuses_what_is_no_time() -> None:
+    it, rng = Sketch(0.01, buckets=100), random.Random(1)
+    values = [10 ** rng.uniform(-3, 6) for _ in range(5000)]
+    for value in values:
+        it.add(value)
+    assert len(it.counts) == 100
+    assert it.quantile(0.99) == pytest.approx(sorted(values)[int(0.99 * 4999)], rel=0.011)
+    for wrong in (-1.0, float("nan"), float("inf")):
+        with pytest.raises(ValueError, match="not a time"):
+            it.add(wrong)
+    with pytest.raises(ValueError, match="different errors"):
+        it.merge(Sketch(0.02))
+
+
+def paper(**changes: object) -> LoadPaper:
+    return LoadPaper(products=[Mix("summary", answer_toks=(6.0, 0.0))], **changes)    # type: ignore[arg-type]
+
+
+@pytest.mark.parametrize("arrivals", [
+    Arrivals("poisson", 50.0), Arrivals("bursty", 50.0, times=5.0, part=0.1, period_s=10.0),
+    Arrivals("diurnal", 50.0, swing=0.8, period_s=20.0)])
+def test_arrivals_have_the_rate_that_was_asked_for_and_their_shape(arrivals: Arrivals) -> None:
+    told = LoadPaper(products=[Mix("summary")], seconds=200.0, arrivals=arrivals)
+    times = list(times_of(told, random.Random(3)))
+    assert times == sorted(times) and len(times) == pytest.approx(10_000, rel=0.06)
+    peak = {"poisson": 0.1, "bursty": 0.5, "diurnal": 0.18}[arrivals.kind]
+    period = arrivals.period_s if arrivals.kind != "poisson" else 10.0
+    high = sum(1 for t in times if (t % period) / period < 0.1) if arrivals.kind != "diurnal" else sum(
+        1 for t in times if 0.2 <= (t % period) / period < 0.3)
+    assert high / len(times) == pytest.approx(peak, rel=0.15)
+    recorded = paper(seconds=3.0, arrivals=Arrivals("recorded", recorded_s=[0.0, 2.0, 3.0, 8.0], faster=2.0))
+    assert list(times_of(recorded, random.Random(1))) == [0.0, 1.0, 1.5]
+
+
+def test_what_is_asked_does_not_hang_on_answers_and_popular_openings_come_by_zipf() -> None:
+    mix = Mix("summary", turns=2.0, openings=20, opening_words=5, zipf=1.0)
+    told = LoadPaper(products=[mix, Mix("note", share=0.25)], seconds=100.0, arrivals=Arrivals(rate=40.0),
+                     tenants={"a": 3.0, "b": 1.0})
+    first, again = list(asks(told)), list(asks(told))
+    assert [(a.at_s, a.messages, a.key) for a in first] == [(a.at_s, a.messages, a.key) for a in again]
+    seen = [a.messages[0]["content"] for a in first if a.mix is mix]
+    often = sorted((seen.count(text) for text in set(seen)), reverse=True)
+    assert len(often) == 20 and often[0] / often[9] == pytest.approx(10, rel=0.5)
+    assert len(seen) / len(first) == pytest.approx(0.8, abs=0.03)
+    assert sum(a.key == "a" for a in first) / len(first) == pytest.approx(0.75, abs=0.03)
+    assert sum(a.turns_left for a in first if a.mix is mix) / len(seen) == pytest.approx(1.0, rel=0.15)
+
+
+async def test_a_load_is_answered_and_counted_as_the_engines_saw_it() -> None:
+    async with world() as w:
+        lines: list[dict[str, object]] = []
+        told = LoadPaper(products=[Mix("summary", turns=2.0, think_s=0.05, openings=2), Mix("note", stream=False)],
+                         seconds=1.0, arrivals=Arrivals(rate=30.0), late_ms=1000.0)
+        tally = await Load(told, f"http://{w.gateway.address}/v1", lines.append).run()
+        assert tally.outcomes["streamed"] == len(lines) > 20 and set(tally.outcomes) == {"streamed"}
+        assert tally.toks == 6 * len(lines) and len(w.said("effect")) >= len(lines)
+        assert tally.first.many and 0 < tally.first.quantile(0.5) < tally.whole.quantile(0.9)
+        await w.settled()
+
+
+async def test_a_stall_is_seen_by_all_that_were_due_in_it() -> None:
+    """A closed loop asks less while a server stalls, and its median hides it; an open one must not."""
+    async with world(build=replace(BUILD, slots=2)) as w:
+        async def stall() -> None:
+            await trio.sleep(0.4)
+            for engine in w.engines.values():
+                engine.trouble.hung = True
+            await trio.sleep(0.9)
+            for engine in w.engines.values():
+                engine.trouble.hung = False
+        w.nursery.start_soon(stall)
+        tally = await Load(paper(seconds=1.2, arrivals=Arrivals(rate=20.0), late_ms=1000.0), w.gateway.address).run()
+        due = sum(tally.outcomes.values())
+        assert due == len(list(asks(paper(seconds=1.2, arrivals=Arrivals(rate=20.0)))))    # none was left out
+        assert due - tally.outcomes["streamed"] + tally.first.many >= due    # each has a time or another outcome
+        slow = sum(n for at, n in tally.first.counts.items() if tally.first.gamma ** at > 300.0)
+        assert slow + due - tally.outcomes["streamed"] > due / 4
+
+
+async def test_a_tool_slower_than_its_schedule_says_so_and_reports_nothing() -> None:
+    async with world() as w:
+        async def hog() -> None:
+            for _ in range(40):
+                time.sleep(0.03)    # noqa: ASYNC251
+                await trio.lowlevel.checkpoint()
+        w.nursery.start_soon(hog)
+        with pytest.raises(TooSlow, match="late for one request in a hundred"):
+            await Load(paper(seconds=0.5, arrivals=Arrivals(rate=100.0), late_ms=5.0), w.gateway.address).run()
+
+
+async def test_clients_of_a_closed_loop_ask_one_at_a_time() -> None:
+    async with world() as w:
+        load = Load(paper(seconds=0.4, at_once=3), w.gateway.address)
+        most = 0
+
+        async def watch() -> None:
+            nonlocal most
+            while True:
+                most = max(most, load.open)
+                await trio.sleep(0.001)
+        w.nursery.start_soon(watch)
+        tally = await load.run()
+        assert most == 3 and tally.outcomes["streamed"] >= 6
+
+
+def test_only_loopback_is_asked_and_wrong_papers_are_named(tmp_path: Path) -> None:
+    assert address_of("http://127.0.0.1:8080/v1") == ("127.0.0.1:8080", "/v1/chat/completions")
+    assert address_of("localhost:81") == ("localhost:81", "/v1/chat/completions")
+    for wrong in ("http://192.0.2.1/v1", "https://127.0.0.1", "http://example.com", "http://[2001:db8::1]:80"):
+        with pytest.raises(NotLocal):
+            address_of(wrong)
+    path = tmp_path / "load.json5"
+    for text, word in (("{products: []}", "products"), ("{products: [{model: 'a', share: -1}]}", "share"),
+                       ("{products: [{model: 'a'}], arrivals: {kind: 'sudden'}}", "kind")):
+        path.write_text(text)
+        told = CliRunner().invoke(main, ["load", str(path), "127.0.0.1:1", "--quiet"])
+        assert told.exit_code == 65 and word in told.output
+    path.write_text("{products: [{model: 'a'}], seconds: 0.3, arrivals: {rate: 20}, late_ms: 1000}")
+    told = CliRunner().invoke(main, ["load", str(path), "http://192.0.2.1", "--quiet"])
+    assert told.exit_code == 2 and "loopback" in told.output
+    told = CliRunner().invoke(main, ["load", str(path), "127.0.0.1:1", "--quiet", "--out", str(tmp_path / "out")])
+    assert told.exit_code == 0 and set(json.loads(told.output)["outcomes"]) == {"unconnected"}
+    assert all(json.loads(line)["outcome"] == "unconnected" for line in (tmp_path / "out").read_text().splitlines())
