--- a/ternlane/choice.py
+++ b/ternlane/choice.py
@@ -56,6 +56,7 @@
         self.legs: dict[Leg, None] = {}
         self.said: tuple[float, float, float | None] | None = None   # when, memory share, generations held
         self.done = self.due = self.rate = self.credit = 0.0
+        self.used = 0.0    # of its memory, by all gateways as far as is known
         self.size = 1.0    # memory it seems to have, against what the start facts say
         self.strikes, self.shut_until, self.trial = 0, 0.0, False
         self.started, self.cold_until, self.linked_until = server.started_ms, 0.0, 0.0
@@ -102,7 +103,8 @@
                 for leg in self.legs:
                     self.count(leg)
                 self.done, self.due, self.rate = self.done * fade, self.due * fade, self.rate * fade
-                self.refill(note.peer_rate, now - self.beat_at)
+                if now < self.cold_until:
+                    self.refill(note.peer_rate, now - self.beat_at)
                 self.beat_at = now
             case News():
                 if self.server.started_ms != self.started:
@@ -138,7 +140,7 @@
         """How soon answers begin tells whether this gateway's own count, scaled up, is right."""
         if took > self.limits.slo_ms / 4:
             self.size = max(self.size * (1 - GAIN), 1 / CROWD ** 2)
-        elif took < self.limits.slo_ms / 8 and self.used() > CALM * self.size:
+        elif took < self.limits.slo_ms / 8 and self.used > CALM * self.size:
             self.size = min(self.size * (1 + GAIN), CROWD ** 2)
 
     def crowding(self) -> float:
@@ -148,9 +150,6 @@
     def own(self) -> float:
         return sum(share for _, share in self.booked.values())
 
-    def used(self) -> float:
-        return self.own() + self.fleet.level * self.crowding()
-
     def refill(self, peer_rate: float, ms: float) -> None:
         """A cold server gets part of what a warm peer at its best took from here, more as it warms."""
         warmth = 1 - max(0.0, self.cold_until - self.router.now) / max(self.limits.cold_ms, 1.0)
@@ -158,10 +157,11 @@
         self.credit = min(self.credit + rate * ms, max(1.0, rate * self.limits.burst_ms))
 
     def standing(self) -> Standing:
-        now, used = self.router.now, self.used()
+        now, own, crowding = self.router.now, self.own(), self.crowding()
+        used = self.used = own + self.fleet.level * crowding
         free = 1 - used / self.size
         queue = sum(leg.work_ms for leg in self.legs)
-        ahead = CROWD * queue + self.fleet.trust * (self.fleet.queue_ms * self.crowding())
+        ahead = CROWD * queue + self.fleet.trust * (self.fleet.queue_ms * crowding)
         if self.said is not None:    # an old report says less than the mean does
             at, mem_share, held = self.said
             since = sum(share for when, share in self.booked.values() if when > at - self.limits.beat_ms)
@@ -174,7 +174,7 @@
         return Standing(self, self.server.life is Life.UP, free, queue, len(self.booked),
                         (self.done + DOUBT) / (self.due + DOUBT), now < self.shut_until, self.trial,
                         self.credit if now < self.cold_until else inf, self.rate,
-                        self.own(), self.sent, ahead, now < self.linked_until, self.fleet)
+                        own, self.sent, ahead, now < self.linked_until, self.fleet)
 
 
 class Desk(Actor):    # sessions' homes, generations' courses
@@ -683,7 +683,8 @@
         for i, s in enumerate(peers):
             if s.progress < SICK * view.pace and not s.shut and not s.trial:
                 s.engine.post(Trouble(silent=True))
-            if s.open or (i + self.beats // LOOK) % (len(peers) // LOOK**2 or 1) == 0:    # idle ones in turns
+            stirred = s.open or s.shut or s.trial or s.credit < inf
+            if stirred or (i + self.beats // LOOK) % (len(peers) // (3 * LOOK) or 1) == 0:    # idle ones in turns
                 s.engine.post(view)
 
 
