Written twice or in the wrong place: releases, load figures, patient products, texts of a load

Cause, read in the whole change: the host said a release twice by a time of its own, which is not the host's to decide; the stand-in and the emulator each wrote the same load figures in the field's words; three stories lengthened their products' times each for itself; a load's openings repeated how its prompts are made; rates that change with time had a base class that only raised; one assertion of the load stories could not fail.

Change: a release is asked until something is let go of, within release_ms, as the engine protocol has 404 for what holds nothing, and the stand-in answers it; emulator.Load words the figures of both; tests.world.patient; one function for texts; rates are callables; the assertion is gone.

--- a/bench/lab.py
+++ b/bench/lab.py
@@ -9,7 +9,6 @@
 import random
 import time
 import tracemalloc
-from math import inf
 from pathlib import Path
 
 from ternlane.emulator import Batch, Blocks, Build, Course, Engine, Fleet, Job, Nature, Seat, What, chain
@@ -62,7 +61,7 @@
                 del held[told.job]
             wrote += told.what is What.TOKEN
         while due <= at:
-            due += rng.expovariate(many / 1000) if many else inf
+            due += rng.expovariate(many / 1000)
             read = Job(Course(600 + rng.randrange(400), 0, texts[min(39, int(rng.paretovariate(0.9)) - 1)]))
             reader = rng.choice(readers)
             if fleet.read(at, reader, read):
--- a/ternlane/emulator/engine.py
+++ b/ternlane/emulator/engine.py
@@ -37,7 +37,6 @@
 class Job:
     """A generation's stay at an engine."""
     course: Course
-    ident: str = ""
     since: float = 0.0
 
 
--- a/ternlane/engine/leg.py
+++ b/ternlane/engine/leg.py
@@ -169,8 +169,9 @@
 
 
 async def release(pool: Pool, address: str, ident: str, headers: list[tuple[str, str]], within_ms: float) -> bool:
-    """Lets go of all that an engine holds for a generation. True if the engine has confirmed it."""
-    body = msgspec.json.encode({"request_id": ident})
+    """Lets go of all that an engine holds for a generation. True if the engine has confirmed it. One that holds nothing
+    is asked again while there is time: it may not have ended a read yet that was given up on, and keep its state."""
+    body, heard = msgspec.json.encode({"request_id": ident}), False
     with trio.move_on_after(within_ms / 1000):
         while True:
             caller = None
@@ -179,8 +180,9 @@
                 head = await caller.ask("POST", RELEASE_PATH, headers, body)
                 await caller.body(ANSWER_LIMIT)
                 pool.give_back(caller)
-                if head.status_code in (200, 204, 404):
+                if head.status_code in (200, 204):
                     return True
+                heard = heard or head.status_code == 404
             except (Unconnected, h11.RemoteProtocolError, *BROKEN):
                 if caller is not None:
                     caller.close_now()
@@ -189,7 +191,7 @@
                     caller.close_now()
                 raise
             await trio.sleep(within_ms / 8000)
-    return False
+    return heard
 
 
 async def once(pool: Pool, address: str, method: str, path: str, headers: list[tuple[str, str]], body: bytes,
--- a/ternlane/gateway/host.py
+++ b/ternlane/gateway/host.py
@@ -302,8 +302,6 @@
         self.log.debug("leg", gen=ticket.ident, leg=ticket.legs - 1, server=place.ident, stage=stage.name,
                        verdict=end.verdict.name, took_ms=round(took, 1), why=end.why)
         kept = 0.0
-        if stage is Stage.READ and end.verdict in (Verdict.TIMED_OUT, Verdict.CALLED_OFF, Verdict.RESET):
-            ticket.unheard.add(server)
         if end.verdict is Verdict.READ and end.usage is not None \
                 and not ticket.join.took_in(end.usage.prompt_tokens, ticket.prompt_said):
             end.verdict, end.why = Verdict.ERROR, "it read no more than the prompt, and can't go on with the text"
@@ -379,8 +377,7 @@
         holders, ticket.holders = list(ticket.holders), {}
         for server in holders:
             self.releasing += 1
-            self.nursery.start_soon(self.release, ticket, server, server in ticket.unheard)
-        ticket.unheard.clear()
+            self.nursery.start_soon(self.release, ticket, server)
         self.forget(ticket)
 
     def hold(self, ticket: Ticket | None, server: Server) -> None:
@@ -407,16 +404,11 @@
             self.log.warning("load not told", server=place.ident, why="no metrics that can be read at /metrics")
         self.tell(port.Checked(server, verdict, report))
 
-    async def release(self, ticket: Ticket, server: Server, unheard: bool) -> None:
-        """Said twice where the end of a read was not heard: a busy engine may hear it before it has ended that read,
-        and keep the state until its lease is over."""
-        place, done, within = self.book.places[server], False, self.facts.release_ms / (2 if unheard else 1)
+    async def release(self, ticket: Ticket, server: Server) -> None:
+        place = self.book.places[server]
         try:
-            for again in (False, True) if unheard else (False,):
-                if again:
-                    await trio.sleep(within / 1000)
-                done = await self.transport.release(place.ident, place.address, ticket.ident, within,
-                                                    place.line.protocol)
+            done = await self.transport.release(place.ident, place.address, ticket.ident, self.facts.release_ms,
+                                                place.line.protocol)
         finally:
             self.releasing -= 1
             if self.scribe is not None:
--- a/ternlane/gateway/ticket.py
+++ b/ternlane/gateway/ticket.py
@@ -80,7 +80,6 @@
     beyond: Beyond = field(default_factory=Beyond)    # its text apart
     state: dict[str, Any] | None = None    # as the reader gave it, to hand to a writer
     holders: dict[Server, None] = field(default_factory=dict)    # servers that may hold a state for it
-    unheard: set[Server] = field(default_factory=set)    # of them: the end of a read there was not heard
 
     @property
     def gen(self) -> Generation:
--- a/ternlane/load/arrivals.py
+++ b/ternlane/load/arrivals.py
@@ -2,7 +2,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from math import inf, pi, sin
 
 
@@ -14,21 +14,14 @@
         yield at
 
 
-def thinned(rng: random.Random, top: float, rate_at: RateAt) -> Iterator[float]:
-    """A rate that changes with time, drawn from the highest by leaving arrivals out."""
+def thinned(rng: random.Random, top: float, rate_at: Callable[[float], float]) -> Iterator[float]:
+    """A rate that changes with time, so many a second at a time, drawn from the highest by leaving arrivals out."""
     for at in poisson(rng, top):
         if rng.random() * top < rate_at(at):
             yield at
 
 
-class RateAt:
-    """So many a second at a time, s."""
-
-    def __call__(self, at: float) -> float:
-        raise NotImplementedError
-
-
-class Diurnal(RateAt):
+class Diurnal:
     """A day of `period_s`, from `rate * (1 - swing)` to `rate * (1 + swing)`."""
 
     def __init__(self, rate: float, swing: float, period_s: float) -> None:
@@ -38,7 +31,7 @@
         return self.rate * (1 + self.swing * sin(2 * pi * at / self.period_s))
 
 
-class Bursty(RateAt):
+class Bursty:
     """`times` the rate for the first `part` of each `period_s`, and so little else that the mean is `rate`."""
 
     def __init__(self, rate: float, times: float, part: float, period_s: float) -> None:
--- a/ternlane/load/plan.py
+++ b/ternlane/load/plan.py
@@ -100,6 +100,10 @@
     return max(1, round(told[0] * rng.lognormvariate(0.0, spread))) if spread else max(1, round(told[0]))
 
 
+def words(rng: random.Random, many: int) -> str:
+    return " ".join(rng.choice(WORDS) + str(rng.randrange(1000)) for _ in range(many))
+
+
 class Drawer:
     """Draws sessions; the same seed gives the same ones, whatever the answers do."""
 
@@ -109,9 +113,6 @@
         self.zipf = [list(accumulate(1 / (i + 1) ** m.zipf for i in range(m.openings))) for m in paper.products]
         self.tenants = list(accumulate(paper.tenants.values()))
 
-    def words(self, many: int) -> str:
-        return " ".join(self.rng.choice(WORDS) + str(self.rng.randrange(1000)) for _ in range(many))
-
     def ask(self, at_s: float) -> Ask:
         rng = self.rng
         at = bisect(self.shares, rng.random() * self.shares[-1])
@@ -120,13 +121,12 @@
         if mix.openings:
             sums = self.zipf[self.paper.products.index(mix)]
             which = bisect(sums, rng.random() * sums[-1])
-            text = random.Random(f"{self.paper.seed} {mix.model} {which}")
-            messages.append({"role": "system", "content": " ".join(
-                text.choice(WORDS) + str(text.randrange(1000)) for _ in range(mix.opening_words))})
+            own = random.Random(f"{self.paper.seed} {mix.model} {which}")
+            messages.append({"role": "system", "content": words(own, mix.opening_words)})
         turns = 1
         while rng.random() < 1 - 1 / mix.turns:
             turns += 1
-        said = [self.words(drawn(rng, mix.prompt_words)) for _ in range(turns)]
+        said = [words(rng, drawn(rng, mix.prompt_words)) for _ in range(turns)]
         key = ""
         if self.tenants:
             at = bisect(self.tenants, rng.random() * self.tenants[-1])
--- a/ternlane/standin/engine.py
+++ b/ternlane/standin/engine.py
@@ -17,6 +17,7 @@
 import trio
 from xxhash import xxh3_64_intdigest
 
+from ternlane.emulator import Load
 from ternlane.http1 import Exchange, Pool, Unconnected, event_bytes, serve_connection
 from ternlane.standin.traffic import Traffic, clock_ms
 
@@ -214,10 +215,11 @@
             self.traffic.line("fell", id=self.ident)
             self.die()
 
+    def figures(self) -> Load:
+        return Load(self.busy, len(self.queue), min(1.0, self.used / self.build.mem_toks))
+
     def load(self) -> tuple[str, str]:
-        figures = {"named_metrics": {"kv_cache_usage_perc": round(min(1.0, self.used / self.build.mem_toks), 4),
-                                     "num_requests_running": self.busy, "num_requests_waiting": len(self.queue)}}
-        return "endpoint-load-metrics", "JSON " + msgspec.json.encode(figures).decode()
+        return "endpoint-load-metrics", self.figures().header()
 
     async def enter(self) -> None:
         """A slot, at once or after the queue. Raises Refused."""
@@ -253,8 +255,7 @@
             await self.leg(exchange)
         elif exchange.path == "/ternlane/v1/release":
             gen = str(msgspec.json.decode(exchange.body)["request_id"])
-            self.drop_state(gen, "released")
-            await exchange.answer(200, [self.load()], b"{}")
+            await exchange.answer(200 if self.drop_state(gen, "released") else 404, [self.load()], b"{}")
         elif exchange.path == "/ternlane/v1/hold":
             asked = msgspec.json.decode(exchange.body)
             gen, toks = str(asked["request_id"]), float(asked["tokens"])
@@ -267,19 +268,18 @@
             await exchange.answer(200 if fits else 409, [self.load()], b"{}")
         elif exchange.path == "/metrics":
             self.traffic.line("asked", id=self.ident)
-            text = (f"vllm:num_requests_running {self.busy}\nvllm:num_requests_waiting {len(self.queue)}\n"
-                    f"vllm:kv_cache_usage_perc {min(1.0, self.used / self.build.mem_toks):.4f}\n")
-            await exchange.answer(200, [], text.encode(), "text/plain; version=0.0.4")
+            await exchange.answer(200, [], self.figures().metrics().encode(), "text/plain; version=0.0.4")
         elif exchange.path == "/standin/state":
             await self.give_state(exchange)
         else:
             await exchange.answer(404, [], b"{}")
 
-    def drop_state(self, gen: str, how: str) -> None:
+    def drop_state(self, gen: str, how: str) -> bool:
         held = self.states.pop(gen, None)
         if held is not None:
             self.used -= held[0]
             self.traffic.line(how, id=self.ident, gen=gen)
+        return held is not None
 
     async def give_state(self, exchange: Exchange) -> None:
         gen = exchange.query.removeprefix("gen=")
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -8,11 +8,10 @@
 from pathlib import Path
 from typing import Any
 
-import msgspec
 import pytest
 import trio
 
-from tests.world import BUILD, PRODUCTS, Reply, World, heard, replace, world
+from tests.world import BUILD, Reply, World, heard, patient, replace, world
 from ternlane.engine.leg import LegPlan, read_leg, stream_leg
 from ternlane.http1 import Caller, Pool
 from ternlane.paper import ConsulSource, NodeLine
@@ -498,8 +497,7 @@
 
 @pytest.mark.parametrize("model", ["summary", "note"])
 async def test_a_read_whose_answer_is_lost_is_told_by_a_later_one(model: str) -> None:
-    patient = [msgspec.structs.replace(p, slo_ms=8 * p.slo_ms, limit_ms=8 * p.limit_ms) for p in PRODUCTS]
-    async with world(products=patient) as w, trio.open_nursery() as nursery:
+    async with world(products=patient(8)) as w, trio.open_nursery() as nursery:
         await w.ask(text="the same")
         reader = w.engines[w.said("leg", stage="read")[0]["id"]]
         reader.trouble.script = "silent"
@@ -525,10 +523,9 @@
     async with world(("r0", "r0b", "w0")) as w:
         heard: list[str] = []
         for ident in ("r0", "r0b"):    # each hears the first word of it too early
-            def too_early(gen: str, how: str, ident: str = ident, real: Any = w.engines[ident].drop_state) -> None:
+            def too_early(gen: str, how: str, ident: str = ident, real: Any = w.engines[ident].drop_state) -> bool:
                 heard.append(ident)
-                if heard.count(ident) > 1:
-                    real(gen, how)
+                return heard.count(ident) > 1 and bool(real(gen, how))
             monkeypatch.setattr(w.engines[ident], "drop_state", too_early)
             w.engines[ident].trouble.lost = 1.0
         reply = await w.ask()
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -108,7 +108,7 @@
         tally = await Load(paper(seconds=1.2, arrivals=Arrivals(rate=20.0), late_ms=1000.0), w.gateway.address).run()
         due = sum(tally.outcomes.values())
         assert due == len(list(asks(paper(seconds=1.2, arrivals=Arrivals(rate=20.0)))))    # none was left out
-        assert due - tally.outcomes["streamed"] + tally.first.many >= due    # each has a time or another outcome
+        assert tally.first.many >= tally.outcomes["streamed"] > 0    # each that was answered has its time
         slow = sum(n for at, n in tally.first.counts.items() if tally.first.gamma ** at > 300.0)
         assert slow + due - tally.outcomes["streamed"] > due / 4
 
--- a/tests/test_recover.py
+++ b/tests/test_recover.py
@@ -15,7 +15,7 @@
 
 from tests.test_rules import RULES
 from tests.test_transports import REQUEST, Local, paper
-from tests.world import BUILD, PRODUCTS, TERMS, Reply, World, replace, world
+from tests.world import BUILD, TERMS, Reply, World, patient, replace, world
 from ternlane.paper import FleetTerms, StreamTerms
 from ternlane.port import Effect
 from ternlane.embed import open_routing
@@ -230,8 +230,7 @@
 
 async def test_half_the_writers_go_at_once_and_all_streams_come_through() -> None:
     async with world(("r0", "r0b", "w0", "w0b", "w1", "w1b"), build=replace(
-            BUILD, tok_ms=25.0, answer_toks=(20, 20)), terms=terms(), products=[    # with a busy machine
-            msgspec.structs.replace(p, slo_ms=4 * p.slo_ms, limit_ms=4 * p.limit_ms) for p in PRODUCTS]) as w:
+            BUILD, tok_ms=25.0, answer_toks=(20, 20)), terms=terms(), products=patient(4)) as w:
         replies: list[Reply] = []
 
         async def ask(i: int) -> None:
--- a/tests/test_switch.py
+++ b/tests/test_switch.py
@@ -21,11 +21,9 @@
 from ternlane.paper import GatewayPaper, ProductTerms
 from tests.conftest import FACTS, FakeHost, build, kinds, sent
 from tests.test_days import gate, wait_for
-from tests.world import BUILD, PRODUCTS, TERMS, Reply, World, replace, world
+from tests.world import BUILD, TERMS, Reply, World, patient, replace, world
 
 SLOW = replace(BUILD, tok_ms=25.0, answer_toks=(16, 16))
-PATIENT = [msgspec.structs.replace(p, slo_ms=4 * p.slo_ms, limit_ms=4 * p.limit_ms)    # with a busy machine
-           for p in PRODUCTS]
 
 
 def other_shape(paper: GatewayPaper) -> GatewayPaper:
@@ -46,7 +44,7 @@
 
 async def test_a_switch_and_the_way_back_lose_nothing_and_repeat_nothing() -> None:
     replies: list[Reply] = []
-    async with world(build=SLOW, products=PATIENT) as w:
+    async with world(build=SLOW, products=patient(4)) as w:
         before = w.gateway.paper
 
         async def ask(model: str) -> None:
--- a/tests/world.py
+++ b/tests/world.py
@@ -23,6 +23,13 @@
     ProductTerms(name="note", effect="side-effecting", slo_ms=400, tok_slo_ms=60, limit_ms=1500, revenue=2),
     ProductTerms(name="form", effect="deduplicated", group="cell", window_ms=1500, slo_ms=400, tok_slo_ms=60,
                  limit_ms=1500)]
+
+
+def patient(times: float) -> list[ProductTerms]:
+    """The same products with longer times, where a busy machine must not matter."""
+    return [msgspec.structs.replace(p, slo_ms=times * p.slo_ms, limit_ms=times * p.limit_ms) for p in PRODUCTS]
+
+
 BUILD = Build(slots=8, read_tok_s=40e3, tok_ms=3.0, tok_grow=0.0, answer_toks=(6, 6), cold_ms=2000, cold_from=0.3)
 TERMS = FleetTerms(connect_ms=150, release_ms=300, cold_ms=2000, cold_from=0.3, fall_multiple=3, fall_ms=1000)
 
@@ -150,4 +157,4 @@
         nursery.cancel_scope.cancel()
 
 
-__all__ = ["BUILD", "PRODUCTS", "TERMS", "Reply", "World", "heard", "replace", "world"]
+__all__ = ["BUILD", "PRODUCTS", "TERMS", "Reply", "World", "heard", "patient", "replace", "world"]
