--- a/ternlane/embed/routing.py
+++ b/ternlane/embed/routing.py
@@ -22,13 +22,14 @@
 from ternlane.choice import Router
 from ternlane.engine import Transport
 from ternlane.gateway.facts import offer_of
-from ternlane.gateway.host import Chooser, Host, now_ms
+from ternlane.gateway.host import Host
 from ternlane.gateway.logs import library_log
 from ternlane.gateway.measures import Measures
 from ternlane.gateway.ticket import Outlet, Streamed, Terminated, Throttled, Ticket
 from ternlane.nodes import Book
 from ternlane.paper import GatewayPaper, InlineSource, NodeLine, checked
 from ternlane.port import StartFacts
+from ternlane.turns import Chooser, now_ms
 
 
 class ThrottledError(Exception):
--- a/ternlane/gateway/door.py
+++ b/ternlane/gateway/door.py
@@ -14,7 +14,7 @@
 from ternlane.chat import (Busy, ChatAsk, Differs, Done, Intake, Repeats, Wrong, answer_body, chunk, error_body,
                            read_chat, usage_chunk)
 from ternlane.chat.beyond import More
-from ternlane.gateway.host import Host, now_ms
+from ternlane.gateway.host import Host
 from ternlane.gateway.measures import Measures
 from ternlane.gateway.scribe import final_of
 from ternlane.gateway.till import Till
@@ -26,6 +26,7 @@
 from ternlane.recover.inflight import Known
 from ternlane.tenants import Hold, Refusal, TenantLine, Unknown
 from ternlane.tenants.cashier import wait_s
+from ternlane.turns import now_ms
 
 IDENT = re.compile(r"[A-Za-z0-9._:-]{1,80}")
 TIME_LIMIT = b"x-ternlane-time-limit-ms"
--- a/ternlane/gateway/gateway.py
+++ b/ternlane/gateway/gateway.py
@@ -17,7 +17,8 @@
 from ternlane.engine import SocketTransport, Transport
 from ternlane.gateway.door import Door
 from ternlane.gateway.facts import offer_of
-from ternlane.gateway.host import Chooser, Host, now_ms
+from ternlane.gateway.host import Host
+from ternlane.turns import Chooser, now_ms
 from ternlane.gateway.logs import library_log
 from ternlane.gateway.measures import Measures
 from ternlane.gateway.scribe import Scribe
--- a/ternlane/gateway/host.py
+++ b/ternlane/gateway/host.py
@@ -5,8 +5,7 @@
 """
 from __future__ import annotations
 
-from heapq import heappop, heappush
-from typing import Any, Callable, Protocol
+from typing import Any, Callable
 
 import trio
 
@@ -23,31 +22,18 @@
 from ternlane.port import Duty, Life, Server, StartFacts, Verdict
 from ternlane.recover import Differs, Fate, Join, Mender, Way
 from ternlane.tenants.billing import Used
+from ternlane.turns import Chooser, Turns, now_ms
 
 
-class Chooser(Protocol):
-    """What decides: choice.Router, or a baseline to measure against."""
-
-    def take(self, now: float, events: list[port.Event]) -> list[port.Action]: ...
-
-
-def now_ms() -> float:
-    return trio.current_time() * 1000
-
-
-class Host:
+class Host(Turns):
     def __init__(self, chooser: Chooser, facts: StartFacts, transport: Transport, book: Book, intake: Intake,
                  nursery: trio.Nursery, measures: Measures, log: Any, streams: StreamTerms | None = None) -> None:
-        self.chooser, self.facts, self.transport, self.book, self.intake = chooser, facts, transport, book, intake
+        super().__init__(chooser)
+        self.facts, self.transport, self.book, self.intake = facts, transport, book, intake
         self.nursery, self.measures, self.log = nursery, measures, log
-        self.heard: list[port.Event] = []
-        self.turning = False
         self.tickets: dict[port.Generation, Ticket] = {}
-        self.due: list[tuple[float, int, bool | None]] = []    # the one ordered structure of due times; None: `resume`
         self.mender: Mender[Ticket] = Mender(streams or StreamTerms(), facts)
         self.resume_at = float("inf")
-        self.turns = 0
-        self.alarm = trio.Event()
         self.idents: set[str] = set()
         self.releasing = 0
         self.mute: set[str] = set()    # servers that were asked for their load and did not say
@@ -58,11 +44,6 @@
 
     # -- the loop
 
-    def tell(self, event: port.Event) -> None:
-        self.heard.append(event)
-        if not self.turning:
-            self.turn()
-
     def listed(self, news: port.Listed) -> None:
         for server in news.servers:
             if server.life is Life.GONE:
@@ -77,16 +58,6 @@
         self.mender.alter(offer.facts)
         self.tell(port.Altered(offer.facts))
 
-    def turn(self) -> None:
-        self.turning = True
-        try:
-            while self.heard:
-                events, self.heard = self.heard, []
-                for action in self.chooser.take(now_ms(), events):
-                    self.carry_out(action)
-        finally:
-            self.turning = False
-
     def carry_out(self, action: port.Action) -> None:
         match action:
             case port.SendLeg(gen, server):
@@ -103,10 +74,6 @@
                 self.settle(ticket, Terminated(ticket.why if ticket is not None else "", timed_out))
             case port.LetGo(gen):
                 self.let_go(self.tickets.get(gen))
-            case port.Wake(at, beat):
-                self.turns += 1
-                heappush(self.due, (at, self.turns, beat))
-                self.alarm.set()
             case port.Follow():
                 self.on_follow()
             case port.Log(server, text):
@@ -116,30 +83,8 @@
             case port.Probe(server):
                 self.nursery.start_soon(self.probe, server)
 
-    async def clock(self) -> None:
-        """Wakes the decisions at the times they asked for; all that is due goes in one turn."""
-        while True:
-            if not self.due:
-                self.alarm = trio.Event()
-                await self.alarm.wait()
-                continue
-            wait = self.due[0][0] - now_ms()
-            if wait > 0:
-                self.alarm = trio.Event()
-                with trio.move_on_after(wait / 1000):
-                    await self.alarm.wait()
-                continue
-            while self.due and self.due[0][0] <= now_ms():
-                beat = heappop(self.due)[2]
-                if beat is None:
-                    self.resume_at = float("inf")
-                    self.resume()
-                else:
-                    self.heard.append(port.Woken(beat))
-            if self.heard and not self.turning:
-                self.turn()
-            self.transport.sweep()
-            await trio.lowlevel.checkpoint()
+    def woken(self) -> None:
+        self.transport.sweep()
 
     # -- generations
 
@@ -366,9 +311,11 @@
         at = self.mender.due(now_ms())
         if at < self.resume_at:
             self.resume_at = at
-            self.turns += 1
-            heappush(self.due, (at, self.turns, None))
-            self.alarm.set()
+            self.at(at, self.resume_due)
+
+    def resume_due(self) -> None:
+        self.resume_at = float("inf")
+        self.resume()
 
     def let_go(self, ticket: Ticket | None) -> None:
         if ticket is None:
--- a/ternlane/gateway/till.py
+++ b/ternlane/gateway/till.py
@@ -13,13 +13,13 @@
 import trio
 from xxhash import xxh3_64_hexdigest
 
-from ternlane.gateway.host import now_ms
 from ternlane.gateway.ticket import Streamed, Ticket
 from ternlane.ledger import Disk, Store, Totals, Writer
 from ternlane.ledger.lending import lender_file
 from ternlane.paper import GatewayPaper, PaperError, read_paper
 from ternlane.tenants import Cashier, Hold, Refusal, Roll, TenantLine, bill_for
 from ternlane.tenants.roll import Budget, RollPaper
+from ternlane.turns import now_ms
 
 LOOK_S = 0.5
 
--- a/ternlane/http1/caller.py
+++ b/ternlane/http1/caller.py
@@ -2,8 +2,10 @@
 from __future__ import annotations
 
 import select
-from collections import deque
-from typing import AsyncIterator, Sequence
+from collections import OrderedDict
+from ipaddress import ip_address
+from math import inf
+from typing import AsyncIterator, Callable, Sequence
 
 import h11
 import trio
@@ -13,10 +15,12 @@
 Headers = Sequence[tuple[str, str]]
 CHUNK = 65536
 PER_PEER = 64    # idle connections kept for each peer
+HEAD_BYTES = 16384    # of an answer's head, or of a chunk's line
+INTERIM = 16    # heads that may come ahead of the answer's (1xx)
 
 
 class Unconnected(Exception):
-    """No connection was made: nothing was sent."""
+    """No connection was made, or it broke before the request's last byte was written: nothing can have run."""
 
 
 class Caller:
@@ -24,11 +28,15 @@
 
     def __init__(self, stream: trio.SocketStream, peer: str, local: tuple[str, int]) -> None:
         self.stream, self.peer, self.local = stream, peer, local
-        self.conn = h11.Connection(h11.CLIENT)
+        self.conn = h11.Connection(h11.CLIENT, max_incomplete_event_size=HEAD_BYTES)
         self.idle_since = 0.0
+        self.written = False    # the request's last byte
+        self.on_close: Callable[[Caller], None] = lambda _: None
 
     async def ask(self, method: str, target: str, headers: Headers, body: bytes = b"") -> h11.Response:
-        """Raises trio.BrokenResourceError or h11.RemoteProtocolError where the connection or the peer breaks off."""
+        """Raises Unconnected where the connection breaks before the request's last byte is written, and after that
+        trio.BrokenResourceError or h11.RemoteProtocolError where it or the peer breaks off."""
+        self.written = False
         head = [("Host", self.peer), *headers]
         if body or method != "GET":
             head.append(("Content-Length", str(len(body))))
@@ -36,13 +44,18 @@
         if body:
             out += self.conn.send(h11.Data(data=body)) or b""
         out += self.conn.send(h11.EndOfMessage()) or b""
-        await send(self.stream, out)
-        while True:
+        try:
+            await send(self.stream, out)
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as why:
+            raise Unconnected(f"{self.peer}: broke before all was written: {why}") from None
+        self.written = True
+        for _ in range(INTERIM):
             event = await self.event()
             if isinstance(event, h11.Response):
                 return event
             if not isinstance(event, h11.InformationalResponse):
                 raise h11.RemoteProtocolError("the connection closed before the answer began")
+        raise h11.RemoteProtocolError("interim answers without end")
 
     async def event(self) -> h11.Event | type[h11.PAUSED]:
         while True:
@@ -72,7 +85,9 @@
 
     @property
     def reusable(self) -> bool:
-        return self.conn.our_state is h11.DONE and self.conn.their_state is h11.DONE
+        """Is the answer whole, with nothing behind it? What comes unasked could be taken for the next answer."""
+        return (self.conn.our_state is h11.DONE and self.conn.their_state is h11.DONE
+                and not self.conn.trailing_data[0])
 
     @property
     def dead(self) -> bool:
@@ -87,57 +102,105 @@
     def close_now(self) -> None:
         """Closes without waiting; what the peer still sends is answered by a reset."""
         self.stream.socket.close()
+        self.on_close(self)
 
 
 class Pool:
-    """Connections to many peers. A borrowed one comes back by `give_back`, or is closed."""
-
-    def __init__(self, connect_ms: float, idle_ms: float, source: str | None = None) -> None:
-        self.connect_ms, self.idle_ms, self.source = connect_ms, idle_ms, source
-        self.idle: dict[str, deque[Caller]] = {}
+    """Connections to many peers. A borrowed one comes back by `give_back`, or is closed. With `limit` open the one
+    that has been idle for longest makes room for a new one."""
+
+    def __init__(self, connect_ms: float, idle_ms: float, source: str | None = None, limit: float = inf) -> None:
+        self.connect_ms, self.idle_ms, self.source, self.limit = connect_ms, idle_ms, source, limit
+        self.idle: dict[str, OrderedDict[Caller, None]] = {}    # of each peer, the most recently used last
+        self.resting: OrderedDict[Caller, None] = OrderedDict()    # the idle ones of all
+        self.open: set[Caller] = set()
+        self.opening = 0
         self.made = 0
 
     async def take(self, peer: str) -> Caller:
         """Raises Unconnected when none could be made in time."""
         kept, now = self.idle.get(peer), trio.current_time()
         while kept:
-            caller = kept.pop()
+            caller = next(reversed(kept))
             if now - caller.idle_since < self.idle_ms / 1000 and not caller.dead:
+                self._rested(caller)
                 return caller
             caller.close_now()
         return await self.connect(peer)
 
     async def connect(self, peer: str) -> Caller:
         host, _, port = peer.rpartition(":")
+        while len(self.open) + self.opening >= self.limit:
+            if not self.resting:
+                raise Unconnected(f"{peer}: {len(self.open)} connections are out, as many as may be")
+            next(iter(self.resting)).close_now()
+        self.opening += 1
         try:
             with trio.fail_after(self.connect_ms / 1000):
-                stream = await trio.open_tcp_stream(host.strip("[]"), int(port), local_address=self.source)
+                stream = await reach(host.strip("[]"), int(port), self.source)
         except (OSError, trio.TooSlowError) as why:
             raise Unconnected(f"{peer}: {why!r}") from None
+        finally:
+            self.opening -= 1
         self.made += 1
         name = stream.socket.getsockname()
-        return Caller(stream, peer, (name[0], name[1]))
+        caller = Caller(stream, peer, (name[0], name[1]))
+        self.open.add(caller)
+        caller.on_close = self._closed
+        return caller
+
+    def _rested(self, caller: Caller) -> None:
+        """It lies idle no more."""
+        if self.resting.pop(caller, self) is None:
+            kept = self.idle[caller.peer]
+            del kept[caller]
+            if not kept:
+                del self.idle[caller.peer]
+
+    def _closed(self, caller: Caller) -> None:
+        self.open.discard(caller)
+        self._rested(caller)
 
     def give_back(self, caller: Caller) -> None:
-        kept = self.idle.setdefault(caller.peer, deque())
-        if not caller.reusable or len(kept) >= PER_PEER:
+        if not caller.reusable or len(self.idle.get(caller.peer, ())) >= PER_PEER:
             caller.close_now()
             return
         caller.conn.start_next_cycle()
         caller.idle_since = trio.current_time()
-        kept.append(caller)
+        self.idle.setdefault(caller.peer, OrderedDict())[caller] = None
+        self.resting[caller] = None
+
+    def forget(self, peer: str) -> None:
+        """Closes what lies idle to a peer that is no longer there."""
+        for caller in list(self.idle.get(peer, ())):
+            caller.close_now()
 
     def sweep(self) -> None:
-        """Closes what has lain idle too long or was closed by its peer."""
+        """Closes what has lain idle too long."""
         now = trio.current_time()
-        for peer, kept in list(self.idle.items()):
-            while kept and now - kept[0].idle_since >= self.idle_ms / 1000:
-                kept.popleft().close_now()
-            if not kept:
-                del self.idle[peer]
+        while self.resting:
+            caller = next(iter(self.resting))
+            if now - caller.idle_since < self.idle_ms / 1000:
+                break
+            caller.close_now()
 
     def close(self) -> None:
-        for kept in self.idle.values():
-            for caller in kept:
-                caller.close_now()
-        self.idle.clear()
+        for caller in list(self.resting):
+            caller.close_now()
+
+
+async def reach(host: str, port: int, source: str | None) -> trio.SocketStream:
+    """A connection to an address; names take the long way."""
+    try:
+        family = trio.socket.AF_INET6 if ip_address(host).version == 6 else trio.socket.AF_INET
+    except ValueError:
+        return await trio.open_tcp_stream(host, port, local_address=source)
+    sock = trio.socket.socket(family, trio.socket.SOCK_STREAM)
+    try:
+        if source is not None:
+            await sock.bind((source, 0))
+        await sock.connect((host, port))
+        return trio.SocketStream(sock)
+    except BaseException:
+        sock.close()
+        raise
--- a/ternlane/http1/server.py
+++ b/ternlane/http1/server.py
@@ -1,6 +1,7 @@
 """The serving side: reads requests off one connection and hands each to a handler."""
 from __future__ import annotations
 
+from math import inf
 from typing import Awaitable, Callable, Sequence
 
 import h11
@@ -106,17 +107,23 @@
 async def serve_connection(stream: trio.SocketStream, handler: Handler, *, body_bytes: int, head_ms: float,
                            body_ms: float, idle_ms: float, send_ms: float,
                            refusal: Refuser = plain_refusal, draining: Callable[[], bool] = lambda: False,
-                           early_ok: bool = False) -> None:
+                           early_ok: bool = False, head_bytes: int = 65536, first_ms: float = inf,
+                           resting: Callable[[bool], None] = lambda _: None) -> None:
     """Serves one connection until either side ends it. Never raises for what the client does. A request that comes
-    before the one ahead of it is answered is refused, or with `early_ok` served in its turn."""
-    conn = h11.Connection(h11.SERVER, max_incomplete_event_size=65536)
+    before the one ahead of it is answered is refused, or with `early_ok` served in its turn. The first request must be
+    there within `first_ms`; `resting` is told when the wait for a request begins, and when one is there."""
+    conn = h11.Connection(h11.SERVER, max_incomplete_event_size=head_bytes)
+    first_by = trio.current_time() + first_ms / 1000
     exchange: Exchange | None = None
     try:
         while True:
             exchange = None
-            exchange = await next_request(stream, conn, body_bytes, head_ms, body_ms, idle_ms, send_ms)
+            resting(True)
+            exchange = await next_request(stream, conn, body_bytes, head_ms, body_ms, idle_ms, send_ms, first_by)
             if exchange is None:
                 return
+            resting(False)
+            first_by = inf
             await handler(exchange)
             if conn.our_state is not h11.DONE or conn.their_state is not h11.DONE or draining():
                 return
@@ -147,17 +154,17 @@
 
 
 async def next_request(stream: trio.SocketStream, conn: h11.Connection, body_bytes: int, head_ms: float,
-                       body_ms: float, idle_ms: float, send_ms: float) -> Exchange | None:
+                       body_ms: float, idle_ms: float, send_ms: float, by: float = inf) -> Exchange | None:
     begun, arrived = bool(conn.trailing_data[0]), trio.current_time()
     try:
-        scope = trio.CancelScope(deadline=trio.current_time() + (head_ms if begun else idle_ms) / 1000)
+        scope = trio.CancelScope(deadline=min(by, trio.current_time() + (head_ms if begun else idle_ms) / 1000))
         with scope:
             event = conn.next_event()
             while event is h11.NEED_DATA:
                 data = await stream.receive_some(CHUNK)
                 if data and not begun:
                     begun, arrived = True, trio.current_time()
-                    scope.deadline = arrived + head_ms / 1000    # the head's own time limit starts with its first byte
+                    scope.deadline = min(by, arrived + head_ms / 1000)    # counted from its first byte
                 conn.receive_data(data)
                 event = conn.next_event()
         if scope.cancelled_caught:
@@ -169,11 +176,13 @@
         exchange = Exchange(stream, conn, event, send_ms)
         exchange.arrived = arrived
         stated = exchange.header(b"content-length")
+        if stated is not None and exchange.header(b"transfer-encoding") is not None:
+            raise BadRequest(400, "both Content-Length and Transfer-Encoding", "two_lengths")    # one may hide another
         if stated is not None and int(stated) > body_bytes:
             raise BadRequest(413, f"the body is longer than {body_bytes} bytes", "body_too_large")
         if conn.they_are_waiting_for_100_continue:
             await exchange.send(conn.send(h11.InformationalResponse(status_code=100, headers=[])) or b"")
-        with trio.move_on_after(body_ms / 1000) as limit:
+        with trio.move_on_at(min(by, trio.current_time() + body_ms / 1000)) as limit:
             parts, length = [], 0
             while True:
                 event = conn.next_event()
--- /dev/null
+++ b/ternlane/platform/engines.py
@@ -0,0 +1,198 @@
+"""Legs to readers and writers, what is let go of, places held ahead and probes, over sockets.
+
+It decides nothing: where to, for how long and what then come from the decisions by way of the node.
+"""
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from math import inf
+from typing import Awaitable, Protocol
+
+import h11
+import trio
+
+from ternlane.deployment import Deployment
+from ternlane.http1 import Caller, Pool, Unconnected
+from ternlane.platform.protocol import LEASE_PATH, LOAD, NOT_STARTED, STATS_PATH, Events, kept_of, load_of, outcome_of
+from ternlane.port import Duty, Report, Verdict
+
+BROKEN = (trio.BrokenResourceError, trio.ClosedResourceError, OSError)
+PLAIN_BYTES = 65536    # of an answer that is no stream
+
+
+class ClientGone(Exception):
+    """The client's side broke while the answer was passed on; says nothing of the engine."""
+
+
+@dataclass(slots=True, eq=False)
+class Leg:
+    """One leg's way out: the request as the client sent it, to which address, for how long (ms)."""
+    address: str
+    duty: Duty
+    method: str
+    target: str
+    ident: str
+    body: bytes
+    timeout_ms: float
+    quiet_ms: float
+    scope: trio.CancelScope = field(default_factory=trio.CancelScope)
+    called_off: bool = False
+    last_by: float = inf    # a read's or a first token's, by trio's clock
+
+    def call_off(self) -> None:
+        self.called_off = True
+        self.scope.cancel()
+
+
+@dataclass(slots=True)
+class LegEnd:
+    verdict: Verdict = Verdict.TIMED_OUT
+    begun: bool = False    # the client has its first event
+    kept: float = 0.0
+    state_lost: bool = False
+    report: Report | None = None
+    why: str = ""
+
+
+class Outlet(Protocol):
+    """Where a stream's bytes go. Raises trio.BrokenResourceError once the client has gone."""
+
+    def first(self, data: bytes) -> Awaitable[None]: ...
+
+    def more(self, data: bytes) -> Awaitable[None]: ...
+
+
+class Engines:
+    """All model servers' sockets."""
+
+    def __init__(self, pool: Pool, deployment: Deployment) -> None:
+        self.pool, self.deployment = pool, deployment
+        self.heard_at: dict[str, float] = {}    # when each address last answered
+
+    async def run(self, leg: Leg, outlet: Outlet) -> LegEnd:
+        """Never raises but for an outer cancellation, and ClientGone."""
+        end, caller, whole = LegEnd(), None, False
+        leg.last_by = trio.current_time() + leg.timeout_ms / 1000
+        leg.scope.deadline = min(leg.scope.deadline, leg.last_by)
+        try:
+            with leg.scope:
+                caller = await self.pool.take(leg.address)
+                left = max(0.0, leg.last_by - trio.current_time())
+                head = await caller.ask(leg.method, leg.target, [
+                    ("Request-Id", leg.ident), ("Request-Timeout", f"{left:.3f}"),
+                    ("Content-Type", "application/json")], leg.body)
+                self.heard_at[leg.address] = trio.current_time()
+                said = {name: value.decode("latin-1") for name, value in head.headers}
+                end.report = load_of(said.get(LOAD), self.deployment)
+                outcome = outcome_of(head.status_code, said.get(NOT_STARTED) == "1", leg.duty)
+                if outcome.verdict is None:
+                    whole = await self.stream(leg, caller, outlet, end)
+                else:
+                    body = await caller.body(PLAIN_BYTES)
+                    whole = True
+                    end.verdict, end.state_lost = outcome.verdict, outcome.state_lost
+                    end.kept = kept_of(body) if outcome.verdict is Verdict.READ else 0.0
+                    end.why = "" if outcome.verdict is Verdict.READ else f"status {head.status_code}"
+        except Unconnected as why:
+            end.verdict, end.why = Verdict.UNCONNECTED, str(why)
+        except BROKEN as why:
+            end.verdict, end.why = Verdict.RESET, repr(why)
+        except h11.RemoteProtocolError as why:    # a torn answer is a broken connection, a spoilt one an error
+            end.verdict = Verdict.RESET if "closed" in str(why) else Verdict.ERROR
+            end.why = f"spoilt: {why}"
+        except ValueError as why:
+            end.verdict, end.why = Verdict.ERROR, f"spoilt: {why}"
+        finally:
+            if caller is not None and whole:
+                self.pool.give_back(caller)
+            elif caller is not None:
+                caller.close_now()
+        if leg.scope.cancelled_caught and not whole:
+            end.verdict = Verdict.CALLED_OFF if leg.called_off else Verdict.TIMED_OUT
+            if caller is None or not caller.written:    # its last byte never left: nothing can have run
+                end.verdict, end.why = Verdict.UNCONNECTED, "given up before all was written"
+            elif not leg.called_off:
+                end.why = "silent within the stream" if end.begun else "no answer in time"
+        return end
+
+    async def stream(self, leg: Leg, caller: Caller, outlet: Outlet, end: LegEnd) -> bool:
+        """Passes a writer's events on as they came. True once the last chunk has come."""
+        events = Events()
+        async for piece in caller.chunks():
+            ready = events.feed(piece)
+            if ready:
+                leg.scope.deadline = inf    # a slow client is not the engine's silence
+                try:
+                    if end.begun:
+                        await outlet.more(ready)
+                    elif events.begun:
+                        end.begun = True
+                        await outlet.first(ready)
+                    else:    # comments ahead of the first event
+                        events.rest = ready + events.rest
+                except BROKEN:
+                    raise ClientGone from None
+                leg.scope.deadline = trio.current_time() + leg.quiet_ms / 1000 if end.begun else leg.last_by
+        if not events.done:
+            raise ValueError("the stream ended before its last event")
+        end.verdict, end.kept = Verdict.STREAMED, events.kept
+        end.report = load_of(events.load, self.deployment) or end.report
+        self.heard_at[leg.address] = trio.current_time()
+        return True
+
+    async def ask(self, address: str, method: str, target: str, within_ms: float) -> tuple[Verdict, int, str | None,
+                                                                                          bytes]:
+        """A small call: how it went, the status, the load that came along and the body."""
+        caller, verdict = None, Verdict.TIMED_OUT
+        with trio.move_on_after(within_ms / 1000):
+            try:
+                caller = await self.pool.take(address)
+                head = await caller.ask(method, target, [])
+                body = await caller.body(PLAIN_BYTES)
+                said = next((v.decode("latin-1") for n, v in head.headers if n == LOAD), None)
+                self.heard_at[address] = trio.current_time()
+                self.pool.give_back(caller)
+                return Verdict.STREAMED, head.status_code, said, body
+            except Unconnected:
+                return Verdict.UNCONNECTED, 0, None, b""
+            except (h11.RemoteProtocolError, *BROKEN):
+                verdict = Verdict.RESET
+        if caller is not None:
+            caller.close_now()
+        return verdict, 0, None, b""
+
+    async def release(self, ident: str, addresses: list[str], within_ms: float) -> bool:
+        """Lets go of all that is held for a generation, wherever: any running engine passes it on. The one that was
+        heard last is asked first, the next ones while no answer comes, lest a silent one hold it up."""
+        heard = trio.Event()
+        step = within_ms / 8
+
+        async def one(address: str, cancel: trio.CancelScope) -> None:
+            _, status, _, _ = await self.ask(address, "DELETE", LEASE_PATH + ident, within_ms)
+            if status == 204:
+                heard.set()
+                cancel.cancel()
+
+        order = sorted(addresses, key=lambda a: -self.heard_at.get(a, 0.0))
+        with trio.move_on_after(within_ms / 1000):
+            async with trio.open_nursery() as nursery:
+                for address in order[:8]:
+                    nursery.start_soon(one, address, nursery.cancel_scope)
+                    await trio.sleep(step / 1000)
+        return heard.is_set()
+
+    async def hold(self, address: str, ident: str, within_ms: float) -> bool:
+        _, status, _, _ = await self.ask(address, "POST", LEASE_PATH + ident, within_ms)
+        return status == 200
+
+    async def load(self, address: str, within_ms: float) -> tuple[Verdict, Report | None]:
+        verdict, status, said, body = await self.ask(address, "GET", STATS_PATH, within_ms)
+        if verdict is Verdict.STREAMED and status != 200:
+            verdict = Verdict.ERROR
+        text = body.decode("latin-1").strip()
+        return verdict, load_of(said, self.deployment) or load_of(text.removeprefix("Server-Load:").strip(),
+                                                                  self.deployment)
+
+    def forget(self, address: str) -> None:
+        self.pool.forget(address)
+        self.heard_at.pop(address, None)
--- /dev/null
+++ b/ternlane/platform/node.py
@@ -0,0 +1,262 @@
+"""One gateway between its sockets and the decisions: generations, their legs, and what is held for them."""
+from __future__ import annotations
+
+import time
+from collections import Counter, deque
+from dataclasses import dataclass, field
+from typing import Any
+
+import trio
+
+from ternlane import port
+from ternlane.deployment import Deployment
+from ternlane.http1 import Exchange
+from ternlane.platform.engines import ClientGone, Engines, Leg, LegEnd
+from ternlane.platform.roster import Listing, Roster
+from ternlane.port import Generation, Life, Server, Verdict
+from ternlane.turns import Chooser, Turns, now_ms
+
+TRAILS = 512    # generations whose legs are kept for who asks
+STREAM_HEAD = [("Content-Type", "text/event-stream"), ("Cache-Control", "no-cache"),
+               ("Transfer-Encoding", "chunked")]
+
+
+@dataclass(slots=True)
+class Throttled:
+    pause_ms: float
+
+
+@dataclass(slots=True)
+class Terminated:
+    why: str
+
+
+@dataclass(slots=True)
+class Streamed:
+    """`whole`: with its last chunk; else its client's connection is to end without it."""
+    whole: bool
+
+
+Final = Throttled | Terminated | Streamed
+
+
+@dataclass(slots=True, eq=False)
+class Ticket:
+    """A generation at this gateway. `final` is set once; its client's connection, which watches, is then woken."""
+    ident: str
+    gen: Generation
+    exchange: Exchange
+    body: bytes
+    since: float
+    closing: bool = False    # its client's connection ends with the answer
+    final: Final | None = None
+    left: bool = False
+    flowing: bool = False
+    leg: Leg | None = None
+    legs: int = 0
+    why: str = ""
+    trail: list[str] = field(default_factory=list)
+    watch: trio.CancelScope = field(default_factory=trio.CancelScope)
+
+    @property
+    def over(self) -> bool:
+        return self.final is not None or self.left
+
+    async def first(self, data: bytes) -> None:
+        await self.exchange.begin(200, [*STREAM_HEAD, *([("Connection", "close")] if self.closing else [])], data)
+
+    async def more(self, data: bytes) -> None:
+        await self.exchange.chunk(data)
+
+
+class Node(Turns):
+    def __init__(self, chooser: Chooser, deployment: Deployment, engines: Engines, nursery: trio.Nursery,
+                 log: Any) -> None:
+        super().__init__(chooser)
+        self.deployment, self.engines, self.nursery, self.log = deployment, engines, nursery, log
+        self.roster = Roster(deployment)
+        self.tickets: dict[Generation, Ticket] = {}
+        self.idents: dict[str, Ticket] = {}
+        self.ended: list[Ticket] = []    # to be forgotten once the turn is over
+        self.releasing = 0
+        self.counts: Counter[str] = Counter()
+        self.trails: deque[tuple[str, str, list[str]]] = deque(maxlen=TRAILS)
+        self.draining = False
+
+    # -- the loop's side
+
+    def turn(self) -> None:
+        super().turn()
+        for ticket in self.ended:
+            self.forget(ticket)
+        self.ended.clear()
+
+    def carry_out(self, action: port.Action) -> None:
+        match action:
+            case port.SendLeg(gen, server):
+                self.send(self.tickets[gen], server, action)
+            case port.CallOff(gen):
+                ticket = self.tickets.get(gen)
+                if ticket is not None and ticket.leg is not None and not ticket.flowing:
+                    ticket.leg.call_off()
+            case port.Throttle(gen, pause):
+                self.settle(self.tickets.get(gen), Throttled(pause))
+            case port.Terminate(gen):
+                ticket = self.tickets.get(gen)
+                self.settle(ticket, Terminated(ticket.why if ticket is not None else ""))
+            case port.LetGo(gen):
+                ticket = self.tickets.get(gen)
+                if ticket is not None:
+                    self.releasing += 1
+                    self.nursery.start_soon(self.release, ticket.ident)
+            case port.HoldAhead(gen, server):
+                ticket = self.tickets.get(gen)
+                if ticket is not None and server in self.roster.spots:
+                    self.nursery.start_soon(self.hold, ticket, server)
+            case port.Probe(server):
+                self.nursery.start_soon(self.probe, server)
+            case port.Log(server, text):
+                spot = self.roster.spots.get(server)
+                self.log.info("server", server=spot.name if spot is not None else "gone", text=text)
+
+    def woken(self) -> None:
+        self.engines.pool.sweep()
+
+    def listed(self, listing: Listing) -> None:
+        news, gone = self.roster.take(listing, time.time() * 1000, now_ms())
+        for address in gone:
+            self.engines.forget(address)
+        if news.servers:
+            self.tell(news)
+
+    def alter(self, deployment: Deployment) -> None:
+        self.deployment = self.engines.deployment = deployment
+        self.roster.alter(deployment)
+        self.tell(port.Altered(deployment.facts))
+
+    # -- generations
+
+    def arrived(self, ticket: Ticket) -> None:
+        self.tickets[ticket.gen] = self.idents[ticket.ident] = ticket
+        self.counts["taken"] += 1
+        self.tell(port.Arrived(ticket.gen))
+
+    def client_left(self, ticket: Ticket) -> None:
+        """Nothing is owed any more; a stream that nobody reads is given up."""
+        if not ticket.over:
+            ticket.left = True
+            if ticket.leg is not None and ticket.flowing:
+                ticket.leg.call_off()
+            self.closed(ticket, "left")
+            self.tell(port.ClientLeft(ticket.gen))
+
+    def settle(self, ticket: Ticket | None, final: Final) -> None:
+        if ticket is None or ticket.over:
+            return
+        ticket.final = final
+        ticket.watch.cancel()
+        outcome = type(final).__name__.lower()
+        if isinstance(final, Streamed) and not final.whole:
+            outcome = "broken"
+        if now_ms() > ticket.since + ticket.gen.patience_ms and not ticket.flowing:
+            self.counts["late"] += 1
+        self.closed(ticket, outcome)
+
+    def closed(self, ticket: Ticket, outcome: str) -> None:
+        self.counts[outcome] += 1
+        self.trails.append((ticket.ident, outcome, ticket.trail))
+        self.ended.append(ticket)
+
+    def forget(self, ticket: Ticket) -> None:
+        """It stays until its answer is settled and its last leg has ended."""
+        if ticket.leg is None and ticket.over:
+            self.tickets.pop(ticket.gen, None)
+            if self.idents.get(ticket.ident) is ticket:
+                del self.idents[ticket.ident]
+
+    # -- legs
+
+    def send(self, ticket: Ticket, server: Server, times: port.SendLeg) -> None:
+        spot, exchange = self.roster.spots.get(server), ticket.exchange
+        leg = ticket.leg = Leg(spot.address if spot is not None else "", server.duty, exchange.method,
+                               exchange.request.target.decode("latin-1"), ticket.ident, ticket.body,
+                               times.timeout_ms, times.quiet_ms)
+        ticket.legs += 1
+        self.nursery.start_soon(self.run, ticket, server, leg, spot.name if spot is not None else "gone")
+
+    async def run(self, ticket: Ticket, server: Server, leg: Leg, name: str) -> None:
+        since, end = now_ms(), LegEnd()
+        try:
+            end = await self.engines.run(leg, Passing(self, ticket, server, since))
+        except ClientGone:
+            end = LegEnd(Verdict.CALLED_OFF, begun=True, why="the client left")
+            self.client_left(ticket)
+        except Exception as why:    # a fault of this program must not take the other generations with it
+            self.log.exception("leg")
+            end = LegEnd(Verdict.ERROR, begun=ticket.flowing, why=repr(why))
+        if end.verdict is Verdict.STREAMED and not ticket.over:
+            try:
+                await ticket.exchange.end()
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                self.client_left(ticket)
+            self.settle(ticket, Streamed(True))
+        elif end.begun:
+            self.settle(ticket, Streamed(False))
+        self.leg_ended(ticket, server, name, end, now_ms() - since)
+
+    def leg_ended(self, ticket: Ticket, server: Server, name: str, end: LegEnd, took: float) -> None:
+        ticket.leg, ticket.flowing = None, False
+        ticket.why = f"{end.verdict.name}: {end.why}" if end.why else ticket.why
+        kind = "read" if server.duty is port.Duty.READ else "write"
+        ticket.trail.append(f"{name} {kind} {end.verdict.name} {took:.0f} ms {end.why}".rstrip())
+        self.counts[f"{kind} {end.verdict.name}"] += 1
+        self.tell(port.LegEnded(ticket.gen, server, end.verdict, took, ticket.over, end.kept, end.state_lost,
+                                end.report))
+        self.forget(ticket)
+
+    # -- what is held
+
+    def addresses(self) -> list[str]:
+        return [spot.address for server, spot in self.roster.spots.items() if server.life is not Life.GONE]
+
+    async def release(self, ident: str) -> None:
+        try:
+            if not await self.engines.release(ident, self.addresses(), self.deployment.facts.release_ms):
+                self.counts["release unheard"] += 1
+        except Exception:
+            self.log.exception("release")
+        finally:
+            self.releasing -= 1
+
+    async def hold(self, ticket: Ticket, server: Server) -> None:
+        held = await self.engines.hold(self.roster.spots[server].address, ticket.ident,
+                                       self.deployment.facts.release_ms)
+        if not ticket.over:
+            self.tell(port.PlaceHeld(ticket.gen, held))
+
+    async def probe(self, server: Server) -> None:
+        verdict, report, spot = Verdict.UNCONNECTED, None, self.roster.spots.get(server)
+        if spot is not None:
+            verdict, report = await self.engines.load(spot.address, self.deployment.facts.connect_ms)
+        self.tell(port.Checked(server, verdict, report))
+
+
+@dataclass(slots=True)
+class Passing:
+    """A stream's way to its client; the decisions hear of its first token."""
+    node: Node
+    ticket: Ticket
+    server: Server
+    since: float
+
+    async def first(self, data: bytes) -> None:
+        if self.ticket.over:
+            raise ClientGone
+        self.ticket.flowing, self.ticket.body = True, b""
+        self.node.tell(port.FirstTok(self.ticket.gen, self.server, now_ms() - self.since))
+        await self.ticket.first(data)
+
+    async def more(self, data: bytes) -> None:
+        if self.ticket.over:
+            raise ClientGone
+        await self.ticket.more(data)
--- /dev/null
+++ b/ternlane/platform/registry.py
@@ -0,0 +1,90 @@
+"""Follows discovery: one watch that says what changed, asked for anew where it broke or fell silent."""
+from __future__ import annotations
+
+from math import inf
+from typing import Any, Callable
+from zlib import crc32
+
+import h11
+import trio
+
+from ternlane.http1 import Pool, Unconnected
+from ternlane.platform.roster import Listing, read_listing
+
+WATCH_PATH = "/registry/instances?stream=1&index={}"
+BEAT_MS = 2000.0     # an empty line at the latest this often, says the page
+SILENT_MS = 1.5 * BEAT_MS
+RETRY_MS = BEAT_MS / 8
+LINE_BYTES = 4 * 2**20
+BROKEN = (Unconnected, OSError, trio.BrokenResourceError, trio.ClosedResourceError, trio.TooSlowError,
+          h11.ProtocolError, ValueError)
+
+
+class Watch:
+    """`heard` is told each list. Where another address is to be followed, the old watch lasts until the new one has
+    said something."""
+
+    def __init__(self, address: tuple[str, int], index: Callable[[], int], heard: Callable[[Listing], None],
+                 failed: Callable[[str], None], seed: int, nursery: trio.Nursery, log: Any) -> None:
+        self.address, self.index, self.heard, self.failed = address, index, heard, failed
+        self.seed, self.nursery, self.log = seed, nursery, log
+        self.turn = 0
+        self.following: list[trio.CancelScope] = []    # the newest last
+
+    def start(self) -> None:
+        scope = trio.CancelScope()
+        self.following.append(scope)
+        self.nursery.start_soon(self._follow, self.address, scope)
+
+    def move(self, address: tuple[str, int]) -> None:
+        self.address = address
+        self.start()
+
+    def _spread(self) -> float:
+        """A wait's factor between a half and one and a half: not all gateways ask at once."""
+        self.turn += 1
+        return 0.5 + crc32(b"%d watch %d" % (self.seed, self.turn)) / 2**32
+
+    async def _follow(self, address: tuple[str, int], scope: trio.CancelScope) -> None:
+        pool, pause = Pool(BEAT_MS / 4, inf), RETRY_MS
+        try:
+            with scope:
+                while True:
+                    since = trio.current_time()
+                    try:
+                        await self._once(pool, f"{address[0]}:{address[1]}", scope)
+                        why = "the watch ended"
+                    except BROKEN as broke:
+                        why = repr(broke)
+                    if scope is not self.following[-1]:
+                        return    # an old address whose watch has ended is not asked again
+                    self.failed(why)
+                    if trio.current_time() - since > SILENT_MS / 1000:
+                        pause = RETRY_MS
+                    await trio.sleep(pause * self._spread() / 1000)
+                    pause = min(2 * pause, BEAT_MS)
+        finally:
+            pool.close()
+            if scope in self.following[:-1]:
+                self.following.remove(scope)
+
+    async def _once(self, pool: Pool, peer: str, scope: trio.CancelScope) -> None:
+        caller = await pool.connect(peer)
+        try:
+            with trio.fail_after(SILENT_MS / 1000) as silence:
+                head = await caller.ask("GET", WATCH_PATH.format(self.index()), [])
+                if head.status_code != 200:
+                    raise ValueError(f"status {head.status_code}")
+                rest = b""
+                async for piece in caller.chunks():
+                    silence.deadline = trio.current_time() + SILENT_MS / 1000
+                    for old in self.following[:self.following.index(scope)]:
+                        old.cancel()    # this one serves: what it takes the place of may go
+                    *lines, rest = (rest + piece).split(b"\n")
+                    if len(rest) > LINE_BYTES:
+                        raise ValueError("a line without end")
+                    for line in lines:
+                        if line.strip():
+                            self.heard(read_listing(line))
+        finally:
+            caller.close_now()
--- /dev/null
+++ b/ternlane/turns.py
@@ -0,0 +1,88 @@
+"""The loop that feeds the decisions and carries out their actions: one inbox, one ordered structure of due times.
+
+Whoever has an event puts it in by `tell`; who finds the loop idle empties it. The gateway's host and the platform's
+are kinds of it; what an action means on their sockets is theirs, what is decided is not.
+"""
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from functools import partial
+from heapq import heappop, heappush
+from typing import Callable, Protocol
+
+import trio
+
+from ternlane import port
+
+
+class Chooser(Protocol):
+    """What decides: choice.Router, or a baseline to measure against."""
+
+    def take(self, now: float, events: list[port.Event]) -> list[port.Action]: ...
+
+
+def now_ms() -> float:
+    return trio.current_time() * 1000
+
+
+class Turns(ABC):
+    def __init__(self, chooser: Chooser) -> None:
+        self.chooser = chooser
+        self.heard: list[port.Event] = []
+        self.turning = False
+        self.due: list[tuple[float, int, Callable[[], None]]] = []
+        self.asked = 0
+        self.alarm = trio.Event()
+        self.late_ms = 0.0    # the most that a due time was passed by since whoever reads it set it back
+
+    def tell(self, event: port.Event) -> None:
+        self.heard.append(event)
+        if not self.turning:
+            self.turn()
+
+    def turn(self) -> None:
+        self.turning = True
+        try:
+            while self.heard:
+                events, self.heard = self.heard, []
+                for action in self.chooser.take(now_ms(), events):
+                    if isinstance(action, port.Wake):
+                        self.at(action.at_ms, partial(self.heard.append, port.Woken(action.beat)))
+                    else:
+                        self.carry_out(action)
+        finally:
+            self.turning = False
+
+    @abstractmethod
+    def carry_out(self, action: port.Action) -> None:
+        """Does what was decided; a Wake never comes here."""
+
+    def at(self, when_ms: float, call: Callable[[], None]) -> None:
+        self.asked += 1
+        heappush(self.due, (when_ms, self.asked, call))
+        self.alarm.set()
+
+    @abstractmethod
+    def woken(self) -> None:
+        """Called after each time that something was due."""
+
+    async def clock(self) -> None:
+        """Does what is due at its time; all that is due goes in one turn."""
+        while True:
+            if not self.due:
+                self.alarm = trio.Event()
+                await self.alarm.wait()
+                continue
+            wait = self.due[0][0] - now_ms()
+            if wait > 0:
+                self.alarm = trio.Event()
+                with trio.move_on_after(wait / 1000):
+                    await self.alarm.wait()
+                continue
+            self.late_ms = max(self.late_ms, -wait)
+            while self.due and self.due[0][0] <= now_ms():
+                heappop(self.due)[2]()
+            if self.heard and not self.turning:
+                self.turn()
+            self.woken()
+            await trio.lowlevel.checkpoint()
--- a/ternlane/wirehost/host.py
+++ b/ternlane/wirehost/host.py
@@ -3,21 +3,17 @@
 
 import json
 from typing import Any, Iterator
-from zlib import crc32
 
 from ternlane.choice import Router
+from ternlane.deployment import Deployment
 from ternlane.port import (
-    Action, Arrived, CallOff, Checked, ClientLeft, Duty, Effect, Event, FirstTok, Follow, Generation, Group, HoldAhead,
-    LegEnded, LetGo, Life, Listed, ListFailed, Log, PlaceHeld, Probe, Product, Report, SendLeg, Server, StartFacts,
-    Tenant, Terminate, Throttle, Verdict, Wake, Woken)
+    Action, Arrived, CallOff, Checked, ClientLeft, Effect, Event, FirstTok, Follow, Generation, Group, HoldAhead,
+    LegEnded, LetGo, Life, Listed, ListFailed, Log, PlaceHeld, Probe, Product, Report, SendLeg, Server, Terminate,
+    Throttle, Verdict, Wake, Woken)
 
 VERDICTS = {"S": Verdict.STREAMED, "E": Verdict.ERROR, "F": Verdict.FULL, "T": Verdict.TIMED_OUT,
             "C": Verdict.UNCONNECTED, "R": Verdict.RESET, "X": Verdict.CALLED_OFF, "N": Verdict.MOOT,
             "prefilled": Verdict.READ}
-EFFECTS = {"idempotent": Effect.IDEMPOTENT, "deduplicated": Effect.DEDUPLICATED,
-           "at_most_once": Effect.SIDE_EFFECTING}
-GROUPS = {"all": Group.ALL, "zone": Group.ZONE, "cell": Group.CELL}
-DUTIES = {"read": Duty.READ, "write": Duty.WRITE, "both": Duty.BOTH}
 LIVES = {"healthy": Life.UP, "cordoned": Life.DRAINING, "deregistered": Life.GONE}
 BEAT, DUE = 0, 1
 
@@ -38,22 +34,8 @@
     """One gateway's Router with the ids that its objects go by."""
 
     def __init__(self, seed: int, told: dict[str, Any]) -> None:
-        limits, rules, spec = told.get("limits", {}), told.get("invariants", {}), told.get("specifics", {})
-        report = told.get("report", {})
-        self.columns: list[str] = report.get("columns", []) if report.get("how", "off") != "off" else []
-        kinds = told.get("kinds", [])
-        self.duty = {k: DUTIES.get(d, Duty.BOTH) for k, d in zip(kinds, spec.get("duty_by_kind", []))}
-        self.mem = dict(zip(kinds, spec.get("tokens_by_kind", [])))
-        per_ktok, tok_slo = spec.get("aim_us_per_1000_prompt_tokens", []), spec.get("token_aim", [])
-        self.products: dict[str, Product] = {}
-        for i, p in enumerate(told.get("profiles", [])):
-            self.products[p["name"]] = Product(
-                effect=EFFECTS.get(p.get("semantics", ""), Effect.SIDE_EFFECTING),
-                group=GROUPS.get(p.get("group", ""), Group.CELL), window_ms=p.get("key_ttl", 0.0),
-                slo_ms=p["aim"], slo_per_ktok_ms=per_ktok[i] / 1000.0 if i < len(per_ktok) else 0.0,
-                tok_slo_ms=tok_slo[i] if i < len(tok_slo) else 0.0, limit_ms=p["deadline"],
-                revenue=p.get("worth", 1.0), late_share=p.get("late_worth", 0.0))
-        self.tenants = {t["name"]: Tenant() for t in told.get("tenants", [])}
+        self.deployment = Deployment(seed, told)
+        self.products = dict(self.deployment.products)
         self.servers: dict[str, Server] = {}
         self.server_ids: dict[Server, str] = {}
         self.gens: dict[int, Generation] = {}
@@ -61,19 +43,7 @@
         self.legs: dict[Generation, int] = {}
         self.legs_back: dict[Generation, int] = {}
         self.closed: set[Generation] = set()
-        self.router = Router(StartFacts(
-            seed=seed, gateways=max(1, told.get("n_instances", 1)), zone=told.get("locality", ""),
-            products=tuple(self.products.values()), leg_limit=limits.get("most_tries", 1),
-            may_call_off=bool(limits.get("cancel")), may_hold_ahead=bool(spec.get("holds_allowed")),
-            may_probe=bool(limits.get("probes")), may_advise=bool(limits.get("retry_after")),
-            must_ask=told.get("discovery") == "ask", ask_within_ms=rules.get("ask_within", 0.0),
-            writers_read=bool(spec.get("read_in_place")), reports_mem="x0" in self.columns,
-            longest_pause_ms=limits.get("max_retry_after", 0.0), connect_ms=limits.get("connect_timeout", 0.0),
-            idle_ms=limits.get("conn_idle", 0.0),
-            release_ms=spec.get("release", 0.0), drain_grace_ms=rules.get("drain_grace", 0.0),
-            cold_ms=rules.get("cold", 0.0), cold_from=rules.get("cold_from", 1.0),
-            fall_multiple=rules.get("overload_factor", 1.0), fall_ms=rules.get("overload_for", 0.0),
-            step_ms=told.get("step", 1.0), told_if_asked=report.get("how") == "on_probe"))
+        self.router = Router(self.deployment.facts)
 
     def server(self, sid: str) -> Server | None:
         return self.servers.get(sid)
@@ -86,8 +56,7 @@
             _, sid, zone, flavor, cohort, state, units, started = row.split(" ")[:8]
             server = self.servers.get(sid)
             if server is None:
-                server = self.servers[sid] = Server(zone, int(cohort), self.duty.get(flavor, Duty.BOTH),
-                                                    float(self.mem.get(flavor, 0.0)), mark=crc32(sid.encode()))
+                server = self.servers[sid] = self.deployment.server(sid, zone, flavor, int(cohort))
                 self.server_ids[server] = sid
             server.size, server.started_ms = number(units, 1.0), number(started)
             server.life = LIVES.get(state, Life.GONE)
@@ -101,10 +70,9 @@
         return Listed(tuple(news))
 
     def report(self, text: str) -> Report | None:
-        if text in ("-", "") or not self.columns:
+        if text in ("-", ""):
             return None
-        said = dict(zip(self.columns, (number(v) for v in text.split(","))))
-        return Report(said.get("outstanding"), said.get("x0"))
+        return self.deployment.report(dict(zip(self.deployment.columns, (number(v) for v in text.split(",")))))
 
     def forget(self, gen: Generation) -> None:
         """Drops the ids of a generation that is over and whose legs have all ended."""
@@ -122,9 +90,9 @@
             if product is None:    # never listed: nothing is promised of it, so nothing may be repeated
                 product = self.products[lane] = Product(Effect.SIDE_EFFECTING, Group.CELL, 0.0, 0.0, 0.0, 0.0,
                                                         number(patience), 0.0, 0.0)
-            gen = Generation(product, name(session), name(opening), number(opening_toks), number(prompt),
-                             number(longest), number(patience),
-                             tenant=self.tenants.get(rest[0]) if rest else None)
+            gen = self.deployment.generation(product, name(session), name(opening), number(opening_toks),
+                                             number(prompt), number(longest), number(patience),
+                                             rest[0] if rest else "")
             self.gens[int(corr)], self.gen_ids[gen] = gen, int(corr)
             return Arrived(gen)
         if what == "DEADLINE_HIT":
