Beats reach the decisions again: a due time was bound to a replaced inbox

Checked: load reports arrive and are read (probe of the heads); the board was never printed, as the clock never woke. At fault: turns.py, Turns.turn bound Woken to self.heard.append, and the list is replaced with each turn. A story keeps it.

--- a/ternlane/turns.py
+++ b/ternlane/turns.py
@@ -35,6 +35,10 @@
         self.alarm = trio.Event()
         self.late_ms = 0.0    # the most that a due time was passed by since whoever reads it set it back
 
+    def hear(self, event: port.Event) -> None:
+        """For the next turn; the inbox is another list then than when a due time was asked for."""
+        self.heard.append(event)
+
     def tell(self, event: port.Event) -> None:
         self.heard.append(event)
         if not self.turning:
@@ -47,7 +51,7 @@
                 events, self.heard = self.heard, []
                 for action in self.chooser.take(now_ms(), events):
                     if isinstance(action, port.Wake):
-                        self.at(action.at_ms, partial(self.heard.append, port.Woken(action.beat)))
+                        self.at(action.at_ms, partial(self.hear, port.Woken(action.beat)))
                     else:
                         self.carry_out(action)
         finally:
