A leg waits until what was held before it is let go of: the DELETE took its state

Checked by a probe of each failed leg: the DELETE for the old state crossed the new read, as a fully kept prompt is read in 2 ms. Ruled out: writers that had lost states, the reader's memory. At fault: node.py, LetGo and SendLeg started as independent tasks though the interface says actions are carried out in order. Change: a leg waits for the answer to its generation's DELETE, for the connect time at most. A stand-in of the platform's model servers and discovery, stories for outcomes, spoilt streams, bad input, discovery, process; heads over their limit are refused also when they come in one piece.

--- a/ternlane/http1/server.py
+++ b/ternlane/http1/server.py
@@ -119,7 +119,8 @@
         while True:
             exchange = None
             resting(True)
-            exchange = await next_request(stream, conn, body_bytes, head_ms, body_ms, idle_ms, send_ms, first_by)
+            exchange = await next_request(stream, conn, body_bytes, head_ms, body_ms, idle_ms, send_ms, first_by,
+                                          head_bytes)
             if exchange is None:
                 return
             resting(False)
@@ -154,7 +155,8 @@
 
 
 async def next_request(stream: trio.SocketStream, conn: h11.Connection, body_bytes: int, head_ms: float,
-                       body_ms: float, idle_ms: float, send_ms: float, by: float = inf) -> Exchange | None:
+                       body_ms: float, idle_ms: float, send_ms: float, by: float = inf,
+                       head_bytes: int = 65536) -> Exchange | None:
     begun, arrived = bool(conn.trailing_data[0]), trio.current_time()
     try:
         scope = trio.CancelScope(deadline=min(by, trio.current_time() + (head_ms if begun else idle_ms) / 1000))
@@ -173,6 +175,8 @@
             return None
         if not isinstance(event, h11.Request):
             return None
+        if sum(len(name) + len(value) for name, value in event.headers) + len(event.target) > head_bytes:
+            raise BadRequest(431, f"the head is longer than {head_bytes} bytes", "head_too_large")
         exchange = Exchange(stream, conn, event, send_ms)
         exchange.arrived = arrived
         stated = exchange.header(b"content-length")
--- a/ternlane/platform/node.py
+++ b/ternlane/platform/node.py
@@ -56,6 +56,7 @@
     legs: int = 0
     why: str = ""
     trail: list[str] = field(default_factory=list)
+    freeing: trio.Event | None = None    # set once what was held before is let go of
     watch: trio.CancelScope = field(default_factory=trio.CancelScope)
 
     @property
@@ -108,7 +109,8 @@
                 ticket = self.tickets.get(gen)
                 if ticket is not None:
                     self.releasing += 1
-                    self.nursery.start_soon(self.release, ticket.ident)
+                    ticket.freeing = trio.Event()
+                    self.nursery.start_soon(self.release, ticket.ident, ticket.freeing)
             case port.HoldAhead(gen, server):
                 ticket = self.tickets.get(gen)
                 if ticket is not None and server in self.roster.spots:
@@ -186,6 +188,9 @@
 
     async def run(self, ticket: Ticket, server: Server, leg: Leg, name: str) -> None:
         since, end = now_ms(), LegEnd()
+        if ticket.freeing is not None:    # lest a late DELETE let go of what this leg has read
+            with trio.move_on_after(self.deployment.facts.connect_ms / 1000):
+                await ticket.freeing.wait()
         try:
             end = await self.engines.run(leg, Passing(self, ticket, server, since))
         except ClientGone:
@@ -219,7 +224,7 @@
     def addresses(self) -> list[str]:
         return [spot.address for server, spot in self.roster.spots.items() if server.life is not Life.GONE]
 
-    async def release(self, ident: str) -> None:
+    async def release(self, ident: str, done: trio.Event) -> None:
         try:
             if not await self.engines.release(ident, self.addresses(), self.deployment.facts.release_ms):
                 self.counts["release unheard"] += 1
@@ -227,6 +232,7 @@
             self.log.exception("release")
         finally:
             self.releasing -= 1
+            done.set()
 
     async def hold(self, ticket: Ticket, server: Server) -> None:
         held = await self.engines.hold(self.roster.spots[server].address, ticket.ident,
--- /dev/null
+++ b/ternlane/standin/platform.py
@@ -0,0 +1,229 @@
+"""Stand-ins for the platform's model servers and discovery, written from its protocol page.
+
+What a server does with a request is scripted: `script` is asked for each leg and gives the name of a way to go wrong,
+or "" for a good answer. What happens is kept in `Fleet.seen`.
+"""
+from __future__ import annotations
+
+import json
+from collections import Counter
+from dataclasses import dataclass, field
+from typing import Any, Callable
+
+import trio
+
+from ternlane.http1 import Exchange, serve_connection
+
+EVENT = b'data: {"choices":[{"index":0,"delta":{"content":"abcd"},"finish_reason":null}]}\n\n'
+USAGE = (b'data: {"choices":[],"usage":{"prompt_tokens":8,"completion_tokens":4,'
+         b'"prompt_tokens_details":{"cached_tokens":4}}}\n\n')
+DONE = b"data: [DONE]\n\n"
+HEAD = b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n"
+
+
+def framed(data: bytes) -> bytes:
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+GOOD = HEAD + framed(EVENT) + framed(EVENT) + framed(USAGE) + framed(DONE) + b"0\r\n\r\n"
+# Answers by raw bytes; the connection then stays open, or closes where the name ends in "cut".
+RAW = {
+    "noise": b"\x80\xca\x54\xeb\r\n\r\n" * 8,
+    "odd_status": b"HTTP/1.1 2x0 OK\r\n\r\n",
+    "endless_head": b"HTTP/1.1 200 OK\r\n" + b"x-more: of the same\r\n" * 4096,
+    "first_not_event": HEAD + framed(b"what is this\n\n"),
+    "first_not_json": HEAD + framed(b"data: {nonsense\n\n"),
+    "first_chunk_bad": HEAD + b"zz\r\n" + EVENT + b"\r\n",
+    "later_chunk_bad": HEAD + framed(EVENT) + b"-1\r\n" + EVENT + b"\r\n",
+    "later_chunk_misfit": HEAD + framed(EVENT) + b"%x\r\n" % (len(EVENT) - 9) + EVENT + b"\r\n",
+    "later_noise": HEAD + framed(EVENT) + framed(b"\x00\x01\x02 noise"),
+    "huge_chunk": HEAD + framed(EVENT) + b"c0000000\r\n" + b"z" * 400_000,
+    "opening_cut": HEAD,
+    "later_cut": HEAD + framed(EVENT),
+    "no_done": HEAD + framed(EVENT) + b"0\r\n\r\n",
+    "status_500": b"HTTP/1.1 500 No\r\ncontent-length: 0\r\n\r\n",
+    "status_503": b"HTTP/1.1 503 No\r\ncontent-length: 0\r\n\r\n",
+    "full_503": b"HTTP/1.1 503 No\r\nnot-started: 1\r\ncontent-length: 0\r\n\r\n",
+    "full_504": b"HTTP/1.1 504 No\r\nnot-started: 1\r\ncontent-length: 0\r\n\r\n",
+    "gone_410": b"HTTP/1.1 410 No\r\nnot-started: 1\r\ncontent-length: 0\r\n\r\n",
+}
+
+
+@dataclass(eq=False)
+class Fleet:
+    """What all servers share, as on the platform: states by request, and who holds them."""
+    nursery: trio.Nursery
+    states: dict[str, str] = field(default_factory=dict)
+    seen: list[tuple[str, str, str]] = field(default_factory=list)    # server, kind of call, id
+    spread_ms: float = 0.0    # until a DELETE has reached the other servers
+    open: Counter[str] = field(default_factory=Counter)    # legs at each server now
+    conns: Counter[str] = field(default_factory=Counter)
+    ran: Counter[str] = field(default_factory=Counter)     # answers begun, by id
+
+    def count(self, kind: str) -> int:
+        return sum(k == kind for _, k, _ in self.seen)
+
+
+@dataclass(eq=False)
+class ModelServer:
+    name: str
+    duty: str    # "read" or "write"
+    fleet: Fleet
+    script: Callable[[str], str] = lambda _: ""
+    read_ms: float = 1.0
+    event_ms: float = 1.0
+    events: int = 2
+    mute: bool = False    # takes connections and says nothing
+    address: str = ""
+    listener: trio.SocketListener | None = None
+
+    async def start(self) -> None:
+        port = int(self.address.rpartition(":")[2] or 0)
+        self.listener = (await trio.open_tcp_listeners(port, host="127.0.0.1"))[0]
+        name = self.listener.socket.getsockname()
+        self.address = f"{name[0]}:{name[1]}"
+        self.fleet.nursery.start_soon(self._accept, self.listener)
+
+    def stop(self) -> None:
+        assert self.listener is not None
+        self.listener.socket.close()
+
+    async def _accept(self, listener: trio.SocketListener) -> None:
+        while True:
+            try:
+                stream = await listener.accept()
+            except (trio.ClosedResourceError, OSError):
+                return
+            self.fleet.nursery.start_soon(self._serve, stream)
+
+    async def _serve(self, stream: trio.SocketStream) -> None:
+        self.fleet.conns[self.name] += 1
+        try:
+            if self.mute:
+                await trio.sleep_forever()
+            await serve_connection(stream, self._handle, body_bytes=2**18, head_ms=5e3, body_ms=5e3, idle_ms=30e3,
+                                   send_ms=5e3)
+        finally:
+            self.fleet.conns[self.name] -= 1
+
+    async def _handle(self, exchange: Exchange) -> None:
+        ident = exchange.header(b"request-id") or ""
+        if exchange.path.startswith("/kv/leases/"):
+            ident = exchange.path.removeprefix("/kv/leases/")
+            self.fleet.seen.append((self.name, exchange.method, ident))
+            await trio.sleep(self.fleet.spread_ms / 1000)
+            if exchange.method == "DELETE":
+                self.fleet.states.pop(ident, None)
+            return await exchange.answer(204, [], b"")
+        self.fleet.seen.append((self.name, self.duty, ident))
+        self.fleet.open[self.name] += 1
+        try:
+            await self._leg(exchange, ident)
+        finally:
+            self.fleet.open[self.name] -= 1
+
+    async def _leg(self, exchange: Exchange, ident: str) -> None:
+        way = self.script(ident)
+        if way == "silent":
+            await exchange.until_left()
+            return
+        if self.duty == "read" and not way:
+            await trio.sleep(self.read_ms / 1000)
+            self.fleet.states[ident] = self.name
+            return await exchange.answer(202, [("Server-Load", "inflight=1,x0=0.1")], b'{"cached_tokens":4}')
+        if self.duty == "write" and not way.startswith(("status_", "full_", "gone_")):
+            if self.fleet.states.pop(ident, None) is None:
+                way = "gone_410"
+            else:
+                self.fleet.ran[ident] += 1
+        if way == "interim":
+            await exchange.stream.send_all(b"HTTP/1.1 102 Processing\r\n\r\n" * 3)
+        elif way and way not in ("second_answer", "odd_load"):
+            await exchange.stream.send_all(RAW[way])
+            if way.endswith("cut"):
+                return exchange.reset()
+            with trio.move_on_after(5):
+                await exchange.until_left()
+            return exchange.reset()
+        load = [("Server-Load", "inflight=,,=%$")] if way == "odd_load" else []
+        await exchange.begin(200, [("Content-Type", "text/event-stream"), ("Transfer-Encoding", "chunked"), *load],
+                             EVENT)
+        for _ in range(self.events - 1):
+            await trio.sleep(self.event_ms / 1000)
+            await exchange.chunk(EVENT)
+        await exchange.chunk(USAGE)
+        await exchange.end(DONE + b": Server-Load: inflight=2,x0=0.2\n\n")
+        if way == "second_answer":
+            await exchange.stream.send_all(GOOD)
+
+
+class Discovery:
+    """The agent: the whole list, and a watch with its beat."""
+
+    def __init__(self, nursery: trio.Nursery, beat_ms: float = 2000.0) -> None:
+        self.nursery, self.beat_ms = nursery, beat_ms
+        self.index, self.log = 1, [dict[str, Any]()]    # of each version, what changed
+        self.entries: dict[str, dict[str, Any]] = {}
+        self.changed = trio.Event()
+        self.asked: list[str] = []    # indexes that watches began with
+        self.silent = False
+        self.garbage: bytes = b""    # said instead of the next change
+        self.address = ""
+        self.watching = 0
+
+    def put(self, name: str, address: str, kind: str, status: str = "SERVING", group: int = 0,
+            since_ms: float = 0.0) -> None:
+        entry = {"name": name, "address": address, "zone": "hall", "type": kind, "group": group, "status": status,
+                 "weight": 1.0, "since_ms": since_ms}
+        if status == "DELETED":
+            self.entries.pop(name, None)
+        else:
+            self.entries[name] = entry
+        self.index += 1
+        self.log.append(entry)
+        self.changed.set()
+        self.changed = trio.Event()
+
+    def listing(self) -> dict[str, Any]:
+        return {"index": self.index, "snapshot": True, "endpoints": list(self.entries.values())}
+
+    async def start(self) -> None:
+        self.listener = (await trio.open_tcp_listeners(0, host="127.0.0.1"))[0]
+        name = self.listener.socket.getsockname()
+        self.address = f"{name[0]}:{name[1]}"
+        self.nursery.start_soon(self._accept)
+
+    async def _accept(self) -> None:
+        while True:
+            stream = await self.listener.accept()
+            self.nursery.start_soon(self._serve, stream)
+
+    async def _serve(self, stream: trio.SocketStream) -> None:
+        await serve_connection(stream, self._handle, body_bytes=0, head_ms=5e3, body_ms=5e3, idle_ms=30e3, send_ms=5e3)
+
+    async def _handle(self, exchange: Exchange) -> None:
+        if "stream=1" not in exchange.query:
+            return await exchange.answer(200, [], json.dumps(self.listing()).encode())
+        at = int(exchange.query.rpartition("=")[2])
+        self.asked.append(str(at))
+        self.watching += 1
+        try:
+            await exchange.begin(200, [("Transfer-Encoding", "chunked")])
+            if at > self.index or at == 0:
+                await exchange.chunk(json.dumps(self.listing()).encode() + b"\n")
+                at = self.index
+            while True:
+                if self.silent:
+                    await trio.sleep_forever()
+                if at < self.index:
+                    said = self.garbage or json.dumps(
+                        {"index": self.index, "snapshot": False, "endpoints": self.log[at:self.index]}).encode()
+                    self.garbage, at = b"", self.index
+                    await exchange.chunk(said + b"\n")
+                else:
+                    with trio.move_on_after(self.beat_ms / 1000) as beat:
+                        await self.changed.wait()
+                    if beat.cancelled_caught and not self.silent:
+                        await exchange.chunk(b"\n")
+        finally:
+            self.watching -= 1
