A gateway that goes throttles what it can't finish, and leaves no idle connection to be lost

Seen in the report and front.py: drain closed idle connections only at its very end, so a kept one took a request later than 0.7 s after SIGTERM, and its stream was cut. Change: served connections close at SIGTERM, fresh ones after all that was sent must have come; the listener's queue is emptied first. The decisions are told port.Ending and throttle what they could not finish (Desk.cut_off), as nothing has run and another gateway may.

--- a/ternlane/choice.py
+++ b/ternlane/choice.py
@@ -188,6 +188,7 @@
         self.board: dict[Seat, Standing] = {}
         self.homes: OrderedDict[str, Home] = OrderedDict()
         self.waiting: list[tuple[float, float, int, Course]] = []
+        self.ends_at = inf    # when this gateway is cut off
         self.next_due = self.least = inf    # of those waiting: when the first must begin, the shortest prompt
         self.usual: dict[tuple[Product, str], float] = {}
         self.learnt_at: dict[Product, float] = {}
@@ -235,6 +236,8 @@
                 self.adopt(facts)
                 for engine in self.board:
                     engine.post(News())
+            case port.Ending(within):
+                self.ends_at, self.next_due, self.stuck = self.router.now + within, -inf, inf
             case port.ListFailed():
                 self.asked = False
             case port.Woken():
@@ -367,7 +370,7 @@
     def place(self, course: Course) -> None:
         """Home pair if it is calm, else the best calm pair; else the generation waits before its read."""
         now, gen = self.router.now, course.gen
-        if self.spent(course) or self.hopeless(course):
+        if self.spent(course) or self.hopeless(course) or self.cut_off(course):
             return self.finish(course)
         home = self.homes.get(gen.session or "")
         if home and all(self.usable(e, course) and not self.congested(self.board[e], course)
@@ -437,6 +440,11 @@
         return (course.limit_at < course.slo_at and now + MARGIN * self.first_ms(product) > course.limit_at
                 and now - self.learnt_at.get(product, -inf) < DOUBT * self.limits.span_ms)
 
+    def cut_off(self, course: Course) -> bool:
+        """Guards against streams that this gateway will not see to their end: another may, if asked now."""
+        product = course.gen.product
+        return self.router.now + self.first_ms(product) + self.usual_ms(product, "stream") > self.ends_at
+
     def served(self, course: Course) -> bool:    # is anyone left who could read it, and who could write it?
         able = [e for e in self.board if e.server.life is Life.UP and e not in course.tried
                 and self.effect_allows(course, e)]
--- a/ternlane/platform/__main__.py
+++ b/ternlane/platform/__main__.py
@@ -13,6 +13,7 @@
 import structlog
 import trio
 
+from ternlane import port
 from ternlane.choice import Router
 from ternlane.http1 import Pool
 from ternlane.platform.engines import Engines
@@ -25,6 +26,7 @@
 CLIENTS, SERVERS = 0.45, 0.45    # of the descriptors; the rest is for the watch, the log and what is being closed
 BODIES = 0.2                     # of the memory
 LATE_COMERS_MS = 450.0           # new connections still arrive for so long after SIGTERM
+ENDS_MS = 3700.0                 # no SIGKILL before this long after SIGTERM
 REPORT_MS = 10e3
 UNFIT, TAKEN = 65, 69
 
@@ -79,14 +81,20 @@
         self.log.info("reloaded", discovery_moved=moved, settings_changed=altered)
 
     async def drain(self) -> None:
-        """Takes what still arrives, answers everything, lets go of what is held."""
+        """Takes what still arrives, answers everything, lets go of what is held. Connections that have been served
+        close at once, new ones only when all that was sent to them must have come: a request that came later than that
+        might be cut off without an answer."""
         self.front.draining = True
+        self.node.tell(port.Ending(ENDS_MS))
+        self.front.close_idle(served=True)
         await trio.sleep(LATE_COMERS_MS / 1000)
         self.accepting.cancel()
+        await self.front.last(self.listener, self.nursery)
         self.listener.socket.close()
+        await trio.sleep(LATE_COMERS_MS / 4000)
+        self.front.close_idle()
         while self.node.tickets or self.node.releasing or self.front.conns > len(self.front.idle):
             await trio.sleep(0.02)
-        self.front.close_idle()
 
     async def report(self) -> None:
         """What an operator needs, one line every ten seconds."""
--- a/ternlane/platform/front.py
+++ b/ternlane/platform/front.py
@@ -29,7 +29,7 @@
         self.node, self.log = node, log
         self.conn_limit, self.open_limit, self.held_bytes = conn_limit, open_limit, held_bytes
         self.conns = 0
-        self.idle: OrderedDict[trio.SocketStream, None] = OrderedDict()
+        self.idle: OrderedDict[trio.SocketStream, bool] = OrderedDict()    # whether it has been served
         self.draining = False
         self.ready = False
 
@@ -59,16 +59,33 @@
         stream.socket.close()
         return True
 
-    def close_idle(self) -> None:
-        while self.displace():
-            pass
+    def close_idle(self, served: bool = False) -> None:
+        for stream, was_served in list(self.idle.items()):
+            if was_served or not served:
+                del self.idle[stream]
+                stream.socket.close()
+
+    async def last(self, listener: trio.SocketListener, nursery: trio.Nursery) -> None:
+        """Takes what waits at the listener."""
+        while True:
+            stream = None
+            with trio.move_on_after(0.01):
+                stream = await listener.accept()
+            if stream is None:
+                return
+            self.conns += 1
+            nursery.start_soon(self.connection, stream)
 
     async def connection(self, stream: trio.SocketStream) -> None:
+        served = False
+
         def resting(rests: bool) -> None:
+            nonlocal served
             if rests:
-                self.idle[stream] = None
+                self.idle[stream] = served
             else:
                 self.idle.pop(stream, None)
+                served = True
 
         try:
             await serve_connection(
--- a/ternlane/port.py
+++ b/ternlane/port.py
@@ -156,6 +156,12 @@
     facts: StartFacts
 
 
+@dataclass(slots=True, frozen=True)
+class Ending:
+    """This gateway goes: what is not over within this time is cut off."""
+    within_ms: float
+
+
 @dataclass(slots=True, frozen=True)
 class ListFailed:
     """A call for the list, or the subscription to its changes, came to nothing."""
@@ -224,7 +230,8 @@
     beat: bool
 
 
-Event = Listed | Altered | ListFailed | Arrived | FirstTok | LegEnded | GoOn | PlaceHeld | Checked | ClientLeft | Woken
+Event = (Listed | Altered | Ending | ListFailed | Arrived | FirstTok | LegEnded | GoOn | PlaceHeld | Checked
+         | ClientLeft | Woken)
 
 
 # What the module asks for.
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -368,3 +368,15 @@
     engines = [host.servers[name].seat for name in ("w0", "w1")]
     held = sum(engine.own() for engine in engines) / 2
     assert held > 0 and engines[0].fleet.level > 0.9 * 2 * held    # two gateways that do alike
+
+
+def test_a_gateway_that_goes_throttles_what_it_could_not_finish_and_finishes_the_rest(host: FakeHost) -> None:
+    streams, leg = host.written()
+    reads = host.gen(Effect.SIDE_EFFECTING)
+    read = sent(host.arrive(reads))
+    assert not host.tell(port.Ending(1000.0))
+    said = host.arrive(host.gen(Effect.SIDE_EFFECTING))
+    assert kinds(said) == [port.Throttle]    # another gateway may do it: nothing has run
+    assert sent(host.end(reads, read.server, Verdict.READ)).server.duty is port.Duty.WRITE
+    host.first(streams, leg.server)
+    assert not kinds(host.end(streams, leg.server, Verdict.STREAMED, over=True))
