--- a/ternlane/choice.py
+++ b/ternlane/choice.py
@@ -495,7 +495,7 @@
             slow = 1 / CROWD if writes else CROWD if self.told_if_asked else 1    # a told one is not mute
             patience = min(patience, max(slow * product.slo_ms, 4 * course.leg.usual_ms))
         engine.post(Sent(course.leg))
-        quiet = max(course.gen.patience_ms / CROWD, DOUBT * product.tok_slo_ms)    # a mute stream has broken
+        quiet = max(self.limits.span_ms, DOUBT * product.tok_slo_ms)    # a mute stream has broken
         self.router.out.append(port.SendLeg(course.gen, engine.server, patience, quiet, whole))
 
     def finish(self, course: Course) -> None:
@@ -669,6 +669,12 @@
                 for writes in doubt.rate:
                     doubt.rate[writes] *= exp(-LOOK * self.limits.beat_ms / HOME_AGE_MS)
             self.doubts = {kind: d for kind, d in self.doubts.items() if max(d.rate.values()) > FAINT}
+            for engine in [e for e in self.board if e.server.life is Life.GONE and not (e.legs or e.booked)]:
+                del self.board[engine]    # fleets change for ever; what is known of them must not grow
+                for doubt in self.doubts.values():
+                    doubt.seen.pop(engine, None)
+            if len(self.asked_for) > FEW ** 2:
+                self.asked_for = Counter({name: n // 2 for name, n in self.asked_for.items() if n > 1})
         for duty in Duty if self.beats % LOOK == 1 else ():
             peers = [s for s in self.board.values() if s.engine.server.duty is duty and s.listed]
             if peers:
--- a/ternlane/gateway/gateway.py
+++ b/ternlane/gateway/gateway.py
@@ -188,6 +188,8 @@
         while True:
             try:
                 stream = await listener.accept()
+            except trio.ClosedResourceError:
+                return    # closed by `drain` or the end, with a connection just arriving
             except OSError as why:
                 if why.errno not in SHORT_OF:
                     raise
--- a/ternlane/notes.py
+++ b/ternlane/notes.py
@@ -43,6 +43,8 @@
     reads: bool
     writes: bool
     said: tuple[float, float, float | None] | None    # its last report: when, memory share, generations held
+    legs: dict[Leg, None]
+    booked: dict[Course, tuple[float, float]]
 
 
 class Limits(NamedTuple):
--- a/ternlane/platform/engines.py
+++ b/ternlane/platform/engines.py
@@ -99,9 +99,9 @@
             end.verdict, end.why = Verdict.RESET, repr(why)
         except h11.RemoteProtocolError as why:    # a torn answer is a broken connection, a spoilt one an error
             end.verdict = Verdict.RESET if "closed" in str(why) else Verdict.ERROR
-            end.why = f"spoilt: {why}"
+            end.why = f"spoilt: {str(why)[:200]}"
         except ValueError as why:
-            end.verdict, end.why = Verdict.ERROR, f"spoilt: {why}"
+            end.verdict, end.why = Verdict.ERROR, f"spoilt: {str(why)[:200]}"
         finally:
             if caller is not None and whole:
                 self.pool.give_back(caller)
@@ -193,6 +193,8 @@
         return verdict, load_of(said, self.deployment) or load_of(text.removeprefix("Server-Load:").strip(),
                                                                   self.deployment)
 
-    def forget(self, address: str) -> None:
-        self.pool.forget(address)
-        self.heard_at.pop(address, None)
+    def known(self, addresses: list[str]) -> None:
+        """Forgets what is no longer among these."""
+        for address in self.heard_at.keys() - set(addresses):
+            self.pool.forget(address)
+            del self.heard_at[address]
--- a/ternlane/platform/front.py
+++ b/ternlane/platform/front.py
@@ -37,6 +37,8 @@
         while True:
             try:
                 stream = await listener.accept()
+            except trio.ClosedResourceError:
+                return
             except OSError as why:
                 if why.errno not in SHORT_OF:
                     raise
--- a/ternlane/platform/node.py
+++ b/ternlane/platform/node.py
@@ -125,9 +125,8 @@
         self.engines.pool.sweep()
 
     def listed(self, listing: Listing) -> None:
-        news, gone = self.roster.take(listing, time.time() * 1000, now_ms())
-        for address in gone:
-            self.engines.forget(address)
+        news = self.roster.take(listing, time.time() * 1000, now_ms())
+        self.engines.known([spot.address for spot in self.roster.spots.values()])
         if news.servers:
             self.tell(news)
 
--- a/ternlane/platform/roster.py
+++ b/ternlane/platform/roster.py
@@ -62,10 +62,9 @@
         self.servers: dict[str, Server] = {}
         self.spots: dict[Server, Spot] = {}
 
-    def take(self, listing: Listing, wall_ms: float, now: float) -> tuple[Listed, list[str]]:
-        """What is new, and the addresses where nobody is any more. `wall_ms` and `now` are one moment by the two
-        clocks; a start time is turned from one into the other once, as it would seem to move otherwise."""
-        before = {spot.address for spot in self.spots.values()}
+    def take(self, listing: Listing, wall_ms: float, now: float) -> Listed:
+        """What is new. `wall_ms` and `now` are one moment by the two clocks; a start time is turned from one into the
+        other once, as it would seem to move otherwise."""
         news: list[Server] = []
         for entry in listing.endpoints:
             server = self.servers.get(entry.name)
@@ -95,7 +94,7 @@
             if server.life is Life.GONE:
                 del self.servers[self.spots.pop(server).name]
         self.index = listing.index
-        return Listed(tuple(news)), sorted(before - {spot.address for spot in self.spots.values()})
+        return Listed(tuple(news))
 
     def alter(self, deployment: Deployment) -> None:
         """Other settings: kinds of servers may have other memory."""
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -380,3 +380,25 @@
     assert sent(host.end(reads, read.server, Verdict.READ)).server.duty is port.Duty.WRITE
     host.first(streams, leg.server)
     assert not kinds(host.end(streams, leg.server, Verdict.STREAMED, over=True))
+
+
+def test_servers_that_went_and_openings_of_old_are_forgotten(host: FakeHost) -> None:
+    board = host.router.desk.board
+    busy, leg = host.written()
+    for turn in range(300):
+        new = Server("east", 0, port.Duty.READ, 200e3, mark=turn)
+        host.tell(port.Listed((new,)))
+        new.life = Life.GONE
+        host.tell(port.Listed((new,)))
+        host.router.desk.asked_for.update(f"{turn}.{i}" for i in range(50))
+        host.tell(port.Woken(True), after=100.0)
+    assert len(board) < 20 and len(host.router.desk.asked_for) <= 4096 + 200
+    leg.server.life = Life.GONE    # one that still has a leg stays until it has ended
+    host.tell(port.Listed((leg.server,)))
+    for _ in range(8):
+        host.tell(port.Woken(True), after=100.0)
+    assert leg.server.seat in board
+    host.end(busy, leg.server, Verdict.RESET, over=True)
+    for _ in range(8):
+        host.tell(port.Woken(True), after=100.0)
+    assert leg.server.seat not in board
