--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -467,17 +467,19 @@
 
 async def test_start_reload_drain_and_restart_of_the_process(tmp_path: Path) -> None:
     async with platform("r0", "w0") as p:
+        spare = (await trio.open_tcp_listeners(0, host="127.0.0.1"))[0]
+        p.address = "127.0.0.1:%d" % spare.socket.getsockname()[1]
+        spare.socket.close()
         config = tmp_path / "config.json"
 
         def write(**more: Any) -> None:
             config.write_text(json.dumps({
-                "name": "n0", "listen": "127.0.0.1:18443", "discovery": p.discovery.address, "seed": "ff",
+                "name": "n0", "listen": p.address, "discovery": p.discovery.address, "seed": "ff",
                 "limits": {"cores": 1.0, "memory_mb": 128, "sockets": 256}, "known": p.discovery.listing(),
                 "settings": TOLD} | more))
         write()
         p.servers["w0"].events, p.servers["w0"].event_ms = 20, 40.0
         env = os.environ | {"NODE_CONFIG": str(config)}
-        p.address = "127.0.0.1:18443"
         for _ in range(2):    # the second is a restart on the same address
             process = await trio.lowlevel.open_process([sys.executable, "-m", "ternlane.platform"], env=env,
                                                        stderr=subprocess.DEVNULL)
