Written twice: what actions mean on tickets, and final answers, stand once in turns.py

node.py and gateway/host.py had the same cases for legs, call-offs and final answers, and the same types for the latter; they are in Turns now, each host adds the rest.

--- a/ternlane/choice.py
+++ b/ternlane/choice.py
@@ -698,7 +698,7 @@
             if s.progress < SICK * view.pace and not s.shut and not s.trial:
                 s.engine.post(Trouble(silent=True))
             stirred = s.open or s.shut or s.trial or s.credit < inf
-            if stirred or (i + self.beats // LOOK) % (len(peers) // (3 * LOOK) or 1) == 0:    # idle ones in turns
+            if stirred or (i + self.beats // LOOK) % (len(peers) // (3 * LOOK) or 1) == 0:    # idle in turns
                 s.engine.post(view)
 
 
--- a/ternlane/gateway/host.py
+++ b/ternlane/gateway/host.py
@@ -25,13 +25,12 @@
 from ternlane.turns import Chooser, Turns, now_ms
 
 
-class Host(Turns):
+class Host(Turns[Ticket]):
     def __init__(self, chooser: Chooser, facts: StartFacts, transport: Transport, book: Book, intake: Intake,
                  nursery: trio.Nursery, measures: Measures, log: Any, streams: StreamTerms | None = None) -> None:
         super().__init__(chooser)
         self.facts, self.transport, self.book, self.intake = facts, transport, book, intake
         self.nursery, self.measures, self.log = nursery, measures, log
-        self.tickets: dict[port.Generation, Ticket] = {}
         self.mender: Mender[Ticket] = Mender(streams or StreamTerms(), facts)
         self.resume_at = float("inf")
         self.idents: set[str] = set()
@@ -58,20 +57,8 @@
         self.mender.alter(offer.facts)
         self.tell(port.Altered(offer.facts))
 
-    def carry_out(self, action: port.Action) -> None:
+    def carry_further(self, action: port.Action) -> None:
         match action:
-            case port.SendLeg(gen, server):
-                self.send(self.tickets[gen], server, action)
-            case port.CallOff(gen):
-                ticket = self.tickets.get(gen)
-                if ticket is not None and ticket.leg is not None and not ticket.flowing:
-                    ticket.leg.call_off()
-            case port.Throttle(gen, pause):
-                self.settle(self.tickets.get(gen), Throttled(pause))
-            case port.Terminate(gen):
-                ticket = self.tickets.get(gen)
-                timed_out = ticket is not None and bool(ticket.trail) and ticket.trail[-1].endswith("TIMED_OUT")
-                self.settle(ticket, Terminated(ticket.why if ticket is not None else "", timed_out))
             case port.LetGo(gen):
                 self.let_go(self.tickets.get(gen))
             case port.Follow():
@@ -116,9 +103,7 @@
             self.settle(ticket, Terminated("the gateway went down"))
             self.tell(port.ClientLeft(ticket.gen))
 
-    def settle(self, ticket: Ticket | None, final: Throttled | Terminated | Streamed) -> None:
-        if ticket is None:
-            return
+    def settle(self, ticket: Ticket, final: Throttled | Terminated | Streamed) -> None:
         if ticket.begun and isinstance(final, Throttled):    # its client has a part: nothing to come back for
             final = Terminated(ticket.why or "nobody could go on with it")
         if not ticket.settle(final):
--- a/ternlane/gateway/ticket.py
+++ b/ternlane/gateway/ticket.py
@@ -13,18 +13,8 @@
 from ternlane.port import Generation, Server
 from ternlane.recover import Join
 from ternlane.tenants.billing import Used
-
-
-@dataclass(slots=True)
-class Throttled:
-    pause_ms: float
-
-
-@dataclass(slots=True)
-class Terminated:
-    """`begun`: the client has part of a stream already."""
-    why: str
-    timed_out: bool = False
+from ternlane.turns import Terminated as Terminated
+from ternlane.turns import Throttled as Throttled
 
 
 @dataclass(slots=True)
--- a/ternlane/platform/__main__.py
+++ b/ternlane/platform/__main__.py
@@ -26,7 +26,7 @@
 CLIENTS, SERVERS = 0.45, 0.45    # of the descriptors; the rest is for the watch, the log and what is being closed
 BODIES = 0.2                     # of the memory
 LATE_COMERS_MS = 450.0           # new connections still arrive for so long after SIGTERM
-ENDS_MS = 3700.0                 # no SIGKILL before this long after SIGTERM
+LONGEST_MS, ENDS_MS = 3000.0, 700.0    # no SIGKILL before the longest time limit, cut to the one, plus the other
 REPORT_MS = 10e3
 UNFIT, TAKEN = 65, 69
 
@@ -85,7 +85,8 @@
         close at once, new ones only when all that was sent to them must have come: a request that came later than that
         might be cut off without an answer."""
         self.front.draining = True
-        self.node.tell(port.Ending(ENDS_MS))
+        longest = max(product.limit_ms for product in self.node.deployment.products.values())
+        self.node.tell(port.Ending(min(longest, LONGEST_MS) + ENDS_MS))
         self.front.close_idle(served=True)
         await trio.sleep(LATE_COMERS_MS / 1000)
         self.accepting.cancel()
--- a/ternlane/platform/front.py
+++ b/ternlane/platform/front.py
@@ -9,9 +9,9 @@
 import trio
 
 from ternlane.http1 import BadRequest, Exchange, serve_connection
-from ternlane.platform.node import Node, Streamed, Terminated, Throttled, Ticket
+from ternlane.platform.node import Node, Streamed, Ticket
 from ternlane.platform.protocol import BODY_BYTES, CHAT_PATH, READY_PATH, Wrong, wish_of
-from ternlane.turns import now_ms
+from ternlane.turns import Terminated, Throttled, now_ms
 
 HEAD_BYTES = 16384
 FIRST_MS = 2200.0    # from a connection's start to its first request's end: who sends nothing is owed an end within 3 s
--- a/ternlane/platform/node.py
+++ b/ternlane/platform/node.py
@@ -14,23 +14,13 @@
 from ternlane.platform.engines import ClientGone, Engines, Leg, LegEnd
 from ternlane.platform.roster import Listing, Roster
 from ternlane.port import Generation, Life, Server, Verdict
-from ternlane.turns import Chooser, Turns, now_ms
+from ternlane.turns import Chooser, Terminated, Throttled, Turns, now_ms
 
 TRAILS = 512    # generations whose legs are kept for who asks
 STREAM_HEAD = [("Content-Type", "text/event-stream"), ("Cache-Control", "no-cache"),
                ("Transfer-Encoding", "chunked")]
 
 
-@dataclass(slots=True)
-class Throttled:
-    pause_ms: float
-
-
-@dataclass(slots=True)
-class Terminated:
-    why: str
-
-
 @dataclass(slots=True)
 class Streamed:
     """`whole`: with its last chunk; else its client's connection is to end without it."""
@@ -70,13 +60,12 @@
         await self.exchange.chunk(data)
 
 
-class Node(Turns):
+class Node(Turns[Ticket]):
     def __init__(self, chooser: Chooser, deployment: Deployment, engines: Engines, nursery: trio.Nursery,
                  log: Any) -> None:
         super().__init__(chooser)
         self.deployment, self.engines, self.nursery, self.log = deployment, engines, nursery, log
         self.roster = Roster(deployment)
-        self.tickets: dict[Generation, Ticket] = {}
         self.idents: dict[str, Ticket] = {}
         self.ended: list[Ticket] = []    # to be forgotten once the turn is over
         self.releasing = 0
@@ -92,19 +81,8 @@
             self.forget(ticket)
         self.ended.clear()
 
-    def carry_out(self, action: port.Action) -> None:
+    def carry_further(self, action: port.Action) -> None:
         match action:
-            case port.SendLeg(gen, server):
-                self.send(self.tickets[gen], server, action)
-            case port.CallOff(gen):
-                ticket = self.tickets.get(gen)
-                if ticket is not None and ticket.leg is not None and not ticket.flowing:
-                    ticket.leg.call_off()
-            case port.Throttle(gen, pause):
-                self.settle(self.tickets.get(gen), Throttled(pause))
-            case port.Terminate(gen):
-                ticket = self.tickets.get(gen)
-                self.settle(ticket, Terminated(ticket.why if ticket is not None else ""))
             case port.LetGo(gen):
                 ticket = self.tickets.get(gen)
                 if ticket is not None:
@@ -151,8 +129,8 @@
             self.closed(ticket, "left")
             self.tell(port.ClientLeft(ticket.gen))
 
-    def settle(self, ticket: Ticket | None, final: Final) -> None:
-        if ticket is None or ticket.over:
+    def settle(self, ticket: Ticket, final: Final) -> None:
+        if ticket.over:
             return
         ticket.final = final
         ticket.watch.cancel()
--- a/ternlane/turns.py
+++ b/ternlane/turns.py
@@ -6,9 +6,10 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
+from dataclasses import dataclass
 from functools import partial
 from heapq import heappop, heappush
-from typing import Callable, Protocol
+from typing import Callable, Generic, Protocol, TypeVar
 
 import trio
 
@@ -25,9 +26,39 @@
     return trio.current_time() * 1000
 
 
-class Turns(ABC):
+@dataclass(slots=True)
+class Throttled:
+    pause_ms: float
+
+
+@dataclass(slots=True)
+class Terminated:
+    why: str
+    timed_out: bool = False
+
+
+class Waits(Protocol):
+    def call_off(self) -> None:
+        """Ends the wait for a leg."""
+
+
+class Held(Protocol):
+    """What every host keeps of a generation; its leg is called off only while it does not stream."""
+    flowing: bool
+    why: str
+    trail: list[str]
+
+    @property
+    def leg(self) -> Waits | None: ...
+
+
+T = TypeVar("T", bound=Held)
+
+
+class Turns(ABC, Generic[T]):
     def __init__(self, chooser: Chooser) -> None:
         self.chooser = chooser
+        self.tickets: dict[port.Generation, T] = {}
         self.heard: list[port.Event] = []
         self.turning = False
         self.due: list[tuple[float, int, Callable[[], None]]] = []
@@ -57,9 +88,36 @@
         finally:
             self.turning = False
 
-    @abstractmethod
     def carry_out(self, action: port.Action) -> None:
-        """Does what was decided; a Wake never comes here."""
+        match action:
+            case port.SendLeg(gen, server):
+                self.send(self.tickets[gen], server, action)
+            case port.CallOff(gen):
+                ticket = self.tickets.get(gen)
+                if ticket is not None and ticket.leg is not None and not ticket.flowing:
+                    ticket.leg.call_off()
+            case port.Throttle(gen, pause):
+                if gen in self.tickets:
+                    self.settle(self.tickets[gen], Throttled(pause))
+            case port.Terminate(gen):
+                ticket = self.tickets.get(gen)
+                if ticket is not None:
+                    timed_out = bool(ticket.trail) and "TIMED_OUT" in ticket.trail[-1].split()
+                    self.settle(ticket, Terminated(ticket.why, timed_out))
+            case _:
+                self.carry_further(action)
+
+    @abstractmethod
+    def send(self, ticket: T, server: port.Server, times: port.SendLeg) -> None:
+        """Sends a leg."""
+
+    @abstractmethod
+    def settle(self, ticket: T, final: Throttled | Terminated) -> None:
+        """Gives the one final answer."""
+
+    @abstractmethod
+    def carry_further(self, action: port.Action) -> None:
+        """What else was decided; no Wake."""
 
     def at(self, when_ms: float, call: Callable[[], None]) -> None:
         self.asked += 1
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -435,10 +435,16 @@
         return [port.Wake(now + 5, True)]
 
 
-class Quiet(Turns):
-    def carry_out(self, action: port.Action) -> None:
+class Quiet(Turns[Any]):
+    def carry_further(self, action: port.Action) -> None:
         raise AssertionError(action)
 
+    def send(self, ticket: Any, server: port.Server, times: port.SendLeg) -> None:
+        raise AssertionError(times)
+
+    def settle(self, ticket: Any, final: Any) -> None:
+        raise AssertionError(final)
+
     def woken(self) -> None:
         pass
 
