A daemon's test asks again while it is told to, and within the time that repeats are known

Cause: the test asked once, as soon as the listener was open. The start of the second process took longer than the 1.5 s for which a repeat of that product is known, so the key was free by then; no effect came twice within its time. The test now asks until it is taken, and uses the patient products.

--- a/tests/test_inflight.py
+++ b/tests/test_inflight.py
@@ -16,7 +16,7 @@
 from hypothesis import strategies as st
 
 from tests.test_tenants import CrashError, FakeDisk
-from tests.world import BUILD, PRODUCTS, TERMS, Reply, World, heard, replace, world
+from tests.world import BUILD, TERMS, Reply, World, heard, patient, replace, world
 from ternlane.gateway import open_gateway
 from ternlane.gateway.scribe import JOURNAL
 from ternlane.http1 import Pool, Unconnected
@@ -286,7 +286,7 @@
             await probe.bind(("127.0.0.1", 0))
             port = probe.getsockname()[1]
         paper = msgspec.structs.replace(w.gateway.paper, listen=f"127.0.0.1:{port}", journal=str(tmp_path / "j"),
-                                        products=PRODUCTS, fleet=TERMS)
+                                        products=patient(20), fleet=TERMS)
         (tmp_path / "g.json5").write_bytes(msgspec.json.encode(paper))
 
         async def start() -> Any:
@@ -299,19 +299,22 @@
                         return process
                     except Unconnected:
                         await trio.sleep(0.03)
+
+        async def ask_until_taken() -> Any:    # 503 while it takes the journal up, 429 until it has had reports
+            while (reply := await ask_at(f"127.0.0.1:{port}", "note", "k1")).status in (429, 503):
+                await trio.sleep(0.02)
+            return reply
         process = await start()
         try:
-            w.nursery.start_soon(ask_at, f"127.0.0.1:{port}", "note", "k1")
-            with trio.fail_after(10):
+            w.nursery.start_soon(ask_until_taken)
+            with trio.fail_after(20):
                 while not w.said("effect"):
                     await trio.sleep(0.002)
             process.send_signal(signal.SIGKILL)
             await process.wait()
             process = await start()
-            reply = await ask_at(f"127.0.0.1:{port}", "note", "k1")
-            while reply.status == 503:    # it takes the journal up
-                await trio.sleep(0.02)
-                reply = await ask_at(f"127.0.0.1:{port}", "note", "k1")
+            with trio.fail_after(20):
+                reply = await ask_until_taken()
             assert reply.status == 502 and len(w.said("effect")) == 1
         finally:
             process.kill()
