Reads whose answers are lost are no load: readers that lose them no longer look full

From 34 s to 50 s most generations were throttled while readers' own reports said 1 to 5 open. A log of each leg and a dump of the board each second showed: reads at four readers and writes at three writers got no answer while later ones at the same server did. n0 sent nine reads to one reader at 42.3 s; those sent after them were read by 44.4 s, when the nine were not yet overdue; then the reader looked full, since hung reads count as its queue, was sent nothing more, so no later end showed that they were lost, and they hung to their time limit, 11 to 13 s after. Their times were learnt as usual (0.2 -> 2.7 s), which made the next wait longer. At fault: Engine.overtaken asked only when a read ended, and Engine.standing summed all legs' work.

Also: a writer on trial never got its leg from a generation that had booked it, as its own booking counted as an open leg (Desk.fit; s- stood on trial for 25 s with no leg).

--- a/ternlane/choice.py
+++ b/ternlane/choice.py
@@ -60,6 +60,7 @@
         self.size = 1.0    # memory it seems to have, against what the start facts say
         self.strikes, self.shut_until, self.trial = 0, 0.0, False
         self.started, self.cold_until, self.linked_until = server.started_ms, 0.0, 0.0
+        self.answered = -inf    # when the latest prompt was sent of those it is known to have read
         self.beat_at, self.sent, self.fleet = router.now, 0.0, Beat()
 
     def handle(self, note: Any) -> None:
@@ -83,7 +84,7 @@
                 if next_usual is None:
                     self.legs.pop(leg, None)
                     if good and not leg.writes:
-                        self.overtaken(leg)
+                        self.answered = max(self.answered, leg.sent)
                 else:
                     self.weigh(now - leg.since)
                     leg.since, leg.usual_ms, leg.counted = now, next_usual, 0.0
@@ -110,17 +111,17 @@
                 if self.server.started_ms != self.started:
                     self.started, self.credit = self.server.started_ms, 0.0
                 self.cold_until = self.started + self.limits.cold_ms if self.started > 0 else 0.0
+        self.overtaken()
         self.router.desk.post(self.standing())
         if isinstance(note, Onward):
             self.router.desk.post(note)
 
-    def overtaken(self, leg: Leg) -> None:
-        """Guards against answers that get lost: prompts are read in turn, so earlier ones that are overdue
-        have been read too. Does harm where a server reads many at once and lets short ones pass long ones."""
-        for other in self.legs:
-            overdue = self.router.now - other.sent > other.usual_ms
-            if overdue and other.sent < leg.sent and not other.writes:
-                self.router.desk.post(Lost(other))
+    def overtaken(self) -> None:
+        """Guards against answers that get lost: prompts are read in turn, so what is overdue and was sent
+        before one that is read has been read too. Asked at each beat: nothing more may be sent there."""
+        for leg in self.legs:
+            if leg.sent < min(self.answered, self.router.now - leg.usual_ms) and not leg.writes:
+                self.router.desk.post(Lost(leg))
 
     def shut(self, wait: float) -> None:
         """Nothing more for a while, twice as long each time; then one leg at a time."""
@@ -160,7 +161,7 @@
         now, own, crowding = self.router.now, self.own(), self.crowding()
         used = self.used = own + self.fleet.level * crowding
         free = 1 - used / self.size
-        queue = sum(leg.work_ms for leg in self.legs)
+        queue = sum(leg.work_ms for leg in self.legs if leg.sent >= self.answered)    # a lost one is no load
         ahead = CROWD * queue + self.fleet.trust * (self.fleet.queue_ms * crowding)
         if self.said is not None:    # an old report says less than the mean does
             at, mem_share, held = self.said
@@ -290,7 +291,8 @@
 
     def fit(self, s: Standing, course: Course) -> bool:
         if s.trial and not s.shut:    # one leg at a time finds out, and none that can't be made good
-            return not s.open and (not s.engine.writes or course.gen.product.effect is Effect.IDEMPOTENT)
+            return s.open <= (course in s.engine.booked) and (    # its own booking must not bar it
+                not s.engine.writes or course.gen.product.effect is Effect.IDEMPOTENT)
         return self.sound(s)
 
     def congested(self, s: Standing, course: Course) -> bool:
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -42,17 +42,42 @@
     host = build()
     mute = host.gen(effect, session="a")
     first = sent(host.arrive(mute))
-    later, other = host.gen(session="a"), host.gen(session="a")
+    later = host.gen(session="a")
     assert sent(host.arrive(later, after=100.0)).server is first.server    # not overdue yet: it may only be long
-    assert sent(host.end(later, first.server, Verdict.READ, after=20.0)).server.duty is port.Duty.WRITE
-    assert sent(host.arrive(other, after=200.0)).server is first.server
-    said = host.end(other, first.server, Verdict.READ, after=80.0)
+    said = host.end(later, first.server, Verdict.READ, after=20.0)
+    assert sent(said).server.duty is port.Duty.WRITE and port.CallOff not in kinds(said)
+    said = host.tell(after=300.0)    # nothing else is sent there, and still it is not waited for to its time limit
     assert [a.gen for a in said if isinstance(a, port.CallOff)] == [mute]
     again = sent(host.end(mute, first.server, Verdict.CALLED_OFF))
     assert again.server.duty is port.Duty.READ and again.server is not first.server
     assert sent(host.end(mute, again.server, Verdict.READ)).server.duty is port.Duty.WRITE
 
 
+def test_reads_whose_answers_are_lost_do_not_make_their_reader_look_full() -> None:
+    host = build(leg_limit=2)    # none is called off
+    reader = sent(host.arrive(host.gen(session="a", prompt_toks=3e3))).server
+    full = host.router.desk.board[reader.seat].queue_ms
+    later = host.gen(session="a", prompt_toks=100.0)
+    assert full > 0 and sent(host.arrive(later, after=10.0)).server is reader
+    host.end(later, reader, Verdict.READ, after=10.0)
+    assert host.router.desk.board[reader.seat].queue_ms == 0 and len(reader.seat.legs) == 1
+
+
+def test_a_writer_on_trial_is_sent_the_state_that_was_read_for_it(host: FakeHost) -> None:
+    """What the generation itself had booked there barred it, so nothing ever found out that the writer is well."""
+    kept, leg = host.written(session="a")
+    writer = leg.server
+    host.first(kept, writer)
+    host.end(kept, writer, Verdict.STREAMED, over=True)
+    other = host.gen(session="a")
+    host.end(other, sent(host.arrive(other)).server, Verdict.READ)
+    host.tell(port.LegEnded(other, writer, Verdict.UNCONNECTED, 1.0, True))    # shut, and on trial after
+    host.tell(after=2000.0)
+    found = host.gen(session="a")
+    reader = sent(host.arrive(found)).server
+    assert sent(host.end(found, reader, Verdict.READ)).server is writer
+
+
 def test_a_read_is_not_called_off_where_no_legs_are_left_for_another_pair() -> None:
     host = build(leg_limit=2)
     mute, later = host.gen(session="a"), host.gen(session="a")
