Kept connections are not used again at an idle time at which many broke lately

The server had closed them and its close came some hundred ms late; the pool looked only for a close that has come. Now the pool counts uses and breaks ahead of the first byte by the idle time's doubling, fading over the idle limit, and closes what it would have used where more than an eighth broke (http1/wear.py, free of I/O). Protocol fact, not a decision: no server, leg or wait is chosen. All fronts' pools gain.

--- a/ternlane/http1/caller.py
+++ b/ternlane/http1/caller.py
@@ -11,6 +11,7 @@
 import trio
 
 from ternlane.http1.sending import send
+from ternlane.http1.wear import Wear
 
 Headers = Sequence[tuple[str, str]]
 CHUNK = 65536
@@ -31,12 +32,14 @@
         self.conn = h11.Connection(h11.CLIENT, max_incomplete_event_size=HEAD_BYTES)
         self.idle_since = 0.0
         self.written = False    # the request's last byte
+        self.heard = self.broke = False    # any byte of the answer; an end ahead of it
+        self.idled_ms: float | None = None    # how long it lay idle before this request; None: it is new
         self.on_close: Callable[[Caller], None] = lambda _: None
 
     async def ask(self, method: str, target: str, headers: Headers, body: bytes = b"") -> h11.Response:
         """Raises Unconnected where the connection breaks before the request's last byte is written, and after that
         trio.BrokenResourceError or h11.RemoteProtocolError where it or the peer breaks off."""
-        self.written = False
+        self.written = self.heard = self.broke = False
         head = [("Host", self.peer), *headers]
         if body or method != "GET":
             head.append(("Content-Length", str(len(body))))
@@ -47,6 +50,7 @@
         try:
             await send(self.stream, out)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as why:
+            self.broke = True
             raise Unconnected(f"{self.peer}: broke before all was written: {why}") from None
         self.written = True
         for _ in range(INTERIM):
@@ -62,7 +66,14 @@
             event = self.conn.next_event()
             if event is not h11.NEED_DATA:
                 return event    # type: ignore[return-value]
-            self.conn.receive_data(await self.stream.receive_some(CHUNK))
+            try:
+                data = await self.stream.receive_some(CHUNK)
+            except trio.BrokenResourceError:
+                self.broke = not self.heard
+                raise
+            self.broke = not data and not self.heard
+            self.heard = self.heard or bool(data)
+            self.conn.receive_data(data)
 
     async def chunks(self) -> AsyncIterator[bytes]:
         """The body's bytes. Raises h11.RemoteProtocolError where it ends short of its stated length."""
@@ -116,16 +127,19 @@
         self.open: set[Caller] = set()
         self.opening = 0
         self.made = 0
+        self.wear = Wear(idle_ms)
 
     async def take(self, peer: str) -> Caller:
         """Raises Unconnected when none could be made in time."""
-        kept, now = self.idle.get(peer), trio.current_time()
-        while kept:
-            caller = next(reversed(kept))
-            if now - caller.idle_since < self.idle_ms / 1000 and not caller.dead:
+        now = trio.current_time() * 1000
+        for caller in list(reversed(self.idle.get(peer, ()))):
+            idled = now - caller.idle_since * 1000
+            if idled >= self.idle_ms or caller.dead or self.wear.shuns(idled, now):
+                caller.close_now()
+            else:
                 self._rested(caller)
+                caller.idled_ms = idled
                 return caller
-            caller.close_now()
         return await self.connect(peer)
 
     async def connect(self, peer: str) -> Caller:
@@ -158,10 +172,17 @@
                 del self.idle[caller.peer]
 
     def _closed(self, caller: Caller) -> None:
+        if caller in self.open and caller.broke:
+            self._used(caller)
         self.open.discard(caller)
         self._rested(caller)
 
+    def _used(self, caller: Caller) -> None:
+        if caller.idled_ms is not None:
+            self.wear.note(caller.idled_ms, caller.broke, trio.current_time() * 1000)
+
     def give_back(self, caller: Caller) -> None:
+        self._used(caller)
         if not caller.reusable or len(self.idle.get(caller.peer, ())) >= PER_PEER:
             caller.close_now()
             return
--- /dev/null
+++ b/tests/test_kept.py
@@ -0,0 +1,73 @@
+"""Stories of connections kept by the calling side."""
+from __future__ import annotations
+
+import socket
+import struct
+
+import pytest
+import trio
+
+from ternlane.http1 import Pool
+from ternlane.http1.wear import OFTEN, Wear
+
+ANSWER = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
+
+
+class Forgetful:
+    """A peer that no longer knows a connection once it was idle for so long, and says so only when it is used."""
+
+    def __init__(self, knows_s: float) -> None:
+        self.knows_s, self.resets, self.served = knows_s, 0, 0
+
+    async def serve(self, stream: trio.SocketStream) -> None:
+        at = trio.current_time()
+        while await stream.receive_some(4096):
+            if trio.current_time() - at > self.knows_s:
+                self.resets += 1
+                stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                stream.socket.close()
+                return
+            self.served += 1
+            await stream.send_all(ANSWER)
+            at = trio.current_time()
+
+
+async def ask(pool: Pool, peer: str) -> bool:
+    caller = await pool.take(peer)
+    try:
+        assert (await caller.ask("GET", "/", [])).status_code == 200
+        await caller.body(10)
+    except trio.BrokenResourceError:
+        caller.close_now()
+        return False
+    pool.give_back(caller)
+    return True
+
+
+async def test_connections_that_break_after_some_idling_are_shunned_at_that_age_and_fresh_ones_are_used() -> None:
+    peer = Forgetful(0.03)
+    async with trio.open_nursery() as nursery:
+        listener = (await trio.open_tcp_listeners(0, host="127.0.0.1"))[0]
+        nursery.start_soon(trio.serve_listeners, peer.serve, [listener])
+        address = "127.0.0.1:%d" % listener.socket.getsockname()[1]
+        pool = Pool(1000, 10_000)
+        outcomes = []
+        for _ in range(12):
+            outcomes.append(await ask(pool, address))
+            await trio.sleep(0.045)
+        assert outcomes.count(False) == peer.resets == 2 and all(outcomes[4:])
+        made = pool.made
+        for _ in range(5):    # used again at once, as before
+            assert await ask(pool, address)
+        assert pool.made <= made + 1
+        nursery.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize("broke_every, shunned", [(2, True), (int(2 / OFTEN), False)])
+def test_what_breaks_now_and_then_is_chance_and_what_is_shunned_is_tried_again(broke_every: int, shunned: bool) -> None:
+    wear = Wear(1000.0)
+    for i in range(100):
+        wear.note(200.0, i % broke_every == 0, 0.0)
+    assert wear.shuns(200.0, 0.0) is shunned and wear.shuns(250.0, 0.0) is shunned
+    assert not wear.shuns(20.0, 0.0) and not wear.shuns(2000.0, 0.0)
+    assert not wear.shuns(200.0, 5000.0)
