The platform's gateway at its limits: stories for floods, shortages, lateness, reload and soak

What they brought to light, and what was at fault: - engines.ask: a DELETE that was called off, as another server had answered first, left its connection open and uncounted as idle: one in some hundred generations, never closed. Now closed on every way out. - front.accept: out of descriptors, one idle connection made room each 50 ms, so forty silent ones were not ended within 3 s and legs had none. Now an eighth of the idle ones make room at once, and the wait is only for when none is idle. - engines.release: each server was asked once; where the only ones spoilt that answer, nothing asked again.

--- a/ternlane/choice.py
+++ b/ternlane/choice.py
@@ -56,11 +56,9 @@
         self.legs: dict[Leg, None] = {}
         self.said: tuple[float, float, float | None] | None = None   # when, memory share, generations held
         self.done = self.due = self.rate = self.credit = 0.0
-        self.used = 0.0    # of its memory, by all gateways as far as is known
-        self.size = 1.0    # memory it seems to have, against what the start facts say
-        self.strikes, self.shut_until, self.trial = 0, 0.0, False
+        self.used, self.size = 0.0, 1.0    # of its memory: by all gateways; what it seems to have
+        self.strikes, self.shut_until, self.trial, self.answered = 0, 0.0, False, -inf
         self.started, self.cold_until, self.linked_until = server.started_ms, 0.0, 0.0
-        self.answered = -inf    # when the latest prompt was sent of those it is known to have read
         self.beat_at, self.sent, self.fleet = router.now, 0.0, Beat()
 
     def handle(self, note: Any) -> None:
@@ -118,7 +116,7 @@
 
     def overtaken(self) -> None:
         """Guards against answers that get lost: prompts are read in turn, so what is overdue and was sent
-        before one that is read has been read too. Asked at each beat: nothing more may be sent there."""
+        the latest `answered` has been read too. Asked at each beat: nothing more may be sent there."""
         for leg in self.legs:
             if leg.sent < min(self.answered, self.router.now - leg.usual_ms) and not leg.writes:
                 self.router.desk.post(Lost(leg))
@@ -148,9 +146,6 @@
         """How much more than its peers the gateways use it, as far as this one has seen it happen."""
         return (self.sent + CROWD) / (self.fleet.mean_sent + CROWD) * (1 - 1 / self.limits.share)
 
-    def own(self) -> float:
-        return sum(share for _, share in self.booked.values())
-
     def refill(self, peer_rate: float, ms: float) -> None:
         """A cold server gets part of what a warm peer at its best took from here, more as it warms."""
         warmth = 1 - max(0.0, self.cold_until - self.router.now) / max(self.limits.cold_ms, 1.0)
@@ -158,7 +153,7 @@
         self.credit = min(self.credit + rate * ms, max(1.0, rate * self.limits.burst_ms))
 
     def standing(self) -> Standing:
-        now, own, crowding = self.router.now, self.own(), self.crowding()
+        now, own, crowding = self.router.now, sum(s for _, s in self.booked.values()), self.crowding()
         used = self.used = own + self.fleet.level * crowding
         free = 1 - used / self.size
         queue = sum(leg.work_ms for leg in self.legs if leg.sent >= self.answered)    # a lost one is no load
@@ -183,8 +178,7 @@
         super().__init__(router)
         self.adopt(facts)
         self.asking: list[Course] = []
-        self.read_ms = 0.0
-        self.asked = False
+        self.read_ms, self.asked, self.unmet = 0.0, False, 0.0    # part of new connections that fail
         self.seed, self.turn, self.beats, self.stuck = facts.seed, 0, 0, inf    # no room for prompts so large
         self.board: dict[Seat, Standing] = {}
         self.homes: OrderedDict[str, Home] = OrderedDict()
@@ -199,7 +193,6 @@
         self.tok_ms = self.limits.slo_ms / 10e3
         self.fleets = {duty: Beat() for duty in Duty}
         self.foreseen = self.took = self.limits.slo_ms / 8
-        self.unmet = 0.0    # part of new connections that could not be made
         self.doubts: dict[Any, Doubt] = {}    # by product, tenant, or the verdict of silence
         self.trust = 1.0    # how long reads took, against what the readers' queues were believed to be
 
@@ -235,6 +228,11 @@
             case port.Altered(facts):
                 self.router.limits, self.stuck = limits_from(facts), inf
                 self.adopt(facts)
+                kept = set(facts.products)    # what was learnt of those that are no more must not pile up
+                self.usual = {kind: ms for kind, ms in self.usual.items() if kind[0] in kept}
+                for table in (self.prompt, self.learnt_at, self.told):
+                    for product in table.keys() - kept:
+                        del table[product]
                 for engine in self.board:
                     engine.post(News())
             case port.Ending(within):
@@ -611,7 +609,7 @@
     def read_took(self, course: Course, leg: Leg, note: port.LegEnded) -> None:
         """One that ran out of time took at least as long; were it not counted, ever more would."""
         gen, took, unread = course.gen, note.took_ms, course.gen.prompt_toks - note.kept_toks
-        usual = took / max(1.0, gen.prompt_toks / self.prompt[gen.product])
+        usual = took / max(1.0, gen.prompt_toks / self.prompt.get(gen.product, gen.prompt_toks))
         if note.verdict is Verdict.READ or usual > self.usual_ms(gen.product, "read"):    # or it was cut
             self.learn(gen.product, "read", usual)
         self.foreseen += GAIN * (leg.foreseen - self.foreseen)
@@ -659,7 +657,8 @@
         if self.must_ask and not self.asked:
             self.asked = True
             out.append(port.Follow())
-        while self.homes and next(iter(self.homes.values())).used < now - HOME_AGE_MS:
+        while self.homes and (len(self.homes) > CROWD * FEW ** 2
+                              or next(iter(self.homes.values())).used < now - HOME_AGE_MS):
             self.homes.popitem(last=False)
         self.beats += 1
         late, self.asking = self.asking, []
--- a/ternlane/platform/engines.py
+++ b/ternlane/platform/engines.py
@@ -144,28 +144,31 @@
                                                                                           bytes]:
         """A small call: how it went, the status, the load that came along and the body."""
         caller, verdict = None, Verdict.TIMED_OUT
-        with trio.move_on_after(within_ms / 1000):
-            try:
+        try:
+            with trio.move_on_after(within_ms / 1000):
                 caller = await self.pool.take(address)
                 head = await caller.ask(method, target, [])
                 body = await caller.body(PLAIN_BYTES)
                 said = next((v.decode("latin-1") for n, v in head.headers if n == LOAD), None)
                 self.heard_at[address] = trio.current_time()
                 self.pool.give_back(caller)
+                caller = None
                 return Verdict.STREAMED, head.status_code, said, body
-            except Unconnected:
-                return Verdict.UNCONNECTED, 0, None, b""
-            except (h11.RemoteProtocolError, *BROKEN):
-                verdict = Verdict.RESET
-        if caller is not None:
-            caller.close_now()
+        except Unconnected:
+            verdict = Verdict.UNCONNECTED
+        except (h11.RemoteProtocolError, *BROKEN):
+            verdict = Verdict.RESET
+        finally:
+            if caller is not None:    # also when called off, as another server has heard it
+                caller.close_now()
         return verdict, 0, None, b""
 
     async def release(self, ident: str, addresses: list[str], within_ms: float) -> bool:
         """Lets go of all that is held for a generation, wherever: any running engine passes it on. The one that was
-        heard last is asked first, the next ones while no answer comes, lest a silent one hold it up."""
+        heard last is asked first, the next ones, and all over again, while none has heard it: one that is silent, busy
+        or spoils its answers must not hold it up."""
         heard = trio.Event()
-        step = within_ms / 8
+        rounds = 8
 
         async def one(address: str, cancel: trio.CancelScope) -> None:
             _, status, _, _ = await self.ask(address, "DELETE", LEASE_PATH + ident, within_ms)
@@ -176,9 +179,9 @@
         order = sorted(addresses, key=lambda a: -self.heard_at.get(a, 0.0))
         with trio.move_on_after(within_ms / 1000):
             async with trio.open_nursery() as nursery:
-                for address in order[:8]:
-                    nursery.start_soon(one, address, nursery.cancel_scope)
-                    await trio.sleep(step / 1000)
+                for turn in range(rounds if order else 0):
+                    nursery.start_soon(one, order[turn % len(order)], nursery.cancel_scope)
+                    await trio.sleep(within_ms / rounds / 1000)
         return heard.is_set()
 
     async def hold(self, address: str, ident: str, within_ms: float) -> bool:
--- a/ternlane/platform/front.py
+++ b/ternlane/platform/front.py
@@ -43,8 +43,9 @@
                 if why.errno not in SHORT_OF:
                     raise
                 self.node.counts["no descriptors"] += 1
-                self.displace()
-                await trio.sleep(0.05)    # what closes meanwhile makes room
+                for _ in range(1 + len(self.idle) // 8):    # legs need some too
+                    if not self.displace():
+                        await trio.sleep(0.05)    # what closes meanwhile makes room
                 continue
             if self.conns >= self.conn_limit and not self.displace():
                 self.node.counts["refused conn_limit"] += 1
@@ -136,7 +137,7 @@
             return
         product = node.deployment.products[wish.product]
         since = exchange.arrived * 1000
-        patience = (wish.patience_ms or product.limit_ms) - (now_ms() - since)
+        patience = (wish.patience_ms or product.limit_ms) - (now_ms() - since) - node.lag_ms()
         gen = node.deployment.generation(product, wish.session, wish.opening, wish.opening_toks, wish.prompt_toks,
                                          wish.max_toks, max(0.0, patience), wish.tenant)
         ticket = Ticket(wish.ident, gen, exchange, exchange.body, now_ms(), self.draining)
--- /dev/null
+++ b/ternlane/platform/process.py
@@ -0,0 +1,176 @@
+"""The process around one gateway on the platform: start, signals, an orderly end."""
+from __future__ import annotations
+
+import gc
+import os
+import resource
+import signal
+import sys
+import time
+from functools import partial
+from typing import Any, AsyncIterator
+
+import structlog
+import trio
+
+from ternlane import port
+from ternlane.choice import Router
+from ternlane.http1 import Pool
+from ternlane.platform.engines import Engines
+from ternlane.platform.front import Front
+from ternlane.platform.node import Node
+from ternlane.platform.registry import Watch
+from ternlane.platform.settings import Post, Unfit, read_post
+
+BACKLOG = 1024
+CLIENTS, SERVERS = 0.45, 0.45    # of the descriptors; the rest is for the watch, the log and what is being closed
+BODIES = 0.2                     # of the memory
+LATE_COMERS_MS = 450.0           # new connections still arrive for so long after SIGTERM
+LONGEST_MS, ENDS_MS = 3000.0, 700.0    # no SIGKILL before the longest time limit, cut to the one, plus the other
+REPORT_MS = 10e3
+UNFIT, TAKEN = 65, 69
+
+
+class Gateway:
+    def __init__(self, post: Post, nursery: trio.Nursery, log: Any) -> None:
+        self.post, self.nursery, self.log = post, nursery, log
+        facts, sockets = post.deployment.facts, post.limits.sockets
+        # What we close well before the other side would crosses no request of ours.
+        pool = Pool(facts.connect_ms, 0.9 * facts.idle_ms, limit=int(sockets * SERVERS))
+        self.node = Node(Router(facts), post.deployment, Engines(pool, post.deployment), nursery, log)
+        self.front = Front(self.node, log, int(sockets * CLIENTS), int(sockets * CLIENTS),
+                           int(post.limits.memory_mb * 2**20 * BODIES))
+        self.watch = Watch(post.discovery, lambda: self.node.roster.index, self.node.listed, self.list_failed,
+                           facts.seed, nursery, log)
+        self.listener: trio.SocketListener
+        self.accepting = trio.CancelScope()
+
+    def list_failed(self, why: str) -> None:
+        self.node.counts["watch broke"] += 1
+        self.log.warning("discovery", why=why)
+
+    async def start(self) -> None:
+        self.listener = (await trio.open_tcp_listeners(self.post.listen[1], host=self.post.listen[0],
+                                                       backlog=BACKLOG))[0]
+        self.node.roster.index = self.post.known.index
+        self.node.listed(self.post.known)
+        self.watch.start()
+        self.nursery.start_soon(self.node.clock)
+        self.nursery.start_soon(self.accept)
+        self.nursery.start_soon(self.report)
+        self.front.ready = True
+        self.log.info("serving", listen="%s:%d" % self.post.listen, servers=len(self.node.roster.servers))
+
+    async def accept(self) -> None:
+        with self.accepting:
+            await self.front.accept(self.listener, self.nursery)
+
+    def reload(self) -> None:
+        """The file again; bad content changes nothing. Products whose terms stay the same stay what they are."""
+        try:
+            post = read_post(held=self.post.deployment.products, file_first=True)
+        except Unfit as why:
+            self.log.error("reload refused", why=str(why))
+            return
+        moved, altered = post.discovery != self.post.discovery, post.deployment.facts != self.post.deployment.facts
+        self.post = post
+        if altered:
+            self.node.alter(post.deployment)
+        if moved:
+            self.watch.move(post.discovery)
+        self.log.info("reloaded", discovery_moved=moved, settings_changed=altered)
+
+    async def drain(self) -> None:
+        """Takes what still arrives, answers everything, lets go of what is held. Connections that have been served
+        close at once, new ones only when all that was sent to them must have come: a request that came later than that
+        might be cut off without an answer."""
+        self.front.draining = True
+        longest = max(product.limit_ms for product in self.node.deployment.products.values())
+        self.node.tell(port.Ending(min(longest, LONGEST_MS) + ENDS_MS))
+        self.front.close_idle(served=True)
+        await trio.sleep(LATE_COMERS_MS / 1000)
+        self.accepting.cancel()
+        await self.front.last(self.listener, self.nursery)
+        self.listener.socket.close()
+        await trio.sleep(LATE_COMERS_MS / 4000)
+        self.front.close_idle()
+        while self.node.tickets or self.node.releasing or self.front.conns > len(self.front.idle):
+            await trio.sleep(0.02)
+
+    async def report(self) -> None:
+        """What an operator needs, one line every ten seconds."""
+        before: dict[str, int] = {}
+        while True:
+            await trio.sleep(REPORT_MS / 1000)
+            node = self.node
+            counts = {k: v - before.get(k, 0) for k, v in sorted(node.counts.items()) if v != before.get(k, 0)}
+            before = dict(node.counts)
+            late, node.late_ms = node.late_ms, 0.0
+            self.log.info("report", open=len(node.tickets), connections=self.front.conns,
+                          engine_connections=len(node.engines.pool.open), descriptors=descriptors(),
+                          memory_mb=round(memory_mb(), 1), loop_late_ms=round(late, 1),
+                          cpu_s=round(time.process_time(), 2), **counts)
+
+    def trails(self) -> None:
+        """Every leg of the latest generations, one line each by id."""
+        for ticket in list(self.node.tickets.values()):
+            self.log.info("trail", gen=ticket.ident, outcome="open", legs=ticket.trail)
+        for ident, outcome, trail in self.node.trails:
+            self.log.info("trail", gen=ident, outcome=outcome, legs=trail)
+
+
+def descriptors() -> int:
+    return len(os.listdir("/proc/self/fd")) if os.path.isdir("/proc/self/fd") else -1
+
+
+def memory_mb() -> float:
+    try:
+        with open("/proc/self/statm") as pages:
+            return int(pages.read().split()[1]) * resource.getpagesize() / 2**20
+    except (OSError, ValueError, IndexError):
+        return resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024
+
+
+async def run(post: Post, log: Any, told_early: list[int]) -> None:
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGUSR1) as signals:
+        async with trio.open_nursery() as nursery:
+            gateway = Gateway(post, nursery, log)
+            await gateway.start()
+            gc.collect()
+            gc.freeze()
+            if not told_early:
+                await until_told(gateway, signals)
+            log.info("draining", open=len(gateway.node.tickets))
+            await gateway.drain()
+            log.info("ended", taken=gateway.node.counts["taken"])
+            nursery.cancel_scope.cancel()
+
+
+async def until_told(gateway: Gateway, signals: AsyncIterator[int]) -> None:
+    async for number in signals:
+        if number == signal.SIGHUP:
+            gateway.reload()
+        elif number == signal.SIGUSR1:
+            gateway.trails()
+        else:
+            return
+
+
+def main(told_early: list[int]) -> int:
+    """`told_early`: SIGTERM that came while the program was still being read in."""
+    structlog.configure(
+        processors=[structlog.processors.add_log_level, structlog.processors.TimeStamper(fmt="iso", utc=True),
+                    structlog.processors.format_exc_info, structlog.processors.JSONRenderer()],
+        logger_factory=structlog.WriteLoggerFactory(file=sys.stderr), cache_logger_on_first_use=True)
+    try:
+        post = read_post()
+    except Unfit as why:
+        print(f"ternlane: {why}", file=sys.stderr)
+        return UNFIT
+    status = 0
+    try:
+        trio.run(partial(run, post, structlog.get_logger(gateway=post.name), told_early))
+    except* OSError as group:
+        print(f"ternlane: {group.exceptions[0]}", file=sys.stderr)
+        status = TAKEN
+    return status
--- a/ternlane/standin/platform.py
+++ b/ternlane/standin/platform.py
@@ -74,6 +74,7 @@
     event_ms: float = 1.0
     events: int = 2
     mute: bool = False    # takes connections and says nothing
+    lease_way: str = ""    # how calls for leases go wrong: "silent", or a name of RAW
     address: str = ""
     listener: trio.SocketListener | None = None
 
@@ -111,6 +112,8 @@
         if exchange.path.startswith("/kv/leases/"):
             ident = exchange.path.removeprefix("/kv/leases/")
             self.fleet.seen.append((self.name, exchange.method, ident))
+            if self.lease_way:
+                return await self._spoil(exchange, self.lease_way)
             await trio.sleep(self.fleet.spread_ms / 1000)
             if exchange.method == "DELETE":
                 self.fleet.states.pop(ident, None)
@@ -127,6 +130,11 @@
         if way == "silent":
             await exchange.until_left()
             return
+        if way == "late_state":    # its client has gone, and it reads on for a while
+            await exchange.until_left()
+            await trio.sleep(0.05)
+            self.fleet.states[ident] = self.name
+            return
         if self.duty == "read" and not way:
             await trio.sleep(self.read_ms / 1000)
             self.fleet.states[ident] = self.name
@@ -139,12 +147,7 @@
         if way == "interim":
             await exchange.stream.send_all(b"HTTP/1.1 102 Processing\r\n\r\n" * 3)
         elif way and way not in ("second_answer", "odd_load"):
-            await exchange.stream.send_all(RAW[way])
-            if way.endswith("cut"):
-                return exchange.reset()
-            with trio.move_on_after(5):
-                await exchange.until_left()
-            return exchange.reset()
+            return await self._spoil(exchange, way)
         load = [("Server-Load", "inflight=,,=%$")] if way == "odd_load" else []
         await exchange.begin(200, [("Content-Type", "text/event-stream"), ("Transfer-Encoding", "chunked"), *load],
                              EVENT)
@@ -156,6 +159,14 @@
         if way == "second_answer":
             await exchange.stream.send_all(GOOD)
 
+    async def _spoil(self, exchange: Exchange, way: str) -> None:
+        if way != "silent":
+            await exchange.stream.send_all(RAW[way])
+        if not way.endswith("cut"):
+            with trio.move_on_after(5):
+                await exchange.until_left()
+        exchange.reset()
+
 
 class Discovery:
     """The agent: the whole list, and a watch with its beat."""
--- a/ternlane/turns.py
+++ b/ternlane/turns.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 from functools import partial
 from heapq import heappop, heappush
+from math import exp
 from typing import Callable, Generic, Protocol, TypeVar
 
 import trio
@@ -37,6 +38,9 @@
     timed_out: bool = False
 
 
+LAG_MS = 1000.0    # a loop that was late is expected to be so again, less and less over this
+
+
 class Waits(Protocol):
     def call_off(self) -> None:
         """Ends the wait for a leg."""
@@ -65,6 +69,7 @@
         self.asked = 0
         self.alarm = trio.Event()
         self.late_ms = 0.0    # the most that a due time was passed by since whoever reads it set it back
+        self.lagged = 0.0, 0.0    # by how much one was passed by lately, and when
 
     def hear(self, event: port.Event) -> None:
         """For the next turn; the inbox is another list then than when a due time was asked for."""
@@ -128,6 +133,11 @@
     def woken(self) -> None:
         """Called after each time that something was due."""
 
+    def lag_ms(self) -> float:
+        """By how much this loop must be expected to be late: what is due is to be given up so much sooner."""
+        late, at = self.lagged
+        return late * exp((at - now_ms()) / LAG_MS)
+
     async def clock(self) -> None:
         """Does what is due at its time; all that is due goes in one turn."""
         while True:
@@ -142,6 +152,8 @@
                     await self.alarm.wait()
                 continue
             self.late_ms = max(self.late_ms, -wait)
+            if -wait > self.lag_ms():
+                self.lagged = -wait, now_ms()
             while self.due and self.due[0][0] <= now_ms():
                 heappop(self.due)[2]()
             if self.heard and not self.turning:
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -391,7 +391,7 @@
         host.first(gen, leg.server, after=5.0)
     host.tell(after=600.0)
     engines = [host.servers[name].seat for name in ("w0", "w1")]
-    held = sum(engine.own() for engine in engines) / 2
+    held = sum(share for engine in engines for _, share in engine.booked.values()) / 2
     assert held > 0 and engines[0].fleet.level > 0.9 * 2 * held    # two gateways that do alike
 
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -17,7 +17,7 @@
 from ternlane import port
 from ternlane.deployment import Deployment
 from ternlane.http1 import Caller, Pool, Unconnected
-from ternlane.platform.__main__ import Gateway
+from ternlane.platform.process import Gateway
 from ternlane.platform.protocol import Events, load_of, outcome_of
 from ternlane.platform.roster import Roster, read_listing
 from ternlane.platform.settings import Limits, Post
--- /dev/null
+++ b/tests/test_platform_bounds.py
@@ -0,0 +1,390 @@
+"""Stories of the platform's gateway at its limits: floods, shortages, lateness, reloads, and what must not grow."""
+from __future__ import annotations
+
+import gc
+import json
+import os
+import resource
+import signal
+import sys
+import time
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any, AsyncIterator
+
+import pytest
+import trio
+
+from ternlane.choice import FEW
+from ternlane.platform import process as process_module
+from ternlane.platform.node import TRAILS
+from tests.test_platform import BODY, HEAD, TOLD, Platform, always, once, platform, until_ready
+from tests.world import Reply
+
+BAD = HEAD + b"Content-Length: -5\r\n\r\n"
+
+
+def told(**limits: Any) -> dict[str, Any]:
+    return TOLD | {"limits": TOLD["limits"] | limits}
+
+
+# -- what must not grow
+
+async def test_thousands_of_new_clients_ids_and_sessions_leave_nothing_behind() -> None:
+    """Servers are replaced meanwhile, some clients leave early, some streams are spoilt."""
+    async with platform("r0", "w0", "w1", w1=lambda ident: "later_noise" if ident.endswith("7") else "") as p:
+        node, desk = p.gateway.node, p.gateway.node.chooser.desk    # type: ignore[attr-defined]
+        outcomes: list[int] = []
+
+        async def client(nth: int) -> None:
+            with trio.move_on_after(0.002 if nth % 10 == 3 else 5):
+                info = f"prefix={nth:x},prompt_len=9,prefix_len=4,max_out=4"
+                outcomes.append((await p.ask(Request_Info=info)).status)
+        rounds, each = 30, 60
+        for turn in range(rounds):
+            if turn % 5 == 4:    # a server goes, another comes
+                p.servers.pop(f"w{turn // 5}").stop()
+                p.discovery.put(f"w{turn // 5}", "", "writer", "DELETED")
+                await p.add(f"w{turn // 5 + 2}")
+            async with trio.open_nursery() as nursery:
+                for nth in range(each):
+                    nursery.start_soon(client, turn * each + nth)
+        assert outcomes.count(200) > rounds * each / 2
+        await p.settled()
+        desk.homes.update({f"old{n}": desk.homes[next(iter(desk.homes))] for n in range(3 * FEW ** 2)})
+        with trio.fail_after(3):    # at the module's next looks
+            while len(desk.homes) > 2 * FEW ** 2 or len(desk.board) > len(node.roster.servers):
+                await trio.sleep(0.02)
+        front, pool = p.gateway.front, node.engines.pool
+        assert not node.tickets and not node.idents and not node.ended and not node.releasing and not desk.waiting
+        assert len(node.trails) == TRAILS and sum(desk.asked_for.values()) <= 2 * FEW ** 2
+        assert len(node.engines.heard_at) <= len(node.roster.spots) == len(node.roster.servers) == 3
+        assert all(not e.legs and not e.booked for e in desk.board)
+        assert front.conns == len(front.idle) == 0 and len(pool.open) == len(pool.resting)
+        for name in list(p.servers):
+            p.discovery.put(name, "", "writer", "DELETED")
+        with trio.fail_after(3):
+            while desk.board or pool.open or node.engines.heard_at:
+                await trio.sleep(0.02)
+
+
+async def test_memory_does_not_follow_the_number_of_clients() -> None:
+    async with platform("r0", "w0") as p:
+        homes = p.gateway.node.chooser.desk.homes    # type: ignore[attr-defined]
+
+        async def some(count: int) -> int:
+            for _ in range(count // 40):
+                async with trio.open_nursery() as nursery:
+                    for _ in range(40):
+                        nursery.start_soon(p.ask)
+            await p.settled()
+            p.fleet.seen.clear()
+            p.fleet.ran.clear()
+            homes.clear()    # bounded by number and age, see above
+            gc.collect()
+            return len(gc.get_objects())
+        await some(TRAILS + 120)    # until the bounded tables are full
+        before = await some(400)
+        assert await some(1600) - before < 800    # less than half an object for each client
+
+
+async def test_what_was_learnt_of_products_that_a_reload_took_away_is_forgotten(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    async with platform("r0", "w0") as p:
+        desk = p.gateway.node.chooser.desk    # type: ignore[attr-defined]
+        for turn in range(1, 6):
+            profiles = [profile | {"aim": 500.0 + turn} for profile in TOLD["profiles"]]
+            reload(p, tmp_path, monkeypatch, TOLD | {"profiles": profiles})
+            for name in ("summary", "note"):
+                assert (await p.ask(Request_Class=name)).status == 200
+        assert len(desk.prompt) == len(desk.learnt_at) == len(desk.told) == 2 and len(desk.usual) <= 6
+        await p.settled()
+
+
+# -- configuration
+
+def reload(p: Platform, folder: Path, monkeypatch: pytest.MonkeyPatch, settings: dict[str, Any]) -> None:
+    path = folder / "config.json"
+    path.write_text(json.dumps({"name": "n0", "listen": p.address, "discovery": p.discovery.address, "seed": "1",
+                                "known": p.discovery.listing(), "settings": settings}))
+    monkeypatch.setenv("NODE_CONFIG", str(path))
+    p.gateway.reload()
+
+
+async def test_settings_that_a_reload_changes_hold_at_once_and_open_generations_do_not_notice(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    async with platform("r0", "w0") as p:
+        p.servers["w0"].events, p.servers["w0"].event_ms = 20, 20.0
+        replies: list[Reply] = []
+
+        async def one() -> None:
+            replies.append(await p.ask())
+        p.nursery.start_soon(one)
+        await trio.sleep(0.1)
+        assert (await p.ask(Request_Class="brief")).status == 400
+        brief = TOLD["profiles"][0] | {"name": "brief", "deadline": 300.0}
+        reload(p, tmp_path, monkeypatch, told(retry_after=False) | {"profiles": [TOLD["profiles"][1], brief]})
+        assert (await p.ask(Request_Class="summary")).status == 400
+        assert (await p.ask(Request_Class="brief")).status == 200
+        p.servers["r0"].script = always("silent")
+        since = trio.current_time()
+        reply = await p.ask(Request_Class="brief", Request_Timeout="-")    # its class's time limit, as it is now
+        assert reply.status == 503 and trio.current_time() - since < 0.35 and "retry-after" not in reply.headers
+        with trio.fail_after(3):
+            while not replies:
+                await trio.sleep(0.01)
+        assert replies[0].status == 200 and replies[0].done == 1
+        path = tmp_path / "config.json"
+        path.write_text("{")
+        p.gateway.reload()
+        assert p.log.lines[-1][0] == "error reload refused" and (await p.ask(Request_Class="note")).status != 400
+
+
+async def test_whole_lists_that_leave_servers_out_and_servers_that_move() -> None:
+    async with platform("r0", "w0", "w1") as p:
+        node, server = p.gateway.node, p.gateway.node.roster.servers["w1"]
+        p.discovery.entries.pop("w0")
+        p.discovery.index += 3    # the watch that begins anew finds no such version: it is given the whole list
+        p.discovery.log = [{}] * p.discovery.index
+        p.discovery.garbage = json.dumps(p.discovery.listing()).encode()
+        p.discovery.changed.set()
+        with trio.fail_after(2):
+            while "w0" in node.roster.servers:
+                await trio.sleep(0.01)
+        for _ in range(4):
+            assert (await p.ask()).status == 200
+        assert {n for n, k, _ in p.fleet.seen if k == "write"} == {"w1"}
+        p.servers["w1"].stop()
+        p.servers["w1"].address = ""
+        moved = await p.add("w1")    # the same name elsewhere is the same server
+        with trio.fail_after(2):
+            while node.roster.spots[server].address != moved.address:
+                await trio.sleep(0.01)
+        assert node.roster.servers["w1"] is server and (await p.ask()).status == 200
+
+
+# -- floods and shortages
+
+async def test_a_flood_of_the_same_bad_request_leaves_usual_clients_their_share() -> None:
+    async with platform("r0", "w0") as p:
+        answers: list[bytes] = []
+        took: list[float] = []
+
+        async def bad() -> None:
+            for _ in range(4):    # again, the moment it was turned away
+                answers.append(await p.raw(BAD))
+
+        async def usual() -> None:
+            for _ in range(20):
+                since = trio.current_time()
+                assert (await p.ask()).status == 200
+                took.append(trio.current_time() - since)
+        async with trio.open_nursery() as nursery:
+            for _ in range(150):
+                nursery.start_soon(bad)
+            nursery.start_soon(usual)
+        assert len(answers) == 600 and all(a.startswith(b"HTTP/1.1 400") for a in answers)
+        assert sorted(took)[len(took) // 2] < 0.5 and p.gateway.node.counts["refused bad_http"] == 600
+        assert p.gateway.node.counts["taken"] == 20
+
+
+async def test_more_generations_and_bodies_than_may_be_held_are_turned_away_unheard() -> None:
+    async with platform("r0", "w0", w0=always("silent")) as p:
+        front, node = p.gateway.front, p.gateway.node
+        front.open_limit, front.held_bytes = 2, 1000
+        async with trio.open_nursery() as nursery:
+            for _ in range(2):
+                nursery.start_soon(p.ask)
+            await trio.sleep(0.1)
+            assert len(node.tickets) == 2
+            reply = await p.ask()
+            assert reply.status == 503 and reply.error is not None and reply.error["code"] == "room"
+            front.open_limit = 10
+            assert (await p.ask(body=BODY[:-1] + b" " * 900 + b"}")).status == 503
+            assert node.counts["refused room"] == 2 and node.counts["taken"] == 2
+            nursery.cancel_scope.cancel()
+        await p.settled()
+        p.servers["w0"].script = always("")
+        assert (await p.ask()).status == 200
+
+
+async def test_connections_near_their_idle_limit_are_closed_from_here() -> None:
+    async with platform("r0", "w0", told=told(conn_idle=400.0)) as p:
+        assert (await p.ask()).status == 200
+        assert len(p.gateway.node.engines.pool.resting) == 2
+        with trio.fail_after(0.39):
+            while p.fleet.conns["r0"] or p.fleet.conns["w0"]:
+                await trio.sleep(0.005)
+
+
+# -- time
+
+async def test_a_late_loop_gives_up_sooner_and_says_by_how_much_it_was_late(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(process_module, "REPORT_MS", 50.0)
+    async with platform("r0", "w0", r0=always("silent")) as p:
+        node = p.gateway.node
+        time.sleep(0.25)    # noqa: ASYNC251 - the loop stands still
+        await trio.sleep(0.02)
+        assert 150 < node.lag_ms() < 260
+        since = trio.current_time()
+        assert (await p.ask(Request_Class="note", Request_Timeout="0.6")).status in (502, 503)
+        assert trio.current_time() - since < 0.5
+        await trio.sleep(0.1)
+        lines = [more for event, more in p.log.lines if event == "info report"]
+        assert max(line["loop_late_ms"] for line in lines) > 150
+        assert {"open", "connections", "engine_connections", "descriptors", "memory_mb", "cpu_s"} <= lines[-1].keys()
+        assert sum(line.get("taken", 0) for line in lines) == 1
+        node.lagged = 200.0, node.lagged[1] - 10_000
+        assert node.lag_ms() < 1
+
+
+# -- what is held
+
+@pytest.mark.parametrize("way", ["silent", "noise", "status_503", "opening_cut"])
+async def test_a_server_that_garbles_or_is_too_busy_does_not_keep_a_state_from_being_let_go(way: str) -> None:
+    async with platform("r0", "w0", "w1", w0=always("status_500"), w1=always("status_500")) as p:
+        for name in ("r0", "w0"):
+            p.servers[name].lease_way = way
+        assert (await p.ask(Request_Class="note")).status == 502
+        await p.settled()
+        assert not p.gateway.node.counts["release unheard"] and p.fleet.count("DELETE") >= 1
+
+
+async def test_one_server_that_spoils_its_first_answer_is_told_again() -> None:
+    async with platform("r0", "w0", w0=always("status_500")) as p:
+        p.servers["r0"].lease_way = p.servers["w0"].lease_way = "noise"
+        assert (await p.ask(Request_Class="note")).status == 502
+        with trio.fail_after(1):
+            while p.fleet.count("DELETE") < 3:
+                await trio.sleep(0.002)
+        p.servers["r0"].lease_way = ""
+        await p.settled()
+        assert not p.gateway.node.counts["release unheard"]
+
+
+async def test_a_state_that_comes_after_its_read_was_called_off_is_let_go_too() -> None:
+    async with platform("r0", "w0", r0=once("late_state")) as p:
+        with trio.move_on_after(0.1):
+            await p.ask()
+        with trio.fail_after(0.5):
+            while not p.fleet.states:
+                await trio.sleep(0.002)
+        await p.settled()
+        assert p.fleet.count("DELETE") == 2
+
+
+# -- what the decisions believe
+
+async def test_on_a_rough_day_open_legs_and_connections_are_what_the_servers_count() -> None:
+    async with platform("r0", "r1", "w0", "w1", r1=lambda i: "silent" if i.endswith("3") else "",
+                        w0=lambda i: "opening_cut" if i.endswith("5") else "",
+                        w1=lambda i: "first_not_json" if i.endswith("6") else "") as p:
+        node = p.gateway.node
+        board = node.chooser.desk.board    # type: ignore[attr-defined]
+        for server in p.servers.values():
+            server.events, server.event_ms = 20, 10.0
+        agreed = 0
+
+        async def quiet() -> bool:
+            names = {s: spot.name for s, spot in node.roster.spots.items()}
+            believed = {names[e.server]: len(e.legs) for e in board if e.legs}
+            return believed == dict(+p.fleet.open) and len(node.engines.pool.open) == sum(p.fleet.conns.values())
+        async with trio.open_nursery() as nursery:
+            for _ in range(8):
+                for _ in range(6):
+                    nursery.start_soon(p.ask)
+                with trio.move_on_after(0.5):    # what is just under way between the two settles in a moment
+                    while not await quiet():
+                        await trio.sleep(0.001)
+                agreed += await quiet()
+        assert agreed == 8
+        await p.settled()
+        assert await quiet() and all(not e.legs and not e.booked for e in board)
+
+
+# -- the process
+
+@asynccontextmanager
+async def running(p: Platform, folder: Path, **more: Any) -> AsyncIterator[tuple[trio.Process, Path]]:
+    spare = (await trio.open_tcp_listeners(0, host="127.0.0.1"))[0]
+    p.address = "127.0.0.1:%d" % spare.socket.getsockname()[1]
+    spare.socket.close()
+    config, log = folder / "config.json", folder / "log"
+    config.write_text(json.dumps({
+        "name": "n0", "listen": p.address, "discovery": p.discovery.address, "seed": "ff", "settings": TOLD,
+        "limits": {"cores": 1.0, "memory_mb": 128, "sockets": 256}, "known": p.discovery.listing()} | more))
+    with log.open("wb") as out:
+        process = await trio.lowlevel.open_process([sys.executable, "-m", "ternlane.platform"], stderr=out,
+                                                   env=os.environ | {"NODE_CONFIG": str(config)})
+        try:
+            yield process, log
+        finally:
+            process.kill()
+            await process.wait()
+
+
+async def test_a_door_without_descriptors_stays_up_and_serves_once_there_are_some(tmp_path: Path) -> None:
+    async with platform("r0", "w0") as p, running(p, tmp_path) as (process, log):
+        await until_ready(p)
+        held = len(os.listdir(f"/proc/{process.pid}/fd"))
+        resource.prlimit(process.pid, resource.RLIMIT_NOFILE, (held + 8, held + 8))
+        async with trio.open_nursery() as nursery:
+            for _ in range(40):
+                nursery.start_soon(p.raw, b"")    # each is closed in its time
+        with trio.fail_after(5):
+            while (await p.ask()).status != 200:
+                await trio.sleep(0.05)
+        process.send_signal(signal.SIGTERM)
+        with trio.fail_after(5):
+            assert await process.wait() == 0
+
+
+async def test_every_leg_of_a_generation_is_said_on_request_by_id(tmp_path: Path) -> None:
+    first = once("full_503")
+    async with platform("r0", "r1", "w0", r0=first, r1=first) as p, running(p, tmp_path) as (process, log):
+        await until_ready(p)
+        assert (await p.ask(Request_Id="00000000000000aa")).status == 200
+        process.send_signal(signal.SIGUSR1)
+        with trio.fail_after(3):
+            while b'"trail"' not in log.read_bytes():
+                await trio.sleep(0.02)
+        line = next(json.loads(raw) for raw in log.read_text().splitlines() if '"trail"' in raw)
+        assert line["gen"] == "00000000000000aa" and line["outcome"] == "streamed"
+        assert [leg.split()[1:3] for leg in line["legs"]] == [["read", "FULL"], ["read", "READ"], ["write", "STREAMED"]]
+
+
+async def test_nothing_is_held_when_the_process_has_ended(tmp_path: Path) -> None:
+    async with platform("r0", "w0", w0=always("silent")) as p, running(p, tmp_path) as (process, _):
+        await until_ready(p)
+        statuses: list[int] = []
+
+        async def one() -> None:
+            statuses.append((await p.ask(Request_Class="note", Request_Timeout="1.0")).status)
+        p.nursery.start_soon(one)
+        with trio.fail_after(3):
+            while not p.fleet.states and not p.fleet.open["w0"]:
+                await trio.sleep(0.005)
+        p.fleet.states["00000000000000bb"] = "r0"    # of another gateway
+        process.send_signal(signal.SIGTERM)
+        with trio.fail_after(5):
+            assert await process.wait() == 0
+        assert statuses == [502] and set(p.fleet.states) == {"00000000000000bb"}
+
+
+def caught(pid: int) -> int:
+    """The signals that a process has handlers for, a bit each."""
+    lines = Path(f"/proc/{pid}/status").read_text().splitlines()
+    return int(next(line.split()[1] for line in lines if line.startswith("SigCgt")), 16)
+
+
+@pytest.mark.parametrize("after_s", [0.0, 0.1, 0.2, 0.4])
+async def test_signals_during_the_start_do_no_harm(after_s: float, tmp_path: Path) -> None:
+    async with platform("r0", "w0") as p, running(p, tmp_path) as (process, _):
+        with trio.fail_after(5):    # Python itself has started
+            while not caught(process.pid) & 1 << signal.SIGTERM - 1:
+                await trio.sleep(0.002)
+        await trio.sleep(after_s)
+        for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGTERM):
+            process.send_signal(number)
+        with trio.fail_after(5):
+            assert await process.wait() == 0
