A server on trial gets one leg at a time since it was shut; older streams don't bar it

Now fit counts only what was booked since it was shut. Checked: the trial is still one leg (a story, seen to fail without the guard); sends to a shut server: none.

--- a/ternlane/choice.py
+++ b/ternlane/choice.py
@@ -289,8 +289,8 @@
 
     def fit(self, s: Standing, course: Course) -> bool:
         if s.trial and not s.shut:    # one leg at a time finds out, and none that can't be made good
-            return s.open <= (course in s.engine.booked) and (    # its own booking must not bar it
-                not s.engine.writes or course.gen.product.effect is Effect.IDEMPOTENT)
+            barred = any(b[0] >= s.engine.shut_until for c, b in s.engine.booked.items() if c is not course)
+            return not barred and (not s.engine.writes or course.gen.product.effect is Effect.IDEMPOTENT)
         return self.sound(s)
 
     def congested(self, s: Standing, course: Course) -> bool:
--- a/ternlane/notes.py
+++ b/ternlane/notes.py
@@ -45,6 +45,7 @@
     said: tuple[float, float, float | None] | None    # its last report: when, memory share, generations held
     legs: dict[Leg, None]
     booked: dict[Course, tuple[float, float]]
+    shut_until: float    # it is sent nothing before, then one leg at a time until it has proved itself
 
 
 class Limits(NamedTuple):
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -78,6 +78,21 @@
     assert sent(host.end(found, reader, Verdict.READ)).server is writer
 
 
+def test_streams_begun_before_do_not_keep_a_writer_on_trial_and_its_trial_is_one_leg(host: FakeHost) -> None:
+    begun, leg = host.written(session="a")
+    writer = leg.server
+    host.first(begun, writer)    # streams on for long
+    other = host.gen(session="a")
+    host.end(other, sent(host.arrive(other)).server, Verdict.READ)
+    host.tell(port.LegEnded(other, writer, Verdict.UNCONNECTED, 1.0, True))
+    host.tell(after=600.0)
+    found, second = host.gen(session="a"), host.gen(session="a")
+    reader = sent(host.arrive(found)).server
+    assert sent(host.end(found, reader, Verdict.READ)).server is writer
+    said = host.end(second, sent(host.arrive(second)).server, Verdict.READ)
+    assert sent(said).server is not writer    # until the first has ended well
+
+
 def test_a_read_is_not_called_off_where_no_legs_are_left_for_another_pair() -> None:
     host = build(leg_limit=2)
     mute, later = host.gen(session="a"), host.gen(session="a")
