--- a/tests/test_platform_bounds.py
+++ b/tests/test_platform_bounds.py
@@ -82,7 +82,7 @@
             p.fleet.ran.clear()
             homes.clear()    # bounded by number and age, see above
             gc.collect()
-            return sum(type(it).__module__.startswith("ternlane.") for it in gc.get_objects())
+            return sum(str(type(it).__module__).startswith("ternlane.") for it in gc.get_objects())
         await some(TRAILS + 120)    # until the bounded tables are full
         before = await some(200)
         assert await some(1000) - before < 100    # a tenth of an object of this program's for each client
