Whether a DELETE is said again is decided by the module, not by the node

Found on reading the change again: node.release decided by itself, from the last read's verdict, that a state may come late and be let go of once more. When to let go is the module's (Desk.let_go): LetGo.again says it now, where a generation is over and what it holds was never heard of; Ticket.unheard is gone.

--- a/ternlane/choice.py
+++ b/ternlane/choice.py
@@ -509,8 +509,8 @@
 
     def let_go(self, course: Course) -> None:
         if course.holds:    # also what a read left behind whose end was not heard
+            self.router.out.append(port.LetGo(course.gen, course.over and course.state_at is None))
             course.state_at, course.holds = None, False
-            self.router.out.append(port.LetGo(course.gen))
 
     def close(self, course: Course) -> None:
         course.over = True
--- a/ternlane/platform/node.py
+++ b/ternlane/platform/node.py
@@ -47,7 +47,6 @@
     why: str = ""
     trail: list[str] = field(default_factory=list)
     freeing: trio.Event | None = None    # set once what was held before is let go of
-    unheard: bool = False    # its last read ended without an answer: it may end well yet
     watch: trio.CancelScope = field(default_factory=trio.CancelScope)
 
     @property
@@ -84,12 +83,12 @@
 
     def carry_further(self, action: port.Action) -> None:
         match action:
-            case port.LetGo(gen):
+            case port.LetGo(gen, again):
                 ticket = self.tickets.get(gen)
                 if ticket is not None:
                     self.releasing += 1
                     ticket.freeing = trio.Event()
-                    self.nursery.start_soon(self.release, ticket, ticket.freeing)
+                    self.nursery.start_soon(self.release, ticket.ident, ticket.freeing, again)
             case port.HoldAhead(gen, server):
                 ticket = self.tickets.get(gen)
                 if ticket is not None and server in self.roster.spots:
@@ -193,8 +192,6 @@
         kind = "read" if server.duty is port.Duty.READ else "write"
         ticket.trail.append(f"{name} {kind} {end.verdict.name} {took:.0f} ms {end.why}".rstrip())
         self.counts[f"{kind} {end.verdict.name}"] += 1
-        if kind == "read":
-            ticket.unheard = end.verdict in (Verdict.RESET, Verdict.TIMED_OUT, Verdict.CALLED_OFF)
         self.tell(port.LegEnded(ticket.gen, server, end.verdict, took, ticket.over, end.kept, end.state_lost,
                                 end.report))
         self.forget(ticket)
@@ -204,14 +201,14 @@
     def addresses(self) -> list[str]:
         return [spot.address for server, spot in self.roster.spots.items() if server.life is not Life.GONE]
 
-    async def release(self, ticket: Ticket, done: trio.Event) -> None:
+    async def release(self, ident: str, done: trio.Event, again: bool) -> None:
         within = self.deployment.facts.release_ms
         try:
-            heard = await self.engines.release(ticket.ident, self.addresses(), within)
+            heard = await self.engines.release(ident, self.addresses(), within)
             done.set()
-            if ticket.unheard and ticket.over and ticket.leg is None:    # its state may have come after the DELETE
+            if again:
                 await trio.sleep(within / 2000)
-                heard = await self.engines.release(ticket.ident, self.addresses(), within)
+                heard = await self.engines.release(ident, self.addresses(), within)
             if not heard:
                 self.counts["release unheard"] += 1
         except Exception:
--- a/ternlane/port.py
+++ b/ternlane/port.py
@@ -268,8 +268,10 @@
 
 @dataclass(slots=True, frozen=True)
 class LetGo:
-    """Frees what is held for it, at whichever server."""
+    """Frees what is held for it, at whichever server. `again`: once more within the release time, as a read that ended
+    unheard may yet leave a state, and nothing else is to come."""
     gen: Generation
+    again: bool = False
 
 
 @dataclass(slots=True, frozen=True)
