--- a/tests/test_platform_bounds.py
+++ b/tests/test_platform_bounds.py
@@ -9,6 +9,7 @@
 import sys
 import time
 from contextlib import asynccontextmanager
+from functools import partial
 from pathlib import Path
 from typing import Any, AsyncIterator
 
@@ -248,6 +249,30 @@
         assert node.lag_ms() < 1
 
 
+async def test_an_answer_that_is_late_in_spite_of_all_is_counted() -> None:
+    async with platform("r0", "w0", r0=always("silent")) as p:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(partial(p.ask, Request_Class="note", Request_Timeout="0.4"))
+            await trio.sleep(0.2)
+            time.sleep(0.4)    # noqa: ASYNC251 - the loop stands still
+        assert p.gateway.node.counts["late"] == 1
+        await p.settled()
+
+
+async def test_a_drain_takes_what_waits_at_the_door_when_it_stops_accepting() -> None:
+    async with platform("r0", "w0") as p:
+        p.gateway.accepting.cancel()    # what comes from here on is left to the listener's queue
+        await trio.sleep(0.01)
+        replies: list[Reply] = []
+
+        async def one() -> None:
+            replies.append(await p.ask())
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(one)
+            await p.gateway.drain()
+        assert [r.status for r in replies] in ([200], [503])
+
+
 # -- what is held
 
 @pytest.mark.parametrize("way", ["silent", "noise", "status_503", "opening_cut"])
