A stream is not begun once its time-out has struck: such a one was cut after its first event

Cause: the time-out strikes in the turn of trio's loop in which the first event arrives. The task goes on with its event, passes it on, and the cancellation, which can't be taken back by moving the deadline, ends it at its next wait (platform/engines.py stream, engine/leg.py, engine/transport.py). Ruled out: streams that rest for longer than the quiet limit. So the limit stays what it was. Change: keep_open, at the first event: another deadline, and no beginning where the old one has struck. All three ways of an attempt use it.

--- a/ternlane/engine/leg.py
+++ b/ternlane/engine/leg.py
@@ -11,7 +11,7 @@
 
 from ternlane.engine.protocol import (CHAT_PATH, DONE, HOLD_PATH, LOAD, LOAD_PATH, NOT_RUN, RELEASE_PATH, ReadAnswer,
                                       Usage, chunk_in, load_of, read_answer, refusal_of)
-from ternlane.http1 import EventReader, Pool, Unconnected
+from ternlane.http1 import EventReader, Pool, Unconnected, keep_open
 from ternlane.port import Report, Verdict
 
 ANSWER_LIMIT = 4 * 2**20    # bytes of an engine's plain answer
@@ -115,6 +115,8 @@
                         end.finish = choice.finish_reason or end.finish
                         more, text = choice.more(), choice.delta.content if choice.delta is not None else None
                         if text or more:
+                            if not end.begun:
+                                await keep_open(plan.scope, last)
                             first, end.begun = not end.begun, True
                             plan.scope.deadline = last    # a slow client is not the engine's silence
                             await (pass_on(text or "", first) if more is None else pass_on(text or "", first, more))
--- a/ternlane/engine/transport.py
+++ b/ternlane/engine/transport.py
@@ -14,7 +14,7 @@
 from ternlane.engine.kinds import KINDS
 from ternlane.engine.leg import ClientGone, LegEnd, LegPlan, PassOn, hold, load, read_leg, release, stream_leg
 from ternlane.engine.protocol import Stage, Usage, load_told
-from ternlane.http1 import Pool
+from ternlane.http1 import Pool, keep_open
 from ternlane.port import Report, Verdict
 
 
@@ -176,6 +176,8 @@
             pieces = self._engine(ask).write(ask)
             try:
                 async for text in pieces:
+                    if not end.begun:
+                        await keep_open(plan.scope, last)
                     first, end.begun, written = not end.begun, True, written + 1
                     plan.scope.deadline = last
                     await pass_on(text, first)
--- a/ternlane/http1/sending.py
+++ b/ternlane/http1/sending.py
@@ -23,3 +23,11 @@
     sent = send_now(stream, data)
     if sent < len(data):
         await stream.send_all(memoryview(data)[sent:])
+
+
+async def keep_open(scope: trio.CancelScope, until: float) -> None:
+    """Another deadline, by trio's clock, from the moment that an event is there. Where the one before has struck in
+    this very moment, nothing may be begun: the next wait would end it, and the client would have a torn answer."""
+    scope.deadline = until
+    if scope.cancel_called:
+        await trio.lowlevel.checkpoint()    # raises trio.Cancelled
--- a/ternlane/platform/engines.py
+++ b/ternlane/platform/engines.py
@@ -12,7 +12,7 @@
 import trio
 
 from ternlane.deployment import Deployment
-from ternlane.http1 import Caller, Pool, Unconnected
+from ternlane.http1 import Caller, Pool, Unconnected, keep_open
 from ternlane.platform.protocol import LEASE_PATH, LOAD, NOT_STARTED, STATS_PATH, Events, kept_of, load_of, outcome_of
 from ternlane.port import Duty, Report, Verdict
 
@@ -121,7 +121,10 @@
         async for piece in caller.chunks():
             ready = events.feed(piece)
             if ready:
-                leg.scope.deadline = inf    # a slow client is not the engine's silence
+                if end.begun:
+                    leg.scope.deadline = inf    # a slow client is not the engine's silence
+                else:
+                    await keep_open(leg.scope, inf)
                 try:
                     if end.begun:
                         await outlet.more(ready)
