A state is handed on only while one more failed connection would not outlast its release time

Lines at fault: Desk.onward handed on without asking how long ago the state's last outcome was. Change: Course.held_since, Limits.hand_ms (release time less connect time); later than that the state is let go of and the prompt read anew. Also: a read that provably never ran left nothing behind, so no DELETE is sent for it (Leg.held).

--- a/ternlane/choice.py
+++ b/ternlane/choice.py
@@ -44,7 +44,8 @@
     return Limits(slo_ms=slo, span_ms=2 * slo, beat_ms=max(facts.step_ms, slo / 20), share=facts.gateways,
                   cold_rate=facts.fall_multiple * facts.cold_from * CARE, cold_ms=facts.cold_ms,
                   burst_ms=facts.fall_ms / 2, retry_ms=2 * facts.connect_ms, idle_ms=facts.idle_ms,
-                  leg_limit=facts.leg_limit, pause_ms=facts.longest_pause_ms if facts.may_advise else 0.0)
+                  leg_limit=facts.leg_limit, pause_ms=facts.longest_pause_ms if facts.may_advise else 0.0,
+                  hand_ms=max(0.0, facts.release_ms - facts.connect_ms))
 
 
 class Engine(Seat):    # one model server as this gateway knows it
@@ -391,15 +392,18 @@
             self.ask(writer)
         self.send(course, reader)
 
-    def record(self, engine: Seat, kind: Any, bad: bool) -> None:
+    def record(self, engine: Seat, gen: Generation, verdict: Verdict) -> None:
         """Guards against servers that fail one product, refuse one tenant or lose answers, and look well.
         A kind is watched from its first failure until hardly any is left (`beat`)."""
-        if kind is not None and (bad or kind in self.doubts):
-            doubt, now = self.doubts.setdefault(kind, Doubt()), self.router.now
-            doubt.rate[engine.writes] += GAIN * (bad - doubt.rate[engine.writes])
-            known = doubt.seen.setdefault(engine, Record(at=now))
-            fade = exp((known.at - now) / (HOME_AGE_MS / CROWD))
-            known.bad, known.tries, known.at = known.bad * fade + bad, known.tries * fade + 1, now
+        now, kinds = self.router.now, {Verdict.ERROR: gen.product, Verdict.FULL: gen.tenant}
+        for bad, kind in (kinds | {Verdict.TIMED_OUT: Verdict.TIMED_OUT}).items():
+            failed = verdict is bad
+            if kind is not None and (failed or verdict is Verdict.READ and kind in self.doubts):
+                doubt = self.doubts.setdefault(kind, Doubt())
+                doubt.rate[engine.writes] += GAIN * (failed - doubt.rate[engine.writes])
+                known = doubt.seen.setdefault(engine, Record(at=now))
+                fade = exp((known.at - now) / (HOME_AGE_MS / CROWD))
+                known.bad, known.tries, known.at = known.bad * fade + failed, known.tries * fade + 1, now
 
     def seen(self, engine: Seat, doubt: Doubt) -> tuple[float, float]:
         known = doubt.seen.get(engine, Record())
@@ -486,11 +490,11 @@
         now, product, s = self.router.now, course.gen.product, self.board[engine]
         writes, patience = engine is course.writer, course.limit_at - now
         whole = patience if course.gen.whole else inf    # lest a slow writer outlast its client
-        course.legs, course.holds = course.legs + 1, True
+        course.legs, held, course.holds = course.legs + 1, course.holds, True
         work = 0.0 if writes else self.work_ms(engine, course)
         usual = max(self.usual_ms(product, "open" if writes else "read"), work + s.queue_ms)
         course.leg = Leg(engine, course, writes, now, now, usual, work,
-                         work + s.ahead_ms / max(self.trust, GAIN), not s.linked)
+                         work + s.ahead_ms / max(self.trust, GAIN), not s.linked, held=held)
         if course.legs < self.limits.leg_limit and (not writes or product.effect is Effect.IDEMPOTENT):
             slow = 1 / CROWD if writes else CROWD if self.told_if_asked else 1    # a told one is not mute
             patience = min(patience, max(slow * product.slo_ms, 4 * course.leg.usual_ms))
@@ -511,12 +515,12 @@
         if course.holds:    # also what a read left behind whose end was not heard
             self.router.out.append(port.LetGo(course.gen, course.over and course.state_at is None))
             course.state_at, course.holds = None, False
+        self.unbook(course)
 
     def close(self, course: Course) -> None:
         course.over = True
         if course.leg is None:
             self.let_go(course)
-            self.unbook(course)
         elif self.may_call_off:    # what the leg holds is let go when it ends
             self.router.out.append(port.CallOff(course.gen))
 
@@ -538,9 +542,7 @@
         self.learn(product, "open", took)
         if course.reader is not None and course.reader is not course.writer:
             course.reader.post(Unbooked(course))
-        self.record(leg.engine, product, False)
-        self.record(leg.engine, Verdict.TIMED_OUT, False)
-        self.record(leg.engine, course.gen.tenant, False)
+        self.record(leg.engine, course.gen, Verdict.READ)    # as good a sign
         leg.engine.post(StageEnded(leg, True, self.usual_ms(product, "stream")))
 
     def leg_ended(self, note: port.LegEnded) -> None:
@@ -558,12 +560,8 @@
         engine.post(StageEnded(leg, good, None))
         if verdict in (Verdict.UNCONNECTED, Verdict.RESET):
             engine.post(Trouble(silent=False))
-        if verdict in (Verdict.TIMED_OUT, Verdict.READ) or leg.lost:
-            self.record(engine, Verdict.TIMED_OUT, verdict is not Verdict.READ)
-        if verdict in (Verdict.ERROR, Verdict.READ):
-            self.record(engine, product, verdict is Verdict.ERROR)
-        if verdict in (Verdict.FULL, Verdict.READ) and not note.state_lost:
-            self.record(engine, course.gen.tenant, verdict is Verdict.FULL)
+        if not note.state_lost:
+            self.record(engine, course.gen, Verdict.TIMED_OUT if leg.lost and good is None else verdict)
         if leg.writes and verdict not in NEVER_RAN and course.may_have_run is None:
             course.may_have_run = leg.sent, note.server
         if leg.fresh and good is not None:    # where these fail, the connected are nearer
@@ -572,14 +570,17 @@
             self.read_took(course, leg, note)
         elif verdict is Verdict.TIMED_OUT:
             self.learn(product, "open", note.took_ms)
+        if verdict in NEVER_RAN and verdict is not Verdict.READ:    # it left nothing behind
+            course.holds = leg.held
+        if verdict is not Verdict.UNCONNECTED:    # the time of what is held runs on through those
+            course.held_since = self.router.now
         if verdict is Verdict.READ:
             course.state_at = engine
         elif note.state_lost:    # for this writer; its reader, cut off from there, may hold it still
             course.state_at = None
         course.over = course.over or note.over
         if course.over:
-            self.let_go(course)
-            return self.unbook(course)
+            return self.let_go(course)
         if verdict is Verdict.MOOT:
             return self.finish(course)
         if verdict is not Verdict.READ and not note.state_lost:    # a full one is not asked again either
@@ -600,10 +601,9 @@
         """The next leg, if the effect allows one: with the state at hand a writer, else a pair anew."""
         if self.spent(course) or not any(self.effect_allows(course, e) for e in self.board):
             return self.finish(course)
-        if course.state_at is not None:
+        if course.state_at is not None and self.router.now <= course.held_since + self.limits.hand_ms:
             return self.hand_on(course)
-        self.let_go(course)
-        self.unbook(course)
+        self.let_go(course)    # lest one more connection that never comes up outlast its release time
         self.enter(course)
 
     def read_took(self, course: Course, leg: Leg, note: port.LegEnded) -> None:
--- a/ternlane/notes.py
+++ b/ternlane/notes.py
@@ -61,6 +61,7 @@
     idle_ms: float        # idle connections are closed after this
     leg_limit: int
     pause_ms: float       # the longest return time a client heeds; 0 where none may be given
+    hand_ms: float        # how long after its read a state may still be sent to a writer that must be reached first
 
 
 @dataclass(slots=True, eq=False)
@@ -76,6 +77,7 @@
     fresh: bool = False    # it needs a new connection
     counted: float = 0.0
     lost: bool = False    # its answer will not come
+    held: bool = False    # something may have been held for its course before
 
 
 @dataclass(slots=True, eq=False)
@@ -89,6 +91,7 @@
     leg: Leg | None = None
     legs: int = 0
     state_at: Seat | None = None
+    held_since: float = 0.0    # the last outcome, from which the release time counts
     may_have_run: tuple[float, Server] | None = None
     holds: bool = False    # a state may be held for it somewhere
     over: bool = False
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -107,6 +107,27 @@
     assert other.duty is leg.server.duty and other is not leg.server
 
 
+def test_a_state_is_let_go_before_connections_that_never_come_up_outlast_its_release_time() -> None:
+    host = build(("w2", "w3"))    # 250 ms to connect, 500 to release: one failed connection leaves time for one more
+    gen, leg = host.written()
+    second = sent(host.end(gen, leg.server, Verdict.UNCONNECTED, after=250.0)).server
+    assert second.duty is port.Duty.WRITE
+    said = host.end(gen, second, Verdict.UNCONNECTED, after=250.0)
+    assert [type(a) for a in said] == [port.LetGo, port.SendLeg]
+    assert sent(said).server.duty is port.Duty.READ
+    gen, leg = host.written()    # a writer that refuses has answered: the time counts from then
+    second = sent(host.end(gen, leg.server, Verdict.FULL, after=400.0)).server
+    assert sent(host.end(gen, second, Verdict.FULL, after=400.0)).server.duty is port.Duty.WRITE
+
+
+@pytest.mark.parametrize("verdict", [Verdict.UNCONNECTED, Verdict.FULL])
+def test_a_read_that_never_ran_left_nothing_to_let_go_of(host: FakeHost, verdict: Verdict) -> None:
+    gen = host.gen()
+    said = host.end(gen, sent(host.arrive(gen)).server, verdict)
+    assert kinds(said) == [port.SendLeg]
+    assert port.LetGo in kinds(host.end(gen, sent(said).server, Verdict.TIMED_OUT))    # it may have run
+
+
 def test_a_lost_state_is_read_again(host: FakeHost) -> None:
     gen, leg = host.written()
     said = host.end(gen, leg.server, Verdict.FULL, state_lost=True)
