--- a/ternlane/platform/engines.py
+++ b/ternlane/platform/engines.py
@@ -101,6 +101,7 @@
             end.verdict = Verdict.RESET if "closed" in str(why) else Verdict.ERROR
             end.why = f"spoilt: {str(why)[:200]}"
         except ValueError as why:
+            self.heard_at[leg.address] = 0.0
             end.verdict, end.why = Verdict.ERROR, f"spoilt: {str(why)[:200]}"
         finally:
             if caller is not None and whole:
@@ -167,9 +168,10 @@
         return verdict, 0, None, b""
 
     async def release(self, ident: str, addresses: list[str], within_ms: float) -> bool:
+            self.heard_at[address] = 0.0
         """Lets go of all that is held for a generation, wherever: any running engine passes it on. The one that was
-        heard last is asked first, the next ones, and all over again, while none has heard it: one that is silent, busy
-        or spoils its answers must not hold it up."""
+        heard last is asked first, then twice as many of the next ones each time, and all over again, while none has
+        heard it: neither one that is silent, busy or spoils its answers, nor most of a fleet, must hold it up."""
         heard = trio.Event()
         rounds = 8
 
@@ -183,7 +185,9 @@
         with trio.move_on_after(within_ms / 1000):
             async with trio.open_nursery() as nursery:
                 for turn in range(rounds if order else 0):
-                    nursery.start_soon(one, order[turn % len(order)], nursery.cancel_scope)
+                    for _ in range(min(2**turn, rounds, len(order))):
+                        nursery.start_soon(one, order[asked % len(order)], nursery.cancel_scope)
+                        asked += 1
                     await trio.sleep(within_ms / rounds / 1000)
         return heard.is_set()
 
@@ -191,6 +195,7 @@
         _, status, _, _ = await self.ask(address, "POST", LEASE_PATH + ident, within_ms)
         return status == 200
 
+                asked = 0
     async def load(self, address: str, within_ms: float) -> tuple[Verdict, Report | None]:
         verdict, status, said, body = await self.ask(address, "GET", STATS_PATH, within_ms)
         if verdict is Verdict.STREAMED and status != 200:
