The watch's worst case is 5.2 s of the 6: silence 2.5 s, waits 1.2 s at most; indented lists

By reading, as the issue asks: noticing silence (3 s), the longest wait (3 s), connecting (0.5 s) and the answer added up to more than 6 s. An indented list broke the watch for ever, as each of its lines was read as a list. A list older than what is known undid it; it is ignored now, and where that goes on for 6 s the count has begun anew and the whole list is asked for.

--- a/ternlane/platform/registry.py
+++ b/ternlane/platform/registry.py
@@ -9,13 +9,17 @@
 import trio
 
 from ternlane.http1 import Pool, Unconnected
-from ternlane.platform.roster import Listing, read_listing
+from ternlane.platform.roster import Listing, Lists, read_listing
 
 WATCH_PATH = "/registry/instances?stream=1&index={}"
 BEAT_MS = 2000.0     # an empty line at the latest this often, says the page
-SILENT_MS = 1.5 * BEAT_MS
-RETRY_MS = BEAT_MS / 8
-LINE_BYTES = 4 * 2**20
+TOLD_MS = 6000.0     # what discovery has and could be asked for counts as told then, whatever call failed
+SILENT_MS = 1.25 * BEAT_MS    # a watch without a line has broken
+CONNECT_MS = BEAT_MS / 4
+HEAD_MS = BEAT_MS / 2         # for the head of an answer, which an agent gives at once
+RETRY_MS, RETRY_MOST_MS = BEAT_MS / 8, 0.4 * BEAT_MS
+SPREAD = 0.5, 1.5    # of a wait: not all gateways ask at once
+WORST_MS = SILENT_MS + SPREAD[1] * RETRY_MOST_MS + CONNECT_MS + HEAD_MS    # from a call that hangs to the next answer
 BROKEN = (Unconnected, OSError, trio.BrokenResourceError, trio.ClosedResourceError, trio.TooSlowError,
           h11.ProtocolError, ValueError)
 
@@ -41,12 +45,12 @@
         self.start()
 
     def _spread(self) -> float:
-        """A wait's factor between a half and one and a half: not all gateways ask at once."""
         self.turn += 1
-        return 0.5 + crc32(b"%d watch %d" % (self.seed, self.turn)) / 2**32
+        low, high = SPREAD
+        return low + (high - low) * crc32(b"%d watch %d" % (self.seed, self.turn)) / 2**32
 
     async def _follow(self, address: tuple[str, int], scope: trio.CancelScope) -> None:
-        pool, pause = Pool(BEAT_MS / 4, inf), RETRY_MS
+        pool, pause = Pool(CONNECT_MS, inf), RETRY_MS
         try:
             with scope:
                 while True:
@@ -62,7 +66,7 @@
                     if trio.current_time() - since > SILENT_MS / 1000:
                         pause = RETRY_MS
                     await trio.sleep(pause * self._spread() / 1000)
-                    pause = min(2 * pause, BEAT_MS)
+                    pause = min(2 * pause, RETRY_MOST_MS)
         finally:
             pool.close()
             if scope in self.following[:-1]:
@@ -71,20 +75,17 @@
     async def _once(self, pool: Pool, peer: str, scope: trio.CancelScope) -> None:
         caller = await pool.connect(peer)
         try:
-            with trio.fail_after(SILENT_MS / 1000) as silence:
+            with trio.fail_after(HEAD_MS / 1000) as silence:
                 head = await caller.ask("GET", WATCH_PATH.format(self.index()), [])
                 if head.status_code != 200:
                     raise ValueError(f"status {head.status_code}")
-                rest = b""
+                silence.deadline = trio.current_time() + SILENT_MS / 1000
+                lists = Lists()
                 async for piece in caller.chunks():
                     silence.deadline = trio.current_time() + SILENT_MS / 1000
                     for old in self.following[:self.following.index(scope)]:
                         old.cancel()    # this one serves: what it takes the place of may go
-                    *lines, rest = (rest + piece).split(b"\n")
-                    if len(rest) > LINE_BYTES:
-                        raise ValueError("a line without end")
-                    for line in lines:
-                        if line.strip():
-                            self.heard(read_listing(line))
+                    for raw in lists.feed(piece):
+                        self.heard(read_listing(raw))
         finally:
             caller.close_now()
--- a/ternlane/platform/roster.py
+++ b/ternlane/platform/roster.py
@@ -1,13 +1,16 @@
 """Discovery's lists become the Server objects that the decisions share. Free of I/O."""
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass
+from math import inf
 
 import msgspec
 
 from ternlane.deployment import Deployment
 from ternlane.port import Life, Listed, Server
 
+BEHIND_MS = 6000.0    # what discovery has to tell has been told by then, says the page
 LIVES = {"SERVING": Life.UP, "DRAINING": Life.DRAINING, "DELETED": Life.GONE}
 
 
@@ -29,6 +32,35 @@
 
 
 listing_in = msgspec.json.Decoder(Listing)
+LIST_BYTES = 4 * 2**20
+TEXT = re.compile(rb'"(?:[^"\\]|\\.)*"')
+
+
+class Lists:
+    """Bytes of a watch in, its lists out. Each stands on a line, or is indented over several; empty lines are beats."""
+
+    def __init__(self) -> None:
+        self.rest, self.lines, self.depth = b"", list[bytes](), 0
+
+    def feed(self, more: bytes) -> list[bytes]:
+        """Raises ValueError for what can be no list."""
+        out = []
+        *lines, self.rest = (self.rest + more).split(b"\n")
+        for line in lines:
+            bare = TEXT.sub(b"", line)    # no text goes on beyond its line
+            self.depth += bare.count(b"{") - bare.count(b"}")
+            if line.strip():
+                self.lines.append(line)
+            elif self.lines:
+                raise ValueError("a beat within a list of servers")    # its end is not to come
+            if self.depth < 0 or (self.lines and not self.lines[0].lstrip().startswith(b"{")):
+                raise ValueError("no list of servers")
+            if self.lines and not self.depth:
+                out.append(b"\n".join(self.lines))
+                self.lines = []
+        if len(self.rest) + sum(map(len, self.lines)) > LIST_BYTES:
+            raise ValueError("a list without end")
+        return out
 
 
 def read_listing(raw: bytes | msgspec.Raw) -> Listing:
@@ -58,13 +90,22 @@
 
     def __init__(self, deployment: Deployment) -> None:
         self.deployment = deployment
-        self.index = 0
+        self.index, self.behind_since = 0, inf
         self.servers: dict[str, Server] = {}
         self.spots: dict[Server, Spot] = {}
 
     def take(self, listing: Listing, wall_ms: float, now: float) -> Listed:
         """What is new. `wall_ms` and `now` are one moment by the two clocks; a start time is turned from one into the
-        other once, as it would seem to move otherwise."""
+        other once, as it would seem to move otherwise. A list older than what is known, as another agent may give
+        that is behind, undoes nothing. Where that goes on for longer than an agent may be behind, the count itself
+        has begun anew: raises ValueError, and the whole list is asked for."""
+        if listing.index < self.index:
+            self.behind_since = min(self.behind_since, now)
+            if now < self.behind_since + BEHIND_MS:
+                return Listed(())
+            self.index, self.behind_since = 0, inf
+            raise ValueError(f"lists have begun to count anew, at {listing.index}")
+        self.behind_since = inf
         news: list[Server] = []
         for entry in listing.endpoints:
             server = self.servers.get(entry.name)
--- a/ternlane/standin/platform.py
+++ b/ternlane/standin/platform.py
@@ -182,6 +182,8 @@
         self.asked: list[str] = []    # indexes that watches began with
         self.silent = False
         self.garbage: bytes = b""    # said instead of the next change
+        self.indent: int | None = None
+        self.conns: set[trio.SocketStream] = set()
         self.address = ""
         self.watching = 0
 
@@ -202,21 +204,41 @@
         return {"index": self.index, "snapshot": True, "endpoints": list(self.entries.values())}
 
     async def start(self) -> None:
-        self.listener = (await trio.open_tcp_listeners(0, host="127.0.0.1"))[0]
+        number = int(self.address.rpartition(":")[2] or 0)
+        self.listener = (await trio.open_tcp_listeners(number, host="127.0.0.1"))[0]
         name = self.listener.socket.getsockname()
         self.address = f"{name[0]}:{name[1]}"
-        self.nursery.start_soon(self._accept)
+        self.nursery.start_soon(self._accept, self.listener)
 
-    async def _accept(self) -> None:
+    def break_off(self, silent: bool, listening: bool) -> None:
+        """Out of service: it says no more, on open connections or new ones, or takes no new ones at all."""
+        self.silent = silent
+        if not listening:
+            self.listener.socket.close()
+            for stream in list(self.conns):
+                stream.socket.close()
+
+    async def mend(self) -> None:
+        """New calls are served again; those that hang go on doing so."""
+        self.silent = False
+        if self.listener.socket.fileno() < 0:
+            await self.start()
+
+    async def _accept(self, listener: trio.SocketListener) -> None:
         while True:
             try:
-                stream = await self.listener.accept()
+                stream = await listener.accept()
             except trio.ClosedResourceError:
                 return
             self.nursery.start_soon(self._serve, stream)
 
     async def _serve(self, stream: trio.SocketStream) -> None:
-        await serve_connection(stream, self._handle, body_bytes=0, head_ms=5e3, body_ms=5e3, idle_ms=30e3, send_ms=5e3)
+        self.conns.add(stream)
+        try:
+            await serve_connection(stream, self._handle, body_bytes=0, head_ms=5e3, body_ms=5e3, idle_ms=30e3,
+                                   send_ms=5e3)
+        finally:
+            self.conns.discard(stream)
 
     async def _handle(self, exchange: Exchange) -> None:
         if "stream=1" not in exchange.query:
@@ -225,6 +247,8 @@
         self.asked.append(str(at))
         self.watching += 1
         try:
+            if self.silent:
+                await trio.sleep_forever()
             await exchange.begin(200, [("Transfer-Encoding", "chunked")])
             if at > self.index or at == 0:
                 await exchange.chunk(json.dumps(self.listing()).encode() + b"\n")
@@ -234,7 +258,8 @@
                     await trio.sleep_forever()
                 if at < self.index:
                     said = self.garbage or json.dumps(
-                        {"index": self.index, "snapshot": False, "endpoints": self.log[at:self.index]}).encode()
+                        {"index": self.index, "snapshot": False, "endpoints": self.log[at:self.index]},
+                        indent=self.indent).encode()
                     self.garbage, at = b"", self.index
                     await exchange.chunk(said + b"\n")
                 else:
