No attempt begins for a client that has left: asked at the one place where attempts begin

By reading: an attempt that was connecting when its client left was sent all the same where the connection came up in the same turn; after a client had sent anything early its leaving was not seen at all; requests of clients that had closed before they were read were sent on; and a connect cut short by that counted as the server's failure and shut it. Engines.run now asks before it writes (Leg.gone, also by POLLRDHUP), the outcome is MOOT, the unused connection is kept; until_left reads on beyond what it keeps. An answer on a connection that is then closed is followed by a read-off of what still comes, as a close over unread bytes resets it.

--- a/ternlane/gateway/door.py
+++ b/ternlane/gateway/door.py
@@ -313,10 +313,8 @@
     async def answer(self, exchange: Exchange, ticket: Ticket) -> None:
         if ticket.final is None:
             with ticket.watch:    # cancelled when the answer is settled
-                if await exchange.until_left():
-                    self.host.client_left(ticket)
-                else:    # bytes of an early second request: its client's leaving can't be seen any more
-                    await trio.sleep_forever()
+                await exchange.until_left()
+                self.host.client_left(ticket)
         if ticket.left or ticket.final is None:
             exchange.reset()
             return
--- a/ternlane/http1/caller.py
+++ b/ternlane/http1/caller.py
@@ -182,11 +182,15 @@
             self.wear.note(caller.idled_ms, caller.broke, trio.current_time() * 1000)
 
     def give_back(self, caller: Caller) -> None:
-        self._used(caller)
-        if not caller.reusable or len(self.idle.get(caller.peer, ())) >= PER_PEER:
+        """One on which nothing was asked is as good as before."""
+        asked = caller.conn.our_state is not h11.IDLE
+        if asked:
+            self._used(caller)
+        if (asked and not caller.reusable) or len(self.idle.get(caller.peer, ())) >= PER_PEER:
             caller.close_now()
             return
-        caller.conn.start_next_cycle()
+        if asked:
+            caller.conn.start_next_cycle()
         caller.idle_since = trio.current_time()
         self.idle.setdefault(caller.peer, OrderedDict())[caller] = None
         self.resting[caller] = None
--- a/ternlane/http1/server.py
+++ b/ternlane/http1/server.py
@@ -1,6 +1,7 @@
 """The serving side: reads requests off one connection and hands each to a handler."""
 from __future__ import annotations
 
+import select
 from math import inf
 from typing import Awaitable, Callable, Sequence
 
@@ -10,6 +11,8 @@
 from ternlane.http1.sending import send_now
 
 CHUNK = 65536
+EARLY_BYTES = 65536    # kept of what a client sends ahead of its turn
+LINGER_S = 0.25        # for which what still comes is read off before a connection is closed
 
 
 class BadRequest(Exception):
@@ -27,6 +30,8 @@
         self.stream, self.conn, self.request, self.send_ms = stream, conn, request, send_ms
         self.body = b""
         self.begun = False
+        self.early = 0    # bytes that came behind the request while it was served
+        self.overrun = False    # more of them than are kept
         self.arrived = trio.current_time()    # when its first byte was there
         self.peer: tuple[str, int] = stream.socket.getpeername()[:2]
 
@@ -83,17 +88,30 @@
     def reset(self) -> None:
         self.stream.socket.close()
 
-    async def until_left(self) -> bool:
-        """Returns true when the client has closed its side. A second request that comes early is refused after the
-        first is answered; from then on the first one's client can no longer be seen leaving: false."""
-        try:
-            data = await self.stream.receive_some(CHUNK)
-        except (trio.BrokenResourceError, trio.ClosedResourceError):
-            return True
-        if not data:
+    async def until_left(self) -> None:
+        """Returns when the client has closed its side. What it sends meanwhile is kept for its turn, up to a bound;
+        reading goes on beyond that too, or such a client could not be seen leaving."""
+        while True:
+            try:
+                data = await self.stream.receive_some(CHUNK)
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                return
+            if not data:
+                return
+            self.early += len(data)
+            self.overrun = self.overrun or self.early > EARLY_BYTES
+            if not self.overrun:
+                self.conn.receive_data(data)
+
+    @property
+    def closed(self) -> bool:
+        """Has the client closed its side already? For the moment before `until_left` has heard of it."""
+        fd = self.stream.socket.fileno()
+        if fd < 0:
             return True
-        self.conn.receive_data(data)
-        return False
+        poll = select.poll()
+        poll.register(fd, select.POLLRDHUP)
+        return bool(poll.poll(0))
 
 
 Handler = Callable[[Exchange], Awaitable[None]]
@@ -127,7 +145,12 @@
             first_by = inf
             await handler(exchange)
             if conn.our_state is not h11.DONE or conn.their_state is not h11.DONE or draining():
+                await linger(stream)
                 return
+            if exchange.overrun:
+                exchange = None
+                conn.start_next_cycle()
+                raise BadRequest(413, f"more than {EARLY_BYTES} bytes came ahead of their turn", "sent_ahead")
             early = bool(conn.trailing_data[0])
             conn.start_next_cycle()
             if early and not early_ok:
@@ -142,18 +165,27 @@
             with trio.move_on_after(send_ms / 1000):
                 try:
                     await stream.send_all(out)
-                    await stream.send_eof()
-                    with trio.move_on_after(0.25):    # else unread bytes turn the answer into a reset
-                        while await stream.receive_some(CHUNK):
-                            pass
                 except (trio.BrokenResourceError, trio.ClosedResourceError, OSError):
-                    pass
+                    return
+                await linger(stream)
     except (trio.BrokenResourceError, trio.ClosedResourceError, h11.LocalProtocolError):
         pass
     finally:
         stream.socket.close()
 
 
+async def linger(stream: trio.SocketStream) -> None:
+    """Ends our side and reads off what still comes: closed over unread bytes, the connection would be reset, and an
+    answer that the client has not read yet would go with it."""
+    with trio.move_on_after(LINGER_S):
+        try:
+            await stream.send_eof()
+            while await stream.receive_some(CHUNK):
+                pass
+        except (trio.BrokenResourceError, trio.ClosedResourceError, OSError):
+            pass
+
+
 async def next_request(stream: trio.SocketStream, conn: h11.Connection, body_bytes: int, head_ms: float,
                        body_ms: float, idle_ms: float, send_ms: float, by: float = inf,
                        head_bytes: int = 65536) -> Exchange | None:
--- a/ternlane/platform/engines.py
+++ b/ternlane/platform/engines.py
@@ -6,7 +6,7 @@
 
 from dataclasses import dataclass, field
 from math import inf
-from typing import Awaitable, Protocol
+from typing import Awaitable, Callable, Protocol
 
 import h11
 import trio
@@ -35,6 +35,7 @@
     body: bytes
     timeout_ms: float
     quiet_ms: float
+    gone: Callable[[], bool] = lambda: False    # has its client left?
     scope: trio.CancelScope = field(default_factory=trio.CancelScope)
     called_off: bool = False
     last_by: float = inf    # a read's or a first token's, by trio's clock
@@ -77,6 +78,8 @@
         try:
             with leg.scope:
                 caller = await self.pool.take(leg.address)
+                if leg.gone():    # here attempts begin, and nowhere else: not for a client that has left
+                    raise ClientGone
                 left = max(0.0, leg.last_by - trio.current_time())
                 head = await caller.ask(leg.method, leg.target, [
                     ("Request-Id", leg.ident), ("Request-Timeout", f"{left:.3f}"),
@@ -93,6 +96,10 @@
                     end.verdict, end.state_lost = outcome.verdict, outcome.state_lost
                     end.kept = kept_of(body) if outcome.verdict is Verdict.READ else 0.0
                     end.why = "" if outcome.verdict is Verdict.READ else f"status {head.status_code}"
+        except ClientGone:
+            if end.begun:
+                raise
+            whole, end.verdict, end.why = True, Verdict.MOOT, "the client left before it was sent"
         except Unconnected as why:
             end.verdict, end.why = Verdict.UNCONNECTED, str(why)
         except BROKEN as why:
@@ -110,7 +117,9 @@
                 caller.close_now()
         if leg.scope.cancelled_caught and not whole:
             end.verdict = Verdict.CALLED_OFF if leg.called_off else Verdict.TIMED_OUT
-            if caller is None or not caller.written:    # its last byte never left: nothing can have run
+            if (caller is None or not caller.written) and leg.gone():
+                end.verdict, end.why = Verdict.MOOT, "the client left before it was sent"    # no fault of the server's
+            elif caller is None or not caller.written:    # its last byte never left: nothing can have run
                 end.verdict, end.why = Verdict.UNCONNECTED, "given up before all was written"
             elif not leg.called_off:
                 end.why = "silent within the stream" if end.begun else "no answer in time"
--- a/ternlane/platform/front.py
+++ b/ternlane/platform/front.py
@@ -152,10 +152,8 @@
         try:
             if not ticket.over:
                 with ticket.watch:    # cancelled when the answer is settled
-                    if await exchange.until_left():
-                        self.node.client_left(ticket)
-                    else:    # an early second request: this client's leaving can't be seen any more
-                        await trio.sleep_forever()
+                    await exchange.until_left()
+                    self.node.client_left(ticket)
         finally:
             if not ticket.over:    # ended from outside
                 self.node.client_left(ticket)
--- a/ternlane/platform/node.py
+++ b/ternlane/platform/node.py
@@ -159,7 +159,7 @@
         spot, exchange = self.roster.spots.get(server), ticket.exchange
         leg = ticket.leg = Leg(spot.address if spot is not None else "", server.duty, exchange.method,
                                exchange.request.target.decode("latin-1"), ticket.ident, ticket.body,
-                               times.timeout_ms, times.quiet_ms)
+                               times.timeout_ms, times.quiet_ms, lambda: ticket.over or exchange.closed)
         ticket.legs += 1
         self.nursery.start_soon(self.run, ticket, server, leg, spot.name if spot is not None else "gone")
 
@@ -178,6 +178,8 @@
             end = LegEnd(Verdict.ERROR, begun=ticket.flowing, why=repr(why))
         if end.verdict is Verdict.STREAMED and not ticket.over:
             try:
+        if end.verdict is Verdict.MOOT:
+            self.client_left(ticket)
                 await ticket.exchange.end()
             except (trio.BrokenResourceError, trio.ClosedResourceError):
                 self.client_left(ticket)
--- /dev/null
+++ b/tests/test_fleet_trial.py
@@ -0,0 +1,286 @@
+"""Stories of the fleet trial's further terms: lists in time, clients that leave, what is let go of under silence."""
+from __future__ import annotations
+
+import json
+from typing import Any, AsyncIterator
+
+import h11
+import pytest
+import trio
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ternlane.deployment import Deployment
+from ternlane.http1 import Pool
+from ternlane.platform import registry
+from ternlane.platform.engines import Engines, Leg, LegEnd
+from ternlane.platform.roster import BEHIND_MS, Listing, Lists, Roster, read_listing
+from ternlane.port import Duty, Life, Verdict
+from ternlane.standin.platform import DONE, EVENT, Discovery, Fleet, ModelServer
+from tests.test_platform import BODY, TOLD, Platform, platform
+
+
+# -- lists in time
+
+def test_the_worst_case_of_a_change_that_could_be_had_is_within_the_limit() -> None:
+    """A call that hangs from the moment at which discovery could be reached again, then the longest wait."""
+    worst = (registry.SILENT_MS + registry.SPREAD[1] * registry.RETRY_MOST_MS + registry.CONNECT_MS
+             + registry.HEAD_MS)
+    assert registry.WORST_MS == worst < registry.TOLD_MS - registry.CONNECT_MS
+    assert registry.BEAT_MS < registry.SILENT_MS and registry.RETRY_MS <= registry.RETRY_MOST_MS
+
+
+@pytest.mark.parametrize("how", ["silent", "shut"])
+async def test_a_change_is_heard_in_time_after_discovery_can_be_reached_again(
+        how: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Outages that end at any moment of the calls and waits, at a tenth of the real times."""
+    for name in ("BEAT_MS", "SILENT_MS", "CONNECT_MS", "HEAD_MS", "RETRY_MS", "RETRY_MOST_MS"):
+        monkeypatch.setattr(registry, name, getattr(registry, name) / 10)
+    took: list[float] = []
+
+    async def one(nth: int, nursery: trio.Nursery) -> None:
+        discovery = Discovery(nursery, registry.BEAT_MS)
+        await discovery.start()
+        host, _, number = discovery.address.partition(":")
+        heard, index = trio.Event(), [discovery.index]
+
+        def hear(listing: Listing) -> None:
+            index[0] = listing.index
+            if any(e.status == "DRAINING" for e in listing.endpoints):
+                heard.set()
+        watch = registry.Watch((host, int(number)), lambda: index[0], hear, lambda _: None, nth, nursery, None)
+        watch.start()
+        await trio.sleep(0.1)
+        discovery.break_off(silent=how == "silent", listening=how == "silent")
+        await trio.sleep(0.3 + 0.05 * nth)
+        await discovery.mend()
+        discovery.put("w0", "127.0.0.1:1", "writer", "DRAINING")
+        since = trio.current_time()
+        await heard.wait()
+        took.append((trio.current_time() - since) * 1000)
+
+    async with trio.open_nursery() as nursery:
+        async with trio.open_nursery() as inner:
+            for nth in range(24):
+                inner.start_soon(one, nth, nursery)
+        nursery.cancel_scope.cancel()
+    assert max(took) < registry.TOLD_MS / 10
+
+
+def listing(index: int, snapshot: bool = False, **statuses: str) -> bytes:
+    return json.dumps({"index": index, "snapshot": snapshot, "endpoints": [
+        {"name": name, "address": "127.0.0.1:1", "zone": "hall {\"a\"", "type": "writer", "group": 2,
+         "status": status, "weight": 1.0, "since_ms": 0} for name, status in statuses.items()]}).encode()
+
+
+@given(st.data())
+def test_lists_in_any_form_and_pieces_are_the_same_lists(data: st.DataObject) -> None:
+    lists = [json.loads(listing(n, n == 1, **{f"w{k}": "SERVING" for k in range(n)})) for n in range(1, 4)]
+    text = b""
+    for one in lists:
+        indent = data.draw(st.sampled_from([None, 0, 2, "\t"]))
+        end = data.draw(st.sampled_from([b"\n", b"\r\n", b"\n\n \n"]))
+        text += json.dumps(one, indent=indent).encode() + end
+    cuts = sorted(data.draw(st.lists(st.integers(0, len(text)), max_size=12)))
+    reader, out = Lists(), list[bytes]()
+    for begin, end_at in zip([0, *cuts], [*cuts, len(text)]):
+        out += reader.feed(text[begin:end_at])
+    assert [json.loads(raw) for raw in out] == lists
+    assert [read_listing(raw).index for raw in out] == [1, 2, 3]
+
+
+@pytest.mark.parametrize("noise", [b"what is this\n", b"}\n", b"[1]\n", b'{"index":\n\n', b"{" + b"x" * 5_000_000])
+def test_what_can_be_no_list_is_refused(noise: bytes) -> None:
+    with pytest.raises(ValueError):
+        Lists().feed(noise)
+
+
+async def test_an_indented_list_reaches_the_decisions(monkeypatch: pytest.MonkeyPatch) -> None:
+    async with platform("r0", "w0", "w1") as p:
+        p.discovery.indent = 2
+        p.discovery.put("w0", p.servers["w0"].address, "writer", "DRAINING")
+        with trio.fail_after(2):
+            while p.gateway.node.roster.servers["w0"].life is not Life.DRAINING:
+                await trio.sleep(0.01)
+        assert p.gateway.node.counts["watch broke"] == 0
+
+
+def test_a_list_that_comes_late_undoes_nothing_and_a_count_that_begins_anew_is_followed() -> None:
+    roster = Roster(Deployment(1, TOLD))
+    roster.take(read_listing(listing(41, True, w0="SERVING", w1="SERVING")), 0.0, 0.0)
+    roster.take(read_listing(listing(43, False, w0="DRAINING")), 0.0, 10.0)
+    old = read_listing(listing(42, True, w0="SERVING", w2="SERVING"))
+    assert not roster.take(old, 0.0, 20.0).servers
+    assert roster.servers["w0"].life is Life.DRAINING and set(roster.servers) == {"w0", "w1"} and roster.index == 43
+    assert roster.take(read_listing(listing(44, False, w0="SERVING")), 0.0, 30.0).servers    # newer: it holds
+    assert not roster.take(read_listing(listing(5, True, w0="DRAINING")), 0.0, 40.0).servers
+    with pytest.raises(ValueError):    # for longer than an agent may be behind
+        roster.take(read_listing(listing(6, False, w0="DRAINING")), 0.0, 41.0 + BEHIND_MS)
+    assert roster.index == 0    # so all is asked for
+    roster.take(read_listing(listing(6, True, w0="DRAINING")), 0.0, 50.0 + BEHIND_MS)
+    assert roster.servers["w0"].life is Life.DRAINING and set(roster.servers) == {"w0"}
+
+
+# -- clients that leave
+
+async def gone(p: Platform, how: str, ahead: bytes = b"") -> trio.SocketStream:
+    host, _, number = p.address.partition(":")
+    stream = await trio.open_tcp_stream(host, int(number))
+    head = "".join(f"{k}: {v}\r\n" for k, v in p.headers().items())
+    await stream.send_all(f"POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nContent-Length: {len(BODY)}\r\n{head}\r\n"
+                          .encode() + BODY + ahead)
+    if how == "closed at once":
+        stream.socket.close()
+    return stream
+
+
+@pytest.mark.parametrize("how, ahead", [("closed", b""), ("half-closed", b""), ("reset", b""),
+                                        ("closed", b"GET / HTTP/1.1\r\n" * 9), ("closed", b"x" * 300_000)])
+async def test_nothing_is_begun_for_a_client_that_has_left(how: str, ahead: bytes) -> None:
+    """It leaves while its read is out; also behind more than is kept of what it sends ahead."""
+    async with platform("r0", "w0") as p:
+        p.servers["r0"].read_ms = 150.0
+        stream = await gone(p, how, ahead)
+        with trio.fail_after(2):
+            while not p.fleet.count("read"):
+                await trio.sleep(0.005)
+        await trio.sleep(0.05)
+        if how == "half-closed":
+            await stream.send_eof()
+        elif how == "reset":
+            stream.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+            stream.socket.close()
+        else:
+            stream.socket.close()
+        await trio.sleep(0.1)
+        assert p.gateway.node.counts["left"] == 1
+        await trio.sleep(0.2)
+        assert p.fleet.count("write") == 0
+        await p.settled()
+
+
+async def test_an_attempt_does_not_begin_where_its_client_left_during_the_connect() -> None:
+    """Asked at the one place where attempts begin; the connection, unused, serves the next."""
+    async with platform("r0", "w0") as p:
+        pool = p.gateway.node.engines.pool
+        connect, opened = pool.connect, list[str]()
+
+        async def slow(peer: str) -> Any:
+            opened.append(peer)
+            caller = await connect(peer)
+            with trio.CancelScope(shield=True):    # so that only the check can keep it back
+                await trio.sleep(0.2)
+            return caller
+        pool.connect = slow    # type: ignore[method-assign]
+        stream = await gone(p, "stays")
+        await trio.sleep(0.1)
+        stream.socket.close()
+        await trio.sleep(0.3)
+        assert p.fleet.count("read") == 0 and p.gateway.node.counts["read MOOT"] == 1
+        assert not p.gateway.node.chooser.desk.board[    # type: ignore[attr-defined]
+            p.gateway.node.roster.servers["r0"].seat].shut    # it did nothing wrong
+        assert (await p.ask()).status == 200 and opened.count(p.servers["r0"].address) == 1
+        await p.settled()
+
+
+async def test_a_client_that_is_gone_before_it_is_read_is_not_sent_on() -> None:
+    """Many at once: by the time they are read, they have closed."""
+    async with platform("r0", "w0") as p:
+        for _ in range(20):
+            await gone(p, "closed at once")
+        with trio.fail_after(2):
+            while p.gateway.front.conns or not p.gateway.node.counts["left"]:
+                await trio.sleep(0.01)
+        await trio.sleep(0.1)
+        assert p.fleet.count("read") == 0
+        await p.settled()
+
+
+async def test_an_answer_given_during_a_drain_is_not_reset_by_what_its_client_sent_meanwhile() -> None:
+    async with platform("r0", "w0") as p:
+        p.servers["w0"].event_ms = 100.0
+        stream = await gone(p, "stays")
+        with trio.fail_after(2):
+            while not p.fleet.count("write"):
+                await trio.sleep(0.005)
+        p.gateway.front.draining = True
+        out = b""
+        await trio.sleep(0.05)
+        await stream.send_all(b"POST / HTTP/1.1\r\n" * 2000)
+        await trio.sleep(0.2)
+        await stream.send_all(b"x" * 2000)    # after the answer's end
+        with trio.fail_after(2):
+            while piece := await stream.receive_some():
+                out += piece
+        assert out.endswith(b"0\r\n\r\n")
+
+
+# -- what is let go of
+
+async def test_a_state_is_let_go_of_in_time_though_four_servers_in_five_have_fallen_silent(
+        nursery: trio.Nursery) -> None:
+    fleet, deployment = Fleet(nursery), Deployment(1, TOLD)
+    engines = Engines(Pool(150.0, 1000.0), deployment)
+    servers = [ModelServer(f"w{n}", "write", fleet) for n in range(20)]
+    for n, server in enumerate(servers):
+        await server.start()
+        engines.heard_at[server.address] = 100.0 - n    # the silent ones were heard last
+        server.mute = n < 16
+    fleet.states["ab"] = "w19"
+    with trio.move_on_after(deployment.facts.release_ms / 1000):
+        nursery.start_soon(engines.release, "ab", [s.address for s in servers], deployment.facts.release_ms)
+        while "ab" in fleet.states:
+            await trio.sleep(0.005)
+    assert "ab" not in fleet.states
+
+
+async def test_a_server_that_could_not_be_reached_is_asked_last_to_let_go(nursery: trio.Nursery) -> None:
+    fleet = Fleet(nursery)
+    engines = Engines(Pool(150.0, 1000.0), Deployment(1, TOLD))
+    well, away = ModelServer("w0", "write", fleet), ModelServer("w1", "write", fleet)
+    for server in (well, away):
+        await server.start()
+        assert (await engines.ask(server.address, "GET", "/stats", 500.0))[0] is Verdict.STREAMED
+    away.stop()
+    engines.pool.forget(away.address)
+    assert (await engines.ask(away.address, "GET", "/stats", 500.0))[0] is Verdict.UNCONNECTED
+    assert engines.heard_at[away.address] < engines.heard_at[well.address]
+
+
+async def test_a_connection_on_which_nothing_was_asked_is_kept(nursery: trio.Nursery) -> None:
+    server = ModelServer("w0", "write", Fleet(nursery))
+    await server.start()
+    pool = Pool(500.0, 1000.0)
+    caller = await pool.take(server.address)
+    pool.give_back(caller)
+    assert caller.conn.our_state is h11.IDLE and await pool.take(server.address) is caller and pool.made == 1
+
+
+# -- streams
+
+class Outlet:
+    def __init__(self) -> None:
+        self.got: list[bytes] = []
+
+    async def first(self, data: bytes) -> None:
+        self.got.append(data)
+
+    more = first
+
+
+@pytest.mark.parametrize("struck", [False, True])
+async def test_a_first_event_in_the_moment_of_its_time_out_begins_no_stream_that_is_then_cut(struck: bool) -> None:
+    """The time-out strikes while the event is already there, so it does not keep the task from going on."""
+    leg, outlet = Leg("a:1", Duty.WRITE, "POST", "/", "ab", b"", 1000.0, 1000.0), Outlet()
+
+    class Stub:
+        async def chunks(self) -> AsyncIterator[bytes]:
+            if struck:
+                leg.scope.cancel()
+            yield EVENT
+            await trio.lowlevel.checkpoint()
+            yield DONE
+    end = LegEnd()
+    with leg.scope:
+        await Engines(Pool(1.0, 1.0), Deployment(1, TOLD)).stream(leg, Stub(), outlet, end)    # type: ignore[arg-type]
+    assert (end.begun, len(outlet.got)) == ((False, 0) if struck else (True, 2))
