--- a/ternlane/platform/engines.py
+++ b/ternlane/platform/engines.py
@@ -101,6 +101,7 @@
                 raise
             whole, end.verdict, end.why = True, Verdict.MOOT, "the client left before it was sent"
         except Unconnected as why:
+            self.heard_at[leg.address] = 0.0
             end.verdict, end.why = Verdict.UNCONNECTED, str(why)
         except BROKEN as why:
             end.verdict, end.why = Verdict.RESET, repr(why)
@@ -108,7 +109,6 @@
             end.verdict = Verdict.RESET if "closed" in str(why) else Verdict.ERROR
             end.why = f"spoilt: {str(why)[:200]}"
         except ValueError as why:
-            self.heard_at[leg.address] = 0.0
             end.verdict, end.why = Verdict.ERROR, f"spoilt: {str(why)[:200]}"
         finally:
             if caller is not None and whole:
@@ -168,6 +168,7 @@
                 caller = None
                 return Verdict.STREAMED, head.status_code, said, body
         except Unconnected:
+            self.heard_at[address] = 0.0
             verdict = Verdict.UNCONNECTED
         except (h11.RemoteProtocolError, *BROKEN):
             verdict = Verdict.RESET
@@ -177,7 +178,6 @@
         return verdict, 0, None, b""
 
     async def release(self, ident: str, addresses: list[str], within_ms: float) -> bool:
-            self.heard_at[address] = 0.0
         """Lets go of all that is held for a generation, wherever: any running engine passes it on. The one that was
         heard last is asked first, then twice as many of the next ones each time, and all over again, while none has
         heard it: neither one that is silent, busy or spoils its answers, nor most of a fleet, must hold it up."""
@@ -193,6 +193,7 @@
         order = sorted(addresses, key=lambda a: -self.heard_at.get(a, 0.0))
         with trio.move_on_after(within_ms / 1000):
             async with trio.open_nursery() as nursery:
+                asked = 0
                 for turn in range(rounds if order else 0):
                     for _ in range(min(2**turn, rounds, len(order))):
                         nursery.start_soon(one, order[asked % len(order)], nursery.cancel_scope)
@@ -204,7 +205,6 @@
         _, status, _, _ = await self.ask(address, "POST", LEASE_PATH + ident, within_ms)
         return status == 200
 
-                asked = 0
     async def load(self, address: str, within_ms: float) -> tuple[Verdict, Report | None]:
         verdict, status, said, body = await self.ask(address, "GET", STATS_PATH, within_ms)
         if verdict is Verdict.STREAMED and status != 200:
--- a/ternlane/platform/node.py
+++ b/ternlane/platform/node.py
@@ -143,6 +143,8 @@
 
     def closed(self, ticket: Ticket, outcome: str) -> None:
         self.counts[outcome] += 1
+        self.log.debug("closed", gen=ticket.ident, outcome=outcome, took_ms=round(now_ms() - ticket.since, 1),
+                       patience_ms=round(ticket.gen.patience_ms))
         self.trails.append((ticket.ident, outcome, ticket.trail))
         self.ended.append(ticket)
 
@@ -176,10 +178,10 @@
         except Exception as why:    # a fault of this program must not take the other generations with it
             self.log.exception("leg")
             end = LegEnd(Verdict.ERROR, begun=ticket.flowing, why=repr(why))
-        if end.verdict is Verdict.STREAMED and not ticket.over:
-            try:
         if end.verdict is Verdict.MOOT:
             self.client_left(ticket)
+        if end.verdict is Verdict.STREAMED and not ticket.over:
+            try:
                 await ticket.exchange.end()
             except (trio.BrokenResourceError, trio.ClosedResourceError):
                 self.client_left(ticket)
@@ -194,6 +196,8 @@
         kind = "read" if server.duty is port.Duty.READ else "write"
         ticket.trail.append(f"{name} {kind} {end.verdict.name} {took:.0f} ms {end.why}".rstrip())
         self.counts[f"{kind} {end.verdict.name}"] += 1
+        self.log.debug("attempt", gen=ticket.ident, server=name, kind=kind, verdict=end.verdict.name,
+                       took_ms=round(took, 1), begun=end.begun, why=end.why)
         self.tell(port.LegEnded(ticket.gen, server, end.verdict, took, ticket.over, end.kept, end.state_lost,
                                 end.report))
         self.forget(ticket)
@@ -213,6 +217,7 @@
                 heard = await self.engines.release(ident, self.addresses(), within)
             if not heard:
                 self.counts["release unheard"] += 1
+            self.log.debug("release", gen=ident, heard=heard, again=again)
         except Exception:
             self.log.exception("release")
         finally:
--- a/ternlane/platform/process.py
+++ b/ternlane/platform/process.py
@@ -2,6 +2,7 @@
 from __future__ import annotations
 
 import gc
+import logging
 import os
 import resource
 import signal
@@ -158,7 +159,9 @@
 
 def main(told_early: list[int]) -> int:
     """`told_early`: SIGTERM that came while the program was still being read in."""
+    level = logging.DEBUG if os.environ.get("TERNLANE_LOG") == "debug" else logging.INFO
     structlog.configure(
+        wrapper_class=structlog.make_filtering_bound_logger(level),
         processors=[structlog.processors.add_log_level, structlog.processors.TimeStamper(fmt="iso", utc=True),
                     structlog.processors.format_exc_info, structlog.processors.JSONRenderer()],
         logger_factory=structlog.WriteLoggerFactory(file=sys.stderr), cache_logger_on_first_use=True)
