The gateway's host, too, holds nothing where a read never ran

Found by tests/test_scenarios.py (four stories hung): the decisions no longer send LetGo after a read that provably never ran, and the host kept its server among the holders, so the ticket was never forgotten. The scenarios' stories fail without it.

--- a/ternlane/gateway/host.py
+++ b/ternlane/gateway/host.py
@@ -258,6 +258,8 @@
             if not broken:    # its client has part of the answer, and hears that there is no more
                 self.settle(ticket, Terminated(ticket.why if plan.called_off else end.why or "the stream broke"))
         over = ticket.final is not None or ticket.left
+        if end.verdict in (Verdict.FULL, Verdict.UNCONNECTED, Verdict.MOOT) and server.duty is Duty.READ:
+            ticket.holders.pop(server, None)    # it ran nothing, so it left nothing
         self.tell(port.LegEnded(ticket.gen, server, end.verdict, took, over, kept, end.state_lost, end.report, broken))
         self.forget(ticket)
         if broken:
