--- a/ternlane/choice.py
+++ b/ternlane/choice.py
@@ -34,6 +34,7 @@
 FAINT = 0.02        # failures of a kind below this part are chance
 FEW = 64            # generations before this gateway's own count of an opening says much
 LONG_READ = 1000.0  # tokens
+LOT = 0.618         # of the way round between two draws of a generation, as far from all before as can be
 OUT_SHARE = 0.25    # part of the longest answer that a generation is expected to fill
 NO_SIGN = {Verdict.TIMED_OUT, Verdict.ERROR, Verdict.FULL, Verdict.CALLED_OFF, Verdict.MOOT}    # of health
 NEVER_RAN = {Verdict.FULL, Verdict.UNCONNECTED, Verdict.MOOT, Verdict.READ}
@@ -42,10 +43,10 @@
 def limits_from(facts: StartFacts) -> Limits:
     slo = min((p.slo_ms for p in facts.products if p.slo_ms), default=1000.0)
     return Limits(slo_ms=slo, span_ms=2 * slo, beat_ms=max(facts.step_ms, slo / 20), share=facts.gateways,
-                  cold_rate=facts.fall_multiple * facts.cold_from * CARE, cold_ms=facts.cold_ms,
-                  burst_ms=facts.fall_ms / 2, retry_ms=2 * facts.connect_ms, idle_ms=facts.idle_ms,
-                  leg_limit=facts.leg_limit, pause_ms=facts.longest_pause_ms if facts.may_advise else 0.0,
-                  hand_ms=max(0.0, facts.release_ms - facts.connect_ms))
+                  cold_part=facts.fall_multiple * facts.cold_from * CARE, cold_ms=facts.cold_ms,
+                  retry_ms=2 * facts.connect_ms, idle_ms=facts.idle_ms, leg_limit=facts.leg_limit,
+                  hand_ms=max(0.0, facts.release_ms - facts.connect_ms) if facts.holds_run_on else inf,
+                  pause_ms=facts.longest_pause_ms if facts.may_advise else 0.0)
 
 
 class Engine(Seat):    # one model server as this gateway knows it
@@ -56,10 +57,9 @@
         self.booked: dict[Course, tuple[float, float]] = {}    # when, how much of its memory
         self.legs: dict[Leg, None] = {}
         self.said: tuple[float, float, float | None] | None = None   # when, memory share, generations held
-        self.done = self.due = self.rate = self.credit = 0.0
+        self.done = self.due = self.cold_until = self.linked_until = 0.0
         self.used, self.size = 0.0, 1.0    # of its memory: by all gateways; what it seems to have
         self.strikes, self.shut_until, self.trial, self.answered = 0, 0.0, False, -inf
-        self.started, self.cold_until, self.linked_until = server.started_ms, 0.0, 0.0
         self.beat_at, self.sent, self.fleet = router.now, 0.0, Beat()
 
     def handle(self, note: Any) -> None:
@@ -68,7 +68,6 @@
             case Booked(course, toks):
                 self.booked[course] = now, toks / max(self.server.mem_toks, 1.0)
                 self.sent += 1
-                self.credit -= now < self.cold_until
             case Unbooked(course):
                 self.booked.pop(course, None)
             case Sent(leg):
@@ -79,7 +78,6 @@
                     self.linked_until = now + self.limits.idle_ms
                 self.done += good is True
                 self.due += (good is False) * DOUBT / 2    # guards against one that fails fast and looks free
-                self.rate += good is True and leg.writes is (next_usual is not None)
                 if next_usual is None:
                     self.legs.pop(leg, None)
                     if good and not leg.writes:
@@ -102,14 +100,11 @@
                 self.fleet = note
                 for leg in self.legs:
                     self.count(leg)
-                self.done, self.due, self.rate = self.done * fade, self.due * fade, self.rate * fade
-                if now < self.cold_until:
-                    self.refill(note.peer_rate, now - self.beat_at)
+                self.done, self.due = self.done * fade, self.due * fade
                 self.beat_at = now
             case News():
-                if self.server.started_ms != self.started:
-                    self.started, self.credit = self.server.started_ms, 0.0
-                self.cold_until = self.started + self.limits.cold_ms if self.started > 0 else 0.0
+                start = self.server.started_ms
+                self.cold_until = start + self.limits.cold_ms if start > 0 else 0.0
         self.overtaken()
         self.router.desk.post(self.standing())
         if isinstance(note, Onward):
@@ -143,18 +138,10 @@
         elif took < self.limits.slo_ms / 8 and self.used > CALM * self.size:
             self.size = min(self.size * (1 + GAIN), CROWD ** 2)
 
-    def crowding(self) -> float:
-        """How much more than its peers the gateways use it, as far as this one has seen it happen."""
-        return (self.sent + CROWD) / (self.fleet.mean_sent + CROWD) * (1 - 1 / self.limits.share)
-
-    def refill(self, peer_rate: float, ms: float) -> None:
-        """A cold server gets part of what a warm peer at its best took from here, more as it warms."""
-        warmth = 1 - max(0.0, self.cold_until - self.router.now) / max(self.limits.cold_ms, 1.0)
-        rate = self.limits.cold_rate * peer_rate * (1 + 3 * warmth ** 2)
-        self.credit = min(self.credit + rate * ms, max(1.0, rate * self.limits.burst_ms))
-
     def standing(self) -> Standing:
-        now, own, crowding = self.router.now, sum(s for _, s in self.booked.values()), self.crowding()
+        now, own = self.router.now, sum(s for _, s in self.booked.values())
+        # How much more than its peers all use it, as far as this one has seen it happen:
+        crowding = (self.sent + CROWD) / (self.fleet.mean_sent + CROWD) * (1 - 1 / self.limits.share)
         used = self.used = own + self.fleet.level * crowding
         free = 1 - used / self.size
         queue = sum(leg.work_ms for leg in self.legs if leg.sent >= self.answered)    # a lost one is no load
@@ -170,8 +157,7 @@
             free = min(free, 1 - ahead / self.limits.slo_ms)
         return Standing(self, self.server.life is Life.UP, free, queue, len(self.booked),
                         (self.done + DOUBT) / (self.due + DOUBT), now < self.shut_until, self.trial,
-                        self.credit if now < self.cold_until else inf, self.rate,
-                        own, self.sent, ahead, now < self.linked_until, self.fleet)
+                        self.cold_until, own, self.sent, ahead, now < self.linked_until, self.fleet)
 
 
 class Desk(Actor):    # sessions' homes, generations' courses
@@ -182,6 +168,7 @@
         self.read_ms, self.asked, self.unmet = 0.0, False, 0.0    # part of new connections that fail
         self.seed, self.turn, self.beats, self.stuck = facts.seed, 0, 0, inf    # no room for prompts so large
         self.board: dict[Seat, Standing] = {}
+        self.lots: dict[Duty, dict[Seat, tuple[float, float]]] = {d: {} for d in Duty}    # of cold ones
         self.homes: OrderedDict[str, Home] = OrderedDict()
         self.waiting: list[tuple[float, float, int, Course]] = []
         self.ends_at = inf    # when this gateway is cut off
@@ -223,6 +210,7 @@
             case port.Listed(servers):
                 for server in servers:
                     server.seat = server.seat or Engine(self.router, server)
+                    self.lots[server.duty].pop(server.seat, None)
                     server.seat.post(News())
             case port.Checked(server, _, report):
                 self.checked(server.seat, report)
@@ -246,7 +234,9 @@
     def arrived(self, gen: Generation) -> None:
         now, product = self.router.now, gen.product
         slo = (product.slo_ms or gen.patience_ms) + product.slo_per_ktok_ms * gen.prompt_toks / 1000
-        gen.seat = course = Course(gen, now + slo, now + gen.patience_ms)
+        self.turn += 1
+        lot = zlib.crc32(b"%d lot %d" % (self.seed, self.turn)) / 2**32
+        gen.seat = course = Course(gen, now + slo, now + gen.patience_ms, lot)
         mean = self.prompt.setdefault(product, max(gen.prompt_toks, 1.0))
         self.prompt[product] = mean + GAIN * (gen.prompt_toks - mean)
         self.asked_for[gen.opening] += gen.opening is not None
@@ -280,10 +270,13 @@
                     engine.post(Onward(course))
 
     def usable(self, engine: Seat, course: Course) -> bool:
-        """May the course be sent to this server at all? Asked again by send()."""
-        s = self.board.get(engine)
-        return (s is not None and engine.server.life is Life.UP and s.credit >= 1
-                and engine not in course.tried and self.effect_allows(course, engine))
+        """May the course be sent to this server? Asked again by send(). Guards cold ones against the sum of
+        all gateways: each gives a part by lot, as what all saved up could come at once."""
+        s, (low, part) = self.board.get(engine), self.lots[engine.server.duty].get(engine, (0.0, 0.0))
+        if s is None or engine.server.life is not Life.UP or engine in course.tried:
+            return False
+        drawn = engine in (course.reader, course.writer) or (course.lot + course.legs * LOT - low) % 1 < part
+        return (drawn or s.cold_until <= self.router.now) and self.effect_allows(course, engine)
 
     def sound(self, s: Standing) -> bool:
         return not s.shut and not s.trial and s.progress >= SICK * s.fleet.pace
@@ -380,6 +373,7 @@
         else:
             pair = self.best(course)
             if pair is None:
+                course.waited = True
                 return self.wait(course) if self.served(course) else self.finish(course)
             reader, writer = pair[0].engine, pair[1].engine
         if gen.session:
@@ -401,9 +395,8 @@
             if kind is not None and (failed or verdict is Verdict.READ and kind in self.doubts):
                 doubt = self.doubts.setdefault(kind, Doubt())
                 doubt.rate[engine.writes] += GAIN * (failed - doubt.rate[engine.writes])
-                known = doubt.seen.setdefault(engine, Record(at=now))
-                fade = exp((known.at - now) / (HOME_AGE_MS / CROWD))
-                known.bad, known.tries, known.at = known.bad * fade + failed, known.tries * fade + 1, now
+                was, tries = self.seen(engine, doubt)
+                doubt.seen[engine] = Record(was + failed, tries + 1, now)
 
     def seen(self, engine: Seat, doubt: Doubt) -> tuple[float, float]:
         known = doubt.seen.get(engine, Record())
@@ -461,11 +454,13 @@
         self.turn += 1
         latest = self.latest(course)
         heapq.heappush(self.waiting, (-course.gen.product.revenue, latest, self.turn, course))
-        self.next_due, self.least = min(self.next_due, latest), min(self.least, course.gen.prompt_toks)
+        self.next_due = min(self.next_due, latest)
+        self.least = min(self.least, course.gen.prompt_toks * course.waited)
 
     def pump(self) -> bool:
         """Places the waiting generation that comes first and throws off what has waited too long, at once.
-        Smaller ones may pass a large one that finds no room; it must not have all the others thrown off."""
+        Smaller ones may pass a large one that finds no room, and each is tried once, as its lot may be open
+        where others' are not; one must not have all the others thrown off."""
         if self.router.now < self.next_due and self.least >= self.stuck:
             return False    # lest a long line be gone through for each event
         queue, self.waiting = self.waiting, []
@@ -473,7 +468,7 @@
             entry = _, latest, _, course = heapq.heappop(queue)
             if latest <= self.router.now and not course.over:
                 self.finish(course)
-            elif course.gen.prompt_toks >= self.stuck and not course.over:
+            elif course.gen.prompt_toks >= self.stuck and course.waited and not course.over:
                 heapq.heappush(self.waiting, entry)
             elif not course.over:
                 self.place(course)
@@ -515,7 +510,9 @@
         if course.holds:    # also what a read left behind whose end was not heard
             self.router.out.append(port.LetGo(course.gen, course.over and course.state_at is None))
             course.state_at, course.holds = None, False
-        self.unbook(course)
+        for engine in (course.reader, course.writer):
+            if engine is not None:
+                engine.post(Unbooked(course))
 
     def close(self, course: Course) -> None:
         course.over = True
@@ -524,11 +521,6 @@
         elif self.may_call_off:    # what the leg holds is let go when it ends
             self.router.out.append(port.CallOff(course.gen))
 
-    def unbook(self, course: Course) -> None:
-        for engine in (course.reader, course.writer):
-            if engine is not None:
-                engine.post(Unbooked(course))
-
     def effect_allows(self, course: Course, engine: Seat) -> bool:
         """No effect twice: after a leg that may have run, only what its product's effect permits."""
         if course.may_have_run is None or course.gen.product.effect is not Effect.DEDUPLICATED:
@@ -587,7 +579,7 @@
             course.tried.add(engine)
         if note.broken:    # only the time limit binds one whose client has a part; GoOn says when
             course.slo_at = course.limit_at
-            return self.unbook(course)
+            return self.let_go(course)
         engine.post(Onward(course))
 
     def lost(self, leg: Leg) -> None:
@@ -685,20 +677,23 @@
         """Sums up the servers of one duty and lets each of them know."""
         old, ms, self.stuck = self.fleets[duty], LOOK * self.limits.beat_ms, inf
         fit = [s for s in peers if not s.shut and not s.trial] or peers
-        warm = [s for s in fit if s.credit == inf] or fit    # lest the warm look as full as the cold
-        rate = sum(s.rate for s in warm) / len(warm) / self.limits.span_ms
-        rate = max(rate, old.peer_rate * (1 - ms / HOME_AGE_MS))    # kept, as all may come back cold together
+        now, able = self.router.now, [e for e, s in self.board.items() if s.listed]
+        warm = [s for s in fit if s.cold_until <= now] or fit    # lest the warm look as full as the cold
+        even = self.limits.cold_part / sum(e.writes if duty is Duty.WRITE else e.reads for e in able)
+        cold = [s for s in peers if s.cold_until > now]
+        self.lots[duty] = {s.engine: (i / len(cold), even * (1 + 3 * max(0.0, 1 - (
+            s.cold_until - now) / max(self.limits.cold_ms, 1.0)) ** 2)) for i, s in enumerate(cold)}
         mid = median(s.open for s in fit)
         new = min(1.0, (1 + mid) * ms / self.limits.span_ms)    # the more of one's own, the sooner believed
         scale = new * self.limits.share / len(warm)
         level = (1 - new) * old.level + scale * sum(s.own for s in warm)
         queue = (1 - new) * old.queue_ms + scale * sum(s.queue_ms for s in warm)
         sent, pace = sum(s.sent for s in warm) / len(warm), min(1.0, median(s.progress for s in fit))
-        self.fleets[duty] = view = Beat(mid, pace, rate, level, queue, sent, self.trust, self.read_ms)
+        self.fleets[duty] = view = Beat(mid, pace, level, queue, sent, self.trust, self.read_ms)
         for i, s in enumerate(peers):
             if s.progress < SICK * view.pace and not s.shut and not s.trial:
                 s.engine.post(Trouble(silent=True))
-            stirred = s.open or s.shut or s.trial or s.credit < inf
+            stirred = s.open or s.shut or s.trial or s.cold_until > now
             if stirred or (i + self.beats // LOOK) % (len(peers) // (3 * LOOK) or 1) == 0:    # idle in turns
                 s.engine.post(view)
 
--- a/ternlane/notes.py
+++ b/ternlane/notes.py
@@ -54,9 +54,8 @@
     span_ms: float        # over which progress and rates are remembered
     beat_ms: float
     share: float          # gateways that load the servers as much as this one, itself included
-    cold_rate: float      # part of a warm peer's rate that a server just started may be sent
+    cold_part: float      # of an even share of the generations, that a server just started may be sent
     cold_ms: float
-    burst_ms: float       # over which a cold server's allowance may be saved up
     retry_ms: float       # first pause after a server could not be reached
     idle_ms: float        # idle connections are closed after this
     leg_limit: int
@@ -86,6 +85,7 @@
     gen: Generation
     slo_at: float
     limit_at: float
+    lot: float = 0.0    # its draw, from nought to one, for servers that take only some
     reader: Seat | None = None
     writer: Seat | None = None
     leg: Leg | None = None
@@ -93,6 +93,7 @@
     state_at: Seat | None = None
     held_since: float = 0.0    # the last outcome, from which the release time counts
     may_have_run: tuple[float, Server] | None = None
+    waited: bool = False    # no pair was found for it yet
     holds: bool = False    # a state may be held for it somewhere
     over: bool = False
     asked: set[Seat] = field(default_factory=set)    # whose report the choice of a pair waits for
@@ -131,8 +132,7 @@
     progress: float
     shut: bool
     trial: bool
-    credit: float     # sends that a cold server may still be given
-    rate: float
+    cold_until: float
     own: float        # share of memory that this gateway's generations fill
     sent: float       # generations of this gateway that it got lately
     ahead_ms: float   # reading that all gateways are believed to have given it
@@ -180,7 +180,6 @@
     """What the Desk makes of all servers of the same duty."""
     open: float = 0.0         # this gateway's open generations at the median one
     pace: float = 1.0         # its progress
-    peer_rate: float = 0.0    # sends a ms that a warm one took from this gateway at its best
     level: float = 0.0        # how full they are on the mean
     queue_ms: float = 0.0     # reading that all gateways have given each of them
     mean_sent: float = 0.0
--- a/ternlane/port.py
+++ b/ternlane/port.py
@@ -132,6 +132,7 @@
     fall_ms: float
     step_ms: float
     told_if_asked: bool = False    # model servers report their load to Probe, and in no answer
+    holds_run_on: bool = True    # the release time is not begun anew by a leg that found no connection
 
 
 @dataclass(slots=True, frozen=True)
--- a/ternlane/wirehost/host.py
+++ b/ternlane/wirehost/host.py
@@ -2,6 +2,7 @@
 from __future__ import annotations
 
 import json
+from dataclasses import replace
 from typing import Any, Iterator
 
 from ternlane.choice import Router
@@ -43,7 +44,8 @@
         self.legs: dict[Generation, int] = {}
         self.legs_back: dict[Generation, int] = {}
         self.closed: set[Generation] = set()
-        self.router = Router(self.deployment.facts)
+        # Here any outcome begins the release time anew, also that of a connection that did not come up.
+        self.router = Router(replace(self.deployment.facts, holds_run_on=False))
 
     def server(self, sid: str) -> Server | None:
         return self.servers.get(sid)
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -115,6 +115,10 @@
     said = host.end(gen, second, Verdict.UNCONNECTED, after=250.0)
     assert [type(a) for a in said] == [port.LetGo, port.SendLeg]
     assert sent(said).server.duty is port.Duty.READ
+    other = build(("w2", "w3"), holds_run_on=False)    # where an outcome of any kind begins that time anew
+    gen, leg = other.written()
+    second = sent(other.end(gen, leg.server, Verdict.UNCONNECTED, after=250.0)).server
+    assert sent(other.end(gen, second, Verdict.UNCONNECTED, after=250.0)).server.duty is port.Duty.WRITE
     gen, leg = host.written()    # a writer that refuses has answered: the time counts from then
     second = sent(host.end(gen, leg.server, Verdict.FULL, after=400.0)).server
     assert sent(host.end(gen, second, Verdict.FULL, after=400.0)).server.duty is port.Duty.WRITE
--- /dev/null
+++ b/tests/test_cold.py
@@ -0,0 +1,131 @@
+"""Many routers and one cold server, in virtual time: the sum of all keeps to what the settings allow, and uses it."""
+from __future__ import annotations
+
+import heapq
+import zlib
+from collections import Counter
+from dataclasses import dataclass, field, replace
+from itertools import count
+from math import sqrt
+from typing import Any
+
+import pytest
+
+from ternlane import port
+from ternlane.choice import Router
+from ternlane.port import Duty, Effect, Generation, Group, Life, Product, Server, Verdict
+from tests.conftest import FACTS
+
+PRODUCT = Product(Effect.IDEMPOTENT, Group.CELL, 3000.0, 2000.0, 40.0, 70.0, 10000.0, 1.0, 0.1)
+READ_MS, FIRST_MS, STREAM_MS = 120.0, 60.0, 1500.0
+WARM_MS, COLD_MS, FALL_MS, MULTIPLE, COLD_FROM = 20e3, 10e3, 3000.0, 4.0, 0.31
+
+
+@dataclass(eq=False)
+class Fleet:
+    """Servers that answer in fixed times, and routers that share `rate` requests a second as evenly as chance does."""
+    routers: int
+    rate: float
+    peers: int = 6
+    now: float = 1000.0
+    sent: list[tuple[float, Server]] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        self.servers = [Server("east", n // 2, duty, 300e3, mark=zlib.crc32(b"%d %s" % (n, duty.name.encode())))
+                        for n in range(self.peers) for duty in (Duty.READ, Duty.WRITE)]
+        self.order, self.due = count(), list[tuple[float, int, int, port.Event]]()
+        self.all = [self.router(n) for n in range(self.routers)]
+
+    def router(self, nth: int) -> Router:
+        facts = replace(FACTS, seed=nth * 7919 + 1, gateways=self.routers, products=(PRODUCT,), idle_ms=30e3,
+                        fall_multiple=MULTIPLE, cold_from=COLD_FROM, cold_ms=COLD_MS, fall_ms=FALL_MS)
+        made = Router(facts)
+        self.mine = getattr(self, "mine", {})
+        self.mine[nth] = [replace(s, seat=None) for s in self.servers]    # seats are each router's own
+        self.act(nth, made.take(self.now, [port.Listed(tuple(self.mine[nth]))]))
+        return made
+
+    def at(self, when: float, nth: int, event: port.Event) -> None:
+        heapq.heappush(self.due, (when, next(self.order), nth, event))
+
+    def act(self, nth: int, actions: list[Any]) -> None:
+        for action in actions:
+            if isinstance(action, port.Wake):
+                self.at(action.at_ms, nth, port.Woken(action.beat))
+            elif isinstance(action, port.SendLeg):
+                gen, server = action.gen, action.server
+                self.sent.append((self.now, self.servers[self.mine[nth].index(server)]))
+                if server.duty is Duty.READ:
+                    self.at(self.now + READ_MS, nth, port.LegEnded(gen, server, Verdict.READ, READ_MS, False, 300.0))
+                else:
+                    self.at(self.now + FIRST_MS, nth, port.FirstTok(gen, server, FIRST_MS))
+                    self.at(self.now + STREAM_MS, nth, port.LegEnded(gen, server, Verdict.STREAMED, STREAM_MS, True))
+
+    def run(self, ms: float) -> None:
+        until, arrivals = self.now + ms, int(ms / 1000 * self.rate)
+        for n in range(arrivals):
+            draw = zlib.crc32(b"arrival %d %f" % (n, self.now))
+            gen = Generation(PRODUCT, f"{n} {self.now}", None, 0.0, 400.0, 200.0, 10000.0)
+            self.at(self.now + ms * n / arrivals, draw % self.routers, port.Arrived(gen))
+        while self.due and self.due[0][0] <= until:
+            self.now, _, nth, event = heapq.heappop(self.due)
+            self.act(nth, self.all[nth].take(self.now, [event]))
+        self.now = until
+
+    def restart(self, *servers: Server) -> None:
+        """They are new, and all routers are told at once."""
+        for nth, router in enumerate(self.all):
+            news = [self.mine[nth][self.servers.index(s)] for s in servers]
+            for server in news:
+                server.started_ms, server.life = self.now, Life.UP
+            self.act(nth, router.take(self.now, [port.Listed(tuple(news))]))
+
+    def most(self, server: Server, since: float, span: float) -> int:
+        """The most that it was sent within any `span`."""
+        times = [at for at, to in self.sent if to is server and at >= since]
+        return max((sum(t <= x < t + span for x in times) for t in times), default=0)
+
+
+def capacity(fleet: Fleet, since: float) -> dict[Duty, float]:
+    """What a warm server of each duty took each ms: no more than it could do."""
+    took = Counter(s.duty for at, s in fleet.sent if at >= since)
+    return {duty: n / fleet.peers / (fleet.now - since) for duty, n in took.items()}
+
+
+@pytest.mark.parametrize("routers", [1, 6, 30, 200])
+@pytest.mark.parametrize("together", [1, 3, 6])
+def test_the_sum_of_all_routers_keeps_to_a_cold_servers_budget_and_uses_it(routers: int, together: int) -> None:
+    fleet = Fleet(routers, rate=120.0)
+    fleet.run(WARM_MS)
+    rates = capacity(fleet, WARM_MS / 2)
+    cold = [s for duty in (Duty.READ, Duty.WRITE) for s in [s for s in fleet.servers if s.duty is duty][:together]]
+    start = fleet.now
+    fleet.restart(*cold)
+    fleet.run(FALL_MS)
+    got, budget = {}, MULTIPLE * COLD_FROM * rates[Duty.READ] * FALL_MS
+    for server in cold:    # at its very coldest
+        got[server] = fleet.most(server, start, FALL_MS)
+        assert got[server] <= budget + 2 * sqrt(budget) + 2, (server.duty, got[server], budget)
+    least = budget / 4 if together == fleet.peers else 1    # where they are needed each part is spent, also below one
+    assert min(got.values()) >= least, (sorted(got.values()), budget)
+    fleet.run(COLD_MS - FALL_MS)
+    for server in cold:    # never more than a warm one of its size could be pushed over by
+        budget = MULTIPLE * rates[server.duty] * FALL_MS
+        assert fleet.most(server, start, FALL_MS) <= budget + 2 * sqrt(budget) + 2
+
+
+@pytest.mark.parametrize("routers", [6, 200])
+def test_routers_that_restart_with_it_do_not_push_it_over_nor_does_a_rush(routers: int) -> None:
+    """They know nothing but the list; and three times the usual requests come."""
+    fleet = Fleet(routers, rate=120.0)
+    fleet.run(WARM_MS)
+    budget = MULTIPLE * COLD_FROM * capacity(fleet, WARM_MS / 2)[Duty.READ] * FALL_MS
+    cold = fleet.servers[:2]
+    for server in cold:
+        server.started_ms = fleet.now
+    fleet.due.clear()
+    fleet.all = [fleet.router(n) for n in range(routers)]
+    start, fleet.rate = fleet.now, 3 * fleet.rate
+    fleet.run(FALL_MS)
+    for server in cold:
+        assert fleet.most(server, start, FALL_MS) <= budget + 2 * sqrt(budget) + 2
