What a read that ended unheard may yet leave is let go of once more when nothing follows it

Followed the ids: reads called off as overtaken, one DELETE, which came before the read itself had been served; then the request was throttled, as nobody was left. Lines at fault: Desk.let_go said 'again' only where the request was over when it was called; there it was over a moment later, with nothing held any more. Course.unheard remembers it until another read ends well.

--- a/ternlane/choice.py
+++ b/ternlane/choice.py
@@ -507,9 +507,9 @@
         self.close(course)
 
     def let_go(self, course: Course) -> None:
-        if course.holds:    # also what a read left behind whose end was not heard
-            self.router.out.append(port.LetGo(course.gen, course.over and course.state_at is None))
-            course.state_at, course.holds = None, False
+        if course.holds:    # also what a read may yet leave behind whose end was not heard: said to the last
+            self.router.out.append(port.LetGo(course.gen, course.over and course.unheard))
+            course.state_at, course.holds = None, course.unheard and not course.over
         for engine in (course.reader, course.writer):
             if engine is not None:
                 engine.post(Unbooked(course))
@@ -564,6 +564,8 @@
             self.learn(product, "open", note.took_ms)
         if verdict in NEVER_RAN and verdict is not Verdict.READ:    # it left nothing behind
             course.holds = leg.held
+        elif engine.reads:
+            course.unheard = verdict is not Verdict.READ
         if verdict is not Verdict.UNCONNECTED:    # the time of what is held runs on through those
             course.held_since = self.router.now
         if verdict is Verdict.READ:
--- a/ternlane/notes.py
+++ b/ternlane/notes.py
@@ -92,6 +92,7 @@
     legs: int = 0
     state_at: Seat | None = None
     held_since: float = 0.0    # the last outcome, from which the release time counts
+    unheard: bool = False    # its last read ended with no word, and may leave a state yet
     may_have_run: tuple[float, Server] | None = None
     waited: bool = False    # no pair was found for it yet
     holds: bool = False    # a state may be held for it somewhere
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -132,6 +132,18 @@
     assert port.LetGo in kinds(host.end(gen, sent(said).server, Verdict.TIMED_OUT))    # it may have run
 
 
+@pytest.mark.parametrize("verdict", [Verdict.TIMED_OUT, Verdict.CALLED_OFF, Verdict.RESET])
+def test_what_a_read_may_yet_leave_is_let_go_of_once_more_when_nothing_follows_it(
+        host: FakeHost, verdict: Verdict) -> None:
+    """It ended unheard, its state came after the first release, and nobody was left for another read."""
+    gen = host.gen()
+    reader = sent(host.arrive(gen)).server
+    host.list(**{name: Life.GONE for name, s in host.servers.items() if s.duty is port.Duty.READ and s is not reader})
+    said = host.end(gen, reader, verdict)
+    assert [a.again for a in said if isinstance(a, port.LetGo)] == [False, True] and port.Throttle in kinds(said)
+    assert host.tell(after=3000.0) == []
+
+
 def test_a_lost_state_is_read_again(host: FakeHost) -> None:
     gen, leg = host.written()
     said = host.end(gen, leg.server, Verdict.FULL, state_lost=True)
