--- a/ternlane/platform/node.py
+++ b/ternlane/platform/node.py
@@ -197,7 +197,8 @@
         ticket.trail.append(f"{name} {kind} {end.verdict.name} {took:.0f} ms {end.why}".rstrip())
         self.counts[f"{kind} {end.verdict.name}"] += 1
         self.log.debug("attempt", gen=ticket.ident, server=name, kind=kind, verdict=end.verdict.name,
-                       took_ms=round(took, 1), begun=end.begun, why=end.why)
+                       took_ms=round(took, 1), begun=end.begun, kept=end.kept,
+                       prompt=ticket.gen.prompt_toks, why=end.why)
         self.tell(port.LegEnded(ticket.gen, server, end.verdict, took, ticket.over, end.kept, end.state_lost,
                                 end.report))
         self.forget(ticket)
