Stories: conversations cut at any byte, idle clients while discovery is down, a reserve for DELETE

Found by reading: requests at once and connections to model servers had the same limit, so with all attempts out no connection was left to let go of a state; requests may take 0.4 of the descriptors now, connections to model servers 0.45 as before.

--- a/ternlane/platform/process.py
+++ b/ternlane/platform/process.py
@@ -25,6 +25,7 @@
 
 BACKLOG = 1024
 CLIENTS, SERVERS = 0.45, 0.45    # of the descriptors; the rest is for the watch, the log and what is being closed
+OPEN = 0.4                       # of them, requests at once: each has one attempt out, and DELETE needs connections too
 BODIES = 0.2                     # of the memory
 LATE_COMERS_MS = 450.0           # new connections still arrive for so long after SIGTERM
 LONGEST_MS, ENDS_MS = 3000.0, 700.0    # no SIGKILL before the longest time limit, cut to the one, plus the other
@@ -39,7 +40,7 @@
         # What we close well before the other side would crosses no request of ours.
         pool = Pool(facts.connect_ms, 0.9 * facts.idle_ms, limit=int(sockets * SERVERS))
         self.node = Node(Router(facts), post.deployment, Engines(pool, post.deployment), nursery, log)
-        self.front = Front(self.node, log, int(sockets * CLIENTS), int(sockets * CLIENTS),
+        self.front = Front(self.node, log, int(sockets * CLIENTS), int(sockets * OPEN),
                            int(post.limits.memory_mb * 2**20 * BODIES))
         self.watch = Watch(post.discovery, lambda: self.node.roster.index, self.node.listed, self.list_failed,
                            facts.seed, nursery, log)
--- a/ternlane/standin/platform.py
+++ b/ternlane/standin/platform.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import json
+import random
 from collections import Counter
 from dataclasses import dataclass, field
 from typing import Any, Callable
@@ -147,6 +148,14 @@
                 way = "gone_410"
             else:
                 self.fleet.ran[ident] += 1
+        if way == "pieces":
+            whole = GOOD.replace(b"transfer", b"connection: close\r\ntransfer", 1)
+            cuts = sorted(random.Random(ident).sample(range(1, len(whole)), 12))
+            for begin, end in zip([0, *cuts], [*cuts, len(whole)]):
+                await exchange.stream.send_all(whole[begin:end])
+                await trio.sleep(0.001)
+            exchange.reset()
+            return
         if way == "interim":
             await exchange.stream.send_all(b"HTTP/1.1 102 Processing\r\n\r\n" * 3)
         elif way and way not in ("second_answer", "odd_load"):
--- a/tests/test_fleet_trial.py
+++ b/tests/test_fleet_trial.py
@@ -15,8 +15,9 @@
 from ternlane.platform import registry
 from ternlane.platform.engines import Engines, Leg, LegEnd
 from ternlane.platform.roster import BEHIND_MS, Listing, Lists, Roster, read_listing
+from ternlane.platform.settings import Limits
 from ternlane.port import Duty, Life, Verdict
-from ternlane.standin.platform import DONE, EVENT, Discovery, Fleet, ModelServer
+from ternlane.standin.platform import DONE, EVENT, USAGE, Discovery, Fleet, ModelServer
 from tests.test_platform import BODY, TOLD, Platform, platform
 
 
@@ -284,3 +285,81 @@
     with leg.scope:
         await Engines(Pool(1.0, 1.0), Deployment(1, TOLD)).stream(leg, Stub(), outlet, end)    # type: ignore[arg-type]
     assert (end.begun, len(outlet.got)) == ((False, 0) if struck else (True, 2))
+
+
+# -- in pieces
+
+async def test_a_conversation_cut_at_any_byte_is_the_same_as_whole() -> None:
+    """The request is cut at each of its bytes in turn, its answer at a dozen places of its own."""
+    told = TOLD | {"limits": TOLD["limits"] | {"most_tries": 2}}    # no read is called off where others overtake it
+    async with platform("r0", "w0", told=told, w0=lambda _: "pieces") as p:
+        replies: list[bytes] = []
+        room = trio.CapacityLimiter(24)
+
+        def request() -> bytes:
+            head = "".join(f"{k}: {v}\r\n" for k, v in p.headers(Request_Timeout="20").items())
+            return (f"POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nContent-Length: {len(BODY)}\r\n"
+                    f"Connection: close\r\n{head}\r\n").encode() + BODY
+
+        async def one(at: int) -> None:
+            async with room:
+                whole, out = request(), b""
+                host, _, number = p.address.partition(":")
+                stream = await trio.open_tcp_stream(host, int(number))
+                await stream.send_all(whole[:at])
+                await trio.sleep(0.002)
+                await stream.send_all(whole[at:])
+                with trio.fail_after(10):
+                    while piece := await stream.receive_some():
+                        out += piece
+                await stream.aclose()
+                replies.append(out)
+        async with trio.open_nursery() as nursery:
+            for at in range(1, len(request())):
+                nursery.start_soon(one, at)
+        assert len(replies) > 300 and all(r.startswith(b"HTTP/1.1 200 ") for r in replies)
+        bodies = {unchunked(reply) for reply in replies}
+        assert bodies == {EVENT * 2 + USAGE + DONE}
+        await p.settled()
+
+
+def unchunked(reply: bytes) -> bytes:
+    rest, out = reply.partition(b"\r\n\r\n")[2], b""
+    while rest:
+        size, _, rest = rest.partition(b"\r\n")
+        if int(size, 16) == 0:
+            assert rest == b"\r\n"
+            return out
+        out, rest = out + rest[:int(size, 16)], rest[int(size, 16) + 2:]
+    raise AssertionError("no last chunk")
+
+
+# -- descriptors
+
+async def test_idle_clients_that_fill_the_descriptors_while_discovery_is_down_keep_nobody_out() -> None:
+    async with platform("r0", "w0", limits=Limits(sockets=100)) as p:
+        p.discovery.break_off(silent=False, listening=False)
+        host, _, number = p.address.partition(":")
+        idle = [await trio.open_tcp_stream(host, int(number)) for _ in range(120)]
+        with trio.fail_after(2):
+            while p.gateway.front.conns < p.gateway.front.conn_limit:
+                await trio.sleep(0.01)
+        assert p.gateway.front.conns <= p.gateway.front.conn_limit == 45
+        assert (await p.ask()).status == 200    # a new one takes an idle one's place, at once
+        await p.discovery.mend()
+        p.discovery.put("w0", p.servers["w0"].address, "writer", "DRAINING")
+        with trio.fail_after(registry.TOLD_MS / 1000):
+            while p.gateway.node.roster.servers["w0"].life is not Life.DRAINING:
+                await trio.sleep(0.02)
+        for stream in idle:
+            stream.socket.close()
+
+
+async def test_as_many_attempts_as_may_be_out_leave_connections_for_letting_go() -> None:
+    async with platform("r0", "w0", "w1", limits=Limits(sockets=100)) as p:
+        node, front = p.gateway.node, p.gateway.front
+        out = [await node.engines.pool.connect(p.servers["r0"].address) for _ in range(front.open_limit)]
+        assert len(out) == len(node.engines.pool.open) == 40
+        assert await node.engines.release("ab", node.addresses(), node.deployment.facts.release_ms)
+        for caller in out:
+            caller.close_now()
