--- a/ternlane/platform/registry.py
+++ b/ternlane/platform/registry.py
@@ -9,11 +9,11 @@
 import trio
 
 from ternlane.http1 import Pool, Unconnected
-from ternlane.platform.roster import Listing, Lists, read_listing
+from ternlane.platform.roster import BEHIND_MS, Listing, Lists, read_listing
 
 WATCH_PATH = "/registry/instances?stream=1&index={}"
 BEAT_MS = 2000.0     # an empty line at the latest this often, says the page
-TOLD_MS = 6000.0     # what discovery has and could be asked for counts as told then, whatever call failed
+TOLD_MS = BEHIND_MS    # what discovery has and could be asked for counts as told then, whatever call failed
 SILENT_MS = 1.25 * BEAT_MS    # a watch without a line has broken
 CONNECT_MS = BEAT_MS / 4
 HEAD_MS = BEAT_MS / 2         # for the head of an answer, which an agent gives at once
