Crossing events: connections end over no request, attempts begin only while they may

Idle now ends with the first byte, and unread bytes are looked for before every close. One class closes connections; the two fronts no longer do it by themselves. - A broken stream was closed over unread bytes, which resets the connection. The next request of a client that had the whole answer before our own write returned was refused as pipelined. Model servers (platform/engines.py, node.py, choice.py): - Between decision and first byte, waits for a release and a connection: the server may drain, the repeat window end, the time told be too long by the wait. Asked again where attempts begin (Verdict.WITHHELD, SendLeg.begin_by_ms). - A keyed request was rejected as harmless to repeat after its window. - A second answer that comes late was taken for the next request's: a connection rests for 50 ms before its next attempt. - An event in the moment of a time-out was thrown away; comments without end before a first event were kept. A reload kept the first settings' idle and connect times, descriptors and memory, and ignored settings that are no start facts; tenants of the same name stay the same.

--- a/ternlane/choice.py
+++ b/ternlane/choice.py
@@ -1,9 +1,8 @@
 """Every decision of ternlane's router: which pair of servers reads and writes a generation, and what then.
 
-A host makes one Router(StartFacts) for each gateway and calls take(now, events) -> actions when something
-happened; the interface is ternlane/port.py, the reasons are in docs/design.md. Inside, the Desk and an Engine
-for each server are actors that talk only by notes in inboxes, which Router.take empties. Read first place
-(the ordinary path) and leg_ended, then send, finish and let_go: nothing else sends, answers or releases.
+A host makes one Router(StartFacts) for each gateway and calls take(now, events) -> actions; the interface is
+ternlane/port.py, the reasons are in docs/design.md. The Desk and an Engine for each server are actors that
+talk by notes in inboxes only. Read first place (the ordinary path), leg_ended, send, finish and let_go.
 """
 from __future__ import annotations
 
@@ -36,8 +35,8 @@
 LONG_READ = 1000.0  # tokens
 LOT = 0.618         # of the way round between two draws of a generation, as far from all before as can be
 OUT_SHARE = 0.25    # part of the longest answer that a generation is expected to fill
-NO_SIGN = {Verdict.TIMED_OUT, Verdict.ERROR, Verdict.FULL, Verdict.CALLED_OFF, Verdict.MOOT}    # of health
-NEVER_RAN = {Verdict.FULL, Verdict.UNCONNECTED, Verdict.MOOT, Verdict.READ}
+NEVER_RAN = {Verdict.FULL, Verdict.UNCONNECTED, Verdict.MOOT, Verdict.WITHHELD, Verdict.READ}
+NO_SIGN = {Verdict.TIMED_OUT, Verdict.ERROR, Verdict.FULL, Verdict.CALLED_OFF, Verdict.MOOT, Verdict.WITHHELD}
 
 
 def limits_from(facts: StartFacts) -> Limits:
@@ -111,8 +110,7 @@
             self.router.desk.post(note)
 
     def overtaken(self) -> None:
-        """Guards against answers that get lost: prompts are read in turn, so what is overdue and was sent
-        the latest `answered` has been read too. Asked at each beat: nothing more may be sent there."""
+        """Guards against lost answers: prompts are read in turn, so what is overdue has been read too."""
         for leg in self.legs:
             if leg.sent < min(self.answered, self.router.now - leg.usual_ms) and not leg.writes:
                 self.router.desk.post(Lost(leg))
@@ -171,8 +169,8 @@
         self.lots: dict[Duty, dict[Seat, tuple[float, float]]] = {d: {} for d in Duty}    # of cold ones
         self.homes: OrderedDict[str, Home] = OrderedDict()
         self.waiting: list[tuple[float, float, int, Course]] = []
-        self.ends_at = inf    # when this gateway is cut off
-        self.next_due = self.least = inf    # of those waiting: when the first must begin, the shortest prompt
+        # When this gateway is cut off; of those waiting: when the first must begin, the shortest prompt
+        self.ends_at = self.next_due = self.least = inf
         self.usual: dict[tuple[Product, str], float] = {}
         self.learnt_at: dict[Product, float] = {}
         self.prompt: dict[Product, float] = {}
@@ -458,9 +456,8 @@
         self.least = min(self.least, course.gen.prompt_toks * course.waited)
 
     def pump(self) -> bool:
-        """Places the waiting generation that comes first and throws off what has waited too long, at once.
-        Smaller ones may pass a large one that finds no room, and each is tried once, as its lot may be open
-        where others' are not; one must not have all the others thrown off."""
+        """Places the waiting generation that comes first and throws off, at once, what has waited too long.
+        Smaller ones may pass a large one that finds no room; one must not have all the others thrown off."""
         if self.router.now < self.next_due and self.least >= self.stuck:
             return False    # lest a long line be gone through for each event
         queue, self.waiting = self.waiting, []
@@ -495,15 +492,15 @@
             patience = min(patience, max(slow * product.slo_ms, 4 * course.leg.usual_ms))
         engine.post(Sent(course.leg))
         quiet = max(self.limits.span_ms, DOUBT * product.tok_slo_ms)    # a mute stream has broken
-        self.router.out.append(port.SendLeg(course.gen, engine.server, patience, quiet, whole))
+        self.router.out.append(port.SendLeg(course.gen, engine.server, patience, quiet, whole,
+                                            self.window_ms(course)))
 
     def finish(self, course: Course) -> None:
         """The one final answer, given at once: throttled wherever that promise is true, else terminated."""
-        product, ran = course.gen.product, course.may_have_run
-        harmless = ran is None or product.effect is Effect.IDEMPOTENT or (
-            product.effect is Effect.DEDUPLICATED and product.group is Group.ALL)
-        self.router.out.append(port.Throttle(course.gen, min(self.limits.pause_ms, product.slo_ms / 2))
-                               if harmless else port.Terminate(course.gen))
+        product, window = course.gen.product, self.window_ms(course)
+        pause = min(self.limits.pause_ms, product.slo_ms / 2)
+        harmless = window == inf or (product.group is Group.ALL and window > pause)
+        self.router.out.append(port.Throttle(course.gen, pause) if harmless else port.Terminate(course.gen))
         self.close(course)
 
     def let_go(self, course: Course) -> None:
@@ -523,11 +520,18 @@
 
     def effect_allows(self, course: Course, engine: Seat) -> bool:
         """No effect twice: after a leg that may have run, only what its product's effect permits."""
-        if course.may_have_run is None or course.gen.product.effect is not Effect.DEDUPLICATED:
-            return course.may_have_run is None or course.gen.product.effect is Effect.IDEMPOTENT
-        product, (sent, first), other = course.gen.product, course.may_have_run, engine.server
+        if course.may_have_run is None or self.window_ms(course) == inf:
+            return True
+        first, other = course.may_have_run[1], engine.server
         same = {Group.ALL: True, Group.ZONE: first.zone == other.zone, Group.CELL: first.cell == other.cell}
-        return same[product.group] and self.router.now - sent < product.window_ms
+        return same[course.gen.product.group] and self.window_ms(course) > 0
+
+    def window_ms(self, course: Course) -> float:
+        """For how long a repeat does no harm, where the servers know it as one."""
+        product, ran = course.gen.product, course.may_have_run
+        if ran is None or product.effect is Effect.IDEMPOTENT:
+            return inf
+        return ran[0] + product.window_ms - self.router.now if product.effect is Effect.DEDUPLICATED else -inf
 
     def first_tok(self, course: Course, leg: Leg, took: float) -> None:
         product, course.state_at, course.holds = course.gen.product, None, False
@@ -566,12 +570,10 @@
             course.holds = leg.held
         elif engine.reads:
             course.unheard = verdict is not Verdict.READ
-        if verdict is not Verdict.UNCONNECTED:    # the time of what is held runs on through those
+        if verdict not in (Verdict.UNCONNECTED, Verdict.WITHHELD):    # the time of what is held runs on then
             course.held_since = self.router.now
-        if verdict is Verdict.READ:
-            course.state_at = engine
-        elif note.state_lost:    # for this writer; its reader, cut off from there, may hold it still
-            course.state_at = None
+        if verdict is Verdict.READ or note.state_lost:    # for this writer; its reader may hold it still
+            course.state_at = None if note.state_lost else engine
         course.over = course.over or note.over
         if course.over:
             return self.let_go(course)
@@ -655,10 +657,9 @@
                               or next(iter(self.homes.values())).used < now - HOME_AGE_MS):
             self.homes.popitem(last=False)
         self.beats += 1
-        late, self.asking = self.asking, []
+        late, self.asking = [course for course in self.asking if not course.over], []
         for course in late:    # a server that does not answer holds nobody up
-            if not course.over:
-                self.onward(course)
+            self.onward(course)
         if self.beats % LOOK == 1:
             for doubt in self.doubts.values():
                 for writes in doubt.rate:
--- a/ternlane/deployment.py
+++ b/ternlane/deployment.py
@@ -18,16 +18,20 @@
 
 
 class Deployment:
-    """Products, tenants and kinds of servers by their names, and the start facts. A product of `held` whose terms are
-    the same stays the object that it is, with all that was learnt of it."""
+    """Products, tenants and kinds of servers by their names, and the start facts. A product of `before`, the settings
+    that these replace, whose terms are the same stays the object that it is, with all that was learnt of it, and so
+    does a tenant of the same name. What is learnt of any other belongs to it alone."""
 
-    def __init__(self, seed: int, told: Mapping[str, Any], held: Mapping[str, Product] | None = None) -> None:
+    def __init__(self, seed: int, told: Mapping[str, Any], before: Deployment | None = None) -> None:
+        self.told = told
         try:
-            self._read(seed, told, held or {})
+            self._read(seed, told, before.products if before is not None else {},
+                       before.tenants if before is not None else {})
         except (KeyError, TypeError, AttributeError) as why:
             raise ValueError(f"settings: {type(why).__name__}: {why}") from None
 
-    def _read(self, seed: int, told: Mapping[str, Any], held: Mapping[str, Product]) -> None:
+    def _read(self, seed: int, told: Mapping[str, Any], held: Mapping[str, Product],
+              held_tenants: Mapping[str, Tenant]) -> None:
         limits, rules, spec = told.get("limits", {}), told.get("invariants", {}), told.get("specifics", {})
         report = told.get("report", {})
         how = report.get("how", "off")
@@ -47,7 +51,7 @@
                 revenue=p.get("worth", 1.0), late_share=p.get("late_worth", 0.0))
             old = held.get(p["name"])
             self.products[p["name"]] = old if old is not None and astuple(old) == astuple(new) else new
-        self.tenants = {t["name"]: Tenant() for t in told.get("tenants", [])}
+        self.tenants = {t["name"]: held_tenants.get(t["name"]) or Tenant() for t in told.get("tenants", [])}
         self.facts = StartFacts(
             seed=seed, gateways=max(1, told.get("n_instances", 1)), zone=told.get("locality", ""),
             products=tuple(self.products.values()), leg_limit=limits.get("most_tries", 1),
--- a/ternlane/gateway/door.py
+++ b/ternlane/gateway/door.py
@@ -316,15 +316,14 @@
                 await exchange.until_left()
                 self.host.client_left(ticket)
         if ticket.left or ticket.final is None:
-            exchange.reset()
-            return
+            return    # the connection ends without an answer, or without its last chunk
         try:
             if isinstance(ticket.outlet, StreamOutlet) and ticket.begun:
                 await ticket.outlet.end(ticket.final)
             else:
                 await self.whole(exchange, ticket, ticket.final)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
-            exchange.reset()    # gone before it took its answer: the answer was given all the same
+            pass    # gone before it took its answer: the answer was given all the same
 
     async def whole(self, exchange: Exchange, ticket: Ticket, final: Final) -> None:
         """An answer of which the client has nothing yet."""
--- a/ternlane/http1/caller.py
+++ b/ternlane/http1/caller.py
@@ -1,7 +1,6 @@
 """The calling side: one request at a time on a connection, connections kept and used again."""
 from __future__ import annotations
 
-import select
 from collections import OrderedDict
 from ipaddress import ip_address
 from math import inf
@@ -10,7 +9,7 @@
 import h11
 import trio
 
-from ternlane.http1.sending import send
+from ternlane.http1.nonblocking import is_readable, receive_now, send
 from ternlane.http1.wear import Wear
 
 Headers = Sequence[tuple[str, str]]
@@ -24,6 +23,10 @@
     """No connection was made, or it broke before the request's last byte was written: nothing can have run."""
 
 
+class Silent(Exception):
+    """The peer has sent nothing by the time that it had."""
+
+
 class Caller:
     """One connection. `ask` sends a request and gives the head of the answer; `chunks` its body."""
 
@@ -32,13 +35,21 @@
         self.conn = h11.Connection(h11.CLIENT, max_incomplete_event_size=HEAD_BYTES)
         self.idle_since = 0.0
         self.written = False    # the request's last byte
+        self.silent_by = inf    # see `expect_by`
+        self.overdue = False    # what had arrived by then has been read
         self.heard = self.broke = False    # any byte of the answer; an end ahead of it
+        self.asked = False    # it has answered before
         self.idled_ms: float | None = None    # how long it lay idle before this request; None: it is new
         self.on_close: Callable[[Caller], None] = lambda _: None
 
     async def ask(self, method: str, target: str, headers: Headers, body: bytes = b"") -> h11.Response:
         """Raises Unconnected where the connection breaks before the request's last byte is written, and after that
         trio.BrokenResourceError or h11.RemoteProtocolError where it or the peer breaks off."""
+        await self.send_request(method, target, headers, body)
+        return await self.read_head()
+
+    async def send_request(self, method: str, target: str, headers: Headers, body: bytes = b"") -> None:
+        """Raises Unconnected where the connection breaks before the request's last byte is written."""
         self.written = self.heard = self.broke = False
         head = [("Host", self.peer), *headers]
         if body or method != "GET":
@@ -53,6 +64,10 @@
             self.broke = True
             raise Unconnected(f"{self.peer}: broke before all was written: {why}") from None
         self.written = True
+
+    async def read_head(self) -> h11.Response:
+        """The head of the answer. Raises trio.BrokenResourceError or h11.RemoteProtocolError where there is none, and
+        Silent."""
         for _ in range(INTERIM):
             event = await self.event()
             if isinstance(event, h11.Response):
@@ -67,7 +82,7 @@
             if event is not h11.NEED_DATA:
                 return event    # type: ignore[return-value]
             try:
-                data = await self.stream.receive_some(CHUNK)
+                data = await self._receive()
             except trio.BrokenResourceError:
                 self.broke = not self.heard
                 raise
@@ -75,6 +90,20 @@
             self.heard = self.heard or bool(data)
             self.conn.receive_data(data)
 
+    def expect_by(self, when: float) -> None:
+        """Reads raise Silent from `when` on, by trio's clock, but for what has arrived by then: that is read, once."""
+        self.silent_by, self.overdue = when, False
+
+    async def _receive(self) -> bytes:
+        if trio.current_time() < self.silent_by:
+            with trio.CancelScope(deadline=self.silent_by):
+                return await self.stream.receive_some(CHUNK)
+        data = None if self.overdue else receive_now(self.stream, CHUNK)
+        self.overdue = True    # one that never stops sending is not waited for either
+        if data is None:
+            raise Silent(f"{self.peer}: nothing came in time")
+        return data
+
     async def chunks(self) -> AsyncIterator[bytes]:
         """The body's bytes. Raises h11.RemoteProtocolError where it ends short of its stated length."""
         while True:
@@ -103,12 +132,7 @@
     @property
     def dead(self) -> bool:
         """Has the peer closed, or said something unasked, while the connection lay idle?"""
-        fd = self.stream.socket.fileno()
-        if fd < 0:
-            return True
-        poll = select.poll()
-        poll.register(fd, select.POLLIN | select.POLLHUP | select.POLLERR)
-        return bool(poll.poll(0))
+        return is_readable(self.stream)
 
     def close_now(self) -> None:
         """Closes without waiting; what the peer still sends is answered by a reset."""
@@ -129,11 +153,23 @@
         self.made = 0
         self.wear = Wear(idle_ms)
 
-    async def take(self, peer: str) -> Caller:
-        """Raises Unconnected when none could be made in time."""
+    def set_limits(self, connect_ms: float, idle_ms: float, limit: float) -> None:
+        """Other limits from now on, also for connections that are kept already; more of them than `limit` close."""
+        self.connect_ms, self.limit = connect_ms, limit
+        if idle_ms != self.idle_ms:
+            self.idle_ms, self.wear = idle_ms, Wear(idle_ms)
+        while self.resting and len(self.open) + self.opening > limit:
+            next(iter(self.resting)).close_now()
+        self.sweep()
+
+    async def take(self, peer: str, rest_ms: float = 0.0) -> Caller:
+        """A kept connection that has been idle for `rest_ms`, or else a new one. Raises Unconnected when none could be
+        made in time."""
         now = trio.current_time() * 1000
         for caller in list(reversed(self.idle.get(peer, ()))):
             idled = now - caller.idle_since * 1000
+            if caller.asked and idled < rest_ms:
+                continue
             if idled >= self.idle_ms or caller.dead or self.wear.shuns(idled, now):
                 caller.close_now()
             else:
@@ -183,6 +219,7 @@
 
     def give_back(self, caller: Caller) -> None:
         """One on which nothing was asked is as good as before."""
+        caller.expect_by(inf)
         asked = caller.conn.our_state is not h11.IDLE
         if asked:
             self._used(caller)
@@ -191,6 +228,7 @@
             return
         if asked:
             caller.conn.start_next_cycle()
+        caller.asked = caller.asked or asked
         caller.idle_since = trio.current_time()
         self.idle.setdefault(caller.peer, OrderedDict())[caller] = None
         self.resting[caller] = None
--- /dev/null
+++ b/ternlane/http1/exchange.py
@@ -0,0 +1,126 @@
+"""One HTTP request on a client's connection, and the answer to it."""
+from __future__ import annotations
+
+from typing import Sequence
+
+import h11
+import trio
+
+from ternlane.http1.nonblocking import has_hung_up, send_now
+
+RECEIVE_BYTES = 65536
+EARLY_BYTES = 65536    # kept of what a client sends before its answer; as much as one receive call may bring
+
+
+class BadRequest(Exception):
+    """A request that is refused as it stands; the connection closes after the answer."""
+
+    def __init__(self, status: int, why: str, code: str = "invalid_request") -> None:
+        super().__init__(why)
+        self.status, self.why, self.code = status, why, code
+
+
+class Exchange:
+    """One request and its answer. The answer is written by `answer`, or by `begin`, `chunk` and `end`."""
+
+    def __init__(self, stream: trio.SocketStream, conn: h11.Connection, request: h11.Request, send_ms: float,
+                 arrived: float | None = None) -> None:
+        self.stream, self.conn, self.request, self.send_ms = stream, conn, request, send_ms
+        self.body = b""
+        self.begun = False
+        self.early = 0    # bytes that came behind the request while it was served
+        self.overrun = False    # more of them than are kept
+        self.pipelined = False    # a further request began to come before this one's answer was complete
+        self.finishing = False    # the last bytes of the answer are being written, or have been
+        self.arrived = trio.current_time() if arrived is None else arrived    # when its first byte was there
+
+    @property
+    def peer(self) -> tuple[str, int]:
+        """The client's address. Raises OSError once the connection is gone."""
+        name: tuple[str, int] = self.stream.socket.getpeername()[:2]
+        return name
+
+    @property
+    def method(self) -> str:
+        return self.request.method.decode("ascii")
+
+    @property
+    def path(self) -> str:
+        return self.request.target.partition(b"?")[0].decode("latin-1")
+
+    @property
+    def query(self) -> str:
+        return self.request.target.partition(b"?")[2].decode("latin-1")
+
+    def header(self, name: bytes) -> str | None:
+        return next((value.decode("latin-1") for key, value in self.request.headers if key == name), None)
+
+    async def send(self, data: bytes) -> None:
+        """A client that does not take its bytes in time counts as one that has left (trio.BrokenResourceError)."""
+        sent = send_now(self.stream, data)
+        if sent == len(data):
+            return
+        with trio.move_on_after(self.send_ms / 1000) as scope:
+            await self.stream.send_all(memoryview(data)[sent:])
+        if scope.cancelled_caught:
+            raise trio.BrokenResourceError("the client takes nothing")
+
+    async def answer(self, status: int, headers: Sequence[tuple[str, str]], body: bytes,
+                     content: str = "application/json") -> None:
+        """A whole answer at once."""
+        self.begun = True
+        head = [("Content-Type", content), ("Content-Length", str(len(body))), *headers]
+        out = self.conn.send(h11.Response(status_code=status, headers=head)) or b""
+        out += self.conn.send(h11.Data(data=body)) or b""
+        out += self.conn.send(h11.EndOfMessage()) or b""
+        self._finish()
+        await self.send(out)
+
+    async def begin(self, status: int, headers: Sequence[tuple[str, str]], first: bytes = b"") -> None:
+        """The head of a streamed answer, together with its first bytes."""
+        self.begun = True
+        out = self.conn.send(h11.Response(status_code=status, headers=list(headers))) or b""
+        if first:
+            out += self.conn.send(h11.Data(data=first)) or b""
+        await self.send(out)
+
+    async def chunk(self, data: bytes) -> None:
+        await self.send(self.conn.send(h11.Data(data=data)) or b"")
+
+    async def end(self, last: bytes = b"") -> None:
+        out = (self.conn.send(h11.Data(data=last)) or b"") if last else b""
+        out += self.conn.send(h11.EndOfMessage()) or b""
+        self._finish()
+        await self.send(out)
+
+    def _finish(self) -> None:
+        """From here on the client may have the whole answer, and what it sends is its next request."""
+        self.finishing = True
+        self.pipelined = bool(self.conn.trailing_data[0])
+
+    def reset(self) -> None:
+        """Breaks the connection off, as a faulty peer does; for stand-ins. A server just returns from its handler."""
+        self.stream.socket.close()
+
+    async def until_left(self) -> None:
+        """Returns when the client has closed its side. What it sends meanwhile is kept for its turn, up to a bound;
+        reading goes on beyond that too, or such a client could not be seen leaving."""
+        while True:
+            try:
+                data = await self.stream.receive_some(RECEIVE_BYTES)
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                return
+            if not data:
+                return
+            if self.finishing:    # the answer's last bytes are still being written: this is the next request
+                self.conn.receive_data(data)
+                await trio.sleep_forever()
+            self.early += len(data)
+            self.overrun = self.overrun or self.early > EARLY_BYTES
+            if not self.overrun:
+                self.conn.receive_data(data)
+
+    @property
+    def closed(self) -> bool:
+        """Has the client closed its side already? For the moment before `until_left` has heard of it."""
+        return has_hung_up(self.stream)
--- a/ternlane/platform/engines.py
+++ b/ternlane/platform/engines.py
@@ -12,33 +12,49 @@
 import trio
 
 from ternlane.deployment import Deployment
-from ternlane.http1 import Caller, Pool, Unconnected, keep_open
+from ternlane.http1 import Caller, Pool, Silent, Unconnected, keep_open
 from ternlane.platform.protocol import LEASE_PATH, LOAD, NOT_STARTED, STATS_PATH, Events, kept_of, load_of, outcome_of
 from ternlane.port import Duty, Report, Verdict
 
 BROKEN = (trio.BrokenResourceError, trio.ClosedResourceError, OSError)
 PLAIN_BYTES = 65536    # of an answer that is no stream
+# A spoilt answer may be followed by another some milliseconds later (users' page). On a connection that is used again
+# sooner, that one would be taken for the answer to the next request; within this time it is seen, and the connection
+# closed. Long against a network's delays, short against the time between two requests to one server.
+REST_MS = 50.0
+
+
+WHY_BARRED = {Verdict.MOOT: "the client left before it was sent",
+              Verdict.WITHHELD: "its server drains, or its time to begin is over"}
 
 
 class ClientGone(Exception):
     """The client's side broke while the answer was passed on; says nothing of the engine."""
 
 
+class Barred(Exception):
+    """The attempt must not begin any more."""
+
+    def __init__(self, verdict: Verdict) -> None:
+        super().__init__(WHY_BARRED[verdict])
+        self.verdict = verdict
+
+
 @dataclass(slots=True, eq=False)
 class Leg:
-    """One leg's way out: the request as the client sent it, to which address, for how long (ms)."""
+    """One leg's way out: the request as the client sent it, to which address, for how long."""
     address: str
     duty: Duty
     method: str
     target: str
     ident: str
     body: bytes
-    timeout_ms: float
+    last_by: float    # by trio's clock: a read's answer, or a first token, that comes later is not waited for
     quiet_ms: float
-    gone: Callable[[], bool] = lambda: False    # has its client left?
+    barred: Callable[[], Verdict | None] = lambda: None    # why it must not begin any more: MOOT or WITHHELD
     scope: trio.CancelScope = field(default_factory=trio.CancelScope)
     called_off: bool = False
-    last_by: float = inf    # a read's or a first token's, by trio's clock
+    written: bool = False    # its last byte: from here on it may run
 
     def call_off(self) -> None:
         self.called_off = True
@@ -73,17 +89,12 @@
     async def run(self, leg: Leg, outlet: Outlet) -> LegEnd:
         """Never raises but for an outer cancellation, and ClientGone."""
         end, caller, whole = LegEnd(), None, False
-        leg.last_by = trio.current_time() + leg.timeout_ms / 1000
         leg.scope.deadline = min(leg.scope.deadline, leg.last_by)
         try:
             with leg.scope:
-                caller = await self.pool.take(leg.address)
-                if leg.gone():    # here attempts begin, and nowhere else: not for a client that has left
-                    raise ClientGone
-                left = max(0.0, leg.last_by - trio.current_time())
-                head = await caller.ask(leg.method, leg.target, [
-                    ("Request-Id", leg.ident), ("Request-Timeout", f"{left:.3f}"),
-                    ("Content-Type", "application/json")], leg.body)
+                caller = await self.pool.take(leg.address, REST_MS)
+                await self.begin(leg, caller)
+                head = await caller.read_head()
                 self.heard_at[leg.address] = trio.current_time()
                 said = {name: value.decode("latin-1") for name, value in head.headers}
                 end.report = load_of(said.get(LOAD), self.deployment)
@@ -97,9 +108,11 @@
                     end.kept = kept_of(body) if outcome.verdict is Verdict.READ else 0.0
                     end.why = "" if outcome.verdict is Verdict.READ else f"status {head.status_code}"
         except ClientGone:
-            if end.begun:
-                raise
-            whole, end.verdict, end.why = True, Verdict.MOOT, "the client left before it was sent"
+            raise
+        except Barred as why:    # the connection, on which nothing was asked, serves the next one
+            whole, end.verdict, end.why = True, why.verdict, str(why)
+        except Silent:
+            end.verdict, end.why = Verdict.TIMED_OUT, "silent within the stream" if end.begun else "no answer in time"
         except Unconnected as why:
             self.heard_at[leg.address] = 0.0
             end.verdict, end.why = Verdict.UNCONNECTED, str(why)
@@ -116,36 +129,51 @@
             elif caller is not None:
                 caller.close_now()
         if leg.scope.cancelled_caught and not whole:
-            end.verdict = Verdict.CALLED_OFF if leg.called_off else Verdict.TIMED_OUT
-            if (caller is None or not caller.written) and leg.gone():
-                end.verdict, end.why = Verdict.MOOT, "the client left before it was sent"    # no fault of the server's
-            elif caller is None or not caller.written:    # its last byte never left: nothing can have run
-                end.verdict, end.why = Verdict.UNCONNECTED, "given up before all was written"
-            elif not leg.called_off:
-                end.why = "silent within the stream" if end.begun else "no answer in time"
+            self.given_up(leg, end)
         return end
 
+    async def begin(self, leg: Leg, caller: Caller) -> None:
+        """Writes the request. Here attempts begin, and nowhere else: after every wait for a connection or a release.
+        Raises Barred or Unconnected."""
+        barred = leg.barred()
+        if barred is not None:
+            raise Barred(barred)
+        left_s = max(0.0, leg.last_by - trio.current_time())
+        await caller.send_request(leg.method, leg.target, [
+            ("Request-Id", leg.ident), ("Request-Timeout", f"{left_s:.3f}"), ("Content-Type", "application/json")],
+            leg.body)
+        leg.written = True
+        leg.scope.deadline = inf    # from here on reads end by themselves, not without what has arrived by then
+        caller.expect_by(leg.last_by)
+
+    def given_up(self, leg: Leg, end: LegEnd) -> None:
+        """How an attempt ended whose scope was cancelled: by its time limit while it was not written yet, or called
+        off."""
+        barred = leg.barred()
+        if leg.written:
+            end.verdict = Verdict.CALLED_OFF if leg.called_off else Verdict.TIMED_OUT
+        elif barred is not None:    # no fault of the server's
+            end.verdict, end.why = barred, WHY_BARRED[barred]
+        else:    # its last byte never left: nothing can have run
+            end.verdict, end.why = Verdict.UNCONNECTED, "given up before all was written"
+
     async def stream(self, leg: Leg, caller: Caller, outlet: Outlet, end: LegEnd) -> bool:
-        """Passes a writer's events on as they came. True once the last chunk has come."""
+        """Passes a writer's events on as they came. True once the last chunk has come. Raises Silent, ClientGone, and
+        ValueError for what is no stream of events."""
         events = Events()
         async for piece in caller.chunks():
             ready = events.feed(piece)
-            if ready:
-                if end.begun:
-                    leg.scope.deadline = inf    # a slow client is not the engine's silence
-                else:
-                    await keep_open(leg.scope, inf)
+            if ready and (end.begun or events.begun):
+                await keep_open(leg.scope, inf)    # called off in this very moment: the client is given nothing
+                first, end.begun = not end.begun, True
                 try:
-                    if end.begun:
-                        await outlet.more(ready)
-                    elif events.begun:
-                        end.begun = True
-                        await outlet.first(ready)
-                    else:    # comments ahead of the first event
-                        events.rest = ready + events.rest
+                    await (outlet.first(ready) if first else outlet.more(ready))
                 except BROKEN:
                     raise ClientGone from None
-                leg.scope.deadline = trio.current_time() + leg.quiet_ms / 1000 if end.begun else leg.last_by
+                # Counted from here: a client that takes its bytes slowly is not the server's silence.
+                caller.expect_by(trio.current_time() + leg.quiet_ms / 1000)
+            elif ready:
+                events.put_back(ready)
         if not events.done:
             raise ValueError("the stream ended before its last event")
         end.verdict, end.kept = Verdict.STREAMED, events.kept
--- a/ternlane/platform/front.py
+++ b/ternlane/platform/front.py
@@ -2,104 +2,127 @@
 from __future__ import annotations
 
 import errno
-from collections import OrderedDict
 from typing import Any
 
 import msgspec
 import trio
 
-from ternlane.http1 import BadRequest, Exchange, serve_connection
+from ternlane.http1 import BadRequest, Exchange, ServerConnection, ServerLimits
 from ternlane.platform.node import Node, Streamed, Ticket
 from ternlane.platform.protocol import BODY_BYTES, CHAT_PATH, READY_PATH, Wrong, wish_of
 from ternlane.turns import Terminated, Throttled, now_ms
 
 HEAD_BYTES = 16384
-FIRST_MS = 2200.0    # from a connection's start to its first request's end: who sends nothing is owed an end within 3 s
-HEAD_MS = BODY_MS = 1200.0
-IDLE_MS = 2300.0     # the page lets a connection without an open request go after 2 s
+# Who connects and sends no request is owed an end within 3 s of connecting (users' page); the rest is for the way.
+# A slow client that goes on writing gets all of that time, on each of its connections and for each of its requests.
+REQUEST_MS = 2700.0
+IDLE_MS = 2300.0     # the users' page lets a connection without an open request go after 2 s
 SEND_MS = 3000.0     # a client that takes nothing for so long has left
-SHORT_OF = (errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.ENOBUFS, errno.ECONNABORTED)
+SHORT_OF = (errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.ENOBUFS)
+ABORTED_MS = 10.0    # a pause of the accept loop, where the kernel says that a connection has gone already
+SHORT_MS = 50.0      # and where descriptors or memory are short: what closes meanwhile makes room
+QUEUE_EMPTY_MS = 10.0    # no connection for so long: the listener's queue is empty
 
 
 class Front:
     """`conn_limit` connections at most: a new one takes the place of the one that has been idle for longest.
-    `open_limit` generations at most, and `held_bytes` of their bodies: what is beyond is turned away unheard."""
+    `open_limit` requests at most, and `held_bytes` of their bodies: what is beyond is turned away unheard."""
 
-    def __init__(self, node: Node, log: Any, conn_limit: int, open_limit: int, held_bytes: int) -> None:
+    conn_limit: int
+    open_limit: int
+    held_bytes: int
+
+    def __init__(self, node: Node, log: Any) -> None:
         self.node, self.log = node, log
-        self.conn_limit, self.open_limit, self.held_bytes = conn_limit, open_limit, held_bytes
         self.conns = 0
-        self.idle: OrderedDict[trio.SocketStream, bool] = OrderedDict()    # whether it has been served
+        self.idle: dict[ServerConnection, None] = {}    # the longest idle first
         self.draining = False
         self.ready = False
+        self.limits = ServerLimits(BODY_BYTES, head_ms=REQUEST_MS, body_ms=REQUEST_MS, idle_ms=IDLE_MS,
+                                   send_ms=SEND_MS, head_bytes=HEAD_BYTES, first_ms=REQUEST_MS)
 
     async def accept(self, listener: trio.SocketListener, nursery: trio.Nursery) -> None:
+        """Takes connections until the listener is closed."""
         while True:
             try:
                 stream = await listener.accept()
             except trio.ClosedResourceError:
                 return
             except OSError as why:
-                if why.errno not in SHORT_OF:
-                    raise
-                self.node.counts["no descriptors"] += 1
-                for _ in range(1 + len(self.idle) // 8):    # legs need some too
-                    if not self.displace():
-                        await trio.sleep(0.05)    # what closes meanwhile makes room
+                await self.accept_failed(why)
                 continue
             if self.conns >= self.conn_limit and not self.displace():
                 self.node.counts["refused conn_limit"] += 1
                 stream.socket.close()
                 continue
-            self.conns += 1
-            nursery.start_soon(self.connection, stream)
-
-    def displace(self) -> bool:
-        """Closes the connection that has been idle for longest, lest new clients find no door."""
-        if not self.idle:
-            return False
-        stream, _ = self.idle.popitem(last=False)
-        stream.socket.close()
-        return True
-
-    def close_idle(self, served: bool = False) -> None:
-        for stream, was_served in list(self.idle.items()):
-            if was_served or not served:
-                del self.idle[stream]
-                stream.socket.close()
+            self.take(stream, nursery)
 
-    async def last(self, listener: trio.SocketListener, nursery: trio.Nursery) -> None:
-        """Takes what waits at the listener."""
+    async def accept_the_rest(self, listener: trio.SocketListener, nursery: trio.Nursery, within_ms: float) -> None:
+        """Takes what waits in the listener's queue, and returns once that is empty, or after `within_ms` where
+        descriptors stay short. Never raises."""
+        by = trio.current_time() + within_ms / 1000
         while True:
-            stream = None
-            with trio.move_on_after(0.01):
-                stream = await listener.accept()
-            if stream is None:
+            stream: trio.SocketStream | None = None
+            failed: OSError | None = None
+            with trio.move_on_after(QUEUE_EMPTY_MS / 1000):
+                try:
+                    stream = await listener.accept()
+                except OSError as why:
+                    failed = why
+            if stream is not None:
+                self.take(stream, nursery)
+            elif failed is None or trio.current_time() >= by:
+                return
+            else:
+                try:
+                    await self.accept_failed(failed)
+                except OSError:
+                    self.log.exception("accept")
+                    return
+
+    async def accept_failed(self, why: OSError) -> None:
+        """Makes room where descriptors are short. Raises `why` where that is not the reason."""
+        if why.errno == errno.ECONNABORTED:    # it was reset while it waited to be taken
+            await trio.sleep(ABORTED_MS / 1000)
+            return
+        if why.errno not in SHORT_OF:
+            raise why
+        self.node.counts["no descriptors"] += 1
+        for _ in range(1 + len(self.idle) // 8):    # attempts need some too
+            if not self.displace():
+                await trio.sleep(SHORT_MS / 1000)
                 return
-            self.conns += 1
-            nursery.start_soon(self.connection, stream)
 
-    async def connection(self, stream: trio.SocketStream) -> None:
-        served = False
+    def take(self, stream: trio.SocketStream, nursery: trio.Nursery) -> None:
+        """Serves a connection in a task of its own."""
+        self.conns += 1
+        nursery.start_soon(self.connection, stream)
 
-        def resting(rests: bool) -> None:
-            nonlocal served
-            if rests:
-                self.idle[stream] = served
-            else:
-                self.idle.pop(stream, None)
-                served = True
+    def displace(self) -> bool:
+        """Closes the connection that has been idle for longest, lest new clients find no way in."""
+        return next((True for connection in list(self.idle) if connection.close_if_idle()), False)
+
+    def close_idle(self, served_only: bool = False) -> None:
+        """Closes the idle connections on which nothing has arrived; the others are answered, and end with that."""
+        for connection in list(self.idle):
+            if connection.served or not served_only:
+                connection.close_if_idle()
 
+    def idle_changed(self, connection: ServerConnection) -> None:
+        if connection.idle:
+            self.idle[connection] = None
+        else:
+            self.idle.pop(connection, None)
+
+    async def connection(self, stream: trio.SocketStream) -> None:
+        """Serves one client's connection to its end."""
         try:
-            await serve_connection(
-                stream, self.handle, body_bytes=BODY_BYTES, head_ms=HEAD_MS, body_ms=BODY_MS, idle_ms=IDLE_MS,
-                send_ms=SEND_MS, refusal=self.refusal, draining=lambda: self.draining, head_bytes=HEAD_BYTES,
-                first_ms=FIRST_MS, resting=resting)
+            await ServerConnection(stream, self.handle, self.limits, refusal=self.refusal,
+                                   draining=lambda: self.draining, on_idle=self.idle_changed).serve()
         except Exception:    # a fault of this program must not take the other connections with it
             self.log.exception("connection")
         finally:
             self.conns -= 1
-            self.idle.pop(stream, None)
 
     def refusal(self, _: Exchange | None, bad: BadRequest) -> tuple[bytes, str]:
         self.node.counts[f"refused {bad.code}"] += 1
@@ -136,8 +159,8 @@
             await exchange.answer(503, self.closing(), said("room", "this gateway holds as much as it may"))
             return
         product = node.deployment.products[wish.product]
-        since = exchange.arrived * 1000
-        patience = (wish.patience_ms or product.limit_ms) - (now_ms() - since) - node.lag_ms()
+        # Counted from the request's last byte, as the users' page does: a slow client's time has only begun.
+        patience = (wish.patience_ms or product.limit_ms) - node.lag_ms()
         gen = node.deployment.generation(product, wish.session, wish.opening, wish.opening_toks, wish.prompt_toks,
                                          wish.max_toks, max(0.0, patience), wish.tenant)
         ticket = Ticket(wish.ident, gen, exchange, exchange.body, now_ms(), self.draining)
@@ -166,8 +189,8 @@
                                       said("throttled", "nothing has run; a new try does no harm"))
             case Terminated(why):
                 await exchange.answer(502, self.closing(), said("terminated", why or "no server could finish it"))
-            case _:    # it left, or its stream broke: it ends without the last chunk
-                exchange.reset()
+            case _:    # it left, or its stream broke: the connection ends without the last chunk
+                pass
 
 
 def said(code: str, why: str) -> bytes:
--- a/ternlane/platform/node.py
+++ b/ternlane/platform/node.py
@@ -124,7 +124,7 @@
         """Nothing is owed any more; a stream that nobody reads is given up."""
         if not ticket.over:
             ticket.left = True
-            if ticket.leg is not None and ticket.flowing:
+            if ticket.leg is not None and (ticket.flowing or not ticket.leg.written):    # it was never a begun attempt
                 ticket.leg.call_off()
             self.closed(ticket, "left")
             self.tell(port.ClientLeft(ticket.gen))
@@ -158,10 +158,19 @@
     # -- legs
 
     def send(self, ticket: Ticket, server: Server, times: port.SendLeg) -> None:
-        spot, exchange = self.roster.spots.get(server), ticket.exchange
+        spot, exchange, now = self.roster.spots.get(server), ticket.exchange, trio.current_time()
+        begin_by = now + times.begin_by_ms / 1000
+
+        def barred() -> Verdict | None:
+            """Why the attempt must not begin any more; asked right before its first byte is written."""
+            if ticket.over or exchange.closed:
+                return Verdict.MOOT
+            late = server.life is not Life.UP or trio.current_time() > begin_by
+            return Verdict.WITHHELD if late else None
+
         leg = ticket.leg = Leg(spot.address if spot is not None else "", server.duty, exchange.method,
                                exchange.request.target.decode("latin-1"), ticket.ident, ticket.body,
-                               times.timeout_ms, times.quiet_ms, lambda: ticket.over or exchange.closed)
+                               now + times.timeout_ms / 1000, times.quiet_ms, barred)
         ticket.legs += 1
         self.nursery.start_soon(self.run, ticket, server, leg, spot.name if spot is not None else "gone")
 
--- a/ternlane/platform/process.py
+++ b/ternlane/platform/process.py
@@ -20,15 +20,17 @@
 from ternlane.platform.engines import Engines
 from ternlane.platform.front import Front
 from ternlane.platform.node import Node
-from ternlane.platform.registry import Watch
+from ternlane.platform.registry import FIRST_LIST_MS, Watch
 from ternlane.platform.settings import Post, Unfit, read_post
 
 BACKLOG = 1024
 CLIENTS, SERVERS = 0.45, 0.45    # of the descriptors; the rest is for the watch, the log and what is being closed
 OPEN = 0.4                       # of them, requests at once: each has one attempt out, and DELETE needs connections too
 BODIES = 0.2                     # of the memory
+IDLE_PART = 0.9                  # of the servers' idle limit: what is closed well before crosses no request of ours
 LATE_COMERS_MS = 450.0           # new connections still arrive for so long after SIGTERM
 LONGEST_MS, ENDS_MS = 3000.0, 700.0    # no SIGKILL before the longest time limit, cut to the one, plus the other
+END_POLL_MS = 20.0    # between two looks at whether all has ended
 REPORT_MS = 10e3
 UNFIT, TAKEN = 65, 69
 
@@ -36,16 +38,22 @@
 class Gateway:
     def __init__(self, post: Post, nursery: trio.Nursery, log: Any) -> None:
         self.post, self.nursery, self.log = post, nursery, log
-        facts, sockets = post.deployment.facts, post.limits.sockets
-        # What we close well before the other side would crosses no request of ours.
-        pool = Pool(facts.connect_ms, 0.9 * facts.idle_ms, limit=int(sockets * SERVERS))
-        self.node = Node(Router(facts), post.deployment, Engines(pool, post.deployment), nursery, log)
-        self.front = Front(self.node, log, int(sockets * CLIENTS), int(sockets * OPEN),
-                           int(post.limits.memory_mb * 2**20 * BODIES))
+        facts = post.deployment.facts
+        self.pool = Pool(facts.connect_ms, facts.idle_ms)
+        self.node = Node(Router(facts), post.deployment, Engines(self.pool, post.deployment), nursery, log)
+        self.front = Front(self.node, log)
         self.watch = Watch(post.discovery, lambda: self.node.roster.index, self.node.listed, self.list_failed,
                            facts.seed, nursery, log)
         self.listener: trio.SocketListener
         self.accepting = trio.CancelScope()
+        self.apply_limits(post)
+
+    def apply_limits(self, post: Post) -> None:
+        """What connections may take, by the settings in force."""
+        facts, sockets = post.deployment.facts, post.limits.sockets
+        self.pool.set_limits(facts.connect_ms, IDLE_PART * facts.idle_ms, int(sockets * SERVERS))
+        self.front.conn_limit, self.front.open_limit = int(sockets * CLIENTS), int(sockets * OPEN)
+        self.front.held_bytes = int(post.limits.memory_mb * 2**20 * BODIES)
 
     def list_failed(self, why: str) -> None:
         self.node.counts["watch broke"] += 1
@@ -56,8 +64,10 @@
                                                        backlog=BACKLOG))[0]
         self.node.roster.index = self.post.known.index
         self.node.listed(self.post.known)
-        self.watch.start()
         self.nursery.start_soon(self.node.clock)
+        self.watch.start()
+        with trio.move_on_after(FIRST_LIST_MS / 1000):    # what discovery has counts as told from the first request on
+            await self.watch.opened.wait()
         self.nursery.start_soon(self.accept)
         self.nursery.start_soon(self.report)
         self.front.ready = True
@@ -70,34 +80,39 @@
     def reload(self) -> None:
         """The file again; bad content changes nothing. Products whose terms stay the same stay what they are."""
         try:
-            post = read_post(held=self.post.deployment.products, file_first=True)
+            post = read_post(before=self.post.deployment, file_first=True)
         except Unfit as why:
             self.log.error("reload refused", why=str(why))
             return
-        moved, altered = post.discovery != self.post.discovery, post.deployment.facts != self.post.deployment.facts
+        moved, altered = post.discovery != self.post.discovery, post.deployment.told != self.post.deployment.told
         self.post = post
+        self.apply_limits(post)
         if altered:
             self.node.alter(post.deployment)
         if moved:
             self.watch.move(post.discovery)
         self.log.info("reloaded", discovery_moved=moved, settings_changed=altered)
 
-    async def drain(self) -> None:
-        """Takes what still arrives, answers everything, lets go of what is held. Connections that have been served
-        close at once, new ones only when all that was sent to them must have come: a request that came later than that
-        might be cut off without an answer."""
+    def begin_drain(self) -> None:
+        """From here on each connection ends with its next answer. Those that have been served and rest close at once:
+        a request that came later might be cut off without an answer."""
         self.front.draining = True
         longest = max(product.limit_ms for product in self.node.deployment.products.values())
         self.node.tell(port.Ending(min(longest, LONGEST_MS) + ENDS_MS))
-        self.front.close_idle(served=True)
+        self.front.close_idle(served_only=True)
+
+    async def drain(self) -> None:
+        """Takes what still arrives, answers everything, lets go of what is held, and returns once all has ended. New
+        connections close only when all that was sent to them must have come."""
+        self.begin_drain()
         await trio.sleep(LATE_COMERS_MS / 1000)
         self.accepting.cancel()
-        await self.front.last(self.listener, self.nursery)
+        await self.front.accept_the_rest(self.listener, self.nursery, LATE_COMERS_MS)
         self.listener.socket.close()
         await trio.sleep(LATE_COMERS_MS / 4000)
-        self.front.close_idle()
-        while self.node.tickets or self.node.releasing or self.front.conns > len(self.front.idle):
-            await trio.sleep(0.02)
+        while self.node.tickets or self.node.releasing or self.front.conns:
+            self.front.close_idle()    # also those that were still to be read when the loop before looked
+            await trio.sleep(END_POLL_MS / 1000)
 
     async def report(self) -> None:
         """What an operator needs, one line every ten seconds."""
--- a/ternlane/platform/protocol.py
+++ b/ternlane/platform/protocol.py
@@ -128,6 +128,12 @@
             raise ValueError("not an event")
         return whole
 
+    def put_back(self, comments: bytes) -> None:
+        """Comments ahead of the first event wait for it. Raises ValueError where they have no end."""
+        if len(comments) > self.LIMIT:
+            raise ValueError(f"comments of more than {self.LIMIT} bytes ahead of the first event")
+        self.rest = comments + self.rest
+
     def _read(self, event: bytes) -> None:
         for line in event.split(b"\n"):
             if line.startswith(b"data: "):
--- a/ternlane/platform/roster.py
+++ b/ternlane/platform/roster.py
@@ -42,6 +42,11 @@
     def __init__(self) -> None:
         self.rest, self.lines, self.depth = b"", list[bytes](), 0
 
+    @property
+    def unfinished(self) -> bool:
+        """Has a list begun whose end is still to come?"""
+        return bool(self.rest.strip() or self.lines)
+
     def feed(self, more: bytes) -> list[bytes]:
         """Raises ValueError for what can be no list."""
         out = []
--- a/ternlane/platform/settings.py
+++ b/ternlane/platform/settings.py
@@ -10,7 +10,6 @@
 
 from ternlane.deployment import Deployment
 from ternlane.platform.roster import Entry, Listing, read_listing
-from ternlane.port import Product
 
 
 class Unfit(ValueError):
@@ -51,7 +50,7 @@
     return host.strip("[]"), int(port)
 
 
-def read_post(env: Mapping[str, str] = os.environ, held: Mapping[str, Product] | None = None,
+def read_post(env: Mapping[str, str] = os.environ, before: Deployment | None = None,
               file_first: bool = False) -> Post:
     """Raises Unfit. The variables go before the file at the start; with `file_first`, as on a reload, the file's
     discovery does: the variables are those of the start."""
@@ -66,7 +65,7 @@
         raise Unfit(f"{path}: {why}") from None
     try:
         seed = int(raw.seed, 16) if isinstance(raw.seed, str) else raw.seed
-        deployment = Deployment(seed, raw.settings, held)
+        deployment = Deployment(seed, raw.settings, before)
         known = read_listing(raw.known)
     except ValueError as why:
         raise Unfit(f"{path}: {why}") from None
--- a/ternlane/port.py
+++ b/ternlane/port.py
@@ -8,6 +8,7 @@
 
 from dataclasses import dataclass
 from enum import Enum, auto
+from math import inf
 from typing import Any
 
 
@@ -40,8 +41,9 @@
 
 
 class Verdict(Enum):
-    """How a leg or a probe ended. FULL and UNCONNECTED: it ran nothing; MOOT: its client had left; CALLED_OFF: by
-    CallOff; READ: the prompt is kept; ERROR, TIMED_OUT, RESET: it may have run."""
+    """How a leg or a probe ended. FULL and UNCONNECTED: it ran nothing; MOOT: its client had left; WITHHELD: it did not
+    begin, as its server began to drain or `SendLeg.begin_by_ms` passed; CALLED_OFF: by CallOff; READ: the prompt is
+    kept; ERROR, TIMED_OUT, RESET: it may have run."""
     STREAMED = auto()
     ERROR = auto()
     FULL = auto()
@@ -50,6 +52,7 @@
     RESET = auto()
     CALLED_OFF = auto()
     MOOT = auto()
+    WITHHELD = auto()
     READ = auto()
 
 
@@ -240,12 +243,14 @@
 @dataclass(slots=True, frozen=True)
 class SendLeg:
     """`timeout_ms` runs until the first token; after it, a stream that is silent for `quiet_ms` has broken, and one
-    that is not over after `whole_ms`, counted from the send, comes too late for its client."""
+    that is not over after `whole_ms`, counted from the send, comes too late for its client. Nothing of it may be sent
+    later than `begin_by_ms` from now, as no one drops the repeat of a generation any more."""
     gen: Generation
     server: Server
     timeout_ms: float
     quiet_ms: float
     whole_ms: float
+    begin_by_ms: float = inf
 
 
 @dataclass(slots=True, frozen=True)
--- a/ternlane/standin/platform.py
+++ b/ternlane/standin/platform.py
@@ -53,6 +53,21 @@
 }
 
 
+class Gate:
+    """A point at which a stand-in waits until it is told to go on. Tests force an order of events with it."""
+
+    def __init__(self) -> None:
+        self.reached, self.opened = trio.Event(), trio.Event()
+
+    async def hold(self) -> None:
+        """Waits here, whoever comes, until `open`."""
+        self.reached.set()
+        await self.opened.wait()
+
+    def open(self) -> None:
+        self.opened.set()
+
+
 @dataclass(eq=False)
 class Fleet:
     """What all servers share, as on the platform: states by request, and who holds them."""
@@ -63,6 +78,7 @@
     open: Counter[str] = field(default_factory=Counter)    # legs at each server now
     conns: Counter[str] = field(default_factory=Counter)
     ran: Counter[str] = field(default_factory=Counter)     # answers begun, by id
+    told_s: list[float] = field(default_factory=list)      # the time that each attempt said it would wait
 
     def count(self, kind: str) -> int:
         return sum(k == kind for _, k, _ in self.seen)
@@ -79,6 +95,9 @@
     events: int = 2
     mute: bool = False    # takes connections and says nothing
     lease_way: str = ""    # how calls for leases go wrong: "silent", or a name of RAW
+    # Where it holds: "request" (whole, nothing done yet), "event" (one event has been sent), "end" (all but the last
+    # chunk has been sent), "lease" (a call for a lease has come), "second" (before a second answer).
+    gates: dict[str, Gate] = field(default_factory=dict)
     address: str = ""
     listener: trio.SocketListener | None = None
 
@@ -111,11 +130,16 @@
         finally:
             self.fleet.conns[self.name] -= 1
 
+    async def _at(self, point: str) -> None:
+        if point in self.gates:
+            await self.gates[point].hold()
+
     async def _handle(self, exchange: Exchange) -> None:
         ident = exchange.header(b"request-id") or ""
         if exchange.path.startswith("/kv/leases/"):
             ident = exchange.path.removeprefix("/kv/leases/")
             self.fleet.seen.append((self.name, exchange.method, ident))
+            await self._at("lease")
             if self.lease_way:
                 return await self._spoil(exchange, self.lease_way)
             await trio.sleep(self.fleet.spread_ms / 1000)
@@ -123,8 +147,10 @@
                 self.fleet.states.pop(ident, None)
             return await exchange.answer(204, [], b"")
         self.fleet.seen.append((self.name, self.duty, ident))
+        self.fleet.told_s.append(float(exchange.header(b"request-timeout") or "nan"))
         self.fleet.open[self.name] += 1
         try:
+            await self._at("request")
             await self._leg(exchange, ident)
         finally:
             self.fleet.open[self.name] -= 1
@@ -163,12 +189,15 @@
         load = [("Server-Load", "inflight=,,=%$")] if way == "odd_load" else []
         await exchange.begin(200, [("Content-Type", "text/event-stream"), ("Transfer-Encoding", "chunked"), *load],
                              EVENT)
+        await self._at("event")
         for _ in range(self.events - 1):
             await trio.sleep(self.event_ms / 1000)
             await exchange.chunk(EVENT)
         await exchange.chunk(USAGE)
+        await self._at("end")
         await exchange.end(DONE + b": Server-Load: inflight=2,x0=0.2\n\n")
         if way == "second_answer":
+            await self._at("second")
             await exchange.stream.send_all(GOOD)
 
     async def _spoil(self, exchange: Exchange, way: str) -> None:
@@ -192,6 +221,9 @@
         self.silent = False
         self.garbage: bytes = b""    # said instead of the next change
         self.indent: int | None = None
+        self.hushed = 0    # watches that were asked for by then say no more
+        self.cut_at = 0    # the next list breaks off after so many bytes, and its connection with it
+        self.gates: dict[str, Gate] = {}    # "watch": a watch was asked for; "list": before its next line
         self.conns: set[trio.SocketStream] = set()
         self.address = ""
         self.watching = 0
@@ -227,6 +259,10 @@
             for stream in list(self.conns):
                 stream.socket.close()
 
+    def hush(self) -> None:
+        """The watches that are open now say nothing any more; new ones are served."""
+        self.silent, self.hushed = False, len(self.asked)
+
     async def mend(self) -> None:
         """New calls are served again; those that hang go on doing so."""
         self.silent = False
@@ -254,8 +290,11 @@
             return await exchange.answer(200, [], json.dumps(self.listing()).encode())
         at = int(exchange.query.rpartition("=")[2])
         self.asked.append(str(at))
+        nth = len(self.asked)
         self.watching += 1
         try:
+            if "watch" in self.gates:
+                await self.gates["watch"].hold()
             if self.silent:
                 await trio.sleep_forever()
             await exchange.begin(200, [("Transfer-Encoding", "chunked")])
@@ -263,18 +302,24 @@
                 await exchange.chunk(json.dumps(self.listing()).encode() + b"\n")
                 at = self.index
             while True:
-                if self.silent:
+                if self.silent or nth <= self.hushed:
                     await trio.sleep_forever()
+                if "list" in self.gates:
+                    await self.gates["list"].hold()
                 if at < self.index:
                     said = self.garbage or json.dumps(
                         {"index": self.index, "snapshot": False, "endpoints": self.log[at:self.index]},
                         indent=self.indent).encode()
                     self.garbage, at = b"", self.index
+                    if self.cut_at:
+                        said, self.cut_at = said[:self.cut_at], 0
+                        await exchange.chunk(said)
+                        return exchange.reset()
                     await exchange.chunk(said + b"\n")
                 else:
                     with trio.move_on_after(self.beat_ms / 1000) as beat:
                         await self.changed.wait()
-                    if beat.cancelled_caught and not self.silent:
+                    if beat.cancelled_caught and not self.silent and nth > self.hushed:
                         await exchange.chunk(b"\n")
         finally:
             self.watching -= 1
--- a/tests/test_fleet_trial.py
+++ b/tests/test_fleet_trial.py
@@ -275,6 +275,9 @@
     leg, outlet = Leg("a:1", Duty.WRITE, "POST", "/", "ab", b"", 1000.0, 1000.0), Outlet()
 
     class Stub:
+        def expect_by(self, when: float) -> None:
+            pass
+
         async def chunks(self) -> AsyncIterator[bytes]:
             if struck:
                 leg.scope.cancel()
