--- a/ternlane/platform/front.py
+++ b/ternlane/platform/front.py
@@ -148,7 +148,7 @@
         for name, value in exchange.request.headers:
             if name in headers and name.startswith((b"request-", b"affinity-")):
                 raise Wrong(400, "twice", f"{name.decode()} is given twice")
-            headers[bytes(name)] = value.decode("latin-1")
+            headers[bytes(name)] = text_of(value)
         node = self.node
         wish = wish_of(headers, exchange.body, node.deployment)
         if wish.ident in node.idents:
@@ -193,5 +193,13 @@
                 pass
 
 
+def text_of(value: bytes) -> str:
+    """A header's value: UTF-8 where it is that, as names in the settings are, else the letters of ISO 8859-1."""
+    try:
+        return value.decode()
+    except UnicodeDecodeError:
+        return value.decode("latin-1")
+
+
 def said(code: str, why: str) -> bytes:
     return msgspec.json.encode({"error": {"code": code, "message": why}})
--- a/ternlane/standin/platform.py
+++ b/ternlane/standin/platform.py
@@ -146,6 +146,9 @@
             if exchange.method == "DELETE":
                 self.fleet.states.pop(ident, None)
             return await exchange.answer(204, [], b"")
+        if exchange.path == "/stats":
+            self.fleet.seen.append((self.name, "probe", ""))
+            return await exchange.answer(200, [], b"inflight=1,x0=0.1", "text/plain")
         self.fleet.seen.append((self.name, self.duty, ident))
         self.fleet.told_s.append(float(exchange.header(b"request-timeout") or "nan"))
         self.fleet.open[self.name] += 1
