The chat gateway, too, asks again where an attempt begins

Seen by reading beside platform/engines.py: engine/leg.py took a connection, which may take the whole connect time, and then asked at once, whatever had happened to the server, the client or the repeat window meanwhile. Both hosts now use one check (turns.begin_check). The test holds the handshake until the list has the server draining; without the check the server is asked (seen, for reader and writer).

--- a/ternlane/engine/leg.py
+++ b/ternlane/engine/leg.py
@@ -11,8 +11,9 @@
 
 from ternlane.engine.protocol import (CHAT_PATH, DONE, HOLD_PATH, LOAD, LOAD_PATH, NOT_RUN, RELEASE_PATH, ReadAnswer,
                                       Usage, chunk_in, load_of, read_answer, refusal_of)
-from ternlane.http1 import EventReader, Pool, Unconnected, keep_open
+from ternlane.http1 import Caller, EventReader, Pool, Unconnected, keep_open
 from ternlane.port import Report, Verdict
+from ternlane.turns import BeginCheck, may_always_begin
 
 ANSWER_LIMIT = 4 * 2**20    # bytes of an engine's plain answer
 
@@ -29,6 +30,7 @@
     timeout_ms: float
     quiet_ms: float
     whole_ms: float = inf
+    barred: BeginCheck = may_always_begin
     scope: trio.CancelScope = field(default_factory=trio.CancelScope)
     called_off: bool = False
 
@@ -57,6 +59,25 @@
     def __call__(self, text: str, first: bool, more: dict[str, Any] | None = None) -> Awaitable[None]: ...
 
 
+class Barred(Exception):
+    """The leg must not begin any more."""
+
+    def __init__(self, verdict: Verdict) -> None:
+        super().__init__("the client left, the server drains, or the time to begin is over")
+        self.verdict = verdict
+
+
+async def take(pool: Pool, plan: LegPlan) -> Caller:
+    """A connection on which the leg may begin; that is asked again after the wait for it. Raises Barred and
+    Unconnected."""
+    caller = await pool.take(plan.address)
+    barred = plan.barred()
+    if barred is None:
+        return caller
+    pool.give_back(caller)    # nothing was asked on it
+    raise Barred(barred)
+
+
 class ClientGone(Exception):
     """The client's side broke while the answer was passed on; says nothing of the engine."""
 
@@ -66,7 +87,7 @@
     end = LegEnd(Verdict.TIMED_OUT)
 
     async def run() -> None:
-        caller = await pool.take(plan.address)
+        caller = await take(pool, plan)
         try:
             head = await caller.ask("POST", CHAT_PATH, plan.headers, plan.body)
             body = await caller.body(ANSWER_LIMIT)
@@ -91,7 +112,7 @@
     end, last = LegEnd(Verdict.TIMED_OUT), trio.current_time() + plan.whole_ms / 1000
 
     async def run() -> None:
-        caller = await pool.take(plan.address)
+        caller = await take(pool, plan)
         whole = False
         try:
             head = await caller.ask("POST", CHAT_PATH, plan.headers, plan.body)
@@ -154,6 +175,8 @@
     try:
         with plan.scope:
             await run()
+    except Barred as why:
+        end.verdict, end.why = why.verdict, str(why)
     except Unconnected as why:
         end.verdict, end.why = Verdict.UNCONNECTED, str(why)
     except BROKEN as why:
--- a/ternlane/gateway/host.py
+++ b/ternlane/gateway/host.py
@@ -22,7 +22,7 @@
 from ternlane.port import Duty, Life, Server, StartFacts, Verdict
 from ternlane.recover import Differs, Fate, Join, Mender, Way
 from ternlane.tenants.billing import Used
-from ternlane.turns import Chooser, Turns, now_ms
+from ternlane.turns import Chooser, Turns, begin_check, now_ms
 
 
 class Host(Turns[Ticket]):
@@ -142,7 +142,8 @@
             ticket.holders[server] = None    # from now on: a read whose end is not heard may have left its state
         elif server.duty is Duty.WRITE and ticket.state is not None:
             stage = Stage.WRITE
-        ticket.leg = LegPlan(place.address, [], b"", times.timeout_ms, times.quiet_ms, times.whole_ms)
+        barred = begin_check(server, times.begin_by_ms, lambda: ticket.left or ticket.final is not None)
+        ticket.leg = LegPlan(place.address, [], b"", times.timeout_ms, times.quiet_ms, times.whole_ms, barred)
         join, goes_on = ticket.join, ticket.join.resumed and ticket.join.way is Way.GO_ON
         first = None
         if self.scribe is not None:
@@ -258,7 +259,8 @@
             if not broken:    # its client has part of the answer, and hears that there is no more
                 self.settle(ticket, Terminated(ticket.why if plan.called_off else end.why or "the stream broke"))
         over = ticket.final is not None or ticket.left
-        if end.verdict in (Verdict.FULL, Verdict.UNCONNECTED, Verdict.MOOT) and server.duty is Duty.READ:
+        never_ran = Verdict.FULL, Verdict.UNCONNECTED, Verdict.MOOT, Verdict.WITHHELD
+        if end.verdict in never_ran and server.duty is Duty.READ:
             ticket.holders.pop(server, None)    # it ran nothing, so it left nothing
         self.tell(port.LegEnded(ticket.gen, server, end.verdict, took, over, kept, end.state_lost, end.report, broken))
         self.forget(ticket)
--- a/ternlane/platform/engines.py
+++ b/ternlane/platform/engines.py
@@ -6,7 +6,7 @@
 
 from dataclasses import dataclass, field
 from math import inf
-from typing import Awaitable, Callable, Protocol
+from typing import Awaitable, Protocol
 
 import h11
 import trio
@@ -15,6 +15,7 @@
 from ternlane.http1 import Caller, Pool, Silent, Unconnected, keep_open
 from ternlane.platform.protocol import LEASE_PATH, LOAD, NOT_STARTED, STATS_PATH, Events, kept_of, load_of, outcome_of
 from ternlane.port import Duty, Report, Verdict
+from ternlane.turns import BeginCheck, may_always_begin
 
 BROKEN = (trio.BrokenResourceError, trio.ClosedResourceError, OSError)
 PLAIN_BYTES = 65536    # of an answer that is no stream
@@ -51,7 +52,7 @@
     body: bytes
     last_by: float    # by trio's clock: a read's answer, or a first token, that comes later is not waited for
     quiet_ms: float
-    barred: Callable[[], Verdict | None] = lambda: None    # why it must not begin any more: MOOT or WITHHELD
+    barred: BeginCheck = may_always_begin
     scope: trio.CancelScope = field(default_factory=trio.CancelScope)
     called_off: bool = False
     written: bool = False    # its last byte: from here on it may run
--- a/ternlane/platform/node.py
+++ b/ternlane/platform/node.py
@@ -14,7 +14,7 @@
 from ternlane.platform.engines import ClientGone, Engines, Leg, LegEnd
 from ternlane.platform.roster import Listing, Roster
 from ternlane.port import Generation, Life, Server, Verdict
-from ternlane.turns import Chooser, Terminated, Throttled, Turns, now_ms
+from ternlane.turns import Chooser, Terminated, Throttled, Turns, begin_check, now_ms
 
 TRAILS = 512    # generations whose legs are kept for who asks
 STREAM_HEAD = [("Content-Type", "text/event-stream"), ("Cache-Control", "no-cache"),
@@ -159,15 +159,7 @@
 
     def send(self, ticket: Ticket, server: Server, times: port.SendLeg) -> None:
         spot, exchange, now = self.roster.spots.get(server), ticket.exchange, trio.current_time()
-        begin_by = now + times.begin_by_ms / 1000
-
-        def barred() -> Verdict | None:
-            """Why the attempt must not begin any more; asked right before its first byte is written."""
-            if ticket.over or exchange.closed:
-                return Verdict.MOOT
-            late = server.life is not Life.UP or trio.current_time() > begin_by
-            return Verdict.WITHHELD if late else None
-
+        barred = begin_check(server, times.begin_by_ms, lambda: ticket.over or exchange.closed)
         leg = ticket.leg = Leg(spot.address if spot is not None else "", server.duty, exchange.method,
                                exchange.request.target.decode("latin-1"), ticket.ident, ticket.body,
                                now + times.timeout_ms / 1000, times.quiet_ms, barred)
--- a/ternlane/turns.py
+++ b/ternlane/turns.py
@@ -38,6 +38,28 @@
     timed_out: bool = False
 
 
+BeginCheck = Callable[[], port.Verdict | None]
+
+
+def may_always_begin() -> port.Verdict | None:
+    """The check of an attempt that nothing can forbid."""
+    return None
+
+
+def begin_check(server: port.Server, begin_by_ms: float, client_gone: Callable[[], bool]) -> BeginCheck:
+    """Why an attempt at this server must not begin any more: MOOT, WITHHELD, or None where it may. Between the decision
+    and the first byte lie waits for a connection or a release; ask it after them, right before that byte is written."""
+    begin_by = trio.current_time() + begin_by_ms / 1000
+
+    def barred() -> port.Verdict | None:
+        if client_gone():
+            return port.Verdict.MOOT
+        if server.life is not port.Life.UP or trio.current_time() > begin_by:
+            return port.Verdict.WITHHELD
+        return None
+    return barred
+
+
 LAG_MS = 1000.0    # a loop that was late is expected to be so again, less and less over this
 
 
--- a/tests/test_crossings_servers.py
+++ b/tests/test_crossings_servers.py
@@ -8,6 +8,7 @@
 from typing import Any, Callable
 
 import h11
+import msgspec
 import pytest
 import trio
 
@@ -21,7 +22,7 @@
 from tests.conftest import FACTS, FakeHost, build, kinds, sent
 from tests.crossing import Client, Wrapped, arrived, pair, request, until
 from tests.test_platform import TOLD, Platform, always, once, platform
-from tests.world import Reply
+from tests.world import TERMS, Reply, world
 
 
 def told(**limits: Any) -> dict[str, Any]:
@@ -87,6 +88,28 @@
         await p.settled()
 
 
+@pytest.mark.parametrize("name, other", [("r0", "r1"), ("w0", "w1")])
+async def test_the_chat_gateway_too_sends_nothing_to_a_server_that_began_to_drain_during_the_connect(
+        name: str, other: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    async with world(("r0", "w0"), terms=msgspec.structs.replace(TERMS, connect_ms=1000)) as w:
+        engine = w.engines[name]
+        held = HeldConnects(monkeypatch, f"{engine.host}:{engine.port}")
+        replies: list[Reply] = []
+
+        async def ask() -> None:
+            replies.append(await w.ask())
+        w.nursery.start_soon(ask)
+        await held.gate.reached.wait()
+        await w.add(other)
+        w.list(**{name: "draining"})
+        held.gate.open()
+        await until(lambda: replies)
+        assert replies[0].status == 200 and replies[0].done == 1
+        asked_of = {line["id"] for line in w.said("leg")}
+        assert name not in asked_of and other in asked_of
+        await w.settled()
+
+
 def test_an_attempt_that_was_withheld_lets_the_release_time_run_on_and_blames_no_server() -> None:
     host = build(("w2", "w3"))
     gen, leg = host.written(Effect.SIDE_EFFECTING)
