--- a/bench/budget.py
+++ b/bench/budget.py
@@ -1,7 +1,8 @@
 """Budgets, lengths, parts and the ledger beside plain ways, in one run.
 
-    python -m bench.budget [decisions|lengths|parts|ledger] [--entries 1000000]
+python -m bench.budget [decisions|lengths|parts|ledger] [--entries 1000000]
 """
+
 from __future__ import annotations
 
 import argparse
@@ -30,6 +31,7 @@
 
 # -- the cost of a decision
 
+
 class Windows:
     """The plain way: a dict behind a lock, tokens of the present minute."""
 
@@ -97,6 +99,7 @@
 
 # -- how long an answer will be
 
+
 def lengths() -> None:
     """Reserved against used, for answers drawn by tenants of different kinds; what is too little is overrun."""
     rng = random.Random(5)
@@ -108,8 +111,11 @@
         i = rng.randrange(40)
         toks = min(most, max(1, int(rng.lognormvariate(*kinds[i]))))
         n, total = mean.get(i, (0, 0))
-        said = {"sketch, 0.9 quantile": own.estimate(f"t{i}", "s", most), "mean": total // n if n else most,
-                "max_tokens": most}
+        said = {
+            "sketch, 0.9 quantile": own.estimate(f"t{i}", "s", most),
+            "mean": total // n if n else most,
+            "max_tokens": most,
+        }
         for name, it in said.items():
             row = sums[name]
             row[0] += it
@@ -125,9 +131,11 @@
 
 # -- parts of many gateways
 
+
 @dataclass
 class Fleet:
     """Gateways with a meter each for one tenant, in simulated time."""
+
     n: int
     budget: Budget
     way: str
@@ -146,11 +154,22 @@
                 continue
             if self.way == "lent":
                 want, target = cashier.wants(self.line, now, WALL + now / 1000)
-                got = self.lender.ask("t", f"g{i}", want, self.budget.minute or 0, self.budget.burst or 0,
-                                      WALL + now / 1000, cashier.least("t")) if want else 0.0
+                got = (
+                    self.lender.ask(
+                        "t",
+                        f"g{i}",
+                        want,
+                        self.budget.minute or 0,
+                        self.budget.burst or 0,
+                        WALL + now / 1000,
+                        cashier.least("t"),
+                    )
+                    if want
+                    else 0.0
+                )
                 if got > 0:
                     meter.draw(got, target)
-            elif self.way == "following":    # by its own traffic alone: as much as it saw wanted, four parts at most
+            elif self.way == "following":  # by its own traffic alone: as much as it saw wanted, four parts at most
                 part = self.offered[i] / ((self.budget.minute or 1) * LOOK_MS / 60e3)
                 self.seen[i] += 0.1 * (part - self.seen[i])
                 self.offered[i] = 0
@@ -190,13 +209,13 @@
     got = ideal = 0
     now, look = 0.0, 0.0
     while now < 300e3:
-        now += rng.expovariate(1 / 60.0)    # offers 1.3 times what the budget allows
+        now += rng.expovariate(1 / 60.0)  # offers 1.3 times what the budget allows
         if now >= look:
             fleet.look(now)
             look += LOOK_MS
         if traffic == "even":
             i = rng.randrange(n)
-        else:    # a few gateways see most of it, and which they are may change
+        else:  # a few gateways see most of it, and which they are may change
             base = int(now / 60e3) * 7 if traffic == "moving" else 0
             i = (base + min(int(rng.expovariate(1 / max(1.0, n / 10))), n - 1)) % n
         toks = rng.randint(100, 520)
@@ -209,9 +228,21 @@
 
 # -- the ledger
 
+
 def an_entry(i: int) -> Entry:
-    return Entry(f"g{i}-{i * 7919}", f"t{i % 1000}", "summary", "2026-12", WALL + i, "streamed",
-                 Used(1500, 1000, 200), Used(0, 0, 0), 4300, 2, "0123456789abcdef")
+    return Entry(
+        f"g{i}-{i * 7919}",
+        f"t{i % 1000}",
+        "summary",
+        "2026-12",
+        WALL + i,
+        "streamed",
+        Used(1500, 1000, 200),
+        Used(0, 0, 0),
+        4300,
+        2,
+        "0123456789abcdef",
+    )
 
 
 def sqlite_ledger(path: Path) -> tuple[Callable[[list[Entry]], None], Callable[[], int]]:
@@ -219,23 +250,49 @@
     db = sqlite3.connect(path, isolation_level=None)
     db.execute("pragma journal_mode=wal")
     db.execute("pragma synchronous=full")
-    db.execute("create table bills (gen text primary key, tenant text, product text, period text, wall real, "
-               "outcome text, prompt int, kept int, answer int, hp int, hk int, ha int, micros int, legs int, "
-               "key text, note text) without rowid")
+    db.execute(
+        "create table bills (gen text primary key, tenant text, product text, period text, wall real, "
+        "outcome text, prompt int, kept int, answer int, hp int, hk int, ha int, micros int, legs int, "
+        "key text, note text) without rowid"
+    )
 
     def keep(group: list[Entry]) -> None:
         db.execute("begin")
-        db.executemany("insert into bills values (?,?,?,?,?,?,?,?,?,?,?,?,?,?,?,?)", [
-            (e.gen, e.tenant, e.product, e.period, e.wall, e.outcome, e.bill.prompt, e.bill.kept, e.bill.answer,
-             e.house.prompt, e.house.kept, e.house.answer, e.micros, e.legs, e.key, e.note) for e in group])
+        db.executemany(
+            "insert into bills values (?,?,?,?,?,?,?,?,?,?,?,?,?,?,?,?)",
+            [
+                (
+                    e.gen,
+                    e.tenant,
+                    e.product,
+                    e.period,
+                    e.wall,
+                    e.outcome,
+                    e.bill.prompt,
+                    e.bill.kept,
+                    e.bill.answer,
+                    e.house.prompt,
+                    e.house.kept,
+                    e.house.answer,
+                    e.micros,
+                    e.legs,
+                    e.key,
+                    e.note,
+                )
+                for e in group
+            ],
+        )
         db.execute("commit")
 
     def recover() -> int:
         fresh = sqlite3.connect(path)
-        rows = fresh.execute("select tenant, product, period, count(*), sum(prompt), sum(answer), sum(micros) "
-                             "from bills group by 1, 2, 3").fetchall()
+        rows = fresh.execute(
+            "select tenant, product, period, count(*), sum(prompt), sum(answer), sum(micros) "
+            "from bills group by 1, 2, 3"
+        ).fetchall()
         fresh.close()
         return int(sum(r[3] for r in rows))
+
     return keep, recover
 
 
@@ -252,10 +309,11 @@
                 for e in part:
                     store.append(e)
                 store.commit()
+
             for what, run in (("segments", own), ("SQLite", keep)):
                 since = time.perf_counter()
                 for i in range(0, n, group):
-                    run(lines[i:i + group])
+                    run(lines[i : i + group])
                 took = time.perf_counter() - since
                 print(f"{what:<10}{group:>6}{n / took:>14.0f}{took / n * 1e6:>13.1f}")
         print(f"\n{'recovery':<10}{'entries':>10}{'MB':>8}{'s':>8}{'with sums, s':>14}")
@@ -299,8 +357,12 @@
     args.add_argument("what", nargs="*", default=["decisions", "lengths", "parts", "ledger"])
     args.add_argument("--entries", type=int, default=1_000_000)
     told = args.parse_args()
-    ways: dict[str, Any] = {"decisions": decisions, "lengths": lengths, "parts": parts,
-                            "ledger": lambda: ledger(told.entries)}
+    ways: dict[str, Any] = {
+        "decisions": decisions,
+        "lengths": lengths,
+        "parts": parts,
+        "ledger": lambda: ledger(told.entries),
+    }
     for what in told.what:
         ways[what]()
         print()
--- a/bench/gateway.py
+++ b/bench/gateway.py
@@ -3,6 +3,7 @@
 
     python -m bench.gateway [--seconds 5] [--profile]
 """
+
 from __future__ import annotations
 
 import argparse
@@ -28,26 +29,49 @@
 from ternlane.standin.engine import Build, Engine
 from ternlane.standin.traffic import Traffic
 
-QUICK = Build(slots=4000, queue=4000, mem_toks=1e9, read_tok_s=1e7, tok_ms=0.0, tok_grow=0.0, near_tok_s=1e9,
-              far_tok_s=1e9, answer_toks=(8, 8))
+QUICK = Build(
+    slots=4000,
+    queue=4000,
+    mem_toks=1e9,
+    read_tok_s=1e7,
+    tok_ms=0.0,
+    tok_grow=0.0,
+    near_tok_s=1e9,
+    far_tok_s=1e9,
+    answer_toks=(8, 8),
+)
 PRODUCTS = [{"name": "summary", "effect": "idempotent", "slo_ms": 2000, "limit_ms": 10000, "revenue": 3}]
 TOKS = 8
 VARIANTS: dict[str, dict[str, Any]] = {
-    "gateway": {}, "streams not joined": {"streams": {"resume": False}}, "with a journal": {"journal": "j"},
-    "round robin": {}}
+    "gateway": {},
+    "streams not joined": {"streams": {"resume": False}},
+    "with a journal": {"journal": "j"},
+    "round robin": {},
+}
 
 
 def body(i: int, toks: int = TOKS) -> dict[str, Any]:
-    messages = [{"role": "system", "content": "the shared rules of the bonus " * 40},
-                {"role": "user", "content": f"folder {i} " * 20}]
+    messages = [
+        {"role": "system", "content": "the shared rules of the bonus " * 40},
+        {"role": "user", "content": f"folder {i} " * 20},
+    ]
     return {"model": "summary", "stream": True, "messages": messages, "max_tokens": toks}
 
 
 async def engines(port: int, count: int, index: int) -> None:
     async with trio.open_nursery() as nursery:
         for i in range(count):
-            engine = Engine(f"e{index}-{i}", "read" if i % 2 == 0 else "write", "hall", 0, "127.0.0.1", port + i, QUICK,
-                            Traffic(Path(os.devnull)), 1)
+            engine = Engine(
+                f"e{index}-{i}",
+                "read" if i % 2 == 0 else "write",
+                "hall",
+                0,
+                "127.0.0.1",
+                port + i,
+                QUICK,
+                Traffic(Path(os.devnull)),
+                1,
+            )
             nursery.start_soon(engine.run, nursery)
 
 
@@ -104,7 +128,7 @@
     for i in range(rounds):
         for name, way in ways.items():
             at = await way(pool, i=i)
-            if i >= rounds // 10:    # the first warm up
+            if i >= rounds // 10:  # the first warm up
                 got[name].append(at)
     return got
 
@@ -119,6 +143,7 @@
         while trio.current_time() < end:
             assert len(await through(pool, address, i)) == TOKS
             done, i = done + 1, i + width
+
     async with trio.open_nursery() as nursery:
         for k in range(width):
             nursery.start_soon(keep_on, k)
@@ -127,8 +152,23 @@
 
 def many_loads(address: str, seconds: float, width: int, pid: int) -> tuple[float, float]:
     used, begin = cpu_s(pid), time.perf_counter()
-    loads = [subprocess.Popen([sys.executable, "-m", "bench.gateway", "--load", address, "--seconds", str(seconds),
-                               "--width", str(width)], stdout=subprocess.PIPE) for _ in range(2)]
+    loads = [
+        subprocess.Popen(
+            [
+                sys.executable,
+                "-m",
+                "bench.gateway",
+                "--load",
+                address,
+                "--seconds",
+                str(seconds),
+                "--width",
+                str(width),
+            ],
+            stdout=subprocess.PIPE,
+        )
+        for _ in range(2)
+    ]
     done = sum(int(p.communicate(timeout=seconds + 30)[0].split()[-1]) for p in loads)
     took = time.perf_counter() - begin
     return done / seconds, (cpu_s(pid) - used) / took
@@ -150,14 +190,24 @@
 
 
 def papers(folder: Path, port: int) -> dict[str, str]:
-    nodes = [{"id": f"e{i}", "address": f"127.0.0.1:{port + i}", "duty": "read" if i % 2 == 0 else "write",
-              "mem_toks": 1e9} for i in range(8)]
+    nodes = [
+        {"id": f"e{i}", "address": f"127.0.0.1:{port + i}", "duty": "read" if i % 2 == 0 else "write", "mem_toks": 1e9}
+        for i in range(8)
+    ]
     out = {}
     for k, (name, more) in enumerate(VARIANTS.items()):
         address = f"127.0.0.1:{port + 16 + k}"
-        (folder / f"{k}.json").write_text(json.dumps({
-            "name": f"b{k}", "listen": address, "products": PRODUCTS, "nodes": {"from": "inline", "nodes": nodes},
-            **{key: str(folder / value) if key == "journal" else value for key, value in more.items()}}))
+        (folder / f"{k}.json").write_text(
+            json.dumps(
+                {
+                    "name": f"b{k}",
+                    "listen": address,
+                    "products": PRODUCTS,
+                    "nodes": {"from": "inline", "nodes": nodes},
+                    **{key: str(folder / value) if key == "journal" else value for key, value in more.items()},
+                }
+            )
+        )
         out[name] = address
     return out
 
@@ -179,18 +229,28 @@
         trio.run(load, told.load, told.seconds, told.width)
         return
     from ternlane.days.play import free_ports
+
     port = free_ports(24)
     with tempfile.TemporaryDirectory() as name:
         folder = Path(name)
         address = papers(folder, port)
         serve = ["-m", "ternlane", "serve", "--log", "warning"]
-        with process("-m", "bench.gateway", "--engines", str(port), "4", "0", log=folder / "e0.log"), \
-                process("-m", "bench.gateway", "--engines", str(port + 4), "4", "1", log=folder / "e1.log"), \
-                ExitStack() as stack:
-            serving = {n: stack.enter_context(process(
-                *serve, str(folder / f"{k}.json"),
-                *(("--chooser", "ternlane.days.baseline:RoundRobin") if n == "round robin" else ()),
-                log=folder / f"{k}.log")) for k, n in enumerate(VARIANTS)}
+        with (
+            process("-m", "bench.gateway", "--engines", str(port), "4", "0", log=folder / "e0.log"),
+            process("-m", "bench.gateway", "--engines", str(port + 4), "4", "1", log=folder / "e1.log"),
+            ExitStack() as stack,
+        ):
+            serving = {
+                n: stack.enter_context(
+                    process(
+                        *serve,
+                        str(folder / f"{k}.json"),
+                        *(("--chooser", "ternlane.days.baseline:RoundRobin") if n == "round robin" else ()),
+                        log=folder / f"{k}.log",
+                    )
+                )
+                for k, n in enumerate(VARIANTS)
+            }
 
             async def measure() -> None:
                 for a in (f"127.0.0.1:{port}", f"127.0.0.1:{port + 7}", *address.values()):
@@ -199,19 +259,25 @@
                 ways: dict[str, Any] = {n: partial(through, address=a) for n, a in address.items()}
                 ways = {"straight": partial(direct, reader=f"127.0.0.1:{port}", writer=f"127.0.0.1:{port + 1}"), **ways}
                 got = await one_by_one(pool, ways, told.rounds)
-                print(f"{'one at a time, ms':<20}{'first token':>12}{'added':>8}{'p99':>8}"
-                      f"{'last token':>12}{'added':>8}")
+                print(
+                    f"{'one at a time, ms':<20}{'first token':>12}{'added':>8}{'p99':>8}{'last token':>12}{'added':>8}"
+                )
                 base = {k: [at[k] for at in got["straight"]] for k in (0, -1)}
                 for n, runs in got.items():
                     first, last = [at[0] for at in runs], [at[-1] for at in runs]
-                    print(f"{n:<20}{mid(first):>12.2f}{mid(first) - mid(base[0]):>8.2f}{mid(first, .99):>8.2f}"
-                          f"{mid(last):>12.2f}{mid(last) - mid(base[-1]):>8.2f}")
+                    print(
+                        f"{n:<20}{mid(first):>12.2f}{mid(first) - mid(base[0]):>8.2f}{mid(first, 0.99):>8.2f}"
+                        f"{mid(last):>12.2f}{mid(last) - mid(base[-1]):>8.2f}"
+                    )
                 pool.close()
+
             trio.run(measure)
-            print(f"\n{'at full load':<20}{'a second':>12}{'of a core':>12}{'a core-second':>15}   "
-                  f"({TOKS} tokens each, two load processes x {told.width})")
+            print(
+                f"\n{'at full load':<20}{'a second':>12}{'of a core':>12}{'a core-second':>15}   "
+                f"({TOKS} tokens each, two load processes x {told.width})"
+            )
             runs: dict[str, list[tuple[float, float]]] = {n: [] for n in serving}
-            for _ in range(told.turns):    # in turns, as the machine's moods change
+            for _ in range(told.turns):  # in turns, as the machine's moods change
                 for n, it in serving.items():
                     runs[n].append(many_loads(address[n], told.seconds, told.width, it.pid))
             for n, got in runs.items():
@@ -226,6 +292,7 @@
     from ternlane.days.play import free_ports
     from ternlane.gateway import open_gateway
     from ternlane.paper import GatewayPaper, read_paper
+
     port = free_ports(24)
     with tempfile.TemporaryDirectory() as name:
         folder = Path(name)
@@ -233,13 +300,19 @@
 
         async def serve() -> None:
             async with open_gateway(read_paper(folder / "0.json", GatewayPaper)):
-                it = await trio.to_thread.run_sync(lambda: subprocess.run(
-                    [sys.executable, "-m", "bench.gateway", "--load", address, "--seconds", str(seconds)],
-                    capture_output=True, check=True))
+                it = await trio.to_thread.run_sync(
+                    lambda: subprocess.run(
+                        [sys.executable, "-m", "bench.gateway", "--load", address, "--seconds", str(seconds)],
+                        capture_output=True,
+                        check=True,
+                    )
+                )
                 print(f"\nprofiled: {int(it.stdout.split()[-1]) / seconds:.0f} generations a second")
+
         import logging
 
         import structlog
+
         structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(logging.WARNING))
         with process("-m", "bench.gateway", "--engines", str(port), "8", "0", log=folder / "e.log"):
             time.sleep(1)
--- a/bench/lab.py
+++ b/bench/lab.py
@@ -3,6 +3,7 @@
 
     python -m bench.lab [--seconds 20] [--blocks 1000000] [--no-fit]
 """
+
 from __future__ import annotations
 
 import argparse
@@ -70,12 +71,15 @@
 
 def fits() -> None:
     from ternlane.emulator.fit import fit
+
     for path in sorted((Path(__file__).parent.parent / "examples" / "engines").glob("*.json5")):
         since = time.perf_counter()
         found = fit(read_paper(path, EngineKind))
         (a, b), (c, d) = found.worst(False), found.worst(True)
-        print(f"{path.stem:<14} off at most {a:.1%} and {b:.1%} (median, 99th percentile) at points of the fit, "
-              f"{c:.1%} and {d:.1%} at those held out; {time.perf_counter() - since:.0f} s")
+        print(
+            f"{path.stem:<14} off at most {a:.1%} and {b:.1%} (median, 99th percentile) at points of the fit, "
+            f"{c:.1%} and {d:.1%} at those held out; {time.perf_counter() - since:.0f} s"
+        )
 
 
 def blocks_against_dict(many: int) -> None:
@@ -90,7 +94,7 @@
             plain: dict[tuple[int, int], int] = {}
         since = time.perf_counter()
         for at in range(0, many, 64):
-            some = keys[at:at + 64]
+            some = keys[at : at + 64]
             if name == "blocks":
                 held = it.take(some, len(some))
                 assert held is not None
@@ -107,8 +111,10 @@
         took = time.perf_counter() - since
         held_bytes = tracemalloc.get_traced_memory()[0] - begin
         tracemalloc.stop()
-        print(f"{name:<8}{took / many * 1e6:>8.2f} us a block taken, known, given back and found"
-              f"{held_bytes / many:>8.0f} bytes a block")
+        print(
+            f"{name:<8}{took / many * 1e6:>8.2f} us a block taken, known, given back and found"
+            f"{held_bytes / many:>8.0f} bytes a block"
+        )
 
 
 def main() -> None:
@@ -119,12 +125,16 @@
     told = args.parse_args()
     for rate in (2.0, 10.0, 40.0):
         ratio, steps, ended = one_engine(told.seconds, rate, 1)
-        print(f"one engine, {rate:>4.0f} a second: {ratio:>7.1f} simulated seconds a real one, {steps} steps, "
-              f"{ended:.1f} ended a second")
+        print(
+            f"one engine, {rate:>4.0f} a second: {ratio:>7.1f} simulated seconds a real one, {steps} steps, "
+            f"{ended:.1f} ended a second"
+        )
     for many in (20, 75, 300):
         ratio, wrote, size = a_fleet(many, min(told.seconds, 10.0), 1)
-        print(f"{many:>3} engines: {ratio:>6.2f} simulated seconds a real one, {wrote} tokens, "
-              f"{size} bytes an engine at rest")
+        print(
+            f"{many:>3} engines: {ratio:>6.2f} simulated seconds a real one, {wrote} tokens, "
+            f"{size} bytes an engine at rest"
+        )
     blocks_against_dict(told.blocks)
     if not told.no_fit:
         fits()
--- a/bench/library.py
+++ b/bench/library.py
@@ -4,6 +4,7 @@
 
 Engines answer at once with 8 pieces: in this process for the library, behind loopback sockets for the gateway.
 """
+
 from __future__ import annotations
 
 import argparse
@@ -41,10 +42,16 @@
 
 
 def paper() -> ternlane.GatewayPaper:
-    nodes = [ternlane.NodeLine(id=i, address="127.0.0.1:9", duty="read" if i[0] == "r" else "write", mem_toks=1e9)
-             for i in ("r0", "r1", "w0", "w1")]
-    return ternlane.GatewayPaper(name="b", listen="127.0.0.1:0", nodes=InlineSource(nodes=nodes), products=[
-        ternlane.ProductTerms(name="summary", effect="idempotent", slo_ms=2000, limit_ms=10000)])
+    nodes = [
+        ternlane.NodeLine(id=i, address="127.0.0.1:9", duty="read" if i[0] == "r" else "write", mem_toks=1e9)
+        for i in ("r0", "r1", "w0", "w1")
+    ]
+    return ternlane.GatewayPaper(
+        name="b",
+        listen="127.0.0.1:0",
+        nodes=InlineSource(nodes=nodes),
+        products=[ternlane.ProductTerms(name="summary", effect="idempotent", slo_ms=2000, limit_ms=10000)],
+    )
 
 
 def transport() -> LocalTransport:
@@ -78,6 +85,7 @@
 
     from bench.gateway import events
     from ternlane.http1 import Pool
+
     took, pool, body = [], Pool(1000, 60e3), msgspec.json.encode(REQUEST)
     async with ternlane.open_gateway(paper(), transport=transport()) as gateway:
         for _ in range(rounds):
@@ -94,16 +102,20 @@
     from ternlane import port
     from ternlane.gateway.facts import offer_of
     from ternlane.nodes import Book
+
     it = paper()
     offer = offer_of(it)
     router, book, took = ternlane.Router(offer.facts), Book(), []
-    router.take(0.0, [book.whole(it.nodes.nodes, 0.0, 0.0)])    # type: ignore[union-attr]
+    router.take(0.0, [book.whole(it.nodes.nodes, 0.0, 0.0)])  # type: ignore[union-attr]
     for i in range(rounds):
         since, now = time.perf_counter(), 1.0 + i * 3
         gen = port.Generation(offer.products["summary"], f"s{i}", None, 0.0, 100.0, 8.0, 5000.0)
         leg = next(a for a in router.take(now, [port.Arrived(gen)]) if isinstance(a, port.SendLeg))
-        leg = next(a for a in router.take(now + 1, [port.LegEnded(gen, leg.server, port.Verdict.READ, 1.0, False)])
-                   if isinstance(a, port.SendLeg))
+        leg = next(
+            a
+            for a in router.take(now + 1, [port.LegEnded(gen, leg.server, port.Verdict.READ, 1.0, False)])
+            if isinstance(a, port.SendLeg)
+        )
         router.take(now + 1.5, [port.FirstTok(gen, leg.server, 0.5)])
         router.take(now + 2, [port.LegEnded(gen, leg.server, port.Verdict.STREAMED, 1.0, True)])
         took.append((time.perf_counter() - since) * 1000)
@@ -121,6 +133,7 @@
 
 async def many_routers(many: int) -> dict[str, tuple[float, float]]:
     """Routers made, used and discarded; what each leaves behind, by the slope over all of them."""
+
     async def one() -> None:
         async with ternlane.open_routing(paper(), transport()) as routing:
             async with routing.generation(REQUEST) as stream:
@@ -129,10 +142,15 @@
     def look() -> dict[str, float]:
         gc.collect()
         pages = int(Path("/proc/self/statm").read_text().split()[1])
-        return {"bytes": pages * os.sysconf("SC_PAGE_SIZE"), "objects": len(gc.get_objects()),
-                "descriptors": len(os.listdir("/proc/self/fd")), "threads": threading.active_count(),
-                "tasks": trio.lowlevel.current_statistics().tasks_living}
-    for _ in range(500):    # allocators and caches settle
+        return {
+            "bytes": pages * os.sysconf("SC_PAGE_SIZE"),
+            "objects": len(gc.get_objects()),
+            "descriptors": len(os.listdir("/proc/self/fd")),
+            "threads": threading.active_count(),
+            "tasks": trio.lowlevel.current_statistics().tasks_living,
+        }
+
+    for _ in range(500):  # allocators and caches settle
         await one()
     at, seen, since = [0.0], [look()], time.perf_counter()
     step = max(1, many // 50)
@@ -148,8 +166,16 @@
 def import_ms(code: str) -> float:
     runs = []
     for _ in range(7):
-        said = subprocess.run([sys.executable, "-c", f"import time; t = time.perf_counter(); {code}; "
-                               "print((time.perf_counter() - t) * 1000)"], capture_output=True, text=True, check=True)
+        said = subprocess.run(
+            [
+                sys.executable,
+                "-c",
+                f"import time; t = time.perf_counter(); {code}; print((time.perf_counter() - t) * 1000)",
+            ],
+            capture_output=True,
+            text=True,
+            check=True,
+        )
         runs.append(float(said.stdout))
     return statistics.median(runs)
 
@@ -160,18 +186,24 @@
     args.add_argument("--routers", type=int, default=10_000)
     told = args.parse_args()
     import logging
+
     structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(logging.WARNING))
     ways: dict[str, Any] = {
-        "decisions alone": decisions_alone, "library, in process": lambda n: trio.run(in_process, n),
-        "library, from a thread": from_a_thread, "door, over loopback": lambda n: trio.run(over_loopback, n)}
+        "decisions alone": decisions_alone,
+        "library, in process": lambda n: trio.run(in_process, n),
+        "library, from a thread": from_a_thread,
+        "door, over loopback": lambda n: trio.run(over_loopback, n),
+    }
     print(f"{'a generation, ms':<26}{'median':>8}{'p99':>8}")
     for name, way in ways.items():
-        took = way(told.rounds)[told.rounds // 10:]
+        took = way(told.rounds)[told.rounds // 10 :]
         print(f"{name:<26}{statistics.median(took):>8.3f}{statistics.quantiles(took, n=100)[98]:>8.3f}")
     print(f"\n{'import, ms (median of 7)':<26}")
-    for what, code in (("decisions", "import ternlane; ternlane.Router"),
-                       ("the library", "import ternlane; ternlane.open_routing"),
-                       ("the gateway", "import ternlane; ternlane.open_gateway")):
+    for what, code in (
+        ("decisions", "import ternlane; ternlane.Router"),
+        ("the library", "import ternlane; ternlane.open_routing"),
+        ("the gateway", "import ternlane; ternlane.open_gateway"),
+    ):
         print(f"{what:<26}{import_ms(code):>8.1f}")
     left = trio.run(many_routers, told.routers)
     print(f"\n{told.routers} routers made, used and discarded, {left.pop('ms')[0]:.2f} ms each; one leaves behind:")
--- a/bench/load.py
+++ b/bench/load.py
@@ -1,7 +1,8 @@
 """What the load tool costs: its sketch against all times kept in a list, and how many requests a second it draws.
 
-    python -m bench.load [--times 1000000]
+python -m bench.load [--times 1000000]
 """
+
 from __future__ import annotations
 
 import argparse
@@ -32,12 +33,17 @@
             add(value)
         took = time.perf_counter() - since
         since = time.perf_counter()
-        found = [it.quantile(p) for p in (0.5, 0.9, 0.99, 0.999)] if name == "sketch" else [
-            sorted(kept)[int(p * (many - 1))] for p in (0.5, 0.9, 0.99, 0.999)]
+        found = (
+            [it.quantile(p) for p in (0.5, 0.9, 0.99, 0.999)]
+            if name == "sketch"
+            else [sorted(kept)[int(p * (many - 1))] for p in (0.5, 0.9, 0.99, 0.999)]
+        )
         asked = (time.perf_counter() - since) / 4
         off = max(abs(f / true[int(p * (many - 1))] - 1) for f, p in zip(found, (0.5, 0.9, 0.99, 0.999)))
-        print(f"{name:<7}{took / many * 1e6:>7.2f} us a time{held:>12} bytes{asked * 1e3:>10.2f} ms a quantile, "
-              f"off at most {off:.2%}")
+        print(
+            f"{name:<7}{took / many * 1e6:>7.2f} us a time{held:>12} bytes{asked * 1e3:>10.2f} ms a quantile, "
+            f"off at most {off:.2%}"
+        )
 
 
 def drawn() -> None:
--- a/bench/losses.py
+++ b/bench/losses.py
@@ -6,6 +6,7 @@
 is counted at the engines. Then many open streams of which a third, or half, of the writers go at once: how many come
 through, and how much is read anew at which rate, against what the readers had done before.
 """
+
 from __future__ import annotations
 
 import argparse
@@ -26,16 +27,24 @@
 class Fleet:
     def __init__(self, seed: int) -> None:
         self.rng = random.Random(seed)
-        self.effects: dict[str, list[str]] = defaultdict(list)    # by key, the cells where it took effect
-        self.seen: dict[tuple[str, str], None] = {}               # cell and key: where repeats are dropped
-        self.reads: list[tuple[float, int, bool]] = []            # when, tokens, anew?
+        self.effects: dict[str, list[str]] = defaultdict(list)  # by key, the cells where it took effect
+        self.seen: dict[tuple[str, str], None] = {}  # cell and key: where repeats are dropped
+        self.reads: list[tuple[float, int, bool]] = []  # when, tokens, anew?
 
 
 class Engine:
     """A server of a fleet whose writers fail by chance, or all at once from `dead_from` on."""
 
-    def __init__(self, fleet: Fleet, ident: str, faults: float, toks: int = 8, tok_s: float = 0.0,
-                 read_tok_s: float = 1e9, slots: int = 10_000) -> None:
+    def __init__(
+        self,
+        fleet: Fleet,
+        ident: str,
+        faults: float,
+        toks: int = 8,
+        tok_s: float = 0.0,
+        read_tok_s: float = 1e9,
+        slots: int = 10_000,
+    ) -> None:
         self.fleet, self.ident, self.faults, self.toks, self.tok_s = fleet, ident, faults, toks, tok_s
         self.read_tok_s, self.dead, self.busy = read_tok_s, trio.CancelScope(), trio.CapacityLimiter(slots)
 
@@ -81,15 +90,27 @@
 
 
 def paper(**streams: bool) -> ternlane.GatewayPaper:
-    nodes = [ternlane.NodeLine(id=f"{d}{c}{n}", address="127.0.0.1:9", cell=c, mem_toks=1e9,
-                               duty="read" if d == "r" else "write") for d in "rw" for c in range(3) for n in range(4)]
+    nodes = [
+        ternlane.NodeLine(
+            id=f"{d}{c}{n}", address="127.0.0.1:9", cell=c, mem_toks=1e9, duty="read" if d == "r" else "write"
+        )
+        for d in "rw"
+        for c in range(3)
+        for n in range(4)
+    ]
     common = {"slo_ms": 2000.0, "limit_ms": 20_000.0, "max_toks": 400}
     return ternlane.GatewayPaper(
-        name="b", listen="127.0.0.1:0", nodes=ternlane.InlineSource(nodes=nodes),
-        fleet=ternlane.FleetTerms(leg_limit=10), streams=ternlane.StreamTerms(**streams), products=[
-            ternlane.ProductTerms(name="summary", effect="idempotent", **common),    # type: ignore[arg-type]
-            ternlane.ProductTerms(name="form", effect="deduplicated", group="cell", window_ms=20_000, **common),    # type: ignore[arg-type]
-            ternlane.ProductTerms(name="note", effect="side-effecting", **common)])    # type: ignore[arg-type]
+        name="b",
+        listen="127.0.0.1:0",
+        nodes=ternlane.InlineSource(nodes=nodes),
+        fleet=ternlane.FleetTerms(leg_limit=10),
+        streams=ternlane.StreamTerms(**streams),
+        products=[
+            ternlane.ProductTerms(name="summary", effect="idempotent", **common),  # type: ignore[arg-type]
+            ternlane.ProductTerms(name="form", effect="deduplicated", group="cell", window_ms=20_000, **common),  # type: ignore[arg-type]
+            ternlane.ProductTerms(name="note", effect="side-effecting", **common),  # type: ignore[arg-type]
+        ],
+    )
 
 
 async def effects(many: int) -> None:
@@ -98,6 +119,7 @@
     engines = {i: Engine(fleet, i, 0.25 if i[0] == "w" else 0.0) for i in names}
     since = time.perf_counter()
     async with ternlane.open_routing(paper(), LocalTransport(dict(engines))) as routing:
+
         async def one(i: int, model: str) -> None:
             request = {"model": model, "messages": [{"role": "user", "content": f"case {i}"}], "stream": True}
             try:
@@ -110,15 +132,19 @@
                 assert model == "summary" or not fleet.effects.get(f"{model}-{i}"), "throttled although it ran"
             except ternlane.TerminatedError:
                 outcomes[f"{model} terminated"] += 1
+
         for begin in range(0, many, 50):
             async with trio.open_nursery() as nursery:
                 for i in range(begin, min(many, begin + 50)):
                     nursery.start_soon(one, i, "note" if i % 5 else "form")
-    ran = Counter({model: sum(bool(v) for k, v in fleet.effects.items() if k.startswith(model))
-                   for model in ("note", "form")})
+    ran = Counter(
+        {model: sum(bool(v) for k, v in fleet.effects.items() if k.startswith(model)) for model in ("note", "form")}
+    )
     twice = sum(len(v) > 1 for k, v in fleet.effects.items())
-    print(f"{many} generations with effects, a quarter of writers' legs failing, {time.perf_counter() - since:.0f} s: "
-          f"{dict(sorted(outcomes.items()))}; took effect {dict(ran)}; twice {twice}")
+    print(
+        f"{many} generations with effects, a quarter of writers' legs failing, {time.perf_counter() - since:.0f} s: "
+        f"{dict(sorted(outcomes.items()))}; took effect {dict(ran)}; twice {twice}"
+    )
     assert twice == 0
 
 
@@ -128,6 +154,7 @@
     engines = {i: Engine(fleet, i, 0.0, 240, 0.05, 20_000.0, 4) for i in names}
     pauses: list[float] = []
     async with ternlane.open_routing(paper(resume=resume), LocalTransport(dict(engines))) as routing:
+
         async def one(i: int) -> None:
             request = {"model": "summary", "messages": [{"role": "user", "content": f"case {i}"}], "stream": True}
             try:
@@ -141,21 +168,24 @@
                 pauses.append(longest * 1000)
             except (ternlane.ThrottledError, ternlane.TerminatedError) as why:
                 outcomes["in part" if isinstance(why, ternlane.TerminatedError) and why.begun else "not begun"] += 1
+
         async with trio.open_nursery() as nursery:
             for i in range(streams):
                 nursery.start_soon(one, i)
                 await trio.sleep(8.0 / streams)
             await trio.sleep(0.5)
-            struck = [f"w{c}{n}" for n in range(4) for c in range(3)][:round(12 * part)]
+            struck = [f"w{c}{n}" for n in range(4) for c in range(3)][: round(12 * part)]
             for ident in struck:
                 engines[ident].dead.cancel()
             at = trio.current_time()
     anew = [(t - at, n) for t, n, again in fleet.reads if again]
     first = sum(n for t, n, again in fleet.reads if not again)
     rates = Counter(int(t * 4) for t, _ in anew)
-    print(f"{streams} streams, {len(struck)} of 12 writers go at once, resume {resume}: {dict(outcomes)}; read first "
-          f"{first} tokens, anew {sum(n for _, n in anew)}, at most {max(rates.values(), default=0) * 4} resumes a "
-          f"second; longest pause of a stream, ms: median {statistics.median(pauses):.0f}, most {max(pauses):.0f}")
+    print(
+        f"{streams} streams, {len(struck)} of 12 writers go at once, resume {resume}: {dict(outcomes)}; read first "
+        f"{first} tokens, anew {sum(n for _, n in anew)}, at most {max(rates.values(), default=0) * 4} resumes a "
+        f"second; longest pause of a stream, ms: median {statistics.median(pauses):.0f}, most {max(pauses):.0f}"
+    )
 
 
 def main() -> None:
@@ -164,6 +194,7 @@
     args.add_argument("--streams", type=int, default=1000)
     told = args.parse_args()
     import logging
+
     structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL))
     for part, resume in ((1 / 3, True), (1 / 3, False), (1 / 2, True)):
         trio.run(mass, told.streams, part, resume, clock=MockClock(autojump_threshold=0))
--- a/bench/openings.py
+++ b/bench/openings.py
@@ -1,7 +1,8 @@
 """The tree of shared openings against a plain dict of every beginning: bytes and time, in one run.
 
-    python -m bench.openings [--sessions 20000]
+python -m bench.openings [--sessions 20000]
 """
+
 from __future__ import annotations
 
 import argparse
@@ -51,8 +52,10 @@
             said.append(got)
             same = sum(a == b for a, b in zip(said[0], got, strict=True)) / len(got)
             bound = "unbounded" if limit > 10**8 else f"{limit} blocks"
-            print(f"{name + ', ' + bound:<28}{took / len(met) * 1e6:>12.1f}{took / blocks * 1e9:>12.0f}"
-                  f"{held / 1e6:>10.1f}{same:>14.1%}")
+            print(
+                f"{name + ', ' + bound:<28}{took / len(met) * 1e6:>12.1f}{took / blocks * 1e9:>12.0f}"
+                f"{held / 1e6:>10.1f}{same:>14.1%}"
+            )
 
 
 if __name__ == "__main__":
--- a/bench/recovery.py
+++ b/bench/recovery.py
@@ -6,6 +6,7 @@
 same streams. One stream in fifty stalls at a random piece. A rule is judged by streams given up that were well, a
 thousand, and by the silence before it gave up those that had stalled. A resume takes 150 ms.
 """
+
 from __future__ import annotations
 
 import argparse
@@ -31,8 +32,12 @@
     for _ in range(many):
         server = rng.randrange(SERVERS)
         paces[server] = min(40.0, max(4.0, paces[server] * rng.lognormvariate(0, 0.03)))
-        waits = [paces[server] * rng.lognormvariate(0, spread) * (
-            rng.uniform(0.5, 1.5) * times if rng.random() < part else 1.0) for _ in range(TOKS)]
+        waits = [
+            paces[server]
+            * rng.lognormvariate(0, spread)
+            * (rng.uniform(0.5, 1.5) * times if rng.random() < part else 1.0)
+            for _ in range(TOKS)
+        ]
         yield server, waits, rng.randrange(1, TOKS) if rng.random() < STALLS else None
 
 
@@ -42,16 +47,18 @@
 
 def accrual(phi: float) -> Rule:
     """Phi-accrual over the stream's own last 30 waits, taken as normal (Hayashibara and others, 2004)."""
+
     def quiet(server: int, seen: deque[float]) -> float:
         if len(seen) < 4:
             return 1000.0
         mean, dev = statistics.fmean(seen), max(statistics.pstdev(seen), 0.1)
         low, high = 0.0, 60.0
-        for _ in range(14):    # deviations at which -log10 of the chance of a longer wait is phi
+        for _ in range(14):  # deviations at which -log10 of the chance of a longer wait is phi
             mid = (low + high) / 2
             late = 0.5 * erfc(mid / sqrt(2))
             low, high = (mid, high) if late > 0 and -log10(late) < phi else (low, mid)
         return mean + high * dev
+
     return quiet
 
 
@@ -65,7 +72,7 @@
     delays = []
     for i, (server, waits, stalls_at) in enumerate(streams(temper, many, 11)):
         seen: deque[float] = deque(maxlen=30)
-        judged, given_up = i > many // 5, False    # the first fifth teaches
+        judged, given_up = i > many // 5, False  # the first fifth teaches
         explored = learn is not None and learn.explores()
         for n, wait in enumerate(waits):
             quiet = 1000.0 if explored else rule(server, seen)
@@ -93,7 +100,8 @@
     rules: list[tuple[str, Callable[[], tuple[Rule, Rhythm | None]]]] = [
         *((f"fixed {ms} ms", partial(plain, fixed, ms)) for ms in (50, 100, 200, 500)),
         ("module's: half the patience of 2 s", partial(plain, fixed, 1000)),
-        *((f"accrual, own stream, phi {phi}", partial(plain, accrual, phi)) for phi in (3, 8, 16))]
+        *((f"accrual, own stream, phi {phi}", partial(plain, accrual, phi)) for phi in (3, 8, 16)),
+    ]
 
     def learnt(alarms: float) -> tuple[Rule, Rhythm | None]:
         rhythm = Rhythm(alarms)
@@ -104,8 +112,9 @@
     def unlikely(alarms: float) -> tuple[Rule, Rhythm | None]:
         rule, rhythm = learnt(alarms)
         assert rhythm is not None
-        rhythm.resume_ms = 1e-6    # by likelihood alone
+        rhythm.resume_ms = 1e-6  # by likelihood alone
         return rule, rhythm
+
     rules += [(f"peers, {a:g} a stream", partial(unlikely, a)) for a in (1e-2, 1e-3, 1e-4)]
     rules += [(f"peers, {a:g}, never under a resume", partial(learnt, a)) for a in (1e-2, 1e-3)]
     for name, make in rules:
--- a/examples/decisions_alone.py
+++ b/examples/decisions_alone.py
@@ -1,16 +1,40 @@
 """Routes by hand: feeds events to the decisions and prints what they ask for. No loop, no sockets."""
+
 import ternlane
 from ternlane import port
 
 product = ternlane.Product(ternlane.Effect.IDEMPOTENT, ternlane.Group.ALL, 0.0, 500.0, 40.0, 60.0, 5000.0, 3.0, 0.1)
 facts = ternlane.StartFacts(
-    seed=1, gateways=1, zone="hall", products=(product,), leg_limit=5, may_call_off=True, may_hold_ahead=False,
-    may_probe=False, may_advise=True, must_ask=False, ask_within_ms=0.0, writers_read=False, reports_mem=False,
-    longest_pause_ms=500.0, connect_ms=250.0, idle_ms=30e3, release_ms=500.0, drain_grace_ms=250.0, cold_ms=10e3,
-    cold_from=0.3, fall_multiple=3.0, fall_ms=2000.0, step_ms=1.0)
-names = {ternlane.Server("hall", cell, duty, 200e3, mark=mark): f"{duty.name.lower()}-{cell}"
-         for mark, (cell, duty) in enumerate(((0, ternlane.Duty.READ), (0, ternlane.Duty.WRITE),
-                                              (1, ternlane.Duty.READ), (1, ternlane.Duty.WRITE)), start=7)}
+    seed=1,
+    gateways=1,
+    zone="hall",
+    products=(product,),
+    leg_limit=5,
+    may_call_off=True,
+    may_hold_ahead=False,
+    may_probe=False,
+    may_advise=True,
+    must_ask=False,
+    ask_within_ms=0.0,
+    writers_read=False,
+    reports_mem=False,
+    longest_pause_ms=500.0,
+    connect_ms=250.0,
+    idle_ms=30e3,
+    release_ms=500.0,
+    drain_grace_ms=250.0,
+    cold_ms=10e3,
+    cold_from=0.3,
+    fall_multiple=3.0,
+    fall_ms=2000.0,
+    step_ms=1.0,
+)
+names = {
+    ternlane.Server("hall", cell, duty, 200e3, mark=mark): f"{duty.name.lower()}-{cell}"
+    for mark, (cell, duty) in enumerate(
+        ((0, ternlane.Duty.READ), (0, ternlane.Duty.WRITE), (1, ternlane.Duty.READ), (1, ternlane.Duty.WRITE)), start=7
+    )
+}
 router = ternlane.Router(facts)
 router.take(0.0, [port.Listed(tuple(names))])
 generation = ternlane.Generation(product, "session-1", None, 0.0, 900.0, 200.0, 5000.0)
--- a/examples/embed_in_a_script.py
+++ b/examples/embed_in_a_script.py
@@ -1,4 +1,5 @@
 """A plain script that routes over two engines in its own process, from two threads."""
+
 import threading
 from collections.abc import AsyncIterator
 
@@ -22,11 +23,16 @@
 
 
 paper = ternlane.GatewayPaper(
-    name="script", listen="127.0.0.1:0",
+    name="script",
+    listen="127.0.0.1:0",
     products=[ternlane.ProductTerms(name="count", effect="idempotent", slo_ms=500, limit_ms=2000)],
-    nodes=InlineSource(nodes=[
-        ternlane.NodeLine(id="reader", address="here:1", duty="read", mem_toks=1e5),
-        ternlane.NodeLine(id="writer", address="here:2", duty="write", mem_toks=1e5)]))
+    nodes=InlineSource(
+        nodes=[
+            ternlane.NodeLine(id="reader", address="here:1", duty="read", mem_toks=1e5),
+            ternlane.NodeLine(id="writer", address="here:2", duty="write", mem_toks=1e5),
+        ]
+    ),
+)
 
 
 def count(routing: ternlane.Blocking, text: str) -> None:
--- a/examples/three_gateways.py
+++ b/examples/three_gateways.py
@@ -1,4 +1,5 @@
 """Three daemons on one host, each a process of its own, over stand-in engines; asks each with the Python client."""
+
 import json
 import signal
 import subprocess
@@ -22,21 +23,32 @@
                 build = Build(answer_toks=(5, 5))
                 engine = Engine(duty, duty, "hall", 0, "127.0.0.1", port + i, build, Traffic(None), 1)
                 nursery.start_soon(engine.run, nursery)
+
     trio.run(serve)
 
 
 first = free_ports(5)
 threading.Thread(target=engines, args=(first,), daemon=True).start()
-nodes = [{"id": duty, "address": f"127.0.0.1:{first + i}", "duty": duty, "mem_toks": 1e5}
-         for i, duty in enumerate(("read", "write"))]
+nodes = [
+    {"id": duty, "address": f"127.0.0.1:{first + i}", "duty": duty, "mem_toks": 1e5}
+    for i, duty in enumerate(("read", "write"))
+]
 with tempfile.TemporaryDirectory() as folder:
     daemons = []
     for i in range(3):
         paper = Path(folder) / f"g{i}.json5"
-        paper.write_text(json.dumps({
-            "name": f"g{i}", "listen": f"127.0.0.1:{first + 2 + i}", "gateways": 3, "seed": i,
-            "products": [{"name": "summary", "effect": "idempotent", "slo_ms": 1000, "limit_ms": 5000}],
-            "nodes": {"from": "inline", "nodes": nodes}}))
+        paper.write_text(
+            json.dumps(
+                {
+                    "name": f"g{i}",
+                    "listen": f"127.0.0.1:{first + 2 + i}",
+                    "gateways": 3,
+                    "seed": i,
+                    "products": [{"name": "summary", "effect": "idempotent", "slo_ms": 1000, "limit_ms": 5000}],
+                    "nodes": {"from": "inline", "nodes": nodes},
+                }
+            )
+        )
         daemons.append(subprocess.Popen([sys.executable, "-m", "ternlane", "serve", str(paper), "--log", "error"]))
     try:
         for i in range(3):
--- a/examples/write_a_transport.py
+++ b/examples/write_a_transport.py
@@ -1,5 +1,6 @@
 """A transport of one's own: legs go to a folder of files instead of sockets. Whatever carries them, a transport says
 how each leg ended by a verdict, and the decisions do the rest."""
+
 import tempfile
 from pathlib import Path
 
@@ -45,10 +46,16 @@
 
 
 async def main() -> None:
-    nodes = [ternlane.NodeLine(id=name, address="folder:1", duty=duty, mem_toks=1e5)
-             for name, duty in (("reader", "read"), ("broken", "write"), ("whole", "write"))]
-    paper = ternlane.GatewayPaper(name="folder", listen="127.0.0.1:0", nodes=InlineSource(nodes=nodes), products=[
-        ternlane.ProductTerms(name="mirror", effect="side-effecting", slo_ms=500, limit_ms=2000)])
+    nodes = [
+        ternlane.NodeLine(id=name, address="folder:1", duty=duty, mem_toks=1e5)
+        for name, duty in (("reader", "read"), ("broken", "write"), ("whole", "write"))
+    ]
+    paper = ternlane.GatewayPaper(
+        name="folder",
+        listen="127.0.0.1:0",
+        nodes=InlineSource(nodes=nodes),
+        products=[ternlane.ProductTerms(name="mirror", effect="side-effecting", slo_ms=500, limit_ms=2000)],
+    )
     with tempfile.TemporaryDirectory() as name:
         transport = FolderTransport(Path(name))
         async with ternlane.open_routing(paper, transport) as routing:
--- a/ternlane/__init__.py
+++ b/ternlane/__init__.py
@@ -9,6 +9,7 @@
     Blocking, Bridged         the same router for plain threads, and for asyncio
     GatewayPaper, read_paper  the settings, typed or as JSON5, with the same checks
 """
+
 from __future__ import annotations
 
 from importlib import import_module
@@ -17,21 +18,58 @@
 __version__ = "0.2.0"
 
 _PLACES = {
-    "Router": "choice", "StartFacts": "port", "Product": "port", "Server": "port", "Generation": "port",
-    "Effect": "port", "Group": "port", "Duty": "port", "Life": "port", "Verdict": "port", "Report": "port",
-    "open_gateway": "gateway", "Gateway": "gateway", "open_routing": "embed", "Routing": "embed", "Stream": "embed",
-    "ThrottledError": "embed", "TerminatedError": "embed", "Blocking": "embed", "Bridged": "embed",
-    "Transport": "engine", "SocketTransport": "engine", "LocalTransport": "engine", "LocalEngine": "engine",
-    "LegAsk": "engine", "Kept": "engine", "Refuses": "engine", "Unreached": "engine", "Stage": "engine",
-    "LegEnd": "engine", "LegPlan": "engine", "ClientGone": "engine", "Usage": "engine",
-    "Wrong": "chat", "GatewayPaper": "paper", "ProductTerms": "paper", "FleetTerms": "paper", "NodeLine": "paper",
-    "DoorTerms": "paper", "InlineSource": "paper", "FileSource": "paper", "ConsulSource": "paper", "checked": "paper",
+    "Router": "choice",
+    "StartFacts": "port",
+    "Product": "port",
+    "Server": "port",
+    "Generation": "port",
+    "Effect": "port",
+    "Group": "port",
+    "Duty": "port",
+    "Life": "port",
+    "Verdict": "port",
+    "Report": "port",
+    "open_gateway": "gateway",
+    "Gateway": "gateway",
+    "open_routing": "embed",
+    "Routing": "embed",
+    "Stream": "embed",
+    "ThrottledError": "embed",
+    "TerminatedError": "embed",
+    "Blocking": "embed",
+    "Bridged": "embed",
+    "Transport": "engine",
+    "SocketTransport": "engine",
+    "LocalTransport": "engine",
+    "LocalEngine": "engine",
+    "LegAsk": "engine",
+    "Kept": "engine",
+    "Refuses": "engine",
+    "Unreached": "engine",
+    "Stage": "engine",
+    "LegEnd": "engine",
+    "LegPlan": "engine",
+    "ClientGone": "engine",
+    "Usage": "engine",
+    "Wrong": "chat",
+    "GatewayPaper": "paper",
+    "ProductTerms": "paper",
+    "FleetTerms": "paper",
+    "NodeLine": "paper",
+    "DoorTerms": "paper",
+    "InlineSource": "paper",
+    "FileSource": "paper",
+    "ConsulSource": "paper",
+    "checked": "paper",
     "StreamTerms": "paper",
-    "PaperError": "paper", "read_paper": "paper", "read_text": "paper"}
+    "PaperError": "paper",
+    "read_paper": "paper",
+    "read_text": "paper",
+}
 
 __all__ = ["__version__", *_PLACES]
 
-if TYPE_CHECKING:    # the same names for type checkers
+if TYPE_CHECKING:  # the same names for type checkers
     from ternlane.chat import Wrong as Wrong
     from ternlane.choice import Router as Router
     from ternlane.embed import Blocking as Blocking
--- a/ternlane/chat/beyond.py
+++ b/ternlane/chat/beyond.py
@@ -1,11 +1,12 @@
 """What an answer has besides its text: tool calls, a refusal, reasoning, probabilities. Engines stream it in pieces, as
 the OpenAI API reference has them; a whole answer has them put together. Free of I/O."""
+
 from __future__ import annotations
 
 from typing import Any
 
-TEXTS = ("refusal", "reasoning_content", "reasoning")    # fields of a delta whose pieces are joined end to end
-More = dict[str, Any]    # {"delta": further fields of a delta, "logprobs": of its tokens}
+TEXTS = ("refusal", "reasoning_content", "reasoning")  # fields of a delta whose pieces are joined end to end
+More = dict[str, Any]  # {"delta": further fields of a delta, "logprobs": of its tokens}
 
 
 class Beyond:
@@ -43,8 +44,12 @@
 
     def message(self, text: str) -> dict[str, Any]:
         """The assistant's message; its content is null where it has calls and no text."""
-        out: dict[str, Any] = {"role": "assistant", "content": text or (None if self.calls else ""), "refusal": None,
-                               **self.texts}
+        out: dict[str, Any] = {
+            "role": "assistant",
+            "content": text or (None if self.calls else ""),
+            "refusal": None,
+            **self.texts,
+        }
         if self.calls:
             out["tool_calls"] = [it for _, it in sorted(self.calls.items())]
         return out
--- a/ternlane/chat/intake.py
+++ b/ternlane/chat/intake.py
@@ -1,4 +1,5 @@
 """Makes the Generation that the decisions see out of a chat request."""
+
 from __future__ import annotations
 
 from dataclasses import dataclass
@@ -11,18 +12,22 @@
 from ternlane.chat.sessions import Sessions, chain
 from ternlane.port import Effect, Generation, Group, Product, Tenant
 
-FIRST_TOKS_A_BYTE = 0.25    # until engines have said how many there were
-WEIGHT = 1 / 32             # of one more report
-BLOCKS_A_SESSION = 8        # opening blocks kept for each session that may be recognised
+FIRST_TOKS_A_BYTE = 0.25  # until engines have said how many there were
+WEIGHT = 1 / 32  # of one more report
+BLOCKS_A_SESSION = 8  # opening blocks kept for each session that may be recognised
 
-EFFECTS = {"idempotent": Effect.IDEMPOTENT, "deduplicated": Effect.DEDUPLICATED,
-           "side-effecting": Effect.SIDE_EFFECTING}
+EFFECTS = {
+    "idempotent": Effect.IDEMPOTENT,
+    "deduplicated": Effect.DEDUPLICATED,
+    "side-effecting": Effect.SIDE_EFFECTING,
+}
 GROUPS = {"all": Group.ALL, "zone": Group.ZONE, "cell": Group.CELL}
 
 
 @dataclass(slots=True, eq=False)
 class Known:
     """What the intake remembers of one generation until it ends."""
+
     gen: Generation
     session: str
     last_hash: bytes
@@ -36,7 +41,7 @@
         self.models, self.max_toks = models, max_toks
         self.sessions = Sessions(2 * session_limit)
         self.openings = Openings(BLOCKS_A_SESSION * session_limit)
-        self.tenants: dict[str, Tenant] = {}    # by owner
+        self.tenants: dict[str, Tenant] = {}  # by owner
         self.toks_a_byte: dict[Product, float] = {}
 
     def offer(self, models: dict[str, Product], max_toks: dict[Product, int]) -> None:
@@ -59,9 +64,17 @@
         opening = xxh3_64_hexdigest(run[:shared].tobytes()) if shared else None
         ratio = self.toks_a_byte.get(product, FIRST_TOKS_A_BYTE)
         limit = self.max_toks[product]
-        gen = Generation(product, session, opening, shared * BLOCK * ratio, max(1.0, len(whole) * ratio),
-                         float(min(ask.max_toks or limit, limit)), patience_ms, not ask.stream,
-                         tenant=self.tenants.setdefault(owner, Tenant()) if owner else None)
+        gen = Generation(
+            product,
+            session,
+            opening,
+            shared * BLOCK * ratio,
+            max(1.0, len(whole) * ratio),
+            float(min(ask.max_toks or limit, limit)),
+            patience_ms,
+            not ask.stream,
+            tenant=self.tenants.setdefault(owner, Tenant()) if owner else None,
+        )
         return Known(gen, session, last[-1], len(whole))
 
     def learn_prompt(self, known: Known, prompt_toks: float) -> None:
--- a/ternlane/chat/openings.py
+++ b/ternlane/chat/openings.py
@@ -4,6 +4,7 @@
 long text that only one session ever sent costs eight bytes a block and one node. Nodes carry whose they are: one
 session's, or shared. A set of blocks is dropped leaf by leaf, the longest unused first.
 """
+
 from __future__ import annotations
 
 from array import array
@@ -12,13 +13,13 @@
 
 from xxhash import xxh3_64_intdigest
 
-BLOCK = 256    # bytes of canonical text
+BLOCK = 256  # bytes of canonical text
 SHARED = -1
 
 
 def blocks(text: bytes, block: int = BLOCK) -> array[int]:
     """Hashes of the whole blocks of a text; an unfinished last one is left out."""
-    return array("Q", (xxh3_64_intdigest(text[i:i + block]) for i in range(0, len(text) - block + 1, block)))
+    return array("Q", (xxh3_64_intdigest(text[i : i + block]) for i in range(0, len(text) - block + 1, block)))
 
 
 class Node:
@@ -27,7 +28,7 @@
     def __init__(self, run: array[int], parent: Node | None, owner: int) -> None:
         self.run, self.parent, self.owner = run, parent, owner
         self.children: dict[int, Node] | None = None
-        self.older: Node | None = None    # neighbours in the order of last use
+        self.older: Node | None = None  # neighbours in the order of last use
         self.newer: Node | None = None
 
 
@@ -62,7 +63,7 @@
             at += same
             node = child
             path.append(child)
-        for used in reversed(path):    # a parent is always newer than its children
+        for used in reversed(path):  # a parent is always newer than its children
             self.unlink(used)
             self.link(used)
         while self.held > self.block_limit and self.drop_oldest():
@@ -73,12 +74,12 @@
     def common(edge: array[int], run: array[int], at: int) -> int:
         """How many blocks an edge and a run share; arrays are compared whole first, as most edges match whole."""
         n = min(len(edge), len(run) - at)
-        if edge[:n] == run[at:at + n]:
+        if edge[:n] == run[at : at + n]:
             return n
-        low, high = 0, n    # the first difference lies in [low, high)
+        low, high = 0, n  # the first difference lies in [low, high)
         while high - low > 1:
             mid = (low + high) // 2
-            if edge[low:mid] == run[at + low:at + mid]:
+            if edge[low:mid] == run[at + low : at + mid]:
                 low = mid
             else:
                 high = mid
--- a/ternlane/chat/repeats.py
+++ b/ternlane/chat/repeats.py
@@ -3,6 +3,7 @@
 A repeat while the first is out is told so (409); one with another body is refused (422); one after the end gets the
 same answer again and nothing runs. A throttled request leaves no trace: it may simply be tried again.
 """
+
 from __future__ import annotations
 
 from collections import OrderedDict
@@ -12,7 +13,7 @@
 
 from ternlane.port import Effect
 
-OWN_BYTES = 400    # of a record, beside the answer that it keeps
+OWN_BYTES = 400  # of a record, beside the answer that it keeps
 
 
 @dataclass(slots=True)
@@ -37,9 +38,10 @@
 
 class Keep(Enum):
     """What a repeat hears once the first request has ended."""
-    NOTHING = auto()    # it may run: the key is free
-    ANSWER = auto()     # the same answer
-    UNSURE = auto()     # that it may have run
+
+    NOTHING = auto()  # it may run: the key is free
+    ANSWER = auto()  # the same answer
+    UNSURE = auto()  # that it may have run
 
 
 def kept_for_repeats(effect: Effect, outcome: str, legs: int) -> Keep:
--- a/ternlane/chat/request.py
+++ b/ternlane/chat/request.py
@@ -1,4 +1,5 @@
 """Reads the body of POST /v1/chat/completions, as the OpenAI API reference describes it."""
+
 from __future__ import annotations
 
 from dataclasses import dataclass, field
@@ -21,6 +22,7 @@
 @dataclass(slots=True)
 class ChatAsk:
     """A checked request. `raw` is the whole body: fields unknown here are passed on to the engines."""
+
     raw: dict[str, Any]
     model: str
     messages: list[dict[str, Any]]
@@ -29,7 +31,7 @@
     max_toks: int | None
     user: str | None
     cache_key: str | None
-    texts: list[bytes] = field(default_factory=list)    # each message in canonical form
+    texts: list[bytes] = field(default_factory=list)  # each message in canonical form
 
 
 def canonical(message: dict[str, Any]) -> bytes:
@@ -108,5 +110,14 @@
         texts = [canonical(m) for m in messages]
     except (UnicodeEncodeError, TypeError) as why:
         raise Wrong("messages", f"a message can't be read: {why}") from None
-    return ChatAsk(raw, model, messages, stream, bool(usage), min(limits, default=None),
-                   typed(raw, "user", str, "a string"), typed(raw, "prompt_cache_key", str, "a string"), texts)
+    return ChatAsk(
+        raw,
+        model,
+        messages,
+        stream,
+        bool(usage),
+        min(limits, default=None),
+        typed(raw, "user", str, "a string"),
+        typed(raw, "prompt_cache_key", str, "a string"),
+        texts,
+    )
--- a/ternlane/chat/sessions.py
+++ b/ternlane/chat/sessions.py
@@ -1,4 +1,5 @@
 """Recognises which conversation a request goes on with, by the hashes of what was said so far."""
+
 from __future__ import annotations
 
 from collections import OrderedDict
--- a/ternlane/cli.py
+++ b/ternlane/cli.py
@@ -1,4 +1,5 @@
 """ternlane's commands. Exit codes follow sysexits: 0 well, 1 a rule was broken, 64 usage, 65 bad data, 69 can't run."""
+
 from __future__ import annotations
 
 import importlib
@@ -32,11 +33,17 @@
 
 def log_to_stderr(level: str) -> None:
     structlog.configure(
-        processors=[structlog.contextvars.merge_contextvars, structlog.processors.add_log_level,
-                    structlog.processors.TimeStamper(fmt="iso", utc=True), structlog.processors.format_exc_info,
-                    structlog.processors.JSONRenderer()],
+        processors=[
+            structlog.contextvars.merge_contextvars,
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            structlog.processors.format_exc_info,
+            structlog.processors.JSONRenderer(),
+        ],
         wrapper_class=structlog.make_filtering_bound_logger(logging.getLevelNamesMapping()[level.upper()]),
-        logger_factory=structlog.WriteLoggerFactory(file=sys.stderr), cache_logger_on_first_use=True)
+        logger_factory=structlog.WriteLoggerFactory(file=sys.stderr),
+        cache_logger_on_first_use=True,
+    )
 
 
 @click.group()
@@ -54,6 +61,7 @@
     """Runs one gateway by the document FILE until SIGTERM, which drains it; SIGHUP reads FILE again."""
     from ternlane.gateway.daemon import run_gateway
     from ternlane.ledger import Damaged
+
     log_to_stderr(level)
     choose: Callable[..., Any] | None = None
     if chooser:
@@ -105,15 +113,15 @@
 
     from ternlane.days.play import CantPlay, Player
     from ternlane.days.script import DayScript
+
     script = paper(file, DayScript)
     text = Path(file).read_text()
     if seed is not None or without:
         troubles = [t for t in script.troubles if str(t.__struct_config__.tag) not in without]
         script = msgspec.structs.replace(script, seed=script.seed if seed is None else seed, troubles=troubles)
         text = msgspec.json.encode(script).decode()
-    player = Player(script, text, run_folder(script.name, out), chooser,
-                    (lambda _: None) if quiet else click.echo)
-    signal.signal(signal.SIGTERM, lambda *_: sys.exit(143))    # so that every process started is ended
+    player = Player(script, text, run_folder(script.name, out), chooser, (lambda _: None) if quiet else click.echo)
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(143))  # so that every process started is ended
     try:
         report = trio.run(player.play)
     except* CantPlay as group:
@@ -129,10 +137,13 @@
     """Checks scripts and shows what they come to."""
     from ternlane.days.plan import acts_of, engines_of
     from ternlane.days.script import DayScript
+
     for file in files:
         script = paper(file, DayScript)
-        click.echo(f"{file}: good; {script.gateways} gateways, {len(engines_of(script))} engines, "
-                   f"{script.rate:g} generations a second for {script.length_s:g} s, seed {script.seed}")
+        click.echo(
+            f"{file}: good; {script.gateways} gateways, {len(engines_of(script))} engines, "
+            f"{script.rate:g} generations a second for {script.length_s:g} s, seed {script.seed}"
+        )
         for act in acts_of(script):
             click.echo(f"  {act.at_ms / 1000:7.2f} s  {act.what:<22} {' '.join(map(str, act.on))}")
 
@@ -146,6 +157,7 @@
 def day_from_bench(file: str, engines: int, gateways: int, rate: float, speed: float) -> None:
     """Turns a bench day's description (JSON) into a script, scaled down to one machine."""
     from ternlane.days.bench import script_from_bench
+
     try:
         raw = json.loads(Path(file).read_text())
         click.echo(script_from_bench(raw, engines, gateways, rate, speed))
@@ -161,6 +173,7 @@
 @click.argument("of", type=int)
 def day_part(kind: str, folder: str, index: int, of: int) -> None:
     from ternlane.days.parts import PARTS
+
     trio.run(PARTS[kind], Path(folder), index, of)
 
 
@@ -175,6 +188,7 @@
 def rules_check(folder: str, lines: bool) -> None:
     """Judges the JSON lines in FOLDER again."""
     from ternlane.rules import check_folder
+
     findings = check_folder(Path(folder))
     click.echo("judged: " + ", ".join(f"{v} {k}" for k, v in findings.counted.items()))
     for found in findings.broken:
@@ -198,6 +212,7 @@
     import msgspec
 
     from ternlane.tenants.roll import RollPaper
+
     path = Path(file)
     with open(path.with_name(path.name + ".lock"), "w") as lock:
         fcntl.flock(lock, fcntl.LOCK_EX)
@@ -244,6 +259,7 @@
             raise KeyError(f"tenant {name!r} is there already")
         made = msgspec.convert({"name": name, "zone": zone, "period": period}, TenantLine)
         return msgspec.structs.replace(roll, tenants=[*roll.tenants, made])
+
     change_roll(file, change)
 
 
@@ -261,12 +277,15 @@
 
     from ternlane.tenants import KeyLine, new_key
     from ternlane.tenants.roll import replace_tenant
+
     key, public, salt, kept = new_key()
 
     def change(roll: Any) -> Any:
         it = tenant_of(roll, name)
-        return replace_tenant(roll, msgspec.structs.replace(
-            it, keys=[*it.keys, KeyLine(name=public, salt=salt, hash=kept)]))
+        return replace_tenant(
+            roll, msgspec.structs.replace(it, keys=[*it.keys, KeyLine(name=public, salt=salt, hash=kept)])
+        )
+
     change_roll(file, change)
     click.echo(key)
 
@@ -283,17 +302,21 @@
 
     from ternlane.tenants.keys import split_key
     from ternlane.tenants.roll import replace_tenant
+
     public = split_key(key)[0] or key
 
     def change(roll: Any) -> Any:
         for it in roll.tenants:
             for line in it.keys:
                 if line.name == public:
-                    ended = msgspec.structs.replace(line, state="retiring" if after_s else "revoked",
-                                                    until=time.time() + after_s)
-                    return replace_tenant(roll, msgspec.structs.replace(
-                        it, keys=[ended if k.name == public else k for k in it.keys]))
+                    ended = msgspec.structs.replace(
+                        line, state="retiring" if after_s else "revoked", until=time.time() + after_s
+                    )
+                    return replace_tenant(
+                        roll, msgspec.structs.replace(it, keys=[ended if k.name == public else k for k in it.keys])
+                    )
         raise KeyError(f"there is no key {public!r}")
+
     change_roll(file, change)
 
 
@@ -326,6 +349,7 @@
         made = msgspec.convert(limits, Budget)
         changed = {"products": {**it.products, product: made}} if product else {"budget": made}
         return replace_tenant(roll, msgspec.structs.replace(it, **changed))
+
     change_roll(file, change)
 
 
@@ -335,11 +359,14 @@
 def tenant_show(name: str | None, file: str) -> None:
     """Shows tenants with their keys' public parts and budgets."""
     from ternlane.tenants.roll import RollPaper
+
     for it in paper(file, RollPaper).tenants:
         if name in (None, it.name):
             b = it.budget
-            click.echo(f"{it.name}  period {it.period} {it.zone}  minute {b.minute} burst {b.burst} period {b.period} "
-                       f"at once {b.at_once} overdraft {b.overdraft}")
+            click.echo(
+                f"{it.name}  period {it.period} {it.zone}  minute {b.minute} burst {b.burst} period {b.period} "
+                f"at once {b.at_once} overdraft {b.overdraft}"
+            )
             for product, own in it.products.items():
                 click.echo(f"  {product}: minute {own.minute} period {own.period} at once {own.at_once}")
             for key in it.keys:
@@ -347,8 +374,13 @@
 
 
 @main.group(invoke_without_command=True)
-@click.option("--ledger", "ledgers", multiple=True, type=click.Path(exists=True, file_okay=False),
-              help="a gateway's ledger folder; name all of them")
+@click.option(
+    "--ledger",
+    "ledgers",
+    multiple=True,
+    type=click.Path(exists=True, file_okay=False),
+    help="a gateway's ledger folder; name all of them",
+)
 @click.option("--tenant", "who")
 @click.option("--period")
 @click.option("--format", "form", type=click.Choice(["table", "csv", "json"]), default="table")
@@ -360,6 +392,7 @@
         return
     from ternlane.ledger import Damaged
     from ternlane.ledger.bills import rows_of, shown
+
     try:
         click.echo(shown(rows_of([Path(p) for p in ledgers], who, period), form))
     except Damaged as why:
@@ -368,13 +401,20 @@
 
 
 @bill.command("reconcile")
-@click.option("--engines", "files", multiple=True, required=True, type=click.Path(exists=True, dir_okay=False),
-              help="JSON lines of the engines' counts: gen, prompt, kept, answer")
+@click.option(
+    "--engines",
+    "files",
+    multiple=True,
+    required=True,
+    type=click.Path(exists=True, dir_okay=False),
+    help="JSON lines of the engines' counts: gen, prompt, kept, answer",
+)
 @click.option("--within", type=float, default=0.01, help="part of the engines' tokens that may be off")
 @click.pass_context
 def bill_reconcile(ctx: click.Context, files: tuple[str, ...], within: float) -> None:
     """Holds ledgers against the engines' counts and names each generation that does not add up."""
     from ternlane.ledger.bills import entries_of, reconcile
+
     lines = []
     for file in files:
         for raw in Path(file).read_text().splitlines():
@@ -388,8 +428,9 @@
     for what, it in (("engines made", found.made), ("billed", found.billed), ("house", found.house)):
         click.echo(f"{what:<16}{it.prompt:>12} prompt{it.answer:>12} answer")
     for gen, (made, told) in sorted(found.differing.items()):
-        click.echo(f"differs    {gen}  made {made.prompt} + {made.answer}, "
-                   f"billed and house {told.prompt} + {told.answer}")
+        click.echo(
+            f"differs    {gen}  made {made.prompt} + {made.answer}, billed and house {told.prompt} + {told.answer}"
+        )
     for gen, made in sorted(found.unsettled.items()):
         click.echo(f"unsettled  {gen}  made {made.prompt} + {made.answer}")
     for gen in found.doubled:
@@ -405,11 +446,18 @@
 
 @lab.command("fit")
 @click.argument("files", nargs=-1, required=True, type=click.Path(dir_okay=False))
-@click.option("--within", nargs=2, type=float, default=(0.05, 0.10), show_default=True,
-              help="parts by which medians and 99th percentiles may be off at points held out")
+@click.option(
+    "--within",
+    nargs=2,
+    type=float,
+    default=(0.05, 0.10),
+    show_default=True,
+    help="parts by which medians and 99th percentiles may be off at points held out",
+)
 def lab_fit(files: tuple[str, ...], within: tuple[float, float]) -> None:
     """Fits emulated engines to described latency curves and holds them against the points left out of the fit."""
     from ternlane.emulator.describe import EngineKind
+
     kinds = [paper(file, EngineKind) for file in files]
     try:
         from ternlane.emulator.fit import fit
@@ -424,18 +472,24 @@
             click.echo(f"ternlane: {file}: {why}", err=True)
             sys.exit(DATA)
         pace = found.build.pace
-        click.echo(f"{kind.name}: a step {pace.step_ms:.3f} ms, {pace.write_ms:.4f} a writer, {pace.read_ms:.4f} a "
-                   f"token read beyond {pace.free_toks}, {pace.back_ms:.4f} a thousand looked back at; spread "
-                   f"{found.nature.jitter:.1%}")
+        click.echo(
+            f"{kind.name}: a step {pace.step_ms:.3f} ms, {pace.write_ms:.4f} a writer, {pace.read_ms:.4f} a "
+            f"token read beyond {pace.free_toks}, {pace.back_ms:.4f} a thousand looked back at; spread "
+            f"{found.nature.jitter:.1%}"
+        )
         click.echo("  at once  prompt  answer       first token    between tokens   off: median, 99th percentile")
         for point, off in found.off:
-            click.echo(f"{point.at_once:>9}{point.prompt:>8}{point.answer:>8}{point.first_ms[0]:>9.1f}"
-                       f"{point.first_ms[1]:>9.1f}{point.between_ms[0]:>9.2f}{point.between_ms[1]:>9.2f}   "
-                       + " ".join(f"{part:>+7.1%}" for part in off) + ("  held out" if point.held_out else ""))
+            click.echo(
+                f"{point.at_once:>9}{point.prompt:>8}{point.answer:>8}{point.first_ms[0]:>9.1f}"
+                f"{point.first_ms[1]:>9.1f}{point.between_ms[0]:>9.2f}{point.between_ms[1]:>9.2f}   "
+                + " ".join(f"{part:>+7.1%}" for part in off)
+                + ("  held out" if point.held_out else "")
+            )
         held = any(point.held_out for point, _ in found.off)
         median, tail = found.worst(held)
-        click.echo(f"  worst {'held out' if held else 'of the fit'}: {median:.1%} at medians, {tail:.1%} at 99th "
-                   "percentiles")
+        click.echo(
+            f"  worst {'held out' if held else 'of the fit'}: {median:.1%} at medians, {tail:.1%} at 99th percentiles"
+        )
         well = well and median <= within[0] and tail <= within[1]
     sys.exit(0 if well else 1)
 
@@ -452,6 +506,7 @@
     nothing and ends with 75."""
     from ternlane.load import LoadPaper
     from ternlane.load.run import Load, NotLocal, TooSlow
+
     told = paper(file, LoadPaper)
     sink = open(out, "w", encoding="utf-8") if out else None
 
@@ -464,6 +519,7 @@
             while True:
                 await trio.sleep(1.0)
                 click.echo(f"\r{it.now_s():6.0f} s  {it.open} open  {dict(it.tally.outcomes)}", nl=False, err=True)
+
         async with trio.open_nursery() as nursery:
             if not quiet:
                 nursery.start_soon(progress)
@@ -487,4 +543,3 @@
         if sink is not None:
             sink.close()
     click.echo(json.dumps(it.tally.told()))
-
--- a/ternlane/client.py
+++ b/ternlane/client.py
@@ -7,6 +7,7 @@
 It repeats as the JavaScript one does: after a throttle when it was told to; after a connection that was refused, as
 nothing was sent; anything else only for requests said to be `idempotent`; never a stream that has begun.
 """
+
 from __future__ import annotations
 
 import json
@@ -23,8 +24,16 @@
 class ClientError(Exception):
     """`may_have_run`: an effect may have happened. `begun`: part of a stream had come."""
 
-    def __init__(self, why: str, status: int = 0, code: str | None = None, param: str | None = None,
-                 may_have_run: bool = False, begun: bool = False, retry_after_ms: float | None = None) -> None:
+    def __init__(
+        self,
+        why: str,
+        status: int = 0,
+        code: str | None = None,
+        param: str | None = None,
+        may_have_run: bool = False,
+        begun: bool = False,
+        retry_after_ms: float | None = None,
+    ) -> None:
         super().__init__(why)
         self.status, self.code, self.param = status, code, param
         self.may_have_run, self.begun, self.retry_after_ms = may_have_run, begun, retry_after_ms
@@ -72,8 +81,14 @@
 class Client:
     """`retries`: further tries at the most. A longer return time than `longest_pause_ms` is not waited for."""
 
-    def __init__(self, base_url: str, api_key: str | None = None, retries: int = 2, longest_pause_ms: float = 30e3,
-                 timeout_s: float = 600.0) -> None:
+    def __init__(
+        self,
+        base_url: str,
+        api_key: str | None = None,
+        retries: int = 2,
+        longest_pause_ms: float = 30e3,
+        timeout_s: float = 600.0,
+    ) -> None:
         headers = {"authorization": f"Bearer {api_key}"} if api_key else {}
         self.http = httpx.Client(base_url=base_url.rstrip("/"), headers=headers, timeout=timeout_s)
         self.retries, self.longest_pause_ms = retries, longest_pause_ms
@@ -85,18 +100,20 @@
         self.http.close()
 
     @contextmanager
-    def answer(self, request: dict[str, Any], stream: bool, key: str | None, idempotent: bool,
-               time_limit_ms: float | None) -> Iterator[httpx.Response]:
+    def answer(
+        self, request: dict[str, Any], stream: bool, key: str | None, idempotent: bool, time_limit_ms: float | None
+    ) -> Iterator[httpx.Response]:
         """A response with status 200, repeated as far as that does no harm."""
         body = {**request, "stream": stream} | ({"stream_options": {"include_usage": True}} if stream else {})
         headers = {"idempotency-key": key} if key else {}
         if time_limit_ms:
             headers["x-ternlane-time-limit-ms"] = f"{time_limit_ms:.1f}"
         for attempt in range(self.retries + 1):
-            pause = 100.0 * 2 ** attempt
+            pause = 100.0 * 2**attempt
             try:
-                response = self.http.send(self.http.build_request("POST", "/v1/chat/completions", json=body,
-                                                                  headers=headers), stream=True)
+                response = self.http.send(
+                    self.http.build_request("POST", "/v1/chat/completions", json=body, headers=headers), stream=True
+                )
             except httpx.ConnectError as why:
                 error: ClientError = Unconnected(f"not reached: {why}")
             except httpx.TransportError as why:
@@ -113,13 +130,21 @@
                 error = failure(response)
                 pause = error.retry_after_ms if error.retry_after_ms is not None else pause
             harmless = isinstance(error, Throttled) or (isinstance(error, Unconnected) and not error.may_have_run)
-            if attempt == self.retries or pause > self.longest_pause_ms or not (
-                    harmless or (idempotent and error.may_have_run)):
+            if (
+                attempt == self.retries
+                or pause > self.longest_pause_ms
+                or not (harmless or (idempotent and error.may_have_run))
+            ):
                 raise error
             time.sleep(pause * (1 + 0.1 * random.random()) / 1000)
 
-    def stream(self, request: dict[str, Any], key: str | None = None, idempotent: bool = False,
-               time_limit_ms: float | None = None) -> Iterator[str]:
+    def stream(
+        self,
+        request: dict[str, Any],
+        key: str | None = None,
+        idempotent: bool = False,
+        time_limit_ms: float | None = None,
+    ) -> Iterator[str]:
         """The text, piece by piece. Leaving the loop and closing the iterator ends the generation at the gateway."""
         begun = done = False
         with self.answer(request, True, key, idempotent, time_limit_ms) as response:
@@ -144,8 +169,13 @@
         if not done:
             raise Unconnected("the stream ended before its end", may_have_run=True, begun=begun)
 
-    def complete(self, request: dict[str, Any], key: str | None = None, idempotent: bool = False,
-                 time_limit_ms: float | None = None) -> dict[str, Any]:
+    def complete(
+        self,
+        request: dict[str, Any],
+        key: str | None = None,
+        idempotent: bool = False,
+        time_limit_ms: float | None = None,
+    ) -> dict[str, Any]:
         """The whole answer: text, finish, usage."""
         with self.answer(request, False, key, idempotent, time_limit_ms) as response:
             said = json.loads(response.read())
--- a/ternlane/days/baseline.py
+++ b/ternlane/days/baseline.py
@@ -1,4 +1,5 @@
 """A baseline to measure against, never to serve by: pairs in turn, no home, no health, no waiting."""
+
 from __future__ import annotations
 
 from itertools import count
@@ -39,16 +40,22 @@
             return [final, port.LetGo(gen), *self.forget(gen)]
         self.legs[gen] += 1
         left = self.until[gen] - now
-        return [port.SendLeg(gen, able[next(self.turn) % len(able)], left, gen.patience_ms / 2,
-                             left if gen.whole else float("inf"))]
+        return [
+            port.SendLeg(
+                gen, able[next(self.turn) % len(able)], left, gen.patience_ms / 2, left if gen.whole else float("inf")
+            )
+        ]
 
     def next(self, gen: Generation, server: Server, verdict: Verdict, now: float) -> list[Action]:
         if gen not in self.legs:
             return [port.LetGo(gen)]
         if verdict is Verdict.READ:
             return self.send(gen, now, {Duty.WRITE})
-        if server.duty is not Duty.READ and verdict not in (Verdict.FULL, Verdict.UNCONNECTED) \
-                and gen.product.effect is not Effect.IDEMPOTENT:
+        if (
+            server.duty is not Duty.READ
+            and verdict not in (Verdict.FULL, Verdict.UNCONNECTED)
+            and gen.product.effect is not Effect.IDEMPOTENT
+        ):
             self.ran.add(gen)
             return [port.Terminate(gen), port.LetGo(gen), *self.forget(gen)]
         return [port.LetGo(gen), *self.send(gen, now, {Duty.READ, Duty.BOTH})]
--- a/ternlane/days/parts.py
+++ b/ternlane/days/parts.py
@@ -1,4 +1,5 @@
 """The processes of a day beside the gateways: a part of the fleet, a part of the clients, the front layer."""
+
 from __future__ import annotations
 
 import json
@@ -11,8 +12,21 @@
 import trio
 
 from ternlane.days.plan import Act, acts_of, address_of, engines_of, habits_of, talks_of, zones_of, ENGINE_NET
-from ternlane.days.script import (AnswerLost, Burst, DayScript, HandshakeSlow, HeavyTail, HotKey, Neighbour, OriginSlow,
-                                  Pauses, Slow, StreamBroken, TenantRush, ZoneCut)
+from ternlane.days.script import (
+    AnswerLost,
+    Burst,
+    DayScript,
+    HandshakeSlow,
+    HeavyTail,
+    HotKey,
+    Neighbour,
+    OriginSlow,
+    Pauses,
+    Slow,
+    StreamBroken,
+    TenantRush,
+    ZoneCut,
+)
 from ternlane.paper import read_paper
 from ternlane.standin.clients import Clients
 from ternlane.standin.engine import Engine
@@ -23,6 +37,7 @@
 @dataclass(frozen=True)
 class Scene:
     """What all processes of a run share: the folder, the script, when it begins, and who listens where."""
+
     folder: Path
     day: DayScript
     begin_ms: float
@@ -34,12 +49,24 @@
     @classmethod
     def load(cls, folder: Path) -> Scene:
         raw = json.loads((folder / "scene.json").read_text())
-        return cls(folder, read_paper(folder / "day.json5", DayScript), raw["begin_ms"], raw["engine_port"],
-                   {k: (v[0], v[1]) for k, v in raw["gateways"].items()}, tuple(raw["front"]), tuple(raw["registry"]))
+        return cls(
+            folder,
+            read_paper(folder / "day.json5", DayScript),
+            raw["begin_ms"],
+            raw["engine_port"],
+            {k: (v[0], v[1]) for k, v in raw["gateways"].items()},
+            tuple(raw["front"]),
+            tuple(raw["registry"]),
+        )
 
     def save(self) -> None:
-        raw = {"begin_ms": self.begin_ms, "engine_port": self.engine_port, "gateways": self.gateways,
-               "front": self.front, "registry": self.registry}
+        raw = {
+            "begin_ms": self.begin_ms,
+            "engine_port": self.engine_port,
+            "gateways": self.gateways,
+            "front": self.front,
+            "registry": self.registry,
+        }
         (self.folder / "scene.json").write_text(json.dumps(raw))
 
     async def until(self, at_ms: float) -> None:
@@ -63,6 +90,7 @@
 
 # -- the fleet
 
+
 def strike(engine: Engine, act: Act, zone_number: int) -> None:
     """Lets a trouble begin, turn or end at one engine."""
     how, _, kind = act.what.partition(" ")
@@ -87,6 +115,7 @@
 
             def cut(peer: str) -> bool:
                 return (int(peer.split(".")[2]) - 1 == cut_zone) != (zone_number == cut_zone)
+
             t.cut = cut if on else (lambda _: False)
             engine.cut_open()
         case _ if kind == "hang":
@@ -101,8 +130,21 @@
     traffic = Traffic(folder / f"fleet-{index}.jsonl")
     zones = zones_of(scene.day)
     lines = {e.number: e for e in engines_of(scene.day) if e.number % of == index}
-    engines = {n: Engine(e.ident, e.duty, e.zone, e.cell, e.host, scene.engine_port + n, e.build, traffic,
-                         scene.day.seed, address_of(ENGINE_NET, zones.index(e.zone))) for n, e in lines.items()}
+    engines = {
+        n: Engine(
+            e.ident,
+            e.duty,
+            e.zone,
+            e.cell,
+            e.host,
+            scene.engine_port + n,
+            e.build,
+            traffic,
+            scene.day.seed,
+            address_of(ENGINE_NET, zones.index(e.zone)),
+        )
+        for n, e in lines.items()
+    }
 
     async def run(nursery: trio.Nursery) -> None:
         for engine in engines.values():
@@ -131,6 +173,7 @@
 
 # -- the clients
 
+
 def weather_acts(clients: Clients, act: Act) -> None:
     on, w = act.what.startswith("begin"), clients.weather
     match act.trouble:
@@ -141,8 +184,9 @@
         case TenantRush(share=share):
             w.rush_part = share if on else 0.0
         case HotKey(share=share, keys=keys, toks=toks):
-            w.hot_part, w.hot_keys, w.hot_toks, w.hot_seed = (share, keys, toks, w.hot_seed + 1) if on \
-                else (0.0, 1, toks, w.hot_seed)
+            w.hot_part, w.hot_keys, w.hot_toks, w.hot_seed = (
+                (share, keys, toks, w.hot_seed + 1) if on else (0.0, 1, toks, w.hot_seed)
+            )
 
 
 async def clients_part(folder: Path, index: int, of: int) -> None:
@@ -150,8 +194,9 @@
     traffic = Traffic(folder / f"clients-{index}.jsonl")
     shown = Progress(folder / f"clients-{index}.progress")
     host, port = scene.front
-    clients = Clients(f"c{index}", f"{host}:{port}", talks_of(scene.day), habits_of(scene.day), traffic,
-                      scene.day.seed * 1000 + index)
+    clients = Clients(
+        f"c{index}", f"{host}:{port}", talks_of(scene.day), habits_of(scene.day), traffic, scene.day.seed * 1000 + index
+    )
     if (folder / "keys.json").exists():
         clients.tenants = [(name, key) for name, key in json.loads((folder / "keys.json").read_text())]
 
@@ -183,6 +228,7 @@
 
 # -- the front layer
 
+
 async def front_part(folder: Path, index: int, of: int) -> None:
     scene = Scene.load(folder)
     traffic = Traffic(folder / "front.jsonl")
@@ -199,8 +245,11 @@
         traffic.close()
 
 
-PARTS: dict[str, Callable[[Path, int, int], Awaitable[Any]]] = {"fleet": fleet_part, "clients": clients_part,
-                                                                "front": front_part}
+PARTS: dict[str, Callable[[Path, int, int], Awaitable[Any]]] = {
+    "fleet": fleet_part,
+    "clients": clients_part,
+    "front": front_part,
+}
 
 
 def wall_of(clock: float) -> float:
--- a/ternlane/days/plan.py
+++ b/ternlane/days/plan.py
@@ -1,4 +1,5 @@
 """What a script comes to: every engine and gateway, and who is struck when. Alike in every process by the seed."""
+
 from __future__ import annotations
 
 import random
@@ -6,13 +7,24 @@
 from dataclasses import dataclass
 from typing import Any
 
-from ternlane.days.script import (AnyTrouble, BalancerCrash, BalancerRoll, DayScript, Kind, MassRestart, OnServers,
-                                  OriginSlow, Preempt, Roll, ZoneCut)
+from ternlane.days.script import (
+    AnyTrouble,
+    BalancerCrash,
+    BalancerRoll,
+    DayScript,
+    Kind,
+    MassRestart,
+    OnServers,
+    OriginSlow,
+    Preempt,
+    Roll,
+    ZoneCut,
+)
 from ternlane.paper import FleetTerms
 from ternlane.standin.clients import Habits, Talk
 from ternlane.standin.engine import Build
 
-ENGINE_NET, GATEWAY_NET = "127.0", "127.1"    # loopback: zones are told apart by the third figure
+ENGINE_NET, GATEWAY_NET = "127.0", "127.1"  # loopback: zones are told apart by the third figure
 
 
 @dataclass(frozen=True)
@@ -29,6 +41,7 @@
 @dataclass(frozen=True)
 class Act:
     """One thing that is done at a time: `what` to the engines or gateways numbered."""
+
     at_ms: float
     what: str
     on: tuple[int, ...]
@@ -45,38 +58,74 @@
 
 
 def build_of(kind: Kind, terms: FleetTerms, speed: float) -> Build:
-    return Build(slots=kind.slots, queue=kind.queue, mem_toks=kind.mem_toks, read_tok_s=kind.read_tok_s * speed,
-                 tok_ms=kind.tok_ms / speed, tok_grow=kind.tok_grow, near_tok_s=kind.near_tok_s,
-                 far_tok_s=kind.far_tok_s, cold_ms=terms.cold_ms, cold_from=terms.cold_from,
-                 fall_multiple=terms.fall_multiple, fall_ms=terms.fall_ms,
-                 answer_toks=kind.answer_toks)
+    return Build(
+        slots=kind.slots,
+        queue=kind.queue,
+        mem_toks=kind.mem_toks,
+        read_tok_s=kind.read_tok_s * speed,
+        tok_ms=kind.tok_ms / speed,
+        tok_grow=kind.tok_grow,
+        near_tok_s=kind.near_tok_s,
+        far_tok_s=kind.far_tok_s,
+        cold_ms=terms.cold_ms,
+        cold_from=terms.cold_from,
+        fall_multiple=terms.fall_multiple,
+        fall_ms=terms.fall_ms,
+        answer_toks=kind.answer_toks,
+    )
 
 
 def engines_of(day: DayScript) -> list[EngineLine]:
     rng, zones = random.Random(f"{day.seed} engines"), zones_of(day)
     out: list[EngineLine] = []
     for number, cell in enumerate(day.cells):
-        for duty, kind, many in (("read", day.reader, cell.readers), ("write", day.writer, cell.writers),
-                                 ("both", day.mixed, cell.mixed)):
+        for duty, kind, many in (
+            ("read", day.reader, cell.readers),
+            ("write", day.writer, cell.writers),
+            ("both", day.mixed, cell.mixed),
+        ):
             for _ in range(many):
                 low, high = kind.speeds
                 build = build_of(kind, day.terms, low + (high - low) * rng.random())
-                out.append(EngineLine(len(out), f"{duty}-{len(out)}", duty, cell.zone, number,
-                                      address_of(ENGINE_NET, zones.index(cell.zone)), build))
+                out.append(
+                    EngineLine(
+                        len(out),
+                        f"{duty}-{len(out)}",
+                        duty,
+                        cell.zone,
+                        number,
+                        address_of(ENGINE_NET, zones.index(cell.zone)),
+                        build,
+                    )
+                )
     return out
 
 
 def talks_of(day: DayScript) -> list[Talk]:
     terms = {p.name: p for p in day.products}
-    return [Talk(u.product, terms[u.product].effect, u.share, terms[u.product].limit_ms, u.turns,
-                 u.adds, u.openings, u.opening_toks, u.opening_part,
-                 u.max_toks, u.think_ms, u.key_part, u.plain_part) for u in day.uses]
+    return [
+        Talk(
+            u.product,
+            terms[u.product].effect,
+            u.share,
+            terms[u.product].limit_ms,
+            u.turns,
+            u.adds,
+            u.openings,
+            u.opening_toks,
+            u.opening_part,
+            u.max_toks,
+            u.think_ms,
+            u.key_part,
+            u.plain_part,
+        )
+        for u in day.uses
+    ]
 
 
 def habits_of(day: DayScript) -> Habits:
     c = day.clients
-    return Habits(c.try_share, c.retries, c.backoff_ms, c.honour,
-                  c.leave_part, c.leave_ms)
+    return Habits(c.try_share, c.retries, c.backoff_ms, c.honour, c.leave_part, c.leave_ms)
 
 
 def drawn(rng: random.Random, among: list[int], part: float) -> tuple[int, ...]:
@@ -88,10 +137,13 @@
     if trouble.on is not None:
         return tuple(trouble.on)
     among = [e for e in engines if trouble.duty in ("any", e.duty)]
-    if isinstance(trouble, MassRestart) and trouble.duty == "any":    # those struck are of one kind
+    if isinstance(trouble, MassRestart) and trouble.duty == "any":  # those struck are of one kind
         duty = rng.choice(sorted({e.duty for e in among}))
-        return drawn(rng, [e.number for e in among if e.duty == duty], min(1.0, trouble.part * len(among)
-                     / max(1, sum(e.duty == duty for e in among))))
+        return drawn(
+            rng,
+            [e.number for e in among if e.duty == duty],
+            min(1.0, trouble.part * len(among) / max(1, sum(e.duty == duty for e in among))),
+        )
     return drawn(rng, [e.number for e in among], trouble.part)
 
 
@@ -109,7 +161,7 @@
                 out += [Act(at, "kill gateway", on, trouble), Act(end, "start gateway", on, trouble)]
                 continue
             batch = max(1, round(trouble.batch * day.gateways))
-            groups = [on[k:k + batch] for k in range(0, len(on), batch)]
+            groups = [on[k : k + batch] for k in range(0, len(on), batch)]
             for k, group in enumerate(groups):
                 when = at + (end - at) * k / len(groups)
                 if trouble.handover:
@@ -126,19 +178,23 @@
             elif isinstance(trouble, Preempt):
                 size = -(-len(hit) // trouble.waves)
                 for k in range(trouble.waves):
-                    group = hit[k * size:(k + 1) * size]
+                    group = hit[k * size : (k + 1) * size]
                     when = at + k * trouble.notice_s * 1000
-                    out += [Act(when, "drain", group, trouble),
-                            Act(when + trouble.notice_s * 1000, "die", group, trouble, ("told",)),
-                            Act(when + (trouble.notice_s + trouble.for_s) * 1000, "live", group, trouble)]
+                    out += [
+                        Act(when, "drain", group, trouble),
+                        Act(when + trouble.notice_s * 1000, "die", group, trouble, ("told",)),
+                        Act(when + (trouble.notice_s + trouble.for_s) * 1000, "live", group, trouble),
+                    ]
             elif isinstance(trouble, Roll):
                 size = max(1, round(trouble.batch * len(hit)))
-                groups = [hit[k:k + size] for k in range(0, len(hit), size)]
+                groups = [hit[k : k + size] for k in range(0, len(hit), size)]
                 for k, group in enumerate(groups):
                     when = at + (end - at) * k / len(groups)
-                    out += [Act(when, "drain", group, trouble),
-                            Act(when + trouble.drain_s * 1000, "die", group, trouble, ("told",)),
-                            Act(when + (trouble.drain_s + trouble.down_s) * 1000, "live", group, trouble)]
+                    out += [
+                        Act(when, "drain", group, trouble),
+                        Act(when + trouble.drain_s * 1000, "die", group, trouble, ("told",)),
+                        Act(when + (trouble.drain_s + trouble.down_s) * 1000, "live", group, trouble),
+                    ]
             else:
                 out.append(Act(at, f"begin {kind}", hit, trouble))
                 if kind != "flush":
--- a/ternlane/days/play.py
+++ b/ternlane/days/play.py
@@ -1,4 +1,5 @@
 """Plays a day: starts every process, strikes as the script says, and judges what crossed the sockets."""
+
 from __future__ import annotations
 
 import json
@@ -27,9 +28,9 @@
 from ternlane.tenants import KeyLine, Prices, TenantLine, new_key
 from ternlane.tenants.roll import RollPaper
 
-FIRST_PORT, LAST_PORT = 20000, 31000    # below what the system hands out by itself
+FIRST_PORT, LAST_PORT = 20000, 31000  # below what the system hands out by itself
 START_MS = 4000.0
-AFTER_S = 20.0       # for the last generations to end
+AFTER_S = 20.0  # for the last generations to end
 
 
 class CantPlay(RuntimeError):
@@ -55,22 +56,36 @@
 
 def rules_of(day: DayScript) -> dict[str, Any]:
     """The figures by which the checker judges."""
-    return {"release_ms": day.terms.release_ms, "drain_grace_ms": day.terms.drain_grace_ms,
-            "connect_ms": day.terms.connect_ms, "fall_ms": day.terms.fall_ms,
-            "products": {p.name: {"effect": p.effect, "group": p.group, "window_ms": p.window_ms, "slo_ms": p.slo_ms,
-                                  "slo_per_ktok_ms": p.slo_per_ktok_ms, "revenue": p.revenue, "limit_ms": p.limit_ms,
-                                  "late_share": p.late_share} for p in day.products}}
+    return {
+        "release_ms": day.terms.release_ms,
+        "drain_grace_ms": day.terms.drain_grace_ms,
+        "connect_ms": day.terms.connect_ms,
+        "fall_ms": day.terms.fall_ms,
+        "products": {
+            p.name: {
+                "effect": p.effect,
+                "group": p.group,
+                "window_ms": p.window_ms,
+                "slo_ms": p.slo_ms,
+                "slo_per_ktok_ms": p.slo_per_ktok_ms,
+                "revenue": p.revenue,
+                "limit_ms": p.limit_ms,
+                "late_share": p.late_share,
+            }
+            for p in day.products
+        },
+    }
 
 
 @dataclass
 class Player:
     day: DayScript
-    text: str                  # of the script
+    text: str  # of the script
     folder: Path
-    chooser: str = ""          # module:name of a baseline to measure against
+    chooser: str = ""  # module:name of a baseline to measure against
     say: Callable[[str], None] = print
     processes: dict[str, subprocess.Popen[bytes]] = field(default_factory=dict)
-    relieved: list[subprocess.Popen[bytes]] = field(default_factory=list)    # by their next, and told to end
+    relieved: list[subprocess.Popen[bytes]] = field(default_factory=list)  # by their next, and told to end
     doors: dict[str, socket.socket] = field(default_factory=dict)
 
     async def play(self) -> dict[str, Any]:
@@ -82,8 +97,9 @@
         engines = engines_of(self.day)
         self.idents = {e.number: e.ident for e in engines}
         for e in engines:
-            self.registry.put(Listing(e.ident, e.host, self.scene.engine_port + e.number, e.duty, e.zone, e.cell,
-                                      e.build.mem_toks))
+            self.registry.put(
+                Listing(e.ident, e.host, self.scene.engine_port + e.number, e.duty, e.zone, e.cell, e.build.mem_toks)
+            )
         try:
             async with trio.open_nursery() as nursery:
                 host, port = self.scene.registry
@@ -96,8 +112,9 @@
                         self.start(f"{kind}-{i}", "day", "part", kind, str(self.folder), str(i), str(many))
                 for name in self.scene.gateways:
                     self.start_gateway(name)
-                await self.ready([f"{k}-{i}" for k, m in (("fleet", fleets), ("front", 1), ("clients", clients))
-                                  for i in range(m)])
+                await self.ready(
+                    [f"{k}-{i}" for k, m in (("fleet", fleets), ("front", 1), ("clients", clients)) for i in range(m)]
+                )
                 nursery.start_soon(self.strike, nursery)
                 await self.watch(clients)
                 nursery.cancel_scope.cancel()
@@ -120,21 +137,40 @@
         (self.folder / "rules.json").write_text(json.dumps(rules_of(self.day)))
         engines, zones = engines_of(self.day), zones_of(self.day)
         first = free_ports(len(engines) + self.day.gateways + 2)
-        gateways = {f"g{i + 1}": (address_of(GATEWAY_NET, i % len(zones)), first + len(engines) + 2 + i)
-                    for i in range(self.day.gateways)}
-        scene = Scene(self.folder, self.day, clock_ms() + START_MS, first, gateways,
-                      ("127.0.0.1", first + len(engines)), ("127.0.0.1", first + len(engines) + 1))
+        gateways = {
+            f"g{i + 1}": (address_of(GATEWAY_NET, i % len(zones)), first + len(engines) + 2 + i)
+            for i in range(self.day.gateways)
+        }
+        scene = Scene(
+            self.folder,
+            self.day,
+            clock_ms() + START_MS,
+            first,
+            gateways,
+            ("127.0.0.1", first + len(engines)),
+            ("127.0.0.1", first + len(engines) + 1),
+        )
         scene.save()
         self.open_accounts()
         for i, (name, (host, port)) in enumerate(gateways.items()):
             paper = GatewayPaper(
-                name=name, listen=f"{host}:{port}", source=host, zone=zones[i % len(zones)], gateways=self.day.gateways,
-                seed=self.day.seed * 100 + i, state=str(self.folder / f"{name}.nodes"), products=self.day.products,
+                name=name,
+                listen=f"{host}:{port}",
+                source=host,
+                zone=zones[i % len(zones)],
+                gateways=self.day.gateways,
+                seed=self.day.seed * 100 + i,
+                state=str(self.folder / f"{name}.nodes"),
+                products=self.day.products,
                 nodes=ConsulSource(address=f"{scene.registry[0]}:{scene.registry[1]}", service="engines"),
-                fleet=self.day.terms, door=self.day.door, streams=self.day.streams,
+                fleet=self.day.terms,
+                door=self.day.door,
+                streams=self.day.streams,
                 tenants=str(self.folder / "tenants.json5") if self.day.tenants else None,
-                ledger=str(self.folder / "ledgers" / name) if self.day.tenants else None, look_ms=500.0,
-                lender=str(self.folder / "lender.json") if self.day.tenants and self.day.lent else None)
+                ledger=str(self.folder / "ledgers" / name) if self.day.tenants else None,
+                look_ms=500.0,
+                lender=str(self.folder / "lender.json") if self.day.tenants and self.day.lent else None,
+            )
             (self.folder / f"{name}.json5").write_bytes(msgspec.json.format(msgspec.json.encode(paper), indent=1))
         return scene
 
@@ -150,8 +186,14 @@
         lines, keys = [], []
         for i in range(self.day.tenants):
             key, name, salt, kept = new_key()
-            lines.append(TenantLine(name=f"t{i:03}", keys=[KeyLine(name=name, salt=salt, hash=kept)],
-                                    budget=self.day.budget, prices={"*": Prices(prompt=3, kept=1, answer=12)}))
+            lines.append(
+                TenantLine(
+                    name=f"t{i:03}",
+                    keys=[KeyLine(name=name, salt=salt, hash=kept)],
+                    budget=self.day.budget,
+                    prices={"*": Prices(prompt=3, kept=1, answer=12)},
+                )
+            )
             keys.append((f"t{i:03}", key))
         (self.folder / "tenants.json5").write_bytes(msgspec.json.encode(RollPaper(tenants=lines)))
         (self.folder / "keys.json").write_text(json.dumps(keys))
@@ -162,13 +204,18 @@
         fds: tuple[int, ...] = ()
         if door is not None:
             fd = door.fileno()
-            command = [sys.executable, "-c", f"import os, sys; os.dup2({fd}, 3); os.execv(sys.argv[1], sys.argv[1:])",
-                       *command]
+            command = [
+                sys.executable,
+                "-c",
+                f"import os, sys; os.dup2({fd}, 3); os.execv(sys.argv[1], sys.argv[1:])",
+                *command,
+            ]
             env |= {"LISTEN_FDS": "1", "NOTIFY_SOCKET": str(self.folder / "notify")}
             fds = (fd,)
         with open(self.folder / f"{name}.log", "ab") as log:
-            self.processes[name] = subprocess.Popen(command, stdin=subprocess.DEVNULL, stdout=log, stderr=log, env=env,
-                                                    pass_fds=fds)
+            self.processes[name] = subprocess.Popen(
+                command, stdin=subprocess.DEVNULL, stdout=log, stderr=log, env=env, pass_fds=fds
+            )
 
     def start_gateway(self, name: str) -> None:
         extra = ("--chooser", self.chooser) if self.chooser else ()
@@ -178,8 +225,9 @@
     def open_doors(self) -> None:
         """Where sockets are handed over, they are this process's: they outlive every gateway."""
         if any(isinstance(t, BalancerRoll) and t.handover for t in self.day.troubles):
-            self.doors = {name: socket.create_server(address, backlog=4096)
-                          for name, address in self.scene.gateways.items()}
+            self.doors = {
+                name: socket.create_server(address, backlog=4096) for name, address in self.scene.gateways.items()
+            }
 
     async def relieve(self, name: str) -> None:
         """Starts the next process on the same socket, waits for its READY=1, and tells the old one to end."""
@@ -211,8 +259,7 @@
         names = list(self.scene.gateways)
         for act in acts_of(self.day):
             await self.scene.until(act.at_ms)
-            self.traffic.line("trouble", what=act.what, on=list(act.on),
-                              trouble=str(act.trouble.__struct_config__.tag))
+            self.traffic.line("trouble", what=act.what, on=list(act.on), trouble=str(act.trouble.__struct_config__.tag))
             if act.what.endswith("gateway"):
                 for n in act.on:
                     await self.gateway_act(act, names[n])
@@ -244,8 +291,9 @@
                 self.emptied = dict(self.registry.listings)
                 self.registry.listings.clear()
             else:
-                self.registry.listings.update({k: v for k, v in self.emptied.items()
-                                               if k not in self.registry.listings})
+                self.registry.listings.update(
+                    {k: v for k, v in self.emptied.items() if k not in self.registry.listings}
+                )
             self.registry.bump()
         else:
             self.registry.failing = trouble.how if act.what.startswith("begin") else None
--- a/ternlane/days/report.py
+++ b/ternlane/days/report.py
@@ -1,4 +1,5 @@
 """What a day came to: outcomes, revenue within the SLO time, waits, legs, and the rules' verdict."""
+
 from __future__ import annotations
 
 from collections import Counter, defaultdict
@@ -10,7 +11,7 @@
 from ternlane.rules import Findings, read_lines
 
 
-NEAR_MS = 60.0    # two processes write of one moment
+NEAR_MS = 60.0  # two processes write of one moment
 
 
 def quantile(values: list[float], q: float) -> float:
@@ -39,7 +40,7 @@
                 verdicts[f"{line['how'].split(' ')[0]}"] += 1
     terms = {p.name: p for p in day.products}
     products: dict[str, dict[str, Any]] = {}
-    owners: dict[str, list[float]] = defaultdict(lambda: [0.0, 0.0])    # earned in time, could be earned
+    owners: dict[str, list[float]] = defaultdict(lambda: [0.0, 0.0])  # earned in time, could be earned
     for name, p in terms.items():
         mine = [t for t in tasks.values() if t["product"] == name]
         outcomes = Counter(t["outcome"] for t in mine)
@@ -57,22 +58,38 @@
             late += wait > slo
             owners[task.get("tenant", "")][0] += p.revenue if wait <= slo else p.revenue * p.late_share
         earned = p.revenue * (in_time + p.late_share * late)
-        products[name] = {"asked": len(mine), "outcomes": dict(outcomes), "in_time": in_time, "late": late,
-                          "earned": round(earned, 1), "could_earn": round(p.revenue * len(mine), 1),
-                          "first_token_ms": {q: round(quantile(waits, float(q)), 1) for q in ("0.5", "0.9", "0.99")}}
+        products[name] = {
+            "asked": len(mine),
+            "outcomes": dict(outcomes),
+            "in_time": in_time,
+            "late": late,
+            "earned": round(earned, 1),
+            "could_earn": round(p.revenue * len(mine), 1),
+            "first_token_ms": {q: round(quantile(waits, float(q)), 1) for q in ("0.5", "0.9", "0.99")},
+        }
     could = sum(v["could_earn"] for v in products.values())
     span = max((a["t"] for v in asks.values() for a in v), default=0) - min(
-        (a["t"] for v in asks.values() for a in v), default=0)
+        (a["t"] for v in asks.values() for a in v), default=0
+    )
     return {
-        "day": day.name, "seed": day.seed, "gateways": day.gateways, "generations": len(tasks),
-        "tries": sum(map(len, asks.values())), "per_second": round(len(tasks) / max(span / 1000, 1e-9), 1),
+        "day": day.name,
+        "seed": day.seed,
+        "gateways": day.gateways,
+        "generations": len(tasks),
+        "tries": sum(map(len, asks.values())),
+        "per_second": round(len(tasks) / max(span / 1000, 1e-9), 1),
         "revenue_in_time": round(sum(v["earned"] for v in products.values()) / could, 4) if could else 0.0,
         **({"accounts": accounts_of(folder, day, lines, span / 1000, owners)} if day.tenants else {}),
         "streams": streams_of(lines),
-        "products": products, "legs": legs, "legs_each": round(legs / max(1, len(finals)), 3),
-        "legs_ended": dict(verdicts), "troubles": sorted({str(t.__struct_config__.tag) for t in day.troubles}),
-        "judged": findings.counted, "rules_kept": findings.kept,
-        "broken": [{"rule": f.rule, "gen": f.gen, "why": f.why, "lines": f.lines} for f in findings.broken[:200]]}
+        "products": products,
+        "legs": legs,
+        "legs_each": round(legs / max(1, len(finals)), 3),
+        "legs_ended": dict(verdicts),
+        "troubles": sorted({str(t.__struct_config__.tag) for t in day.troubles}),
+        "judged": findings.counted,
+        "rules_kept": findings.kept,
+        "broken": [{"rule": f.rule, "gen": f.gen, "why": f.why, "lines": f.lines} for f in findings.broken[:200]],
+    }
 
 
 def streams_of(lines: list[dict[str, Any]]) -> dict[str, Any]:
@@ -98,6 +115,7 @@
                 asks[line["gen"]] = line
             case "final":
                 finals[line["gen"]] = line
+
     def cause(leg: dict[str, Any]) -> str:
         """By the engine's own lines: its process ended, it broke off, or the gateway did."""
         end = ends.get((leg["id"], leg["gen"], leg["n"]))
@@ -128,17 +146,23 @@
                 far["1" if words == 1 else "2-7" if words < 8 else "8-15" if words < 16 else "16+"][outcome] += 1
         if ask["stream"] and final["outcome"] == "streamed":
             gaps["joined" if broken else "unbroken"].append(final["gap"])
-    return {"broke": {k: dict(v) for k, v in kinds.items()},
-            "by cause": {k: {**v, "pause_ms": {
-                q: round(quantile(pauses[k], float(q)), 1) for q in ("0.5", "0.9", "0.99")}}
-                for k, v in sorted(causes.items())},
-            "by pieces before": {k: dict(v) for k, v in sorted(far.items())},
-            "gap_ms": {k: {"n": len(v), **{q: round(quantile(v, float(q)), 1) for q in ("0.5", "0.9", "0.99")}}
-                       for k, v in gaps.items()}}
+    return {
+        "broke": {k: dict(v) for k, v in kinds.items()},
+        "by cause": {
+            k: {**v, "pause_ms": {q: round(quantile(pauses[k], float(q)), 1) for q in ("0.5", "0.9", "0.99")}}
+            for k, v in sorted(causes.items())
+        },
+        "by pieces before": {k: dict(v) for k, v in sorted(far.items())},
+        "gap_ms": {
+            k: {"n": len(v), **{q: round(quantile(v, float(q)), 1) for q in ("0.5", "0.9", "0.99")}}
+            for k, v in gaps.items()
+        },
+    }
 
 
-def accounts_of(folder: Path, day: DayScript, lines: list[dict[str, Any]], span_s: float,
-                owners: dict[str, list[float]]) -> dict[str, Any]:
+def accounts_of(
+    folder: Path, day: DayScript, lines: list[dict[str, Any]], span_s: float, owners: dict[str, list[float]]
+) -> dict[str, Any]:
     """Bills against the engines' own counts, and what each tenant spent of its budget."""
     ledgers = sorted((folder / "ledgers").iterdir())
     found = reconcile(entries_of(ledgers), [v for v in lines if v["k"] == "made"])
@@ -150,46 +174,70 @@
         burst = day.budget.minute if day.budget.burst is None else day.budget.burst
         allowed = burst + day.budget.minute * span_s / 60
     tenants: dict[str, Counter[str]] = defaultdict(Counter)
-    rusher = f"t{day.tenants - 1:03}"    # a rush is the last tenant's
+    rusher = f"t{day.tenants - 1:03}"  # a rush is the last tenant's
     for task in (v for v in lines if v["k"] == "task"):
         tenants[task["tenant"]][task["outcome"]] += 1
-    return {"made": found.made, "billed": found.billed, "house": found.house, "off": round(found.off, 5),
-            "doubled": found.doubled, "differing": len(found.differing),
-            "differ": {k: v for k, v in list(found.differing.items())[:20]},
-            "unsettled": len(found.unsettled),
-            "unsettled_toks": sum(u.prompt + u.answer for u in found.unsettled.values()),
-            "others_in_time": round(sum(v[0] for k, v in owners.items() if k != rusher)
-                                    / max(1e-9, sum(v[1] for k, v in owners.items() if k != rusher)), 4),
-            "allowed_each": allowed, "most_spent": max(spent.values(), default=0),
-            "tenants": {k: {"spent": spent[k], **v} for k, v in sorted(tenants.items())}}
+    return {
+        "made": found.made,
+        "billed": found.billed,
+        "house": found.house,
+        "off": round(found.off, 5),
+        "doubled": found.doubled,
+        "differing": len(found.differing),
+        "differ": {k: v for k, v in list(found.differing.items())[:20]},
+        "unsettled": len(found.unsettled),
+        "unsettled_toks": sum(u.prompt + u.answer for u in found.unsettled.values()),
+        "others_in_time": round(
+            sum(v[0] for k, v in owners.items() if k != rusher)
+            / max(1e-9, sum(v[1] for k, v in owners.items() if k != rusher)),
+            4,
+        ),
+        "allowed_each": allowed,
+        "most_spent": max(spent.values(), default=0),
+        "tenants": {k: {"spent": spent[k], **v} for k, v in sorted(tenants.items())},
+    }
 
 
 def table_of(report: dict[str, Any]) -> str:
     kinds = ["streamed", "throttled", "terminated", "left", "unreachable", "broken", "none"]
-    out = [f"{report['day']}  seed {report['seed']}  {report['gateways']} gateways  {report['generations']} "
-           f"generations, {report['per_second']} a second  (stand-in servers)",
-           f"{'product':<16}{'asked':>7}" + "".join(f"{k:>12}" for k in kinds)
-           + f"{'in time':>9}{'p50 ms':>9}{'p99 ms':>9}"]
+    out = [
+        f"{report['day']}  seed {report['seed']}  {report['gateways']} gateways  {report['generations']} "
+        f"generations, {report['per_second']} a second  (stand-in servers)",
+        f"{'product':<16}{'asked':>7}"
+        + "".join(f"{k:>12}" for k in kinds)
+        + f"{'in time':>9}{'p50 ms':>9}{'p99 ms':>9}",
+    ]
     for name, p in report["products"].items():
         waits = p["first_token_ms"]
-        out.append(f"{name:<16}{p['asked']:>7}" + "".join(f"{p['outcomes'].get(k, 0):>12}" for k in kinds)
-                   + f"{p['in_time']:>9}{waits['0.5']:>9.0f}{waits['0.99']:>9.0f}")
+        out.append(
+            f"{name:<16}{p['asked']:>7}"
+            + "".join(f"{p['outcomes'].get(k, 0):>12}" for k in kinds)
+            + f"{p['in_time']:>9}{waits['0.5']:>9.0f}{waits['0.99']:>9.0f}"
+        )
     judged = ", ".join(f"{v} {k}" for k, v in report["judged"].items())
-    out.append(f"revenue within the SLO time: {report['revenue_in_time']:.3f}   "
-               f"legs a try: {report['legs_each']:.2f}   judged: {judged}")
+    out.append(
+        f"revenue within the SLO time: {report['revenue_in_time']:.3f}   "
+        f"legs a try: {report['legs_each']:.2f}   judged: {judged}"
+    )
     broke = report["streams"]["broke"]
     if broke:
-        out.append("streams that broke, whole / in part: " + ", ".join(
-            f"{k} {v.get('whole', 0)} / {v.get('in part', 0)}" for k, v in broke.items())
-            + "; longest pause, ms, unbroken / joined, median: " + " / ".join(
-                f"{report['streams']['gap_ms'][k]['0.5']:.0f}" for k in ("unbroken", "joined")))
+        out.append(
+            "streams that broke, whole / in part: "
+            + ", ".join(f"{k} {v.get('whole', 0)} / {v.get('in part', 0)}" for k, v in broke.items())
+            + "; longest pause, ms, unbroken / joined, median: "
+            + " / ".join(f"{report['streams']['gap_ms'][k]['0.5']:.0f}" for k in ("unbroken", "joined"))
+        )
     if "accounts" in report:
         a = report["accounts"]
-        out.append(f"engines made {a['made'].prompt} + {a['made'].answer} tokens; billed {a['billed'].prompt} + "
-                   f"{a['billed'].answer}, house {a['house'].prompt} + {a['house'].answer}; off by {a['off']:.3%}, "
-                   f"{a['unsettled']} died unsettled ({a['unsettled_toks']} tokens), {len(a['doubled'])} doubled")
-        out.append(f"most spent by a tenant {a['most_spent']}, allowed {a['allowed_each']}; revenue in time of all but "
-                   f"the last tenant: {a['others_in_time']:.4f}")
+        out.append(
+            f"engines made {a['made'].prompt} + {a['made'].answer} tokens; billed {a['billed'].prompt} + "
+            f"{a['billed'].answer}, house {a['house'].prompt} + {a['house'].answer}; off by {a['off']:.3%}, "
+            f"{a['unsettled']} died unsettled ({a['unsettled_toks']} tokens), {len(a['doubled'])} doubled"
+        )
+        out.append(
+            f"most spent by a tenant {a['most_spent']}, allowed {a['allowed_each']}; revenue in time of all but "
+            f"the last tenant: {a['others_in_time']:.4f}"
+        )
     if report["rules_kept"]:
         out.append("rules: all five kept")
     else:
--- a/ternlane/days/script.py
+++ b/ternlane/days/script.py
@@ -1,4 +1,5 @@
 """A day's script: fleet, products, load over time and troubles. JSON5, checked; times in seconds where `_s` says so."""
+
 from __future__ import annotations
 
 from typing import Annotated, Literal
@@ -6,14 +7,25 @@
 from msgspec import Meta
 
 from ternlane.tenants.roll import Budget
-from ternlane.paper.gateway import (Count, DoorTerms, FleetTerms, Name, NotNegative, Part, Positive, ProductTerms,
-                                    Sheet, StreamTerms)
+from ternlane.paper.gateway import (
+    Count,
+    DoorTerms,
+    FleetTerms,
+    Name,
+    NotNegative,
+    Part,
+    Positive,
+    ProductTerms,
+    Sheet,
+    StreamTerms,
+)
 
 Span = tuple[float, float]
 
 
 class Kind(Sheet, frozen=True, kw_only=True):
     """What one kind of engine can do."""
+
     slots: Count = 8
     queue: int = 40
     mem_toks: Positive = 200e3
@@ -23,7 +35,7 @@
     near_tok_s: Positive = 300e3
     far_tok_s: Positive = 100e3
     answer_toks: tuple[int, int] = (8, 40)
-    speeds: Span = (0.9, 1.1)    # drawn for each engine
+    speeds: Span = (0.9, 1.1)  # drawn for each engine
 
 
 class Cell(Sheet, frozen=True, kw_only=True):
@@ -35,6 +47,7 @@
 
 class Use(Sheet, frozen=True, kw_only=True):
     """How clients use one product."""
+
     product: Name
     share: Positive = 1.0
     turns: Span = (1.0, 2.0)
@@ -59,8 +72,9 @@
 
 class ListTimes(Sheet, frozen=True, kw_only=True):
     """How late the registry learns of things."""
-    notice_ms: NotNegative = 300.0      # a drain, or a start
-    silent_ms: NotNegative = 1500.0     # a death that nobody announced
+
+    notice_ms: NotNegative = 300.0  # a drain, or a start
+    silent_ms: NotNegative = 1500.0  # a death that nobody announced
 
 
 class Struck(Sheet, frozen=True, kw_only=True):
@@ -70,11 +84,13 @@
 
 class Burst(Struck, frozen=True, kw_only=True, tag="burst", tag_field="kind"):
     """Traffic jumps."""
+
     times: Positive = 2.0
 
 
 class HeavyTail(Struck, frozen=True, kw_only=True, tag="heavy_tail", tag_field="kind"):
     """Some prompts are many times longer."""
+
     share: Part = 0.02
     times: Positive = 10.0
     product: str = ""
@@ -82,6 +98,7 @@
 
 class HotKey(Struck, frozen=True, kw_only=True, tag="hot_key", tag_field="kind"):
     """Many new sessions begin with a long text not seen before."""
+
     share: Part = 0.2
     keys: Count = 1
     toks: Positive = 3000.0
@@ -89,6 +106,7 @@
 
 class OnServers(Struck, frozen=True, kw_only=True):
     """Strikes a part of the engines, or those named by number; `duty` narrows it."""
+
     part: Part = 0.2
     on: list[int] | None = None
     duty: Literal["any", "read", "write", "both"] = "any"
@@ -96,6 +114,7 @@
 
 class TenantRush(Struck, frozen=True, kw_only=True, tag="tenant_rush", tag_field="kind"):
     """Many new sessions are one tenant's."""
+
     share: Part = 0.5
 
 
@@ -113,12 +132,14 @@
 
 class Pauses(OnServers, frozen=True, kw_only=True, tag="pauses", tag_field="kind"):
     """Stands still for `pause_ms` every `every_s`."""
+
     pause_ms: Positive = 300.0
     every_s: Positive = 2.0
 
 
 class Neighbour(OnServers, frozen=True, kw_only=True, tag="neighbour", tag_field="kind"):
     """Another program takes a share of the machine, on and off."""
+
     share: Part = 0.5
     turn_s: Positive = 2.0
 
@@ -129,44 +150,52 @@
 
 class AnswerLost(OnServers, frozen=True, kw_only=True, tag="answer_lost", tag_field="kind"):
     """The work runs, its answer does not come back."""
+
     share: Part = 0.2
     how: Literal["silence", "reset"] = "silence"
 
 
 class StreamBroken(OnServers, frozen=True, kw_only=True, tag="stream_broken", tag_field="kind"):
     """Answers break off after some piece, the last included: the connection is reset, or nothing more comes."""
+
     share: Part = 0.1
     how: Literal["reset", "stall"] = "reset"
 
 
 class HandshakeSlow(OnServers, frozen=True, kw_only=True, tag="handshake_slow", tag_field="kind"):
     """New connections are served late; open ones are not touched."""
+
     added_ms: Positive = 200.0
 
 
 class OriginSlow(Struck, frozen=True, kw_only=True, tag="origin_slow", tag_field="kind"):
     """The cells' links run slower."""
+
     times: Positive = 4.0
 
 
 class ZoneCut(Struck, frozen=True, kw_only=True, tag="zone_cut", tag_field="kind"):
     """One zone and the others can't reach each other."""
+
     zone: str
 
 
 class MassRestart(OnServers, frozen=True, kw_only=True, tag="mass_restart", tag_field="kind"):
     """Many engines of one kind restart at once, unannounced."""
+
     within_s: NotNegative = 0.3
 
 
 class Preempt(OnServers, frozen=True, kw_only=True, tag="preempt", tag_field="kind"):
     """Listed as draining, dead after `notice_s`; replacements start cold after `for_s`."""
+
     notice_s: Positive = 2.0
     waves: Count = 2
 
 
 class Roll(OnServers, frozen=True, kw_only=True, tag="release", tag_field="kind"):
     """A release: drained, restarted, `batch` of those struck at a time."""
+
     batch: Part = 0.25
     drain_s: Positive = 1.0
     down_s: Positive = 0.5
@@ -174,12 +203,14 @@
 
 class BalancerCrash(Struck, frozen=True, kw_only=True, tag="balancer_crash", tag_field="kind"):
     """Gateways are killed outright and come back with their last list after `for_s`."""
+
     part: Part = 0.3
 
 
 class BalancerRoll(Struck, frozen=True, kw_only=True, tag="balancer_roll", tag_field="kind"):
     """Gateways are restarted in waves: SIGTERM, or killed. With `handover` the next process gets the listening socket,
     serves first, and then the old one is told to end."""
+
     part: Part = 1.0
     batch: Part = 0.2
     down_s: Positive = 0.5
@@ -191,18 +222,37 @@
     how: Literal["errors", "silence", "garbage", "partial", "restart", "empty"] = "errors"
 
 
-AnyTrouble = (TenantRush | Burst | HeavyTail | HotKey | Crash | Hang | Slow | Pauses | Neighbour | Flush
-              | AnswerLost | StreamBroken
-              | HandshakeSlow | OriginSlow | ZoneCut | MassRestart | Preempt | Roll | BalancerCrash | BalancerRoll
-              | RegistryFails)
+AnyTrouble = (
+    TenantRush
+    | Burst
+    | HeavyTail
+    | HotKey
+    | Crash
+    | Hang
+    | Slow
+    | Pauses
+    | Neighbour
+    | Flush
+    | AnswerLost
+    | StreamBroken
+    | HandshakeSlow
+    | OriginSlow
+    | ZoneCut
+    | MassRestart
+    | Preempt
+    | Roll
+    | BalancerCrash
+    | BalancerRoll
+    | RegistryFails
+)
 
 
 class DayScript(Sheet, frozen=True, kw_only=True):
     name: Name
     seed: int = 1
     length_s: Positive
-    rate: Positive                    # generations a second over all gateways, without repeats
-    load: Annotated[tuple[Span, ...], Meta(min_length=1)] = ((0.0, 1.0),)    # second, times the rate; straight lines
+    rate: Positive  # generations a second over all gateways, without repeats
+    load: Annotated[tuple[Span, ...], Meta(min_length=1)] = ((0.0, 1.0),)  # second, times the rate; straight lines
     gateways: Count = 2
     cells: Annotated[list[Cell], Meta(min_length=1)]
     reader: Kind = Kind()
@@ -216,9 +266,9 @@
     clients: ClientsLine = ClientsLine()
     lists: ListTimes = ListTimes()
     front_notice_ms: Positive = 1500.0
-    tenants: int = 0                  # 0: everybody is served; else so many, with keys, budgets and bills
-    budget: Budget = Budget()         # of each tenant
-    lent: bool = True                 # gateways lend parts of budgets to each other
+    tenants: int = 0  # 0: everybody is served; else so many, with keys, budgets and bills
+    budget: Budget = Budget()  # of each tenant
+    lent: bool = True  # gateways lend parts of budgets to each other
     troubles: list[AnyTrouble] = []
 
     def __post_init__(self) -> None:
@@ -248,5 +298,3 @@
             if at <= b:
                 return self.rate * (x + (y - x) * (at - a) / max(b - a, 1e-9))
         return self.rate * points[-1][1]
-
-
--- a/ternlane/deployment.py
+++ b/ternlane/deployment.py
@@ -3,6 +3,7 @@
 The simulator's adapter and the platform's gateway both come here, so the same object, list and request give the
 decisions equal facts on either way. What is missing has the page's default; what has another form raises ValueError.
 """
+
 from __future__ import annotations
 
 from dataclasses import astuple
@@ -11,8 +12,7 @@
 
 from ternlane.port import Duty, Effect, Generation, Group, Product, Report, Server, StartFacts, Tenant
 
-EFFECTS = {"idempotent": Effect.IDEMPOTENT, "deduplicated": Effect.DEDUPLICATED,
-           "at_most_once": Effect.SIDE_EFFECTING}
+EFFECTS = {"idempotent": Effect.IDEMPOTENT, "deduplicated": Effect.DEDUPLICATED, "at_most_once": Effect.SIDE_EFFECTING}
 GROUPS = {"all": Group.ALL, "zone": Group.ZONE, "cell": Group.CELL}
 DUTIES = {"read": Duty.READ, "write": Duty.WRITE, "both": Duty.BOTH}
 
@@ -25,13 +25,15 @@
     def __init__(self, seed: int, told: Mapping[str, Any], before: Deployment | None = None) -> None:
         self.told = told
         try:
-            self._read(seed, told, before.products if before is not None else {},
-                       before.tenants if before is not None else {})
+            self._read(
+                seed, told, before.products if before is not None else {}, before.tenants if before is not None else {}
+            )
         except (KeyError, TypeError, AttributeError) as why:
             raise ValueError(f"settings: {type(why).__name__}: {why}") from None
 
-    def _read(self, seed: int, told: Mapping[str, Any], held: Mapping[str, Product],
-              held_tenants: Mapping[str, Tenant]) -> None:
+    def _read(
+        self, seed: int, told: Mapping[str, Any], held: Mapping[str, Product], held_tenants: Mapping[str, Tenant]
+    ) -> None:
         limits, rules, spec = told.get("limits", {}), told.get("invariants", {}), told.get("specifics", {})
         report = told.get("report", {})
         how = report.get("how", "off")
@@ -45,26 +47,44 @@
         for i, p in enumerate(told.get("profiles", [])):
             new = Product(
                 effect=EFFECTS.get(p.get("semantics", ""), Effect.SIDE_EFFECTING),
-                group=GROUPS.get(p.get("group", ""), Group.CELL), window_ms=p.get("key_ttl", 0.0),
-                slo_ms=p["aim"], slo_per_ktok_ms=per_ktok[i] / 1000.0 if i < len(per_ktok) else 0.0,
-                tok_slo_ms=tok_slo[i] if i < len(tok_slo) else 0.0, limit_ms=p["deadline"],
-                revenue=p.get("worth", 1.0), late_share=p.get("late_worth", 0.0))
+                group=GROUPS.get(p.get("group", ""), Group.CELL),
+                window_ms=p.get("key_ttl", 0.0),
+                slo_ms=p["aim"],
+                slo_per_ktok_ms=per_ktok[i] / 1000.0 if i < len(per_ktok) else 0.0,
+                tok_slo_ms=tok_slo[i] if i < len(tok_slo) else 0.0,
+                limit_ms=p["deadline"],
+                revenue=p.get("worth", 1.0),
+                late_share=p.get("late_worth", 0.0),
+            )
             old = held.get(p["name"])
             self.products[p["name"]] = old if old is not None and astuple(old) == astuple(new) else new
         self.tenants = {t["name"]: held_tenants.get(t["name"]) or Tenant() for t in told.get("tenants", [])}
         self.facts = StartFacts(
-            seed=seed, gateways=max(1, told.get("n_instances", 1)), zone=told.get("locality", ""),
-            products=tuple(self.products.values()), leg_limit=limits.get("most_tries", 1),
-            may_call_off=bool(limits.get("cancel")), may_hold_ahead=self.holds_allowed,
-            may_probe=self.probes_allowed, may_advise=bool(limits.get("retry_after")),
-            must_ask=told.get("discovery") == "ask", ask_within_ms=rules.get("ask_within", 0.0),
-            writers_read=bool(spec.get("read_in_place")), reports_mem="x0" in self.columns,
-            longest_pause_ms=limits.get("max_retry_after", 0.0), connect_ms=limits.get("connect_timeout", 0.0),
+            seed=seed,
+            gateways=max(1, told.get("n_instances", 1)),
+            zone=told.get("locality", ""),
+            products=tuple(self.products.values()),
+            leg_limit=limits.get("most_tries", 1),
+            may_call_off=bool(limits.get("cancel")),
+            may_hold_ahead=self.holds_allowed,
+            may_probe=self.probes_allowed,
+            may_advise=bool(limits.get("retry_after")),
+            must_ask=told.get("discovery") == "ask",
+            ask_within_ms=rules.get("ask_within", 0.0),
+            writers_read=bool(spec.get("read_in_place")),
+            reports_mem="x0" in self.columns,
+            longest_pause_ms=limits.get("max_retry_after", 0.0),
+            connect_ms=limits.get("connect_timeout", 0.0),
             idle_ms=limits.get("conn_idle", 0.0),
-            release_ms=spec.get("release", 0.0), drain_grace_ms=rules.get("drain_grace", 0.0),
-            cold_ms=rules.get("cold", 0.0), cold_from=rules.get("cold_from", 1.0),
-            fall_multiple=rules.get("overload_factor", 1.0), fall_ms=rules.get("overload_for", 0.0),
-            step_ms=told.get("step", 1.0), told_if_asked=how == "on_probe")
+            release_ms=spec.get("release", 0.0),
+            drain_grace_ms=rules.get("drain_grace", 0.0),
+            cold_ms=rules.get("cold", 0.0),
+            cold_from=rules.get("cold_from", 1.0),
+            fall_multiple=rules.get("overload_factor", 1.0),
+            fall_ms=rules.get("overload_for", 0.0),
+            step_ms=told.get("step", 1.0),
+            told_if_asked=how == "on_probe",
+        )
         for name in ("step_ms", "release_ms", "connect_ms", "idle_ms", "cold_ms", "gateways", "leg_limit"):
             if not isinstance(getattr(self.facts, name), (int, float)):
                 raise ValueError(f"settings: {name} is no number")
@@ -79,7 +99,17 @@
         """A report by the names of its figures."""
         return Report(said.get("outstanding"), said.get("x0")) if said and self.columns else None
 
-    def generation(self, product: Product, session: str | None, opening: str | None, opening_toks: float,
-                   prompt_toks: float, max_toks: float, patience_ms: float, tenant: str = "") -> Generation:
-        return Generation(product, session, opening, opening_toks, prompt_toks, max_toks, patience_ms,
-                          tenant=self.tenants.get(tenant))
+    def generation(
+        self,
+        product: Product,
+        session: str | None,
+        opening: str | None,
+        opening_toks: float,
+        prompt_toks: float,
+        max_toks: float,
+        patience_ms: float,
+        tenant: str = "",
+    ) -> Generation:
+        return Generation(
+            product, session, opening, opening_toks, prompt_toks, max_toks, patience_ms, tenant=self.tenants.get(tenant)
+        )
--- a/ternlane/embed/blocking.py
+++ b/ternlane/embed/blocking.py
@@ -1,4 +1,5 @@
 """The router for plain threads and for asyncio: its loop runs in a thread of its own, which ends with the block."""
+
 from __future__ import annotations
 
 import asyncio
@@ -14,7 +15,7 @@
 from ternlane.paper import GatewayPaper
 
 END = object()
-AHEAD = 64    # pieces that wait for a slow caller; beyond that the writer waits
+AHEAD = 64  # pieces that wait for a slow caller; beyond that the writer waits
 
 
 class Blocking:
@@ -67,7 +68,7 @@
         gone = threading.Event()
 
         async def put(piece: Any) -> None:
-            while not gone.is_set():    # a slow caller holds its pieces, not the loop
+            while not gone.is_set():  # a slow caller holds its pieces, not the loop
                 try:
                     pieces.put_nowait(piece)
                     return
@@ -140,7 +141,7 @@
                     return
                 yield piece
         finally:
-            if pending is not None and not pending.done():    # cancelled while a thread waits within the iterator
-                pending.add_done_callback(lambda _: pieces.close())    # type: ignore[attr-defined]
+            if pending is not None and not pending.done():  # cancelled while a thread waits within the iterator
+                pending.add_done_callback(lambda _: pieces.close())  # type: ignore[attr-defined]
             else:
-                pieces.close()    # type: ignore[attr-defined]
+                pieces.close()  # type: ignore[attr-defined]
--- a/ternlane/embed/routing.py
+++ b/ternlane/embed/routing.py
@@ -8,6 +8,7 @@
 When the outer block ends nothing is left: no task, timer, descriptor or module state. Leaving the inner block early is
 what a client's leaving is to a gateway: the legs are called off and everything held is let go.
 """
+
 from __future__ import annotations
 
 from contextlib import asynccontextmanager
@@ -53,7 +54,7 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self.sends, self.gets = trio.open_memory_channel[str](0)    # the writer waits for a slow reader
+        self.sends, self.gets = trio.open_memory_channel[str](0)  # the writer waits for a slow reader
         self.ticket: Ticket | None = None
         self.usage: dict[str, Any] = {}
         self.finish = ""
@@ -87,17 +88,25 @@
 class Routing:
     """A router without a door, in its owner's nursery. Open one by `open_routing`."""
 
-    def __init__(self, paper: GatewayPaper, transport: Transport, nursery: trio.Nursery,
-                 chooser: Callable[[StartFacts], Chooser], log: Any) -> None:
+    def __init__(
+        self,
+        paper: GatewayPaper,
+        transport: Transport,
+        nursery: trio.Nursery,
+        chooser: Callable[[StartFacts], Chooser],
+        log: Any,
+    ) -> None:
         self.paper, self.count, self.offer, self.book = paper, count(1), offer_of(paper), Book()
         self.facts = self.offer.facts
         self.intake = Intake(self.offer.models, self.offer.max_toks, paper.door.session_limit)
-        self.host = Host(chooser(self.facts), self.facts, transport, self.book, self.intake, nursery, Measures(), log,
-                         paper.streams)
+        self.host = Host(
+            chooser(self.facts), self.facts, transport, self.book, self.intake, nursery, Measures(), log, paper.streams
+        )
 
     def nodes(self, lines: list[NodeLine]) -> None:
         """The whole list of model servers, now and whenever it changes."""
         import time
+
         self.host.listed(self.book.whole(lines, time.time(), now_ms()))
 
     def alter(self, paper: GatewayPaper) -> None:
@@ -111,18 +120,20 @@
             self.nodes(self.paper.nodes.nodes)
 
     @asynccontextmanager
-    async def generation(self, request: dict[str, Any] | ChatAsk, time_limit_ms: float | None = None,
-                         key: str | None = None) -> AsyncIterator[Stream]:
+    async def generation(
+        self, request: dict[str, Any] | ChatAsk, time_limit_ms: float | None = None, key: str | None = None
+    ) -> AsyncIterator[Stream]:
         """`request` as the chat API has it; `time_limit_ms` at most the product's own; `key` under which engines drop
         repeats. Raises Wrong, which names the field, before anything is sent."""
         ask = request if isinstance(request, ChatAsk) else read_chat(msgspec.json.encode(request))
         product = self.intake.models.get(ask.model)
         limit = product.limit_ms if product is not None else 0.0
         known = self.intake.take(ask, limit if time_limit_ms is None else min(limit, time_limit_ms))
-        known.gen.whole = False    # the caller sees the text as it comes
+        known.gen.whole = False  # the caller sees the text as it comes
         stream, ident = Stream(), f"{self.paper.name}-{next(self.count)}"
-        ticket = stream.ticket = Ticket(ident, ask, known, stream, now_ms(), key or ident,
-                                        self.host.join_for(ask.raw, known.gen))
+        ticket = stream.ticket = Ticket(
+            ident, ask, known, stream, now_ms(), key or ident, self.host.join_for(ask.raw, known.gen)
+        )
         ticket.when_over = stream.sends.close
         try:
             self.host.arrived(ticket)
@@ -134,8 +145,9 @@
 
 
 @asynccontextmanager
-async def open_routing(paper: GatewayPaper, transport: Transport, chooser: Callable[[StartFacts], Chooser] = Router,
-                       log: Any = None) -> AsyncIterator[Routing]:
+async def open_routing(
+    paper: GatewayPaper, transport: Transport, chooser: Callable[[StartFacts], Chooser] = Router, log: Any = None
+) -> AsyncIterator[Routing]:
     """A router without a door. Inline nodes of the paper are listed at once; others by `Routing.nodes`. Raises
     PaperError for settings that no document could hold."""
     paper = checked(paper)
--- a/ternlane/emulator/batch.py
+++ b/ternlane/emulator/batch.py
@@ -1,6 +1,7 @@
 """Continuous batching: at each step every running sequence writes a token, and what is left of the step's tokens goes
 to reading prompts, in chunks. Whoever comes joins at the next step; where memory runs out, the youngest is put back and
 read anew. Free of I/O; a step says how long it takes, and whoever drives it has the clock."""
+
 from __future__ import annotations
 
 from collections import deque
@@ -14,6 +15,7 @@
 class Pace:
     """What a step takes, ms: `step_ms`, and for each sequence that writes, each token that is read, and each thousand
     tokens that are looked back at. The first `free_toks` of a step cost no reading: weights are fetched anyway."""
+
     step_ms: float = 6.0
     write_ms: float = 0.15
     read_ms: float = 0.02
@@ -29,6 +31,7 @@
 @dataclass(frozen=True)
 class Build:
     """Blocks of `block_toks` tokens; at most `slots` sequences at once, `step_toks` tokens a step, `queue` waiting."""
+
     blocks: int
     block_toks: int = 16
     slots: int = 64
@@ -40,17 +43,18 @@
 @dataclass(slots=True, eq=False)
 class Course:
     """A prompt of `prompt` tokens, of which full blocks have `keys`, and an answer of `answer` tokens; 0: read only."""
+
     prompt: int
     answer: int
     keys: Sequence[Key] = ()
-    read: int = 0         # tokens of prompt, and of the answer so far after a preemption, that are in memory
+    read: int = 0  # tokens of prompt, and of the answer so far after a preemption, that are in memory
     made: int = 0
     held: Held | None = None
-    kept: int = 0         # tokens found kept when it was first let in
+    kept: int = 0  # tokens found kept when it was first let in
     preempted: int = 0
     ended: bool = False
-    stays: bool = False     # its memory is kept once it is read, until it is let go
-    fetches: bool = False   # its prompt comes from elsewhere: it holds slot and memory until `came`
+    stays: bool = False  # its memory is kept once it is read, until it is let go
+    fetches: bool = False  # its prompt comes from elsewhere: it holds slot and memory until `came`
 
     @property
     def to_read(self) -> int:
@@ -61,7 +65,7 @@
 @dataclass(slots=True)
 class Step:
     ms: float
-    wrote: list[Course] = field(default_factory=list)      # a token each
+    wrote: list[Course] = field(default_factory=list)  # a token each
     finished: list[Course] = field(default_factory=list)
     preempted: list[Course] = field(default_factory=list)
     read_toks: int = 0
@@ -71,8 +75,8 @@
     def __init__(self, build: Build, memory: Blocks | None = None) -> None:
         self.build, self.memory = build, memory or Blocks(build.blocks)
         self.queue: deque[Course] = deque()
-        self.running: list[Course] = []    # the oldest first
-        self.entered: list[Course] = []    # let in, and waiting for what they fetch, since the driver last looked
+        self.running: list[Course] = []  # the oldest first
+        self.entered: list[Course] = []  # let in, and waiting for what they fetch, since the driver last looked
 
     def blocks_for(self, toks: int) -> int:
         return -(-toks // self.build.block_toks)
@@ -109,7 +113,7 @@
             found = held.kept * self.build.block_toks
             if it.fetches:
                 self.entered.append(it)
-            it.held, it.read = held, min(found, it.to_read - 1)    # at least one token is read: the next hangs on it
+            it.held, it.read = held, min(found, it.to_read - 1)  # at least one token is read: the next hangs on it
             it.kept = found if not it.preempted else it.kept
             self.running.append(it)
 
@@ -156,7 +160,7 @@
             out.wrote.append(it)
         for it in [r for r in self.running if r.read < r.to_read and not r.fetches]:
             chunk = min(budget, it.to_read - it.read)
-            if it.held is None:    # put back by one before it
+            if it.held is None:  # put back by one before it
                 continue
             if chunk <= 0:
                 break
@@ -165,7 +169,7 @@
             out.read_toks += chunk
             self.seal(it)
             if it.read == it.to_read and it.made < it.answer and self.room_for(it, out):
-                it.made += 1    # the reading's last token gives the first of the answer
+                it.made += 1  # the reading's last token gives the first of the answer
                 it.read += 1
                 out.wrote.append(it)
         for it in [r for r in self.running if r.made >= r.answer and r.read >= r.to_read and not r.fetches]:
--- a/ternlane/emulator/blocks.py
+++ b/ternlane/emulator/blocks.py
@@ -4,6 +4,7 @@
 hash of all the text before it and its own, so that equal beginnings share blocks. Where two texts have one hash, a
 second and shorter digest tells them apart: the later one is not kept, and nobody reads another's text.
 """
+
 from __future__ import annotations
 
 from array import array
@@ -14,7 +15,7 @@
 
 from xxhash import xxh3_64_intdigest, xxh32_intdigest
 
-Key = tuple[int, int]    # hash of the chain, and the shorter digest of the same
+Key = tuple[int, int]  # hash of the chain, and the shorter digest of the same
 
 
 def chain(text: bytes, size: int) -> list[Key]:
@@ -22,7 +23,7 @@
     out: list[Key] = []
     seed = 0
     for at in range(0, len(text) - size + 1, size):
-        piece = text[at:at + size]
+        piece = text[at : at + size]
         check = xxh32_intdigest(piece, seed & 0xFFFFFFFF)
         seed = xxh3_64_intdigest(piece, seed)
         out.append((seed, check))
@@ -32,6 +33,7 @@
 @dataclass(slots=True, eq=False)
 class Held:
     """The blocks of one sequence, in order; the first `kept` of them were found kept."""
+
     blocks: list[int] = field(default_factory=list)
     kept: int = 0
 
@@ -46,12 +48,12 @@
         self.free = list(range(total - 1, -1, -1))
         self.refs = array("i", bytes(4 * total))
         self.keys: list[Key | None] = [None] * total
-        self.known: dict[int, int] = {}                    # hash of a chain -> its block
-        self.idle: OrderedDict[int, None] = OrderedDict()    # the next to go is first
-        self.shared = bytearray(total)                     # used again since it was last looked at
+        self.known: dict[int, int] = {}  # hash of a chain -> its block
+        self.idle: OrderedDict[int, None] = OrderedDict()  # the next to go is first
+        self.shared = bytearray(total)  # used again since it was last looked at
         self.used = 0
-        self.gone = self.missing = 0                       # that another program takes; of them in use still
-        self.lost: list[int] = []                          # blocks that it has
+        self.gone = self.missing = 0  # that another program takes; of them in use still
+        self.lost: list[int] = []  # blocks that it has
         self.evicted = self.collided = 0
 
     @property
--- a/ternlane/emulator/describe.py
+++ b/ternlane/emulator/describe.py
@@ -1,4 +1,5 @@
 """Short descriptions of a kind of engine: its size, and points of its latency curve as it was measured (JSON5)."""
+
 from __future__ import annotations
 
 from typing import Annotated, Literal
@@ -13,6 +14,7 @@
 class Point(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
     """Times, ms, while `at_once` sequences run at every moment, each of `prompt` tokens and an answer of `answer`: to
     the first token, and between tokens, each at the median and the 99th percentile. `held_out`: not for the fit."""
+
     at_once: Whole
     prompt: Whole
     answer: Whole
@@ -23,6 +25,7 @@
 
 class EngineKind(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
     """A kind of engine. `memory_toks`: of read state; `step_toks`: that a step may read and write."""
+
     name: str
     memory_toks: Whole
     slots: Whole
--- a/ternlane/emulator/engine.py
+++ b/ternlane/emulator/engine.py
@@ -3,6 +3,7 @@
 Whoever drives it says when it is, in virtual or real time: `advance(now)` says what has happened until then, `next_at`
 when to come again. Free of I/O. What a step takes is settled when it begins; a change of speed counts from the next.
 """
+
 from __future__ import annotations
 
 import random
@@ -20,6 +21,7 @@
 class What(Enum):
     """What an engine tells of a job: FETCH (it has slot and memory here, its state may come), READ (its state waits
     here), TOKEN, PUT_BACK (out of memory, read anew), DONE."""
+
     FETCH = auto()
     READ = auto()
     TOKEN = auto()
@@ -36,6 +38,7 @@
 @dataclass(slots=True, eq=False)
 class Job:
     """A generation's stay at an engine."""
+
     course: Course
     since: float = 0.0
 
@@ -44,6 +47,7 @@
 class Nature:
     """What an engine is like beside its batch. `jitter`: spread of steps (log-normal). It starts at `cold_from` of its
     speed and is warm after `cold_ms`. Reports are made anew each `report_ms`, `lag_ms` late and off by `noise`."""
+
     jitter: float = 0.0
     cold_ms: float = 10e3
     cold_from: float = 0.3
@@ -54,24 +58,30 @@
 
 class Load(NamedTuple):
     """A report: sequences that run and wait, and the share of memory that is held."""
+
     running: int = 0
     waiting: int = 0
     memory: float = 0.0
 
     def header(self) -> str:
         """As an `endpoint-load-metrics` header says it (ORCA, JSON form)."""
-        return ('JSON {"named_metrics": {"kv_cache_usage_perc": %.4f, "num_requests_running": %d, '
-                '"num_requests_waiting": %d}}' % (self.memory, self.running, self.waiting))
+        return (
+            'JSON {"named_metrics": {"kv_cache_usage_perc": %.4f, "num_requests_running": %d, '
+            '"num_requests_waiting": %d}}' % (self.memory, self.running, self.waiting)
+        )
 
     def metrics(self) -> str:
         """As a `/metrics` page says it (Prometheus text)."""
-        return (f"vllm:num_requests_running {self.running}\nvllm:num_requests_waiting {self.waiting}\n"
-                f"vllm:kv_cache_usage_perc {self.memory:.4f}\n")
+        return (
+            f"vllm:num_requests_running {self.running}\nvllm:num_requests_waiting {self.waiting}\n"
+            f"vllm:kv_cache_usage_perc {self.memory:.4f}\n"
+        )
 
 
 @dataclass(slots=True)
 class Ailment:
     """What ails an engine now: `slow` times slower, `hung`, part of the memory `taken` by another program."""
+
     slow: float = 1.0
     hung: bool = False
     taken: float = 0.0
@@ -85,7 +95,7 @@
         self.rng = random.Random(zlib.crc32(b"%d" % seed))
         self.ailment = Ailment()
         self.jobs: dict[Course, Job] = {}
-        self.states: dict[Job, None] = {}    # read, and waiting to be fetched or let go
+        self.states: dict[Job, None] = {}  # read, and waiting to be fetched or let go
         self.told: list[Told] = []
         self.begin(started)
 
@@ -206,7 +216,7 @@
         for what, courses in ((What.TOKEN, step.wrote), (What.PUT_BACK, step.preempted), (What.DONE, step.finished)):
             for course in courses:
                 job = self.jobs.get(course)
-                if job is None:    # cancelled while the step ran
+                if job is None:  # cancelled while the step ran
                     if course.stays:
                         self.batch.let_go(course)
                     continue
--- a/ternlane/emulator/fit.py
+++ b/ternlane/emulator/fit.py
@@ -6,6 +6,7 @@
 From the best of these a search over all figures of pace and the spread of steps plays the points until they stop
 coming nearer. Needs scipy (the `lab` extra).
 """
+
 from __future__ import annotations
 
 from dataclasses import dataclass, replace
@@ -19,17 +20,18 @@
 from ternlane.emulator.describe import EngineKind, Point
 from ternlane.emulator.engine import Engine, Job, Nature, What
 
-ROUNDS = 2        # of solving and playing, for each value of `free_toks`
-STEPS = 8         # of the search after it
-FREE = (0.0, 0.125, 0.25, 0.375, 0.5, 0.75)    # values tried, parts of a step's tokens
-ENOUGH = 120      # answers that a point is played for
+ROUNDS = 2  # of solving and playing, for each value of `free_toks`
+STEPS = 8  # of the search after it
+FREE = (0.0, 0.125, 0.25, 0.375, 0.5, 0.75)  # values tried, parts of a step's tokens
+ENOUGH = 120  # answers that a point is played for
 Figures = np.ndarray[Any, np.dtype[np.float64]]
-Seen = tuple[float, float, float, float]    # first token at the median and 99th percentile, between tokens likewise
+Seen = tuple[float, float, float, float]  # first token at the median and 99th percentile, between tokens likewise
 
 
 @dataclass(frozen=True)
 class Fitted:
     """`off`: for each point, how far the emulator's four figures are from those given, as parts of these."""
+
     build: Build
     nature: Nature
     off: list[tuple[Point, Seen]]
@@ -37,13 +39,16 @@
     def worst(self, held_out: bool) -> tuple[float, float]:
         """The largest error at medians and at 99th percentiles, over the points left out of the fit or the others."""
         rows = [off for point, off in self.off if point.held_out is held_out]
-        return (max((max(abs(r[0]), abs(r[2])) for r in rows), default=0.0),
-                max((max(abs(r[1]), abs(r[3])) for r in rows), default=0.0))
+        return (
+            max((max(abs(r[0]), abs(r[2])) for r in rows), default=0.0),
+            max((max(abs(r[1]), abs(r[3])) for r in rows), default=0.0),
+        )
 
 
 def build_of(kind: EngineKind, pace: Pace) -> Build:
-    return Build(max(1, kind.memory_toks // kind.block_toks), kind.block_toks, kind.slots, kind.step_toks, kind.queue,
-                 pace)
+    return Build(
+        max(1, kind.memory_toks // kind.block_toks), kind.block_toks, kind.slots, kind.step_toks, kind.queue, pace
+    )
 
 
 def play(build: Build, nature: Nature, point: Point, seed: int = 1, answers: int = ENOUGH) -> Seen:
@@ -61,7 +66,7 @@
         if engine.submit(at, job):
             last[job] = at
 
-    for i in range(point.at_once):    # spread over an answer's length, lest all be at the same token
+    for i in range(point.at_once):  # spread over an answer's length, lest all be at the same token
         job = Job(Course(point.prompt, max(1, round(point.answer * (i + 1) / point.at_once))))
         if engine.submit(0.0, job):
             last[job] = -inf
@@ -95,7 +100,7 @@
     late = [steps + 1.0, (steps + 1.0) * writers, sum(charged) + charged[0] / 2, (steps + 1.0) * back]
     plain = [1.0, writers + 1.0, idle, back]
     busy = [1.0, writers + 1.0, float(charged[0]), back]
-    reading = writers * steps / point.answer    # part of the steps in which another's prompt is read
+    reading = writers * steps / point.answer  # part of the steps in which another's prompt is read
     return [first, late, busy if reading > 0.5 else plain, busy if reading > 0.01 else plain]
 
 
@@ -105,7 +110,7 @@
     if len(points) < 2:
         raise ValueError(f"{kind.name}: at least two points that are not held out are needed")
     given = np.array([[*p.first_ms, *p.between_ms] for p in points]).ravel()
-    weight = np.tile([1.0, 0.4, 1.0, 0.4], len(points))    # the tails are the noisier
+    weight = np.tile([1.0, 0.4, 1.0, 0.4], len(points))  # the tails are the noisier
     tried: dict[int, tuple[float, Pace, Figures]] = {}
 
     def rounds(free: int, correction: Figures) -> None:
@@ -147,4 +152,3 @@
         first, between = p.first_ms, p.between_ms
         off.append((p, (a / first[0] - 1, b / first[1] - 1, c / between[0] - 1, d / between[1] - 1)))
     return Fitted(build, nature, off)
-
--- a/ternlane/emulator/fleet.py
+++ b/ternlane/emulator/fleet.py
@@ -4,6 +4,7 @@
 token takes `zone_slower` times as long. Free of I/O: who drives it in virtual time jumps to `next_at`, in real time
 sleeps until it.
 """
+
 from __future__ import annotations
 
 import heapq
@@ -17,6 +18,7 @@
 @dataclass(slots=True, eq=False)
 class Seat:
     """Where an engine stands."""
+
     engine: Engine
     zone: str
     cell: int
@@ -26,6 +28,7 @@
 @dataclass(slots=True, eq=False)
 class Move:
     """A state on its way, or about to be: from which reader's job to which writer's."""
+
     source: Seat
     held: Job
     target: Seat
@@ -42,7 +45,7 @@
         self.seats: list[Seat] = []
         self.cells: dict[int, Link] = {}
         self.moves: dict[Job, Move] = {}
-        self.claimed: set[Job] = set()    # states that a writer waits for
+        self.claimed: set[Job] = set()  # states that a writer waits for
         self.due: list[tuple[float, int, Seat | Link]] = []
         self.turn, self.now = 0, 0.0
 
--- a/ternlane/emulator/links.py
+++ b/ternlane/emulator/links.py
@@ -3,6 +3,7 @@
 Kept in virtual time: all that moves gets on alike, so each transfer ends where the common progress reaches a mark that
 is known when it begins. Joining, leaving and ending cost the logarithm of what is on the way, not its number.
 """
+
 from __future__ import annotations
 
 import heapq
@@ -13,10 +14,11 @@
 @dataclass(slots=True, eq=False)
 class Transfer:
     """`toks` tokens of read state on their way; `job` is the caller's."""
+
     toks: float
     job: object
     mark: float = 0.0
-    left: bool = False    # called off, or over
+    left: bool = False  # called off, or over
 
 
 class Link:
@@ -29,7 +31,7 @@
         self.carried = 0.0
 
     def forward(self, now: float) -> None:
-        now = max(now, self.at)    # a clock that jumps back moves nothing
+        now = max(now, self.at)  # a clock that jumps back moves nothing
         if self.many:
             self.progress += (now - self.at) * self.rate / self.many
             self.carried += (now - self.at) * self.rate
@@ -68,7 +70,7 @@
         while (due := self.next_at()) <= now:
             it = self.heap[0][2]
             self.forward(due)
-            self.progress = it.mark    # exactly, whatever rounding made of it
+            self.progress = it.mark  # exactly, whatever rounding made of it
             heapq.heappop(self.heap)
             it.left, self.many = True, self.many - 1
             out.append((due, it))
--- a/ternlane/engine/leg.py
+++ b/ternlane/engine/leg.py
@@ -1,4 +1,5 @@
 """One leg over a socket: what is sent, what comes back, and what its end proves."""
+
 from __future__ import annotations
 
 from dataclasses import dataclass, field
@@ -9,13 +10,26 @@
 import msgspec
 import trio
 
-from ternlane.engine.protocol import (CHAT_PATH, DONE, HOLD_PATH, LOAD, LOAD_PATH, NOT_RUN, RELEASE_PATH, ReadAnswer,
-                                      Usage, chunk_in, load_of, read_answer, refusal_of)
+from ternlane.engine.protocol import (
+    CHAT_PATH,
+    DONE,
+    HOLD_PATH,
+    LOAD,
+    LOAD_PATH,
+    NOT_RUN,
+    RELEASE_PATH,
+    ReadAnswer,
+    Usage,
+    chunk_in,
+    load_of,
+    read_answer,
+    refusal_of,
+)
 from ternlane.http1 import Caller, EventReader, Pool, Unconnected, keep_open
 from ternlane.port import Report, Verdict
 from ternlane.turns import BeginCheck, may_always_begin
 
-ANSWER_LIMIT = 4 * 2**20    # bytes of an engine's plain answer
+ANSWER_LIMIT = 4 * 2**20  # bytes of an engine's plain answer
 
 BROKEN = (trio.BrokenResourceError, trio.ClosedResourceError, OSError)
 
@@ -24,6 +38,7 @@
 class LegPlan:
     """Where to, under which names, and for how long (ms; `quiet_ms` between the events of a begun stream, `whole_ms`
     from the send to its end)."""
+
     address: str
     headers: list[tuple[str, str]]
     body: bytes
@@ -43,6 +58,7 @@
 @dataclass(slots=True)
 class LegEnd:
     """How a leg ended. `begun`: its first token had come; `state` is a reader's, to hand on."""
+
     verdict: Verdict
     begun: bool = False
     why: str = ""
@@ -74,7 +90,7 @@
     barred = plan.barred()
     if barred is None:
         return caller
-    pool.give_back(caller)    # nothing was asked on it
+    pool.give_back(caller)  # nothing was asked on it
     raise Barred(barred)
 
 
@@ -139,14 +155,14 @@
                             if not end.begun:
                                 await keep_open(plan.scope, last)
                             first, end.begun = not end.begun, True
-                            plan.scope.deadline = last    # a slow client is not the engine's silence
+                            plan.scope.deadline = last  # a slow client is not the engine's silence
                             await (pass_on(text or "", first) if more is None else pass_on(text or "", first, more))
                 if end.begun:
                     plan.scope.deadline = min(last, trio.current_time() + plan.quiet_ms / 1000)
             if not whole:
                 end.verdict, end.why = Verdict.RESET, "the stream ended before [DONE]"
                 return
-            if not end.begun:    # an answer of no tokens has begun with its end
+            if not end.begun:  # an answer of no tokens has begun with its end
                 end.begun = True
                 await pass_on("", True)
             end.verdict = Verdict.STREAMED
@@ -181,7 +197,7 @@
         end.verdict, end.why = Verdict.UNCONNECTED, str(why)
     except BROKEN as why:
         end.verdict, end.why = Verdict.RESET, repr(why)
-    except h11.RemoteProtocolError as why:    # a torn answer is a broken connection, a wrong one an error
+    except h11.RemoteProtocolError as why:  # a torn answer is a broken connection, a wrong one an error
         end.verdict = Verdict.RESET if "closed" in str(why) else Verdict.ERROR
         end.why = str(why)
     except (msgspec.DecodeError, UnicodeDecodeError, ValueError) as why:
@@ -219,8 +235,9 @@
     return heard
 
 
-async def once(pool: Pool, address: str, method: str, path: str, headers: list[tuple[str, str]], body: bytes,
-               within_ms: float) -> tuple[Verdict, bytes]:
+async def once(
+    pool: Pool, address: str, method: str, path: str, headers: list[tuple[str, str]], body: bytes, within_ms: float
+) -> tuple[Verdict, bytes]:
     """Asks an engine for something small. One try: the answer's body, or how it failed."""
     caller, failed = None, Verdict.TIMED_OUT
     with trio.move_on_after(within_ms / 1000):
@@ -245,8 +262,9 @@
     return verdict, answer.decode(errors="replace")
 
 
-async def hold(pool: Pool, address: str, ident: str, toks: float, headers: list[tuple[str, str]],
-               within_ms: float) -> bool:
+async def hold(
+    pool: Pool, address: str, ident: str, toks: float, headers: list[tuple[str, str]], within_ms: float
+) -> bool:
     """Asks a writer to hold a slot and memory for a generation. A place that is not free at once is none."""
     body = msgspec.json.encode({"request_id": ident, "tokens": toks})
     return (await once(pool, address, "POST", HOLD_PATH, headers, body, within_ms))[0] is Verdict.STREAMED
--- a/ternlane/engine/protocol.py
+++ b/ternlane/engine/protocol.py
@@ -1,4 +1,5 @@
 """The messages between gateway and engines; docs/engine-protocol.md says which are public and which ours. No I/O."""
+
 from __future__ import annotations
 
 import re
@@ -14,26 +15,36 @@
 CHAT_PATH = "/v1/chat/completions"
 RELEASE_PATH = "/ternlane/v1/release"
 HOLD_PATH = "/ternlane/v1/hold"
-LOAD_PATH = "/metrics"    # public: Prometheus text, as engines of the field serve it
-NOT_RUN = b"x-ternlane-not-run"    # ours: the engine vouches that nothing ran, and says why
-LOAD = b"endpoint-load-metrics"    # ORCA (xDS custom load reports), as gateways of the field read it
+LOAD_PATH = "/metrics"  # public: Prometheus text, as engines of the field serve it
+NOT_RUN = b"x-ternlane-not-run"  # ours: the engine vouches that nothing ran, and says why
+LOAD = b"endpoint-load-metrics"  # ORCA (xDS custom load reports), as gateways of the field read it
 DONE = "[DONE]"
 SAYS_LOAD = re.compile(r"(\w+:)?(num_requests_running|num_requests_waiting|(kv|gpu)_cache_usage_perc)[ {]")
 
 
 class Stage(Enum):
     """Which part of a generation a leg asks for."""
+
     READ = auto()
     WRITE = auto()
-    WHOLE = auto()    # a mixed server reads and writes in one leg
+    WHOLE = auto()  # a mixed server reads and writes in one leg
 
 
 def read_body(raw: dict[str, Any]) -> bytes:
     """The prompt to a reader: one token, and the state kept for another engine to fetch."""
     body = {k: v for k, v in raw.items() if k not in ("stream_options", "max_completion_tokens")}
-    body.update(stream=False, max_tokens=1, kv_transfer_params={
-        "do_remote_decode": True, "do_remote_prefill": False, "remote_engine_id": None, "remote_block_ids": None,
-        "remote_host": None, "remote_port": None})
+    body.update(
+        stream=False,
+        max_tokens=1,
+        kv_transfer_params={
+            "do_remote_decode": True,
+            "do_remote_prefill": False,
+            "remote_engine_id": None,
+            "remote_block_ids": None,
+            "remote_host": None,
+            "remote_port": None,
+        },
+    )
     return msgspec.json.encode(body)
 
 
@@ -64,8 +75,11 @@
 
     def told(self) -> dict[str, Any]:
         """As the client is told."""
-        out: dict[str, Any] = {"prompt_tokens": self.prompt_tokens, "completion_tokens": self.completion_tokens,
-                               "total_tokens": self.prompt_tokens + self.completion_tokens}
+        out: dict[str, Any] = {
+            "prompt_tokens": self.prompt_tokens,
+            "completion_tokens": self.completion_tokens,
+            "total_tokens": self.prompt_tokens + self.completion_tokens,
+        }
         if self.prompt_tokens_details is not None:
             out["prompt_tokens_details"] = {"cached_tokens": self.prompt_tokens_details.cached_tokens or 0}
         return out
@@ -93,8 +107,9 @@
         """What it has besides text, as chat.Beyond puts it together; None for nothing."""
         delta, out = self.delta, {}
         if delta is not None and (delta.tool_calls or delta.refusal or delta.reasoning_content or delta.reasoning):
-            out["delta"] = {k: v for k in ("tool_calls", "refusal", "reasoning_content", "reasoning")
-                            if (v := getattr(delta, k))}
+            out["delta"] = {
+                k: v for k in ("tool_calls", "refusal", "reasoning_content", "reasoning") if (v := getattr(delta, k))
+            }
         if self.logprobs:
             out["logprobs"] = self.logprobs
         return out or None
@@ -128,12 +143,12 @@
 def load_told(text: str) -> Report | None:
     """The load in an engine's metrics (Prometheus text); the engine's own prefix does not matter."""
     figures: dict[str, float] = {}
-    lines = [line for line in text.splitlines() if SAYS_LOAD.match(line)]    # of pages that hold thousands
+    lines = [line for line in text.splitlines() if SAYS_LOAD.match(line)]  # of pages that hold thousands
     try:
         for family in text_string_to_metric_families("\n".join(lines) + "\n"):
             for sample in family.samples:
                 name = sample.name.rpartition(":")[2]
-                if name.startswith("num_requests"):    # one a model that it serves
+                if name.startswith("num_requests"):  # one a model that it serves
                     figures[name] = figures.get(name, 0.0) + sample.value
                 else:
                     figures["kv_cache_usage_perc"] = max(figures.get("kv_cache_usage_perc", 0.0), sample.value)
@@ -167,6 +182,6 @@
     mem = figures.get("kv_cache_usage_perc", figures.get("mem_utilization"))
     running, waiting = figures.get("num_requests_running"), figures.get("num_requests_waiting")
     out = None if running is None and waiting is None else (running or 0.0) + (waiting or 0.0)
-    if mem is not None and not 0.0 <= mem <= 1.5:    # absurd; a report is believed, so it must be possible
+    if mem is not None and not 0.0 <= mem <= 1.5:  # absurd; a report is believed, so it must be possible
         mem = None
     return None if mem is None and out is None else Report(out, mem)
--- a/ternlane/engine/transport.py
+++ b/ternlane/engine/transport.py
@@ -3,6 +3,7 @@
 The host knows nothing of bytes. It hands a transport a `LegAsk` and gets a `LegEnd`; what crosses a socket, or a
 function call, is the matter of the transport. Every kind passes the same suite (tests/test_transports.py).
 """
+
 from __future__ import annotations
 
 from collections.abc import AsyncIterator, Awaitable, Callable
@@ -21,18 +22,19 @@
 @dataclass(slots=True)
 class LegAsk:
     """One leg: to which server, which stage, what is asked, and for how long (`plan`)."""
-    server: str            # its id
+
+    server: str  # its id
     address: str
     stage: Stage
-    ident: str             # of the generation
+    ident: str  # of the generation
     number: int
-    key: str               # under which an engine drops repeats
-    raw: dict[str, Any]    # the client's request
+    key: str  # under which an engine drops repeats
+    raw: dict[str, Any]  # the client's request
     state: dict[str, Any] | None
     max_toks: int
     plan: LegPlan
     protocol: str = "disaggregated"
-    goes_on: bool = False    # `raw` ends with what the client has of the answer, to be continued from there
+    goes_on: bool = False  # `raw` ends with what the client has of the answer, to be continued from there
 
 
 class Transport(Protocol):
@@ -44,16 +46,19 @@
     async def stream(self, ask: LegAsk, pass_on: PassOn) -> LegEnd:
         """Has an answer written; each piece goes to `pass_on`. Raises ClientGone where that does."""
 
-    async def release(self, server: str, address: str, ident: str, within_ms: float,
-                      protocol: str = "disaggregated") -> bool:
+    async def release(
+        self, server: str, address: str, ident: str, within_ms: float, protocol: str = "disaggregated"
+    ) -> bool:
         """Lets go of what a server holds for a generation; true once it has confirmed."""
 
-    async def hold(self, server: str, address: str, ident: str, toks: float, within_ms: float,
-                   protocol: str = "disaggregated") -> bool:
+    async def hold(
+        self, server: str, address: str, ident: str, toks: float, within_ms: float, protocol: str = "disaggregated"
+    ) -> bool:
         """Holds a place ahead at a writer, if one is free at once."""
 
-    async def load(self, server: str, address: str, within_ms: float,
-                   protocol: str = "disaggregated") -> tuple[Verdict, Report | None]:
+    async def load(
+        self, server: str, address: str, within_ms: float, protocol: str = "disaggregated"
+    ) -> tuple[Verdict, Report | None]:
         """Asks a server how loaded it is, outside any generation; None where it does not say, as here."""
         return Verdict.ERROR, None
 
@@ -93,19 +98,23 @@
         except Unable as why:
             return LegEnd(Verdict.FULL, why=str(why))
 
-    async def release(self, server: str, address: str, ident: str, within_ms: float,
-                      protocol: str = "disaggregated") -> bool:
+    async def release(
+        self, server: str, address: str, ident: str, within_ms: float, protocol: str = "disaggregated"
+    ) -> bool:
         if not KINDS[protocol].lets_go:
             return True
         return await release(self.pool, address, ident, [("User-Agent", self.agent)], within_ms)
 
-    async def hold(self, server: str, address: str, ident: str, toks: float, within_ms: float,
-                   protocol: str = "disaggregated") -> bool:
-        return KINDS[protocol].lets_go and await hold(self.pool, address, ident, toks, [("User-Agent", self.agent)],
-                                                      within_ms)
+    async def hold(
+        self, server: str, address: str, ident: str, toks: float, within_ms: float, protocol: str = "disaggregated"
+    ) -> bool:
+        return KINDS[protocol].lets_go and await hold(
+            self.pool, address, ident, toks, [("User-Agent", self.agent)], within_ms
+        )
 
-    async def load(self, server: str, address: str, within_ms: float,
-                   protocol: str = "disaggregated") -> tuple[Verdict, Report | None]:
+    async def load(
+        self, server: str, address: str, within_ms: float, protocol: str = "disaggregated"
+    ) -> tuple[Verdict, Report | None]:
         verdict, text = await load(self.pool, address, [("User-Agent", self.agent)], within_ms)
         return verdict, load_told(text) if verdict is Verdict.STREAMED else None
 
@@ -131,6 +140,7 @@
 @dataclass(slots=True)
 class Kept:
     """What a local engine gives for a prompt it has read: a state to hand on, and how much it had to read."""
+
     state: dict[str, Any]
     prompt_toks: int
     kept_toks: int = 0
@@ -165,6 +175,7 @@
             got = await self._engine(ask).read(ask)
             end.verdict, end.state, end.report = Verdict.READ, got.state, got.report
             end.usage = Usage(got.prompt_toks, 0, got.prompt_toks)
+
         return await self._ended(ask, end, run)
 
     async def stream(self, ask: LegAsk, pass_on: PassOn) -> LegEnd:
@@ -192,6 +203,7 @@
                 end.begun = True
                 await pass_on("", True)
             end.verdict, end.usage = Verdict.STREAMED, Usage(0, written, written)
+
         return await self._ended(ask, end, run)
 
     def _engine(self, ask: LegAsk) -> LocalEngine:
@@ -213,7 +225,7 @@
             end.verdict, end.why = Verdict.UNCONNECTED, str(why)
         except ClientGone:
             raise
-        except Exception as why:    # the engine is the caller's code: whatever it raises, it may have run
+        except Exception as why:  # the engine is the caller's code: whatever it raises, it may have run
             end.verdict, end.why = Verdict.ERROR, repr(why)
         if plan.scope.cancelled_caught:
             end.verdict = Verdict.CALLED_OFF if plan.called_off else Verdict.TIMED_OUT
@@ -221,20 +233,22 @@
                 end.why = "silent or too slow within the stream"
         return end
 
-    async def release(self, server: str, address: str, ident: str, within_ms: float,
-                      protocol: str = "disaggregated") -> bool:
+    async def release(
+        self, server: str, address: str, ident: str, within_ms: float, protocol: str = "disaggregated"
+    ) -> bool:
         engine = self.engines.get(server)
         with trio.move_on_after(within_ms / 1000) as scope:
             try:
                 if engine is not None:
                     await engine.release(ident)
-            except Exception:    # the caller's code: unheard, and said so by the host
+            except Exception:  # the caller's code: unheard, and said so by the host
                 return False
         return engine is not None and not scope.cancelled_caught
 
-    async def hold(self, server: str, address: str, ident: str, toks: float, within_ms: float,
-                   protocol: str = "disaggregated") -> bool:
-        return False    # an engine in this process has no place to hold ahead
+    async def hold(
+        self, server: str, address: str, ident: str, toks: float, within_ms: float, protocol: str = "disaggregated"
+    ) -> bool:
+        return False  # an engine in this process has no place to hold ahead
 
     def sweep(self) -> None:
         pass
--- a/ternlane/gateway/daemon.py
+++ b/ternlane/gateway/daemon.py
@@ -1,4 +1,5 @@
 """The process around one gateway: signals, reload, an orderly end."""
+
 from __future__ import annotations
 
 import os
@@ -36,7 +37,7 @@
             try:
                 sock.sendto(state.encode(), "\0" + path[1:] if path.startswith("@") else path)
             except OSError:
-                pass    # who does not listen need not hear
+                pass  # who does not listen need not hear
 
 
 def write_pid(path: Path) -> None:
@@ -55,8 +56,9 @@
         pass
 
 
-async def run_gateway(path: str, paper: GatewayPaper, chooser: Callable[..., Any] | None = None,
-                      pid_file: str | None = None) -> None:
+async def run_gateway(
+    path: str, paper: GatewayPaper, chooser: Callable[..., Any] | None = None, pid_file: str | None = None
+) -> None:
     """Serves until SIGTERM or SIGINT, then drains; a second one ends it at once. SIGHUP reads the document again and
     takes over what can change without a restart."""
     log = structlog.get_logger(gateway=paper.name)
@@ -78,11 +80,13 @@
             notify("STOPPING=1")
             log.info("draining", open=len(gateway.host.tickets))
             async with trio.open_nursery() as nursery:
+
                 async def at_once() -> None:
                     async for number in signals:
                         if number != signal.SIGHUP:
                             nursery.cancel_scope.cancel()
                             return
+
                 nursery.start_soon(at_once)
                 await gateway.drain()
                 nursery.cancel_scope.cancel()
--- a/ternlane/gateway/door.py
+++ b/ternlane/gateway/door.py
@@ -1,4 +1,5 @@
 """The clients' side: OpenAI-style chat over HTTP/1.1. Each generation taken gets exactly one final answer."""
+
 from __future__ import annotations
 
 import re
@@ -11,8 +12,20 @@
 import trio
 from xxhash import xxh3_128_digest, xxh3_64_hexdigest
 
-from ternlane.chat import (Busy, ChatAsk, Differs, Done, Intake, Repeats, Wrong, answer_body, chunk, error_body,
-                           read_chat, usage_chunk)
+from ternlane.chat import (
+    Busy,
+    ChatAsk,
+    Differs,
+    Done,
+    Intake,
+    Repeats,
+    Wrong,
+    answer_body,
+    chunk,
+    error_body,
+    read_chat,
+    usage_chunk,
+)
 from ternlane.chat.beyond import More
 from ternlane.gateway.host import Host
 from ternlane.gateway.measures import Measures
@@ -30,15 +43,25 @@
 
 IDENT = re.compile(r"[A-Za-z0-9._:-]{1,80}")
 TIME_LIMIT = b"x-ternlane-time-limit-ms"
-STREAM_HEAD = [("Content-Type", "text/event-stream; charset=utf-8"), ("Cache-Control", "no-store"),
-               ("Transfer-Encoding", "chunked")]
+STREAM_HEAD = [
+    ("Content-Type", "text/event-stream; charset=utf-8"),
+    ("Cache-Control", "no-store"),
+    ("Transfer-Encoding", "chunked"),
+]
 
 
 class NotTaken(Exception):
     """A request that is refused before it became a generation; `after_s` says when to come back."""
 
-    def __init__(self, status: int, why: str, code: str, after_s: int | None = None, param: str | None = None,
-                 extra: list[tuple[str, str]] | None = None) -> None:
+    def __init__(
+        self,
+        status: int,
+        why: str,
+        code: str,
+        after_s: int | None = None,
+        param: str | None = None,
+        extra: list[tuple[str, str]] | None = None,
+    ) -> None:
         super().__init__(why)
         self.status, self.why, self.code, self.param = status, why, code, param
         self.extra = [*(extra or []), *([] if after_s is None else [("Retry-After", str(after_s))])]
@@ -46,18 +69,24 @@
 
 def over_budget(no: Refusal) -> NotTaken:
     """Refused before any leg: a throttle, which promises that nothing ran."""
-    why = {"minute": "tokens a minute", "period": "tokens of the billing period", "at_once": "generations at once",
-           "overdraft": "tokens a minute, the overdraft is used up"}[no.kind]
+    why = {
+        "minute": "tokens a minute",
+        "period": "tokens of the billing period",
+        "at_once": "generations at once",
+        "overdraft": "tokens a minute, the overdraft is used up",
+    }[no.kind]
     wait = no.wait_ms if no.wait_ms > 0 else 1000.0
-    return NotTaken(429, f"Over budget: {why}", no.code, wait_s(wait),
-                    extra=[("retry-after-ms", f"{min(wait, 1e9):.0f}")])
+    return NotTaken(
+        429, f"Over budget: {why}", no.code, wait_s(wait), extra=[("retry-after-ms", f"{min(wait, 1e9):.0f}")]
+    )
 
 
 class StreamOutlet(Outlet):
     """Text goes out as server-sent events while it comes."""
 
-    def __init__(self, exchange: Exchange, ident: str, model: str, include_usage: bool,
-                 after: int | None = None) -> None:
+    def __init__(
+        self, exchange: Exchange, ident: str, model: str, include_usage: bool, after: int | None = None
+    ) -> None:
         """`after`: characters that the client has already; None where events carry no ids."""
         self.after = after
         self.exchange, self.ident, self.model, self.include_usage = exchange, ident, model, include_usage
@@ -79,7 +108,7 @@
             if self.include_usage:
                 out += event_bytes(usage_chunk(self.ident, self.created, self.model, final.usage))
             await self.exchange.end(out + event_bytes(b"[DONE]"))
-        else:    # the error event takes the place of [DONE]
+        else:  # the error event takes the place of [DONE]
             why = final.why if isinstance(final, Terminated) else "throttled"
             await self.exchange.end(event_bytes(error_body(502, f"The answer broke off: {why}", "stream_broken")))
 
@@ -92,8 +121,16 @@
 
 
 class Door:
-    def __init__(self, paper: GatewayPaper, host: Host, intake: Intake, models: dict[str, Product],
-                 measures: Measures, log: Any, till: Till | None = None) -> None:
+    def __init__(
+        self,
+        paper: GatewayPaper,
+        host: Host,
+        intake: Intake,
+        models: dict[str, Product],
+        measures: Measures,
+        log: Any,
+        till: Till | None = None,
+    ) -> None:
         self.paper, self.host, self.intake, self.models = paper, host, intake, models
         self.measures, self.log, self.till = measures, log, till
         self.terms: DoorTerms = paper.door
@@ -103,7 +140,7 @@
         self.started = int(time.time())
         self.birth = xxh3_64_hexdigest(f"{paper.name} {time.time_ns()}".encode())[:10]
         self.draining = False
-        self.conns = self.busy = 0    # connections, and requests being answered
+        self.conns = self.busy = 0  # connections, and requests being answered
 
     def alter(self, paper: GatewayPaper, models: dict[str, Product]) -> None:
         """New limits, from the next connection on, and other products, from the next request on; the answers kept for
@@ -121,11 +158,19 @@
         self.conns += 1
         self.measures.conns.set(self.conns)
         with suppress(OSError):
-            stream.setsockopt(6, 1, 1)    # TCP_NODELAY: each token is a segment of its own
+            stream.setsockopt(6, 1, 1)  # TCP_NODELAY: each token is a segment of its own
         try:
-            await serve_connection(stream, self.handle, body_bytes=self.terms.body_bytes, head_ms=self.terms.head_ms,
-                                   body_ms=self.terms.body_ms, idle_ms=self.terms.idle_ms,
-                                   send_ms=self.terms.send_ms, refusal=self.refusal, draining=lambda: self.draining)
+            await serve_connection(
+                stream,
+                self.handle,
+                body_bytes=self.terms.body_bytes,
+                head_ms=self.terms.head_ms,
+                body_ms=self.terms.body_ms,
+                idle_ms=self.terms.idle_ms,
+                send_ms=self.terms.send_ms,
+                refusal=self.refusal,
+                draining=lambda: self.draining,
+            )
         finally:
             self.conns -= 1
             self.measures.conns.set(self.conns)
@@ -134,8 +179,15 @@
         self.measures.refused.labels(bad.code).inc()
         return error_body(bad.status, bad.why, bad.code), "application/json"
 
-    async def refuse(self, exchange: Exchange, status: int, why: str, code: str, param: str | None = None,
-                     extra: list[tuple[str, str]] | None = None) -> None:
+    async def refuse(
+        self,
+        exchange: Exchange,
+        status: int,
+        why: str,
+        code: str,
+        param: str | None = None,
+        extra: list[tuple[str, str]] | None = None,
+    ) -> None:
         self.measures.refused.labels(code).inc()
         await exchange.answer(status, extra or [], error_body(status, why, code, param))
 
@@ -164,8 +216,7 @@
             await exchange.answer(200 if ready else 503, [], b'{"ready":%s}' % (b"true" if ready else b"false"))
         else:
             known = route[1] in ("/v1/chat/completions", "/v1/models", "/healthz")
-            await self.refuse(exchange, 405 if known else 404, f"Unknown request: {route[0]} {route[1]}",
-                              "unknown_url")
+            await self.refuse(exchange, 405 if known else 404, f"Unknown request: {route[0]} {route[1]}", "unknown_url")
 
     def model(self, name: str) -> dict[str, Any]:
         return {"id": name, "object": "model", "created": self.started, "owned_by": "ternlane"}
@@ -173,7 +224,7 @@
     async def chat(self, exchange: Exchange) -> None:
         """From the request to its one answer. What is refused here was never taken."""
         since = now_ms()
-        begun: str | None = None    # the repeat key whose first request this is: it must be ended
+        begun: str | None = None  # the repeat key whose first request this is: it must be ended
         ticket: Ticket | None = None
         try:
             tenant = self.tenant(exchange)
@@ -200,7 +251,7 @@
             self.host.arrived(ticket)
             await self.answer(exchange, ticket)
         finally:
-            if not ticket.left and ticket.final is None:    # the connection's task was ended from outside
+            if not ticket.left and ticket.final is None:  # the connection's task was ended from outside
                 self.host.client_left(ticket)
             if begun is not None:
                 self.remember(begun, ticket)
@@ -226,7 +277,7 @@
             return None
         if not 1 <= len(said) <= 255:
             raise Wrong("Idempotency-Key", "Idempotency-Key must have 1 to 255 characters")
-        if self.host.scribe is not None and not self.host.scribe.ready:    # a repeat's first may be out there
+        if self.host.scribe is not None and not self.host.scribe.ready:  # a repeat's first may be out there
             raise NotTaken(503, "The journal of the process before is being taken over", "taking_over", 1)
         owner = tenant.name if tenant is not None else exchange.header(b"authorization") or ""
         return f"{owner}\0{said}"
@@ -236,11 +287,19 @@
         Raises NotTaken."""
         match self.repeats.begin(key, xxh3_128_digest(body), now):
             case Busy():
-                raise NotTaken(409, "The first request with this Idempotency-Key is still out",
-                               "idempotency_key_in_use", param="Idempotency-Key")
+                raise NotTaken(
+                    409,
+                    "The first request with this Idempotency-Key is still out",
+                    "idempotency_key_in_use",
+                    param="Idempotency-Key",
+                )
             case Differs():
-                raise NotTaken(422, "This Idempotency-Key came with another body before", "idempotency_key_reused",
-                               param="Idempotency-Key")
+                raise NotTaken(
+                    422,
+                    "This Idempotency-Key came with another body before",
+                    "idempotency_key_reused",
+                    param="Idempotency-Key",
+                )
             case Done(answer):
                 final: Final = answer
                 return final
@@ -257,40 +316,65 @@
             raise Wrong("Last-Event-ID", "must be the id of an event of this stream")
         return int(said)
 
-    def ticket(self, exchange: Exchange, ask: ChatAsk, tenant: TenantLine | None, key: str | None, patience: float,
-               since: float, after: int) -> Ticket:
+    def ticket(
+        self,
+        exchange: Exchange,
+        ask: ChatAsk,
+        tenant: TenantLine | None,
+        key: str | None,
+        patience: float,
+        since: float,
+        after: int,
+    ) -> Ticket:
         """Makes the generation and reserves for it. Raises Wrong, or NotTaken where the budget has no room."""
         owner = tenant.name if tenant is not None else ""
         known = self.intake.take(ask, patience, owner)
         if after and not comes_out_the_same(ask.raw, known.gen.product.effect):
-            raise NotTaken(409, "The rest of this answer can't be had: it is not kept, and another run must not be, or "
-                                "would not come out the same", "resume_not_possible", param="Last-Event-ID")
+            raise NotTaken(
+                409,
+                "The rest of this answer can't be had: it is not kept, and another run must not be, or "
+                "would not come out the same",
+                "resume_not_possible",
+                param="Last-Event-ID",
+            )
         hold: Hold | None = None
         if self.till is not None and tenant is not None:
-            got = self.till.reserve(tenant, self.names[known.gen.product], known.gen.prompt_toks,
-                                    int(known.gen.max_toks))
+            got = self.till.reserve(
+                tenant, self.names[known.gen.product], known.gen.prompt_toks, int(known.gen.max_toks)
+            )
             if isinstance(got, Refusal):
                 raise over_budget(got)
             hold = got
         ident = self.ident(exchange, owner)
         outlet: Outlet = PlainOutlet()
         if ask.stream:
-            outlet = StreamOutlet(exchange, f"chatcmpl-{ident}", ask.model, ask.include_usage,
-                                  after if self.paper.streams.ids else None)
+            outlet = StreamOutlet(
+                exchange, f"chatcmpl-{ident}", ask.model, ask.include_usage, after if self.paper.streams.ids else None
+            )
         if self.till is not None and hold is not None:
             outlet.extra = self.till.headers(hold)
         # Engines drop repeats by this key; a key of the gateway's own can't meet another gateway's.
-        engine_key = (f"{self.birth}-{ident}-{next(self.count)}" if key is None else xxh3_64_hexdigest(key.encode()))
+        engine_key = f"{self.birth}-{ident}-{next(self.count)}" if key is None else xxh3_64_hexdigest(key.encode())
         join = self.host.join_for(ask.raw, known.gen)
         join.ahead = after
-        return Ticket(ident, ask, known, outlet, since, engine_key, join,
-                      key or "", xxh3_128_digest(exchange.body) if key is not None else b"", hold=hold)
+        return Ticket(
+            ident,
+            ask,
+            known,
+            outlet,
+            since,
+            engine_key,
+            join,
+            key or "",
+            xxh3_128_digest(exchange.body) if key is not None else b"",
+            hold=hold,
+        )
 
     def ident(self, exchange: Exchange, tenant: str) -> str:
         """The client's own name for it if it is a plain one that is not in use; a tenant's go by the tenant, as a
         stranger who guessed one could otherwise have its state let go."""
         said = exchange.header(b"x-request-id") or ""
-        ident = f"{tenant}:{said}" if tenant else said    # no tenant's name holds a colon
+        ident = f"{tenant}:{said}" if tenant else said  # no tenant's name holds a colon
         if not IDENT.fullmatch(said) or ident in self.host.idents:
             ident = f"{self.birth}-{next(self.count)}"
         return ident
@@ -312,45 +396,52 @@
 
     async def answer(self, exchange: Exchange, ticket: Ticket) -> None:
         if ticket.final is None:
-            with ticket.watch:    # cancelled when the answer is settled
+            with ticket.watch:  # cancelled when the answer is settled
                 await exchange.until_left()
                 self.host.client_left(ticket)
         if ticket.left or ticket.final is None:
-            return    # the connection ends without an answer, or without its last chunk
+            return  # the connection ends without an answer, or without its last chunk
         try:
             if isinstance(ticket.outlet, StreamOutlet) and ticket.begun:
                 await ticket.outlet.end(ticket.final)
             else:
                 await self.whole(exchange, ticket, ticket.final)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
-            pass    # gone before it took its answer: the answer was given all the same
+            pass  # gone before it took its answer: the answer was given all the same
 
     async def whole(self, exchange: Exchange, ticket: Ticket, final: Final) -> None:
         """An answer of which the client has nothing yet."""
         ident, extra = ("X-Request-Id", ticket.ident), ticket.outlet.extra
         match final:
             case Streamed(text, finish, usage, more):
-                body = answer_body(f"chatcmpl-{ticket.ident}", int(time.time()), ticket.ask.model, text, finish, usage,
-                                   more)
+                body = answer_body(
+                    f"chatcmpl-{ticket.ident}", int(time.time()), ticket.ask.model, text, finish, usage, more
+                )
                 await exchange.answer(200, [ident, *extra], body)
             case Throttled(pause):
                 seconds = max(1, -(-int(pause) // 1000))
-                await exchange.answer(429, [ident, ("Retry-After", str(seconds)),
-                                            ("retry-after-ms", f"{max(pause, 1.0):.0f}")],
-                                      error_body(429, "The model servers are busy; nothing has run and a new try "
-                                                      "does no harm", "throttled"))
+                await exchange.answer(
+                    429,
+                    [ident, ("Retry-After", str(seconds)), ("retry-after-ms", f"{max(pause, 1.0):.0f}")],
+                    error_body(
+                        429, "The model servers are busy; nothing has run and a new try does no harm", "throttled"
+                    ),
+                )
             case Terminated(why, timed_out):
                 status = 504 if timed_out else 502
-                await exchange.answer(status, [ident, ("x-should-retry", "false")],
-                                      error_body(status, f"Terminated: {why or 'no server could finish it'}",
-                                                 "terminated"))
+                await exchange.answer(
+                    status,
+                    [ident, ("x-should-retry", "false")],
+                    error_body(status, f"Terminated: {why or 'no server could finish it'}", "terminated"),
+                )
 
     def restore(self, found: list[Known]) -> None:
         """What a process before this one had answered, or had out when it was lost."""
         now, wall = now_ms(), time.time() * 1000
         for it in found:
-            self.repeats.restore(it.taken.key, it.taken.mark, final_of(it), len(it.ended.text),
-                                 now + it.taken.until - wall)
+            self.repeats.restore(
+                it.taken.key, it.taken.mark, final_of(it), len(it.ended.text), now + it.taken.until - wall
+            )
 
     def remember(self, key: str, ticket: Ticket) -> None:
         """Ends the key's first request with what a repeat will hear."""
@@ -366,15 +457,18 @@
         mark = ("Idempotency-Replayed", "true")
         match final:
             case Streamed(text, finish, usage, more) if ask.stream:
-                outlet = StreamOutlet(exchange, ident, ask.model, ask.include_usage,
-                                      after if self.paper.streams.ids else None)
+                outlet = StreamOutlet(
+                    exchange, ident, ask.model, ask.include_usage, after if self.paper.streams.ids else None
+                )
                 outlet.extra = [mark]
                 await outlet.piece(text[after:], True, more)
                 await outlet.end(final)
             case Streamed(text, finish, usage, more):
-                await exchange.answer(200, [mark], answer_body(ident, int(time.time()), ask.model, text, finish,
-                                                                    usage, more))
+                await exchange.answer(
+                    200, [mark], answer_body(ident, int(time.time()), ask.model, text, finish, usage, more)
+                )
             case _:
                 why = final.why if isinstance(final, Terminated) else ""
-                await exchange.answer(502, [mark, ("x-should-retry", "false")],
-                                      error_body(502, f"Terminated: {why}", "terminated"))
+                await exchange.answer(
+                    502, [mark, ("x-should-retry", "false")], error_body(502, f"Terminated: {why}", "terminated")
+                )
--- a/ternlane/gateway/facts.py
+++ b/ternlane/gateway/facts.py
@@ -1,4 +1,5 @@
 """From the operator's document to what the decisions are told at start."""
+
 from __future__ import annotations
 
 from dataclasses import astuple, dataclass
@@ -7,13 +8,14 @@
 from ternlane.paper import GatewayPaper
 from ternlane.port import Product, StartFacts
 
-STEP_MS = 1.0    # the host hands events over as they come
+STEP_MS = 1.0  # the host hands events over as they come
 
 
 @dataclass(slots=True, frozen=True)
 class Offer:
     """What a document comes to: products by their names and by all model names, the longest answer of each, and what
     the decisions are told."""
+
     products: dict[str, Product]
     models: dict[str, Product]
     max_toks: dict[Product, int]
@@ -25,22 +27,52 @@
     changed one is another, and what was taken before keeps its own."""
     products: dict[str, Product] = {}
     for p in paper.products:
-        new = Product(EFFECTS[p.effect], GROUPS[p.group], p.window_ms, p.slo_ms, p.slo_per_ktok_ms, p.tok_slo_ms,
-                      p.limit_ms, p.revenue, p.late_share)
+        new = Product(
+            EFFECTS[p.effect],
+            GROUPS[p.group],
+            p.window_ms,
+            p.slo_ms,
+            p.slo_per_ktok_ms,
+            p.tok_slo_ms,
+            p.limit_ms,
+            p.revenue,
+            p.late_share,
+        )
         old = (held or {}).get(p.name)
         products[p.name] = old if old is not None and astuple(old) == astuple(new) else new
-    return Offer(products, {model: products[p.name] for p in paper.products for model in (p.name, *p.models)},
-                 {products[p.name]: p.max_toks for p in paper.products}, facts_of(paper, products))
+    return Offer(
+        products,
+        {model: products[p.name] for p in paper.products for model in (p.name, *p.models)},
+        {products[p.name]: p.max_toks for p in paper.products},
+        facts_of(paper, products),
+    )
 
 
 def facts_of(paper: GatewayPaper, products: dict[str, Product]) -> StartFacts:
     fleet = paper.fleet
     return StartFacts(
-        seed=paper.seed, gateways=paper.gateways, zone=paper.zone, products=tuple(products.values()),
-        leg_limit=fleet.leg_limit, may_call_off=fleet.may_call_off, may_hold_ahead=fleet.holds,
-        may_probe=fleet.ask_load, may_advise=fleet.longest_pause_ms > 0, must_ask=False, ask_within_ms=0.0,
+        seed=paper.seed,
+        gateways=paper.gateways,
+        zone=paper.zone,
+        products=tuple(products.values()),
+        leg_limit=fleet.leg_limit,
+        may_call_off=fleet.may_call_off,
+        may_hold_ahead=fleet.holds,
+        may_probe=fleet.ask_load,
+        may_advise=fleet.longest_pause_ms > 0,
+        must_ask=False,
+        ask_within_ms=0.0,
         writers_read=fleet.writers_read,
-        reports_mem=fleet.reports_mem, longest_pause_ms=fleet.longest_pause_ms, connect_ms=fleet.connect_ms,
-        idle_ms=fleet.idle_ms, release_ms=fleet.release_ms, drain_grace_ms=fleet.drain_grace_ms,
-        cold_ms=fleet.cold_ms, cold_from=fleet.cold_from, fall_multiple=fleet.fall_multiple, fall_ms=fleet.fall_ms,
-        step_ms=STEP_MS, told_if_asked=fleet.ask_load)
+        reports_mem=fleet.reports_mem,
+        longest_pause_ms=fleet.longest_pause_ms,
+        connect_ms=fleet.connect_ms,
+        idle_ms=fleet.idle_ms,
+        release_ms=fleet.release_ms,
+        drain_grace_ms=fleet.drain_grace_ms,
+        cold_ms=fleet.cold_ms,
+        cold_from=fleet.cold_from,
+        fall_multiple=fleet.fall_multiple,
+        fall_ms=fleet.fall_ms,
+        step_ms=STEP_MS,
+        told_if_asked=fleet.ask_load,
+    )
