--- a/ternlane/gateway/gateway.py
+++ b/ternlane/gateway/gateway.py
@@ -1,4 +1,5 @@
 """A whole gateway in a nursery: open_gateway starts it, and nothing of it is left when the block ends."""
+
 from __future__ import annotations
 
 import errno
@@ -29,7 +30,7 @@
 from ternlane.port import Life, ListFailed, StartFacts
 
 BACKLOG = 4096
-ALTERED = ("door", "nodes", "products", "fleet", "gateways", "zone")    # taken over by a running gateway
+ALTERED = ("door", "nodes", "products", "fleet", "gateways", "zone")  # taken over by a running gateway
 SHORT_OF = (errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.ENOBUFS, errno.ECONNABORTED)
 
 
@@ -41,8 +42,15 @@
 class Gateway:
     """A gateway that runs in its owner's nursery: `address` is where it listens, as host:port."""
 
-    def __init__(self, paper: GatewayPaper, chooser: Callable[[StartFacts], Chooser], nursery: trio.Nursery,
-                 log: Any, host_type: type[Host] = Host, transport: Transport | None = None) -> None:
+    def __init__(
+        self,
+        paper: GatewayPaper,
+        chooser: Callable[[StartFacts], Chooser],
+        nursery: trio.Nursery,
+        log: Any,
+        host_type: type[Host] = Host,
+        transport: Transport | None = None,
+    ) -> None:
         self.paper, self.nursery, self.log = paper, nursery, log
         self.offer = offer_of(paper)
         self.facts = self.offer.facts
@@ -51,8 +59,17 @@
         intake = Intake(self.offer.models, self.offer.max_toks, paper.door.session_limit)
         self.agent = f"ternlane/{__version__} ({paper.name})"
         self.transport = transport or SocketTransport(self.pool, self.agent)
-        self.host = host_type(chooser(self.facts), self.facts, self.transport, self.book, intake, nursery,
-                              self.measures, log, paper.streams)
+        self.host = host_type(
+            chooser(self.facts),
+            self.facts,
+            self.transport,
+            self.book,
+            intake,
+            nursery,
+            self.measures,
+            log,
+            paper.streams,
+        )
         self.till = Till(paper, log) if paper.tenants is not None else None
         self.door = Door(paper, self.host, intake, self.offer.models, self.measures, log, self.till)
         if self.till is not None:
@@ -75,8 +92,7 @@
         news = self.book.whole(lines, time.time(), now_ms())
         self.host.listed(news)
         for life in Life:
-            self.measures.servers.labels(life.name.lower()).set(
-                sum(s.life is life for s in self.book.servers.values()))
+            self.measures.servers.labels(life.name.lower()).set(sum(s.life is life for s in self.book.servers.values()))
         if news.servers:
             self.keeping = lines
             self.keep_now.set()
@@ -147,7 +163,7 @@
             self.host.alter(self.offer)
         self.door.alter(self.paper, self.offer.models)
         if "nodes" in changed:
-            self.following.cancel()    # and followed anew at the new source
+            self.following.cancel()  # and followed anew at the new source
         return changed, kept_back
 
     # -- start and stop
@@ -189,12 +205,12 @@
             try:
                 stream = await listener.accept()
             except trio.ClosedResourceError:
-                return    # closed by `drain` or the end, with a connection just arriving
+                return  # closed by `drain` or the end, with a connection just arriving
             except OSError as why:
                 if why.errno not in SHORT_OF:
                     raise
                 self.log.error("no connection can be taken", why=str(why))
-                await trio.sleep(0.1)    # files or memory ran out: what closes meanwhile makes room
+                await trio.sleep(0.1)  # files or memory ran out: what closes meanwhile makes room
             else:
                 self.nursery.start_soon(self.door.connection, stream)
 
@@ -204,14 +220,16 @@
                 await exchange.answer(200, [], self.measures.text(), "text/plain; version=0.0.4")
             else:
                 await exchange.answer(404, [], b"")
-        await serve_connection(stream, handler=handle, body_bytes=1024, head_ms=5e3, body_ms=5e3, idle_ms=60e3,
-                               send_ms=5e3)
+
+        await serve_connection(
+            stream, handler=handle, body_bytes=1024, head_ms=5e3, body_ms=5e3, idle_ms=60e3, send_ms=5e3
+        )
 
     async def drain(self) -> None:
         """Takes nothing new, lets what is open end, and gives up on the rest when the time is over."""
         self.doors.cancel()
-        for listener in self.listeners:    # who has come already is served; who comes now hears that nobody listens
-            while not self.handed_over:    # where another process has the socket too, its queue is that one's
+        for listener in self.listeners:  # who has come already is served; who comes now hears that nobody listens
+            while not self.handed_over:  # where another process has the socket too, its queue is that one's
                 stream = None
                 with trio.move_on_after(0.01):
                     stream = await listener.accept()
@@ -219,7 +237,7 @@
                     break
                 self.nursery.start_soon(self.door.connection, stream)
             listener.socket.close()
-        await trio.sleep(0.05)    # for requests that were under way
+        await trio.sleep(0.05)  # for requests that were under way
         self.door.draining = True
         with trio.move_on_after(self.paper.door.drain_ms / 1000):
             while self.host.tickets:
@@ -231,7 +249,7 @@
         to do; a block that ends without it loses nothing either."""
         for ticket in list(self.host.tickets.values()):
             self.host.give_up(ticket)
-        with trio.move_on_after(self.facts.release_ms / 1000 + 0.2):    # for last answers and what is let go
+        with trio.move_on_after(self.facts.release_ms / 1000 + 0.2):  # for last answers and what is let go
             while self.host.tickets or self.host.releasing or self.door.busy:
                 await trio.sleep(0.01)
         if self.till is not None:
@@ -241,10 +259,14 @@
 
 
 @asynccontextmanager
-async def open_gateway(paper: GatewayPaper, chooser: Callable[[StartFacts], Chooser] = Router, log: Any = None,
-                       host_type: type[Host] = Host,
-                       listeners: list[trio.SocketListener] | None = None,
-                       transport: Transport | None = None) -> AsyncIterator[Gateway]:
+async def open_gateway(
+    paper: GatewayPaper,
+    chooser: Callable[[StartFacts], Chooser] = Router,
+    log: Any = None,
+    host_type: type[Host] = Host,
+    listeners: list[trio.SocketListener] | None = None,
+    transport: Transport | None = None,
+) -> AsyncIterator[Gateway]:
     """Everything lives in a nursery that this block owns. Raises PaperError for settings that no document could hold,
     OSError where its address is taken, Damaged where the ledger is."""
     paper = checked(paper)
--- a/ternlane/gateway/host.py
+++ b/ternlane/gateway/host.py
@@ -3,6 +3,7 @@
 One loop owns the Router: `tell` puts an event in, and whoever finds the loop idle empties it. Sockets, timers and the
 node list all come through here.
 """
+
 from __future__ import annotations
 
 from typing import Any, Callable
@@ -26,8 +27,18 @@
 
 
 class Host(Turns[Ticket]):
-    def __init__(self, chooser: Chooser, facts: StartFacts, transport: Transport, book: Book, intake: Intake,
-                 nursery: trio.Nursery, measures: Measures, log: Any, streams: StreamTerms | None = None) -> None:
+    def __init__(
+        self,
+        chooser: Chooser,
+        facts: StartFacts,
+        transport: Transport,
+        book: Book,
+        intake: Intake,
+        nursery: trio.Nursery,
+        measures: Measures,
+        log: Any,
+        streams: StreamTerms | None = None,
+    ) -> None:
         super().__init__(chooser)
         self.facts, self.transport, self.book, self.intake = facts, transport, book, intake
         self.nursery, self.measures, self.log = nursery, measures, log
@@ -35,7 +46,7 @@
         self.resume_at = float("inf")
         self.idents: set[str] = set()
         self.releasing = 0
-        self.mute: set[str] = set()    # servers that were asked for their load and did not say
+        self.mute: set[str] = set()  # servers that were asked for their load and did not say
         self.scribe: Scribe | None = None
         self.on_done: Callable[[Ticket], None] = lambda _: None
         self.affords: Callable[[Ticket], bool] = lambda _: True
@@ -91,7 +102,7 @@
         if ticket.final is None and not ticket.left:
             ticket.left = True
             if ticket.leg is not None and ticket.flowing:
-                ticket.leg.call_off()    # a stream that nobody reads
+                ticket.leg.call_off()  # a stream that nobody reads
             self.tell(port.ClientLeft(ticket.gen))
             self.close(ticket, "left")
 
@@ -104,7 +115,7 @@
             self.tell(port.ClientLeft(ticket.gen))
 
     def settle(self, ticket: Ticket, final: Throttled | Terminated | Streamed) -> None:
-        if ticket.begun and isinstance(final, Throttled):    # its client has a part: nothing to come back for
+        if ticket.begun and isinstance(final, Throttled):  # its client has a part: nothing to come back for
             final = Terminated(ticket.why or "nobody could go on with it")
         if not ticket.settle(final):
             return
@@ -115,8 +126,16 @@
         if self.scribe is not None:
             self.scribe.ended(ticket, outcome)
         self.measures.outcomes.labels(ticket.ask.model, outcome).inc()
-        self.log.info("generation", gen=ticket.ident, model=ticket.ask.model, session=ticket.known.session,
-                      outcome=outcome, legs=ticket.trail, took_ms=round(took, 1), why=ticket.why)
+        self.log.info(
+            "generation",
+            gen=ticket.ident,
+            model=ticket.ask.model,
+            session=ticket.known.session,
+            outcome=outcome,
+            legs=ticket.trail,
+            took_ms=round(took, 1),
+            why=ticket.why,
+        )
         self.forget(ticket)
 
     def forget(self, ticket: Ticket) -> None:
@@ -124,7 +143,7 @@
         if ticket.leg is None and (ticket.final is not None or ticket.left) and not ticket.holders:
             if self.tickets.pop(ticket.gen, None) is not None:
                 self.mender.ended(ticket, ticket.join, isinstance(ticket.final, Streamed))
-                if self.resume_at < float("inf"):    # others wait, perhaps for its place
+                if self.resume_at < float("inf"):  # others wait, perhaps for its place
                     self.resume()
                 self.idents.discard(ticket.ident)
                 self.on_done(ticket)
@@ -139,7 +158,7 @@
         stage = Stage.WHOLE
         if server.duty is Duty.READ:
             stage = Stage.READ
-            ticket.holders[server] = None    # from now on: a read whose end is not heard may have left its state
+            ticket.holders[server] = None  # from now on: a read whose end is not heard may have left its state
         elif server.duty is Duty.WRITE and ticket.state is not None:
             stage = Stage.WRITE
         barred = begin_check(server, times.begin_by_ms, lambda: ticket.left or ticket.final is not None)
@@ -147,12 +166,29 @@
         join, goes_on = ticket.join, ticket.join.resumed and ticket.join.way is Way.GO_ON
         first = None
         if self.scribe is not None:
-            first = self.scribe.sends(ticket, place.ident, place.address, place.line.protocol, stage is Stage.READ,
-                                      stage is not Stage.READ)
-        self.nursery.start_soon(self.run, ticket, server, first, LegAsk(
-            place.ident, place.address, stage, ticket.ident, number,
-            f"{ticket.key}.{join.legs}" if goes_on else ticket.key,    # another request than the first: no repeat
-            join.request(ticket.ask.raw), ticket.state, join.left(), ticket.leg, place.line.protocol, goes_on))
+            first = self.scribe.sends(
+                ticket, place.ident, place.address, place.line.protocol, stage is Stage.READ, stage is not Stage.READ
+            )
+        self.nursery.start_soon(
+            self.run,
+            ticket,
+            server,
+            first,
+            LegAsk(
+                place.ident,
+                place.address,
+                stage,
+                ticket.ident,
+                number,
+                f"{ticket.key}.{join.legs}" if goes_on else ticket.key,  # another request than the first: no repeat
+                join.request(ticket.ask.raw),
+                ticket.state,
+                join.left(),
+                ticket.leg,
+                place.line.protocol,
+                goes_on,
+            ),
+        )
 
     async def run(self, ticket: Ticket, server: Server, first_kept: int | None, ask: LegAsk) -> None:
         since, stage, plan, last = now_ms(), ask.stage, ask.plan, 0.0
@@ -165,7 +201,7 @@
             try:
                 await pass_piece(text, first, more)
             finally:
-                last = now_ms()    # a client that takes its time is not the engine's silence
+                last = now_ms()  # a client that takes its time is not the engine's silence
             plan.quiet_ms = self.mender.quiet_ms(ticket.join, server, longest, explores)
 
         async def pass_piece(text: str, first: bool, more: More | None) -> None:
@@ -175,13 +211,13 @@
                 ticket.flowing = True
                 if ticket.holders and self.scribe is not None:
                     self.scribe.freed(ticket)
-                ticket.holders.clear()    # the writer has fetched the state
+                ticket.holders.clear()  # the writer has fetched the state
                 if not ticket.begun:
                     self.measures.first.labels(ticket.ask.model).observe((now_ms() - ticket.since) / 1000)
                 paused = self.mender.first(ticket, now_ms(), ticket.taken)
                 if paused is not None:
                     self.measures.resumed.observe(paused / 1000)
-                    self.resume()    # its place is free
+                    self.resume()  # its place is free
                 self.tell(port.FirstTok(ticket.gen, server, now_ms() - since))
             try:
                 new = ticket.join.take(text)
@@ -190,7 +226,7 @@
                 return plan.call_off()
             if ticket.join.stopped:
                 return plan.call_off()
-            if not self.affords(ticket):    # its tenant wants streams cut that pass the overdraft
+            if not self.affords(ticket):  # its tenant wants streams cut that pass the overdraft
                 ticket.why = "over budget: the overdraft is used up"
                 plan.call_off()
             head, ticket.begun = not ticket.begun, True
@@ -198,16 +234,21 @@
                 ticket.beyond.add(more)
                 ticket.join.beyond()
             elif not new and not head:
-                return    # a repeat's, which the client has
+                return  # a repeat's, which the client has
             try:
                 await (ticket.outlet.piece(new, head) if more is None else ticket.outlet.piece(new, head, more))
             except (trio.BrokenResourceError, trio.ClosedResourceError):
                 raise ClientGone from None
 
         if first_kept is not None and not await self.noted(first_kept, plan):
-            return self.leg_ended(ticket, server, stage, LegEnd(
-                Verdict.CALLED_OFF if plan.called_off else Verdict.FULL, why="the journal can't be kept"),
-                now_ms() - since, plan)
+            return self.leg_ended(
+                ticket,
+                server,
+                stage,
+                LegEnd(Verdict.CALLED_OFF if plan.called_off else Verdict.FULL, why="the journal can't be kept"),
+                now_ms() - since,
+                plan,
+            )
         try:
             end = await (self.transport.read(ask) if stage is Stage.READ else self.transport.stream(ask, pass_on))
         except ClientGone:
@@ -219,22 +260,32 @@
         """Waits until the disk has it that this leg goes out; where it hasn't in time, the leg is not sent."""
         assert self.scribe is not None
         legs_own, plan.scope = plan.scope, trio.CancelScope(deadline=trio.current_time() + self.facts.connect_ms / 1000)
-        with plan.scope:    # which a call-off ends
+        with plan.scope:  # which a call-off ends
             await self.scribe.writer.until_kept(number)
         kept, plan.scope = not plan.scope.cancelled_caught, legs_own
         return kept and not plan.called_off
 
-    def leg_ended(self, ticket: Ticket, server: Server, stage: Stage, end: LegEnd, took: float,
-                  plan: LegPlan) -> None:
+    def leg_ended(self, ticket: Ticket, server: Server, stage: Stage, end: LegEnd, took: float, plan: LegPlan) -> None:
         ticket.leg, ticket.flowing = None, False
         place = self.book.places[server]
         ticket.trail.append(f"{place.ident} {stage.name} {end.verdict.name}")
         self.measures.legs.labels(stage.name.lower(), end.verdict.name.lower()).inc()
-        self.log.debug("leg", gen=ticket.ident, leg=ticket.legs - 1, server=place.ident, stage=stage.name,
-                       verdict=end.verdict.name, took_ms=round(took, 1), why=end.why)
+        self.log.debug(
+            "leg",
+            gen=ticket.ident,
+            leg=ticket.legs - 1,
+            server=place.ident,
+            stage=stage.name,
+            verdict=end.verdict.name,
+            took_ms=round(took, 1),
+            why=end.why,
+        )
         kept = 0.0
-        if end.verdict is Verdict.READ and end.usage is not None \
-                and not ticket.join.took_in(end.usage.prompt_tokens, ticket.prompt_said):
+        if (
+            end.verdict is Verdict.READ
+            and end.usage is not None
+            and not ticket.join.took_in(end.usage.prompt_tokens, ticket.prompt_said)
+        ):
             end.verdict, end.why = Verdict.ERROR, "it read no more than the prompt, and can't go on with the text"
         ticket.made.append(made_of(stage, end, ticket.join.leg_pieces))
         if end.usage is not None:
@@ -256,12 +307,12 @@
             self.streamed(ticket, "stop" if ticket.join.stopped else end.finish, end.usage)
         elif end.begun:
             broken = not plan.called_off and not ticket.left and self.broke(ticket, end)
-            if not broken:    # its client has part of the answer, and hears that there is no more
+            if not broken:  # its client has part of the answer, and hears that there is no more
                 self.settle(ticket, Terminated(ticket.why if plan.called_off else end.why or "the stream broke"))
         over = ticket.final is not None or ticket.left
         never_ran = Verdict.FULL, Verdict.UNCONNECTED, Verdict.MOOT, Verdict.WITHHELD
         if end.verdict in never_ran and server.duty is Duty.READ:
-            ticket.holders.pop(server, None)    # it ran nothing, so it left nothing
+            ticket.holders.pop(server, None)  # it ran nothing, so it left nothing
         self.tell(port.LegEnded(ticket.gen, server, end.verdict, took, over, kept, end.state_lost, end.report, broken))
         self.forget(ticket)
         if broken:
@@ -270,8 +321,15 @@
     def streamed(self, ticket: Ticket, finish: str, usage: Usage | None) -> None:
         join, said = ticket.join, (usage or Usage()).told()
         self.intake.answered(ticket.known, ticket.beyond.echoed(join.text))
-        self.settle(ticket, Streamed(join.text, finish, join.usage(ticket.prompt_said, ticket.kept_said, said),
-                                      ticket.beyond.whole() if ticket.beyond else None))
+        self.settle(
+            ticket,
+            Streamed(
+                join.text,
+                finish,
+                join.usage(ticket.prompt_said, ticket.kept_said, said),
+                ticket.beyond.whole() if ticket.beyond else None,
+            ),
+        )
 
     # -- streams that broke
 
@@ -279,9 +337,14 @@
         """Whether another leg may give the rest; if so it waits for its turn."""
         ticket.broke_at = len(ticket.made) if ticket.broke_at is None else ticket.broke_at
         fate = self.mender.broke(
-            ticket, ticket.join, ticket.gen, None if end.usage is None else end.usage.completion_tokens, now_ms(),
+            ticket,
+            ticket.join,
+            ticket.gen,
+            None if end.usage is None else end.usage.completion_tokens,
+            now_ms(),
             ticket.taken + ticket.gen.patience_ms,
-            sum(s.life is Life.UP and s.duty is not Duty.WRITE for s in self.book.servers.values()))
+            sum(s.life is Life.UP and s.duty is not Duty.WRITE for s in self.book.servers.values()),
+        )
         self.measures.breaks.labels(fate.name.lower()).inc()
         if fate is Fate.ENDS:
             end.why = f"{end.why or 'the stream broke'}; {ticket.join.why}"
@@ -324,16 +387,23 @@
 
     async def hold_ahead(self, ticket: Ticket, server: Server) -> None:
         place, gen = self.book.places[server], ticket.gen
-        held = await self.transport.hold(place.ident, place.address, ticket.ident, gen.prompt_toks + gen.max_toks,
-                                         self.facts.release_ms, place.line.protocol)
+        held = await self.transport.hold(
+            place.ident,
+            place.address,
+            ticket.ident,
+            gen.prompt_toks + gen.max_toks,
+            self.facts.release_ms,
+            place.line.protocol,
+        )
         if ticket.gen in self.tickets and not ticket.left and ticket.final is None:
             self.tell(port.PlaceHeld(gen, held))
 
     async def probe(self, server: Server) -> None:
         """Asks an engine for its load; one that does not say is heard all the same, and named in the log once."""
         place = self.book.places[server]
-        verdict, report = await self.transport.load(place.ident, place.address, self.facts.connect_ms,
-                                                    place.line.protocol)
+        verdict, report = await self.transport.load(
+            place.ident, place.address, self.facts.connect_ms, place.line.protocol
+        )
         self.measures.probes.labels("told" if report is not None else verdict.name.lower()).inc()
         if report is None and verdict in (Verdict.STREAMED, Verdict.ERROR) and place.ident not in self.mute:
             self.mute.add(place.ident)
@@ -343,8 +413,9 @@
     async def release(self, ticket: Ticket, server: Server) -> None:
         place = self.book.places[server]
         try:
-            done = await self.transport.release(place.ident, place.address, ticket.ident, self.facts.release_ms,
-                                                place.line.protocol)
+            done = await self.transport.release(
+                place.ident, place.address, ticket.ident, self.facts.release_ms, place.line.protocol
+            )
         finally:
             self.releasing -= 1
             if self.scribe is not None:
--- a/ternlane/gateway/logs.py
+++ b/ternlane/gateway/logs.py
@@ -2,6 +2,7 @@
 
 Nothing is configured and no handler is made; the standard library shows warnings on standard error and nothing less.
 """
+
 from __future__ import annotations
 
 import logging
@@ -12,5 +13,7 @@
 
 def library_log() -> Any:
     return structlog.wrap_logger(
-        logging.getLogger("ternlane"), wrapper_class=structlog.stdlib.BoundLogger,
-        processors=[structlog.stdlib.filter_by_level, structlog.processors.KeyValueRenderer(key_order=["event"])])
+        logging.getLogger("ternlane"),
+        wrapper_class=structlog.stdlib.BoundLogger,
+        processors=[structlog.stdlib.filter_by_level, structlog.processors.KeyValueRenderer(key_order=["event"])],
+    )
--- a/ternlane/gateway/measures.py
+++ b/ternlane/gateway/measures.py
@@ -1,4 +1,5 @@
 """What the gateway counts, in a registry of its own: nothing is left behind in the process."""
+
 from __future__ import annotations
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
@@ -8,12 +9,14 @@
     def __init__(self) -> None:
         self.registry = CollectorRegistry()
         r = self.registry
-        self.outcomes = Counter("ternlane_generations", "Generations by model and final answer", ["model", "outcome"],
-                                registry=r)
+        self.outcomes = Counter(
+            "ternlane_generations", "Generations by model and final answer", ["model", "outcome"], registry=r
+        )
         self.legs = Counter("ternlane_legs", "Legs by stage and how they ended", ["stage", "verdict"], registry=r)
         self.first = Histogram("ternlane_first_token_seconds", "Arrival to first token", ["model"], registry=r)
-        self.breaks = Counter("ternlane_broken_streams", "Streams that broke, by what became of them", ["way"],
-                              registry=r)
+        self.breaks = Counter(
+            "ternlane_broken_streams", "Streams that broke, by what became of them", ["way"], registry=r
+        )
         self.resumed = Histogram("ternlane_resume_seconds", "From a stream's break to its next piece", registry=r)
         self.open = Gauge("ternlane_open_generations", "Generations held now", registry=r)
         self.conns = Gauge("ternlane_connections", "Clients' connections", registry=r)
--- a/ternlane/gateway/scribe.py
+++ b/ternlane/gateway/scribe.py
@@ -1,4 +1,5 @@
 """Keeps the journal of what is in flight, and takes it up after a loss."""
+
 from __future__ import annotations
 
 import time
@@ -16,7 +17,7 @@
 
 JOURNAL: Kind[Record, InFlight] = Kind("takes", b"TLTAKES1", decode_record, InFlight)
 SEGMENT = 4 << 20
-GATHER_MS = 20.0    # what nobody waits for may share a sync
+GATHER_MS = 20.0  # what nobody waits for may share a sync
 
 
 class Scribe:
@@ -25,10 +26,11 @@
     def __init__(self, folder: Path, log: Any) -> None:
         self.log = log
         self.store = Segmented(JOURNAL, Disk(folder), SEGMENT, keep_segments=1)
-        self.writer: Writer[Record, InFlight] = Writer(self.store, log, on_own=self.taken_up, what="journal",
-                                                        gather_ms=GATHER_MS)
-        self.lost: InFlight | None = None    # what the process before had open
-        self.up, self.ready = trio.Event(), False    # the folder is ours; repeats know what they hear
+        self.writer: Writer[Record, InFlight] = Writer(
+            self.store, log, on_own=self.taken_up, what="journal", gather_ms=GATHER_MS
+        )
+        self.lost: InFlight | None = None  # what the process before had open
+        self.up, self.ready = trio.Event(), False  # the folder is ours; repeats know what they hear
         self.birth, self.count = f"{time.time_ns():x}", count(1)
 
     def taken_up(self, found: InFlight) -> None:
@@ -39,12 +41,21 @@
 
     def took(self, ticket: Ticket) -> None:
         product, now = ticket.gen.product, time.time() * 1000
-        if not ticket.repeat_key:    # nobody can ask for it again: only what it holds need be known
+        if not ticket.repeat_key:  # nobody can ask for it again: only what it holds need be known
             ticket.noted = ""
             return
         ticket.noted = f"{self.birth}.{next(self.count)}"
-        self.writer.add(Taken(ticket.noted, ticket.ident, ticket.repeat_key, ticket.mark, product.effect.name, now,
-                              now + max(product.window_ms, product.limit_ms)))
+        self.writer.add(
+            Taken(
+                ticket.noted,
+                ticket.ident,
+                ticket.repeat_key,
+                ticket.mark,
+                product.effect.name,
+                now,
+                now + max(product.window_ms, product.limit_ms),
+            )
+        )
 
     def sends(self, ticket: Ticket, server: str, address: str, protocol: str, reads: bool, writes: bool) -> int | None:
         """Gives the number to wait for, where the leg must not go out before it is kept."""
@@ -65,8 +76,15 @@
         kept = Ended(ticket.noted, outcome)
         match ticket.for_repeats():
             case Streamed(text, finish, usage, more):
-                kept = Ended(ticket.noted, outcome, True, text, finish,
-                             {k: v for k, v in usage.items() if isinstance(v, int)}, more=more or {})
+                kept = Ended(
+                    ticket.noted,
+                    outcome,
+                    True,
+                    text,
+                    finish,
+                    {k: v for k, v in usage.items() if isinstance(v, int)},
+                    more=more or {},
+                )
             case Terminated(why):
                 kept = Ended(ticket.noted, "terminated", True, why=why)
         self.writer.add(kept)
@@ -77,7 +95,7 @@
         """Waits until the folder is this process's; lets go of what servers hold still. Gives what repeats hear."""
         await self.up.wait()
         lost, self.lost = self.lost or InFlight(), None
-        answers = lost.answers(time.time() * 1000)    # before the ends below come to the same objects
+        answers = lost.answers(time.time() * 1000)  # before the ends below come to the same objects
         async with trio.open_nursery() as nursery:
             for ident, held in lost.held():
                 nursery.start_soon(self.let_go, transport, ident, held, within_ms)
@@ -89,8 +107,9 @@
             self.log.warning("generations were open when the process before was lost", open=len(lost.opened))
         return answers
 
-    async def let_go(self, transport: Transport, ident: str, held: list[tuple[str, str, str]],
-                     within_ms: float) -> None:
+    async def let_go(
+        self, transport: Transport, ident: str, held: list[tuple[str, str, str]], within_ms: float
+    ) -> None:
         for server, address, protocol in held:
             if not await transport.release(server, address, ident, within_ms, protocol):
                 self.log.warning("release unheard", gen=ident, server=server)
@@ -107,4 +126,3 @@
     if it.outcome != "streamed":
         return Terminated(it.why)
     return Streamed(it.text, it.finish, dict(it.usage), it.more or None)
-
--- a/ternlane/gateway/ticket.py
+++ b/ternlane/gateway/ticket.py
@@ -1,4 +1,5 @@
 """One generation on the gateway, between its client and the decisions."""
+
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
@@ -22,7 +23,7 @@
     text: str
     finish: str
     usage: dict[str, Any]
-    more: More | None = None    # besides the text
+    more: More | None = None  # besides the text
 
 
 Final = Throttled | Terminated | Streamed
@@ -41,35 +42,36 @@
 @dataclass(slots=True, eq=False)
 class Ticket:
     """`final` is set once, by the host; the door, which watches for the client's leaving, is then woken."""
+
     ident: str
     ask: ChatAsk
     known: Known
     outlet: Outlet
     since: float
-    key: str    # under which engines drop repeats
-    join: Join    # its text, over all legs
-    repeat_key: str = ""    # Idempotency-Key with its owner; "": none
-    mark: bytes = b""       # digest of the body
-    noted: str = ""         # its name in the journal
-    hold: Any = None     # tenants.Hold, settled when the ticket is done
-    made: list[Used] = field(default_factory=list)    # by each leg, as far as it is known
+    key: str  # under which engines drop repeats
+    join: Join  # its text, over all legs
+    repeat_key: str = ""  # Idempotency-Key with its owner; "": none
+    mark: bytes = b""  # digest of the body
+    noted: str = ""  # its name in the journal
+    hold: Any = None  # tenants.Hold, settled when the ticket is done
+    made: list[Used] = field(default_factory=list)  # by each leg, as far as it is known
     final: Final | None = None
     watch: trio.CancelScope = field(default_factory=trio.CancelScope)
     when_over: Callable[[], None] = lambda: None
     left: bool = False
-    taken: float = 0.0       # by the decisions, ms
-    begun: bool = False      # the client has a part
-    flowing: bool = False    # the present leg streams
-    prompt_said: int = 0     # tokens of the prompt, by the first engine that said
-    kept_said: int = 0       # of them found kept
-    broke_at: int | None = None    # legs in `made` when its stream broke first
+    taken: float = 0.0  # by the decisions, ms
+    begun: bool = False  # the client has a part
+    flowing: bool = False  # the present leg streams
+    prompt_said: int = 0  # tokens of the prompt, by the first engine that said
+    kept_said: int = 0  # of them found kept
+    broke_at: int | None = None  # legs in `made` when its stream broke first
     leg: LegPlan | None = None
     legs: int = 0
-    trail: list[str] = field(default_factory=list)    # server and verdict of each leg
+    trail: list[str] = field(default_factory=list)  # server and verdict of each leg
     why: str = ""
-    beyond: Beyond = field(default_factory=Beyond)    # its text apart
-    state: dict[str, Any] | None = None    # as the reader gave it, to hand to a writer
-    holders: dict[Server, None] = field(default_factory=dict)    # servers that may hold a state for it
+    beyond: Beyond = field(default_factory=Beyond)  # its text apart
+    state: dict[str, Any] | None = None  # as the reader gave it, to hand to a writer
+    holders: dict[Server, None] = field(default_factory=dict)  # servers that may hold a state for it
 
     @property
     def gen(self) -> Generation:
--- a/ternlane/gateway/till.py
+++ b/ternlane/gateway/till.py
@@ -2,6 +2,7 @@
 
 The cashier decides, the ledger keeps; this part reads the files they need and asks the lender in the background.
 """
+
 from __future__ import annotations
 
 import os
@@ -81,7 +82,7 @@
                 continue
             try:
                 got, chunks = await trio.to_thread.run_sync(partial(self.ask_lender, asks, periods))
-            except OSError as why:    # what was to be given back is lost: the bucket refills all the same
+            except OSError as why:  # what was to be given back is lost: the bucket refills all the same
                 self.log.warning("lender not reached", why=str(why))
                 continue
             for (name, _, target, _, _), toks in zip(asks, got, strict=True):
@@ -93,12 +94,15 @@
                 if meter is not None and meter.period is not None and meter.period.name == period:
                     meter.allowed += chunk
 
-    def ask_lender(self, asks: list[tuple[str, float, float, Budget, float]],
-                   periods: list[tuple[str, str, str, int]]) -> tuple[list[float], list[float]]:
+    def ask_lender(
+        self, asks: list[tuple[str, float, float, Budget, float]], periods: list[tuple[str, str, str, int]]
+    ) -> tuple[list[float], list[float]]:
         """In a thread: one change of the lender's table for all tenants that want something."""
         with lender_file(Path(str(self.paper.lender)), self.paper.gateways, self.paper.look_ms / 1000) as lender:
-            got = [lender.ask(name, self.paper.name, want, it.minute or 0, it.most_saved, time.time(), least)
-                   for name, want, _, it, least in asks]
+            got = [
+                lender.ask(name, self.paper.name, want, it.minute or 0, it.most_saved, time.time(), least)
+                for name, want, _, it, least in asks
+            ]
             return got, [lender.draw(f"{name}/{product}", period, budget) for name, product, period, budget in periods]
 
     def whose(self, authorization: str | None) -> TenantLine:
@@ -116,11 +120,28 @@
         if ticket.hold is None:
             return
         outcome = "left" if ticket.final is None else type(ticket.final).__name__.lower()
-        billed = bill_for(ticket.made, ticket.begun, isinstance(ticket.final, Streamed), len(ticket.pieces),
-                          ticket.hold.prompt, ticket.broke_at,
-                          ticket.final.usage["completion_tokens"] if isinstance(ticket.final, Streamed) else 0)
-        self.writer.add(self.cashier.settle(ticket.hold, ticket.ident, outcome, billed, ticket.legs, now_ms(),
-                                            time.time(), xxh3_64_hexdigest(ticket.key.encode()), len(ticket.pieces)))
+        billed = bill_for(
+            ticket.made,
+            ticket.begun,
+            isinstance(ticket.final, Streamed),
+            len(ticket.pieces),
+            ticket.hold.prompt,
+            ticket.broke_at,
+            ticket.final.usage["completion_tokens"] if isinstance(ticket.final, Streamed) else 0,
+        )
+        self.writer.add(
+            self.cashier.settle(
+                ticket.hold,
+                ticket.ident,
+                outcome,
+                billed,
+                ticket.legs,
+                now_ms(),
+                time.time(),
+                xxh3_64_hexdigest(ticket.key.encode()),
+                len(ticket.pieces),
+            )
+        )
 
     def headers(self, hold: Hold) -> list[tuple[str, str]]:
         """The x-ratelimit fields of the tightest budget of tokens a minute."""
@@ -129,8 +150,11 @@
             return []
         now, wall = now_ms(), time.time()
         left, full, meter = min((*m.left(now, wall), m) for m in found)
-        return [("x-ratelimit-limit-tokens", f"{meter.budget.minute}"),
-                ("x-ratelimit-remaining-tokens", f"{left:.0f}"), ("x-ratelimit-reset-tokens", f"{full / 1000:.3f}s")]
+        return [
+            ("x-ratelimit-limit-tokens", f"{meter.budget.minute}"),
+            ("x-ratelimit-remaining-tokens", f"{left:.0f}"),
+            ("x-ratelimit-reset-tokens", f"{full / 1000:.3f}s"),
+        ]
 
     async def close(self) -> None:
         """Keeps what waits. A disk that fails to the end keeps its lock on the store: nothing else is tried on it."""
--- a/ternlane/http1/__init__.py
+++ b/ternlane/http1/__init__.py
@@ -1,9 +1,22 @@
 """HTTP/1.1 over trio streams by h11, and server-sent events: what fronts, attempts, registry and stand-ins share."""
+
 from ternlane.http1.caller import Caller, Pool, Silent, Unconnected
 from ternlane.http1.events import EventReader, event_bytes
 from ternlane.http1.exchange import BadRequest, Exchange
 from ternlane.http1.nonblocking import keep_open
 from ternlane.http1.server import ServerConnection, ServerLimits, serve_connection
 
-__all__ = ["BadRequest", "Caller", "EventReader", "Exchange", "Pool", "ServerConnection", "ServerLimits", "Silent",
-           "Unconnected", "event_bytes", "keep_open", "serve_connection"]
+__all__ = [
+    "BadRequest",
+    "Caller",
+    "EventReader",
+    "Exchange",
+    "Pool",
+    "ServerConnection",
+    "ServerLimits",
+    "Silent",
+    "Unconnected",
+    "event_bytes",
+    "keep_open",
+    "serve_connection",
+]
--- a/ternlane/http1/caller.py
+++ b/ternlane/http1/caller.py
@@ -1,4 +1,5 @@
 """The calling side: one request at a time on a connection, connections kept and used again."""
+
 from __future__ import annotations
 
 from collections import OrderedDict
@@ -14,9 +15,9 @@
 
 Headers = Sequence[tuple[str, str]]
 CHUNK = 65536
-PER_PEER = 64    # idle connections kept for each peer
-HEAD_BYTES = 16384    # of an answer's head, or of a chunk's line
-INTERIM = 16    # heads that may come ahead of the answer's (1xx)
+PER_PEER = 64  # idle connections kept for each peer
+HEAD_BYTES = 16384  # of an answer's head, or of a chunk's line
+INTERIM = 16  # heads that may come ahead of the answer's (1xx)
 
 
 class Unconnected(Exception):
@@ -34,12 +35,12 @@
         self.stream, self.peer, self.local = stream, peer, local
         self.conn = h11.Connection(h11.CLIENT, max_incomplete_event_size=HEAD_BYTES)
         self.idle_since = 0.0
-        self.written = False    # the request's last byte
-        self.silent_by = inf    # see `expect_by`
-        self.overdue = False    # what had arrived by then has been read
-        self.heard = self.broke = False    # any byte of the answer; an end ahead of it
-        self.asked = False    # it has answered before
-        self.idled_ms: float | None = None    # how long it lay idle before this request; None: it is new
+        self.written = False  # the request's last byte
+        self.silent_by = inf  # see `expect_by`
+        self.overdue = False  # what had arrived by then has been read
+        self.heard = self.broke = False  # any byte of the answer; an end ahead of it
+        self.asked = False  # it has answered before
+        self.idled_ms: float | None = None  # how long it lay idle before this request; None: it is new
         self.on_close: Callable[[Caller], None] = lambda _: None
 
     async def ask(self, method: str, target: str, headers: Headers, body: bytes = b"") -> h11.Response:
@@ -80,7 +81,7 @@
         while True:
             event = self.conn.next_event()
             if event is not h11.NEED_DATA:
-                return event    # type: ignore[return-value]
+                return event  # type: ignore[return-value]
             try:
                 data = await self._receive()
             except trio.BrokenResourceError:
@@ -99,7 +100,7 @@
             with trio.CancelScope(deadline=self.silent_by):
                 return await self.stream.receive_some(CHUNK)
         data = None if self.overdue else receive_now(self.stream, CHUNK)
-        self.overdue = True    # one that never stops sending is not waited for either
+        self.overdue = True  # one that never stops sending is not waited for either
         if data is None:
             raise Silent(f"{self.peer}: nothing came in time")
         return data
@@ -126,8 +127,7 @@
     @property
     def reusable(self) -> bool:
         """Is the answer whole, with nothing behind it? What comes unasked could be taken for the next answer."""
-        return (self.conn.our_state is h11.DONE and self.conn.their_state is h11.DONE
-                and not self.conn.trailing_data[0])
+        return self.conn.our_state is h11.DONE and self.conn.their_state is h11.DONE and not self.conn.trailing_data[0]
 
     @property
     def dead(self) -> bool:
@@ -146,8 +146,8 @@
 
     def __init__(self, connect_ms: float, idle_ms: float, source: str | None = None, limit: float = inf) -> None:
         self.connect_ms, self.idle_ms, self.source, self.limit = connect_ms, idle_ms, source, limit
-        self.idle: dict[str, OrderedDict[Caller, None]] = {}    # of each peer, the most recently used last
-        self.resting: OrderedDict[Caller, None] = OrderedDict()    # the idle ones of all
+        self.idle: dict[str, OrderedDict[Caller, None]] = {}  # of each peer, the most recently used last
+        self.resting: OrderedDict[Caller, None] = OrderedDict()  # the idle ones of all
         self.open: set[Caller] = set()
         self.opening = 0
         self.made = 0
--- a/ternlane/http1/events.py
+++ b/ternlane/http1/events.py
@@ -1,4 +1,5 @@
 """Server-sent events, from the WHATWG HTML standard's event-stream format. Free of I/O."""
+
 from __future__ import annotations
 
 EVENT_LIMIT = 4 * 2**20
@@ -22,9 +23,9 @@
 
     def feed(self, more: bytes) -> list[str]:
         text = self.rest + more
-        if b"\r" in text:    # a CR at the very end may be half of a CRLF
+        if b"\r" in text:  # a CR at the very end may be half of a CRLF
             tail = b"\r" if text.endswith(b"\r") else b""
-            text = text[:len(text) - len(tail)].replace(b"\r\n", b"\n").replace(b"\r", b"\n") + tail
+            text = text[: len(text) - len(tail)].replace(b"\r\n", b"\n").replace(b"\r", b"\n") + tail
         *lines, self.rest = text.split(b"\n")
         if len(self.rest) + sum(map(len, self.data)) > self.limit:
             raise ValueError(f"an event is longer than {self.limit} bytes")
--- a/ternlane/http1/exchange.py
+++ b/ternlane/http1/exchange.py
@@ -1,4 +1,5 @@
 """One HTTP request on a client's connection, and the answer to it."""
+
 from __future__ import annotations
 
 from typing import Sequence
@@ -9,7 +10,7 @@
 from ternlane.http1.nonblocking import has_hung_up, send_now
 
 RECEIVE_BYTES = 65536
-EARLY_BYTES = 65536    # kept of what a client sends before its answer; as much as one receive call may bring
+EARLY_BYTES = 65536  # kept of what a client sends before its answer; as much as one receive call may bring
 
 
 class BadRequest(Exception):
@@ -23,16 +24,22 @@
 class Exchange:
     """One request and its answer. The answer is written by `answer`, or by `begin`, `chunk` and `end`."""
 
-    def __init__(self, stream: trio.SocketStream, conn: h11.Connection, request: h11.Request, send_ms: float,
-                 arrived: float | None = None) -> None:
+    def __init__(
+        self,
+        stream: trio.SocketStream,
+        conn: h11.Connection,
+        request: h11.Request,
+        send_ms: float,
+        arrived: float | None = None,
+    ) -> None:
         self.stream, self.conn, self.request, self.send_ms = stream, conn, request, send_ms
         self.body = b""
         self.begun = False
-        self.early = 0    # bytes that came behind the request while it was served
-        self.overrun = False    # more of them than are kept
-        self.pipelined = False    # a further request began to come before this one's answer was complete
-        self.finishing = False    # the last bytes of the answer are being written, or have been
-        self.arrived = trio.current_time() if arrived is None else arrived    # when its first byte was there
+        self.early = 0  # bytes that came behind the request while it was served
+        self.overrun = False  # more of them than are kept
+        self.pipelined = False  # a further request began to come before this one's answer was complete
+        self.finishing = False  # the last bytes of the answer are being written, or have been
+        self.arrived = trio.current_time() if arrived is None else arrived  # when its first byte was there
 
     @property
     def peer(self) -> tuple[str, int]:
@@ -65,8 +72,9 @@
         if scope.cancelled_caught:
             raise trio.BrokenResourceError("the client takes nothing")
 
-    async def answer(self, status: int, headers: Sequence[tuple[str, str]], body: bytes,
-                     content: str = "application/json") -> None:
+    async def answer(
+        self, status: int, headers: Sequence[tuple[str, str]], body: bytes, content: str = "application/json"
+    ) -> None:
         """A whole answer at once."""
         self.begun = True
         head = [("Content-Type", content), ("Content-Length", str(len(body))), *headers]
@@ -112,7 +120,7 @@
                 return
             if not data:
                 return
-            if self.finishing:    # the answer's last bytes are still being written: this is the next request
+            if self.finishing:  # the answer's last bytes are still being written: this is the next request
                 self.conn.receive_data(data)
                 await trio.sleep_forever()
             self.early += len(data)
--- a/ternlane/http1/nonblocking.py
+++ b/ternlane/http1/nonblocking.py
@@ -1,4 +1,5 @@
 """Socket calls that never wait, for the moments in which a decision depends on what the kernel holds right now."""
+
 from __future__ import annotations
 
 import os
@@ -64,4 +65,4 @@
     this very moment, nothing may be begun: the next wait would end it, and the client would have a torn answer."""
     scope.deadline = until
     if scope.cancel_called:
-        await trio.lowlevel.checkpoint()    # raises trio.Cancelled
+        await trio.lowlevel.checkpoint()  # raises trio.Cancelled
--- a/ternlane/http1/server.py
+++ b/ternlane/http1/server.py
@@ -4,6 +4,7 @@
 arrived: before the end it looks for unread bytes, and serves them. After an answer it ends its own side first and reads
 off what still comes, since a close over unread bytes resets the connection and takes the answer with it.
 """
+
 from __future__ import annotations
 
 from dataclasses import dataclass
@@ -16,7 +17,7 @@
 from ternlane.http1.exchange import EARLY_BYTES, RECEIVE_BYTES, BadRequest, Exchange
 from ternlane.http1.nonblocking import is_readable, receive_now
 
-LINGER_S = 0.25    # for which what still comes is read off before a connection is closed
+LINGER_S = 0.25  # for which what still comes is read off before a connection is closed
 BROKEN = (trio.BrokenResourceError, trio.ClosedResourceError, OSError)
 
 Handler = Callable[[Exchange], Awaitable[None]]
@@ -26,13 +27,14 @@
 @dataclass(frozen=True, slots=True)
 class ServerLimits:
     """What one client's connection may send (bytes) and how long it may take (ms)."""
+
     body_bytes: int
-    head_ms: float           # a request's head, from its first byte
-    body_ms: float           # a request's body, from the end of its head
-    idle_ms: float           # between requests
-    send_ms: float           # for which a client may take nothing of its answer
+    head_ms: float  # a request's head, from its first byte
+    body_ms: float  # a request's body, from the end of its head
+    idle_ms: float  # between requests
+    send_ms: float  # for which a client may take nothing of its answer
     head_bytes: int = 65536
-    first_ms: float = inf    # from the connection's start to its first request's last byte
+    first_ms: float = inf  # from the connection's start to its first request's last byte
 
 
 def plain_refusal(_: Exchange | None, bad: BadRequest) -> tuple[bytes, str]:
@@ -47,14 +49,22 @@
     refused, or with `early_ok` served in its turn. While `draining()` the connection ends with its next answer.
     """
 
-    def __init__(self, stream: trio.SocketStream, handler: Handler, limits: ServerLimits, *,
-                 refusal: Refuser = plain_refusal, draining: Callable[[], bool] = lambda: False,
-                 early_ok: bool = False, on_idle: Callable[[ServerConnection], None] = lambda _: None) -> None:
+    def __init__(
+        self,
+        stream: trio.SocketStream,
+        handler: Handler,
+        limits: ServerLimits,
+        *,
+        refusal: Refuser = plain_refusal,
+        draining: Callable[[], bool] = lambda: False,
+        early_ok: bool = False,
+        on_idle: Callable[[ServerConnection], None] = lambda _: None,
+    ) -> None:
         self.stream, self.handler, self.limits = stream, handler, limits
         self.refusal, self.draining, self.early_ok, self.on_idle = refusal, draining, early_ok, on_idle
         self.conn = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.head_bytes)
         self.idle = self.served = False
-        self.last_one = False    # the request being served is the last one, as the server is draining
+        self.last_one = False  # the request being served is the last one, as the server is draining
 
     async def serve(self) -> None:
         """Serves requests until either side ends the connection. Never raises for what the client does."""
@@ -77,8 +87,9 @@
                 if overrun:
                     raise BadRequest(413, f"more than {EARLY_BYTES} bytes came ahead of their turn", "sent_ahead")
                 if pipelined and not self.early_ok:
-                    raise BadRequest(400, "a second request came before the first was answered (pipelining)",
-                                     "pipelined")
+                    raise BadRequest(
+                        400, "a second request came before the first was answered (pipelining)", "pipelined"
+                    )
         except BadRequest as bad:
             await self._refuse(exchange, bad)
         except (*BROKEN, h11.LocalProtocolError):
@@ -91,7 +102,7 @@
         """Closes the connection unless a request is being served or any byte of one has arrived. True if closed."""
         if not self.idle or is_readable(self.stream):
             return False
-        self.stream.socket.close()    # wakes `serve`, which ends
+        self.stream.socket.close()  # wakes `serve`, which ends
         return True
 
     def _set_idle(self, idle: bool) -> None:
@@ -104,7 +115,7 @@
         whole = self.conn.our_state is h11.DONE and self.conn.their_state is h11.DONE
         if whole and not self.draining():
             return True
-        if whole and not self.last_one and not exchange.pipelined:    # what came with the answer's end is served
+        if whole and not self.last_one and not exchange.pipelined:  # what came with the answer's end is served
             self.last_one = True
             waiting = receive_now(self.stream, RECEIVE_BYTES)
             if waiting:
@@ -186,7 +197,7 @@
         stated = exchange.header(b"content-length")
         if stated is None:
             return
-        if exchange.header(b"transfer-encoding") is not None:    # one may hide another request in the body
+        if exchange.header(b"transfer-encoding") is not None:  # one may hide another request in the body
             raise BadRequest(400, "both Content-Length and Transfer-Encoding", "two_lengths")
         if int(stated) > limits.body_bytes:
             raise BadRequest(413, f"the body is longer than {limits.body_bytes} bytes", "body_too_large")
@@ -204,8 +215,9 @@
                     parts.append(bytes(event.data))
                     length += len(event.data)
                     if length > self.limits.body_bytes:
-                        raise BadRequest(413, f"the body is longer than {self.limits.body_bytes} bytes",
-                                         "body_too_large")
+                        raise BadRequest(
+                            413, f"the body is longer than {self.limits.body_bytes} bytes", "body_too_large"
+                        )
                 elif isinstance(event, h11.EndOfMessage):
                     return b"".join(parts)
                 else:
@@ -213,9 +225,19 @@
         raise BadRequest(408, "the request's body did not come in time", "slow_request")
 
 
-async def serve_connection(stream: trio.SocketStream, handler: Handler, *, body_bytes: int, head_ms: float,
-                           body_ms: float, idle_ms: float, send_ms: float, refusal: Refuser = plain_refusal,
-                           draining: Callable[[], bool] = lambda: False, early_ok: bool = False) -> None:
+async def serve_connection(
+    stream: trio.SocketStream,
+    handler: Handler,
+    *,
+    body_bytes: int,
+    head_ms: float,
+    body_ms: float,
+    idle_ms: float,
+    send_ms: float,
+    refusal: Refuser = plain_refusal,
+    draining: Callable[[], bool] = lambda: False,
+    early_ok: bool = False,
+) -> None:
     """Serves one connection until either side ends it. Never raises for what the client does."""
     limits = ServerLimits(body_bytes, head_ms, body_ms, idle_ms, send_ms)
     await ServerConnection(stream, handler, limits, refusal=refusal, draining=draining, early_ok=early_ok).serve()
--- a/ternlane/http1/wear.py
+++ b/ternlane/http1/wear.py
@@ -3,12 +3,13 @@
 A path or a peer may drop idle connections sooner than agreed, and tell so late or never; a request written to such a
 one is a reset that may have run. What broke at once is counted by the idle time's order of magnitude.
 """
+
 from __future__ import annotations
 
 from math import exp
 
-OFTEN = 1 / 8    # part of those used again after such a time that broke: no longer chance
-LEAST = 1.5      # breaks, with the older ones fading, before anything is concluded
+OFTEN = 1 / 8  # part of those used again after such a time that broke: no longer chance
+LEAST = 1.5  # breaks, with the older ones fading, before anything is concluded
 
 
 class Wear:
@@ -16,7 +17,7 @@
 
     def __init__(self, span_ms: float) -> None:
         self.span_ms = span_ms
-        self.seen: dict[int, tuple[float, float, float]] = {}    # by doublings: uses, breaks, when
+        self.seen: dict[int, tuple[float, float, float]] = {}  # by doublings: uses, breaks, when
 
     def _now(self, idle_ms: float, now: float) -> tuple[float, float]:
         uses, breaks, at = self.seen.get(int(idle_ms).bit_length(), (0.0, 0.0, now))
--- a/ternlane/ledger/bills.py
+++ b/ternlane/ledger/bills.py
@@ -1,4 +1,5 @@
 """Bills out of ledgers, and their reconciling with what engines counted."""
+
 from __future__ import annotations
 
 import csv
@@ -28,12 +29,28 @@
         totals = Store(Disk(folder)).read_sums()
         for key, it in totals.sums.items():
             row = sums[key]
-            row[0], row[1], row[2], row[3] = (row[0] + it.count, row[1].plus(it.bill), row[2].plus(it.house),
-                                              row[3] + it.micros)
-    return [{"tenant": t, "product": p, "period": when, "generations": n, "prompt": bill.prompt, "kept": bill.kept,
-             "answer": bill.answer, "micros": micros, "house_prompt": house.prompt, "house_answer": house.answer}
-            for (t, p, when), (n, bill, house, micros) in sorted(sums.items())
-            if tenant in (None, t) and period in (None, when)]
+            row[0], row[1], row[2], row[3] = (
+                row[0] + it.count,
+                row[1].plus(it.bill),
+                row[2].plus(it.house),
+                row[3] + it.micros,
+            )
+    return [
+        {
+            "tenant": t,
+            "product": p,
+            "period": when,
+            "generations": n,
+            "prompt": bill.prompt,
+            "kept": bill.kept,
+            "answer": bill.answer,
+            "micros": micros,
+            "house_prompt": house.prompt,
+            "house_answer": house.answer,
+        }
+        for (t, p, when), (n, bill, house, micros) in sorted(sums.items())
+        if tenant in (None, t) and period in (None, when)
+    ]
 
 
 def money(micros: int) -> str:
@@ -50,27 +67,36 @@
             writer.writeheader()
             writer.writerows(rows)
         return out.getvalue().rstrip("\n")
-    lines = [f"{'tenant':<16}{'product':<16}{'period':<12}{'gens':>8}{'prompt':>12}{'kept':>12}{'answer':>12}"
-             f"{'amount':>16}"]
-    lines += [f"{r['tenant']:<16}{r['product']:<16}{r['period']:<12}{r['generations']:>8}{r['prompt']:>12}"
-              f"{r['kept']:>12}{r['answer']:>12}{money(r['micros']):>16}" for r in rows]
-    lines.append(f"{'all':<44}{sum(r['generations'] for r in rows):>8}{sum(r['prompt'] for r in rows):>12}"
-                 f"{sum(r['kept'] for r in rows):>12}{sum(r['answer'] for r in rows):>12}"
-                 f"{money(sum(r['micros'] for r in rows)):>16}")
-    lines.append(f"house: {sum(r['house_prompt'] for r in rows)} prompt and "
-                 f"{sum(r['house_answer'] for r in rows)} answer tokens of abandoned legs")
+    lines = [
+        f"{'tenant':<16}{'product':<16}{'period':<12}{'gens':>8}{'prompt':>12}{'kept':>12}{'answer':>12}{'amount':>16}"
+    ]
+    lines += [
+        f"{r['tenant']:<16}{r['product']:<16}{r['period']:<12}{r['generations']:>8}{r['prompt']:>12}"
+        f"{r['kept']:>12}{r['answer']:>12}{money(r['micros']):>16}"
+        for r in rows
+    ]
+    lines.append(
+        f"{'all':<44}{sum(r['generations'] for r in rows):>8}{sum(r['prompt'] for r in rows):>12}"
+        f"{sum(r['kept'] for r in rows):>12}{sum(r['answer'] for r in rows):>12}"
+        f"{money(sum(r['micros'] for r in rows)):>16}"
+    )
+    lines.append(
+        f"house: {sum(r['house_prompt'] for r in rows)} prompt and "
+        f"{sum(r['house_answer'] for r in rows)} answer tokens of abandoned legs"
+    )
     return "\n".join(lines)
 
 
 @dataclass
 class Reconciled:
     """What engines counted against what ledgers hold, in prompt and answer tokens."""
+
     made: Used
     billed: Used
     house: Used
     doubled: list[str] = field(default_factory=list)
-    unsettled: dict[str, Used] = field(default_factory=dict)      # engines worked, no entry: died with a gateway
-    differing: dict[str, tuple[Used, Used]] = field(default_factory=dict)    # generation -> made, billed + house
+    unsettled: dict[str, Used] = field(default_factory=dict)  # engines worked, no entry: died with a gateway
+    differing: dict[str, tuple[Used, Used]] = field(default_factory=dict)  # generation -> made, billed + house
 
     @property
     def off(self) -> float:
--- a/ternlane/ledger/disk.py
+++ b/ternlane/ledger/disk.py
@@ -1,4 +1,5 @@
 """The few calls that the ledger makes of a file system, so that tests can make each of them fail."""
+
 from __future__ import annotations
 
 import fcntl
--- a/ternlane/ledger/lending.py
+++ b/ternlane/ledger/lending.py
@@ -1,4 +1,5 @@
 """The lender's table in a file that gateways of a machine, or of a shared folder, change under a lock."""
+
 from __future__ import annotations
 
 import fcntl
--- a/ternlane/ledger/store.py
+++ b/ternlane/ledger/store.py
@@ -10,6 +10,7 @@
   that it has met;
 - damage within a segment that is not at its end is not a crash's doing: recovery refuses, and names the place.
 """
+
 from __future__ import annotations
 
 import struct
@@ -29,7 +30,7 @@
 encode = msgspec.msgpack.Encoder().encode
 E = TypeVar("E")
 C = TypeVar("C", contravariant=True)
-F = TypeVar("F", bound="Fold")    # type: ignore[type-arg]
+F = TypeVar("F", bound="Fold")  # type: ignore[type-arg]
 
 
 class Damaged(Exception):
@@ -50,6 +51,7 @@
 @dataclass(frozen=True)
 class Kind(Generic[E, F]):
     """One sort of log: five letters that its files begin with, their first bytes, and what its entries come to."""
+
     prefix: str
     magic: bytes
     decode: Callable[[bytes], E]
@@ -74,6 +76,7 @@
 @dataclass
 class Totals:
     """Sums by tenant, product and period."""
+
     sums: dict[tuple[str, str, str], Sum] = field(default_factory=dict)
 
     def add(self, entry: Entry) -> None:
@@ -106,8 +109,8 @@
     """Its records, and how many bytes of it are whole. Raises Damaged unless the trouble is at the end of the last."""
     out: list[tuple[int, E]] = []
     magic = kind.magic
-    if raw[:len(magic)] != magic:
-        if last and magic.startswith(raw[:len(magic)]):
+    if raw[: len(magic)] != magic:
+        if last and magic.startswith(raw[: len(magic)]):
             return out, 0
         raise Damaged(f"{name}: not a ledger segment")
     at = len(magic)
@@ -115,7 +118,7 @@
         whole = False
         if len(raw) - at >= HEAD.size:
             length, crc, seq = HEAD.unpack_from(raw, at)
-            body = raw[at + HEAD.size:at + HEAD.size + length]
+            body = raw[at + HEAD.size : at + HEAD.size + length]
             whole = length <= RECORD_LIMIT and len(body) == length and crc32(body, seq & 0xFFFFFFFF) == crc
         if not whole:
             if last and not later_record(raw, at + 1):
@@ -130,8 +133,11 @@
     """Is there a whole record behind a torn one? A torn write leaves none; looked for in the last 64 KiB only."""
     for at in range(max(since, len(raw) - 65536), len(raw) - HEAD.size):
         length, crc, seq = HEAD.unpack_from(raw, at)
-        if 0 < length <= len(raw) - at - HEAD.size and length <= RECORD_LIMIT \
-                and crc32(raw[at + HEAD.size:at + HEAD.size + length], seq & 0xFFFFFFFF) == crc:
+        if (
+            0 < length <= len(raw) - at - HEAD.size
+            and length <= RECORD_LIMIT
+            and crc32(raw[at + HEAD.size : at + HEAD.size + length], seq & 0xFFFFFFFF) == crc
+        ):
             return True
     return False
 
@@ -139,15 +145,16 @@
 class Segmented(Generic[E, F]):
     """Synchronous; the writer calls it off the loop. One process writes a folder: the one that has its lock."""
 
-    def __init__(self, kind: Kind[E, F], disk: Disk, segment_bytes: int = 16 << 20,
-                 keep_segments: int = 1 << 30) -> None:
+    def __init__(
+        self, kind: Kind[E, F], disk: Disk, segment_bytes: int = 16 << 20, keep_segments: int = 1 << 30
+    ) -> None:
         self.kind, self.disk, self.segment_bytes, self.keep_segments = kind, disk, segment_bytes, keep_segments
         self.totals: F = kind.fold()
-        self.seq, self.kept = 0, 0    # last number given; last number on disk
+        self.seq, self.kept = 0, 0  # last number given; last number on disk
         self.pending: list[tuple[int, E]] = []
         self.handle: int | None = None
         self.name, self.length = "", 0
-        self.cut_off = 0    # bytes of torn tails that recovery dropped
+        self.cut_off = 0  # bytes of torn tails that recovery dropped
         self.snapshot_seq = 0
 
     # -- recovery
@@ -196,7 +203,7 @@
             raw = self.disk.read(name)
             crc, body = raw[:4], raw[4:]
             if len(raw) < 5 or struct.unpack("<I", crc)[0] != crc32(body):
-                continue    # torn while it was written: an older one and the segments say the same
+                continue  # torn while it was written: an older one and the segments say the same
             self.totals = self.kind.fold()
             self.snapshot_seq = self.totals.load(body)
             return
@@ -231,7 +238,7 @@
             self.kept = batch[-1][0]
             for _, entry in batch:
                 self.totals.add(entry)
-            del self.pending[:len(batch)]
+            del self.pending[: len(batch)]
             if self.length >= self.segment_bytes:
                 self.leave_segment()
                 self.snapshot()
@@ -250,7 +257,7 @@
         try:
             self.disk.cut(self.handle, self.length)
         except OSError:
-            self.leave_segment()    # its tail may be torn: recovery knows how
+            self.leave_segment()  # its tail may be torn: recovery knows how
 
     def leave_segment(self) -> None:
         if self.handle is not None:
@@ -262,7 +269,7 @@
 
     def begin_segment(self) -> None:
         name = self.kind.segment_name(self.pending[0][0])
-        if name in self.disk.names():    # left after a failed sync before anything of it was kept
+        if name in self.disk.names():  # left after a failed sync before anything of it was kept
             self.disk.remove(name)
         self.handle, self.name, self.length = self.disk.open(name), name, 0
         try:
--- a/ternlane/ledger/writer.py
+++ b/ternlane/ledger/writer.py
@@ -1,4 +1,5 @@
 """Group commit off the loop: entries that come while one sync is under way share the next."""
+
 from __future__ import annotations
 
 from typing import Any, Callable, Generic
@@ -19,15 +20,22 @@
     beyond that `may_take` is false: the door refuses (503), as a bill that can't be kept must not come about.
     """
 
-    def __init__(self, store: Segmented[E, F], log: Any, limit: int = 100_000,
-                 on_own: Callable[[F], None] = lambda _: None, what: str = "bills", gather_ms: float = 0.0) -> None:
+    def __init__(
+        self,
+        store: Segmented[E, F],
+        log: Any,
+        limit: int = 100_000,
+        on_own: Callable[[F], None] = lambda _: None,
+        what: str = "bills",
+        gather_ms: float = 0.0,
+    ) -> None:
         """`gather_ms`: how long a group waits for more while nobody waits for it."""
         self.gather_ms, self.hurry, self.awaited = gather_ms, trio.Event(), 0
         self.store, self.log, self.limit, self.on_own, self.what = store, log, limit, on_own, what
         self.own = False
         self.fresh: list[E] = []
-        self.added = self.done = 0    # entries given, and kept
-        self.turned = trio.Event()    # after each group
+        self.added = self.done = 0  # entries given, and kept
+        self.turned = trio.Event()  # after each group
         self.waiting = 0
         self.wake, self.failing = trio.Event(), False
 
--- a/ternlane/load/__init__.py
+++ b/ternlane/load/__init__.py
@@ -1,4 +1,5 @@
 """The load tool: what is asked and when, sent in time whatever the answers do, and honest figures of it."""
+
 from ternlane.load.arrivals import Bursty, Diurnal, poisson, recorded, thinned
 from ternlane.load.plan import Ask, LoadPaper, asks, times_of
 from ternlane.load.sketch import Sketch
--- a/ternlane/load/arrivals.py
+++ b/ternlane/load/arrivals.py
@@ -1,4 +1,5 @@
 """When requests are due: known ahead of any answer, so that a slow server can't slow the load down. Free of I/O."""
+
 from __future__ import annotations
 
 import random
--- a/ternlane/load/plan.py
+++ b/ternlane/load/plan.py
@@ -1,4 +1,5 @@
 """What a load is made of (JSON5): products, sessions with turns, shared openings, lengths, tenants. Free of I/O."""
+
 from __future__ import annotations
 
 import random
@@ -21,6 +22,7 @@
 
 class Arrivals(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
     """`rate` a second on the mean. Bursty: `times` of it for the first `part` of each `period_s`; diurnal: `swing`."""
+
     kind: Literal["poisson", "bursty", "diurnal", "recorded"] = "poisson"
     rate: Positive = 1.0
     times: Annotated[float, Meta(ge=1)] = 4.0
@@ -33,6 +35,7 @@
 
 class Mix(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
     """One product's requests. Words of the prompt and tokens of the answer: median, and spread as a part of it."""
+
     model: str
     share: Positive = 1.0
     turns: Annotated[float, Meta(ge=1)] = 1.0
@@ -49,6 +52,7 @@
     """`at_once`: that many clients, each asking anew when answered (closed loop); else requests come by `arrivals`,
     whatever the answers do. `late_ms`: by how much the tool itself may be late for one request in a hundred. `tenants`:
     keys, and the weight of each."""
+
     products: Annotated[list[Mix], Meta(min_length=1)]
     seconds: Positive = 10.0
     arrivals: Arrivals = Arrivals()
@@ -63,17 +67,22 @@
 class Ask:
     """A request that is due `at_s` after the start. `then`: a later turn of the same session, due `think_s` after its
     answer."""
+
     at_s: float
     mix: Mix
     messages: list[dict[str, str]]
     max_toks: int
     key: str = ""
     turns_left: int = 0
-    more: list[str] = field(default_factory=list)    # what the later turns say
+    more: list[str] = field(default_factory=list)  # what the later turns say
 
     def body(self) -> dict[str, Any]:
-        return {"model": self.mix.model, "messages": self.messages, "stream": self.mix.stream,
-                "max_tokens": self.max_toks}
+        return {
+            "model": self.mix.model,
+            "messages": self.messages,
+            "stream": self.mix.stream,
+            "max_tokens": self.max_toks,
+        }
 
 
 def times_of(paper: LoadPaper, rng: random.Random) -> Iterator[float]:
@@ -131,8 +140,15 @@
         if self.tenants:
             at = bisect(self.tenants, rng.random() * self.tenants[-1])
             key = list(self.paper.tenants)[min(at, len(self.tenants) - 1)]
-        return Ask(at_s, mix, [*messages, {"role": "user", "content": said[0]}], drawn(rng, mix.answer_toks), key,
-                   turns - 1, said[1:])
+        return Ask(
+            at_s,
+            mix,
+            [*messages, {"role": "user", "content": said[0]}],
+            drawn(rng, mix.answer_toks),
+            key,
+            turns - 1,
+            said[1:],
+        )
 
 
 def asks(paper: LoadPaper) -> Iterator[Ask]:
--- a/ternlane/load/run.py
+++ b/ternlane/load/run.py
@@ -4,6 +4,7 @@
 else a server that stalls would be asked less while it stalls, and look well. A tool that can't keep its own schedule
 says so and reports nothing. Closed loop: `at_once` clients, whose times count from their own sending.
 """
+
 from __future__ import annotations
 
 import random
@@ -34,19 +35,31 @@
 @dataclass
 class Tally:
     """Times are ms from when a request was due."""
+
     first: Sketch = field(default_factory=Sketch)
     between: Sketch = field(default_factory=Sketch)
     whole: Sketch = field(default_factory=Sketch)
-    late: Sketch = field(default_factory=Sketch)    # of the tool itself
+    late: Sketch = field(default_factory=Sketch)  # of the tool itself
     outcomes: Counter[str] = field(default_factory=Counter)
     toks: int = 0
 
     def told(self) -> dict[str, Any]:
         def three(it: Sketch) -> dict[str, float]:
-            return {f"p{round(part * 100)}": round(it.quantile(part), 3) for part in (0.5, 0.9, 0.99)} | {
-                "max": round(it.most, 3)} if it.many else {}
-        return {"outcomes": dict(self.outcomes), "tokens": self.toks, "first_ms": three(self.first),
-                "between_ms": three(self.between), "whole_ms": three(self.whole), "tool_late_ms": three(self.late)}
+            return (
+                {f"p{round(part * 100)}": round(it.quantile(part), 3) for part in (0.5, 0.9, 0.99)}
+                | {"max": round(it.most, 3)}
+                if it.many
+                else {}
+            )
+
+        return {
+            "outcomes": dict(self.outcomes),
+            "tokens": self.toks,
+            "first_ms": three(self.first),
+            "between_ms": three(self.between),
+            "whole_ms": three(self.whole),
+            "tool_late_ms": three(self.late),
+        }
 
 
 def address_of(url: str) -> tuple[str, str]:
@@ -91,8 +104,10 @@
             self.pool.close()
         late = self.tally.late
         if not self.paper.at_once and late.many and late.quantile(0.99) > self.paper.late_ms:
-            raise TooSlow(f"the tool was {late.quantile(0.99):.1f} ms late for one request in a hundred, over "
-                          f"{self.paper.late_ms:.1f}: a lower rate, or more machines, are needed")
+            raise TooSlow(
+                f"the tool was {late.quantile(0.99):.1f} ms late for one request in a hundred, over "
+                f"{self.paper.late_ms:.1f}: a lower rate, or more machines, are needed"
+            )
         return self.tally
 
     async def send_in_time(self, nursery: trio.Nursery) -> None:
@@ -112,9 +127,15 @@
                 return
             due = self.now_s() + ask.mix.think_s
             await trio.sleep(ask.mix.think_s)
-            ask = Ask(due, ask.mix, [*ask.messages, {"role": "assistant", "content": text},
-                                     {"role": "user", "content": ask.more[0]}], ask.max_toks, ask.key,
-                      ask.turns_left - 1, ask.more[1:])
+            ask = Ask(
+                due,
+                ask.mix,
+                [*ask.messages, {"role": "assistant", "content": text}, {"role": "user", "content": ask.more[0]}],
+                ask.max_toks,
+                ask.key,
+                ask.turns_left - 1,
+                ask.more[1:],
+            )
 
     async def one(self, ask: Ask) -> str | None:
         """One request; the answer's text, or None where there was none."""
@@ -144,9 +165,17 @@
         self.tally.outcomes[outcome] += 1
         if outcome == "streamed":
             self.tally.whole.add(took)
-        self.tell({"due_s": round(ask.at_s, 6), "model": ask.mix.model, "outcome": outcome, "pieces": len(pieces),
-                   "first_ms": round(first, 3), "whole_ms": round(took, 3),
-                   "late_ms": round((begun - ask.at_s) * 1000, 3)})
+        self.tell(
+            {
+                "due_s": round(ask.at_s, 6),
+                "model": ask.mix.model,
+                "outcome": outcome,
+                "pieces": len(pieces),
+                "first_ms": round(first, 3),
+                "whole_ms": round(took, 3),
+                "late_ms": round((begun - ask.at_s) * 1000, 3),
+            }
+        )
         return "".join(pieces) if outcome == "streamed" else None
 
     async def heard(self, caller: Caller, ask: Ask, pieces: list[str]) -> tuple[str, float]:
@@ -156,8 +185,13 @@
         head = await caller.ask("POST", self.path, headers, msgspec.json.encode(ask.body()))
         if head.status_code != 200:
             await caller.body(1 << 20)
-            return ("throttled" if head.status_code in (429, 503) else
-                    "terminated" if head.status_code >= 500 else f"refused {head.status_code}"), 0.0
+            return (
+                "throttled"
+                if head.status_code in (429, 503)
+                else "terminated"
+                if head.status_code >= 500
+                else f"refused {head.status_code}"
+            ), 0.0
         if not ask.mix.stream:
             whole = msgspec.json.decode(await caller.body(1 << 24))
             pieces.append(whole["choices"][0]["message"]["content"] or "")
--- a/ternlane/load/sketch.py
+++ b/ternlane/load/sketch.py
@@ -1,4 +1,5 @@
 """Quantiles of a stream of times within a stated relative error and bounded memory (DDSketch: equal ratios)."""
+
 from __future__ import annotations
 
 from collections import Counter
@@ -57,5 +58,5 @@
         for at in sorted(self.counts):
             seen += self.counts[at]
             if rank < seen:
-                return min(max(2 * self.gamma ** at / (self.gamma + 1), self.least), self.most)
+                return min(max(2 * self.gamma**at / (self.gamma + 1), self.least), self.most)
         return self.most
--- a/ternlane/nodes/__init__.py
+++ b/ternlane/nodes/__init__.py
@@ -1,4 +1,5 @@
 """The list of model servers: followed, kept over a restart, told to the decisions."""
+
 from ternlane.nodes.book import Book, Place
 from ternlane.nodes.consul import nodes_from_health
 from ternlane.nodes.follow import follow_consul, follow_file
--- a/ternlane/nodes/book.py
+++ b/ternlane/nodes/book.py
@@ -1,4 +1,5 @@
 """Node lines become the Server objects that host and decisions share. Free of I/O."""
+
 from __future__ import annotations
 
 from dataclasses import dataclass
@@ -15,6 +16,7 @@
 @dataclass(slots=True, eq=False)
 class Place:
     """A server's id and address, for the door and the legs alone."""
+
     ident: str
     address: str
     line: NodeLine
@@ -36,12 +38,13 @@
             place = None if server is None else self.places[server]
             if server is not None and place is not None and place.line == line:
                 continue
-            if server is None or server.duty is not DUTIES[line.duty]:    # another duty makes it another server
+            if server is None or server.duty is not DUTIES[line.duty]:  # another duty makes it another server
                 if server is not None:
                     server.life = Life.GONE
                     news.append(server)
-                server = self.servers[line.id] = Server(line.zone, line.cell, DUTIES[line.duty], line.mem_toks,
-                                                        mark=crc32(line.id.encode()))
+                server = self.servers[line.id] = Server(
+                    line.zone, line.cell, DUTIES[line.duty], line.mem_toks, mark=crc32(line.id.encode())
+                )
             server.zone, server.cell, server.mem_toks, server.size = line.zone, line.cell, line.mem_toks, line.size
             server.started_ms = max(0.0, now - (wall - line.started) * 1000) if line.started else 0.0
             server.life = LIVES[line.state]
@@ -50,8 +53,9 @@
         for ident, server in self.servers.items():
             if ident not in named and server.life is not Life.GONE:
                 server.life = Life.GONE
-                self.places[server].line = NodeLine(id=ident, address=self.places[server].address, duty="both",
-                                                    mem_toks=1, state="gone")
+                self.places[server].line = NodeLine(
+                    id=ident, address=self.places[server].address, duty="both", mem_toks=1, state="gone"
+                )
                 news.append(server)
         return Listed(tuple(news))
 
--- a/ternlane/nodes/consul.py
+++ b/ternlane/nodes/consul.py
@@ -3,6 +3,7 @@
 Checks: all passing or warning -> up; a check named _service_maintenance or _node_maintenance -> draining; another
 critical check -> gone. Service.Meta carries duty, zone, cell, mem_toks, size and started.
 """
+
 from __future__ import annotations
 
 from typing import Any
@@ -50,12 +51,21 @@
     for entry in entries.decode(body):
         service, meta = entry.service, entry.service.meta
         address = f"{service.address or entry.node.address}:{service.port}"
-        raw: dict[str, Any] = {"id": service.ident, "address": address, "duty": meta.get("duty"),
-                               "zone": meta.get("zone", "-"), "state": state_of(entry.checks)}
+        raw: dict[str, Any] = {
+            "id": service.ident,
+            "address": address,
+            "duty": meta.get("duty"),
+            "zone": meta.get("zone", "-"),
+            "state": state_of(entry.checks),
+        }
         try:
-            raw |= {"cell": int(meta.get("cell", "0")), "mem_toks": float(meta.get("mem_toks", "0")),
-                    "size": float(meta.get("size", "1")),
-                    "protocol": meta.get("protocol", "disaggregated"), "started": float(meta.get("started", "0"))}
+            raw |= {
+                "cell": int(meta.get("cell", "0")),
+                "mem_toks": float(meta.get("mem_toks", "0")),
+                "size": float(meta.get("size", "1")),
+                "protocol": meta.get("protocol", "disaggregated"),
+                "started": float(meta.get("started", "0")),
+            }
             lines.append(msgspec.convert(raw, NodeLine))
         except (msgspec.ValidationError, ValueError) as why:
             left_out.append(f"{service.ident}: {why}")
--- a/ternlane/nodes/follow.py
+++ b/ternlane/nodes/follow.py
@@ -3,6 +3,7 @@
 A source that fails, restarts or says nonsense changes nothing: the old list stays, `failed` is told, and it is asked
 again after a pause that grows to eight times itself.
 """
+
 from __future__ import annotations
 
 import os
@@ -59,23 +60,31 @@
     try:
         while True:
             try:
-                with trio.fail_after((source.wait_ms * 1.1 + 2000) / 1000):    # the wait may be lengthened by 1/16
+                with trio.fail_after((source.wait_ms * 1.1 + 2000) / 1000):  # the wait may be lengthened by 1/16
                     index, lines = await ask_consul(pool, source, index, agent, failed)
                 if lines is not None:
                     found(lines)
                 pause = source.retry_ms
-            except (Unconnected, OSError, trio.BrokenResourceError, trio.ClosedResourceError, trio.TooSlowError,
-                    h11.RemoteProtocolError, ValueError) as why:
+            except (
+                Unconnected,
+                OSError,
+                trio.BrokenResourceError,
+                trio.ClosedResourceError,
+                trio.TooSlowError,
+                h11.RemoteProtocolError,
+                ValueError,
+            ) as why:
                 failed(f"{source.address}: {why!r}")
-                index = 0    # it may have restarted with another count
+                index = 0  # it may have restarted with another count
                 await trio.sleep(pause / 1000)
                 pause = min(2 * pause, 8 * source.retry_ms)
     finally:
         pool.close()
 
 
-async def ask_consul(pool: Pool, source: ConsulSource, index: int, agent: str,
-                     failed: Failed) -> tuple[int, list[NodeLine] | None]:
+async def ask_consul(
+    pool: Pool, source: ConsulSource, index: int, agent: str, failed: Failed
+) -> tuple[int, list[NodeLine] | None]:
     caller = await pool.take(source.address)
     try:
         target = f"/v1/health/service/{source.service}?index={index}&wait={source.wait_ms:.0f}ms"
@@ -88,7 +97,7 @@
     if head.status_code != 200:
         raise ValueError(f"status {head.status_code}")
     said = next((int(value) for name, value in head.headers if name == b"x-consul-index"), 0)
-    if said == index and index > 0:    # nothing new within the wait
+    if said == index and index > 0:  # nothing new within the wait
         return index, None
     lines, left_out = nodes_from_health(body)
     if left_out:
--- a/ternlane/nodes/kept.py
+++ b/ternlane/nodes/kept.py
@@ -1,4 +1,5 @@
 """The last list on disk. A file that was torn while being written is recognised and not used."""
+
 from __future__ import annotations
 
 import os
@@ -42,7 +43,7 @@
     except OSError as why:
         raise Torn(f"{path}: {why}") from None
     head, _, body = raw.partition(b"\n")
-    if not head.startswith(HEAD) or head[len(HEAD):] != xxh3_64_hexdigest(body).encode():
+    if not head.startswith(HEAD) or head[len(HEAD) :] != xxh3_64_hexdigest(body).encode():
         raise Torn(f"{path}: its checksum does not match its text")
     try:
         return lines_in.decode(body)
--- a/ternlane/notes.py
+++ b/ternlane/notes.py
@@ -1,4 +1,5 @@
 """What the actors inside choice.py hold and tell each other: plain types, no decisions."""
+
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
@@ -11,6 +12,7 @@
 
 class Loop:
     """What the actors see of the router whose loop runs them."""
+
     now: float
     limits: Limits
     ready: deque[Actor]
@@ -39,28 +41,30 @@
 
 class Seat(Actor):
     """The actor of one model server, as the others know it."""
+
     server: Server
     reads: bool
     writes: bool
-    said: tuple[float, float, float | None] | None    # its last report: when, memory share, generations held
+    said: tuple[float, float, float | None] | None  # its last report: when, memory share, generations held
     legs: dict[Leg, None]
     booked: dict[Course, tuple[float, float]]
-    shut_until: float    # it is sent nothing before, then one leg at a time until it has proved itself
+    shut_until: float  # it is sent nothing before, then one leg at a time until it has proved itself
 
 
 class Limits(NamedTuple):
     """What the start facts come to for the decisions."""
-    slo_ms: float         # the shortest SLO time of any product
-    span_ms: float        # over which progress and rates are remembered
+
+    slo_ms: float  # the shortest SLO time of any product
+    span_ms: float  # over which progress and rates are remembered
     beat_ms: float
-    share: float          # gateways that load the servers as much as this one, itself included
-    cold_part: float      # of an even share of the generations, that a server just started may be sent
+    share: float  # gateways that load the servers as much as this one, itself included
+    cold_part: float  # of an even share of the generations, that a server just started may be sent
     cold_ms: float
-    retry_ms: float       # first pause after a server could not be reached
-    idle_ms: float        # idle connections are closed after this
+    retry_ms: float  # first pause after a server could not be reached
+    idle_ms: float  # idle connections are closed after this
     leg_limit: int
-    pause_ms: float       # the longest return time a client heeds; 0 where none may be given
-    hand_ms: float        # how long after its read a state may still be sent to a writer that must be reached first
+    pause_ms: float  # the longest return time a client heeds; 0 where none may be given
+    hand_ms: float  # how long after its read a state may still be sent to a writer that must be reached first
 
 
 @dataclass(slots=True, eq=False)
@@ -69,42 +73,44 @@
     course: Course
     writes: bool
     sent: float
-    since: float      # start of the present stage: read, open (until the first token) or stream
-    usual_ms: float   # what its peers take for that stage
-    work_ms: float    # reading that its server has to do for it
-    foreseen: float = 0.0    # how long a read was expected to take
-    fresh: bool = False    # it needs a new connection
+    since: float  # start of the present stage: read, open (until the first token) or stream
+    usual_ms: float  # what its peers take for that stage
+    work_ms: float  # reading that its server has to do for it
+    foreseen: float = 0.0  # how long a read was expected to take
+    fresh: bool = False  # it needs a new connection
     counted: float = 0.0
-    lost: bool = False    # its answer will not come
-    held: bool = False    # something may have been held for its course before
+    lost: bool = False  # its answer will not come
+    held: bool = False  # something may have been held for its course before
 
 
 @dataclass(slots=True, eq=False)
 class Course:
     """One generation on its way."""
+
     gen: Generation
     slo_at: float
     limit_at: float
-    lot: float = 0.0    # its draw, from nought to one, for servers that take only some
+    lot: float = 0.0  # its draw, from nought to one, for servers that take only some
     reader: Seat | None = None
     writer: Seat | None = None
     leg: Leg | None = None
     legs: int = 0
     state_at: Seat | None = None
-    held_since: float = 0.0    # the last outcome, from which the release time counts
-    unheard: bool = False    # its last read ended with no word, and may leave a state yet
+    held_since: float = 0.0  # the last outcome, from which the release time counts
+    unheard: bool = False  # its last read ended with no word, and may leave a state yet
     may_have_run: tuple[float, Server] | None = None
-    waited: bool = False    # no pair was found for it yet
-    holds: bool = False    # a state may be held for it somewhere
+    waited: bool = False  # no pair was found for it yet
+    holds: bool = False  # a state may be held for it somewhere
     over: bool = False
-    asked: set[Seat] = field(default_factory=set)    # whose report the choice of a pair waits for
-    agreed: list[Seat] = field(default_factory=list)    # keep its opening, the first its session
+    asked: set[Seat] = field(default_factory=set)  # whose report the choice of a pair waits for
+    agreed: list[Seat] = field(default_factory=list)  # keep its opening, the first its session
     tried: set[Seat] = field(default_factory=set)
 
 
 @dataclass(slots=True)
 class Record:
     """How legs of one kind ended at one server, since the kind's first failure."""
+
     bad: float = 0.0
     tries: float = 0.0
     at: float = 0.0
@@ -113,7 +119,8 @@
 @dataclass(slots=True)
 class Doubt:
     """Failures of one kind: of a product, of a tenant, or answers that never came."""
-    rate: dict[bool, float] = field(default_factory=lambda: {False: 0.0, True: 0.0})    # at readers, at writers
+
+    rate: dict[bool, float] = field(default_factory=lambda: {False: 0.0, True: 0.0})  # at readers, at writers
     seen: dict[Seat, Record] = field(default_factory=dict)
 
 
@@ -125,30 +132,33 @@
 
 class Standing(NamedTuple):
     """What an Engine tells the Desk of itself."""
+
     engine: Seat
     listed: bool
-    free: float       # share of memory, or of reading time if that is scarcer
-    queue_ms: float   # reading that this gateway has given it and that is still out
+    free: float  # share of memory, or of reading time if that is scarcer
+    queue_ms: float  # reading that this gateway has given it and that is still out
     open: int
     progress: float
     shut: bool
     trial: bool
     cold_until: float
-    own: float        # share of memory that this gateway's generations fill
-    sent: float       # generations of this gateway that it got lately
-    ahead_ms: float   # reading that all gateways are believed to have given it
-    linked: bool      # connected to this gateway
-    fleet: Beat       # what it was told of its peers
+    own: float  # share of memory that this gateway's generations fill
+    sent: float  # generations of this gateway that it got lately
+    ahead_ms: float  # reading that all gateways are believed to have given it
+    linked: bool  # connected to this gateway
+    fleet: Beat  # what it was told of its peers
 
 
 # Notes from the Desk to an Engine.
 
+
 class News(NamedTuple):
     """The list has said something of the server."""
 
 
 class Booked(NamedTuple):
     """A generation is to be read or written here."""
+
     course: Course
     toks: float
 
@@ -163,36 +173,40 @@
 
 class StageEnded(NamedTuple):
     leg: Leg
-    good: bool | None    # None: how it ended tells nothing of the server
-    next_usual_ms: float | None    # None: the leg has ended with this stage
+    good: bool | None  # None: how it ended tells nothing of the server
+    next_usual_ms: float | None  # None: the leg has ended with this stage
 
 
 class Trouble(NamedTuple):
     """The server could not be reached, broke off, or (silent) falls far behind its peers."""
+
     silent: bool
 
 
 class Reported(NamedTuple):
     mem_share: float
-    open: float | None    # generations that the server holds
+    open: float | None  # generations that the server holds
 
 
 class Beat(NamedTuple):
     """What the Desk makes of all servers of the same duty."""
-    open: float = 0.0         # this gateway's open generations at the median one
-    pace: float = 1.0         # its progress
-    level: float = 0.0        # how full they are on the mean
-    queue_ms: float = 0.0     # reading that all gateways have given each of them
+
+    open: float = 0.0  # this gateway's open generations at the median one
+    pace: float = 1.0  # its progress
+    level: float = 0.0  # how full they are on the mean
+    queue_ms: float = 0.0  # reading that all gateways have given each of them
     mean_sent: float = 0.0
-    trust: float = 1.0        # how far that reading is to be believed
-    read_ms: float = 0.0      # what one read costs its reader on the mean
+    trust: float = 1.0  # how far that reading is to be believed
+    read_ms: float = 0.0  # what one read costs its reader on the mean
 
 
 class Lost(NamedTuple):
     """A read that was sent later to the same server has ended before this one."""
+
     leg: Leg
 
 
 class Onward(NamedTuple):
     """Asks the Engine for its newest Standing; then comes back to the Desk, which finds the next leg."""
+
     course: Course
--- a/ternlane/paper/__init__.py
+++ b/ternlane/paper/__init__.py
@@ -1,7 +1,30 @@
 """Documents that people write (JSON5): read, checked, and refused with the line and the field that is wrong."""
-from ternlane.paper.gateway import (ConsulSource, DoorTerms, FileSource, FleetTerms, GatewayPaper, InlineSource,
-                                    NodeLine, ProductTerms, StreamTerms)
+
+from ternlane.paper.gateway import (
+    ConsulSource,
+    DoorTerms,
+    FileSource,
+    FleetTerms,
+    GatewayPaper,
+    InlineSource,
+    NodeLine,
+    ProductTerms,
+    StreamTerms,
+)
 from ternlane.paper.reading import PaperError, checked, read_paper, read_text
 
-__all__ = ["ConsulSource", "DoorTerms", "FileSource", "FleetTerms", "GatewayPaper", "InlineSource", "NodeLine",
-           "PaperError", "ProductTerms", "StreamTerms", "checked", "read_paper", "read_text"]
+__all__ = [
+    "ConsulSource",
+    "DoorTerms",
+    "FileSource",
+    "FleetTerms",
+    "GatewayPaper",
+    "InlineSource",
+    "NodeLine",
+    "PaperError",
+    "ProductTerms",
+    "StreamTerms",
+    "checked",
+    "read_paper",
+    "read_text",
+]
--- a/ternlane/paper/gateway.py
+++ b/ternlane/paper/gateway.py
@@ -1,4 +1,5 @@
 """What an operator writes about one gateway. Times are milliseconds."""
+
 from __future__ import annotations
 
 from typing import Annotated, Literal
@@ -20,8 +21,9 @@
 
 class ProductTerms(Sheet, frozen=True, kw_only=True):
     """One product: which model names mean it, what may be repeated, what is promised, what it earns."""
+
     name: Name
-    models: list[str] = []    # further model names that mean this product
+    models: list[str] = []  # further model names that mean this product
     effect: Literal["idempotent", "deduplicated", "side-effecting"] = "side-effecting"
     group: Literal["all", "zone", "cell"] = "cell"
     window_ms: NotNegative = 0.0
@@ -31,7 +33,7 @@
     limit_ms: Positive
     revenue: NotNegative = 1.0
     late_share: Part = 0.0
-    max_toks: Count = 1024    # of an answer whose request names no maximum
+    max_toks: Count = 1024  # of an answer whose request names no maximum
 
     def __post_init__(self) -> None:
         if self.limit_ms < self.slo_ms:
@@ -40,6 +42,7 @@
 
 class FleetTerms(Sheet, frozen=True, kw_only=True):
     """What holds of the model servers and of the rules."""
+
     leg_limit: Count = 5
     connect_ms: Positive = 250.0
     idle_ms: Positive = 30e3
@@ -51,41 +54,44 @@
     fall_ms: Positive = 1000.0
     longest_pause_ms: NotNegative = 1000.0
     reports_mem: bool = True
-    ask_load: bool = False    # engines tell their load when asked (GET /metrics), and in no answer
+    ask_load: bool = False  # engines tell their load when asked (GET /metrics), and in no answer
     may_call_off: bool = True
     writers_read: bool = False
-    holds: bool = False    # engines hold places ahead (our extension)
+    holds: bool = False  # engines hold places ahead (our extension)
 
 
 class DoorTerms(Sheet, frozen=True, kw_only=True):
     """Limits on clients' connections and requests; none of them routes."""
+
     body_bytes: Count = 4 * 2**20
-    head_ms: Positive = 10e3       # for a request's head, once begun
-    body_ms: Positive = 30e3       # for its body
-    idle_ms: Positive = 60e3       # between requests on one connection
+    head_ms: Positive = 10e3  # for a request's head, once begun
+    body_ms: Positive = 30e3  # for its body
+    idle_ms: Positive = 60e3  # between requests on one connection
     answer_ms: NotNegative = 50.0  # kept back from a client's time limit for the answer's way
-    send_ms: Positive = 10e3       # for a client to take what was sent
-    open_limit: Count = 20000      # generations held at once
+    send_ms: Positive = 10e3  # for a client to take what was sent
+    open_limit: Count = 20000  # generations held at once
     conn_limit: Count = 20000
-    drain_ms: Positive = 15e3      # from SIGTERM to the end
-    repeat_bytes: Count = 64 * 2**20    # answers kept for repeats under an Idempotency-Key
-    session_limit: Count = 200_000      # conversations recognised by their beginning
+    drain_ms: Positive = 15e3  # from SIGTERM to the end
+    repeat_bytes: Count = 64 * 2**20  # answers kept for repeats under an Idempotency-Key
+    session_limit: Count = 200_000  # conversations recognised by their beginning
 
 
 class StreamTerms(Sheet, frozen=True, kw_only=True):
     """What becomes of streams that break off (docs/streams.md)."""
+
     resume: bool = True
-    ids: bool = False         # events carry ids, and Last-Event-ID asks for the rest of an answer
-    continues: bool = True    # engines know continue_final_message; else whole runs are repeated, compared and skipped
-    alarms: Annotated[float, Meta(ge=0, le=1)] = 1e-3    # part of streams wrongly given up as stalled; 0: none are
-    share: Annotated[float, Meta(ge=0, le=1)] = 0.25    # of the readers' work that may go to reading anew
-    keep_toks: Count = 32_768      # of one answer, kept for a loss
+    ids: bool = False  # events carry ids, and Last-Event-ID asks for the rest of an answer
+    continues: bool = True  # engines know continue_final_message; else whole runs are repeated, compared and skipped
+    alarms: Annotated[float, Meta(ge=0, le=1)] = 1e-3  # part of streams wrongly given up as stalled; 0: none are
+    share: Annotated[float, Meta(ge=0, le=1)] = 0.25  # of the readers' work that may go to reading anew
+    keep_toks: Count = 32_768  # of one answer, kept for a loss
     keep_bytes: Count = 2**18
     keep_all_bytes: Count = 2**27
 
 
 class NodeLine(Sheet, frozen=True, kw_only=True):
     """One model server on a list. `started` is in seconds since 1970, 0: long ago."""
+
     id: Name
     address: Address
     zone: str = "-"
@@ -95,7 +101,7 @@
     size: Positive = 1.0
     state: Literal["up", "draining", "gone"] = "up"
     started: NotNegative = 0.0
-    protocol: Literal["disaggregated", "chat"] = "disaggregated"    # chat: any server of the public chat API
+    protocol: Literal["disaggregated", "chat"] = "disaggregated"  # chat: any server of the public chat API
 
     def __post_init__(self) -> None:
         if self.protocol == "chat" and self.duty != "both":
@@ -104,12 +110,14 @@
 
 class FileSource(Sheet, frozen=True, kw_only=True, tag="file", tag_field="from"):
     """The node list is a JSON5 file, looked at every `look_ms`."""
+
     path: str
     look_ms: Positive = 500.0
 
 
 class ConsulSource(Sheet, frozen=True, kw_only=True, tag="consul", tag_field="from"):
     """A registry with blocking queries in the published Consul health form."""
+
     address: Address
     service: Name
     wait_ms: Positive = 10e3
@@ -118,27 +126,29 @@
 
 class InlineSource(Sheet, frozen=True, kw_only=True, tag="inline", tag_field="from"):
     """The node list stands in the document, or is given later by `Routing.nodes`."""
+
     nodes: list[NodeLine]
 
 
 class GatewayPaper(Sheet, frozen=True, kw_only=True):
     """The whole document of one gateway."""
+
     name: Name
     listen: Address
     metrics: Address | None = None
-    source: str | None = None          # address that connections to model servers come from
+    source: str | None = None  # address that connections to model servers come from
     zone: str = "-"
-    gateways: Count = 1                # how many share the fleet
+    gateways: Count = 1  # how many share the fleet
     seed: int = 0
-    state: str | None = None           # file that keeps the last node list over a restart
+    state: str | None = None  # file that keeps the last node list over a restart
     products: Annotated[list[ProductTerms], Meta(min_length=1)]
     nodes: FileSource | ConsulSource | InlineSource
-    tenants: str | None = None         # file of tenants; without it everybody is served
-    journal: str | None = None         # folder of what is in flight, for a restart after a loss
-    ledger: str | None = None          # folder of this gateway's bills; needed with tenants
-    ledger_segments: Count | None = None    # of 16 MB kept beside the sums; None: all, for bills in detail
-    lender: str | None = None          # file that all gateways share to lend parts of budgets
-    look_ms: Positive = 1000.0         # between two looks at what traffic wants of it
+    tenants: str | None = None  # file of tenants; without it everybody is served
+    journal: str | None = None  # folder of what is in flight, for a restart after a loss
+    ledger: str | None = None  # folder of this gateway's bills; needed with tenants
+    ledger_segments: Count | None = None  # of 16 MB kept beside the sums; None: all, for bills in detail
+    lender: str | None = None  # file that all gateways share to lend parts of budgets
+    look_ms: Positive = 1000.0  # between two looks at what traffic wants of it
     fleet: FleetTerms = FleetTerms()
     door: DoorTerms = DoorTerms()
     streams: StreamTerms = StreamTerms()
--- a/ternlane/paper/reading.py
+++ b/ternlane/paper/reading.py
@@ -1,4 +1,5 @@
 """JSON5 in, checked structs out. Every error names the file, the line and the field."""
+
 from __future__ import annotations
 
 import re
@@ -25,7 +26,7 @@
 def lines_by_field(text: str) -> dict[str, int]:
     """The line on which each field of a well-formed JSON5 text begins."""
     lines, path = {"$": 1}, ["$"]
-    stack: list[list[Any]] = []    # [path, "{" or "[", next index, key seen]
+    stack: list[list[Any]] = []  # [path, "{" or "[", next index, key seen]
     pending: str | None = None
     at_line, last = 1, 0
     for found in TOKEN.finditer(text):
--- a/ternlane/platform/engines.py
+++ b/ternlane/platform/engines.py
@@ -2,6 +2,7 @@
 
 It decides nothing: where to, for how long and what then come from the decisions by way of the node.
 """
+
 from __future__ import annotations
 
 from dataclasses import dataclass, field
@@ -18,15 +19,17 @@
 from ternlane.turns import BeginCheck, may_always_begin
 
 BROKEN = (trio.BrokenResourceError, trio.ClosedResourceError, OSError)
-PLAIN_BYTES = 65536    # of an answer that is no stream
+PLAIN_BYTES = 65536  # of an answer that is no stream
 # A spoilt answer may be followed by another some milliseconds later (users' page). On a connection that is used again
 # sooner, that one would be taken for the answer to the next request; within this time it is seen, and the connection
 # closed. Long against a network's delays, short against the time between two requests to one server.
 REST_MS = 50.0
 
 
-WHY_BARRED = {Verdict.MOOT: "the client left before it was sent",
-              Verdict.WITHHELD: "its server drains, or its time to begin is over"}
+WHY_BARRED = {
+    Verdict.MOOT: "the client left before it was sent",
+    Verdict.WITHHELD: "its server drains, or its time to begin is over",
+}
 
 
 class ClientGone(Exception):
@@ -44,18 +47,19 @@
 @dataclass(slots=True, eq=False)
 class Leg:
     """One leg's way out: the request as the client sent it, to which address, for how long."""
+
     address: str
     duty: Duty
     method: str
     target: str
     ident: str
     body: bytes
-    last_by: float    # by trio's clock: a read's answer, or a first token, that comes later is not waited for
+    last_by: float  # by trio's clock: a read's answer, or a first token, that comes later is not waited for
     quiet_ms: float
     barred: BeginCheck = may_always_begin
     scope: trio.CancelScope = field(default_factory=trio.CancelScope)
     called_off: bool = False
-    written: bool = False    # its last byte: from here on it may run
+    written: bool = False  # its last byte: from here on it may run
 
     def call_off(self) -> None:
         self.called_off = True
@@ -65,7 +69,7 @@
 @dataclass(slots=True)
 class LegEnd:
     verdict: Verdict = Verdict.TIMED_OUT
-    begun: bool = False    # the client has its first event
+    begun: bool = False  # the client has its first event
     kept: float = 0.0
     state_lost: bool = False
     report: Report | None = None
@@ -85,7 +89,7 @@
 
     def __init__(self, pool: Pool, deployment: Deployment) -> None:
         self.pool, self.deployment = pool, deployment
-        self.heard_at: dict[str, float] = {}    # when each address last answered
+        self.heard_at: dict[str, float] = {}  # when each address last answered
 
     async def run(self, leg: Leg, outlet: Outlet) -> LegEnd:
         """Never raises but for an outer cancellation, and ClientGone."""
@@ -110,7 +114,7 @@
                     end.why = "" if outcome.verdict is Verdict.READ else f"status {head.status_code}"
         except ClientGone:
             raise
-        except Barred as why:    # the connection, on which nothing was asked, serves the next one
+        except Barred as why:  # the connection, on which nothing was asked, serves the next one
             whole, end.verdict, end.why = True, why.verdict, str(why)
         except Silent:
             end.verdict, end.why = Verdict.TIMED_OUT, "silent within the stream" if end.begun else "no answer in time"
@@ -119,7 +123,7 @@
             end.verdict, end.why = Verdict.UNCONNECTED, str(why)
         except BROKEN as why:
             end.verdict, end.why = Verdict.RESET, repr(why)
-        except h11.RemoteProtocolError as why:    # a torn answer is a broken connection, a spoilt one an error
+        except h11.RemoteProtocolError as why:  # a torn answer is a broken connection, a spoilt one an error
             end.verdict = Verdict.RESET if "closed" in str(why) else Verdict.ERROR
             end.why = f"spoilt: {str(why)[:200]}"
         except ValueError as why:
@@ -140,11 +144,14 @@
         if barred is not None:
             raise Barred(barred)
         left_s = max(0.0, leg.last_by - trio.current_time())
-        await caller.send_request(leg.method, leg.target, [
-            ("Request-Id", leg.ident), ("Request-Timeout", f"{left_s:.3f}"), ("Content-Type", "application/json")],
-            leg.body)
+        await caller.send_request(
+            leg.method,
+            leg.target,
+            [("Request-Id", leg.ident), ("Request-Timeout", f"{left_s:.3f}"), ("Content-Type", "application/json")],
+            leg.body,
+        )
         leg.written = True
-        leg.scope.deadline = inf    # from here on reads end by themselves, not without what has arrived by then
+        leg.scope.deadline = inf  # from here on reads end by themselves, not without what has arrived by then
         caller.expect_by(leg.last_by)
 
     def given_up(self, leg: Leg, end: LegEnd) -> None:
@@ -153,9 +160,9 @@
         barred = leg.barred()
         if leg.written:
             end.verdict = Verdict.CALLED_OFF if leg.called_off else Verdict.TIMED_OUT
-        elif barred is not None:    # no fault of the server's
+        elif barred is not None:  # no fault of the server's
             end.verdict, end.why = barred, WHY_BARRED[barred]
-        else:    # its last byte never left: nothing can have run
+        else:  # its last byte never left: nothing can have run
             end.verdict, end.why = Verdict.UNCONNECTED, "given up before all was written"
 
     async def stream(self, leg: Leg, caller: Caller, outlet: Outlet, end: LegEnd) -> bool:
@@ -165,7 +172,7 @@
         async for piece in caller.chunks():
             ready = events.feed(piece)
             if ready and (end.begun or events.begun):
-                await keep_open(leg.scope, inf)    # called off in this very moment: the client is given nothing
+                await keep_open(leg.scope, inf)  # called off in this very moment: the client is given nothing
                 first, end.begun = not end.begun, True
                 try:
                     await (outlet.first(ready) if first else outlet.more(ready))
@@ -182,8 +189,9 @@
         self.heard_at[leg.address] = trio.current_time()
         return True
 
-    async def ask(self, address: str, method: str, target: str, within_ms: float) -> tuple[Verdict, int, str | None,
-                                                                                          bytes]:
+    async def ask(
+        self, address: str, method: str, target: str, within_ms: float
+    ) -> tuple[Verdict, int, str | None, bytes]:
         """A small call: how it went, the status, the load that came along and the body."""
         caller, verdict = None, Verdict.TIMED_OUT
         try:
@@ -202,7 +210,7 @@
         except (h11.RemoteProtocolError, *BROKEN):
             verdict = Verdict.RESET
         finally:
-            if caller is not None:    # also when called off, as another server has heard it
+            if caller is not None:  # also when called off, as another server has heard it
                 caller.close_now()
         return verdict, 0, None, b""
 
@@ -239,8 +247,9 @@
         if verdict is Verdict.STREAMED and status != 200:
             verdict = Verdict.ERROR
         text = body.decode("latin-1").strip()
-        return verdict, load_of(said, self.deployment) or load_of(text.removeprefix("Server-Load:").strip(),
-                                                                  self.deployment)
+        return verdict, load_of(said, self.deployment) or load_of(
+            text.removeprefix("Server-Load:").strip(), self.deployment
+        )
 
     def known(self, addresses: list[str]) -> None:
         """Forgets what is no longer among these."""
--- a/ternlane/platform/front.py
+++ b/ternlane/platform/front.py
@@ -1,4 +1,5 @@
 """The clients' side: connections taken and let go, requests read, answers given."""
+
 from __future__ import annotations
 
 import errno
@@ -16,12 +17,12 @@
 # Who connects and sends no request is owed an end within 3 s of connecting (users' page); the rest is for the way.
 # A slow client that goes on writing gets all of that time, on each of its connections and for each of its requests.
 REQUEST_MS = 2700.0
-IDLE_MS = 2300.0     # the users' page lets a connection without an open request go after 2 s
-SEND_MS = 3000.0     # a client that takes nothing for so long has left
+IDLE_MS = 2300.0  # the users' page lets a connection without an open request go after 2 s
+SEND_MS = 3000.0  # a client that takes nothing for so long has left
 SHORT_OF = (errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.ENOBUFS)
-ABORTED_MS = 10.0    # a pause of the accept loop, where the kernel says that a connection has gone already
-SHORT_MS = 50.0      # and where descriptors or memory are short: what closes meanwhile makes room
-QUEUE_EMPTY_MS = 10.0    # no connection for so long: the listener's queue is empty
+ABORTED_MS = 10.0  # a pause of the accept loop, where the kernel says that a connection has gone already
+SHORT_MS = 50.0  # and where descriptors or memory are short: what closes meanwhile makes room
+QUEUE_EMPTY_MS = 10.0  # no connection for so long: the listener's queue is empty
 
 
 class Front:
@@ -35,11 +36,18 @@
     def __init__(self, node: Node, log: Any) -> None:
         self.node, self.log = node, log
         self.conns = 0
-        self.idle: dict[ServerConnection, None] = {}    # the longest idle first
+        self.idle: dict[ServerConnection, None] = {}  # the longest idle first
         self.draining = False
         self.ready = False
-        self.limits = ServerLimits(BODY_BYTES, head_ms=REQUEST_MS, body_ms=REQUEST_MS, idle_ms=IDLE_MS,
-                                   send_ms=SEND_MS, head_bytes=HEAD_BYTES, first_ms=REQUEST_MS)
+        self.limits = ServerLimits(
+            BODY_BYTES,
+            head_ms=REQUEST_MS,
+            body_ms=REQUEST_MS,
+            idle_ms=IDLE_MS,
+            send_ms=SEND_MS,
+            head_bytes=HEAD_BYTES,
+            first_ms=REQUEST_MS,
+        )
 
     async def accept(self, listener: trio.SocketListener, nursery: trio.Nursery) -> None:
         """Takes connections until the listener is closed."""
@@ -82,13 +90,13 @@
 
     async def accept_failed(self, why: OSError) -> None:
         """Makes room where descriptors are short. Raises `why` where that is not the reason."""
-        if why.errno == errno.ECONNABORTED:    # it was reset while it waited to be taken
+        if why.errno == errno.ECONNABORTED:  # it was reset while it waited to be taken
             await trio.sleep(ABORTED_MS / 1000)
             return
         if why.errno not in SHORT_OF:
             raise why
         self.node.counts["no descriptors"] += 1
-        for _ in range(1 + len(self.idle) // 8):    # attempts need some too
+        for _ in range(1 + len(self.idle) // 8):  # attempts need some too
             if not self.displace():
                 await trio.sleep(SHORT_MS / 1000)
                 return
@@ -117,9 +125,15 @@
     async def connection(self, stream: trio.SocketStream) -> None:
         """Serves one client's connection to its end."""
         try:
-            await ServerConnection(stream, self.handle, self.limits, refusal=self.refusal,
-                                   draining=lambda: self.draining, on_idle=self.idle_changed).serve()
-        except Exception:    # a fault of this program must not take the other connections with it
+            await ServerConnection(
+                stream,
+                self.handle,
+                self.limits,
+                refusal=self.refusal,
+                draining=lambda: self.draining,
+                on_idle=self.idle_changed,
+            ).serve()
+        except Exception:  # a fault of this program must not take the other connections with it
             self.log.exception("connection")
         finally:
             self.conns -= 1
@@ -153,16 +167,26 @@
         wish = wish_of(headers, exchange.body, node.deployment)
         if wish.ident in node.idents:
             raise Wrong(409, "open_id", "a request with this Request-Id is open")
-        if len(node.tickets) >= self.open_limit or \
-                sum(len(t.body) for t in node.tickets.values()) + len(exchange.body) > self.held_bytes:
+        if (
+            len(node.tickets) >= self.open_limit
+            or sum(len(t.body) for t in node.tickets.values()) + len(exchange.body) > self.held_bytes
+        ):
             node.counts["refused room"] += 1
             await exchange.answer(503, self.closing(), said("room", "this gateway holds as much as it may"))
             return
         product = node.deployment.products[wish.product]
         # Counted from the request's last byte, as the users' page does: a slow client's time has only begun.
         patience = (wish.patience_ms or product.limit_ms) - node.lag_ms()
-        gen = node.deployment.generation(product, wish.session, wish.opening, wish.opening_toks, wish.prompt_toks,
-                                         wish.max_toks, max(0.0, patience), wish.tenant)
+        gen = node.deployment.generation(
+            product,
+            wish.session,
+            wish.opening,
+            wish.opening_toks,
+            wish.prompt_toks,
+            wish.max_toks,
+            max(0.0, patience),
+            wish.tenant,
+        )
         ticket = Ticket(wish.ident, gen, exchange, exchange.body, now_ms(), self.draining)
         exchange.body = b""
         node.arrived(ticket)
@@ -174,22 +198,23 @@
     async def answer(self, exchange: Exchange, ticket: Ticket) -> None:
         try:
             if not ticket.over:
-                with ticket.watch:    # cancelled when the answer is settled
+                with ticket.watch:  # cancelled when the answer is settled
                     await exchange.until_left()
                     self.node.client_left(ticket)
         finally:
-            if not ticket.over:    # ended from outside
+            if not ticket.over:  # ended from outside
                 self.node.client_left(ticket)
         match ticket.final:
             case Streamed(whole=True):
                 pass
             case Throttled(pause):
                 head = [("Retry-After", f"{pause / 1000:.3f}")] if pause > 0 else []
-                await exchange.answer(503, [*head, *self.closing()],
-                                      said("throttled", "nothing has run; a new try does no harm"))
+                await exchange.answer(
+                    503, [*head, *self.closing()], said("throttled", "nothing has run; a new try does no harm")
+                )
             case Terminated(why):
                 await exchange.answer(502, self.closing(), said("terminated", why or "no server could finish it"))
-            case _:    # it left, or its stream broke: the connection ends without the last chunk
+            case _:  # it left, or its stream broke: the connection ends without the last chunk
                 pass
 
 
--- a/ternlane/platform/node.py
+++ b/ternlane/platform/node.py
@@ -1,4 +1,5 @@
 """One gateway between its sockets and the decisions: generations, their legs, and what is held for them."""
+
 from __future__ import annotations
 
 import time
@@ -16,14 +17,14 @@
 from ternlane.port import Generation, Life, Server, Verdict
 from ternlane.turns import Chooser, Terminated, Throttled, Turns, begin_check, now_ms
 
-TRAILS = 512    # generations whose legs are kept for who asks
-STREAM_HEAD = [("Content-Type", "text/event-stream"), ("Cache-Control", "no-cache"),
-               ("Transfer-Encoding", "chunked")]
+TRAILS = 512  # generations whose legs are kept for who asks
+STREAM_HEAD = [("Content-Type", "text/event-stream"), ("Cache-Control", "no-cache"), ("Transfer-Encoding", "chunked")]
 
 
 @dataclass(slots=True)
 class Streamed:
     """`whole`: with its last chunk; else its client's connection is to end without it."""
+
     whole: bool
 
 
@@ -33,12 +34,13 @@
 @dataclass(slots=True, eq=False)
 class Ticket:
     """A generation at this gateway. `final` is set once; its client's connection, which watches, is then woken."""
+
     ident: str
     gen: Generation
     exchange: Exchange
     body: bytes
     since: float
-    closing: bool = False    # its client's connection ends with the answer
+    closing: bool = False  # its client's connection ends with the answer
     final: Final | None = None
     left: bool = False
     flowing: bool = False
@@ -46,7 +48,7 @@
     legs: int = 0
     why: str = ""
     trail: list[str] = field(default_factory=list)
-    freeing: trio.Event | None = None    # set once what was held before is let go of
+    freeing: trio.Event | None = None  # set once what was held before is let go of
     watch: trio.CancelScope = field(default_factory=trio.CancelScope)
 
     @property
@@ -61,13 +63,14 @@
 
 
 class Node(Turns[Ticket]):
-    def __init__(self, chooser: Chooser, deployment: Deployment, engines: Engines, nursery: trio.Nursery,
-                 log: Any) -> None:
+    def __init__(
+        self, chooser: Chooser, deployment: Deployment, engines: Engines, nursery: trio.Nursery, log: Any
+    ) -> None:
         super().__init__(chooser)
         self.deployment, self.engines, self.nursery, self.log = deployment, engines, nursery, log
         self.roster = Roster(deployment)
         self.idents: dict[str, Ticket] = {}
-        self.ended: list[Ticket] = []    # to be forgotten once the turn is over
+        self.ended: list[Ticket] = []  # to be forgotten once the turn is over
         self.releasing = 0
         self.counts: Counter[str] = Counter()
         self.trails: deque[tuple[str, str, list[str]]] = deque(maxlen=TRAILS)
@@ -124,7 +127,7 @@
         """Nothing is owed any more; a stream that nobody reads is given up."""
         if not ticket.over:
             ticket.left = True
-            if ticket.leg is not None and (ticket.flowing or not ticket.leg.written):    # it was never a begun attempt
+            if ticket.leg is not None and (ticket.flowing or not ticket.leg.written):  # it was never a begun attempt
                 ticket.leg.call_off()
             self.closed(ticket, "left")
             self.tell(port.ClientLeft(ticket.gen))
@@ -143,8 +146,13 @@
 
     def closed(self, ticket: Ticket, outcome: str) -> None:
         self.counts[outcome] += 1
-        self.log.debug("closed", gen=ticket.ident, outcome=outcome, took_ms=round(now_ms() - ticket.since, 1),
-                       patience_ms=round(ticket.gen.patience_ms))
+        self.log.debug(
+            "closed",
+            gen=ticket.ident,
+            outcome=outcome,
+            took_ms=round(now_ms() - ticket.since, 1),
+            patience_ms=round(ticket.gen.patience_ms),
+        )
         self.trails.append((ticket.ident, outcome, ticket.trail))
         self.ended.append(ticket)
 
@@ -160,15 +168,23 @@
     def send(self, ticket: Ticket, server: Server, times: port.SendLeg) -> None:
         spot, exchange, now = self.roster.spots.get(server), ticket.exchange, trio.current_time()
         barred = begin_check(server, times.begin_by_ms, lambda: ticket.over or exchange.closed)
-        leg = ticket.leg = Leg(spot.address if spot is not None else "", server.duty, exchange.method,
-                               exchange.request.target.decode("latin-1"), ticket.ident, ticket.body,
-                               now + times.timeout_ms / 1000, times.quiet_ms, barred)
+        leg = ticket.leg = Leg(
+            spot.address if spot is not None else "",
+            server.duty,
+            exchange.method,
+            exchange.request.target.decode("latin-1"),
+            ticket.ident,
+            ticket.body,
+            now + times.timeout_ms / 1000,
+            times.quiet_ms,
+            barred,
+        )
         ticket.legs += 1
         self.nursery.start_soon(self.run, ticket, server, leg, spot.name if spot is not None else "gone")
 
     async def run(self, ticket: Ticket, server: Server, leg: Leg, name: str) -> None:
         since, end = now_ms(), LegEnd()
-        if ticket.freeing is not None:    # lest a late DELETE let go of what this leg has read
+        if ticket.freeing is not None:  # lest a late DELETE let go of what this leg has read
             with trio.move_on_after(self.deployment.facts.connect_ms / 1000):
                 await ticket.freeing.wait()
         try:
@@ -176,7 +192,7 @@
         except ClientGone:
             end = LegEnd(Verdict.CALLED_OFF, begun=True, why="the client left")
             self.client_left(ticket)
-        except Exception as why:    # a fault of this program must not take the other generations with it
+        except Exception as why:  # a fault of this program must not take the other generations with it
             self.log.exception("leg")
             end = LegEnd(Verdict.ERROR, begun=ticket.flowing, why=repr(why))
         if end.verdict is Verdict.MOOT:
@@ -197,11 +213,21 @@
         kind = "read" if server.duty is port.Duty.READ else "write"
         ticket.trail.append(f"{name} {kind} {end.verdict.name} {took:.0f} ms {end.why}".rstrip())
         self.counts[f"{kind} {end.verdict.name}"] += 1
-        self.log.debug("attempt", gen=ticket.ident, server=name, kind=kind, verdict=end.verdict.name,
-                       took_ms=round(took, 1), begun=end.begun, kept=end.kept,
-                       prompt=ticket.gen.prompt_toks, why=end.why)
-        self.tell(port.LegEnded(ticket.gen, server, end.verdict, took, ticket.over, end.kept, end.state_lost,
-                                end.report))
+        self.log.debug(
+            "attempt",
+            gen=ticket.ident,
+            server=name,
+            kind=kind,
+            verdict=end.verdict.name,
+            took_ms=round(took, 1),
+            begun=end.begun,
+            kept=end.kept,
+            prompt=ticket.gen.prompt_toks,
+            why=end.why,
+        )
+        self.tell(
+            port.LegEnded(ticket.gen, server, end.verdict, took, ticket.over, end.kept, end.state_lost, end.report)
+        )
         self.forget(ticket)
 
     # -- what is held
@@ -227,8 +253,9 @@
             done.set()
 
     async def hold(self, ticket: Ticket, server: Server) -> None:
-        held = await self.engines.hold(self.roster.spots[server].address, ticket.ident,
-                                       self.deployment.facts.release_ms)
+        held = await self.engines.hold(
+            self.roster.spots[server].address, ticket.ident, self.deployment.facts.release_ms
+        )
         if not ticket.over:
             self.tell(port.PlaceHeld(ticket.gen, held))
 
@@ -242,6 +269,7 @@
 @dataclass(slots=True)
 class Passing:
     """A stream's way to its client; the decisions hear of its first token."""
+
     node: Node
     ticket: Ticket
     server: Server
--- a/ternlane/platform/process.py
+++ b/ternlane/platform/process.py
@@ -1,4 +1,5 @@
 """The process around one gateway on the platform: start, signals, an orderly end."""
+
 from __future__ import annotations
 
 import gc
@@ -24,13 +25,13 @@
 from ternlane.platform.settings import Post, Unfit, read_post
 
 BACKLOG = 1024
-CLIENTS, SERVERS = 0.45, 0.45    # of the descriptors; the rest is for the watch, the log and what is being closed
-OPEN = 0.4                       # of them, requests at once: each has one attempt out, and DELETE needs connections too
-BODIES = 0.2                     # of the memory
-IDLE_PART = 0.9                  # of the servers' idle limit: what is closed well before crosses no request of ours
-LATE_COMERS_MS = 450.0           # new connections still arrive for so long after SIGTERM
-LONGEST_MS, ENDS_MS = 3000.0, 700.0    # no SIGKILL before the longest time limit, cut to the one, plus the other
-END_POLL_MS = 20.0    # between two looks at whether all has ended
+CLIENTS, SERVERS = 0.45, 0.45  # of the descriptors; the rest is for the watch, the log and what is being closed
+OPEN = 0.4  # of them, requests at once: each has one attempt out, and DELETE needs connections too
+BODIES = 0.2  # of the memory
+IDLE_PART = 0.9  # of the servers' idle limit: what is closed well before crosses no request of ours
+LATE_COMERS_MS = 450.0  # new connections still arrive for so long after SIGTERM
+LONGEST_MS, ENDS_MS = 3000.0, 700.0  # no SIGKILL before the longest time limit, cut to the one, plus the other
+END_POLL_MS = 20.0  # between two looks at whether all has ended
 REPORT_MS = 10e3
 UNFIT, TAKEN = 65, 69
 
@@ -42,8 +43,9 @@
         self.pool = Pool(facts.connect_ms, facts.idle_ms)
         self.node = Node(Router(facts), post.deployment, Engines(self.pool, post.deployment), nursery, log)
         self.front = Front(self.node, log)
-        self.watch = Watch(post.discovery, lambda: self.node.roster.index, self.node.listed, self.list_failed,
-                           facts.seed, nursery, log)
+        self.watch = Watch(
+            post.discovery, lambda: self.node.roster.index, self.node.listed, self.list_failed, facts.seed, nursery, log
+        )
         self.listener: trio.SocketListener
         self.accepting = trio.CancelScope()
         self.apply_limits(post)
@@ -60,13 +62,14 @@
         self.log.warning("discovery", why=why)
 
     async def start(self) -> None:
-        self.listener = (await trio.open_tcp_listeners(self.post.listen[1], host=self.post.listen[0],
-                                                       backlog=BACKLOG))[0]
+        self.listener = (await trio.open_tcp_listeners(self.post.listen[1], host=self.post.listen[0], backlog=BACKLOG))[
+            0
+        ]
         self.node.roster.index = self.post.known.index
         self.node.listed(self.post.known)
         self.nursery.start_soon(self.node.clock)
         self.watch.start()
-        with trio.move_on_after(FIRST_LIST_MS / 1000):    # what discovery has counts as told from the first request on
+        with trio.move_on_after(FIRST_LIST_MS / 1000):  # what discovery has counts as told from the first request on
             await self.watch.opened.wait()
         self.nursery.start_soon(self.accept)
         self.nursery.start_soon(self.report)
@@ -111,7 +114,7 @@
         self.listener.socket.close()
         await trio.sleep(LATE_COMERS_MS / 4000)
         while self.node.tickets or self.node.releasing or self.front.conns:
-            self.front.close_idle()    # also those that were still to be read when the loop before looked
+            self.front.close_idle()  # also those that were still to be read when the loop before looked
             await trio.sleep(END_POLL_MS / 1000)
 
     async def report(self) -> None:
@@ -123,10 +126,17 @@
             counts = {k: v - before.get(k, 0) for k, v in sorted(node.counts.items()) if v != before.get(k, 0)}
             before = dict(node.counts)
             late, node.late_ms = node.late_ms, 0.0
-            self.log.info("report", open=len(node.tickets), connections=self.front.conns,
-                          engine_connections=len(node.engines.pool.open), descriptors=descriptors(),
-                          memory_mb=round(memory_mb(), 1), loop_late_ms=round(late, 1),
-                          cpu_s=round(time.process_time(), 2), **counts)
+            self.log.info(
+                "report",
+                open=len(node.tickets),
+                connections=self.front.conns,
+                engine_connections=len(node.engines.pool.open),
+                descriptors=descriptors(),
+                memory_mb=round(memory_mb(), 1),
+                loop_late_ms=round(late, 1),
+                cpu_s=round(time.process_time(), 2),
+                **counts,
+            )
 
     def trails(self) -> None:
         """Every leg of the latest generations, one line each by id."""
@@ -178,9 +188,15 @@
     level = logging.DEBUG if os.environ.get("TERNLANE_LOG") == "debug" else logging.INFO
     structlog.configure(
         wrapper_class=structlog.make_filtering_bound_logger(level),
-        processors=[structlog.processors.add_log_level, structlog.processors.TimeStamper(fmt="iso", utc=True),
-                    structlog.processors.format_exc_info, structlog.processors.JSONRenderer()],
-        logger_factory=structlog.WriteLoggerFactory(file=sys.stderr), cache_logger_on_first_use=True)
+        processors=[
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            structlog.processors.format_exc_info,
+            structlog.processors.JSONRenderer(),
+        ],
+        logger_factory=structlog.WriteLoggerFactory(file=sys.stderr),
+        cache_logger_on_first_use=True,
+    )
     try:
         post = read_post()
     except Unfit as why:
--- a/ternlane/platform/protocol.py
+++ b/ternlane/platform/protocol.py
@@ -1,4 +1,5 @@
 """What the platform's messages mean: outcomes, load reports, what a client asks for. Free of I/O."""
+
 from __future__ import annotations
 
 import re
@@ -18,12 +19,18 @@
 READY_PATH = "/health/ready"
 BODY_BYTES = 256 * 1024
 IDENT = re.compile(r"[0-9a-f]{16}")
-FIGURES = {"inflight": "outstanding", "queue": "backlog", "util": "utilization", "latency_ms": "recent_ms",
-           "qps": "throughput", "eps": "errors_per_s"}    # by their names on the sockets and in the settings
+FIGURES = {
+    "inflight": "outstanding",
+    "queue": "backlog",
+    "util": "utilization",
+    "latency_ms": "recent_ms",
+    "qps": "throughput",
+    "eps": "errors_per_s",
+}  # by their names on the sockets and in the settings
 NOT_STARTED, LOAD = b"not-started", b"server-load"
 
 
-NAME_CHARS = 64    # of a session's or an opening's name
+NAME_CHARS = 64  # of a session's or an opening's name
 
 
 class Wrong(Exception):
@@ -37,6 +44,7 @@
 @dataclass(slots=True, frozen=True)
 class Outcome:
     """What the head of an answer proves. Neither verdict nor lost state: a stream follows."""
+
     verdict: Verdict | None
     state_lost: bool = False
 
@@ -68,7 +76,7 @@
         if not isfinite(value) or value < 0:
             return None
         figures[FIGURES.get(name.strip(), name.strip())] = value
-    if figures.get("x0", 0.0) > 1.5:    # absurd; a report is believed, so it must be possible
+    if figures.get("x0", 0.0) > 1.5:  # absurd; a report is believed, so it must be possible
         return None
     return deployment.report(figures)
 
@@ -105,6 +113,7 @@
 class Events:
     """The events of a stream, whole and unchanged. Raises ValueError on what is none, or is longer than one may be:
     noise, or a chunk that does not end, reaches no client and fills no memory."""
+
     LIMIT = 65536
 
     def __init__(self) -> None:
@@ -151,7 +160,7 @@
         elif self.done:
             raise ValueError("an event behind the last")
         elif not self.begun or b'"usage"' in data:
-            said = said_in.decode(data)    # the first must be understood before the client has a byte
+            said = said_in.decode(data)  # the first must be understood before the client has a byte
             self.begun = True
             if said.usage is not None:
                 self.kept = said.usage.prompt_tokens_details.cached_tokens
@@ -162,6 +171,7 @@
 @dataclass(slots=True)
 class Wish:
     """What a client's head asks for."""
+
     ident: str
     product: str
     session: str | None
@@ -198,9 +208,17 @@
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
         raise Wrong(400, "bad_body", "the body is no JSON object") from None
     prompt = figure(info["prompt_len"], "prompt_len") if "prompt_len" in info else len(body) / 4
-    return Wish(ident, name, short(headers.get(b"affinity-key")), short(info.get("prefix")),
-                min(prompt, figure(info.get("prefix_len", "0"), "prefix_len")), prompt,
-                figure(info.get("max_out", "0"), "max_out"), patience, headers.get(b"tenant", ""))
+    return Wish(
+        ident,
+        name,
+        short(headers.get(b"affinity-key")),
+        short(info.get("prefix")),
+        min(prompt, figure(info.get("prefix_len", "0"), "prefix_len")),
+        prompt,
+        figure(info.get("max_out", "0"), "max_out"),
+        patience,
+        headers.get(b"tenant", ""),
+    )
 
 
 def short(name: str | None) -> str | None:
@@ -216,6 +234,6 @@
         value = float(text)
     except ValueError:
         value = -1.0
-    if not 0 <= value < 1e9:    # so that no sum of them is beyond what can be counted
+    if not 0 <= value < 1e9:  # so that no sum of them is beyond what can be counted
         raise Wrong(400, "bad_number", f"{name} must be a number, not negative and not absurd")
     return value
--- a/ternlane/platform/roster.py
+++ b/ternlane/platform/roster.py
@@ -1,4 +1,5 @@
 """Discovery's lists become the Server objects that the decisions share. Free of I/O."""
+
 from __future__ import annotations
 
 import re
@@ -10,7 +11,7 @@
 from ternlane.deployment import Deployment
 from ternlane.port import Life, Listed, Server
 
-BEHIND_MS = 6000.0    # what discovery has to tell has been told by then, says the page
+BEHIND_MS = 6000.0  # what discovery has to tell has been told by then, says the page
 LIVES = {"SERVING": Life.UP, "DRAINING": Life.DRAINING, "DELETED": Life.GONE}
 
 
@@ -52,12 +53,12 @@
         out = []
         *lines, self.rest = (self.rest + more).split(b"\n")
         for line in lines:
-            bare = TEXT.sub(b"", line)    # no text goes on beyond its line
+            bare = TEXT.sub(b"", line)  # no text goes on beyond its line
             self.depth += bare.count(b"{") - bare.count(b"}")
             if line.strip():
                 self.lines.append(line)
             elif self.lines:
-                raise ValueError("a beat within a list of servers")    # its end is not to come
+                raise ValueError("a beat within a list of servers")  # its end is not to come
             if self.depth < 0 or (self.lines and not self.lines[0].lstrip().startswith(b"{")):
                 raise ValueError("no list of servers")
             if self.lines and not self.depth:
@@ -76,8 +77,11 @@
         raise ValueError(f"list of servers: {why}") from None
     for entry in listing.endpoints:
         host, _, port = entry.address.rpartition(":")
-        if entry.status not in LIVES or not entry.name or (entry.status != "DELETED" and (
-                not host or not port.isdecimal() or int(port) > 65535)):
+        if (
+            entry.status not in LIVES
+            or not entry.name
+            or (entry.status != "DELETED" and (not host or not port.isdecimal() or int(port) > 65535))
+        ):
             raise ValueError(f"list of servers: entry {entry.name!r} can't be used")
     return listing
 
@@ -85,6 +89,7 @@
 @dataclass(slots=True, eq=False)
 class Spot:
     """A server's name and address, for the sockets and the log alone."""
+
     name: str
     address: str
     entry: Entry
@@ -120,8 +125,9 @@
             if server is None:
                 if life is Life.GONE:
                     continue
-                server = self.servers[entry.name] = self.deployment.server(entry.name, entry.zone, entry.type,
-                                                                          entry.group)
+                server = self.servers[entry.name] = self.deployment.server(
+                    entry.name, entry.zone, entry.type, entry.group
+                )
                 self.spots[server] = Spot(entry.name, entry.address, entry)
                 server.started_ms = started(entry, wall_ms, now)
             spot = self.spots[server]
--- a/ternlane/platform/settings.py
+++ b/ternlane/platform/settings.py
@@ -1,4 +1,5 @@
 """The configuration file of a gateway, read and checked."""
+
 from __future__ import annotations
 
 import os
@@ -35,6 +36,7 @@
 @dataclass(slots=True)
 class Post:
     """One gateway's place: where it listens, whom it asks, what it may use, and what it serves."""
+
     name: str
     listen: tuple[str, int]
     discovery: tuple[str, int]
@@ -50,8 +52,7 @@
     return host.strip("[]"), int(port)
 
 
-def read_post(env: Mapping[str, str] = os.environ, before: Deployment | None = None,
-              file_first: bool = False) -> Post:
+def read_post(env: Mapping[str, str] = os.environ, before: Deployment | None = None, file_first: bool = False) -> Post:
     """Raises Unfit. The variables go before the file at the start; with `file_first`, as on a reload, the file's
     discovery does: the variables are those of the start."""
     path = env.get("NODE_CONFIG", "")
@@ -76,8 +77,14 @@
     said = [raw.discovery, env.get("NODE_DISCOVERY", "")]
     if not file_first:
         said.reverse()
-    return Post(env.get("NODE_NAME") or raw.name, place(env.get("NODE_LISTEN") or raw.listen, "listen"),
-                place(next((s for s in said if s), ""), "discovery"), raw.limits, known, deployment)
+    return Post(
+        env.get("NODE_NAME") or raw.name,
+        place(env.get("NODE_LISTEN") or raw.listen, "listen"),
+        place(next((s for s in said if s), ""), "discovery"),
+        raw.limits,
+        known,
+        deployment,
+    )
 
 
 __all__ = ["Entry", "Limits", "Post", "Unfit", "place", "read_post"]
--- a/ternlane/port.py
+++ b/ternlane/port.py
@@ -4,6 +4,7 @@
 actions that come back, in their order. Servers, products and generations are objects that host and module share; the
 host alone knows their ids. `seat` on a server or a generation belongs to the module. Times are milliseconds.
 """
+
 from __future__ import annotations
 
 from dataclasses import dataclass
@@ -14,6 +15,7 @@
 
 class Effect(Enum):
     """What a generation that runs twice does: nothing more, nothing more within a group and window, or harm."""
+
     IDEMPOTENT = auto()
     DEDUPLICATED = auto()
     SIDE_EFFECTING = auto()
@@ -21,6 +23,7 @@
 
 class Group(Enum):
     """Which servers drop the repeats of a deduplicated generation."""
+
     ALL = auto()
     ZONE = auto()
     CELL = auto()
@@ -28,6 +31,7 @@
 
 class Duty(Enum):
     """What a server is for: prompts (prefill), answers (decode), or whole generations."""
+
     READ = auto()
     WRITE = auto()
     BOTH = auto()
@@ -35,6 +39,7 @@
 
 class Life(Enum):
     """A server by the list: to be used, to be given nothing new, or no longer there."""
+
     UP = auto()
     DRAINING = auto()
     GONE = auto()
@@ -44,6 +49,7 @@
     """How a leg or a probe ended. FULL and UNCONNECTED: it ran nothing; MOOT: its client had left; WITHHELD: it did not
     begin, as its server began to drain or `SendLeg.begin_by_ms` passed; CALLED_OFF: by CallOff; READ: the prompt is
     kept; ERROR, TIMED_OUT, RESET: it may have run."""
+
     STREAMED = auto()
     ERROR = auto()
     FULL = auto()
@@ -61,6 +67,7 @@
     """What is known of a kind of generation. Its first token is due `slo_ms` + `slo_per_ktok_ms` for each thousand
     tokens of the prompt, the others each `tok_slo_ms` after; all of it within `limit_ms`. In time it earns `revenue`,
     late `late_share` of it. Servers of `group` drop repeats for `window_ms`, where the effect is DEDUPLICATED."""
+
     effect: Effect
     group: Group
     window_ms: float
@@ -81,6 +88,7 @@
 class Server:
     """A model server: room for `mem_toks` tokens, `size` times as fast as the usual, up since `started_ms`. `mark` is a
     number of the server's own that every gateway sees alike; it tells nothing else. `seat` is the module's."""
+
     zone: str
     cell: int
     duty: Duty
@@ -96,6 +104,7 @@
 class Generation:
     """A request to be routed. `session`: turns of one conversation; `opening`: a beginning of `opening_toks` tokens
     that others share; `patience_ms`: until its client gives up; `whole`: it hears nothing before all of it is there."""
+
     product: Product
     session: str | None
     opening: str | None
@@ -111,6 +120,7 @@
 @dataclass(slots=True, frozen=True)
 class StartFacts:
     """What a Router is told once: the deployment's limits and rights, and how long things take (ms)."""
+
     seed: int
     gateways: int
     zone: str
@@ -134,22 +144,25 @@
     fall_multiple: float
     fall_ms: float
     step_ms: float
-    told_if_asked: bool = False    # model servers report their load to Probe, and in no answer
-    holds_run_on: bool = True    # the release time is not begun anew by a leg that found no connection
+    told_if_asked: bool = False  # model servers report their load to Probe, and in no answer
+    holds_run_on: bool = True  # the release time is not begun anew by a leg that found no connection
 
 
 @dataclass(slots=True, frozen=True)
 class Report:
     """A server's word on its load; None where the figure is not reported."""
+
     open_gens: float | None = None
     mem_share: float | None = None
 
 
 # What the host tells.
 
+
 @dataclass(slots=True, frozen=True)
 class Listed:
     """News of the servers, whose fields already hold it. A whole list leaves out those that are gone."""
+
     servers: tuple[Server, ...]
 
 
@@ -157,12 +170,14 @@
 class Altered:
     """Other settings from now on. What was taken in before keeps its product's terms; legs that are out end as they
     began."""
+
     facts: StartFacts
 
 
 @dataclass(slots=True, frozen=True)
 class Ending:
     """This gateway goes: what is not over within this time is cut off."""
+
     within_ms: float
 
 
@@ -174,12 +189,14 @@
 @dataclass(slots=True, frozen=True)
 class Arrived:
     """A generation to be answered: by a leg that streams, a Throttle or a Terminate."""
+
     gen: Generation
 
 
 @dataclass(slots=True, frozen=True)
 class FirstTok:
     """The leg's first token has come, `took_ms` after it was sent."""
+
     gen: Generation
     server: Server
     took_ms: float
@@ -190,6 +207,7 @@
     """`over`: the client has its final answer by this leg. `kept_toks`: so much of the prompt need not be read anew;
     `state_lost`: a writer found nothing to go on with. `broken`: its client has a part of the answer, and another leg
     may give the rest once GoOn says so."""
+
     gen: Generation
     server: Server
     verdict: Verdict
@@ -204,12 +222,14 @@
 @dataclass(slots=True, frozen=True)
 class GoOn:
     """It is the turn of a generation whose stream broke; its prompt has grown by what its client has."""
+
     gen: Generation
 
 
 @dataclass(slots=True, frozen=True)
 class PlaceHeld:
     """The answer to HoldAhead."""
+
     gen: Generation
     held: bool
 
@@ -217,6 +237,7 @@
 @dataclass(slots=True, frozen=True)
 class Checked:
     """The answer to Probe."""
+
     server: Server
     verdict: Verdict
     report: Report | None
@@ -225,26 +246,42 @@
 @dataclass(slots=True, frozen=True)
 class ClientLeft:
     """Nobody waits for it any more; its leg is called off by the host."""
+
     gen: Generation
 
 
 @dataclass(slots=True, frozen=True)
 class Woken:
     """A time asked for by Wake has come; `beat` says which of the two kinds."""
+
     beat: bool
 
 
-Event = (Listed | Altered | Ending | ListFailed | Arrived | FirstTok | LegEnded | GoOn | PlaceHeld | Checked
-         | ClientLeft | Woken)
+Event = (
+    Listed
+    | Altered
+    | Ending
+    | ListFailed
+    | Arrived
+    | FirstTok
+    | LegEnded
+    | GoOn
+    | PlaceHeld
+    | Checked
+    | ClientLeft
+    | Woken
+)
 
 
 # What the module asks for.
 
+
 @dataclass(slots=True, frozen=True)
 class SendLeg:
     """`timeout_ms` runs until the first token; after it, a stream that is silent for `quiet_ms` has broken, and one
     that is not over after `whole_ms`, counted from the send, comes too late for its client. Nothing of it may be sent
     later than `begin_by_ms` from now, as no one drops the repeat of a generation any more."""
+
     gen: Generation
     server: Server
     timeout_ms: float
@@ -256,12 +293,14 @@
 @dataclass(slots=True, frozen=True)
 class CallOff:
     """Stops the wait for the generation's leg that is out."""
+
     gen: Generation
 
 
 @dataclass(slots=True, frozen=True)
 class Throttle:
     """The final answer "not now": nothing ran that a new try would double. Best after `pause_ms`."""
+
     gen: Generation
     pause_ms: float
 
@@ -269,6 +308,7 @@
 @dataclass(slots=True, frozen=True)
 class Terminate:
     """The final answer "given up": it may have run."""
+
     gen: Generation
 
 
@@ -276,6 +316,7 @@
 class LetGo:
     """Frees what is held for it, at whichever server. `again`: once more within the release time, as a read that ended
     unheard may yet leave a state, and nothing else is to come."""
+
     gen: Generation
     again: bool = False
 
@@ -283,6 +324,7 @@
 @dataclass(slots=True, frozen=True)
 class HoldAhead:
     """Asks a writer to keep a place free for it."""
+
     gen: Generation
     server: Server
 
@@ -290,6 +332,7 @@
 @dataclass(slots=True, frozen=True)
 class Probe:
     """Asks how a server is, outside any generation."""
+
     server: Server
 
 
@@ -301,6 +344,7 @@
 @dataclass(slots=True, frozen=True)
 class Wake:
     """Asks for Woken at `at_ms`; each of the two kinds has one time at most, the newest."""
+
     at_ms: float
     beat: bool
 
@@ -308,6 +352,7 @@
 @dataclass(slots=True, frozen=True)
 class Log:
     """Advice for the operators."""
+
     server: Server
     text: str
 
--- a/ternlane/recover/__init__.py
+++ b/ternlane/recover/__init__.py
@@ -1,4 +1,5 @@
 """What becomes of a stream that breaks off: may it go on, where does its text join, when is its turn. Free of I/O."""
+
 from ternlane.recover.join import Differs, Join, Shelf
 from ternlane.recover.mender import Fate, Mender
 from ternlane.recover.pace import Pace
--- a/ternlane/recover/inflight.py
+++ b/ternlane/recover/inflight.py
@@ -3,6 +3,7 @@
 A record is written before what it tells of is done (a leg is sent), or after (an answer is settled), so that the worst
 reading of a journal that stops anywhere is the safe one: what may have run is taken to have run.
 """
+
 from __future__ import annotations
 
 from dataclasses import dataclass, field
@@ -20,6 +21,7 @@
     """A generation, by a name of the journal's own; `name` is what engines know it by. `key`: its Idempotency-Key with
     its owner, "" for none; `mark`: digest of the body; `at` and `until`: when, and how long a repeat is known, in ms of
     the wall clock."""
+
     ident: str
     name: str
     key: str
@@ -32,6 +34,7 @@
 class Sent(msgspec.Struct, array_like=True, tag="s"):
     """A leg is about to be sent; without a key only reads are noted, for what they hold. `reads`: the server may hold a
     state from now on; `writes`: it may run."""
+
     ident: str
     name: str
     server: str
@@ -43,11 +46,13 @@
 
 class Freed(msgspec.Struct, array_like=True, tag="f"):
     """No server holds anything for it any more."""
+
     ident: str
 
 
 class Ended(msgspec.Struct, array_like=True, tag="e"):
     """Its final answer; `kept`: a repeat under its key hears it, a whole answer or why it was terminated."""
+
     ident: str
     outcome: str
     kept: bool = False
@@ -64,8 +69,9 @@
 
 class Open(msgspec.Struct, array_like=True):
     """One generation that has not come to its end, or that still holds something."""
+
     taken: Taken
-    held: list[tuple[str, str, str]] = []    # server, address, protocol
+    held: list[tuple[str, str, str]] = []  # server, address, protocol
     may_have_run: bool = False
     ended: bool = False
 
@@ -77,6 +83,7 @@
 
 class Known(msgspec.Struct, array_like=True):
     """What a repeat hears."""
+
     taken: Taken
     ended: Ended
 
@@ -91,6 +98,7 @@
 @dataclass
 class InFlight:
     """The fold of a journal. `at` follows the records' own time, so that what has run out is dropped as it grows."""
+
     opened: dict[str, Open] = field(default_factory=dict)
     known: dict[str, Known] = field(default_factory=dict)
     at: float = 0.0
@@ -121,7 +129,7 @@
                     self.known[it.taken.key] = Known(it.taken, entry)
                 self.drop(ident)
             case _:
-                pass    # of a generation that a snapshot had dropped already
+                pass  # of a generation that a snapshot had dropped already
 
     def drop(self, ident: str) -> None:
         it = self.opened[ident]
--- a/ternlane/recover/join.py
+++ b/ternlane/recover/join.py
@@ -1,4 +1,5 @@
 """Joins the text of several legs into the one stream that a client sees: nothing twice, nothing left out."""
+
 from __future__ import annotations
 
 from dataclasses import dataclass
@@ -6,7 +7,7 @@
 
 from ternlane.recover.ways import Way
 
-TORN = "\ufffd"    # an engine's mark for a character of which only some bytes had come
+TORN = "\ufffd"  # an engine's mark for a character of which only some bytes had come
 
 
 class Differs(Exception):
@@ -16,11 +17,12 @@
 @dataclass(slots=True)
 class Shelf:
     """How much text may be kept for streams that might break, of one stream and of all, in bytes of UTF-8."""
+
     toks: int
     each: int
     most: int
     used: int = 0
-    dropped: int = 0    # streams that outgrew it
+    dropped: int = 0  # streams that outgrew it
 
 
 class Join:
@@ -33,12 +35,12 @@
     def __init__(self, way: Way, why: str, shelf: Shelf, max_toks: int, stop: Any = None) -> None:
         self.way, self.why, self.shelf, self.max_toks = way, why, shelf, max_toks
         self.pieces: list[str] = []
-        self.bytes = self.toks = 0    # kept; and tokens that the client has by legs that are over
-        self.leg_pieces = 0           # of the present leg
-        self.legs = 0                 # that broke after their first piece
-        self.skip = ""                # what a repeat has still to say before anything new
+        self.bytes = self.toks = 0  # kept; and tokens that the client has by legs that are over
+        self.leg_pieces = 0  # of the present leg
+        self.legs = 0  # that broke after their first piece
+        self.skip = ""  # what a repeat has still to say before anything new
         self.stopped = self.differs = False
-        self.ahead = 0                # characters that the client has of a run that is not known here
+        self.ahead = 0  # characters that the client has of a run that is not known here
         stops = [stop] if isinstance(stop, str) else stop if isinstance(stop, list) else []
         self.stops = [s for s in stops if isinstance(s, str) and s]
 
@@ -62,11 +64,11 @@
             return ""
         self.leg_pieces += 1
         if self.skip:
-            known, piece = piece[:len(self.skip)], piece[len(self.skip):]
+            known, piece = piece[: len(self.skip)], piece[len(self.skip) :]
             if not self.skip.startswith(known):
                 self.other()
                 raise Differs
-            self.skip = self.skip[len(known):]
+            self.skip = self.skip[len(known) :]
         elif self.resumed and self.way is Way.GO_ON and self.stops and not self.stopped:
             piece = self.up_to_stop(piece)
         if piece:
@@ -97,8 +99,11 @@
         self.pieces.append(piece)
         self.bytes += size
         self.shelf.used += size
-        if self.way is not Way.END and (self.bytes > self.shelf.each or self.shelf.used > self.shelf.most
-                                        or self.toks + self.leg_pieces > self.shelf.toks):
+        if self.way is not Way.END and (
+            self.bytes > self.shelf.each
+            or self.shelf.used > self.shelf.most
+            or self.toks + self.leg_pieces > self.shelf.toks
+        ):
             self.shelf.dropped += 1
             self.end("it outgrew what is kept for a loss")
 
--- a/ternlane/recover/mender.py
+++ b/ternlane/recover/mender.py
@@ -1,5 +1,6 @@
 """One gateway's broken streams: what may be joined, when silence is a stall, whose turn it is. A host tells it what
 happens and carries out what it says; which server goes on is the decisions' word."""
+
 from __future__ import annotations
 
 from collections.abc import Hashable
@@ -14,13 +15,14 @@
 from ternlane.recover.rhythm import Rhythm
 from ternlane.recover.ways import Way, way_of
 
-SAME_MS = 0.2        # pieces closer than that came in one read
-SPAN_SHARE = 1 / 4   # of the longest time limit: what may be saved up for reading anew
+SAME_MS = 0.2  # pieces closer than that came in one read
+SPAN_SHARE = 1 / 4  # of the longest time limit: what may be saved up for reading anew
 T = TypeVar("T", bound=Hashable)
 
 
 class Fate(Enum):
     """Of a stream whose leg broke: it waits for its turn, it is whole but for its end, or it ends in part."""
+
     GOES_ON = auto()
     WHOLE = auto()
     ENDS = auto()
@@ -80,15 +82,16 @@
 
     # -- a leg broke
 
-    def broke(self, item: T, join: Join, gen: Generation, made: int | None, now: float, until: float,
-              readers: int) -> Fate:
+    def broke(
+        self, item: T, join: Join, gen: Generation, made: int | None, now: float, until: float, readers: int
+    ) -> Fate:
         """`made`: tokens of the leg by its engine's word; `until`: the client's time limit; `readers` to be asked.
         A generation that goes on grows by what is there."""
         before = join.toks
         again = join.broke(made)
         if again is None:
             return Fate.ENDS
-        if join.left() <= 0:    # lost between its last token and its end
+        if join.left() <= 0:  # lost between its last token and its end
             return Fate.WHOLE
         self.broke_at[item] = now
         gen.prompt_toks += again - before
--- a/ternlane/recover/pace.py
+++ b/ternlane/recover/pace.py
@@ -6,6 +6,7 @@
 after the other at the pace of late, divided among the gateways. As queues at readers slow that pace, a crowded fleet is
 given less. One at a time always may, or nothing would ever be learnt.
 """
+
 from __future__ import annotations
 
 from heapq import heappop, heappush
@@ -20,10 +21,10 @@
 
     def __init__(self, share: float, span_ms: float, gateways: int = 1) -> None:
         self.share, self.span_ms, self.gateways = share, span_ms, gateways
-        self.readers = 0         # that may be read at
-        self.speed = 0.0         # tokens a ms of one prompt's reading, its wait included; mean
-        self.peak = 0.0          # tokens a ms, the best span of late
-        self.level = 0.0         # tokens that may be read anew now
+        self.readers = 0  # that may be read at
+        self.speed = 0.0  # tokens a ms of one prompt's reading, its wait included; mean
+        self.peak = 0.0  # tokens a ms, the best span of late
+        self.level = 0.0  # tokens that may be read anew now
         self.at = 0.0
         self.span_at, self.span_toks = 0.0, 0.0
         self.out: dict[T, None] = {}
@@ -68,7 +69,7 @@
             self.queue.sort()
         while self.queue and (self.level > 0 or not self.out):
             *_, toks, item = heappop(self.queue)
-            if self.level > 0:    # one that goes because it is alone is not charged, or a debt would only grow
+            if self.level > 0:  # one that goes because it is alone is not charged, or a debt would only grow
                 self.level -= toks
             self.out[item] = None
             go.append(item)
--- a/ternlane/recover/rhythm.py
+++ b/ternlane/recover/rhythm.py
@@ -9,6 +9,7 @@
 A stream that is given up never shows how long it would have been silent, so the rule would unlearn the pauses that it
 cuts off. One stream in `EXPLORE` is therefore left to the host's own bound, and its longer waits count for the others.
 """
+
 from __future__ import annotations
 
 import zlib
@@ -16,13 +17,13 @@
 from math import ceil, log, log2
 
 PER_OCTAVE = 8
-LOWEST = -6 * PER_OCTAVE      # ratios below 2**-6 are all alike
+LOWEST = -6 * PER_OCTAVE  # ratios below 2**-6 are all alike
 BUCKETS = 22 * PER_OCTAVE
-STEP = 0.05                   # of the running median, relative
-TAIL = 32                     # waits that the tail's slope is taken from
-LEAST = 2000                  # waits before anything is said, and between two looks at the tail
+STEP = 0.05  # of the running median, relative
+TAIL = 32  # waits that the tail's slope is taken from
+LEAST = 2000  # waits before anything is said, and between two looks at the tail
 EXPLORE = 16
-FADE = 1 / 4                  # what stays of the histogram when it is full
+FADE = 1 / 4  # what stays of the histogram when it is full
 FULL = 200_000
 
 
@@ -34,10 +35,10 @@
         self.counts = [0.0] * BUCKETS
         self.total = 0.0
         self.paces: dict[Hashable, float] = {}
-        self.toks = 32.0         # pieces a stream, mean
-        self.first_ms = 0.0      # arrival to first piece, mean: what a resume is taken to cost until one was seen
-        self.resume_ms = 0.0     # what a resume takes, mean; 0: not known
-        self.worst = 0.0         # ratio that is passed by a part `alarms / toks` of waits
+        self.toks = 32.0  # pieces a stream, mean
+        self.first_ms = 0.0  # arrival to first piece, mean: what a resume is taken to cost until one was seen
+        self.resume_ms = 0.0  # what a resume takes, mean; 0: not known
+        self.worst = 0.0  # ratio that is passed by a part `alarms / toks` of waits
         self.stale = 0
 
     def explores(self) -> bool:
@@ -92,7 +93,7 @@
     def passed_by(self, part: float) -> float:
         """The ratio that only this part of waits passes."""
         want, seen = part * self.total, 0.0
-        logs = seen_logs = 0.0    # of the tail
+        logs = seen_logs = 0.0  # of the tail
         for i in range(BUCKETS - 1, -1, -1):
             n = self.counts[i]
             if not n:
@@ -101,8 +102,8 @@
             top = (i + LOWEST) / PER_OCTAVE
             if seen >= max(want, TAIL) or i == 0:
                 if want >= TAIL:
-                    return float(2.0 ** top)
-                slope = logs / seen_logs - top if seen_logs else 0.0    # mean excess: 1 / index
+                    return float(2.0**top)
+                slope = logs / seen_logs - top if seen_logs else 0.0  # mean excess: 1 / index
                 return float(2.0 ** (top + max(slope, 1 / PER_OCTAVE) * log(seen / want)))
             logs += n * top
             seen_logs += n
--- a/ternlane/recover/ways.py
+++ b/ternlane/recover/ways.py
@@ -1,4 +1,5 @@
 """Which broken streams may go on, and how. One table; docs/streams.md gives the reasons."""
+
 from __future__ import annotations
 
 from enum import Enum, auto
@@ -12,6 +13,7 @@
 class Way(Enum):
     """GO_ON: the prompt with what the client has, continued from there. REPLAY: the same request again; what the client
     has is compared and skipped. END: the client is told that the stream broke."""
+
     GO_ON = auto()
     REPLAY = auto()
     END = auto()
--- a/ternlane/reference.py
+++ b/ternlane/reference.py
@@ -1,4 +1,5 @@
 """The API reference, made from the docstrings of the public names: `python -m ternlane.reference > docs/api.md`."""
+
 from __future__ import annotations
 
 import dataclasses
@@ -31,10 +32,14 @@
         said = inspect.signature(of)
     except (TypeError, ValueError):
         return name
-    kept = [p.replace(annotation=p.annotation if p.annotation is EMPTY else Bare(tidy(p.annotation)),
-                      default=Bare(p.default.__name__) if isinstance(p.default, type) and p.default is not EMPTY
-                      else p.default)
-            for p in said.parameters.values() if p.name not in PLAIN]
+    kept = [
+        p.replace(
+            annotation=p.annotation if p.annotation is EMPTY else Bare(tidy(p.annotation)),
+            default=Bare(p.default.__name__) if isinstance(p.default, type) and p.default is not EMPTY else p.default,
+        )
+        for p in said.parameters.values()
+        if p.name not in PLAIN
+    ]
     back = said.return_annotation
     said = said.replace(parameters=kept, return_annotation=EMPTY)
     gives = "" if back in (EMPTY, "None", None) else f" -> {tidy(back)}"
@@ -67,8 +72,9 @@
 
 
 def shown(name: str, kind: type, attribute: str, needed: bool, default: Any) -> str:
-    typed = next((k.__annotations__[attribute] for k in kind.__mro__ if attribute in k.__dict__.get(
-        "__annotations__", {})), "")
+    typed = next(
+        (k.__annotations__[attribute] for k in kind.__mro__ if attribute in k.__dict__.get("__annotations__", {})), ""
+    )
     plain = isinstance(default, str | int | float | bool | None | tuple)
     given = "" if needed else f" = {default!r}" if plain else " = ..."
     return f"{name}: {tidy(typed)}{given}"
@@ -99,8 +105,13 @@
         yield own_doc(it) + "\n"
         yield "Members: " + ", ".join(f"`{m.name}`" for m in it) + "\n"
         return
-    plain = (dataclasses.is_dataclass(it) or listed or issubclass(it, BaseException) or "__init__" not in vars(it)
-             or getattr(it, "_is_protocol", False))
+    plain = (
+        dataclasses.is_dataclass(it)
+        or listed
+        or issubclass(it, BaseException)
+        or "__init__" not in vars(it)
+        or getattr(it, "_is_protocol", False)
+    )
     yield f"### `{name}`\n" if plain else f"### `{signature(name, it)}`\n"
     yield own_doc(it) + "\n"
     if listed:
@@ -132,8 +143,10 @@
 
 def page() -> Iterator[str]:
     yield f"# API of ternlane {ternlane.__version__}\n"
-    yield ("Made by `python -m ternlane.reference` from the docstrings. Times are milliseconds, memory is in tokens,\n"
-           "unless a line says otherwise. What is not here is private.\n")
+    yield (
+        "Made by `python -m ternlane.reference` from the docstrings. Times are milliseconds, memory is in tokens,\n"
+        "unless a line says otherwise. What is not here is private.\n"
+    )
     at = ""
     for name in ternlane.__all__[1:]:
         home = ternlane._PLACES[name]
--- a/ternlane/rules/check.py
+++ b/ternlane/rules/check.py
@@ -3,6 +3,7 @@
 What it excuses, and why, is beside each rule. Times are milliseconds of one machine's clock; TOLERANCE covers that two
 processes do not write of the same moment at the same time.
 """
+
 from __future__ import annotations
 
 import json
@@ -15,13 +16,14 @@
 
 Line = dict[str, Any]
 TOLERANCE = 120.0
-STARTING = 2000.0    # a process that was started listens by then
+STARTING = 2000.0  # a process that was started listens by then
 FINALS = ("streamed", "throttled", "terminated")
 
 
 @dataclass
 class Finding:
     """One broken rule, with the lines that show it."""
+
     rule: int
     gen: str
     why: str
@@ -31,7 +33,7 @@
 @dataclass
 class Findings:
     broken: list[Finding]
-    counted: dict[str, int]    # how much there was to judge: a rule that judged nothing proves nothing
+    counted: dict[str, int]  # how much there was to judge: a rule that judged nothing proves nothing
 
     @property
     def kept(self) -> bool:
@@ -58,7 +60,7 @@
                 try:
                     out.append(json.loads(raw))
                 except ValueError:
-                    continue    # the last line of a process that was ended
+                    continue  # the last line of a process that was ended
     out.sort(key=lambda line: line["t"])
     return out
 
@@ -72,9 +74,11 @@
 def check(lines: list[Line], rules: dict[str, Any]) -> Findings:
     run = Run(lines, rules)
     counted: dict[str, int] = {}
-    broken = [f for judge in (run.answers, run.effects, run.one_leg, run.drains, run.cold, run.pinned,
-                                       run.texts)
-              for f in judge(counted)]
+    broken = [
+        f
+        for judge in (run.answers, run.effects, run.one_leg, run.drains, run.cold, run.pinned, run.texts)
+        for f in judge(counted)
+    ]
     return Findings(broken, counted)
 
 
@@ -105,8 +109,9 @@
             end = ends.get((line["id"], line["gen"], line["n"]))
             if end is None:
                 end = {"t": self.next_down(line["id"], line["t"]), "how": "unfinished"}
-            self.legs[line["gen"]].append(Leg(line["gen"], line["n"], line["stage"], line["id"], line["gw"], line["t"],
-                                              end["t"], end["how"]))
+            self.legs[line["gen"]].append(
+                Leg(line["gen"], line["n"], line["stage"], line["id"], line["gw"], line["t"], end["t"], end["how"])
+            )
 
     def next_down(self, engine: str, since: float) -> float:
         return next((t for t in self.downs[engine] if t >= since), self.end)
@@ -125,7 +130,7 @@
         down: float | None = None
         for line in self.kills.get(gateway or "", []):
             if line["what"] == "relieved":
-                continue    # its next serves already: nothing is excused
+                continue  # its next serves already: nothing is excused
             if line["what"] == "start":
                 if down is not None and down - TOLERANCE <= begin <= line["t"] + STARTING:
                     return True
@@ -162,7 +167,7 @@
                 continue
             counted["answered"] = counted.get("answered", 0) + 1
             first = firsts.get(gen, final)
-            late = first["t"] - ask["t"] - ask["limit_ms"]    # both by the client's own clock: nothing to tolerate
+            late = first["t"] - ask["t"] - ask["limit_ms"]  # both by the client's own clock: nothing to tolerate
             if late > 0:
                 yield Finding(1, gen, "answered after the client's time", [ask, first, final])
 
@@ -193,8 +198,12 @@
                 elif leg.stage != "read" and not leg.how.startswith("refused"):
                     maybe = leg
             final = outcomes.get(ask["gen"])
-            if maybe is not None and final is not None and final["outcome"] == "throttled" \
-                    and not (effect == "deduplicated" and terms["group"] == "all"):
+            if (
+                maybe is not None
+                and final is not None
+                and final["outcome"] == "throttled"
+                and not (effect == "deduplicated" and terms["group"] == "all")
+            ):
                 yield Finding(2, ask["gen"], "throttled although a leg may have run", [vars(maybe), final])
 
     @staticmethod
@@ -232,7 +241,7 @@
                 told[line["gw"]].append((line["t"], None))
         for said in told.values():
             said.sort(key=lambda v: v[0])
-        since: dict[tuple[str, str], list[tuple[float, bool]]] = {}    # when it became unfit, or fit again
+        since: dict[tuple[str, str], list[tuple[float, bool]]] = {}  # when it became unfit, or fit again
         for gateway, said in told.items():
             known: set[str] = set()
             fit: dict[str, bool] = {}
@@ -258,8 +267,13 @@
                 changes = since.get((leg.gateway, leg.engine), [])
                 i = bisect_right([at for at, _ in changes], leg.begin)
                 if i and not changes[i - 1][1] and leg.begin > changes[i - 1][0] + grace:
-                    yield Finding(3, leg.gen, f"sent {leg.begin - changes[i - 1][0]:.0f} ms after it was told that "
-                                              f"{leg.engine} drains or is gone", [vars(leg)])
+                    yield Finding(
+                        3,
+                        leg.gen,
+                        f"sent {leg.begin - changes[i - 1][0]:.0f} ms after it was told that "
+                        f"{leg.engine} drains or is gone",
+                        [vars(leg)],
+                    )
 
     # -- rule 4
 
@@ -279,12 +293,21 @@
                 state = line["states"].get(fell["id"])
                 if start <= line["t"] and state is not None and state[0] == "up" and state[1] > 0:
                     told.setdefault((line["gw"], fell["id"]), line["t"])
-            window = [leg for legs in self.legs.values() for leg in legs if leg.engine == fell["id"]
-                      and max(start, fell["t"] - self.rules["fall_ms"]) <= leg.begin <= fell["t"]]
+            window = [
+                leg
+                for legs in self.legs.values()
+                for leg in legs
+                if leg.engine == fell["id"] and max(start, fell["t"] - self.rules["fall_ms"]) <= leg.begin <= fell["t"]
+            ]
             knowing = [leg for leg in window if told.get((leg.gateway, leg.engine), self.end) <= leg.begin]
             if window and 3 * len(knowing) >= 2 * len(window):
-                yield Finding(4, "", f"{fell['id']} fell over by {len(window)} legs, {len(knowing)} of them from "
-                                     "gateways that knew of its start", [fell])
+                yield Finding(
+                    4,
+                    "",
+                    f"{fell['id']} fell over by {len(window)} legs, {len(knowing)} of them from "
+                    "gateways that knew of its start",
+                    [fell],
+                )
 
     # -- rule 5
 
@@ -299,8 +322,10 @@
         cuts = [line for line in self.by["trouble"] if line["trouble"] == "zone_cut"]
         for state in self.by["state"]:
             counted["states"] = counted.get("states", 0) + 1
-            end = min((v["t"] for v in ends[state["id"], state["gen"]] if v["t"] >= state["t"]),
-                      default=self.next_down(state["id"], state["t"]))
+            end = min(
+                (v["t"] for v in ends[state["id"], state["gen"]] if v["t"] >= state["t"]),
+                default=self.next_down(state["id"], state["t"]),
+            )
             at = state["t"]
             legs = sorted(self.legs.get(state["gen"], []), key=lambda v: v.begin)
             idle, since = 0.0, at
@@ -315,8 +340,9 @@
             gateway = legs[0].gateway if legs else None
             if self.went_down(gateway, at, end) or any(at - 20e3 <= c["t"] <= end for c in cuts):
                 continue
-            yield Finding(5, state["gen"], f"held at {state['id']} for {idle:.0f} ms with no leg out",
-                          [state, *map(vars, legs)])
+            yield Finding(
+                5, state["gen"], f"held at {state['id']} for {idle:.0f} ms with no leg out", [state, *map(vars, legs)]
+            )
 
     # -- rule 6
 
--- a/ternlane/standin/clients.py
+++ b/ternlane/standin/clients.py
@@ -1,4 +1,5 @@
 """Stand-in clients: conversations that come on their own schedule, retry as the users' do, and note what they hear."""
+
 from __future__ import annotations
 
 import random
@@ -14,41 +15,43 @@
 from ternlane.standin.traffic import Traffic, clock_ms
 
 TOK_BYTES = 4
-LISTENS_ON_MS = 300.0    # after its time is up, so that an answer that comes late is seen to be late
+LISTENS_ON_MS = 300.0  # after its time is up, so that an answer that comes late is seen to be late
 GONE = (OSError, trio.BrokenResourceError, trio.ClosedResourceError, h11.RemoteProtocolError)
 
 
 @dataclass(frozen=True)
 class Talk:
     """How one product is used."""
+
     product: str
     effect: str
     share: float
     limit_ms: float
     turns: tuple[float, float] = (1.0, 2.0)
-    adds: tuple[float, float] = (100.0, 400.0)      # tokens a turn
+    adds: tuple[float, float] = (100.0, 400.0)  # tokens a turn
     openings: int = 8
     opening_toks: tuple[float, float] = (500.0, 2000.0)
     opening_part: float = 0.8
     max_toks: int = 400
     think_ms: float = 300.0
-    key_part: float = 0.5       # sessions that name themselves by prompt_cache_key
-    plain_part: float = 0.1     # of generations that are not streamed
+    key_part: float = 0.5  # sessions that name themselves by prompt_cache_key
+    plain_part: float = 0.1  # of generations that are not streamed
 
 
 @dataclass
 class Habits:
-    try_share: tuple[float, float] = (0.5, 1.0)    # of the time limit that a try waits
+    try_share: tuple[float, float] = (0.5, 1.0)  # of the time limit that a try waits
     retries: int = 2
     backoff_ms: tuple[float, float] = (50.0, 300.0)
-    honour: float = 0.7         # of those told when to come back who do as told
-    leave_part: float = 0.0     # of clients that leave midway
+    honour: float = 0.7  # of those told when to come back who do as told
+    leave_part: float = 0.0  # of clients that leave midway
     leave_ms: tuple[float, float] = (20.0, 600.0)
 
 
 @dataclass
 class Weather:
     """What troubles change about the traffic; looked at when a session starts."""
+
     rate: float = 1.0
     long_part: float = 0.0
     long_times: float = 1.0
@@ -67,7 +70,7 @@
     messages: list[dict[str, Any]]
     key: str | None
     user: str
-    tenant: tuple[str, str] | None    # name and API key
+    tenant: tuple[str, str] | None  # name and API key
     left: int = 1
     said: int = 0
 
@@ -75,14 +78,15 @@
 @dataclass
 class Heard:
     """How a try ended, as the client saw it."""
-    outcome: str            # streamed, throttled, terminated, broken, unreachable, none or left
+
+    outcome: str  # streamed, throttled, terminated, broken, unreachable, none or left
     status: int = 0
     text: str = ""
     pause_ms: float | None = None
     why: str = ""
     usage: dict[str, Any] | None = None
     unread: int = 0
-    gap_ms: float = 0.0     # the longest pause within its stream
+    gap_ms: float = 0.0  # the longest pause within its stream
 
 
 def words(rng: random.Random, toks: float) -> str:
@@ -92,8 +96,16 @@
 
 
 class Clients:
-    def __init__(self, name: str, address: str, talks: list[Talk], habits: Habits, traffic: Traffic, seed: int,
-                 source: str | None = None) -> None:
+    def __init__(
+        self,
+        name: str,
+        address: str,
+        talks: list[Talk],
+        habits: Habits,
+        traffic: Traffic,
+        seed: int,
+        source: str | None = None,
+    ) -> None:
         self.name, self.address, self.talks, self.habits, self.traffic = name, address, talks, habits, traffic
         self.rng = random.Random(seed)
         self.pool = Pool(1000.0, 1000.0, source)
@@ -101,7 +113,7 @@
         self.count = self.open = 0
         self.tally: dict[str, int] = {}
         self.opening_texts: dict[tuple[str, int, int], str] = {}
-        self.tenants: list[tuple[str, str]] = []    # the first are the largest
+        self.tenants: list[tuple[str, str]] = []  # the first are the largest
 
     def opening(self, talk: Talk) -> str:
         """A text that sessions share; which are popular falls off as 1/rank."""
@@ -174,15 +186,25 @@
             heard = await self.attempt(session, task, tries, limit)
             tries += 1
             pause = self.pause(heard)
-            if tries > self.habits.retries or not self.may_retry(talk, heard) \
-                    or clock_ms() + pause > begun + talk.limit_ms - 50:
+            if (
+                tries > self.habits.retries
+                or not self.may_retry(talk, heard)
+                or clock_ms() + pause > begun + talk.limit_ms - 50
+            ):
                 break
             await trio.sleep(pause / 1000)
         self.open -= 1
         self.tally[heard.outcome] = self.tally.get(heard.outcome, 0) + 1
         owner = session.tenant[0] if session.tenant is not None else ""
-        self.traffic.line("task", task=f"{owner}:{task}" if owner else task, product=talk.product, tenant=owner,
-                          outcome=heard.outcome, tries=tries, why=heard.why[:60])
+        self.traffic.line(
+            "task",
+            task=f"{owner}:{task}" if owner else task,
+            product=talk.product,
+            tenant=owner,
+            outcome=heard.outcome,
+            tries=tries,
+            why=heard.why[:60],
+        )
         return heard
 
     def may_retry(self, talk: Talk, heard: Heard) -> bool:
@@ -198,19 +220,29 @@
 
     async def attempt(self, session: Session, task: str, number: int, limit_ms: float) -> Heard:
         talk, gen = session.talk, f"{task}.{number}"
-        name = gen    # as gateway and engines have it
+        name = gen  # as gateway and engines have it
         if session.tenant is not None:
             gen = f"{session.tenant[0]}:{gen}"
             task = f"{session.tenant[0]}:{task}"
         stream = self.rng.random() >= talk.plain_part
-        body: dict[str, Any] = {"model": talk.product, "messages": session.messages, "stream": stream,
-                                "max_tokens": talk.max_toks, "user": session.user, "temperature": 0}
+        body: dict[str, Any] = {
+            "model": talk.product,
+            "messages": session.messages,
+            "stream": stream,
+            "max_tokens": talk.max_toks,
+            "user": session.user,
+            "temperature": 0,
+        }
         if stream:
             body["stream_options"] = {"include_usage": True}
         if session.key is not None:
             body["prompt_cache_key"] = session.key
-        headers = [("Content-Type", "application/json"), ("X-Request-Id", name),
-                   ("X-Ternlane-Time-Limit-Ms", f"{limit_ms:.1f}"), ("Connection", "close")]
+        headers = [
+            ("Content-Type", "application/json"),
+            ("X-Request-Id", name),
+            ("X-Ternlane-Time-Limit-Ms", f"{limit_ms:.1f}"),
+            ("Connection", "close"),
+        ]
         if session.tenant is not None:
             headers.append(("Authorization", f"Bearer {session.tenant[1]}"))
         if talk.effect == "deduplicated":
@@ -224,8 +256,17 @@
         try:
             with scope:
                 caller = await self.pool.connect(self.address)
-                self.traffic.line("ask", gen=gen, task=task, product=talk.product, effect=talk.effect,
-                                  limit_ms=round(limit_ms, 1), port=caller.local[1], toks=toks, stream=stream)
+                self.traffic.line(
+                    "ask",
+                    gen=gen,
+                    task=task,
+                    product=talk.product,
+                    effect=talk.effect,
+                    limit_ms=round(limit_ms, 1),
+                    port=caller.local[1],
+                    toks=toks,
+                    stream=stream,
+                )
                 await self.listen(caller, gen, headers, msgspec.json.encode(body), heard, scope, leave, limit_ms)
         except Unconnected:
             heard.outcome = "unreachable"
@@ -236,13 +277,32 @@
             heard.outcome = "left"
         if caller is not None:
             caller.close_now()
-            self.traffic.line("final", gen=gen, outcome=heard.outcome, status=heard.status, why=heard.why,
-                              unread=heard.unread, crc=zlib.crc32(heard.text.encode()), usage=heard.usage,
-                              pause=heard.pause_ms, text=heard.text, gap=round(heard.gap_ms, 1))
+            self.traffic.line(
+                "final",
+                gen=gen,
+                outcome=heard.outcome,
+                status=heard.status,
+                why=heard.why,
+                unread=heard.unread,
+                crc=zlib.crc32(heard.text.encode()),
+                usage=heard.usage,
+                pause=heard.pause_ms,
+                text=heard.text,
+                gap=round(heard.gap_ms, 1),
+            )
         return heard
 
-    async def listen(self, caller: Caller, gen: str, headers: list[tuple[str, str]], body: bytes, heard: Heard,
-                     scope: trio.CancelScope, leave: bool, limit_ms: float) -> None:
+    async def listen(
+        self,
+        caller: Caller,
+        gen: str,
+        headers: list[tuple[str, str]],
+        body: bytes,
+        heard: Heard,
+        scope: trio.CancelScope,
+        leave: bool,
+        limit_ms: float,
+    ) -> None:
         head = await caller.ask("POST", "/v1/chat/completions", headers, body)
         heard.status = head.status_code
         said = {name: value.decode("latin-1") for name, value in head.headers}
@@ -256,26 +316,28 @@
                 heard.text, heard.usage = answer["choices"][0]["message"]["content"], answer["usage"]
                 self.traffic.line("first", gen=gen)
             else:
-                heard.outcome = "unreachable" if b"x-front" in said else \
-                    "throttled" if head.status_code == 429 else "terminated"
+                heard.outcome = (
+                    "unreachable" if b"x-front" in said else "throttled" if head.status_code == 429 else "terminated"
+                )
                 heard.why = answer["error"]["message"]
                 if b"retry-after-ms" in said:
                     heard.pause_ms = float(said[b"retry-after-ms"])
-        try:    # the connection was asked to close: anything that still comes is something after the final answer
+        try:  # the connection was asked to close: anything that still comes is something after the final answer
             while more := await caller.stream.receive_some(65536):
                 heard.unread += len(more)
         except GONE:
             pass
 
-    async def stream(self, caller: Caller, gen: str, heard: Heard, scope: trio.CancelScope, leave: bool,
-                     limit_ms: float) -> None:
+    async def stream(
+        self, caller: Caller, gen: str, heard: Heard, scope: trio.CancelScope, leave: bool, limit_ms: float
+    ) -> None:
         events, first, last = EventReader(), True, 0.0
         pieces: list[str] = []
         finals: list[str] = []
         async for chunk in caller.chunks():
             now, last = clock_ms(), last or clock_ms()
             heard.gap_ms, last = max(heard.gap_ms, now - last), now
-            if not leave:    # a begun stream has no time limit but the client's patience between events
+            if not leave:  # a begun stream has no time limit but the client's patience between events
                 scope.deadline = trio.current_time() + limit_ms / 1000
             for data in events.feed(chunk):
                 if finals:
