--- a/ternlane/standin/engine.py
+++ b/ternlane/standin/engine.py
@@ -3,6 +3,7 @@
 Simple but true to what a gateway meets: work takes its time at the engine's present speed, waits in a bounded queue,
 holds memory; a process that just started does only part of its work and falls over when it is sent too much.
 """
+
 from __future__ import annotations
 
 import random
@@ -21,22 +22,23 @@
 from ternlane.http1 import Exchange, Pool, Unconnected, event_bytes, serve_connection
 from ternlane.standin.traffic import Traffic, clock_ms
 
-KEPT_BLOCK = 256      # bytes of prompt text
+KEPT_BLOCK = 256  # bytes of prompt text
 TOK_BYTES = 4
-LINGER_0 = struct.pack("ii", 1, 0)    # closing resets the connection
-LEASE_MS = 30e3       # a state that nobody fetches is dropped after this
+LINGER_0 = struct.pack("ii", 1, 0)  # closing resets the connection
+LEASE_MS = 30e3  # a state that nobody fetches is dropped after this
 
 
 @dataclass(frozen=True)
 class Build:
     """What a kind of engine can do. Speeds are tokens a second, memory tokens."""
+
     slots: int = 8
     queue: int = 40
     mem_toks: float = 200e3
     read_tok_s: float = 20e3
-    tok_ms: float = 10.0        # from one token to the next with one stream
-    tok_grow: float = 1.0       # part by which that grows from one stream to all slots
-    near_tok_s: float = 300e3   # state to a writer of its own cell
+    tok_ms: float = 10.0  # from one token to the next with one stream
+    tok_grow: float = 1.0  # part by which that grows from one stream to all slots
+    near_tok_s: float = 300e3  # state to a writer of its own cell
     far_tok_s: float = 100e3
     cold_ms: float = 10e3
     cold_from: float = 0.3
@@ -49,20 +51,21 @@
 @dataclass(eq=False)
 class Trouble:
     """What ails an engine now."""
+
     hung: bool = False
-    slow: float = 1.0            # times slower
-    taken: float = 0.0           # part of the machine that another program has
+    slow: float = 1.0  # times slower
+    taken: float = 0.0  # part of the machine that another program has
     pause_until: float = 0.0
-    lost: float = 0.0            # part of answers that never arrive
+    lost: float = 0.0  # part of answers that never arrive
     lost_by_reset: bool = False
-    breaks: float = 0.0          # part of answers that break off after some piece, the last included
-    breaks_by: str = "reset"     # or stall
+    breaks: float = 0.0  # part of answers that break off after some piece, the last included
+    breaks_by: str = "reset"  # or stall
     handshake_ms: float = 0.0
-    links: float = 1.0           # times slower
-    script: str = ""             # what happens to each leg: full, error, reset, midway, stall, silent, nostate, ...
-    at: int = 2                  # pieces before `midway` and `stall`
-    metering: str = "true"       # what it says of usage: true, none or absurd
-    cut: Callable[[str], bool] = field(default=lambda _: False)    # by the peer's address
+    links: float = 1.0  # times slower
+    script: str = ""  # what happens to each leg: full, error, reset, midway, stall, silent, nostate, ...
+    at: int = 2  # pieces before `midway` and `stall`
+    metering: str = "true"  # what it says of usage: true, none or absurd
+    cut: Callable[[str], bool] = field(default=lambda _: False)  # by the peer's address
 
 
 class Refused(Exception):
@@ -76,17 +79,35 @@
     a bit of the arguments of a call to the first of them."""
     if not body.get("tools"):
         probs = {"content": [{"token": word, "logprob": -0.5, "bytes": None, "top_logprobs": []}]}
-        return {"index": 0, "delta": {"content": word}, "finish_reason": None,
-                **({"logprobs": probs} if body.get("logprobs") else {})}
+        return {
+            "index": 0,
+            "delta": {"content": word},
+            "finish_reason": None,
+            **({"logprobs": probs} if body.get("logprobs") else {}),
+        }
     name = body["tools"][0]["function"]["name"]
-    call = {"index": 0, "function": {"arguments": word}} if i else {
-        "index": 0, "id": "call_1", "type": "function", "function": {"name": name, "arguments": word}}
+    call = (
+        {"index": 0, "function": {"arguments": word}}
+        if i
+        else {"index": 0, "id": "call_1", "type": "function", "function": {"name": name, "arguments": word}}
+    )
     return {"index": 0, "delta": {"tool_calls": [call]}, "finish_reason": None}
 
 
 class Engine:
-    def __init__(self, ident: str, duty: str, zone: str, cell: int, host: str, port: int, build: Build,
-                 traffic: Traffic, seed: int, source: str | None = None) -> None:
+    def __init__(
+        self,
+        ident: str,
+        duty: str,
+        zone: str,
+        cell: int,
+        host: str,
+        port: int,
+        build: Build,
+        traffic: Traffic,
+        seed: int,
+        source: str | None = None,
+    ) -> None:
         self.ident, self.duty, self.zone, self.cell = ident, duty, zone, cell
         self.host, self.port, self.build, self.traffic = host, port, build, traffic
         self.rng = random.Random(zlib.crc32(f"{seed} {ident}".encode()))
@@ -95,18 +116,18 @@
         self.open: dict[Exchange, trio.CancelScope] = {}
         self.life = trio.CancelScope()
         self.changed = trio.Event()
-        self.refusing = False    # told to drain
+        self.refusing = False  # told to drain
         self.started_ms = 0.0
         self.clear()
 
     def clear(self) -> None:
         self.kept: OrderedDict[int, None] = OrderedDict()
-        self.states: dict[str, tuple[float, float]] = {}    # generation -> tokens, when
+        self.states: dict[str, tuple[float, float]] = {}  # generation -> tokens, when
         self.busy = 0
         self.queue: deque[trio.Event] = deque()
         self.used = 0.0
         self.arrived: deque[tuple[float, float]] = deque()
-        self.done: OrderedDict[str, tuple[float, str]] = OrderedDict()    # deduplication key -> when, text
+        self.done: OrderedDict[str, tuple[float, str]] = OrderedDict()  # deduplication key -> when, text
         self.fallen = False
 
     # -- life
@@ -116,10 +137,19 @@
         listeners = await trio.open_tcp_listeners(self.port, host=self.host, backlog=4096)
         self.port = listeners[0].socket.getsockname()[1]
         self.life = trio.CancelScope()
-        self.traffic.line("up", id=self.ident, duty=self.duty, cold=self.started_ms > 0, zone=self.zone,
-                          cell=self.cell, slots=self.build.slots, cold_ms=self.build.cold_ms,
-                          cold_from=self.build.cold_from, fall_multiple=self.build.fall_multiple,
-                          fall_ms=self.build.fall_ms)
+        self.traffic.line(
+            "up",
+            id=self.ident,
+            duty=self.duty,
+            cold=self.started_ms > 0,
+            zone=self.zone,
+            cell=self.cell,
+            slots=self.build.slots,
+            cold_ms=self.build.cold_ms,
+            cold_from=self.build.cold_from,
+            fall_multiple=self.build.fall_multiple,
+            fall_ms=self.build.fall_ms,
+        )
         if started is not None:
             started.set()
         try:
@@ -155,8 +185,16 @@
             await trio.sleep(self.trouble.handshake_ms / 1000)
         stream.setsockopt(6, 1, 1)
         try:
-            await serve_connection(stream, self.handle, body_bytes=64 * 2**20, head_ms=60e3, body_ms=60e3,
-                                   idle_ms=120e3, send_ms=30e3, early_ok=True)
+            await serve_connection(
+                stream,
+                self.handle,
+                body_bytes=64 * 2**20,
+                head_ms=60e3,
+                body_ms=60e3,
+                idle_ms=120e3,
+                send_ms=30e3,
+                early_ok=True,
+            )
         except trio.Cancelled:
             if stream.socket.fileno() >= 0:
                 stream.setsockopt(1, 13, LINGER_0)
@@ -259,8 +297,13 @@
         elif exchange.path == "/ternlane/v1/hold":
             asked = msgspec.json.decode(exchange.body)
             gen, toks = str(asked["request_id"]), float(asked["tokens"])
-            fits = self.duty != "read" and not self.queue and self.busy < self.build.slots \
-                and self.used + toks <= self.build.mem_toks and gen not in self.states
+            fits = (
+                self.duty != "read"
+                and not self.queue
+                and self.busy < self.build.slots
+                and self.used + toks <= self.build.mem_toks
+                and gen not in self.states
+            )
             if fits:
                 self.states[gen] = toks, clock_ms()
                 self.used += toks
@@ -297,24 +340,28 @@
         params = body.get("kv_transfer_params") or {}
         stage = "read" if params.get("do_remote_decode") else "write" if params.get("do_remote_prefill") else "whole"
         agent = exchange.header(b"user-agent") or ""
-        who = agent[agent.find("(") + 1:-1]
+        who = agent[agent.find("(") + 1 : -1]
         text = "".join(m["content"] for m in body["messages"] if isinstance(m.get("content"), str)).encode()
-        if self.trouble.script == "deaf" and body.get("continue_final_message"):    # it knows no such field
-            text = text[:len(text) - len(body["messages"].pop()["content"].encode())]
+        if self.trouble.script == "deaf" and body.get("continue_final_message"):  # it knows no such field
+            text = text[: len(text) - len(body["messages"].pop()["content"].encode())]
             del body["continue_final_message"]
-        self.traffic.line("leg", id=self.ident, gen=gen, n=int(number or 0), stage=stage, gw=who,
-                          src=exchange.peer[0])
+        self.traffic.line("leg", id=self.ident, gen=gen, n=int(number or 0), stage=stage, gw=who, src=exchange.peer[0])
         how = "dropped"
         try:
             async with trio.open_nursery() as nursery:
+
                 async def watch() -> None:
                     await exchange.until_left()
                     nursery.cancel_scope.cancel()
+
                 nursery.start_soon(watch)
                 self.open[exchange] = nursery.cancel_scope
                 try:
-                    how = await (self.read(exchange, gen, body, text) if stage == "read" else
-                                 self.write(exchange, gen, int(number or 0), stage, body, text))
+                    how = await (
+                        self.read(exchange, gen, body, text)
+                        if stage == "read"
+                        else self.write(exchange, gen, int(number or 0), stage, body, text)
+                    )
                 except Refused as why:
                     how = f"refused {why.reason}"
                     await exchange.answer(why.status, [("x-ternlane-not-run", why.reason), self.load()], b"{}")
@@ -360,15 +407,19 @@
     def usage(self, toks: float, kept: float, out: int) -> dict[str, Any] | None:
         if self.trouble.metering == "none":
             return None
-        times = -10**6 if self.trouble.metering == "absurd" else 1
-        return {"prompt_tokens": int(toks) * times, "completion_tokens": out * times,
-                "total_tokens": (int(toks) + out) * times, "prompt_tokens_details": {"cached_tokens": int(kept)}}
+        times = -(10**6) if self.trouble.metering == "absurd" else 1
+        return {
+            "prompt_tokens": int(toks) * times,
+            "completion_tokens": out * times,
+            "total_tokens": (int(toks) + out) * times,
+            "prompt_tokens_details": {"cached_tokens": int(kept)},
+        }
 
     def unkept(self, text: bytes) -> tuple[float, float]:
         """Tokens to be read and tokens found kept; what is read is kept from now on."""
         key, kept, all_kept = 0, 0, True
         for i in range(0, len(text) - KEPT_BLOCK + 1, KEPT_BLOCK):
-            key = xxh3_64_intdigest(text[i:i + KEPT_BLOCK], key)
+            key = xxh3_64_intdigest(text[i : i + KEPT_BLOCK], key)
             all_kept = all_kept and key in self.kept
             kept += all_kept
             self.kept[key] = None
@@ -406,12 +457,22 @@
         self.traffic.line("state", id=self.ident, gen=gen, toks=toks)
         if self.rng.random() < self.trouble.lost:
             return await self.silence(exchange)
-        answer = {"id": gen, "object": "chat.completion", "choices": [
-            {"index": 0, "message": {"role": "assistant", "content": "."}, "finish_reason": "length"}],
-            "kv_transfer_params": {"do_remote_prefill": True, "do_remote_decode": False, "remote_engine_id": self.ident,
-                                   "remote_block_ids": [], "remote_host": self.host, "remote_port": self.port,
-                                   "remote_request_id": gen, "standin_cell": self.cell},
-            "usage": self.usage(toks, kept, 1)}
+        answer = {
+            "id": gen,
+            "object": "chat.completion",
+            "choices": [{"index": 0, "message": {"role": "assistant", "content": "."}, "finish_reason": "length"}],
+            "kv_transfer_params": {
+                "do_remote_prefill": True,
+                "do_remote_decode": False,
+                "remote_engine_id": self.ident,
+                "remote_block_ids": [],
+                "remote_host": self.host,
+                "remote_port": self.port,
+                "remote_request_id": gen,
+                "standin_cell": self.cell,
+            },
+            "usage": self.usage(toks, kept, 1),
+        }
         await exchange.answer(200, [self.load()], msgspec.json.encode(answer))
         return "read"
 
@@ -424,8 +485,14 @@
                 head = await caller.ask("GET", f"/standin/state?gen={gen}", [])
                 said = msgspec.json.decode(await caller.body(4096))
                 self.pool.give_back(caller)
-        except (Unconnected, OSError, h11.RemoteProtocolError, trio.BrokenResourceError, trio.TooSlowError,
-                msgspec.DecodeError):
+        except (
+            Unconnected,
+            OSError,
+            h11.RemoteProtocolError,
+            trio.BrokenResourceError,
+            trio.TooSlowError,
+            msgspec.DecodeError,
+        ):
             if caller is not None:
                 caller.close_now()
             raise Refused(409, "no-state") from None
@@ -454,7 +521,7 @@
         begun = ""
         if body.get("continue_final_message"):
             begun = body["messages"][-1]["content"]
-            text = text[:len(text) - len(begun.encode())]
+            text = text[: len(text) - len(begun.encode())]
         if self.trouble.script == "other":
             text = text + b"!"
         low, high = self.build.answer_toks
@@ -462,13 +529,14 @@
         words = [f"{zlib.crc32(text + bytes([i % 256])) % 9973} " for i in range(many)]
         rest = begun
         while rest and words and rest.startswith(words[0]):
-            rest = rest[len(words.pop(0)):]
-        if rest and words and words[0].startswith(rest):    # broken off within a word
-            words[0] = words[0][len(rest):]
+            rest = rest[len(words.pop(0)) :]
+        if rest and words and words[0].startswith(rest):  # broken off within a word
+            words[0] = words[0][len(rest) :]
         return begun, words
 
-    async def write(self, exchange: Exchange, gen: str, number: int, stage: str, body: dict[str, Any],
-                    text: bytes) -> str:
+    async def write(
+        self, exchange: Exchange, gen: str, number: int, stage: str, body: dict[str, Any], text: bytes
+    ) -> str:
         if self.duty == ("write" if stage == "whole" else "read"):
             raise Refused(409, "no-state")
         if self.refusing:
@@ -478,7 +546,7 @@
         toks, most = len(text) / TOK_BYTES, int(body.get("max_tokens") or 1024)
         if self.used + toks > self.build.mem_toks:
             raise Refused(429, "memory-full")
-        self.drop_state(gen, "taken")    # the place that was held for it, if one was
+        self.drop_state(gen, "taken")  # the place that was held for it, if one was
         after, words = self.answer(body, text)
         words = words[:most]
         out, said = len(words), 0
@@ -513,36 +581,56 @@
                 if lost:
                     continue
                 said += 1
-                data = event_bytes(msgspec.json.encode({
-                    "id": gen, "object": "chat.completion.chunk",
-                    "choices": [piece(body, i, word)]}))
+                data = event_bytes(
+                    msgspec.json.encode(
+                        {"id": gen, "object": "chat.completion.chunk", "choices": [piece(body, i, word)]}
+                    )
+                )
                 if i == 0:
-                    await exchange.begin(200, [("Content-Type", "text/event-stream"), ("Transfer-Encoding", "chunked"),
-                                               self.load()], data)
+                    await exchange.begin(
+                        200,
+                        [("Content-Type", "text/event-stream"), ("Transfer-Encoding", "chunked"), self.load()],
+                        data,
+                    )
                 else:
                     await exchange.chunk(data)
             if lost:
                 return await self.silence(exchange)
             if words and break_at == out:
-                return await self.break_off(exchange, break_by)    # after the last token, before the end
+                return await self.break_off(exchange, break_by)  # after the last token, before the end
             usage = self.usage(toks, kept, out)
-            last = event_bytes(msgspec.json.encode({
-                "id": gen, "choices": [{"index": 0, "delta": {},
-                                        "finish_reason": "tool_calls" if body.get("tools") else "stop"}]}))
+            last = event_bytes(
+                msgspec.json.encode(
+                    {
+                        "id": gen,
+                        "choices": [
+                            {"index": 0, "delta": {}, "finish_reason": "tool_calls" if body.get("tools") else "stop"}
+                        ],
+                    }
+                )
+            )
             last += event_bytes(msgspec.json.encode({"id": gen, "choices": [], "usage": usage}))
             last += event_bytes(b"[DONE]")
             self.traffic.line("wrote", id=self.ident, gen=gen, n=number, toks=out)
             if words:
                 await exchange.end(last)
-            else:    # nothing was missing but the end
+            else:  # nothing was missing but the end
                 await exchange.answer(200, [self.load()], last, "text/event-stream")
             return "streamed"
         finally:
-            if written or not words:    # its journal: from where on, what was said, and what the whole would be
-                self.traffic.line("said", id=self.ident, gen=gen, n=number, after=after, text="".join(words[:said]),
-                                  whole=zlib.crc32((after + "".join(words)).encode()))
+            if written or not words:  # its journal: from where on, what was said, and what the whole would be
+                self.traffic.line(
+                    "said",
+                    id=self.ident,
+                    gen=gen,
+                    n=number,
+                    after=after,
+                    text="".join(words[:said]),
+                    whole=zlib.crc32((after + "".join(words)).encode()),
+                )
             if read or written:
-                self.traffic.line("made", id=self.ident, gen=gen, prompt=read, kept=int(kept) if read else 0,
-                                  answer=written)
+                self.traffic.line(
+                    "made", id=self.ident, gen=gen, prompt=read, kept=int(kept) if read else 0, answer=written
+                )
             self.used -= held
             self.leave()
--- a/ternlane/standin/front.py
+++ b/ternlane/standin/front.py
@@ -1,4 +1,5 @@
 """A plain front layer: spreads connections over gateways, and goes on sending to a dead one until it has noticed."""
+
 from __future__ import annotations
 
 from contextlib import suppress
@@ -9,9 +10,11 @@
 from ternlane.standin.traffic import Traffic
 
 CHUNK = 65536
-UNREACHED = (b"HTTP/1.1 503 Service Unavailable\r\nX-Front: unreached\r\nContent-Type: application/json\r\n"
-             b"Content-Length: 51\r\nConnection: close\r\n\r\n"
-             b'{"error":{"message":"no gateway could be reached"}}')
+UNREACHED = (
+    b"HTTP/1.1 503 Service Unavailable\r\nX-Front: unreached\r\nContent-Type: application/json\r\n"
+    b"Content-Length: 51\r\nConnection: close\r\n\r\n"
+    b'{"error":{"message":"no gateway could be reached"}}'
+)
 GONE = (OSError, trio.BrokenResourceError, trio.ClosedResourceError)
 
 
@@ -51,7 +54,7 @@
             server = await trio.open_tcp_stream(*self.gateways[name])
         except GONE:
             self.traffic.line("unreached", port=port, gw=name)
-            with suppress(*GONE):    # says that nothing was taken: a repeat does no harm
+            with suppress(*GONE):  # says that nothing was taken: a repeat does no harm
                 with trio.move_on_after(1.0):
                     await client.receive_some(CHUNK)
                 await client.send_all(UNREACHED)
@@ -65,6 +68,7 @@
             stream.setsockopt(6, 1, 1)
         try:
             async with trio.open_nursery() as nursery:
+
                 async def splice(source: trio.SocketStream, sink: trio.SocketStream) -> None:
                     try:
                         while data := await source.receive_some(CHUNK):
@@ -72,9 +76,10 @@
                         await sink.send_eof()
                     except GONE:
                         nursery.cancel_scope.cancel()
+
                 nursery.start_soon(splice, client, server)
                 await splice(server, client)
-                nursery.cancel_scope.cancel()    # the gateway has ended the connection
+                nursery.cancel_scope.cancel()  # the gateway has ended the connection
         finally:
             client.socket.close()
             server.socket.close()
--- a/ternlane/standin/platform.py
+++ b/ternlane/standin/platform.py
@@ -3,6 +3,7 @@
 What a server does with a request is scripted: `script` is asked for each leg and gives the name of a way to go wrong,
 or "" for a good answer. What happens is kept in `Fleet.seen`.
 """
+
 from __future__ import annotations
 
 import json
@@ -16,8 +17,10 @@
 from ternlane.http1 import Exchange, serve_connection
 
 EVENT = b'data: {"choices":[{"index":0,"delta":{"content":"abcd"},"finish_reason":null}]}\n\n'
-USAGE = (b'data: {"choices":[],"usage":{"prompt_tokens":8,"completion_tokens":4,'
-         b'"prompt_tokens_details":{"cached_tokens":4}}}\n\n')
+USAGE = (
+    b'data: {"choices":[],"usage":{"prompt_tokens":8,"completion_tokens":4,'
+    b'"prompt_tokens_details":{"cached_tokens":4}}}\n\n'
+)
 DONE = b"data: [DONE]\n\n"
 HEAD = b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n"
 
@@ -71,14 +74,15 @@
 @dataclass(eq=False)
 class Fleet:
     """What all servers share, as on the platform: states by request, and who holds them."""
+
     nursery: trio.Nursery
     states: dict[str, str] = field(default_factory=dict)
-    seen: list[tuple[str, str, str]] = field(default_factory=list)    # server, kind of call, id
-    spread_ms: float = 0.0    # until a DELETE has reached the other servers
-    open: Counter[str] = field(default_factory=Counter)    # legs at each server now
+    seen: list[tuple[str, str, str]] = field(default_factory=list)  # server, kind of call, id
+    spread_ms: float = 0.0  # until a DELETE has reached the other servers
+    open: Counter[str] = field(default_factory=Counter)  # legs at each server now
     conns: Counter[str] = field(default_factory=Counter)
-    ran: Counter[str] = field(default_factory=Counter)     # answers begun, by id
-    told_s: list[float] = field(default_factory=list)      # the time that each attempt said it would wait
+    ran: Counter[str] = field(default_factory=Counter)  # answers begun, by id
+    told_s: list[float] = field(default_factory=list)  # the time that each attempt said it would wait
 
     def count(self, kind: str) -> int:
         return sum(k == kind for _, k, _ in self.seen)
@@ -87,14 +91,14 @@
 @dataclass(eq=False)
 class ModelServer:
     name: str
-    duty: str    # "read" or "write"
+    duty: str  # "read" or "write"
     fleet: Fleet
     script: Callable[[str], str] = lambda _: ""
     read_ms: float = 1.0
     event_ms: float = 1.0
     events: int = 2
-    mute: bool = False    # takes connections and says nothing
-    lease_way: str = ""    # how calls for leases go wrong: "silent", or a name of RAW
+    mute: bool = False  # takes connections and says nothing
+    lease_way: str = ""  # how calls for leases go wrong: "silent", or a name of RAW
     # Where it holds: "request" (whole, nothing done yet), "event" (one event has been sent), "end" (all but the last
     # chunk has been sent), "lease" (a call for a lease has come), "second" (before a second answer).
     gates: dict[str, Gate] = field(default_factory=dict)
@@ -125,8 +129,9 @@
         try:
             if self.mute:
                 await trio.sleep_forever()
-            await serve_connection(stream, self._handle, body_bytes=2**18, head_ms=5e3, body_ms=5e3, idle_ms=30e3,
-                                   send_ms=5e3)
+            await serve_connection(
+                stream, self._handle, body_bytes=2**18, head_ms=5e3, body_ms=5e3, idle_ms=30e3, send_ms=5e3
+            )
         finally:
             self.fleet.conns[self.name] -= 1
 
@@ -163,7 +168,7 @@
         if way == "silent":
             await exchange.until_left()
             return
-        if way == "late_state":    # its client has gone, and it reads on for a while
+        if way == "late_state":  # its client has gone, and it reads on for a while
             await exchange.until_left()
             await trio.sleep(0.05)
             self.fleet.states[ident] = self.name
@@ -190,8 +195,9 @@
         elif way and way not in ("second_answer", "odd_load"):
             return await self._spoil(exchange, way)
         load = [("Server-Load", "inflight=,,=%$")] if way == "odd_load" else []
-        await exchange.begin(200, [("Content-Type", "text/event-stream"), ("Transfer-Encoding", "chunked"), *load],
-                             EVENT)
+        await exchange.begin(
+            200, [("Content-Type", "text/event-stream"), ("Transfer-Encoding", "chunked"), *load], EVENT
+        )
         await self._at("event")
         for _ in range(self.events - 1):
             await trio.sleep(self.event_ms / 1000)
@@ -217,24 +223,33 @@
 
     def __init__(self, nursery: trio.Nursery, beat_ms: float = 2000.0) -> None:
         self.nursery, self.beat_ms = nursery, beat_ms
-        self.index, self.log = 1, [dict[str, Any]()]    # of each version, what changed
+        self.index, self.log = 1, [dict[str, Any]()]  # of each version, what changed
         self.entries: dict[str, dict[str, Any]] = {}
         self.changed = trio.Event()
-        self.asked: list[str] = []    # indexes that watches began with
+        self.asked: list[str] = []  # indexes that watches began with
         self.silent = False
-        self.garbage: bytes = b""    # said instead of the next change
+        self.garbage: bytes = b""  # said instead of the next change
         self.indent: int | None = None
-        self.hushed = 0    # watches that were asked for by then say no more
-        self.cut_at = 0    # the next list breaks off after so many bytes, and its connection with it
-        self.gates: dict[str, Gate] = {}    # "watch": a watch was asked for; "list": before its next line
+        self.hushed = 0  # watches that were asked for by then say no more
+        self.cut_at = 0  # the next list breaks off after so many bytes, and its connection with it
+        self.gates: dict[str, Gate] = {}  # "watch": a watch was asked for; "list": before its next line
         self.conns: set[trio.SocketStream] = set()
         self.address = ""
         self.watching = 0
 
-    def put(self, name: str, address: str, kind: str, status: str = "SERVING", group: int = 0,
-            since_ms: float = 0.0) -> None:
-        entry = {"name": name, "address": address, "zone": "hall", "type": kind, "group": group, "status": status,
-                 "weight": 1.0, "since_ms": since_ms}
+    def put(
+        self, name: str, address: str, kind: str, status: str = "SERVING", group: int = 0, since_ms: float = 0.0
+    ) -> None:
+        entry = {
+            "name": name,
+            "address": address,
+            "zone": "hall",
+            "type": kind,
+            "group": group,
+            "status": status,
+            "weight": 1.0,
+            "since_ms": since_ms,
+        }
         if status == "DELETED":
             self.entries.pop(name, None)
         else:
@@ -283,8 +298,9 @@
     async def _serve(self, stream: trio.SocketStream) -> None:
         self.conns.add(stream)
         try:
-            await serve_connection(stream, self._handle, body_bytes=0, head_ms=5e3, body_ms=5e3, idle_ms=30e3,
-                                   send_ms=5e3)
+            await serve_connection(
+                stream, self._handle, body_bytes=0, head_ms=5e3, body_ms=5e3, idle_ms=30e3, send_ms=5e3
+            )
         finally:
             self.conns.discard(stream)
 
@@ -310,12 +326,16 @@
                 if "list" in self.gates:
                     await self.gates["list"].hold()
                 if at < self.index:
-                    said = self.garbage or json.dumps(
-                        {"index": self.index, "snapshot": False, "endpoints": self.log[at:self.index]},
-                        indent=self.indent).encode()
+                    said = (
+                        self.garbage
+                        or json.dumps(
+                            {"index": self.index, "snapshot": False, "endpoints": self.log[at : self.index]},
+                            indent=self.indent,
+                        ).encode()
+                    )
                     self.garbage, at = b"", self.index
                     if self.cut_at:
-                        said, self.cut_at = said[:self.cut_at], 0
+                        said, self.cut_at = said[: self.cut_at], 0
                         await exchange.chunk(said)
                         return exchange.reset()
                     await exchange.chunk(said + b"\n")
--- a/ternlane/standin/registry.py
+++ b/ternlane/standin/registry.py
@@ -1,4 +1,5 @@
 """A stand-in registry that speaks Consul's health API with blocking queries (from its published description)."""
+
 from __future__ import annotations
 
 from dataclasses import dataclass, replace
@@ -21,19 +22,31 @@
     zone: str
     cell: int
     mem_toks: float
-    started: float = 0.0    # seconds since 1970
-    state: str = "up"       # up, draining, gone
+    started: float = 0.0  # seconds since 1970
+    state: str = "up"  # up, draining, gone
 
     def entry(self) -> dict[str, Any]:
         checks = [{"CheckID": "service:engine", "Status": "critical" if self.state == "gone" else "passing"}]
         if self.state == "draining":
             checks.append({"CheckID": f"_service_maintenance:{self.ident}", "Status": "critical"})
-        meta = {"duty": self.duty, "zone": self.zone, "cell": str(self.cell), "mem_toks": str(self.mem_toks),
-                "started": str(self.started)}
-        return {"Node": {"Address": self.address},
-                "Service": {"ID": self.ident, "Service": "engines", "Address": self.address, "Port": self.port,
-                            "Meta": meta},
-                "Checks": checks}
+        meta = {
+            "duty": self.duty,
+            "zone": self.zone,
+            "cell": str(self.cell),
+            "mem_toks": str(self.mem_toks),
+            "started": str(self.started),
+        }
+        return {
+            "Node": {"Address": self.address},
+            "Service": {
+                "ID": self.ident,
+                "Service": "engines",
+                "Address": self.address,
+                "Port": self.port,
+                "Meta": meta,
+            },
+            "Checks": checks,
+        }
 
 
 class Registry:
@@ -42,7 +55,7 @@
         self.index = 10
         self.listings: dict[str, Listing] = {}
         self.changed = trio.Event()
-        self.failing: str | None = None    # None, "errors", "silence", "garbage" or "partial"
+        self.failing: str | None = None  # None, "errors", "silence", "garbage" or "partial"
 
     def put(self, listing: Listing) -> None:
         self.listings[listing.ident] = listing
@@ -69,8 +82,9 @@
         await trio.serve_listeners(self.connection, listeners)
 
     async def connection(self, stream: trio.SocketStream) -> None:
-        await serve_connection(stream, self.handle, body_bytes=1024, head_ms=60e3, body_ms=60e3, idle_ms=300e3,
-                               send_ms=10e3)
+        await serve_connection(
+            stream, self.handle, body_bytes=1024, head_ms=60e3, body_ms=60e3, idle_ms=300e3, send_ms=10e3
+        )
 
     async def handle(self, exchange: Exchange) -> None:
         if self.failing == "silence":
@@ -88,10 +102,10 @@
             await exchange.answer(200, [("X-Consul-Index", str(self.index))], b'[{"Service": 7')
             return
         listings = [v for v in self.listings.values()]
-        if self.failing == "partial":    # half of the list only
-            listings = listings[:len(listings) // 2]
+        if self.failing == "partial":  # half of the list only
+            listings = listings[: len(listings) // 2]
         agent = exchange.header(b"user-agent") or ""
-        who, index = agent[agent.find("(") + 1:-1], self.index
+        who, index = agent[agent.find("(") + 1 : -1], self.index
         body = msgspec.json.encode([v.entry() for v in listings])
         told = {v.ident: [v.state, v.started] for v in listings}
         await exchange.answer(200, [("X-Consul-Index", str(index))], body)
--- a/ternlane/standin/scripted.py
+++ b/ternlane/standin/scripted.py
@@ -1,4 +1,5 @@
 """A peer that answers every request with the same bytes and pauses: for what no honest engine would say."""
+
 from __future__ import annotations
 
 from collections.abc import Sequence
@@ -7,7 +8,7 @@
 
 from ternlane.standin.engine import LINGER_0
 
-Step = bytes | float | str    # send, wait (ms), or "reset", "close", "hold"
+Step = bytes | float | str  # send, wait (ms), or "reset", "close", "hold"
 
 
 class Scripted:
--- a/ternlane/standin/traffic.py
+++ b/ternlane/standin/traffic.py
@@ -1,4 +1,5 @@
 """What crossed a socket, as JSON lines: one file a stand-in process, times in milliseconds of the machine's clock."""
+
 from __future__ import annotations
 
 import time
@@ -16,7 +17,7 @@
 class Traffic:
     def __init__(self, path: Path | None) -> None:
         self.out = None if path is None else open(path, "ab", buffering=1 << 16)
-        self.lines: list[dict[str, Any]] = []    # kept only where there is no file
+        self.lines: list[dict[str, Any]] = []  # kept only where there is no file
 
     def line(self, kind: str, **said: Any) -> None:
         said = {"k": kind, "t": round(clock_ms(), 2), **said}
--- a/ternlane/tenants/__init__.py
+++ b/ternlane/tenants/__init__.py
@@ -1,4 +1,5 @@
 """Tenants: who asks, what they may spend, what they owe. Free of I/O."""
+
 from ternlane.tenants.billing import Billed, Used, bill_for
 from ternlane.tenants.cashier import Cashier, Hold, Refusal
 from ternlane.tenants.keys import new_key
@@ -7,5 +8,23 @@
 from ternlane.tenants.parts import Lender
 from ternlane.tenants.roll import Budget, KeyLine, Prices, Roll, TenantLine, Unknown
 
-__all__ = ["Billed", "Budget", "Cashier", "Hold", "KeyLine", "Lender", "Lengths", "Meter", "Period", "Prices",
-           "Refusal", "Roll", "Short", "TenantLine", "Unknown", "Used", "bill_for", "new_key"]
+__all__ = [
+    "Billed",
+    "Budget",
+    "Cashier",
+    "Hold",
+    "KeyLine",
+    "Lender",
+    "Lengths",
+    "Meter",
+    "Period",
+    "Prices",
+    "Refusal",
+    "Roll",
+    "Short",
+    "TenantLine",
+    "Unknown",
+    "Used",
+    "bill_for",
+    "new_key",
+]
--- a/ternlane/tenants/billing.py
+++ b/ternlane/tenants/billing.py
@@ -1,4 +1,5 @@
 """What a generation's tenant pays for, and what is the house's cost. Free of I/O."""
+
 from __future__ import annotations
 
 from collections.abc import Sequence
@@ -8,6 +9,7 @@
 
 class Used(msgspec.Struct, array_like=True, frozen=True):
     """Tokens: read, found kept, written."""
+
     prompt: int = 0
     kept: int = 0
     answer: int = 0
@@ -16,19 +18,28 @@
         return Used(self.prompt + other.prompt, self.kept + other.kept, self.answer + other.answer)
 
     def less(self, other: Used) -> Used:
-        return Used(max(0, self.prompt - other.prompt), max(0, self.kept - other.kept),
-                    max(0, self.answer - other.answer))
+        return Used(
+            max(0, self.prompt - other.prompt), max(0, self.kept - other.kept), max(0, self.answer - other.answer)
+        )
 
 
 class Billed(msgspec.Struct, frozen=True):
     """`note` says what was odd."""
+
     bill: Used
     house: Used
     note: str = ""
 
 
-def bill_for(made: Sequence[Used], begun: bool, streamed: bool, pieces: int, prompt: int,
-             broke_at: int | None = None, answered: int = 0) -> Billed:
+def bill_for(
+    made: Sequence[Used],
+    begun: bool,
+    streamed: bool,
+    pieces: int,
+    prompt: int,
+    broke_at: int | None = None,
+    answered: int = 0,
+) -> Billed:
     """The bill by what each leg made, in their order.
 
     Streamed: billed once, whatever it took. Broken off, or left by its client, midway (`begun`): for the prompt and the
--- a/ternlane/tenants/cashier.py
+++ b/ternlane/tenants/cashier.py
@@ -3,6 +3,7 @@
 Decides nothing of routing; `choice.py` never sees tenants. Free of I/O: the gateway hands in the time, and the entry
 that `settle` gives goes to the ledger before or after the answer as the gateway likes.
 """
+
 from __future__ import annotations
 
 from dataclasses import dataclass, field
@@ -17,11 +18,12 @@
 from ternlane.tenants.roll import TenantLine
 
 NEARLY = 0.75  # of a period's tokens spent: another chunk is drawn
-ABSURD = 16    # times what was asked for: usage beyond that is a faulty engine's
+ABSURD = 16  # times what was asked for: usage beyond that is a faulty engine's
 
 
 class Entry(msgspec.Struct, array_like=True, frozen=True):
     """One settled generation. `bill` is the tenant's, `house` what abandoned legs made; `note` tells what was odd."""
+
     gen: str
     tenant: str
     product: str
@@ -32,14 +34,15 @@
     house: Used
     micros: int
     legs: int
-    key: str = ""       # the client's Idempotency-Key, hashed
+    key: str = ""  # the client's Idempotency-Key, hashed
     note: str = ""
 
 
 @dataclass(slots=True, frozen=True)
 class Refusal:
     """Over budget: nothing ran. `wait_ms` until it would fit (inf: not in this period's budget at all)."""
-    code: str      # rate_limit_exceeded or insufficient_quota
+
+    code: str  # rate_limit_exceeded or insufficient_quota
     kind: str
     wait_ms: float
 
@@ -47,6 +50,7 @@
 @dataclass(slots=True, eq=False)
 class Hold:
     """What is reserved for one generation."""
+
     tenant: TenantLine
     product: str
     prompt: int
@@ -66,12 +70,12 @@
 class Cashier:
     gateways: int = 1
     gateway: str = "g"
-    lends: bool = False    # a lender can be asked for more than the floor
+    lends: bool = False  # a lender can be asked for more than the floor
     lengths: Lengths = field(default_factory=Lengths)
     meters: dict[tuple[str, str], Meter] = field(default_factory=dict)
     borrowers: dict[str, Borrower] = field(default_factory=dict)
     seen_wall: float = 0.0
-    past: dict[tuple[str, str, str], int] = field(default_factory=dict)    # tenant, product or "", period -> tokens
+    past: dict[tuple[str, str, str], int] = field(default_factory=dict)  # tenant, product or "", period -> tokens
 
     def remember(self, tenant: str, product: str, period: str, toks: int) -> None:
         """What this gateway had settled before it was restarted, out of its ledger; also while it serves already, as
@@ -102,7 +106,7 @@
             meter.flow(now, self.seen_wall)
             if meter.period is not None:
                 meter.spent = self.past.pop((*key, meter.period.name), 0)
-                meter.allowed = max(meter.allowed, meter.spent)    # what it had drawn and spent before is no debt
+                meter.allowed = max(meter.allowed, meter.spent)  # what it had drawn and spent before is no debt
         elif meter.budget != budget or meter.zone != tenant.zone or meter.kind != tenant.period:
             extra = 0.0 if meter.budget.period is None else meter.allowed - meter.budget.period * meter.part
             meter.budget, meter.zone, meter.kind = budget, tenant.zone, tenant.period
@@ -112,16 +116,20 @@
 
     def short_of_period(self) -> list[tuple[str, str, str, int]]:
         """Meters that have spent most of what they may of their period: tenant, product, period, budget."""
-        return [(name, product, m.period.name, m.budget.period) for (name, product), m in self.meters.items()
-                if self.lends and m.budget.period and m.period is not None and m.spent > NEARLY * m.allowed]
+        return [
+            (name, product, m.period.name, m.budget.period)
+            for (name, product), m in self.meters.items()
+            if self.lends and m.budget.period and m.period is not None and m.spent > NEARLY * m.allowed
+        ]
 
     def clock(self, wall: float) -> float:
         """The wall clock, which may be set back: periods and bills go by the furthest it has shown."""
         self.seen_wall = max(self.seen_wall, wall)
         return self.seen_wall
 
-    def reserve(self, tenant: TenantLine, product: str, prompt: int, most: int, now: float, wall: float
-                ) -> Hold | Refusal:
+    def reserve(
+        self, tenant: TenantLine, product: str, prompt: int, most: int, now: float, wall: float
+    ) -> Hold | Refusal:
         """Both the tenant's budget and the product's must have room; the first that has none gives the reason."""
         wall = self.clock(wall)
         answer = self.lengths.estimate(tenant.name, product, most)
@@ -134,15 +142,16 @@
                     back.settle(prompt + answer, 0, back.period, now, wall)
                 return self.refuse(tenant, prompt + answer, short)
             taken.append(meter)
-        if self.lends and tenant.budget.minute is not None:    # what the floor can't carry is drawn
+        if self.lends and tenant.budget.minute is not None:  # what the floor can't carry is drawn
             self.borrower(tenant).saw(prompt + answer, True)
         return Hold(tenant, product, prompt, answer, most, meters, [m.period for m in meters], wall)
 
     def refuse(self, tenant: TenantLine, toks: int, short: Short) -> Refusal:
         if self.lends and short.kind == "minute":
             self.borrower(tenant).saw(toks, False)
-        return Refusal("insufficient_quota" if short.kind == "period" else "rate_limit_exceeded", short.kind,
-                       short.wait_ms)
+        return Refusal(
+            "insufficient_quota" if short.kind == "period" else "rate_limit_exceeded", short.kind, short.wait_ms
+        )
 
     def borrower(self, tenant: TenantLine) -> Borrower:
         found = self.borrowers.get(tenant.name)
@@ -170,8 +179,18 @@
         borrower, meter = self.borrowers.get(tenant), self.meters.get((tenant, ""))
         return 0.0 if borrower is None or meter is None else max(0.0, AHEAD * borrower.size - meter.level)
 
-    def settle(self, hold: Hold, gen: str, outcome: str, billed: Billed, legs: int, now: float, wall: float,
-               key: str = "", pieces: int | None = None) -> Entry:
+    def settle(
+        self,
+        hold: Hold,
+        gen: str,
+        outcome: str,
+        billed: Billed,
+        legs: int,
+        now: float,
+        wall: float,
+        key: str = "",
+        pieces: int | None = None,
+    ) -> Entry:
         """What was used goes on the budgets; the entry is for the ledger. A second call for a hold is a defect."""
         assert not hold.done, f"{gen} settled twice"
         hold.done = True
@@ -183,9 +202,21 @@
             self.lengths.learn(hold.tenant.name, hold.product, bill.answer)
         price = hold.tenant.price(hold.product)
         micros = (bill.prompt - bill.kept) * price.prompt + bill.kept * price.kept + bill.answer * price.answer
-        period = period_at(hold.wall, hold.tenant.zone, hold.tenant.period).name    # by its arrival
-        return Entry(gen, hold.tenant.name, hold.product, period, hold.wall, outcome, bill, billed.house, micros, legs,
-                     key, "; ".join(filter(None, (billed.note, odd))))
+        period = period_at(hold.wall, hold.tenant.zone, hold.tenant.period).name  # by its arrival
+        return Entry(
+            gen,
+            hold.tenant.name,
+            hold.product,
+            period,
+            hold.wall,
+            outcome,
+            bill,
+            billed.house,
+            micros,
+            legs,
+            key,
+            "; ".join(filter(None, (billed.note, odd))),
+        )
 
     @staticmethod
     def plausible(hold: Hold, bill: Used, pieces: int | None) -> tuple[Used, str]:
@@ -207,8 +238,10 @@
         """Has a stream that may be cut passed what its tenant's overdraft covers?"""
         if answer <= hold.answer or not hold.tenant.budget.cut:
             return False
-        return any(m.budget.minute is not None and m.level - (answer - hold.answer) < -m.budget.overdraft * m.part
-                   for m in hold.meters)
+        return any(
+            m.budget.minute is not None and m.level - (answer - hold.answer) < -m.budget.overdraft * m.part
+            for m in hold.meters
+        )
 
     def sweep(self, now: float, wall: float, most: int = 256) -> int:
         """Drops meters that a fresh one would equal, some at a time; gives how many."""
@@ -220,7 +253,7 @@
             if meter.idle:
                 dropped += 1
             else:
-                self.meters[key] = meter    # to the end: the next sweep looks at others
+                self.meters[key] = meter  # to the end: the next sweep looks at others
         return dropped
 
 
--- a/ternlane/tenants/keys.py
+++ b/ternlane/tenants/keys.py
@@ -4,6 +4,7 @@
 must not leak is how far a guess was right: every check hashes once and compares in constant time, also for a name that
 nobody has.
 """
+
 from __future__ import annotations
 
 import hashlib
--- a/ternlane/tenants/lengths.py
+++ b/ternlane/tenants/lengths.py
@@ -4,14 +4,15 @@
 byte array of saturating counts, halved when one is full, so that old answers fade. Tenants with few answers lean on
 their product's.
 """
+
 from __future__ import annotations
 
 from collections import OrderedDict
 from math import ceil, log
 
-GAMMA = 1.15           # a bucket's upper edge over its lower: an error of at most 7.5%
-BUCKETS = 96           # up to 1.15**95 > 500,000 tokens
-ENOUGH = 16            # answers after which a tenant's own lengths rule
+GAMMA = 1.15  # a bucket's upper edge over its lower: an error of at most 7.5%
+BUCKETS = 96  # up to 1.15**95 > 500,000 tokens
+ENOUGH = 16  # answers after which a tenant's own lengths rule
 QUANTILE = 0.9
 STEP = log(GAMMA)
 
@@ -37,7 +38,7 @@
         for i, n in enumerate(self.counts):
             seen += n
             if n and seen >= want:
-                return max(1.0, 2 * GAMMA ** i / (1 + GAMMA))
+                return max(1.0, 2 * GAMMA**i / (1 + GAMMA))
         return 0.0
 
 
--- a/ternlane/tenants/meter.py
+++ b/ternlane/tenants/meter.py
@@ -4,6 +4,7 @@
 negative (the overdraft) and is repaid by refills: nothing new is let in until then. Times: `now` is a monotonic clock
 in ms, `wall` seconds since 1970.
 """
+
 from __future__ import annotations
 
 from dataclasses import dataclass
@@ -18,13 +19,15 @@
 @dataclass(slots=True, frozen=True)
 class Short:
     """Why a reservation was refused, and when it would fit if nothing else came (ms)."""
-    kind: str    # minute, period, at_once or overdraft
+
+    kind: str  # minute, period, at_once or overdraft
     wait_ms: float
 
 
 @dataclass(slots=True, frozen=True)
 class Period:
     """A billing period: its name (2026-12 or 2026-12-01) and its edges in seconds since 1970."""
+
     name: str
     begin: float
     end: float
@@ -33,7 +36,7 @@
 @lru_cache(maxsize=4096)
 def edges(zone: str, kind: str, year: int, month: int, day: int) -> Period:
     tz = ZoneInfo(zone)
-    if kind == "day":    # by the calendar: a day of daylight saving has 23 or 25 hours
+    if kind == "day":  # by the calendar: a day of daylight saving has 23 or 25 hours
         begin, after = datetime(year, month, day, tzinfo=tz), datetime(year, month, day) + timedelta(days=1)
         return Period(f"{year:04}-{month:02}-{day:02}", begin.timestamp(), after.replace(tzinfo=tz).timestamp())
     begin = datetime(year, month, 1, tzinfo=tz)
@@ -48,14 +51,15 @@
 
 class Meter:
     """`part` is this gateway's part of the rates (0 to 1), `allowed` its tokens of the period; both may change."""
+
     __slots__ = ("budget", "part", "level", "at", "period", "spent", "open", "zone", "kind", "allowed", "extra")
 
     def __init__(self, budget: Budget, zone: str, kind: str, part: float, now: float) -> None:
         self.budget, self.zone, self.kind, self.part = budget, zone, kind, part
-        self.at, self.extra = now, 0.0    # room for drawn tokens, beside the burst
+        self.at, self.extra = now, 0.0  # room for drawn tokens, beside the burst
         self.level = self.most
         self.period: Period | None = None
-        self.spent = 0      # reserved and settled tokens of the period, at this gateway
+        self.spent = 0  # reserved and settled tokens of the period, at this gateway
         self.open = 0
         self.allowed = inf if budget.period is None else budget.period * part
 
@@ -94,11 +98,10 @@
         if self.budget.minute is not None:
             if self.level < 0 and -self.level > self.budget.overdraft * self.part:
                 return Short("overdraft", -self.level / self.rate if self.rate else inf)
-            need = min(float(toks), self.most)    # more than the burst: once the bucket is full
+            need = min(float(toks), self.most)  # more than the burst: once the bucket is full
             if self.level < need:
                 return Short("minute", (need - self.level) / self.rate if self.rate else inf)
-        if self.budget.period is not None and self.period is not None \
-                and self.spent + toks > self.allowed:
+        if self.budget.period is not None and self.period is not None and self.spent + toks > self.allowed:
             return Short("period", max(0.0, self.period.end - wall) * 1000)
         self.level -= toks
         self.spent += toks if self.budget.period is not None else 0
--- a/ternlane/tenants/parts.py
+++ b/ternlane/tenants/parts.py
@@ -15,6 +15,7 @@
 
 The lender is a table and a rule; where it lies (a file, an appointed gateway) is the transport's matter.
 """
+
 from __future__ import annotations
 
 from dataclasses import dataclass, field
@@ -22,16 +23,16 @@
 import msgspec
 
 FLOOR = 0.2
-PLENTY = 0.5    # part of the drawn burst that gateways may hold without present need, all together
-CHUNKS = 8      # that a gateway could draw of its even share of a period's pool
-AHEAD = 1.5     # looks' worth of tokens that a gateway holds
-GAIN = 0.1      # weight of one more look, or generation, in what is expected
+PLENTY = 0.5  # part of the drawn burst that gateways may hold without present need, all together
+CHUNKS = 8  # that a gateway could draw of its even share of a period's pool
+AHEAD = 1.5  # looks' worth of tokens that a gateway holds
+GAIN = 0.1  # weight of one more look, or generation, in what is expected
 
 
 class Bucket(msgspec.Struct, array_like=True):
     level: float
-    at: float                                  # seconds since 1970
-    asked: dict[str, tuple[float, float]]      # gateway -> when it last asked, for how much
+    at: float  # seconds since 1970
+    asked: dict[str, tuple[float, float]]  # gateway -> when it last asked, for how much
 
 
 class Drawn(msgspec.Struct, array_like=True):
@@ -47,12 +48,14 @@
 @dataclass
 class Lender:
     """One table for all gateways; every call is one atomic change of it. `span_s` is the time between two looks."""
+
     gateways: int
     span_s: float = 3.0
     table: Table = field(default_factory=Table)
 
-    def ask(self, tenant: str, gateway: str, want: float, minute: int, burst: int, now: float,
-            least: float = 0.0) -> float:
+    def ask(
+        self, tenant: str, gateway: str, want: float, minute: int, burst: int, now: float, least: float = 0.0
+    ) -> float:
         """Tokens for `gateway`; a negative want gives tokens back. Where more is wanted than there is, each gets an
         even share, and what others leave of theirs, but not less than `least`, which lets one generation in: slices
         that let none in would lie about unused at many gateways. A clock set back refills nothing until it has
@@ -79,7 +82,7 @@
     def draw(self, tenant: str, period: str, budget: int) -> float:
         """Another chunk of the period's pool; 0 when it is empty."""
         drawn = self.table.drawn.get(tenant)
-        if drawn is None or drawn.period < period:    # a clock set back does not open an old period anew
+        if drawn is None or drawn.period < period:  # a clock set back does not open an old period anew
             drawn = self.table.drawn[tenant] = Drawn(period, 0.0)
         pool = budget * (1 - FLOOR)
         chunk = max(0.0, min(pool / self.gateways / CHUNKS, pool - drawn.toks)) if drawn.period == period else 0.0
@@ -90,10 +93,11 @@
 @dataclass
 class Borrower:
     """One gateway's side for one tenant: what its traffic wants, by what it let in and what it could not."""
-    used: float = 0.0       # tokens reserved since the last look
-    refused: float = 0.0    # tokens refused for the rate since then
-    expected: float = 0.0   # tokens a look
-    size: float = 0.0       # of one generation
+
+    used: float = 0.0  # tokens reserved since the last look
+    refused: float = 0.0  # tokens refused for the rate since then
+    expected: float = 0.0  # tokens a look
+    size: float = 0.0  # of one generation
 
     def saw(self, toks: int, let_in: bool) -> None:
         self.size += (toks - self.size) * (GAIN if self.size else 1.0)
--- a/ternlane/tenants/roll.py
+++ b/ternlane/tenants/roll.py
@@ -1,4 +1,5 @@
 """The roll of tenants: keys, budgets and prices, as the operators' commands write it."""
+
 from __future__ import annotations
 
 from typing import Annotated, Literal
@@ -16,12 +17,13 @@
 
 class Budget(Sheet, frozen=True, kw_only=True):
     """What may be spent; None: no limit of that kind. Tokens are prompt and answer tokens together."""
-    minute: Toks | None = None        # refilled continuously
-    burst: Toks | None = None         # the most that may be saved up (a minute's worth if not stated)
-    period: Toks | None = None        # tokens a billing period
-    at_once: Count | None = None      # generations
-    overdraft: Toks = 0               # how far overruns may go before new generations are refused
-    cut: bool = False                 # end a stream whose overrun passes the overdraft
+
+    minute: Toks | None = None  # refilled continuously
+    burst: Toks | None = None  # the most that may be saved up (a minute's worth if not stated)
+    period: Toks | None = None  # tokens a billing period
+    at_once: Count | None = None  # generations
+    overdraft: Toks = 0  # how far overruns may go before new generations are refused
+    cut: bool = False  # end a stream whose overrun passes the overdraft
 
     @property
     def most_saved(self) -> int:
@@ -30,6 +32,7 @@
 
 class Prices(Sheet, frozen=True, kw_only=True):
     """Micro-units of money a token: whole numbers, as all money here."""
+
     prompt: Micros = 0
     kept: Micros = 0
     answer: Micros = 0
@@ -40,16 +43,16 @@
     salt: str
     hash: str
     state: Literal["live", "retiring", "revoked"] = "live"
-    until: NotNegative = 0.0    # seconds since 1970; a retiring key ends then
+    until: NotNegative = 0.0  # seconds since 1970; a retiring key ends then
 
 
 class TenantLine(Sheet, frozen=True, kw_only=True):
     name: Name
     keys: list[KeyLine] = []
     budget: Budget = Budget()
-    products: dict[str, Budget] = {}    # further budgets for single products, beside the one for all
-    prices: dict[str, Prices] = {}      # by product; "*" for the others
-    zone: str = "UTC"                   # of the billing period's edges
+    products: dict[str, Budget] = {}  # further budgets for single products, beside the one for all
+    prices: dict[str, Prices] = {}  # by product; "*" for the others
+    zone: str = "UTC"  # of the billing period's edges
     period: Literal["day", "month"] = "month"
 
     def __post_init__(self) -> None:
--- a/ternlane/turns.py
+++ b/ternlane/turns.py
@@ -3,6 +3,7 @@
 Whoever has an event puts it in by `tell`; who finds the loop idle empties it. The gateway's host and the platform's
 are kinds of it; what an action means on their sockets is theirs, what is decided is not.
 """
+
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
@@ -57,10 +58,11 @@
         if server.life is not port.Life.UP or trio.current_time() > begin_by:
             return port.Verdict.WITHHELD
         return None
+
     return barred
 
 
-LAG_MS = 1000.0    # a loop that was late is expected to be so again, less and less over this
+LAG_MS = 1000.0  # a loop that was late is expected to be so again, less and less over this
 
 
 class Waits(Protocol):
@@ -70,6 +72,7 @@
 
 class Held(Protocol):
     """What every host keeps of a generation; its leg is called off only while it does not stream."""
+
     flowing: bool
     why: str
     trail: list[str]
@@ -90,8 +93,8 @@
         self.due: list[tuple[float, int, Callable[[], None]]] = []
         self.asked = 0
         self.alarm = trio.Event()
-        self.late_ms = 0.0    # the most that a due time was passed by since whoever reads it set it back
-        self.lagged = 0.0, 0.0    # by how much one was passed by lately, and when
+        self.late_ms = 0.0  # the most that a due time was passed by since whoever reads it set it back
+        self.lagged = 0.0, 0.0  # by how much one was passed by lately, and when
 
     def hear(self, event: port.Event) -> None:
         """For the next turn; the inbox is another list then than when a due time was asked for."""
--- a/ternlane/wirehost/__main__.py
+++ b/ternlane/wirehost/__main__.py
@@ -1,4 +1,5 @@
 """Reads batches from standard input until it ends, and answers each on standard output."""
+
 import gc
 import sys
 
--- a/ternlane/wirehost/host.py
+++ b/ternlane/wirehost/host.py
@@ -1,4 +1,5 @@
 """Turns the lines of a batch into events, ids into objects, and actions into lines. It decides nothing."""
+
 from __future__ import annotations
 
 import json
@@ -8,13 +9,48 @@
 from ternlane.choice import Router
 from ternlane.deployment import Deployment
 from ternlane.port import (
-    Action, Arrived, CallOff, Checked, ClientLeft, Effect, Event, FirstTok, Follow, Generation, Group, HoldAhead,
-    LegEnded, LetGo, Life, Listed, ListFailed, Log, PlaceHeld, Probe, Product, Report, SendLeg, Server, Terminate,
-    Throttle, Verdict, Wake, Woken)
+    Action,
+    Arrived,
+    CallOff,
+    Checked,
+    ClientLeft,
+    Effect,
+    Event,
+    FirstTok,
+    Follow,
+    Generation,
+    Group,
+    HoldAhead,
+    LegEnded,
+    LetGo,
+    Life,
+    Listed,
+    ListFailed,
+    Log,
+    PlaceHeld,
+    Probe,
+    Product,
+    Report,
+    SendLeg,
+    Server,
+    Terminate,
+    Throttle,
+    Verdict,
+    Wake,
+    Woken,
+)
 
-VERDICTS = {"S": Verdict.STREAMED, "E": Verdict.ERROR, "F": Verdict.FULL, "T": Verdict.TIMED_OUT,
-            "C": Verdict.UNCONNECTED, "R": Verdict.RESET, "X": Verdict.CALLED_OFF, "N": Verdict.MOOT,
-            "prefilled": Verdict.READ}
+VERDICTS = {
+    "S": Verdict.STREAMED,
+    "E": Verdict.ERROR,
+    "F": Verdict.FULL,
+    "T": Verdict.TIMED_OUT,
+    "C": Verdict.UNCONNECTED,
+    "R": Verdict.RESET,
+    "X": Verdict.CALLED_OFF,
+    "N": Verdict.MOOT,
+    "prefilled": Verdict.READ,
+}
 LIVES = {"healthy": Life.UP, "cordoned": Life.DRAINING, "deregistered": Life.GONE}
 BEAT, DUE = 0, 1
 
@@ -89,20 +125,33 @@
         if what == "WORK_ITEM":
             _, _, corr, opening_toks, _, opening, lane, prompt, patience, _, session, longest, *rest = part
             product = self.products.get(lane)
-            if product is None:    # never listed: nothing is promised of it, so nothing may be repeated
-                product = self.products[lane] = Product(Effect.SIDE_EFFECTING, Group.CELL, 0.0, 0.0, 0.0, 0.0,
-                                                        number(patience), 0.0, 0.0)
-            gen = self.deployment.generation(product, name(session), name(opening), number(opening_toks),
-                                             number(prompt), number(longest), number(patience),
-                                             rest[0] if rest else "")
+            if product is None:  # never listed: nothing is promised of it, so nothing may be repeated
+                product = self.products[lane] = Product(
+                    Effect.SIDE_EFFECTING, Group.CELL, 0.0, 0.0, 0.0, 0.0, number(patience), 0.0, 0.0
+                )
+            gen = self.deployment.generation(
+                product,
+                name(session),
+                name(opening),
+                number(opening_toks),
+                number(prompt),
+                number(longest),
+                number(patience),
+                rest[0] if rest else "",
+            )
             self.gens[int(corr)], self.gen_ids[gen] = gen, int(corr)
             return Arrived(gen)
         if what == "DEADLINE_HIT":
             return Woken(int(part[2]) == BEAT)
         if what == "CHECK_RESULT":
             server = self.server(part[3])
-            return None if server is None else Checked(server, VERDICTS.get(part[4], Verdict.ERROR),
-                                                       self.report(part[5] if len(part) > 5 else "-"))
+            return (
+                None
+                if server is None
+                else Checked(
+                    server, VERDICTS.get(part[4], Verdict.ERROR), self.report(part[5] if len(part) > 5 else "-")
+                )
+            )
         if what in ("SHUTDOWN", "WHISPER"):
             return None
         known = self.gens.get(int(part[2]))
@@ -126,8 +175,16 @@
             if over:
                 self.closed.add(gen)
             kept = note if verdict in (Verdict.READ, Verdict.STREAMED) else 0.0
-            return LegEnded(gen, server, verdict, number(part[6]), over, kept,
-                            verdict is Verdict.FULL and note == 1, self.report(part[9] if len(part) > 9 else "-"))
+            return LegEnded(
+                gen,
+                server,
+                verdict,
+                number(part[6]),
+                over,
+                kept,
+                verdict is Verdict.FULL and note == 1,
+                self.report(part[9] if len(part) > 9 else "-"),
+            )
         return None
 
     def lines(self, number_: str, actions: list[Action]) -> Iterator[str]:
@@ -187,15 +244,19 @@
                     event: Event | None
                     if part[0] == "ANNOUNCE":
                         count = int(part[4])
-                        event = instance.list_entries(part[2], batch[at:at + count])
+                        event = instance.list_entries(part[2], batch[at : at + count])
                         at += count
                     else:
                         event = instance.event(part)
                     if event is not None:
                         heard.setdefault(part[1], []).append(event)
         except (ValueError, IndexError, KeyError, TypeError, AttributeError) as why:
-            return ["", f"BUG {part[1] if len(part) > 1 and part[1].isdigit() else 0} malformed line: "
-                        f"{' '.join(part)[:200]!r} ({type(why).__name__}: {why})", "YIELD"]
+            return [
+                "",
+                f"BUG {part[1] if len(part) > 1 and part[1].isdigit() else 0} malformed line: "
+                f"{' '.join(part)[:200]!r} ({type(why).__name__}: {why})",
+                "YIELD",
+            ]
         for gateway, events in heard.items():
             instance = self.instances[gateway]
             try:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,4 +1,5 @@
 """One tiny fake host: a few servers, a clock, and what the module said last."""
+
 from __future__ import annotations
 
 import zlib
@@ -41,8 +42,15 @@
     def arrive(self, gen: port.Generation, after: float = 0.0) -> list[Any]:
         return self.tell(port.Arrived(gen), after=after)
 
-    def end(self, gen: port.Generation, server: Server, verdict: Verdict, after: float = 100.0, over: bool = False,
-            **note: Any) -> list[Any]:
+    def end(
+        self,
+        gen: port.Generation,
+        server: Server,
+        verdict: Verdict,
+        after: float = 100.0,
+        over: bool = False,
+        **note: Any,
+    ) -> list[Any]:
         return self.tell(port.LegEnded(gen, server, verdict, after, over, **note), after=after)
 
     def first(self, gen: port.Generation, server: Server, after: float = 100.0) -> list[Any]:
@@ -66,17 +74,40 @@
 
 
 FACTS = StartFacts(
-    seed=7, gateways=2, zone="east", products=(), leg_limit=5, may_call_off=True, may_hold_ahead=False,
-    may_probe=False, may_advise=True, must_ask=False, ask_within_ms=10e3, writers_read=False, reports_mem=False,
-    longest_pause_ms=500.0, connect_ms=250.0, idle_ms=30e3, release_ms=500.0, drain_grace_ms=250.0, cold_ms=10e3,
+    seed=7,
+    gateways=2,
+    zone="east",
+    products=(),
+    leg_limit=5,
+    may_call_off=True,
+    may_hold_ahead=False,
+    may_probe=False,
+    may_advise=True,
+    must_ask=False,
+    ask_within_ms=10e3,
+    writers_read=False,
+    reports_mem=False,
+    longest_pause_ms=500.0,
+    connect_ms=250.0,
+    idle_ms=30e3,
+    release_ms=500.0,
+    drain_grace_ms=250.0,
+    cold_ms=10e3,
     cold_from=0.25,
-    fall_multiple=2.5, fall_ms=2000.0, step_ms=4.0)
+    fall_multiple=2.5,
+    fall_ms=2000.0,
+    step_ms=4.0,
+)
 
 
 def build(extra: tuple[str, ...] = (), **facts: Any) -> FakeHost:
     products = {e: Product(e, Group.CELL, 3000.0, 1000.0, 50.0, 60.0, 5000.0, 1.0, 0.2) for e in Effect}
-    servers = {name: Server("east", int(name[1]), Duty.READ if name[0] == "r" else Duty.WRITE, 200e3,
-                            mark=zlib.crc32(name.encode())) for name in ("r0", "w0", "r1", "w1", *extra)}
+    servers = {
+        name: Server(
+            "east", int(name[1]), Duty.READ if name[0] == "r" else Duty.WRITE, 200e3, mark=zlib.crc32(name.encode())
+        )
+        for name in ("r0", "w0", "r1", "w1", *extra)
+    }
     host = FakeHost(Router(replace(FACTS, products=tuple(products.values()), **facts)), servers, products, 1000.0)
     host.list()
     return host
--- a/tests/crossing.py
+++ b/tests/crossing.py
@@ -1,4 +1,5 @@
 """What the tests of crossing events share: raw clients, sockets whose bytes arrive at a chosen moment, waits."""
+
 from __future__ import annotations
 
 import os
@@ -12,7 +13,7 @@
 from ternlane.http1.nonblocking import is_readable
 from tests.test_platform import BODY, Platform
 
-WITHIN_S = 5.0    # for what must happen; no order depends on it
+WITHIN_S = 5.0  # for what must happen; no order depends on it
 
 
 async def until(true: Callable[[], Any]) -> None:
--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -3,6 +3,7 @@
 A line is `test | cause | issue`, the test by its node id. More than three lines, a line of another form, or a test that
 is not there fail the run.
 """
+
 from __future__ import annotations
 
 from pathlib import Path
--- a/tests/test_chat.py
+++ b/tests/test_chat.py
@@ -1,4 +1,5 @@
 """Requests become generations; conversations, shared openings and repeats are recognised, within bounds."""
+
 from __future__ import annotations
 
 import random
@@ -22,6 +23,7 @@
 
 def ask(*contents: str, user: str = "u", key: str | None = None) -> object:
     import msgspec
+
     roles = ("user", "assistant")
     messages = [{"role": roles[i % 2], "content": c} for i, c in enumerate(contents)]
     body = {"model": "m", "messages": messages, "user": user}
@@ -35,25 +37,26 @@
 
 def test_a_conversation_is_recognised_by_what_was_said() -> None:
     known = intake()
-    first = known.take(ask("hello there"), 1000)    # type: ignore[arg-type]
+    first = known.take(ask("hello there"), 1000)  # type: ignore[arg-type]
     known.answered(first, {"role": "assistant", "content": "good day"})
-    assert known.take(ask("hello there", "good day", "more"), 1000).session == first.session    # type: ignore[arg-type]
-    assert known.take(ask("hello there", "other words", "more"), 1000).session == first.session    # type: ignore[arg-type]
-    assert known.take(ask("hello there", user="v"), 1000).session != first.session    # type: ignore[arg-type]
-    named = known.take(ask("x", key="folder"), 1000)    # type: ignore[arg-type]
-    assert known.take(ask("y", key="folder"), 1000).session == named.session    # type: ignore[arg-type]
+    assert known.take(ask("hello there", "good day", "more"), 1000).session == first.session  # type: ignore[arg-type]
+    assert known.take(ask("hello there", "other words", "more"), 1000).session == first.session  # type: ignore[arg-type]
+    assert known.take(ask("hello there", user="v"), 1000).session != first.session  # type: ignore[arg-type]
+    named = known.take(ask("x", key="folder"), 1000)  # type: ignore[arg-type]
+    assert known.take(ask("y", key="folder"), 1000).session == named.session  # type: ignore[arg-type]
 
 
 def test_how_a_message_is_laid_out_does_not_matter() -> None:
     plain = read_chat(b'{"model":"m","messages":[{"role":"user","content":"a\\u00e9"}]}')
-    parts = read_chat('{"messages":[{"content":[{"type":"text","text":"aé"}],"role":"user","name":null}],"model":"m"}'
-                      .encode())
+    parts = read_chat(
+        '{"messages":[{"content":[{"type":"text","text":"aé"}],"role":"user","name":null}],"model":"m"}'.encode()
+    )
     assert plain.texts == parts.texts
 
 
 def test_an_opening_is_what_another_session_began_with() -> None:
     known, shared = intake(), "the rules of the bonus " * 60
-    gens = [known.take(ask(shared + c * 600), 1000).gen for c in "abc"]    # type: ignore[arg-type]
+    gens = [known.take(ask(shared + c * 600), 1000).gen for c in "abc"]  # type: ignore[arg-type]
     assert gens[0].opening is None and gens[1].opening == gens[2].opening is not None
     assert 0 < gens[2].opening_toks <= gens[2].prompt_toks
     assert abs(gens[2].opening_toks * 4 - len(shared)) <= BLOCK + 8
@@ -62,11 +65,11 @@
 def test_token_counts_follow_what_engines_report_and_absurd_ones_do_not_count() -> None:
     known = intake()
     for _ in range(100):
-        it = known.take(ask("w" * 1000), 1000)    # type: ignore[arg-type]
+        it = known.take(ask("w" * 1000), 1000)  # type: ignore[arg-type]
         known.learn_prompt(it, 500)
     for absurd in (-3, 0, 10**9):
         known.learn_prompt(it, absurd)
-    assert known.take(ask("w" * 1000), 1000).gen.prompt_toks == pytest.approx(500, rel=0.05)    # type: ignore[arg-type]
+    assert known.take(ask("w" * 1000), 1000).gen.prompt_toks == pytest.approx(500, rel=0.05)  # type: ignore[arg-type]
 
 
 def test_known_ends_of_conversations_are_bounded() -> None:
@@ -115,7 +118,7 @@
     found = repeats.begin("k", b"1", 50)
     assert isinstance(found, Done) and found.answer == "answer"
     assert isinstance(repeats.begin("k", b"1", 100), Fresh)
-    repeats.end("k", None, 0, 0)    # throttled: free again
+    repeats.end("k", None, 0, 0)  # throttled: free again
     assert isinstance(repeats.begin("k", b"3", 100), Fresh)
 
 
@@ -130,8 +133,11 @@
 
 
 @settings(max_examples=100, deadline=None)
-@given(st.lists(st.text(alphabet="ab \n", max_size=6).filter(lambda s: s.strip("\n") == s), min_size=1, max_size=5),
-       st.sampled_from(["\n", "\r\n", "\r"]), st.randoms(use_true_random=False))
+@given(
+    st.lists(st.text(alphabet="ab \n", max_size=6).filter(lambda s: s.strip("\n") == s), min_size=1, max_size=5),
+    st.sampled_from(["\n", "\r\n", "\r"]),
+    st.randoms(use_true_random=False),
+)
 def test_events_are_read_however_their_bytes_are_cut(said: list[str], end: str, rng: random.Random) -> None:
     raw = "".join("".join(f"data: {line}{end}" for line in s.split("\n")) + end for s in said).encode()
     reader, got = EventReader(), []
@@ -139,16 +145,23 @@
         n = rng.randint(1, 4)
         got += reader.feed(raw[:n])
         raw = raw[n:]
-    got += reader.feed(b"\n") if end == "\r" else []    # a CR alone ends a line once it is no CRLF
+    got += reader.feed(b"\n") if end == "\r" else []  # a CR alone ends a line once it is no CRLF
     assert got == said
 
 
-@pytest.mark.parametrize("said, mem, out", [
-    ('JSON {"named_metrics":{"kv_cache_usage_perc":0.4,"num_requests_running":3,"num_requests_waiting":2}}', 0.4, 5.0),
-    ("TEXT mem_utilization=0.8, cpu_utilization=0.2", 0.8, None),
-    ("TEXT named_metrics.kv_cache_usage_perc=0.25", 0.25, None),
-    ('JSON {"named_metrics":{"kv_cache_usage_perc":-7,"num_requests_running":1}}', None, 1.0),
-])
+@pytest.mark.parametrize(
+    "said, mem, out",
+    [
+        (
+            'JSON {"named_metrics":{"kv_cache_usage_perc":0.4,"num_requests_running":3,"num_requests_waiting":2}}',
+            0.4,
+            5.0,
+        ),
+        ("TEXT mem_utilization=0.8, cpu_utilization=0.2", 0.8, None),
+        ("TEXT named_metrics.kv_cache_usage_perc=0.25", 0.25, None),
+        ('JSON {"named_metrics":{"kv_cache_usage_perc":-7,"num_requests_running":1}}', None, 1.0),
+    ],
+)
 def test_load_reports_are_read_in_both_forms(said: str, mem: float | None, out: float | None) -> None:
     report = load_of(said)
     assert report is not None and (report.mem_share, report.open_gens) == (mem, out)
@@ -170,15 +183,18 @@
 }"""
 
 
-@pytest.mark.parametrize("old, new, line, field", [
-    ("slo_ms: 500", "slo_ms: -1", 5, "$.products[0].slo_ms"),
-    ("name: \"note\"", "name: \"note\", colour: 1", 6, "$.products[1].colour"),
-    ("listen: \"127.0.0.1:8080\"", "listen: 8080", 3, "$.listen"),
-    ("limit_ms: 2000},\n  ]", "limit_ms: 20},\n  ]", 6, "$.products[1]"),
-    ("\"note\"", "\"summary\"", 1, "$"),
-    ("from: \"inline\"", "from: \"etcd\"", 8, "$.nodes.from"),
-    ("nodes: []}", "nodes: [}", 8, ""),
-])
+@pytest.mark.parametrize(
+    "old, new, line, field",
+    [
+        ("slo_ms: 500", "slo_ms: -1", 5, "$.products[0].slo_ms"),
+        ('name: "note"', 'name: "note", colour: 1', 6, "$.products[1].colour"),
+        ('listen: "127.0.0.1:8080"', "listen: 8080", 3, "$.listen"),
+        ("limit_ms: 2000},\n  ]", "limit_ms: 20},\n  ]", 6, "$.products[1]"),
+        ('"note"', '"summary"', 1, "$"),
+        ('from: "inline"', 'from: "etcd"', 8, "$.nodes.from"),
+        ("nodes: []}", "nodes: [}", 8, ""),
+    ],
+)
 def test_a_wrong_document_is_refused_with_line_and_field(old: str, new: str, line: int, field: str) -> None:
     read_text(GOOD, GatewayPaper)
     with pytest.raises(PaperError) as bad:
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -1,4 +1,5 @@
 """Stories of what went wrong, or must not, and what the decisions do about it."""
+
 from __future__ import annotations
 
 import pytest
@@ -34,7 +35,7 @@
     leg = sent(host.arrive(gen))
     said = host.end(gen, leg.server, Verdict.RESET)
     assert sent(said).server is not leg.server
-    assert port.LetGo in kinds(said)    # the read may have gone on unheard and left its state
+    assert port.LetGo in kinds(said)  # the read may have gone on unheard and left its state
 
 
 @pytest.mark.parametrize("effect", [Effect.IDEMPOTENT, Effect.SIDE_EFFECTING])
@@ -43,10 +44,10 @@
     mute = host.gen(effect, session="a")
     first = sent(host.arrive(mute))
     later = host.gen(session="a")
-    assert sent(host.arrive(later, after=100.0)).server is first.server    # not overdue yet: it may only be long
+    assert sent(host.arrive(later, after=100.0)).server is first.server  # not overdue yet: it may only be long
     said = host.end(later, first.server, Verdict.READ, after=20.0)
     assert sent(said).server.duty is port.Duty.WRITE and port.CallOff not in kinds(said)
-    said = host.tell(after=300.0)    # nothing else is sent there, and still it is not waited for to its time limit
+    said = host.tell(after=300.0)  # nothing else is sent there, and still it is not waited for to its time limit
     assert [a.gen for a in said if isinstance(a, port.CallOff)] == [mute]
     again = sent(host.end(mute, first.server, Verdict.CALLED_OFF))
     assert again.server.duty is port.Duty.READ and again.server is not first.server
@@ -54,7 +55,7 @@
 
 
 def test_reads_whose_answers_are_lost_do_not_make_their_reader_look_full() -> None:
-    host = build(leg_limit=2)    # none is called off
+    host = build(leg_limit=2)  # none is called off
     reader = sent(host.arrive(host.gen(session="a", prompt_toks=3e3))).server
     full = host.router.desk.board[reader.seat].queue_ms
     later = host.gen(session="a", prompt_toks=100.0)
@@ -71,7 +72,7 @@
     host.end(kept, writer, Verdict.STREAMED, over=True)
     other = host.gen(session="a")
     host.end(other, sent(host.arrive(other)).server, Verdict.READ)
-    host.tell(port.LegEnded(other, writer, Verdict.UNCONNECTED, 1.0, True))    # shut, and on trial after
+    host.tell(port.LegEnded(other, writer, Verdict.UNCONNECTED, 1.0, True))  # shut, and on trial after
     host.tell(after=2000.0)
     found = host.gen(session="a")
     reader = sent(host.arrive(found)).server
@@ -81,7 +82,7 @@
 def test_streams_begun_before_do_not_keep_a_writer_on_trial_and_its_trial_is_one_leg(host: FakeHost) -> None:
     begun, leg = host.written(session="a")
     writer = leg.server
-    host.first(begun, writer)    # streams on for long
+    host.first(begun, writer)  # streams on for long
     other = host.gen(session="a")
     host.end(other, sent(host.arrive(other)).server, Verdict.READ)
     host.tell(port.LegEnded(other, writer, Verdict.UNCONNECTED, 1.0, True))
@@ -90,7 +91,7 @@
     reader = sent(host.arrive(found)).server
     assert sent(host.end(found, reader, Verdict.READ)).server is writer
     said = host.end(second, sent(host.arrive(second)).server, Verdict.READ)
-    assert sent(said).server is not writer    # until the first has ended well
+    assert sent(said).server is not writer  # until the first has ended well
 
 
 def test_a_read_is_not_called_off_where_no_legs_are_left_for_another_pair() -> None:
@@ -108,18 +109,18 @@
 
 
 def test_a_state_is_let_go_before_connections_that_never_come_up_outlast_its_release_time() -> None:
-    host = build(("w2", "w3"))    # 250 ms to connect, 500 to release: one failed connection leaves time for one more
+    host = build(("w2", "w3"))  # 250 ms to connect, 500 to release: one failed connection leaves time for one more
     gen, leg = host.written()
     second = sent(host.end(gen, leg.server, Verdict.UNCONNECTED, after=250.0)).server
     assert second.duty is port.Duty.WRITE
     said = host.end(gen, second, Verdict.UNCONNECTED, after=250.0)
     assert [type(a) for a in said] == [port.LetGo, port.SendLeg]
     assert sent(said).server.duty is port.Duty.READ
-    other = build(("w2", "w3"), holds_run_on=False)    # where an outcome of any kind begins that time anew
+    other = build(("w2", "w3"), holds_run_on=False)  # where an outcome of any kind begins that time anew
     gen, leg = other.written()
     second = sent(other.end(gen, leg.server, Verdict.UNCONNECTED, after=250.0)).server
     assert sent(other.end(gen, second, Verdict.UNCONNECTED, after=250.0)).server.duty is port.Duty.WRITE
-    gen, leg = host.written()    # a writer that refuses has answered: the time counts from then
+    gen, leg = host.written()  # a writer that refuses has answered: the time counts from then
     second = sent(host.end(gen, leg.server, Verdict.FULL, after=400.0)).server
     assert sent(host.end(gen, second, Verdict.FULL, after=400.0)).server.duty is port.Duty.WRITE
 
@@ -129,12 +130,13 @@
     gen = host.gen()
     said = host.end(gen, sent(host.arrive(gen)).server, verdict)
     assert kinds(said) == [port.SendLeg]
-    assert port.LetGo in kinds(host.end(gen, sent(said).server, Verdict.TIMED_OUT))    # it may have run
+    assert port.LetGo in kinds(host.end(gen, sent(said).server, Verdict.TIMED_OUT))  # it may have run
 
 
 @pytest.mark.parametrize("verdict", [Verdict.TIMED_OUT, Verdict.CALLED_OFF, Verdict.RESET])
 def test_what_a_read_may_yet_leave_is_let_go_of_once_more_when_nothing_follows_it(
-        host: FakeHost, verdict: Verdict) -> None:
+    host: FakeHost, verdict: Verdict
+) -> None:
     """It ended unheard, its state came after the first release, and nobody was left for another read."""
     gen = host.gen()
     reader = sent(host.arrive(gen)).server
@@ -148,7 +150,7 @@
     gen, leg = host.written()
     said = host.end(gen, leg.server, Verdict.FULL, state_lost=True)
     assert sent(said).server.duty is port.Duty.READ
-    assert port.LetGo in kinds(said)    # its reader may only be cut off from that writer
+    assert port.LetGo in kinds(said)  # its reader may only be cut off from that writer
 
 
 @pytest.mark.parametrize("verdict", [Verdict.TIMED_OUT, Verdict.RESET, Verdict.ERROR, Verdict.CALLED_OFF])
@@ -181,7 +183,7 @@
     host.list(**{name: Life.DRAINING for name, s in host.servers.items() if s is home})
     assert sent(host.end(gen, leg.server, Verdict.READ)).server is not home
     later = host.gen()
-    for server in host.servers.values():    # told in this batch, but after the arrival
+    for server in host.servers.values():  # told in this batch, but after the arrival
         server.life = Life.GONE
     assert kinds(host.tell(port.Arrived(later), port.Listed(tuple(host.servers.values())))) == [port.Throttle]
 
@@ -269,7 +271,7 @@
 
 def test_one_generation_does_not_fill_a_server_for_a_hundred_gateways() -> None:
     host = build(gateways=130)
-    for _ in range(3):    # one's own count times 130 would be several times each server's memory
+    for _ in range(3):  # one's own count times 130 would be several times each server's memory
         assert kinds(host.arrive(host.gen())) == [port.SendLeg]
 
 
@@ -280,7 +282,7 @@
         gen = host.gen(session="s")
         host.arrive(gen)
         chosen.add(next(name for name, s in host.servers.items() if s is gen.seat.writer.server))
-    assert len(chosen) == 3    # all in the cell of the one reader that they agree on
+    assert len(chosen) == 3  # all in the cell of the one reader that they agree on
 
 
 def test_gateways_agree_on_the_readers_of_an_opening() -> None:
@@ -300,7 +302,7 @@
 def test_a_handful_of_generations_does_not_make_an_opening_popular() -> None:
     readers = tuple(f"r{i % 2}{letter}" for i, letter in enumerate("abcdefghijkl"))
     seen: list[set[int]] = []
-    for seed in range(6):    # gateways that have met one opening, or six others before it
+    for seed in range(6):  # gateways that have met one opening, or six others before it
         host = build(extra=readers, gateways=90, seed=seed)
         for i in range(seed):
             host.arrive(host.gen(opening=f"x{i}"))
@@ -342,13 +344,13 @@
     ill = host.servers["w0"]
     for _ in range(30):
         serve(host, host.gen(opening=None, tenant=port.Tenant()), ill, None)
-    assert not host.router.desk.doubts    # type: ignore[attr-defined]
+    assert not host.router.desk.doubts  # type: ignore[attr-defined]
     while not serve(host, host.gen(opening=None), ill, Verdict.ERROR):
         pass
-    assert host.router.desk.doubts    # type: ignore[attr-defined]
+    assert host.router.desk.doubts  # type: ignore[attr-defined]
     for _ in range(60):
         serve(host, host.gen(opening=None), ill, None)
-    assert not host.router.desk.doubts    # type: ignore[attr-defined]
+    assert not host.router.desk.doubts  # type: ignore[attr-defined]
 
 
 def test_a_last_try_without_time_for_a_first_token_is_answered_at_once(host: FakeHost) -> None:
@@ -360,25 +362,25 @@
         host.end(gen, leg.server, Verdict.STREAMED, over=True)
     assert kinds(host.arrive(host.gen(patience_ms=600.0))) == [port.Throttle]
     assert kinds(host.arrive(host.gen(patience_ms=3000.0))) == [port.SendLeg]
-    assert kinds(host.arrive(host.gen(patience_ms=600.0), after=9000.0)) == [port.SendLeg]    # is it still so?
+    assert kinds(host.arrive(host.gen(patience_ms=600.0), after=9000.0)) == [port.SendLeg]  # is it still so?
 
 
 def test_a_batch_of_many_ends_costs_what_waits_few_tries(host: FakeHost) -> None:
     small = [host.gen(prompt_toks=50.0, opening=None, opening_toks=0.0) for _ in range(8)]
     out = [(gen, sent(host.arrive(gen)).server) for gen in small]
-    for i in range(40):    # none of them fits anywhere
+    for i in range(40):  # none of them fits anywhere
         host.arrive(host.gen(prompt_toks=250e3 + i, opening=None, opening_toks=0.0, patience_ms=60e3))
     desk, tries = host.router.desk, 0
-    best = desk.best    # type: ignore[attr-defined]
+    best = desk.best  # type: ignore[attr-defined]
 
     def counted(course: object) -> None:
         nonlocal tries
         tries += 1
         return best(course)
 
-    desk.best = counted    # type: ignore[attr-defined]
+    desk.best = counted  # type: ignore[attr-defined]
     host.tell(*(port.LegEnded(gen, server, Verdict.MOOT, 10.0, True) for gen, server in out))
-    assert len(desk.waiting) == 40 and 1 <= tries <= 3    # type: ignore[attr-defined]
+    assert len(desk.waiting) == 40 and 1 <= tries <= 3  # type: ignore[attr-defined]
 
 
 def test_a_short_prompt_passes_a_long_one_that_finds_no_room(host: FakeHost) -> None:
@@ -407,7 +409,7 @@
                 host.end(gen, leg.server, Verdict.STREAMED, over=True)
                 linked.append(gen)
                 break
-    assert len(linked) > 20 and tries < 100    # three tries each, where chance would need five and more
+    assert len(linked) > 20 and tries < 100  # three tries each, where chance would need five and more
 
 
 def test_reads_that_run_out_of_time_make_the_next_ones_more_patient(host: FakeHost) -> None:
@@ -431,7 +433,7 @@
         gen = host.gen(opening=None, opening_toks=0.0)
         said = host.arrive(gen, after=400.0)
         assert kinds(said) == [port.SendLeg]
-        if sent(said).server is not cold:    # the cold one keeps what it was given
+        if sent(said).server is not cold:  # the cold one keeps what it was given
             leg = sent(host.end(gen, host.servers["r1"], Verdict.READ, after=50.0))
             host.first(gen, leg.server, after=20.0)
             host.end(gen, leg.server, Verdict.STREAMED, over=True)
@@ -444,7 +446,7 @@
     host.tell(after=600.0)
     engines = [host.servers[name].seat for name in ("w0", "w1")]
     held = sum(share for engine in engines for _, share in engine.booked.values()) / 2
-    assert held > 0 and engines[0].fleet.level > 0.9 * 2 * held    # two gateways that do alike
+    assert held > 0 and engines[0].fleet.level > 0.9 * 2 * held  # two gateways that do alike
 
 
 def test_a_gateway_that_goes_throttles_what_it_could_not_finish_and_finishes_the_rest(host: FakeHost) -> None:
@@ -453,7 +455,7 @@
     read = sent(host.arrive(reads))
     assert not host.tell(port.Ending(1000.0))
     said = host.arrive(host.gen(Effect.SIDE_EFFECTING))
-    assert kinds(said) == [port.Throttle]    # another gateway may do it: nothing has run
+    assert kinds(said) == [port.Throttle]  # another gateway may do it: nothing has run
     assert sent(host.end(reads, read.server, Verdict.READ)).server.duty is port.Duty.WRITE
     host.first(streams, leg.server)
     assert not kinds(host.end(streams, leg.server, Verdict.STREAMED, over=True))
@@ -470,7 +472,7 @@
         host.router.desk.asked_for.update(f"{turn}.{i}" for i in range(50))
         host.tell(port.Woken(True), after=100.0)
     assert len(board) < 20 and len(host.router.desk.asked_for) <= 4096 + 200
-    leg.server.life = Life.GONE    # one that still has a leg stays until it has ended
+    leg.server.life = Life.GONE  # one that still has a leg stays until it has ended
     host.tell(port.Listed((leg.server,)))
     for _ in range(8):
         host.tell(port.Woken(True), after=100.0)
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -1,5 +1,6 @@
 """The clients against a gateway: they stream, abort, come back when told, and never repeat what may have run. And the
 examples, each run to its end."""
+
 from __future__ import annotations
 
 import json
@@ -24,15 +25,20 @@
 
 
 async def node(w: World, script: str, *args: str) -> str:
-    done = await trio.run_process([str(NODE), str(JS / script), f"http://{w.gateway.address}", *args],
-                                  capture_stdout=True, capture_stderr=True, check=False)
+    done = await trio.run_process(
+        [str(NODE), str(JS / script), f"http://{w.gateway.address}", *args],
+        capture_stdout=True,
+        capture_stderr=True,
+        check=False,
+    )
     assert done.returncode == 0, done.stderr.decode()[-2000:]
     return done.stdout.decode()
 
 
 @needs_node
-@pytest.mark.parametrize("scene, effects", [
-    ("served", 2), ("aborted", 1), ("throttled", 1), ("lost", 1), ("keyed", 1), ("unreached", 0)])
+@pytest.mark.parametrize(
+    "scene, effects", [("served", 2), ("aborted", 1), ("throttled", 1), ("lost", 1), ("keyed", 1), ("unreached", 0)]
+)
 async def test_the_javascript_client(scene: str, effects: int) -> None:
     async with world(("r0", "w0", "w0b"), build=replace(BUILD, tok_ms=10.0)) as w:
         if scene == "throttled":
@@ -41,6 +47,7 @@
             async def fill() -> None:
                 await trio.sleep(0.4)
                 w.list()
+
             w.nursery.start_soon(fill)
         if scene == "lost":
             for ident in ("w0", "w0b"):
@@ -70,6 +77,7 @@
 
 async def test_the_python_client_streams_comes_back_and_leaves() -> None:
     async with world(("r0", "w0"), build=replace(BUILD, tok_ms=10.0)) as w:
+
         def talk() -> None:
             with Client(f"http://{w.gateway.address}") as client:
                 pieces = list(client.stream(REQUEST))
@@ -82,7 +90,8 @@
                 assert bad.value.param == "model"
                 left = client.stream(REQUEST)
                 next(left)
-                left.close()    # type: ignore[attr-defined]
+                left.close()  # type: ignore[attr-defined]
+
         await trio.to_thread.run_sync(talk)
         await w.settled()
         assert len(w.said("effect")) == 3 and w.said("leg_end")[-1]["how"] == "dropped"
@@ -91,6 +100,7 @@
         async def fill() -> None:
             await trio.sleep(0.2)
             w.list()
+
         w.nursery.start_soon(fill)
 
         def back() -> None:
@@ -99,6 +109,7 @@
             with Client(f"http://{w.gateway.address}", retries=0) as client, pytest.raises(Throttled) as no:
                 client.complete(REQUEST, time_limit_ms=1)
             assert no.value.retry_after_ms is not None
+
         await trio.to_thread.run_sync(back)
 
 
@@ -114,22 +125,34 @@
             with Client("http://127.0.0.1:9", retries=1) as nobody, pytest.raises(Unconnected) as refused:
                 nobody.complete(REQUEST)
             assert not refused.value.may_have_run
+
         await trio.to_thread.run_sync(lost)
         assert len(w.said("effect")) == 1
-        broken = Scripted([b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
-                           b"3a\r\ndata: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"a\"}}]}\n\n\r\n", "reset"])
+        broken = Scripted(
+            [
+                b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+                b'3a\r\ndata: {"choices":[{"index":0,"delta":{"content":"a"}}]}\n\n\r\n',
+                "reset",
+            ]
+        )
         await broken.run(w.nursery)
 
         def torn() -> None:
             with Client(f"http://{broken.address}", retries=3) as client, pytest.raises(Unconnected) as why:
                 list(client.stream(REQUEST, idempotent=True))
             assert why.value.begun and why.value.may_have_run
+
         await trio.to_thread.run_sync(torn)
         assert broken.asked == 1
 
 
 @pytest.mark.parametrize("name", sorted(p.name for p in (ROOT / "examples").glob("*.py")))
 def test_examples_run_to_their_end(name: str) -> None:
-    done = subprocess.run([sys.executable, str(ROOT / "examples" / name)], capture_output=True, text=True, timeout=60,
-                          env={**os.environ, "PYTHONPATH": str(ROOT)})
+    done = subprocess.run(
+        [sys.executable, str(ROOT / "examples" / name)],
+        capture_output=True,
+        text=True,
+        timeout=60,
+        env={**os.environ, "PYTHONPATH": str(ROOT)},
+    )
     assert done.returncode == 0, done.stderr[-2000:]
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -1,4 +1,5 @@
 """Many routers and one cold server, in virtual time: the sum of all keeps to what the settings allow, and uses it."""
+
 from __future__ import annotations
 
 import heapq
@@ -24,6 +25,7 @@
 @dataclass(eq=False)
 class Fleet:
     """Servers that answer in fixed times, and routers that share `rate` requests a second as evenly as chance does."""
+
     routers: int
     rate: float
     peers: int = 6
@@ -31,17 +33,29 @@
     sent: list[tuple[float, Server]] = field(default_factory=list)
 
     def __post_init__(self) -> None:
-        self.servers = [Server("east", n // 2, duty, 300e3, mark=zlib.crc32(b"%d %s" % (n, duty.name.encode())))
-                        for n in range(self.peers) for duty in (Duty.READ, Duty.WRITE)]
+        self.servers = [
+            Server("east", n // 2, duty, 300e3, mark=zlib.crc32(b"%d %s" % (n, duty.name.encode())))
+            for n in range(self.peers)
+            for duty in (Duty.READ, Duty.WRITE)
+        ]
         self.order, self.due = count(), list[tuple[float, int, int, port.Event]]()
         self.all = [self.router(n) for n in range(self.routers)]
 
     def router(self, nth: int) -> Router:
-        facts = replace(FACTS, seed=nth * 7919 + 1, gateways=self.routers, products=(PRODUCT,), idle_ms=30e3,
-                        fall_multiple=MULTIPLE, cold_from=COLD_FROM, cold_ms=COLD_MS, fall_ms=FALL_MS)
+        facts = replace(
+            FACTS,
+            seed=nth * 7919 + 1,
+            gateways=self.routers,
+            products=(PRODUCT,),
+            idle_ms=30e3,
+            fall_multiple=MULTIPLE,
+            cold_from=COLD_FROM,
+            cold_ms=COLD_MS,
+            fall_ms=FALL_MS,
+        )
         made = Router(facts)
         self.mine = getattr(self, "mine", {})
-        self.mine[nth] = [replace(s, seat=None) for s in self.servers]    # seats are each router's own
+        self.mine[nth] = [replace(s, seat=None) for s in self.servers]  # seats are each router's own
         self.act(nth, made.take(self.now, [port.Listed(tuple(self.mine[nth]))]))
         return made
 
@@ -103,13 +117,13 @@
     fleet.restart(*cold)
     fleet.run(FALL_MS)
     got, budget = {}, MULTIPLE * COLD_FROM * rates[Duty.READ] * FALL_MS
-    for server in cold:    # at its very coldest
+    for server in cold:  # at its very coldest
         got[server] = fleet.most(server, start, FALL_MS)
         assert got[server] <= budget + 2 * sqrt(budget) + 2, (server.duty, got[server], budget)
-    least = budget / 4 if together == fleet.peers else 1    # where they are needed each part is spent, also below one
+    least = budget / 4 if together == fleet.peers else 1  # where they are needed each part is spent, also below one
     assert min(got.values()) >= least, (sorted(got.values()), budget)
     fleet.run(COLD_MS - FALL_MS)
-    for server in cold:    # never more than a warm one of its size could be pushed over by
+    for server in cold:  # never more than a warm one of its size could be pushed over by
         budget = MULTIPLE * rates[server.duty] * FALL_MS
         assert fleet.most(server, start, FALL_MS) <= budget + 2 * sqrt(budget) + 2
 
--- a/tests/test_crossings_clients.py
+++ b/tests/test_crossings_clients.py
@@ -2,6 +2,7 @@
 
 Each order of events is forced by gates in the stand-ins or by sockets whose bytes arrive at a chosen moment.
 """
+
 from __future__ import annotations
 
 import errno
@@ -29,6 +30,7 @@
 
 # -- the idle limit, and closing for descriptors
 
+
 async def test_a_request_that_arrives_as_the_idle_time_ends_is_served(nursery: trio.Nursery) -> None:
     stream, client = await pair()
     late = LateBytes(stream, lambda: client.send(PLAIN))
@@ -57,10 +59,10 @@
         side = server_side(p, client)
         client.send(whole[:part])
         arrived(side)
-        assert not p.gateway.front.displace()    # before the gateway has had a turn to read it
+        assert not p.gateway.front.displace()  # before the gateway has had a turn to read it
         if part is not None:
             await until(lambda: not p.gateway.front.idle)
-            assert not p.gateway.front.displace()    # and after that
+            assert not p.gateway.front.displace()  # and after that
             client.send(whole[part:])
         assert (await client.answer()).startswith(b"HTTP/1.1 200 ")
         client.sock.close()
@@ -75,7 +77,8 @@
 
 
 async def test_a_request_behind_an_answer_whose_last_bytes_are_still_being_written_is_the_next_one(
-        monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     """The client has the whole answer, and asks again, before the gateway's own write of its end has returned."""
     async with platform("r0", "w0") as p:
         written, gate = exchange_module.Exchange.send, Gate()
@@ -84,14 +87,15 @@
             await written(self, data)
             if data.endswith(b"0\r\n\r\n") and not gate.opened.is_set():
                 await gate.hold()
+
         monkeypatch.setattr(exchange_module.Exchange, "send", slow_end)
         client = Client(p.address)
         client.send(request(p))
         first = await client.answer()
         assert first.startswith(b"HTTP/1.1 200 ") and gate.reached.is_set()
-        client.send(request(p, BODY[:-1] + b" " * 100_000 + b"}"))    # larger than what is kept ahead of its turn
+        client.send(request(p, BODY[:-1] + b" " * 100_000 + b"}"))  # larger than what is kept ahead of its turn
         await until(lambda: p.gateway.front.conns == 1)
-        for _ in range(20):    # turns for whoever reads meanwhile
+        for _ in range(20):  # turns for whoever reads meanwhile
             await trio.lowlevel.checkpoint()
         gate.open()
         assert (await client.answer()).startswith(b"HTTP/1.1 200 ")
@@ -107,12 +111,14 @@
             data = bytes(await self.inner.receive_some(max_bytes))
             client.leave("reset")
             return data
+
     client.send(PLAIN)
-    await ServerConnection(cast(Any, Reset(stream)), hello, LIMITS).serve()    # raises nothing
+    await ServerConnection(cast(Any, Reset(stream)), hello, LIMITS).serve()  # raises nothing
 
 
 # -- an answer's end
 
+
 async def test_what_a_client_sends_at_the_end_of_a_broken_stream_does_not_reset_its_events() -> None:
     """Unread bytes at the close would turn the end into a reset, which takes events with it."""
     async with platform("r0", "w0") as p:
@@ -121,10 +127,11 @@
         settle = node.settle
 
         def at_the_end(ticket: Any, final: Any) -> None:
-            client.send(b"x" * 100)    # still unread when the connection is ended, in this same turn
+            client.send(b"x" * 100)  # still unread when the connection is ended, in this same turn
             arrived(ticket.exchange.stream)
             settle(ticket, final)
-        node.settle = at_the_end    # type: ignore[method-assign]
+
+        node.settle = at_the_end  # type: ignore[method-assign]
         client.send(request(p))
         out = await client.rest()
         assert EVENT in out and not out.endswith(b"0\r\n\r\n") and not client.reset
@@ -142,6 +149,7 @@
 
 # -- slow clients
 
+
 async def test_a_slow_client_may_write_for_as_long_as_a_silent_one_may_stay() -> None:
     """The page ends those who send nothing 3 s after they connect; all of that is a slow client's, less the way."""
     async with platform("r0", "w0") as p:
@@ -162,6 +170,7 @@
 
 # -- the shutdown
 
+
 @pytest.mark.parametrize("sent", ["nothing", "unread", "half a head", "half a body"])
 @pytest.mark.parametrize("served", [False, True])
 async def test_what_a_shutdown_meets_on_a_connection_is_answered_or_ended_cleanly(sent: str, served: bool) -> None:
@@ -177,8 +186,8 @@
             client.send(whole[:part])
             arrived(side)
         if sent.startswith("half"):
-            await until(lambda: not p.gateway.front.idle)    # it has been read
-        p.gateway.begin_drain()    # in this very turn: nobody has read meanwhile
+            await until(lambda: not p.gateway.front.idle)  # it has been read
+        p.gateway.begin_drain()  # in this very turn: nobody has read meanwhile
         p.nursery.start_soon(p.gateway.drain)
         if part:
             if part < len(whole):
@@ -192,7 +201,8 @@
 
 
 async def test_a_request_that_meets_the_end_of_an_answer_during_a_shutdown_is_answered_and_is_the_last(
-        monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     """The head of that answer could not say yet that the connection ends, so its client may ask again at once."""
     async with platform("r0", "w0") as p:
         gate = p.servers["w0"].gates["end"] = Gate()
@@ -201,8 +211,9 @@
         async def send(self: Exchange, data: bytes) -> None:
             await written(self, data)
             if data.endswith(b"0\r\n\r\n") and self.stream.socket.getpeername() == client.sock.getsockname():
-                client.send(request(p))    # arrives while this answer's last bytes are written
+                client.send(request(p))  # arrives while this answer's last bytes are written
                 arrived(self.stream)
+
         monkeypatch.setattr(Exchange, "send", send)
         client.send(request(p))
         await gate.reached.wait()
@@ -228,8 +239,9 @@
         async def drain() -> None:
             await p.gateway.drain()
             done.set()
+
         p.nursery.start_soon(drain)
-        await until(lambda: p.gateway.listener.socket.fileno() < 0)    # all that the drain closes is closed
+        await until(lambda: p.gateway.listener.socket.fileno() < 0)  # all that the drain closes is closed
         assert not done.is_set()
         gate.open()
         out = await client.rest()
@@ -257,9 +269,9 @@
         p.gateway.accepting.cancel()
         idle = p.gateway.front
         await trio.testing.wait_all_tasks_blocked()
-        client = Client(p.address)    # left to the listener's queue
+        client = Client(p.address)  # left to the listener's queue
         client.send(request(p))
-        p.gateway.listener = ShortOfDescriptors(p.gateway.listener, 3, number)    # type: ignore[assignment]
+        p.gateway.listener = ShortOfDescriptors(p.gateway.listener, 3, number)  # type: ignore[assignment]
         p.nursery.start_soon(p.gateway.drain)
         assert (await client.answer()).startswith((b"HTTP/1.1 200 ", b"HTTP/1.1 503 "))
         assert idle.node.counts["no descriptors"] == (0 if number == errno.ECONNABORTED else 3)
@@ -269,7 +281,7 @@
 async def test_a_shutdown_ends_though_no_descriptor_comes_free(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(front_module, "SHORT_MS", 1.0)
     async with platform("r0", "w0") as p:
-        p.gateway.listener = ShortOfDescriptors(p.gateway.listener, 10**9, errno.EMFILE)    # type: ignore[assignment]
+        p.gateway.listener = ShortOfDescriptors(p.gateway.listener, 10**9, errno.EMFILE)  # type: ignore[assignment]
         with trio.fail_after(4):
             await p.gateway.drain()
 
@@ -280,7 +292,7 @@
         p.gateway.accepting.cancel()
         await trio.testing.wait_all_tasks_blocked()
         clients = [Client(p.address) for _ in range(3)]
-        with trio.fail_after(1.5):    # a silent connection would rest for 2.3 s
+        with trio.fail_after(1.5):  # a silent connection would rest for 2.3 s
             await p.gateway.drain()
         for client in clients:
             assert await client.rest() == b"" and not client.reset
@@ -289,6 +301,7 @@
 
 # -- clients that leave
 
+
 @pytest.mark.parametrize("how", ["close", "half-close", "reset"])
 @pytest.mark.parametrize("where", ["read", "hand-over", "stream"])
 async def test_a_client_that_leaves_is_sent_on_no_more_and_nothing_stays_held(how: str, where: str) -> None:
@@ -310,10 +323,10 @@
     """They wait for a place while every server is believed full; then they leave, and places come free."""
     async with platform("r0", "w0") as p:
         gate = p.servers["r0"].gates["request"] = Gate()
-        desk = p.gateway.node.chooser.desk    # type: ignore[attr-defined]
+        desk = p.gateway.node.chooser.desk  # type: ignore[attr-defined]
         p.discovery.put("r0", p.servers["r0"].address, "reader", "DRAINING")
         await until(lambda: p.gateway.node.roster.servers["r0"].life.name == "DRAINING")
-        desk.served = lambda course: True    # it waits, rather than being rejected at once
+        desk.served = lambda course: True  # it waits, rather than being rejected at once
         clients = [Client(p.address) for _ in range(40)]
         for client in clients:
             client.send(request(p))
--- a/tests/test_crossings_lists.py
+++ b/tests/test_crossings_lists.py
@@ -2,6 +2,7 @@
 
 The order is forced by gates in the stand-in agent; times are the registry's own, shortened where a test waits for them.
 """
+
 from __future__ import annotations
 
 import json
@@ -34,6 +35,7 @@
 
 # -- the first list and the first request
 
+
 async def restarted(p: Platform, known: bytes) -> process.Gateway:
     """Another process of the same gateway, that knows the servers by an older list; not started yet."""
     host, _, number = p.discovery.address.partition(":")
@@ -50,10 +52,10 @@
         gateway = await restarted(p, known)
         p.nursery.start_soon(gateway.start)
         await gate.reached.wait()
-        assert not gateway.front.ready    # also not asked whether it is: it takes no connection yet
+        assert not gateway.front.ready  # also not asked whether it is: it takes no connection yet
         p.address = "127.0.0.1:%d" % gateway.listener.socket.getsockname()[1]
         client = Client(p.address)
-        client.send(request(p))    # waits in the listener's queue
+        client.send(request(p))  # waits in the listener's queue
         gate.open()
         assert (await client.answer()).startswith(b"HTTP/1.1 200 ")
         assert gateway.front.ready and [n for n, k, _ in p.fleet.seen if k == "write"] == ["w1"]
@@ -75,6 +77,7 @@
 
 # -- the worst case of each path
 
+
 def test_what_a_new_address_has_to_tell_is_heard_in_time_though_the_first_call_hangs() -> None:
     call = registry.CONNECT_MS + registry.HEAD_MS
     assert registry.MOVED_WORST_MS == 2 * call + registry.SPREAD[1] * registry.RETRY_MS < registry.MOVED_MS
@@ -97,6 +100,7 @@
             index[0] = listing.index
             if any(entry.status == "DRAINING" for entry in listing.endpoints):
                 heard.set()
+
         if when == "at once":
             discovery.silent = True
         watch = registry.Watch((host, int(number)), lambda: index[0], hear, lambda _: None, 7, nursery, None)
@@ -112,7 +116,7 @@
             discovery.garbage = b'{"index":9,"snapshot":false,"endpo'
             discovery.put("w1", "127.0.0.1:2", "writer")
             await until(lambda: not discovery.garbage)
-        discovery.hush()    # open watches say no more, new ones are served
+        discovery.hush()  # open watches say no more, new ones are served
         discovery.put("w0", "127.0.0.1:1", "writer", "DRAINING")
         since = trio.current_time()
         await until(heard.is_set)
@@ -127,11 +131,12 @@
     async def pause(_: Any, usual_ms: float) -> None:
         pauses.append(usual_ms)
         await trio.sleep(usual_ms / 1000)
+
     monkeypatch.setattr(registry.Watch, "_pause", pause)
     monkeypatch.setattr(registry, "SILENT_MS", 250.0)
     async with platform("r0", "w0") as p:
         await p.gateway.watch.opened.wait()
-        await trio.sleep(0.3)    # it has worked for longer than it may be silent
+        await trio.sleep(0.3)  # it has worked for longer than it may be silent
         for stream in list(p.discovery.conns):
             stream.socket.close()
         await until(lambda: len(p.discovery.asked) == 2)
@@ -148,12 +153,15 @@
 
 # -- the move of discovery
 
+
 async def test_an_old_agent_whose_watch_ends_during_a_pause_is_not_asked_again_after_the_move(
-        monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     gate = Gate()
 
     async def held(*_: Any) -> None:
         await gate.hold()
+
     async with platform("r0", "w0") as p:
         monkeypatch.setattr(registry.Watch, "_pause", held)
         other = Discovery(p.nursery, 100.0)
@@ -162,8 +170,8 @@
         await p.gateway.watch.opened.wait()
         for stream in list(p.discovery.conns):
             stream.socket.close()
-        await gate.reached.wait()    # the old watch has ended, and waits before it would ask again
-        other.gates["watch"] = Gate()    # so that the new one has not spoken yet
+        await gate.reached.wait()  # the old watch has ended, and waits before it would ask again
+        other.gates["watch"] = Gate()  # so that the new one has not spoken yet
         asked = len(p.discovery.asked)
         host, _, number = other.address.partition(":")
         p.gateway.watch.move((host, int(number)))
@@ -198,19 +206,20 @@
         other.index, other.log, other.entries = p.discovery.index, list(p.discovery.log), dict(p.discovery.entries)
         await other.start()
         gate = p.discovery.gates["list"] = Gate()
-        p.discovery.put("w9", "127.0.0.1:9", "writer")    # the old agent is about to say something
+        p.discovery.put("w9", "127.0.0.1:9", "writer")  # the old agent is about to say something
         await gate.reached.wait()
         other.put("w0", p.servers["w0"].address, "writer", "DRAINING")
         host, _, number = other.address.partition(":")
         p.gateway.watch.move((host, int(number)))
         await until(lambda: life(p, "w0") is Life.DRAINING)
         gate.open()
-        p.gateway.node.listed(read_listing(old))    # as it would come from there
+        p.gateway.node.listed(read_listing(old))  # as it would come from there
         assert life(p, "w0") is Life.DRAINING
 
 
 # -- reloads
 
+
 async def test_a_reload_takes_over_the_limits_of_connections(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     """A customer with other limits must not meet the first one's; and back again."""
     async with platform("r0", "w0") as p:
@@ -222,16 +231,33 @@
         path = tmp_path / "config.json"
 
         def write(settings: dict[str, Any], **more: Any) -> None:
-            path.write_text(json.dumps({"name": "n0", "listen": p.address, "discovery": p.discovery.address,
-                                        "seed": "1", "settings": settings} | more))
+            path.write_text(
+                json.dumps(
+                    {
+                        "name": "n0",
+                        "listen": p.address,
+                        "discovery": p.discovery.address,
+                        "seed": "1",
+                        "settings": settings,
+                    }
+                    | more
+                )
+            )
             monkeypatch.setenv("NODE_CONFIG", str(path))
             p.gateway.reload()
+
         write(TOLD | {"limits": limits}, limits={"sockets": 200, "memory_mb": 64})
         assert (pool.connect_ms, pool.idle_ms, pool.limit) == (90.0, 720.0, 90)
         assert (front.conn_limit, front.open_limit, front.held_bytes) == (90, 80, int(64 * 2**20 * 0.2))
         write(TOLD)
-        assert (pool.connect_ms, pool.idle_ms, pool.limit, front.conn_limit, front.open_limit,
-                front.held_bytes) == first
+        assert (
+            pool.connect_ms,
+            pool.idle_ms,
+            pool.limit,
+            front.conn_limit,
+            front.open_limit,
+            front.held_bytes,
+        ) == first
 
 
 async def test_kept_connections_that_a_shorter_idle_limit_forbids_are_closed() -> None:
@@ -248,8 +274,9 @@
         assert not pool.resting and not pool.open
 
 
-async def test_settings_beside_the_start_facts_are_taken_over_too(tmp_path: Path, monkeypatch: pytest.MonkeyPatch
-                                                                  ) -> None:
+async def test_settings_beside_the_start_facts_are_taken_over_too(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     """Memory of a kind of server, tenants, columns of reports: a reload that changed only these changed nothing."""
     async with platform("r0", "w0") as p:
         kinds = TOLD["specifics"] | {"tokens_by_kind": [1000, 3000]}
@@ -257,14 +284,15 @@
         servers, first = p.gateway.node.roster.servers, p.gateway.node.deployment.tenants["a"]
         assert servers["r0"].mem_toks == 1000 and servers["w0"].mem_toks == 3000
         reload(p, tmp_path, monkeypatch, TOLD | {"tenants": [{"name": "a"}, {"name": "b"}]})
-        assert p.gateway.node.deployment.tenants["a"] is first    # still the same customer
+        assert p.gateway.node.deployment.tenants["a"] is first  # still the same customer
         assert servers["r0"].mem_toks == 200000 and len(p.gateway.node.deployment.tenants) == 2
 
 
 async def test_nothing_that_was_learnt_under_other_terms_shows_under_new_ones(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     async with platform("r0", "w0") as p:
-        node, desk = p.gateway.node, p.gateway.node.chooser.desk    # type: ignore[attr-defined]
+        node, desk = p.gateway.node, p.gateway.node.chooser.desk  # type: ignore[attr-defined]
         for _ in range(3):
             assert (await p.ask()).status == 200
         old = node.deployment.products["summary"]
@@ -274,15 +302,16 @@
         new = node.deployment.products["summary"]
         tables = desk.prompt, desk.learnt_at, desk.told
         assert new is not old and not any(product in table for product in (old, new) for table in tables)
-        assert desk.usual_ms(new, "read") == 700.0 / 8    # as if nothing had been met yet
-        reload(p, tmp_path, monkeypatch, TOLD)    # and back: its terms are new ones again
+        assert desk.usual_ms(new, "read") == 700.0 / 8  # as if nothing had been met yet
+        reload(p, tmp_path, monkeypatch, TOLD)  # and back: its terms are new ones again
         assert desk.usual_ms(node.deployment.products["summary"], "read") == 500.0 / 8
         assert (await p.ask()).status == 200
         await p.settled()
 
 
 async def test_a_request_that_is_open_during_a_reload_ends_under_the_terms_it_came_with(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     async with platform("r0", "w0") as p:
         gate = p.servers["w0"].gates["request"] = Gate()
         client = Client(p.address)
@@ -290,7 +319,7 @@
         await gate.reached.wait()
         other = [profile | {"name": profile["name"] + "-2"} for profile in TOLD["profiles"]]
         reload(p, tmp_path, monkeypatch, TOLD | {"profiles": other})
-        assert (await p.ask()).status == 400    # the class is not served any more
+        assert (await p.ask()).status == 400  # the class is not served any more
         gate.open()
         assert (await client.answer()).startswith(b"HTTP/1.1 200 ")
         assert (await p.ask(Request_Class="summary-2")).status == 200
@@ -301,14 +330,29 @@
 # -- the start
 
 # What `run` reads in beside the standard library: each costs every restart its time and every gateway its memory.
-PACKAGES = {"ternlane", "trio", "h11", "msgspec", "structlog", "attr", "attrs", "outcome", "sniffio",
-            "sortedcontainers", "idna", "typing_extensions", "exceptiongroup"}
+PACKAGES = {
+    "ternlane",
+    "trio",
+    "h11",
+    "msgspec",
+    "structlog",
+    "attr",
+    "attrs",
+    "outcome",
+    "sniffio",
+    "sortedcontainers",
+    "idna",
+    "typing_extensions",
+    "exceptiongroup",
+}
 MODULES = {"choice", "deployment", "http1", "notes", "platform", "port", "turns"}
 
 
 def test_the_process_imports_no_more_than_it_needs() -> None:
-    program = ("import sys, json; before = set(sys.modules); import ternlane.platform.process; "
-               "print(json.dumps(sorted(set(sys.modules) - before)))")
+    program = (
+        "import sys, json; before = set(sys.modules); import ternlane.platform.process; "
+        "print(json.dumps(sorted(set(sys.modules) - before)))"
+    )
     out = subprocess.run([sys.executable, "-c", program], capture_output=True, text=True, timeout=60, check=True)
     names = json.loads(out.stdout)
     tops = {name.partition(".")[0] for name in names} - set(sys.stdlib_module_names)
@@ -332,20 +376,31 @@
         p.address = "127.0.0.1:%d" % spare.socket.getsockname()[1]
         spare.socket.close()
         config = tmp_path / "config.json"
-        config.write_text(json.dumps({"name": "n0", "listen": p.address, "discovery": p.discovery.address,
-                                      "seed": "ff", "known": p.discovery.listing(), "settings": TOLD}))
+        config.write_text(
+            json.dumps(
+                {
+                    "name": "n0",
+                    "listen": p.address,
+                    "discovery": p.discovery.address,
+                    "seed": "ff",
+                    "known": p.discovery.listing(),
+                    "settings": TOLD,
+                }
+            )
+        )
         env = os.environ | {"NODE_CONFIG": str(config)}
         for _ in range(5):
-            process_ = await trio.lowlevel.open_process([sys.executable, "-m", "ternlane.platform"], env=env,
-                                                        stderr=subprocess.DEVNULL)
+            process_ = await trio.lowlevel.open_process(
+                [sys.executable, "-m", "ternlane.platform"], env=env, stderr=subprocess.DEVNULL
+            )
             try:
                 await until_ready(p)
                 used_s = processor_s(process_.pid)
                 client = Client(p.address)
                 client.send(request(p)[:40])
             finally:
-                process_.send_signal(signal.SIGKILL)    # with a connection accepted, and half a request on it
+                process_.send_signal(signal.SIGKILL)  # with a connection accepted, and half a request on it
                 await process_.wait()
             assert await client.rest() == b""
             client.sock.close()
-            assert used_s < 1.0    # a tenth of a core has it ready within 10 s
+            assert used_s < 1.0  # a tenth of a core has it ready within 10 s
--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -1,4 +1,5 @@
 """The short bad day, played through processes and sockets; the published OpenAI client; the daemon's signals."""
+
 from __future__ import annotations
 
 import json
@@ -20,9 +21,29 @@
 from ternlane.paper import read_paper
 
 DAYS = Path(__file__).parent.parent / "days"
-KINDS = {"burst", "crash", "hang", "slow", "pauses", "neighbour", "flush", "answer_lost", "handshake_slow",
-         "heavy_tail", "hot_key", "origin_slow", "zone_cut", "mass_restart", "preempt", "balancer_crash",
-         "balancer_roll", "registry_fails", "release", "tenant_rush", "stream_broken"}
+KINDS = {
+    "burst",
+    "crash",
+    "hang",
+    "slow",
+    "pauses",
+    "neighbour",
+    "flush",
+    "answer_lost",
+    "handshake_slow",
+    "heavy_tail",
+    "hot_key",
+    "origin_slow",
+    "zone_cut",
+    "mass_restart",
+    "preempt",
+    "balancer_crash",
+    "balancer_roll",
+    "registry_fails",
+    "release",
+    "tenant_rush",
+    "stream_broken",
+}
 
 
 def run(*args: str) -> subprocess.CompletedProcess[str]:
@@ -56,12 +77,22 @@
 
 def gate(tmp_path: Path, **more: Any) -> tuple[Path, int]:
     import socket
+
     with socket.socket() as s:
         s.bind(("127.0.0.1", 0))
         port = s.getsockname()[1]
     path = tmp_path / "g.json5"
-    path.write_text(json.dumps({"name": "g1", "listen": f"127.0.0.1:{port}", "products": [
-        {"name": "summary", "slo_ms": 500, "limit_ms": 2000}], "nodes": {"from": "inline", "nodes": []}} | more))
+    path.write_text(
+        json.dumps(
+            {
+                "name": "g1",
+                "listen": f"127.0.0.1:{port}",
+                "products": [{"name": "summary", "slo_ms": 500, "limit_ms": 2000}],
+                "nodes": {"from": "inline", "nodes": []},
+            }
+            | more
+        )
+    )
     return path, port
 
 
@@ -77,8 +108,9 @@
 
 def test_the_daemon_reloads_drains_and_says_what_is_wrong(tmp_path: Path) -> None:
     path, port = gate(tmp_path)
-    process = subprocess.Popen([sys.executable, "-m", "ternlane", "serve", str(path)], text=True,
-                               stderr=subprocess.PIPE)
+    process = subprocess.Popen(
+        [sys.executable, "-m", "ternlane", "serve", str(path)], text=True, stderr=subprocess.PIPE
+    )
     try:
         wait_for(port)
         models = httpx.get(f"http://127.0.0.1:{port}/v1/models").json()
@@ -98,6 +130,7 @@
 
 def test_a_port_that_is_taken_is_said(tmp_path: Path) -> None:
     import socket
+
     path, port = gate(tmp_path)
     with socket.socket() as s:
         s.bind(("127.0.0.1", port))
@@ -114,15 +147,16 @@
         def talk() -> tuple[str, str, list[str], Any]:
             with openai.OpenAI(api_key="none", base_url=base, max_retries=0) as client:
                 plain = client.chat.completions.create(model="summary", messages=messages)
-                streamed = client.chat.completions.create(model="summary", messages=messages, stream=True,
-                                                          stream_options={"include_usage": True})
+                streamed = client.chat.completions.create(
+                    model="summary", messages=messages, stream=True, stream_options={"include_usage": True}
+                )
                 chunks = list(streamed)
                 text = "".join(c.choices[0].delta.content or "" for c in chunks if c.choices)
                 with pytest.raises(openai.NotFoundError) as bad:
                     client.chat.completions.create(model="nobody", messages=messages)
                 broken = client.chat.completions.create(model="summary", messages=messages, stream=True)
                 next(iter(broken))
-                broken.close()    # cancelled midway
+                broken.close()  # cancelled midway
                 assert chunks[-1].usage is not None and chunks[-1].usage.completion_tokens == 12
                 names = [m.id for m in client.models.list()]
                 return plain.choices[0].message.content or "", text, names, bad.value.code
@@ -136,11 +170,12 @@
             with openai.OpenAI(api_key="none", base_url=base, max_retries=2) as client:
                 return client.chat.completions.create(model="note", messages=messages).choices[0].message.content or ""
 
-        w.gateway.found([])    # nobody to ask: 429, and the client's own retries
+        w.gateway.found([])  # nobody to ask: 429, and the client's own retries
 
         async def back() -> None:
             await trio.sleep(0.2)
             w.list()
+
         w.nursery.start_soon(back)
         assert await trio.to_thread.run_sync(throttled_once) == text
         assert len(w.said("effect")) == 4
@@ -148,26 +183,67 @@
 
 def bench_day() -> dict[str, Any]:
     """A made-up day in the bench's form: two zones, eight servers, four troubles."""
-    kinds = [{"name": n, "effect": e, "group": "cell", "window": 4e6, "aim": 1e6, "deadline": 5e6, "worth": w,
-              "late_worth": 0.1, "share": 0.5} for n, e, w in (("ask", "safe", 2), ("file", "unsafe", 3))]
-    talk = {"aim_ms_per_k": 40, "token_ms": 60, "new_tokens": 300, "prefix_tokens": 900, "prefix_share": 0.7,
-            "prefixes": 4, "turns": 2, "think_s": 1}
+    kinds = [
+        {
+            "name": n,
+            "effect": e,
+            "group": "cell",
+            "window": 4e6,
+            "aim": 1e6,
+            "deadline": 5e6,
+            "worth": w,
+            "late_worth": 0.1,
+            "share": 0.5,
+        }
+        for n, e, w in (("ask", "safe", 2), ("file", "unsafe", 3))
+    ]
+    talk = {
+        "aim_ms_per_k": 40,
+        "token_ms": 60,
+        "new_tokens": 300,
+        "prefix_tokens": 900,
+        "prefix_share": 0.7,
+        "prefixes": 4,
+        "turns": 2,
+        "think_s": 1,
+    }
     none = {"size": 0.0, "extra": 0.0, "which": 0, "steps": []}
     return {
-        "family": "twostage", "site": "made up", "kind": "trouble", "noise": 11, "length": 20e6, "zones": ["a", "b"],
-        "front_notice": 1e6, "drain_grace": 1e6, "fall_multiple": 3, "fall_for": 2e6, "classes": kinds,
-        "traffic": {"load": 0.5, "shape": [[0, 1.0]]}, "balancers": [{}] * 4,
+        "family": "twostage",
+        "site": "made up",
+        "kind": "trouble",
+        "noise": 11,
+        "length": 20e6,
+        "zones": ["a", "b"],
+        "front_notice": 1e6,
+        "drain_grace": 1e6,
+        "fall_multiple": 3,
+        "fall_for": 2e6,
+        "classes": kinds,
+        "traffic": {"load": 0.5, "shape": [[0, 1.0]]},
+        "balancers": [{}] * 4,
         "servers": [{"zone": i // 4, "cell": i // 4, "kind": i % 2} for i in range(8)],
         "clients": {"retries": 2, "try_share": 0.8, "honour": 0.5, "impatient": 0, "max_retry_after": 5e5},
-        "discovery": {"notice": 5e5, "silent_notice": 2e6}, "allow": {"max_attempts": 4, "cancel": True},
+        "discovery": {"notice": 5e5, "silent_notice": 2e6},
+        "allow": {"max_attempts": 4, "cancel": True},
         "tiers": [{"connect_timeout": 2.5e5, "stated_cold": 8e6, "stated_cold_from": 0.3, "report_fields": ["x0"]}],
-        "fam": {"roles": ["read", "write"], "near": 3e5, "far": 1e5, "release": 5e5, "talks": [talk, talk],
-                "engines": [{"queue": 40}, {"queue": 20}]},
-        "troubles": [{"kind": "crash", "at": 4e6, "len": 6e6, "on": [0, 1]} | none,
-                     {"kind": "zone_cut", "at": 6e6, "len": 5e6, "on": []} | none | {"which": 1},
-                     {"kind": "preempt", "at": 7e6, "len": 5e6, "on": []} | none
-                     | {"size": 2.0, "extra": 6.0, "steps": [{"stop": [3], "start": [8]}, {"stop": [5], "start": [9]}]},
-                     {"kind": "unheard-of", "at": 8e6, "len": 1e6, "on": [1]} | none]}
+        "fam": {
+            "roles": ["read", "write"],
+            "near": 3e5,
+            "far": 1e5,
+            "release": 5e5,
+            "talks": [talk, talk],
+            "engines": [{"queue": 40}, {"queue": 20}],
+        },
+        "troubles": [
+            {"kind": "crash", "at": 4e6, "len": 6e6, "on": [0, 1]} | none,
+            {"kind": "zone_cut", "at": 6e6, "len": 5e6, "on": []} | none | {"which": 1},
+            {"kind": "preempt", "at": 7e6, "len": 5e6, "on": []}
+            | none
+            | {"size": 2.0, "extra": 6.0, "steps": [{"stop": [3], "start": [8]}, {"stop": [5], "start": [9]}]},
+            {"kind": "unheard-of", "at": 8e6, "len": 1e6, "on": [1]} | none,
+        ],
+    }
 
 
 def test_a_bench_day_becomes_a_script_that_can_be_played(tmp_path: Path) -> None:
@@ -177,7 +253,10 @@
     (tmp_path / "d.json5").write_text(done.stdout)
     day = read_paper(tmp_path / "d.json5", DayScript)
     assert [(str(t.__struct_config__.tag), t.at_s) for t in day.troubles] == [
-        ("crash", 2.0), ("zone_cut", 3.0), ("preempt", 3.5)]
+        ("crash", 2.0),
+        ("zone_cut", 3.0),
+        ("preempt", 3.5),
+    ]
     assert [p.effect for p in day.products] == ["idempotent", "side-effecting"] and day.products[0].slo_ms == 500
     assert sorted(e.duty for e in engines_of(day)) == ["read"] * 4 + ["write"] * 4
     assert sum(a.what == "drain" for a in acts_of(day)) == 2
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -1,4 +1,5 @@
 """The emulator's memory: blocks are never lost or doubled, whatever is taken, shared, cut and given back."""
+
 from __future__ import annotations
 
 import random
@@ -9,8 +10,10 @@
 
 from ternlane.emulator import Batch, Blocks, Build, Course, Held, chain
 
-STEPS = st.lists(st.tuples(st.sampled_from(["take", "grow", "seal", "back", "cut"]), st.integers(0, 11),
-                           st.integers(0, 7)), max_size=120)
+STEPS = st.lists(
+    st.tuples(st.sampled_from(["take", "grow", "seal", "back", "cut"]), st.integers(0, 11), st.integers(0, 7)),
+    max_size=120,
+)
 
 
 def whole(it: Blocks, open_: list[Held]) -> None:
@@ -19,7 +22,7 @@
     assert sorted([*it.free, *it.idle, *it.lost, *set(held)]) == list(range(it.total))
     assert all(it.refs[b] == held.count(b) for b in range(it.total))
     assert it.used == len(set(held)) and len(it.lost) + it.missing == it.gone
-    assert all(it.keys[b] is not None and it.known[it.keys[b][0]] == b for b in it.idle)    # type: ignore[index]
+    assert all(it.keys[b] is not None and it.known[it.keys[b][0]] == b for b in it.idle)  # type: ignore[index]
     assert all(it.keys[b] is None for b in it.free)
 
 
@@ -27,11 +30,11 @@
 @given(STEPS)
 @settings(max_examples=120, deadline=None)
 def test_no_block_is_lost_or_doubled(policy: str, steps: list[tuple[str, int, int]]) -> None:
-    it, open_, keys = Blocks(12, policy), list[Held](), chain(bytes(range(96)), 8)    # type: ignore[arg-type]
+    it, open_, keys = Blocks(12, policy), list[Held](), chain(bytes(range(96)), 8)  # type: ignore[arg-type]
     for what, a, b in steps:
         if what == "take":
             before = (it.room, it.used)
-            got = it.take(keys[:a % 5], a % 5 + b % 3)
+            got = it.take(keys[: a % 5], a % 5 + b % 3)
             if got is None:
                 assert (it.room, it.used) == before
             else:
@@ -69,7 +72,7 @@
     it.give_back(first)
     it.give_back(second)
     assert it.find(keys) == 4 and it.used == 0
-    other = it.take(chain(b"z" * 32, 8), 4)    # two are free; two of the kept ones must go: the ends
+    other = it.take(chain(b"z" * 32, 8), 4)  # two are free; two of the kept ones must go: the ends
     assert other is not None and it.find(keys) == 2 and it.evicted == 2
     assert it.take(chain(b"y" * 32, 8), 4) is None
 
@@ -102,7 +105,7 @@
     rng, hits = random.Random(3), {}
     texts = [chain(bytes([i]) * 64, 16) for i in range(40)]
     for policy in ("lru", "clock"):
-        it, found, asked = Blocks(64, policy), 0, 0    # type: ignore[arg-type]
+        it, found, asked = Blocks(64, policy), 0, 0  # type: ignore[arg-type]
         for n in range(4000):
             keys = texts[min(39, int(rng.paretovariate(0.8)) - 1)] if n % 2 else chain(b"%032d" % n * 2, 16)
             held = it.take(keys, len(keys))
@@ -123,7 +126,8 @@
 @given(LOADS, st.integers(4, 30), st.integers(1, 6), st.integers(8, 64), st.data())
 @settings(max_examples=150, deadline=None)
 def test_every_sequence_comes_to_its_end_or_was_refused_and_none_passes_memory(
-        loads: list[tuple[int, int, int]], blocks: int, slots: int, step_toks: int, data: st.DataObject) -> None:
+    loads: list[tuple[int, int, int]], blocks: int, slots: int, step_toks: int, data: st.DataObject
+) -> None:
     it = Batch(Build(blocks=blocks, block_toks=16, slots=slots, step_toks=step_toks))
     texts = [bytes([i]) * 400 for i in range(4)]
     taken: list[Course] = []
@@ -162,7 +166,7 @@
     it.add(Course(1000, 5))
     steps = [it.step() for _ in range(9)]
     assert alone is not None and len(alone.wrote) == 8
-    assert all(s is not None and len(s.wrote) >= 8 and s.read_toks <= 120 for s in steps)    # nobody waits for it
+    assert all(s is not None and len(s.wrote) >= 8 and s.read_toks <= 120 for s in steps)  # nobody waits for it
     assert all(s is not None and s.ms > alone.ms for s in steps[:8])
 
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,4 +1,5 @@
 """Emulated engines and links: what is sent comes out once, whatever is cancelled, cut, lost or slow."""
+
 from __future__ import annotations
 
 from collections import Counter
@@ -45,10 +46,10 @@
     link, ends, jobs = Link(float(rate)), dict[int, float](), list[Transfer]()
     for i, (at, toks) in enumerate(sizes):
         for when, it in link.ended(at):
-            ends[it.job] = when    # type: ignore[index]
+            ends[it.job] = when  # type: ignore[index]
         jobs.append(link.begin(at, toks, i))
     for when, it in link.ended(1e9):
-        ends[it.job] = when    # type: ignore[index]
+        ends[it.job] = when  # type: ignore[index]
     assert [ends[i] for i in range(len(sizes))] == pytest.approx(slowly(sizes, float(rate)), abs=1e-6)
     assert link.carried == pytest.approx(sum(toks for _, toks in sizes)) and link.many == 0 and link.next_at() == inf
 
@@ -56,7 +57,7 @@
 def test_a_transfer_called_off_gives_its_share_to_the_others_and_a_clock_that_jumps_back_moves_nothing() -> None:
     link = Link(10.0)
     gone, stays = link.begin(0.0, 1000.0, "a"), link.begin(0.0, 1000.0, "b")
-    link.call_off(100.0, gone)    # each has 500 by now
+    link.call_off(100.0, gone)  # each has 500 by now
     link.call_off(100.0, gone)
     link.forward(20.0)
     assert link.ended(149.0) == [] and link.ended(150.0) == [(150.0, stays)]
@@ -96,7 +97,7 @@
         assert counted(run(fleet), What.READ) == {held: 1} and reader.engine.memory.used == 63
         since = fleet.now
         assert fleet.write(since, target, job, reader, held)
-        assert not fleet.write(since, near, Job(Course(1000, 5)), reader, held)    # it is promised already
+        assert not fleet.write(since, near, Job(Course(1000, 5)), reader, held)  # it is promised already
         told = run(fleet)
         assert counted(told, What.TOKEN) == {job: 20} and counted(told, What.DONE) == {job: 1}
         assert reader.engine.memory.used == target.engine.memory.used == 0
@@ -171,7 +172,7 @@
         assert done[job] <= 1 and wrote[job] <= job.course.answer
         if job not in stopped:
             assert done[job] == 1 and wrote[job] == job.course.answer
-    for _ in helds:    # what is let go makes room for reads that waited
+    for _ in helds:  # what is let go makes room for reads that waited
         for held, seat in helds.items():
             fleet.let_go(fleet.now, seat, held)
         run(fleet)
@@ -218,7 +219,7 @@
     assert "vllm:num_requests_running 4" in seat.engine.load(150.0).metrics()
     assert '"num_requests_running": 4' in seat.engine.load(150.0).header()
     run(fleet)
-    assert seat.engine.true_load().running == 0 and seat.engine.load(fleet.now).running == 4    # it has not heard yet
+    assert seat.engine.true_load().running == 0 and seat.engine.load(fleet.now).running == 4  # it has not heard yet
 
 
 def test_a_driver_whose_clock_jumps_back_sees_nothing_twice() -> None:
@@ -236,24 +237,37 @@
 
 def test_an_engine_fitted_to_a_curve_has_the_points_left_out_too() -> None:
     told = CliRunner().invoke(main, ["lab", "fit", str(KINDS / "prefill.json5")])
-    assert told.exit_code == 0, told.output    # within 5% at medians and 10% at 99th percentiles
+    assert told.exit_code == 0, told.output  # within 5% at medians and 10% at 99th percentiles
     assert told.output.count("held out") == 3
     strict = read_paper(KINDS / "prefill.json5", EngineKind)
-    crooked = msgspec.structs.replace(strict, curve=[    # no pace has shorter steps with more in them
-        msgspec.structs.replace(p, between_ms=(40.0 / p.at_once, 50.0 / p.at_once)) for p in strict.curve])
+    crooked = msgspec.structs.replace(
+        strict,
+        curve=[  # no pace has shorter steps with more in them
+            msgspec.structs.replace(p, between_ms=(40.0 / p.at_once, 50.0 / p.at_once)) for p in strict.curve
+        ],
+    )
     assert fit(crooked).worst(held_out=True)[0] > 0.3
 
 
-@pytest.mark.parametrize("change, word", [
-    ("slots: 0", "slots"), ("step_toks: 'many'", "step_toks"), ("evicts: 'fifo'", "evicts"), ("curve: []", "curve"),
-    ("curve: [{at_once: 1, prompt: 10, answer: 5, first_ms: [1, 0], between_ms: [1, 1]}]", "first_ms"),
-    ("curve: [{at_once: 1, prompt: 10, answer: 5, first_ms: [1, 2], between_ms: [1, 1]}]", "at least two points"),
-    ("colour: 'red'", "colour")])
+@pytest.mark.parametrize(
+    "change, word",
+    [
+        ("slots: 0", "slots"),
+        ("step_toks: 'many'", "step_toks"),
+        ("evicts: 'fifo'", "evicts"),
+        ("curve: []", "curve"),
+        ("curve: [{at_once: 1, prompt: 10, answer: 5, first_ms: [1, 0], between_ms: [1, 1]}]", "first_ms"),
+        ("curve: [{at_once: 1, prompt: 10, answer: 5, first_ms: [1, 2], between_ms: [1, 1]}]", "at least two points"),
+        ("colour: 'red'", "colour"),
+    ],
+)
 def test_a_wrong_description_is_named_by_its_field(tmp_path: Path, change: str, word: str) -> None:
     path = tmp_path / "kind.json5"
-    path.write_text("{name: 'a', memory_toks: 1000, slots: 4, step_toks: 64, curve: "
-                    "[{at_once: 1, prompt: 10, answer: 5, first_ms: [1, 2], between_ms: [1, 1]},"
-                    " {at_once: 2, prompt: 10, answer: 5, first_ms: [1, 2], between_ms: [1, 1]}]}")
+    path.write_text(
+        "{name: 'a', memory_toks: 1000, slots: 4, step_toks: 64, curve: "
+        "[{at_once: 1, prompt: 10, answer: 5, first_ms: [1, 2], between_ms: [1, 1]},"
+        " {at_once: 2, prompt: 10, answer: 5, first_ms: [1, 2], between_ms: [1, 1]}]}"
+    )
     text = path.read_text()
     field = change.split(":")[0]
     at = text.find(f"{field}:")
--- a/tests/test_fleet_trial.py
+++ b/tests/test_fleet_trial.py
@@ -1,4 +1,5 @@
 """Stories of the fleet trial's further terms: lists in time, clients that leave, what is let go of under silence."""
+
 from __future__ import annotations
 
 import json
@@ -23,17 +24,18 @@
 
 # -- lists in time
 
+
 def test_the_worst_case_of_a_change_that_could_be_had_is_within_the_limit() -> None:
     """A call that hangs from the moment at which discovery could be reached again, then the longest wait."""
-    worst = (registry.SILENT_MS + registry.SPREAD[1] * registry.RETRY_MOST_MS + registry.CONNECT_MS
-             + registry.HEAD_MS)
+    worst = registry.SILENT_MS + registry.SPREAD[1] * registry.RETRY_MOST_MS + registry.CONNECT_MS + registry.HEAD_MS
     assert registry.WORST_MS == worst < registry.TOLD_MS - registry.CONNECT_MS
     assert registry.BEAT_MS < registry.SILENT_MS and registry.RETRY_MS <= registry.RETRY_MOST_MS
 
 
 @pytest.mark.parametrize("how", ["silent", "shut"])
 async def test_a_change_is_heard_in_time_after_discovery_can_be_reached_again(
-        how: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    how: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
     """Outages that end at any moment of the calls and waits, at a tenth of the real times."""
     for name in ("BEAT_MS", "SILENT_MS", "CONNECT_MS", "HEAD_MS", "RETRY_MS", "RETRY_MOST_MS"):
         monkeypatch.setattr(registry, name, getattr(registry, name) / 10)
@@ -49,6 +51,7 @@
             index[0] = listing.index
             if any(e.status == "DRAINING" for e in listing.endpoints):
                 heard.set()
+
         watch = registry.Watch((host, int(number)), lambda: index[0], hear, lambda _: None, nth, nursery, None)
         watch.start()
         await trio.sleep(0.1)
@@ -69,9 +72,25 @@
 
 
 def listing(index: int, snapshot: bool = False, **statuses: str) -> bytes:
-    return json.dumps({"index": index, "snapshot": snapshot, "endpoints": [
-        {"name": name, "address": "127.0.0.1:1", "zone": "hall {\"a\"", "type": "writer", "group": 2,
-         "status": status, "weight": 1.0, "since_ms": 0} for name, status in statuses.items()]}).encode()
+    return json.dumps(
+        {
+            "index": index,
+            "snapshot": snapshot,
+            "endpoints": [
+                {
+                    "name": name,
+                    "address": "127.0.0.1:1",
+                    "zone": 'hall {"a"',
+                    "type": "writer",
+                    "group": 2,
+                    "status": status,
+                    "weight": 1.0,
+                    "since_ms": 0,
+                }
+                for name, status in statuses.items()
+            ],
+        }
+    ).encode()
 
 
 @given(st.data())
@@ -113,30 +132,42 @@
     old = read_listing(listing(42, True, w0="SERVING", w2="SERVING"))
     assert not roster.take(old, 0.0, 20.0).servers
     assert roster.servers["w0"].life is Life.DRAINING and set(roster.servers) == {"w0", "w1"} and roster.index == 43
-    assert roster.take(read_listing(listing(44, False, w0="SERVING")), 0.0, 30.0).servers    # newer: it holds
+    assert roster.take(read_listing(listing(44, False, w0="SERVING")), 0.0, 30.0).servers  # newer: it holds
     assert not roster.take(read_listing(listing(5, True, w0="DRAINING")), 0.0, 40.0).servers
-    with pytest.raises(ValueError):    # for longer than an agent may be behind
+    with pytest.raises(ValueError):  # for longer than an agent may be behind
         roster.take(read_listing(listing(6, False, w0="DRAINING")), 0.0, 41.0 + BEHIND_MS)
-    assert roster.index == 0    # so all is asked for
+    assert roster.index == 0  # so all is asked for
     roster.take(read_listing(listing(6, True, w0="DRAINING")), 0.0, 50.0 + BEHIND_MS)
     assert roster.servers["w0"].life is Life.DRAINING and set(roster.servers) == {"w0"}
 
 
 # -- clients that leave
 
+
 async def gone(p: Platform, how: str, ahead: bytes = b"") -> trio.SocketStream:
     host, _, number = p.address.partition(":")
     stream = await trio.open_tcp_stream(host, int(number))
     head = "".join(f"{k}: {v}\r\n" for k, v in p.headers().items())
-    await stream.send_all(f"POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nContent-Length: {len(BODY)}\r\n{head}\r\n"
-                          .encode() + BODY + ahead)
+    await stream.send_all(
+        f"POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nContent-Length: {len(BODY)}\r\n{head}\r\n".encode()
+        + BODY
+        + ahead
+    )
     if how == "closed at once":
         stream.socket.close()
     return stream
 
 
-@pytest.mark.parametrize("how, ahead", [("closed", b""), ("half-closed", b""), ("reset", b""),
-                                        ("closed", b"GET / HTTP/1.1\r\n" * 9), ("closed", b"x" * 300_000)])
+@pytest.mark.parametrize(
+    "how, ahead",
+    [
+        ("closed", b""),
+        ("half-closed", b""),
+        ("reset", b""),
+        ("closed", b"GET / HTTP/1.1\r\n" * 9),
+        ("closed", b"x" * 300_000),
+    ],
+)
 async def test_nothing_is_begun_for_a_client_that_has_left(how: str, ahead: bytes) -> None:
     """It leaves while its read is out; also behind more than is kept of what it sends ahead."""
     async with platform("r0", "w0") as p:
@@ -169,17 +200,19 @@
         async def slow(peer: str) -> Any:
             opened.append(peer)
             caller = await connect(peer)
-            with trio.CancelScope(shield=True):    # so that only the check can keep it back
+            with trio.CancelScope(shield=True):  # so that only the check can keep it back
                 await trio.sleep(0.2)
             return caller
-        pool.connect = slow    # type: ignore[method-assign]
+
+        pool.connect = slow  # type: ignore[method-assign]
         stream = await gone(p, "stays")
         await trio.sleep(0.1)
         stream.socket.close()
         await trio.sleep(0.3)
         assert p.fleet.count("read") == 0 and p.gateway.node.counts["read MOOT"] == 1
-        assert not p.gateway.node.chooser.desk.board[    # type: ignore[attr-defined]
-            p.gateway.node.roster.servers["r0"].seat].shut    # it did nothing wrong
+        assert not p.gateway.node.chooser.desk.board[  # type: ignore[attr-defined]
+            p.gateway.node.roster.servers["r0"].seat
+        ].shut  # it did nothing wrong
         assert (await p.ask()).status == 200 and opened.count(p.servers["r0"].address) == 1
         await p.settled()
 
@@ -209,7 +242,7 @@
         await trio.sleep(0.05)
         await stream.send_all(b"POST / HTTP/1.1\r\n" * 2000)
         await trio.sleep(0.2)
-        await stream.send_all(b"x" * 2000)    # after the answer's end
+        await stream.send_all(b"x" * 2000)  # after the answer's end
         with trio.fail_after(2):
             while piece := await stream.receive_some():
                 out += piece
@@ -218,14 +251,16 @@
 
 # -- what is let go of
 
+
 async def test_a_state_is_let_go_of_in_time_though_four_servers_in_five_have_fallen_silent(
-        nursery: trio.Nursery) -> None:
+    nursery: trio.Nursery,
+) -> None:
     fleet, deployment = Fleet(nursery), Deployment(1, TOLD)
     engines = Engines(Pool(150.0, 1000.0), deployment)
     servers = [ModelServer(f"w{n}", "write", fleet) for n in range(20)]
     for n, server in enumerate(servers):
         await server.start()
-        engines.heard_at[server.address] = 100.0 - n    # the silent ones were heard last
+        engines.heard_at[server.address] = 100.0 - n  # the silent ones were heard last
         server.mute = n < 16
     fleet.states["ab"] = "w19"
     with trio.move_on_after(deployment.facts.release_ms / 1000):
@@ -259,6 +294,7 @@
 
 # -- streams
 
+
 class Outlet:
     def __init__(self) -> None:
         self.got: list[bytes] = []
@@ -284,25 +320,29 @@
             yield EVENT
             await trio.lowlevel.checkpoint()
             yield DONE
+
     end = LegEnd()
     with leg.scope:
-        await Engines(Pool(1.0, 1.0), Deployment(1, TOLD)).stream(leg, Stub(), outlet, end)    # type: ignore[arg-type]
+        await Engines(Pool(1.0, 1.0), Deployment(1, TOLD)).stream(leg, Stub(), outlet, end)  # type: ignore[arg-type]
     assert (end.begun, len(outlet.got)) == ((False, 0) if struck else (True, 2))
 
 
 # -- in pieces
 
+
 async def test_a_conversation_cut_at_any_byte_is_the_same_as_whole() -> None:
     """The request is cut at each of its bytes in turn, its answer at a dozen places of its own."""
-    told = TOLD | {"limits": TOLD["limits"] | {"most_tries": 2}}    # no read is called off where others overtake it
+    told = TOLD | {"limits": TOLD["limits"] | {"most_tries": 2}}  # no read is called off where others overtake it
     async with platform("r0", "w0", told=told, w0=lambda _: "pieces") as p:
         replies: list[bytes] = []
         room = trio.CapacityLimiter(24)
 
         def request() -> bytes:
             head = "".join(f"{k}: {v}\r\n" for k, v in p.headers(Request_Timeout="20").items())
-            return (f"POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nContent-Length: {len(BODY)}\r\n"
-                    f"Connection: close\r\n{head}\r\n").encode() + BODY
+            return (
+                f"POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nContent-Length: {len(BODY)}\r\n"
+                f"Connection: close\r\n{head}\r\n"
+            ).encode() + BODY
 
         async def one(at: int) -> None:
             async with room:
@@ -317,6 +357,7 @@
                         out += piece
                 await stream.aclose()
                 replies.append(out)
+
         async with trio.open_nursery() as nursery:
             for at in range(1, len(request())):
                 nursery.start_soon(one, at)
@@ -333,12 +374,13 @@
         if int(size, 16) == 0:
             assert rest == b"\r\n"
             return out
-        out, rest = out + rest[:int(size, 16)], rest[int(size, 16) + 2:]
+        out, rest = out + rest[: int(size, 16)], rest[int(size, 16) + 2 :]
     raise AssertionError("no last chunk")
 
 
 # -- descriptors
 
+
 async def test_idle_clients_that_fill_the_descriptors_while_discovery_is_down_keep_nobody_out() -> None:
     async with platform("r0", "w0", limits=Limits(sockets=100)) as p:
         p.discovery.break_off(silent=False, listening=False)
@@ -348,7 +390,7 @@
             while p.gateway.front.conns < p.gateway.front.conn_limit:
                 await trio.sleep(0.01)
         assert p.gateway.front.conns <= p.gateway.front.conn_limit == 45
-        assert (await p.ask()).status == 200    # a new one takes an idle one's place, at once
+        assert (await p.ask()).status == 200  # a new one takes an idle one's place, at once
         await p.discovery.mend()
         p.discovery.put("w0", p.servers["w0"].address, "writer", "DRAINING")
         with trio.fail_after(registry.TOLD_MS / 1000):
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -1,4 +1,5 @@
 """Stories through real sockets: from a client, by the gateway's choices, to stand-in engines and back."""
+
 from __future__ import annotations
 
 import json
@@ -60,12 +61,23 @@
 
 # -- clients that go, or send what they should not
 
-async def leave(w: World, after_ms: float, text: str = "hello", model: str = "summary", stream: bool = True,
-                headers: dict[str, str] | None = None) -> None:
+
+async def leave(
+    w: World,
+    after_ms: float,
+    text: str = "hello",
+    model: str = "summary",
+    stream: bool = True,
+    headers: dict[str, str] | None = None,
+) -> None:
     caller = await w.pool.connect(w.gateway.address)
     with trio.move_on_after(after_ms / 1000):
-        await heard(caller, {"model": model, "messages": [{"role": "user", "content": text}], "stream": stream},
-                    headers or {}, "/v1/chat/completions")
+        await heard(
+            caller,
+            {"model": model, "messages": [{"role": "user", "content": text}], "stream": stream},
+            headers or {},
+            "/v1/chat/completions",
+        )
     caller.close_now()
 
 
@@ -78,7 +90,7 @@
 
 async def test_a_client_gone_before_the_first_event_leaves_no_state_behind() -> None:
     async with world(build=replace(BUILD, read_tok_s=2000.0)) as w:
-        await leave(w, 100, text="x" * 1600)    # 200 ms to read
+        await leave(w, 100, text="x" * 1600)  # 200 ms to read
         await trio.sleep(0.15)
         await w.settled()
         assert len(w.said("leg")) == 1
@@ -117,9 +129,11 @@
 async def test_large_slow_and_broken_requests_are_refused_with_a_reason() -> None:
     async with world(door=DoorTerms(body_bytes=2000, head_ms=80, body_ms=80)) as w:
         assert (await w.ask(text="x" * 3000)).status == 413
-        for begun, status in ((b"POST /v1/chat/completions HTTP/1.1\r\nHo", b"408"),
-                              (b"POST /v1/chat/completions HTTP/1.1\r\nHost: g\r\nContent-Length: 50\r\n\r\n{", b"408"),
-                              (b"NONSENSE\r\n\r\n", b"400")):
+        for begun, status in (
+            (b"POST /v1/chat/completions HTTP/1.1\r\nHo", b"408"),
+            (b"POST /v1/chat/completions HTTP/1.1\r\nHost: g\r\nContent-Length: 50\r\n\r\n{", b"408"),
+            (b"NONSENSE\r\n\r\n", b"400"),
+        ):
             stream = await trio.open_tcp_stream("127.0.0.1", int(w.gateway.address.split(":")[1]))
             await stream.send_all(begun)
             with trio.fail_after(1):
@@ -128,25 +142,32 @@
         assert w.said("leg") == []
 
 
-@pytest.mark.parametrize("change, param, status", [
-    ({"messages": None}, "messages", 400),
-    ({"messages": []}, "messages", 400),
-    ({"messages": [{"role": "robot", "content": "a"}]}, "messages[0].role", 400),
-    ({"messages": [{"role": "user", "content": "a"}, {"role": "user"}]}, "messages[1].content", 400),
-    ({"messages": [{"role": "user", "content": [{"type": "text", "text": 3}]}]}, "messages[0].content[0].text", 400),
-    ({"max_tokens": 0}, "max_tokens", 400),
-    ({"max_completion_tokens": "many"}, "max_completion_tokens", 400),
-    ({"stream": "yes"}, "stream", 400),
-    ({"stream": False, "stream_options": {"include_usage": True}}, "stream_options", 400),
-    ({"n": 3}, "n", 400),
-    ({"model": "nobody"}, "model", 404),
-])
+@pytest.mark.parametrize(
+    "change, param, status",
+    [
+        ({"messages": None}, "messages", 400),
+        ({"messages": []}, "messages", 400),
+        ({"messages": [{"role": "robot", "content": "a"}]}, "messages[0].role", 400),
+        ({"messages": [{"role": "user", "content": "a"}, {"role": "user"}]}, "messages[1].content", 400),
+        (
+            {"messages": [{"role": "user", "content": [{"type": "text", "text": 3}]}]},
+            "messages[0].content[0].text",
+            400,
+        ),
+        ({"max_tokens": 0}, "max_tokens", 400),
+        ({"max_completion_tokens": "many"}, "max_completion_tokens", 400),
+        ({"stream": "yes"}, "stream", 400),
+        ({"stream": False, "stream_options": {"include_usage": True}}, "stream_options", 400),
+        ({"n": 3}, "n", 400),
+        ({"model": "nobody"}, "model", 404),
+    ],
+)
 async def test_a_wrong_field_is_named(change: dict[str, Any], param: str, status: int) -> None:
     async with world() as w:
         body = {"model": "summary", "messages": [{"role": "user", "content": "a"}], "stream": True, "new_field": 1}
         reply = await w.post(body | change)
         assert (reply.status, reply.error and reply.error["param"]) == (status, param)
-        assert (await w.post(body)).done == 1    # an unknown field passes
+        assert (await w.post(body)).done == 1  # an unknown field passes
 
 
 async def test_a_shorter_time_limit_of_the_client_holds() -> None:
@@ -158,13 +179,16 @@
 
 # -- engines that fail
 
+
 async def test_a_writer_that_stalls_after_its_first_event_ends_in_an_error_event() -> None:
     async with world(("r0", "w0"), build=replace(BUILD, tok_ms=30.0)) as w:
+
         async def hang() -> None:
             while not w.said("effect"):
                 await trio.sleep(0.005)
             await trio.sleep(0.06)
             w.engines["w0"].trouble.hung = True
+
         w.nursery.start_soon(hang)
         reply = await w.ask("note")
         assert reply.status == 200 and reply.done == 0 and reply.error is not None and not reply.broke
@@ -177,10 +201,12 @@
 async def test_a_writer_that_dies_before_the_first_event(model: str, served: bool) -> None:
     """An idempotent generation goes elsewhere, a deduplicated one within its cell, a side-effecting one nowhere."""
     async with world(("r0", "w0", "w0b"), build=replace(BUILD, tok_ms=150.0)) as w:
+
         async def kill() -> None:
             while not w.said("effect"):
                 await trio.sleep(0.005)
             w.engines[w.said("effect")[0]["id"]].die()
+
         w.nursery.start_soon(kill)
         reply = await w.ask(model)
         assert (reply.done == 1) is served
@@ -191,10 +217,12 @@
 
 async def test_a_deduplicated_generation_does_not_leave_its_cell() -> None:
     async with world(("r0", "r1", "w0", "w1"), build=replace(BUILD, tok_ms=150.0)) as w:
+
         async def kill() -> None:
             while not w.said("effect"):
                 await trio.sleep(0.005)
             w.engines[w.said("effect")[0]["id"]].die()
+
         w.nursery.start_soon(kill)
         reply = await w.ask("form")
         assert reply.status in (502, 504) and len(w.said("effect")) == 1
@@ -202,11 +230,13 @@
 
 async def test_a_writer_that_dies_midway_ends_in_an_error_event() -> None:
     async with world(("r0", "w0", "w0b"), build=replace(BUILD, tok_ms=40.0)) as w:
+
         async def kill() -> None:
             while not w.said("effect"):
                 await trio.sleep(0.005)
             await trio.sleep(0.1)
             w.engines[w.said("effect")[0]["id"]].die()
+
         w.nursery.start_soon(kill)
         reply = await w.ask("note")
         assert reply.status == 200 and reply.done == 0 and reply.error is not None
@@ -222,14 +252,15 @@
         assert reply.status in (429, 504) and trio.current_time() - since < 2.05
         assert len(w.said("effect")) == 1 if model == "note" else len(w.said("effect")) >= 1
         if model == "note":
-            assert reply.status == 504    # a throttle would promise that nothing ran
+            assert reply.status == 504  # a throttle would promise that nothing ran
         await w.settled()
 
 
 async def test_a_reader_that_dies_holding_the_state_is_replaced() -> None:
     async with world(("r0", "r0b", "w0")) as w:
         w.engines["w0"].trouble.slow = 1.0
-        w.engines["w0"].busy = w.engines["w0"].build.slots    # the writer lets it wait before it fetches
+        w.engines["w0"].busy = w.engines["w0"].build.slots  # the writer lets it wait before it fetches
+
         async def kill() -> None:
             while not w.said("leg", stage="write"):
                 await trio.sleep(0.005)
@@ -237,6 +268,7 @@
             await trio.sleep(0.05)
             w.engines["w0"].busy = 1
             w.engines["w0"].leave()
+
         w.nursery.start_soon(kill)
         reply = await w.ask("note")
         assert reply.done == 1
@@ -253,7 +285,7 @@
 
 
 async def test_a_connection_that_hangs_is_given_up_in_time() -> None:
-    with socket.socket() as deaf:    # its queue of connections is full: further ones are never answered
+    with socket.socket() as deaf:  # its queue of connections is full: further ones are never answered
         deaf.bind(("127.0.0.1", 0))
         deaf.listen(0)
         fill = [socket.socket() for _ in range(3)]
@@ -277,24 +309,27 @@
     return b"%x\r\n%s\r\n" % (len(data), data)
 
 
-@pytest.mark.parametrize("steps, verdict, begun", [
-    ([HEAD, chunked(PIECE), b"40\r\ndata: {", "reset"], Verdict.RESET, True),
-    ([HEAD, chunked(PIECE), "close"], Verdict.RESET, True),
-    ([HEAD, chunked(PIECE) + b"0\r\n\r\n"], Verdict.RESET, True),
-    ([HEAD, chunked(b"data: {not json}\n\n")], Verdict.ERROR, False),
-    ([HEAD, chunked(PIECE), chunked(b"data: \xff\xfe\n\n")], Verdict.ERROR, True),
-    ([HEAD, chunked(b'data: {"error":{"message":"out of memory"}}\n\n')], Verdict.ERROR, False),
-    ([HEAD, b"zz\r\nrubbish"], Verdict.ERROR, False),
-    ([b"HTTP/1.1 200 OK\r\nbad header\r\n\r\n"], Verdict.ERROR, False),
-    ([b"SSH-2.0-OpenSSH\r\n\r\n"], Verdict.ERROR, False),
-    ([b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"], Verdict.ERROR, False),
-    ([b"HTTP/1.1 503 Busy\r\nx-ternlane-not-run: draining\r\nContent-Length: 0\r\n\r\n"], Verdict.FULL, False),
-    ([b"HTTP/1.1 429 Busy\r\nContent-Length: 0\r\n\r\n"], Verdict.FULL, False),
-    (["reset"], Verdict.RESET, False),
-    (["hold"], Verdict.TIMED_OUT, False),
-    ([HEAD, chunked(PIECE), "hold"], Verdict.TIMED_OUT, True),
-    ([HEAD, chunked(b"data: [DONE]\n\n") + b"0\r\n\r\n"], Verdict.STREAMED, True),
-])
+@pytest.mark.parametrize(
+    "steps, verdict, begun",
+    [
+        ([HEAD, chunked(PIECE), b"40\r\ndata: {", "reset"], Verdict.RESET, True),
+        ([HEAD, chunked(PIECE), "close"], Verdict.RESET, True),
+        ([HEAD, chunked(PIECE) + b"0\r\n\r\n"], Verdict.RESET, True),
+        ([HEAD, chunked(b"data: {not json}\n\n")], Verdict.ERROR, False),
+        ([HEAD, chunked(PIECE), chunked(b"data: \xff\xfe\n\n")], Verdict.ERROR, True),
+        ([HEAD, chunked(b'data: {"error":{"message":"out of memory"}}\n\n')], Verdict.ERROR, False),
+        ([HEAD, b"zz\r\nrubbish"], Verdict.ERROR, False),
+        ([b"HTTP/1.1 200 OK\r\nbad header\r\n\r\n"], Verdict.ERROR, False),
+        ([b"SSH-2.0-OpenSSH\r\n\r\n"], Verdict.ERROR, False),
+        ([b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"], Verdict.ERROR, False),
+        ([b"HTTP/1.1 503 Busy\r\nx-ternlane-not-run: draining\r\nContent-Length: 0\r\n\r\n"], Verdict.FULL, False),
+        ([b"HTTP/1.1 429 Busy\r\nContent-Length: 0\r\n\r\n"], Verdict.FULL, False),
+        (["reset"], Verdict.RESET, False),
+        (["hold"], Verdict.TIMED_OUT, False),
+        ([HEAD, chunked(PIECE), "hold"], Verdict.TIMED_OUT, True),
+        ([HEAD, chunked(b"data: [DONE]\n\n") + b"0\r\n\r\n"], Verdict.STREAMED, True),
+    ],
+)
 async def test_what_the_end_of_a_leg_proves(steps: list[Any], verdict: Verdict, begun: bool) -> None:
     async with trio.open_nursery() as nursery:
         peer, pool, got = Scripted(steps), Pool(200, 1000), []
@@ -302,6 +337,7 @@
 
         async def pass_on(text: str, first: bool) -> None:
             got.append(text)
+
         with trio.fail_after(2):
             end = await stream_leg(pool, LegPlan(peer.address, [], b"{}", 150, 150), pass_on)
         assert (end.verdict, end.begun) == (verdict, begun)
@@ -322,11 +358,13 @@
 async def test_nothing_goes_to_a_server_that_drains_and_a_state_that_waits_is_handed_elsewhere() -> None:
     async with world(("r0", "w0", "w0b"), build=replace(BUILD, read_tok_s=4000.0)) as w:
         async with trio.open_nursery() as nursery:
+
             async def drain() -> None:
                 while not w.said("leg"):
                     await trio.sleep(0.005)
                 home = next(iter(w.gateway.host.tickets)).seat.writer.server
                 w.list(**{w.gateway.book.places[home].ident: "draining"})
+
             nursery.start_soon(drain)
             reply = await w.ask("note", "x" * 1600)
         drained = next(s for s in w.gateway.book.servers.values() if s.life.name == "DRAINING")
@@ -349,8 +387,10 @@
         key = {"Idempotency-Key": "folder-17"}
         async with trio.open_nursery() as nursery:
             got: list[Any] = []
+
             async def first() -> None:
                 got.append(await w.ask("note", headers=key))
+
             nursery.start_soon(first)
             await trio.sleep(0.06)
             assert (await w.ask("note", headers=key)).status == 409
@@ -358,7 +398,7 @@
         again = await w.ask("note", headers=key)
         assert again.text == got[0].text and again.done == 1 and again.headers["idempotency-replayed"] == "true"
         assert (await w.ask("note", text="other", headers=key)).status == 422
-        assert (await w.ask("note", headers=key)).done == 1    # a refused one has not unsettled the first
+        assert (await w.ask("note", headers=key)).done == 1  # a refused one has not unsettled the first
         assert len(w.said("effect")) == 1 and len(w.said("leg")) == legs
 
 
@@ -377,6 +417,7 @@
 
 # -- the gateway's own life
 
+
 async def test_a_restarted_gateway_serves_by_its_last_list(tmp_path: Path) -> None:
     kept, nobody = str(tmp_path / "nodes"), ConsulSource(address="127.0.0.1:9", service="engines", retry_ms=50)
     async with world(state=kept) as w:
@@ -385,13 +426,14 @@
             while not os.path.exists(kept):
                 await trio.sleep(0.01)
         from ternlane.gateway import open_gateway
+
         paper = replace_paper(w.gateway.paper, nodes=nobody)
         async with open_gateway(paper) as second:
             w.gateway, first = second, w.gateway
             assert (await w.ask()).done == 1
             w.gateway = first
         raw = bytearray(Path(kept).read_bytes())
-        raw[-9] ^= 1    # torn: recognised, not used, and not fatal
+        raw[-9] ^= 1  # torn: recognised, not used, and not fatal
         Path(kept).write_bytes(raw)
         async with open_gateway(paper) as third:
             w.gateway = third
@@ -401,6 +443,7 @@
 
 def replace_paper(paper: Any, **changes: Any) -> Any:
     import msgspec
+
     return msgspec.structs.replace(paper, **changes)
 
 
@@ -411,15 +454,22 @@
         nursery.start_soon(registry.serve, listeners)
         address = "127.0.0.1:%d" % listeners[0].socket.getsockname()[1]
         from ternlane.nodes import follow_consul
+
         found: list[list[NodeLine]] = []
         failed: list[str] = []
-        nursery.start_soon(follow_consul, ConsulSource(address=address, service="engines", wait_ms=200, retry_ms=20),
-                           found.append, failed.append, "ternlane/test (g1)")
+        nursery.start_soon(
+            follow_consul,
+            ConsulSource(address=address, service="engines", wait_ms=200, retry_ms=20),
+            found.append,
+            failed.append,
+            "ternlane/test (g1)",
+        )
 
         async def until(condition: Any) -> None:
             with trio.fail_after(2):
                 while not condition():
                     await trio.sleep(0.005)
+
         registry.put(Listing("a", "127.0.0.1", 1, "read", "z", 0, 1e5))
         await until(lambda: found and [n.id for n in found[-1]] == ["a"])
         registry.alter("a", state="draining")
@@ -434,7 +484,7 @@
         registry.restart()
         registry.put(Listing("b", "127.0.0.1", 2, "write", "z", 0, 1e5))
         await until(lambda: {n.id for n in found[-1]} == {"a", "b"})
-        registry.put(Listing("c", "127.0.0.1", 3, "sideways", "z", 0, 1e5))    # one bad entry costs only itself
+        registry.put(Listing("c", "127.0.0.1", 3, "sideways", "z", 0, 1e5))  # one bad entry costs only itself
         await until(lambda: any("c:" in why for why in failed))
         assert {n.id for n in found[-1]} == {"a", "b"}
         nursery.cancel_scope.cancel()
@@ -444,8 +494,10 @@
     async with world(build=replace(BUILD, tok_ms=40.0)) as w:
         got: list[Any] = []
         async with trio.open_nursery() as nursery:
+
             async def one() -> None:
                 got.append(await w.ask())
+
             nursery.start_soon(one)
             await trio.sleep(0.08)
             await w.gateway.drain()
@@ -458,8 +510,10 @@
     async with world(build=replace(BUILD, tok_ms=400.0), door=DoorTerms(drain_ms=100)) as w:
         got: list[Any] = []
         async with trio.open_nursery() as nursery:
+
             async def one() -> None:
                 got.append(await w.ask("note"))
+
             nursery.start_soon(one)
             await trio.sleep(0.05)
             await w.gateway.drain()
@@ -470,6 +524,7 @@
 async def test_files_tasks_and_sockets_are_back_where_they_were() -> None:
     def count() -> tuple[int, int]:
         return len(os.listdir("/proc/self/fd")), trio.lowlevel.current_statistics().tasks_living
+
     async with world() as w:
         await w.ask()
     await trio.sleep(0.05)
@@ -505,8 +560,9 @@
 
         async def mute() -> None:
             replies.append(await w.ask(model, text="the same"))
+
         nursery.start_soon(mute)
-        with trio.fail_after(3):    # under the 3.2 s for which it would be waited
+        with trio.fail_after(3):  # under the 3.2 s for which it would be waited
             while len(w.said("leg", stage="read", id=reader.ident)) < 2:
                 await trio.sleep(0.001)
             gen = w.said("leg", stage="read")[-1]["gen"]
@@ -522,10 +578,12 @@
 async def test_a_state_that_a_read_left_late_is_let_go_of_again(monkeypatch: pytest.MonkeyPatch) -> None:
     async with world(("r0", "r0b", "w0")) as w:
         heard: list[str] = []
-        for ident in ("r0", "r0b"):    # each hears the first word of it too early
+        for ident in ("r0", "r0b"):  # each hears the first word of it too early
+
             def too_early(gen: str, how: str, ident: str = ident, real: Any = w.engines[ident].drop_state) -> bool:
                 heard.append(ident)
                 return heard.count(ident) > 1 and bool(real(gen, how))
+
             monkeypatch.setattr(w.engines[ident], "drop_state", too_early)
             w.engines[ident].trouble.lost = 1.0
         reply = await w.ask()
--- a/tests/test_inflight.py
+++ b/tests/test_inflight.py
@@ -1,4 +1,5 @@
 """A gateway is lost with generations in flight: the next process knows what may have run, wherever its journal ends."""
+
 from __future__ import annotations
 
 import shutil
@@ -33,10 +34,13 @@
     courses: list[list[Record]] = []
     for i, (upto, effect, keyed) in enumerate(draws):
         ident, kind = f"g{i}", ("IDEMPOTENT", "DEDUPLICATED", "SIDE_EFFECTING")[effect]
-        course = [Taken(ident, f"n{i}", f"k{i}" if keyed else "", b"m", kind, NOW, LATER),
-                  Sent(ident, f"n{i}", "r0", "a", "d", True, False),
-                  Sent(ident, f"n{i}", "w0", "b", "d", False, True), Freed(ident),
-                  Ended(ident, "streamed", True, f"text {i}")]
+        course = [
+            Taken(ident, f"n{i}", f"k{i}" if keyed else "", b"m", kind, NOW, LATER),
+            Sent(ident, f"n{i}", "r0", "a", "d", True, False),
+            Sent(ident, f"n{i}", "w0", "b", "d", False, True),
+            Freed(ident),
+            Ended(ident, "streamed", True, f"text {i}"),
+        ]
         courses.append(course[:upto])
     out: list[Record] = []
     while any(courses):
@@ -56,7 +60,8 @@
     ended = {r.ident: r for r in records if isinstance(r, Ended)}
     ran = {r.ident for r in records if isinstance(r, Sent) and r.writes}
     held = {r.ident for r in records if isinstance(r, Sent) and r.reads} - {
-        r.ident for r in records if isinstance(r, Freed)}
+        r.ident for r in records if isinstance(r, Freed)
+    }
     answers = {v.taken.ident: v.ended for v in found.answers(NOW)}
     for ident, it in taken.items():
         if ident in ended:
@@ -85,7 +90,7 @@
         again.recover()
         whole = len(read_segment(raw[:cut], "s", True, JOURNAL)[0])
         must_be_safe(again.totals, records[:whole])
-        again.append(Ended("g0", "lost"))    # and it goes on from there
+        again.append(Ended("g0", "lost"))  # and it goes on from there
         again.commit()
         third = store_of(torn)
         third.recover()
@@ -100,7 +105,7 @@
         store, told = store_of(disk, segment_bytes=300, keep_segments=1), 0
         try:
             for i in range(0, len(records), 5):
-                for record in records[i:i + 5]:
+                for record in records[i : i + 5]:
                     store.append(record)
                 while store.pending:
                     try:
@@ -115,7 +120,7 @@
         again = store_of(after)
         again.recover()
         assert again.seq >= told
-        must_be_safe(again.totals, records[:again.seq])
+        must_be_safe(again.totals, records[: again.seq])
 
 
 def test_a_journal_stays_small_however_many_it_has_seen() -> None:
@@ -123,8 +128,11 @@
     store = store_of(disk, segment_bytes=4000, keep_segments=1)
     for i in range(3000):
         late = NOW + i
-        for record in (Taken(f"g{i}", f"n{i}", f"k{i}", b"m", "SIDE_EFFECTING", late, late + 50.0),
-                       Sent(f"g{i}", f"n{i}", "w", "a", "d", False, True), Ended(f"g{i}", "streamed", True, "x" * 40)):
+        for record in (
+            Taken(f"g{i}", f"n{i}", f"k{i}", b"m", "SIDE_EFFECTING", late, late + 50.0),
+            Sent(f"g{i}", f"n{i}", "w", "a", "d", False, True),
+            Ended(f"g{i}", "streamed", True, "x" * 40),
+        ):
             store.append(record)
         store.commit()
     assert sum(map(len, disk.files.values())) < 400_000 and len(store.totals.opened) == 0
@@ -150,6 +158,7 @@
 
 # -- over sockets
 
+
 @asynccontextmanager
 async def next_gateway(w: World, folder: Path) -> AsyncIterator[str]:
     """The next process, with the journal as a kill at this moment would leave it."""
@@ -158,7 +167,7 @@
     paper = msgspec.structs.replace(w.gateway.paper, journal=str(copy), listen="127.0.0.1:0")
     async with open_gateway(paper) as gateway:
         with trio.fail_after(2):
-            while not gateway.scribe.ready:    # type: ignore[union-attr]
+            while not gateway.scribe.ready:  # type: ignore[union-attr]
                 await trio.sleep(0.005)
         yield gateway.address
 
@@ -166,8 +175,12 @@
 async def ask_at(address: str, model: str, key: str) -> Reply:
     caller = await Pool(1000, 1000).connect(address)
     try:
-        return await heard(caller, {"model": model, "messages": [{"role": "user", "content": "hello"}], "stream": True},
-                           {"Idempotency-Key": key}, "/v1/chat/completions")
+        return await heard(
+            caller,
+            {"model": model, "messages": [{"role": "user", "content": "hello"}], "stream": True},
+            {"Idempotency-Key": key},
+            "/v1/chat/completions",
+        )
     finally:
         caller.close_now()
 
@@ -179,16 +192,17 @@
 
         async def first() -> None:
             replies.append(await w.ask(model, headers={"Idempotency-Key": "k1"}))
+
         w.nursery.start_soon(first)
         with trio.fail_after(2):
             while not w.said("effect"):
                 await trio.sleep(0.002)
         async with next_gateway(w, tmp_path / "j") as address:
             reply = await ask_at(address, model, "k1")
-            if model == "summary":    # harmless: it simply runs
+            if model == "summary":  # harmless: it simply runs
                 assert reply.done == 1
             else:
-                assert reply.status == 502 and "may have run" in reply.error["message"]    # type: ignore[index]
+                assert reply.status == 502 and "may have run" in reply.error["message"]  # type: ignore[index]
                 assert reply.headers["x-should-retry"] == "false" and len(w.said("effect")) == 1
             other = await ask_at(address, model, "k2")
             assert other.done == 1
@@ -209,7 +223,7 @@
 async def test_a_repeat_after_the_loss_hears_the_answer_that_was_given(tmp_path: Path) -> None:
     async with world(("r0", "w0"), journal=str(tmp_path / "j")) as w:
         reply = await w.ask("note", headers={"Idempotency-Key": "k1"})
-        await w.gateway.scribe.writer.flush(1.0)    # type: ignore[union-attr]
+        await w.gateway.scribe.writer.flush(1.0)  # type: ignore[union-attr]
         async with next_gateway(w, tmp_path / "j") as address:
             again = await ask_at(address, "note", "k1")
             assert again.text == reply.text and again.done == 1 and again.headers["idempotency-replayed"] == "true"
@@ -221,7 +235,7 @@
         w.engines["w0"].trouble.script = "midway"
         assert (await w.ask(headers={"Idempotency-Key": "k1"})).done == 0
         w.engines["w0"].trouble.script = ""
-        await w.gateway.scribe.writer.flush(1.0)    # type: ignore[union-attr]
+        await w.gateway.scribe.writer.flush(1.0)  # type: ignore[union-attr]
         async with next_gateway(w, tmp_path / "j") as address:
             assert (await ask_at(address, "summary", "k1")).done == 1
         assert (await w.ask(headers={"Idempotency-Key": "k1"})).done == 1
@@ -229,7 +243,7 @@
 
 async def test_states_that_the_lost_gateway_held_are_let_go(tmp_path: Path) -> None:
     async with world(("r0", "w0"), journal=str(tmp_path / "j")) as w:
-        w.engines["w0"].busy = w.engines["w0"].build.slots    # writes wait: the state stays at its reader
+        w.engines["w0"].busy = w.engines["w0"].build.slots  # writes wait: the state stays at its reader
         async with trio.open_nursery() as nursery:
             nursery.start_soon(w.ask)
             with trio.fail_after(2):
@@ -253,11 +267,12 @@
 
         def full(handle: int, data: bytes) -> int:
             raise OSError(28, "full")
-        write, scribe.store.disk.write = scribe.store.disk.write, full    # type: ignore[method-assign]
+
+        write, scribe.store.disk.write = scribe.store.disk.write, full  # type: ignore[method-assign]
         reply = await w.ask("note", headers={"Idempotency-Key": "k1"})
         assert reply.status == 429 and w.said("effect") == []
-        assert (await w.ask("note")).done == 1    # without a key nobody was promised anything
-        scribe.store.disk.write = write    # type: ignore[method-assign]
+        assert (await w.ask("note")).done == 1  # without a key nobody was promised anything
+        scribe.store.disk.write = write  # type: ignore[method-assign]
         with trio.fail_after(3):
             while scribe.writer.waiting:
                 await trio.sleep(0.01)
@@ -267,15 +282,15 @@
 async def test_while_the_process_before_has_the_journal_keyed_requests_are_not_taken(tmp_path: Path) -> None:
     async with world(("r0", "w0"), journal=str(tmp_path / "j")) as w:
         with trio.fail_after(1):
-            while not w.gateway.scribe.ready:    # type: ignore[union-attr]
+            while not w.gateway.scribe.ready:  # type: ignore[union-attr]
                 await trio.sleep(0.005)
         paper = msgspec.structs.replace(w.gateway.paper, listen="127.0.0.1:0")
         async with open_gateway(paper) as second:
             reply = await ask_at(second.address, "note", "k1")
-            assert reply.status == 503 and reply.error["code"] == "taking_over"    # type: ignore[index]
+            assert reply.status == 503 and reply.error["code"] == "taking_over"  # type: ignore[index]
             await w.gateway.drain()
             with trio.fail_after(2):
-                while not second.scribe.ready:    # type: ignore[union-attr]
+                while not second.scribe.ready:  # type: ignore[union-attr]
                     await trio.sleep(0.005)
             assert (await ask_at(second.address, "note", "k1")).done == 1
 
@@ -285,13 +300,15 @@
         with trio.socket.socket() as probe:
             await probe.bind(("127.0.0.1", 0))
             port = probe.getsockname()[1]
-        paper = msgspec.structs.replace(w.gateway.paper, listen=f"127.0.0.1:{port}", journal=str(tmp_path / "j"),
-                                        products=patient(20), fleet=TERMS)
+        paper = msgspec.structs.replace(
+            w.gateway.paper, listen=f"127.0.0.1:{port}", journal=str(tmp_path / "j"), products=patient(20), fleet=TERMS
+        )
         (tmp_path / "g.json5").write_bytes(msgspec.json.encode(paper))
 
         async def start() -> Any:
-            process = await trio.lowlevel.open_process([sys.executable, "-m", "ternlane", "serve", str(
-                tmp_path / "g.json5"), "--log", "error"], cwd=ROOT)
+            process = await trio.lowlevel.open_process(
+                [sys.executable, "-m", "ternlane", "serve", str(tmp_path / "g.json5"), "--log", "error"], cwd=ROOT
+            )
             with trio.fail_after(20):
                 while True:
                     try:
@@ -300,10 +317,11 @@
                     except Unconnected:
                         await trio.sleep(0.03)
 
-        async def ask_until_taken() -> Any:    # 503 while it takes the journal up, 429 until it has had reports
+        async def ask_until_taken() -> Any:  # 503 while it takes the journal up, 429 until it has had reports
             while (reply := await ask_at(f"127.0.0.1:{port}", "note", "k1")).status in (429, 503):
                 await trio.sleep(0.02)
             return reply
+
         process = await start()
         try:
             w.nursery.start_soon(ask_until_taken)
--- a/tests/test_kept.py
+++ b/tests/test_kept.py
@@ -1,4 +1,5 @@
 """Stories of connections kept by the calling side."""
+
 from __future__ import annotations
 
 import contextlib
@@ -58,7 +59,7 @@
             await trio.sleep(0.045)
         assert outcomes.count(False) == peer.resets == 2 and all(outcomes[4:])
         made = pool.made
-        for _ in range(5):    # used again at once, as before
+        for _ in range(5):  # used again at once, as before
             assert await ask(pool, address)
         assert pool.made <= made + 1
         nursery.cancel_scope.cancel()
@@ -84,6 +85,7 @@
             got += len(await stream.receive_some(65536))
         stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
         stream.socket.close()
+
     async with trio.open_nursery() as nursery:
         listener = (await trio.open_tcp_listeners(0, host="127.0.0.1"))[0]
         nursery.start_soon(trio.serve_listeners, serve, [listener])
@@ -101,11 +103,12 @@
     async def serve(stream: trio.SocketStream) -> None:
         nonlocal made
         made += 1
-        with contextlib.suppress(trio.BrokenResourceError):    # the caller closes it
+        with contextlib.suppress(trio.BrokenResourceError):  # the caller closes it
             while await stream.receive_some(4096):
                 await stream.send_all(ANSWER)
                 await trio.sleep(0.02)
-                await stream.send_all(ANSWER.replace(b"ok", b"no"))    # of nobody's request
+                await stream.send_all(ANSWER.replace(b"ok", b"no"))  # of nobody's request
+
     async with trio.open_nursery() as nursery:
         listener = (await trio.open_tcp_listeners(0, host="127.0.0.1"))[0]
         nursery.start_soon(trio.serve_listeners, serve, [listener])
--- a/tests/test_library.py
+++ b/tests/test_library.py
@@ -1,4 +1,5 @@
 """The public face: what importing costs, use from plain threads, and a daemon whose sockets are handed over."""
+
 from __future__ import annotations
 
 import asyncio
@@ -36,11 +37,12 @@
     for name in ternlane.__all__:
         assert getattr(ternlane, name) is not None
     with pytest.raises(AttributeError, match="no attribute 'nothing'"):
-        ternlane.nothing    # noqa: B018
+        ternlane.nothing  # noqa: B018
 
 
 def test_all_that_is_public_says_what_it_is_for() -> None:
     from ternlane.reference import page, without_words
+
     assert without_words() == []
     text = "\n".join(page())
     assert all(f"### `{name}" in text for name in ternlane.__all__[1:]) and "`.take(now: float," in text
@@ -48,7 +50,7 @@
 
 def engines() -> tuple[dict[str, Local], LocalTransport]:
     made = {i: Local() for i in ("r0", "w0")}
-    return made, LocalTransport(dict(made))    # type: ignore[arg-type]
+    return made, LocalTransport(dict(made))  # type: ignore[arg-type]
 
 
 def test_plain_threads_share_one_router_and_it_ends_with_its_block() -> None:
@@ -63,7 +65,7 @@
             thread.join(5)
         early = routing.generation(REQUEST)
         assert next(early) == "0 "
-        early.close()    # type: ignore[attr-defined]
+        early.close()  # type: ignore[attr-defined]
         with pytest.raises(ternlane.Wrong):
             list(routing.generation(REQUEST | {"model": "x"}))
         made["w0"].trouble = "broken"
@@ -79,8 +81,10 @@
 
     async def main() -> list[str]:
         with ternlane.Bridged(paper("r0", "w0"), lambda: transport) as routing:
+
             async def one() -> str:
                 return "".join([text async for text in routing.agenerate(REQUEST)])
+
             got = list(await asyncio.gather(*[one() for _ in range(4)]))
             made["w0"].trouble = "stalls"
             task = asyncio.create_task(one())
@@ -93,6 +97,7 @@
                     break
                 await asyncio.sleep(0.01)
             return got
+
     assert asyncio.run(main()) == ["0 1 2 3 4 5 "] * 4
     assert made["w0"].closed == 5
 
@@ -100,29 +105,41 @@
 def test_a_router_that_can_not_start_says_so_where_it_is_made() -> None:
     def make() -> LocalTransport:
         raise OSError("no such engines")
+
     with pytest.raises(OSError, match="no such engines"), ternlane.Blocking(paper("r0"), make):
         pass
 
 
 def test_an_interpreter_that_ends_with_a_router_open_ends() -> None:
-    code = ("from tests.test_library import *\n_, t = engines()\n"
-            "r = ternlane.Blocking(paper('r0', 'w0'), lambda: t).__enter__()\n"
-            "print(''.join(r.generation(REQUEST)).strip()[-1])")
+    code = (
+        "from tests.test_library import *\n_, t = engines()\n"
+        "r = ternlane.Blocking(paper('r0', 'w0'), lambda: t).__enter__()\n"
+        "print(''.join(r.generation(REQUEST)).strip()[-1])"
+    )
     assert python(code).split()[-1] == "5"
 
 
 def serve(tmp_path: Path, port: int, notify: str, sock: socket.socket | None = None) -> subprocess.Popen[bytes]:
     path = tmp_path / "g.json5"
-    path.write_text(json.dumps({"name": "g1", "listen": f"127.0.0.1:{port}", "products": [
-        {"name": "summary", "slo_ms": 500, "limit_ms": 2000}], "nodes": {"from": "inline", "nodes": []}}))
+    path.write_text(
+        json.dumps(
+            {
+                "name": "g1",
+                "listen": f"127.0.0.1:{port}",
+                "products": [{"name": "summary", "slo_ms": 500, "limit_ms": 2000}],
+                "nodes": {"from": "inline", "nodes": []},
+            }
+        )
+    )
     env = {**os.environ, "NOTIFY_SOCKET": notify, "PYTHONPATH": str(ROOT)}
-    args = [sys.executable, "-m", "ternlane", "serve", str(path), "--log", "error", "--pid-file",
-            str(tmp_path / "pid")]
+    args = [sys.executable, "-m", "ternlane", "serve", str(path), "--log", "error", "--pid-file", str(tmp_path / "pid")]
     if sock is None:
         return subprocess.Popen(args, env=env)
     # a service manager puts the socket at 3 and names how many there are
-    code = f"import os, sys; os.dup2({sock.fileno()}, 3); os.environ['LISTEN_PID'] = str(os.getpid()); " \
-           f"os.environ['LISTEN_FDS'] = '1'; os.execv(sys.executable, {args!r})"
+    code = (
+        f"import os, sys; os.dup2({sock.fileno()}, 3); os.environ['LISTEN_PID'] = str(os.getpid()); "
+        f"os.environ['LISTEN_FDS'] = '1'; os.execv(sys.executable, {args!r})"
+    )
     return subprocess.Popen([sys.executable, "-c", code], env=env, pass_fds=[sock.fileno(), 3])
 
 
@@ -136,6 +153,7 @@
     def keep_asking() -> None:
         while not stop.is_set():
             results.append(httpx.get(f"http://127.0.0.1:{port}/v1/models", timeout=5).status_code)
+
     first = serve(tmp_path, port, str(tmp_path / "notify"), door)
     second = None
     try:
@@ -147,11 +165,11 @@
         assert b"READY=1" in manager.recv(4096)
         first.send_signal(signal.SIGTERM)
         assert b"STOPPING=1" in manager.recv(4096) and first.wait(10) == 0
-        assert (tmp_path / "pid").read_text() == f"{second.pid}\n"    # the one that ended left the other's number
+        assert (tmp_path / "pid").read_text() == f"{second.pid}\n"  # the one that ended left the other's number
         time.sleep(0.3)
         until = time.monotonic() + 10
         while len(results) <= 20 and client.is_alive() and time.monotonic() < until:
-            time.sleep(0.02)    # a busy machine starts processes slowly
+            time.sleep(0.02)  # a busy machine starts processes slowly
         stop.set()
         client.join(10)
         assert len(results) > 20 and set(results) == {200}, results
@@ -169,12 +187,14 @@
 
 def test_a_fork_after_import_can_route_in_both(tmp_path: Path) -> None:
     """Nothing is started by importing, so a child has all that its parent has."""
-    said = python("import os\nfrom tests.test_library import *\nternlane.Blocking, ternlane.open_gateway\n"
-                  "pid = os.fork()\n_, t = engines()\n"
-                  "with ternlane.Blocking(paper('r0', 'w0'), lambda: t) as r:\n"
-                  "    text = ''.join(r.generation(REQUEST)).strip()\n"
-                  "os.write(1, (text[-1] + chr(10)).encode())\n"
-                  "pid and os.waitpid(pid, 0)\n")
+    said = python(
+        "import os\nfrom tests.test_library import *\nternlane.Blocking, ternlane.open_gateway\n"
+        "pid = os.fork()\n_, t = engines()\n"
+        "with ternlane.Blocking(paper('r0', 'w0'), lambda: t) as r:\n"
+        "    text = ''.join(r.generation(REQUEST)).strip()\n"
+        "os.write(1, (text[-1] + chr(10)).encode())\n"
+        "pid and os.waitpid(pid, 0)\n"
+    )
     assert said.split() == ["5", "5"]
 
 
@@ -220,8 +240,10 @@
 
 async def test_two_routers_in_one_process_do_not_know_each_other() -> None:
     (one, first), (two, second) = engines(), engines()
-    async with ternlane.open_routing(paper("r0", "w0"), first) as a, ternlane.open_routing(
-            paper("r0", "w0", seed=9), second) as b:
+    async with (
+        ternlane.open_routing(paper("r0", "w0"), first) as a,
+        ternlane.open_routing(paper("r0", "w0", seed=9), second) as b,
+    ):
         async with a.generation(REQUEST) as stream:
             assert await stream.text()
         assert one["w0"].effects == 1 and two["w0"].effects == 0 and not b.host.tickets
@@ -235,17 +257,20 @@
 
 async def test_cancelled_at_every_checkpoint_it_leaves_nothing() -> None:
     """The n-th step of a generation is cancelled, for every n: nothing is held, no effect twice, no task stays."""
+
     async def once(n: int) -> bool:
         made, transport = engines()
         steps, done = 0, False
         async with ternlane.open_routing(paper("r0", "w0"), transport) as routing:
             with trio.CancelScope() as scope:
+
                 class Count(trio.abc.Instrument):
                     def before_task_step(self, task: object) -> None:
                         nonlocal steps
                         steps += 1
                         if steps == n:
                             scope.cancel()
+
                 counter = Count()
                 trio.lowlevel.add_instrument(counter)
                 try:
@@ -260,6 +285,7 @@
             assert made["w0"].effects <= 1 and made["w0"].closed == made["w0"].effects
             assert made["w0"].effects or not made["r0"].states
         return done
+
     before = trio.lowlevel.current_statistics().tasks_living
     ended = [await once(n) for n in range(1, 90)]
     assert not ended[0] and ended[-1]
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -1,4 +1,5 @@
 """The load tool: its quantiles, what it sends and when, and that it is honest about stalls, its own included."""
+
 from __future__ import annotations
 
 import json
@@ -49,20 +50,28 @@
 
 
 def paper(**changes: object) -> LoadPaper:
-    return LoadPaper(products=[Mix("summary", answer_toks=(6.0, 0.0))], **changes)    # type: ignore[arg-type]
+    return LoadPaper(products=[Mix("summary", answer_toks=(6.0, 0.0))], **changes)  # type: ignore[arg-type]
 
 
-@pytest.mark.parametrize("arrivals", [
-    Arrivals("poisson", 50.0), Arrivals("bursty", 50.0, times=5.0, part=0.1, period_s=10.0),
-    Arrivals("diurnal", 50.0, swing=0.8, period_s=20.0)])
+@pytest.mark.parametrize(
+    "arrivals",
+    [
+        Arrivals("poisson", 50.0),
+        Arrivals("bursty", 50.0, times=5.0, part=0.1, period_s=10.0),
+        Arrivals("diurnal", 50.0, swing=0.8, period_s=20.0),
+    ],
+)
 def test_arrivals_have_the_rate_that_was_asked_for_and_their_shape(arrivals: Arrivals) -> None:
     told = LoadPaper(products=[Mix("summary")], seconds=200.0, arrivals=arrivals)
     times = list(times_of(told, random.Random(3)))
     assert times == sorted(times) and len(times) == pytest.approx(10_000, rel=0.06)
     peak = {"poisson": 0.1, "bursty": 0.5, "diurnal": 0.18}[arrivals.kind]
     period = arrivals.period_s if arrivals.kind != "poisson" else 10.0
-    high = sum(1 for t in times if (t % period) / period < 0.1) if arrivals.kind != "diurnal" else sum(
-        1 for t in times if 0.2 <= (t % period) / period < 0.3)
+    high = (
+        sum(1 for t in times if (t % period) / period < 0.1)
+        if arrivals.kind != "diurnal"
+        else sum(1 for t in times if 0.2 <= (t % period) / period < 0.3)
+    )
     assert high / len(times) == pytest.approx(peak, rel=0.15)
     recorded = paper(seconds=3.0, arrivals=Arrivals("recorded", recorded_s=[0.0, 2.0, 3.0, 8.0], faster=2.0))
     assert list(times_of(recorded, random.Random(1))) == [0.0, 1.0, 1.5]
@@ -70,8 +79,12 @@
 
 def test_what_is_asked_does_not_hang_on_answers_and_popular_openings_come_by_zipf() -> None:
     mix = Mix("summary", turns=2.0, openings=20, opening_words=5, zipf=1.0)
-    told = LoadPaper(products=[mix, Mix("note", share=0.25)], seconds=100.0, arrivals=Arrivals(rate=40.0),
-                     tenants={"a": 3.0, "b": 1.0})
+    told = LoadPaper(
+        products=[mix, Mix("note", share=0.25)],
+        seconds=100.0,
+        arrivals=Arrivals(rate=40.0),
+        tenants={"a": 3.0, "b": 1.0},
+    )
     first, again = list(asks(told)), list(asks(told))
     assert [(a.at_s, a.messages, a.key) for a in first] == [(a.at_s, a.messages, a.key) for a in again]
     seen = [a.messages[0]["content"] for a in first if a.mix is mix]
@@ -85,8 +98,12 @@
 async def test_a_load_is_answered_and_counted_as_the_engines_saw_it() -> None:
     async with world() as w:
         lines: list[dict[str, object]] = []
-        told = LoadPaper(products=[Mix("summary", turns=2.0, think_s=0.05, openings=2), Mix("note", stream=False)],
-                         seconds=1.0, arrivals=Arrivals(rate=30.0), late_ms=1000.0)
+        told = LoadPaper(
+            products=[Mix("summary", turns=2.0, think_s=0.05, openings=2), Mix("note", stream=False)],
+            seconds=1.0,
+            arrivals=Arrivals(rate=30.0),
+            late_ms=1000.0,
+        )
         tally = await Load(told, f"http://{w.gateway.address}/v1", lines.append).run()
         assert tally.outcomes["streamed"] == len(lines) > 20 and set(tally.outcomes) == {"streamed"}
         assert tally.toks == 6 * len(lines) and len(w.said("effect")) >= len(lines)
@@ -97,6 +114,7 @@
 async def test_a_stall_is_seen_by_all_that_were_due_in_it() -> None:
     """A closed loop asks less while a server stalls, and its median hides it; an open one must not."""
     async with world(build=replace(BUILD, slots=2)) as w:
+
         async def stall() -> None:
             await trio.sleep(0.4)
             for engine in w.engines.values():
@@ -104,21 +122,24 @@
             await trio.sleep(0.9)
             for engine in w.engines.values():
                 engine.trouble.hung = False
+
         w.nursery.start_soon(stall)
         tally = await Load(paper(seconds=1.2, arrivals=Arrivals(rate=20.0), late_ms=1000.0), w.gateway.address).run()
         due = sum(tally.outcomes.values())
-        assert due == len(list(asks(paper(seconds=1.2, arrivals=Arrivals(rate=20.0)))))    # none was left out
-        assert tally.first.many >= tally.outcomes["streamed"] > 0    # each that was answered has its time
-        slow = sum(n for at, n in tally.first.counts.items() if tally.first.gamma ** at > 300.0)
+        assert due == len(list(asks(paper(seconds=1.2, arrivals=Arrivals(rate=20.0)))))  # none was left out
+        assert tally.first.many >= tally.outcomes["streamed"] > 0  # each that was answered has its time
+        slow = sum(n for at, n in tally.first.counts.items() if tally.first.gamma**at > 300.0)
         assert slow + due - tally.outcomes["streamed"] > due / 4
 
 
 async def test_a_tool_slower_than_its_schedule_says_so_and_reports_nothing() -> None:
     async with world() as w:
+
         async def hog() -> None:
             for _ in range(40):
-                time.sleep(0.03)    # noqa: ASYNC251
+                time.sleep(0.03)  # noqa: ASYNC251
                 await trio.lowlevel.checkpoint()
+
         w.nursery.start_soon(hog)
         with pytest.raises(TooSlow, match="late for one request in a hundred"):
             await Load(paper(seconds=0.5, arrivals=Arrivals(rate=100.0), late_ms=5.0), w.gateway.address).run()
@@ -134,6 +155,7 @@
             while True:
                 most = max(most, load.open)
                 await trio.sleep(0.001)
+
         w.nursery.start_soon(watch)
         tally = await load.run()
         assert most == 3 and tally.outcomes["streamed"] >= 6
@@ -146,8 +168,11 @@
         with pytest.raises(NotLocal):
             address_of(wrong)
     path = tmp_path / "load.json5"
-    for text, word in (("{products: []}", "products"), ("{products: [{model: 'a', share: -1}]}", "share"),
-                       ("{products: [{model: 'a'}], arrivals: {kind: 'sudden'}}", "kind")):
+    for text, word in (
+        ("{products: []}", "products"),
+        ("{products: [{model: 'a', share: -1}]}", "share"),
+        ("{products: [{model: 'a'}], arrivals: {kind: 'sudden'}}", "kind"),
+    ):
         path.write_text(text)
         told = CliRunner().invoke(main, ["load", str(path), "127.0.0.1:1", "--quiet"])
         assert told.exit_code == 65 and word in told.output
