--- a/tests/test_platform_bounds.py
+++ b/tests/test_platform_bounds.py
@@ -1,4 +1,5 @@
 """Stories of the platform's gateway at its limits: floods, shortages, lateness, reloads, and what must not grow."""
+
 from __future__ import annotations
 
 import gc
@@ -31,19 +32,21 @@
 
 # -- what must not grow
 
+
 async def test_thousands_of_new_clients_ids_and_sessions_leave_nothing_behind() -> None:
     """Servers are replaced meanwhile, some clients leave early, some streams are spoilt."""
     async with platform("r0", "w0", "w1", w1=lambda ident: "later_noise" if ident.endswith("7") else "") as p:
-        node, desk = p.gateway.node, p.gateway.node.chooser.desk    # type: ignore[attr-defined]
+        node, desk = p.gateway.node, p.gateway.node.chooser.desk  # type: ignore[attr-defined]
         outcomes: list[int] = []
 
         async def client(nth: int) -> None:
             with trio.move_on_after(0.002 if nth % 10 == 3 else 5):
                 info = f"prefix={nth:x},prompt_len=9,prefix_len=4,max_out=4"
                 outcomes.append((await p.ask(Request_Info=info)).status)
+
         rounds, each = 30, 60
         for turn in range(rounds):
-            if turn % 5 == 4:    # a server goes, another comes
+            if turn % 5 == 4:  # a server goes, another comes
                 p.servers.pop(f"w{turn // 5}").stop()
                 p.discovery.put(f"w{turn // 5}", "", "writer", "DELETED")
                 await p.add(f"w{turn // 5 + 2}")
@@ -52,13 +55,13 @@
                     nursery.start_soon(client, turn * each + nth)
         assert outcomes.count(200) > rounds * each / 2
         await p.settled()
-        desk.homes.update({f"old{n}": desk.homes[next(iter(desk.homes))] for n in range(3 * FEW ** 2)})
-        with trio.fail_after(3):    # at the module's next looks
-            while len(desk.homes) > 2 * FEW ** 2 or len(desk.board) > len(node.roster.servers):
+        desk.homes.update({f"old{n}": desk.homes[next(iter(desk.homes))] for n in range(3 * FEW**2)})
+        with trio.fail_after(3):  # at the module's next looks
+            while len(desk.homes) > 2 * FEW**2 or len(desk.board) > len(node.roster.servers):
                 await trio.sleep(0.02)
         front, pool = p.gateway.front, node.engines.pool
         assert not node.tickets and not node.idents and not node.ended and not node.releasing and not desk.waiting
-        assert len(node.trails) == TRAILS and sum(desk.asked_for.values()) <= 2 * FEW ** 2
+        assert len(node.trails) == TRAILS and sum(desk.asked_for.values()) <= 2 * FEW**2
         assert len(node.engines.heard_at) <= len(node.roster.spots) == len(node.roster.servers) == 3
         assert all(not e.legs and not e.booked for e in desk.board)
         assert front.conns == len(front.idle) == 0 and len(pool.open) == len(pool.resting)
@@ -71,7 +74,7 @@
 
 async def test_what_is_in_memory_does_not_follow_the_number_of_clients() -> None:
     async with platform("r0", "w0") as p:
-        homes = p.gateway.node.chooser.desk.homes    # type: ignore[attr-defined]
+        homes = p.gateway.node.chooser.desk.homes  # type: ignore[attr-defined]
 
         async def some(count: int) -> int:
             for _ in range(count // 40):
@@ -81,17 +84,18 @@
             await p.settled()
             p.fleet.seen.clear()
             p.fleet.ran.clear()
-            homes.clear()    # bounded by number and age, see above
+            homes.clear()  # bounded by number and age, see above
             gc.collect()
             return sum(str(type(it).__module__).startswith("ternlane.") for it in gc.get_objects())
-        await some(TRAILS + 120)    # until the bounded tables are full
+
+        await some(TRAILS + 120)  # until the bounded tables are full
         before = await some(200)
-        assert await some(1000) - before < 100    # a tenth of an object of this program's for each client
+        assert await some(1000) - before < 100  # a tenth of an object of this program's for each client
 
 
 async def test_names_of_sessions_and_openings_are_kept_short_and_still_told_apart() -> None:
     async with platform("r0", "w0") as p:
-        desk = p.gateway.node.chooser.desk    # type: ignore[attr-defined]
+        desk = p.gateway.node.chooser.desk  # type: ignore[attr-defined]
         for last in "aab":
             info = f"prefix={'p' * 3000}{last},prompt_len=20,prefix_len=8"
             assert (await p.ask(Affinity_Key="k" * 9000 + last, Request_Info=info)).status == 200
@@ -100,9 +104,10 @@
 
 
 async def test_what_was_learnt_of_products_that_a_reload_took_away_is_forgotten(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     async with platform("r0", "w0") as p:
-        desk = p.gateway.node.chooser.desk    # type: ignore[attr-defined]
+        desk = p.gateway.node.chooser.desk  # type: ignore[attr-defined]
         for turn in range(1, 6):
             profiles = [profile | {"aim": 500.0 + turn} for profile in TOLD["profiles"]]
             reload(p, tmp_path, monkeypatch, TOLD | {"profiles": profiles})
@@ -114,22 +119,35 @@
 
 # -- configuration
 
+
 def reload(p: Platform, folder: Path, monkeypatch: pytest.MonkeyPatch, settings: dict[str, Any]) -> None:
     path = folder / "config.json"
-    path.write_text(json.dumps({"name": "n0", "listen": p.address, "discovery": p.discovery.address, "seed": "1",
-                                "known": p.discovery.listing(), "settings": settings}))
+    path.write_text(
+        json.dumps(
+            {
+                "name": "n0",
+                "listen": p.address,
+                "discovery": p.discovery.address,
+                "seed": "1",
+                "known": p.discovery.listing(),
+                "settings": settings,
+            }
+        )
+    )
     monkeypatch.setenv("NODE_CONFIG", str(path))
     p.gateway.reload()
 
 
 async def test_settings_that_a_reload_changes_hold_at_once_and_open_generations_do_not_notice(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     async with platform("r0", "w0") as p:
         p.servers["w0"].events, p.servers["w0"].event_ms = 20, 20.0
         replies: list[Reply] = []
 
         async def one() -> None:
             replies.append(await p.ask())
+
         p.nursery.start_soon(one)
         await trio.sleep(0.1)
         assert (await p.ask(Request_Class="brief")).status == 400
@@ -139,7 +157,7 @@
         assert (await p.ask(Request_Class="brief")).status == 200
         p.servers["r0"].script = always("silent")
         since = trio.current_time()
-        reply = await p.ask(Request_Class="brief", Request_Timeout="-")    # its class's time limit, as it is now
+        reply = await p.ask(Request_Class="brief", Request_Timeout="-")  # its class's time limit, as it is now
         assert reply.status == 503 and trio.current_time() - since < 0.35 and "retry-after" not in reply.headers
         with trio.fail_after(3):
             while not replies:
@@ -155,7 +173,7 @@
     async with platform("r0", "w0", "w1") as p:
         node, server = p.gateway.node, p.gateway.node.roster.servers["w1"]
         p.discovery.entries.pop("w0")
-        p.discovery.index += 3    # the watch that begins anew finds no such version: it is given the whole list
+        p.discovery.index += 3  # the watch that begins anew finds no such version: it is given the whole list
         p.discovery.log = [{}] * p.discovery.index
         p.discovery.garbage = json.dumps(p.discovery.listing()).encode()
         p.discovery.changed.set()
@@ -167,7 +185,7 @@
         assert {n for n, k, _ in p.fleet.seen if k == "write"} == {"w1"}
         p.servers["w1"].stop()
         p.servers["w1"].address = ""
-        moved = await p.add("w1")    # the same name elsewhere is the same server
+        moved = await p.add("w1")  # the same name elsewhere is the same server
         with trio.fail_after(2):
             while node.roster.spots[server].address != moved.address:
                 await trio.sleep(0.01)
@@ -176,13 +194,14 @@
 
 # -- floods and shortages
 
+
 async def test_a_flood_of_the_same_bad_request_leaves_usual_clients_their_share() -> None:
     async with platform("r0", "w0") as p:
         answers: list[bytes] = []
         took: list[float] = []
 
         async def bad() -> None:
-            for _ in range(4):    # again, the moment it was turned away
+            for _ in range(4):  # again, the moment it was turned away
                 answers.append(await p.raw(BAD))
 
         async def usual() -> None:
@@ -190,6 +209,7 @@
                 since = trio.current_time()
                 assert (await p.ask()).status == 200
                 took.append(trio.current_time() - since)
+
         async with trio.open_nursery() as nursery:
             for _ in range(150):
                 nursery.start_soon(bad)
@@ -230,11 +250,12 @@
 
 # -- time
 
+
 async def test_a_late_loop_gives_up_sooner_and_says_by_how_much_it_was_late(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(process_module, "REPORT_MS", 50.0)
     async with platform("r0", "w0", r0=always("silent")) as p:
         node = p.gateway.node
-        time.sleep(0.25)    # noqa: ASYNC251 - the loop stands still
+        time.sleep(0.25)  # noqa: ASYNC251 - the loop stands still
         await trio.sleep(0.02)
         assert 150 < node.lag_ms() < 260
         since = trio.current_time()
@@ -254,19 +275,20 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(partial(p.ask, Request_Class="note", Request_Timeout="0.4"))
             await trio.sleep(0.2)
-            time.sleep(0.4)    # noqa: ASYNC251 - the loop stands still
+            time.sleep(0.4)  # noqa: ASYNC251 - the loop stands still
         assert p.gateway.node.counts["late"] == 1
         await p.settled()
 
 
 async def test_a_drain_takes_what_waits_at_the_door_when_it_stops_accepting() -> None:
     async with platform("r0", "w0") as p:
-        p.gateway.accepting.cancel()    # what comes from here on is left to the listener's queue
+        p.gateway.accepting.cancel()  # what comes from here on is left to the listener's queue
         await trio.sleep(0.01)
         replies: list[Reply] = []
 
         async def one() -> None:
             replies.append(await p.ask())
+
         async with trio.open_nursery() as nursery:
             nursery.start_soon(one)
             await p.gateway.drain()
@@ -275,6 +297,7 @@
 
 # -- what is held
 
+
 @pytest.mark.parametrize("way", ["silent", "noise", "status_503", "opening_cut"])
 async def test_a_server_that_garbles_or_is_too_busy_does_not_keep_a_state_from_being_let_go(way: str) -> None:
     async with platform("r0", "w0", "w1", w0=always("status_500"), w1=always("status_500")) as p:
@@ -310,12 +333,19 @@
 
 # -- what the decisions believe
 
+
 async def test_on_a_rough_day_open_legs_and_connections_are_what_the_servers_count() -> None:
-    async with platform("r0", "r1", "w0", "w1", r1=lambda i: "silent" if i.endswith("3") else "",
-                        w0=lambda i: "opening_cut" if i.endswith("5") else "",
-                        w1=lambda i: "first_not_json" if i.endswith("6") else "") as p:
+    async with platform(
+        "r0",
+        "r1",
+        "w0",
+        "w1",
+        r1=lambda i: "silent" if i.endswith("3") else "",
+        w0=lambda i: "opening_cut" if i.endswith("5") else "",
+        w1=lambda i: "first_not_json" if i.endswith("6") else "",
+    ) as p:
         node = p.gateway.node
-        board = node.chooser.desk.board    # type: ignore[attr-defined]
+        board = node.chooser.desk.board  # type: ignore[attr-defined]
         for server in p.servers.values():
             server.events, server.event_ms = 20, 10.0
         agreed = 0
@@ -324,11 +354,12 @@
             names = {s: spot.name for s, spot in node.roster.spots.items()}
             believed = {names[e.server]: len(e.legs) for e in board if e.legs}
             return believed == dict(+p.fleet.open) and len(node.engines.pool.open) == sum(p.fleet.conns.values())
+
         async with trio.open_nursery() as nursery:
             for _ in range(8):
                 for _ in range(6):
                     nursery.start_soon(p.ask)
-                with trio.move_on_after(0.5):    # what is just under way between the two settles in a moment
+                with trio.move_on_after(0.5):  # what is just under way between the two settles in a moment
                     while not await quiet():
                         await trio.sleep(0.001)
                 agreed += await quiet()
@@ -339,18 +370,31 @@
 
 # -- the process
 
+
 @asynccontextmanager
 async def running(p: Platform, folder: Path, **more: Any) -> AsyncIterator[tuple[trio.Process, Path]]:
     spare = (await trio.open_tcp_listeners(0, host="127.0.0.1"))[0]
     p.address = "127.0.0.1:%d" % spare.socket.getsockname()[1]
     spare.socket.close()
     config, log = folder / "config.json", folder / "log"
-    config.write_text(json.dumps({
-        "name": "n0", "listen": p.address, "discovery": p.discovery.address, "seed": "ff", "settings": TOLD,
-        "limits": {"cores": 1.0, "memory_mb": 128, "sockets": 256}, "known": p.discovery.listing()} | more))
+    config.write_text(
+        json.dumps(
+            {
+                "name": "n0",
+                "listen": p.address,
+                "discovery": p.discovery.address,
+                "seed": "ff",
+                "settings": TOLD,
+                "limits": {"cores": 1.0, "memory_mb": 128, "sockets": 256},
+                "known": p.discovery.listing(),
+            }
+            | more
+        )
+    )
     with log.open("wb") as out:
-        process = await trio.lowlevel.open_process([sys.executable, "-m", "ternlane.platform"], stderr=out,
-                                                   env=os.environ | {"NODE_CONFIG": str(config)})
+        process = await trio.lowlevel.open_process(
+            [sys.executable, "-m", "ternlane.platform"], stderr=out, env=os.environ | {"NODE_CONFIG": str(config)}
+        )
         try:
             yield process, log
         finally:
@@ -365,7 +409,7 @@
         resource.prlimit(process.pid, resource.RLIMIT_NOFILE, (held + 8, held + 8))
         async with trio.open_nursery() as nursery:
             for _ in range(40):
-                nursery.start_soon(p.raw, b"")    # each is closed in its time
+                nursery.start_soon(p.raw, b"")  # each is closed in its time
         with trio.fail_after(5):
             while (await p.ask()).status != 200:
                 await trio.sleep(0.05)
@@ -395,11 +439,12 @@
 
         async def one() -> None:
             statuses.append((await p.ask(Request_Class="note", Request_Timeout="1.0")).status)
+
         p.nursery.start_soon(one)
         with trio.fail_after(3):
             while not p.fleet.states and not p.fleet.open["w0"]:
                 await trio.sleep(0.005)
-        p.fleet.states["00000000000000bb"] = "r0"    # of another gateway
+        p.fleet.states["00000000000000bb"] = "r0"  # of another gateway
         process.send_signal(signal.SIGTERM)
         with trio.fail_after(5):
             assert await process.wait() == 0
@@ -415,7 +460,7 @@
 @pytest.mark.parametrize("after_s", [0.0, 0.1, 0.2, 0.4])
 async def test_signals_during_the_start_do_no_harm(after_s: float, tmp_path: Path) -> None:
     async with platform("r0", "w0") as p, running(p, tmp_path) as (process, _):
-        with trio.fail_after(5):    # Python itself has started
+        with trio.fail_after(5):  # Python itself has started
             while not caught(process.pid) & 1 << signal.SIGTERM - 1:
                 await trio.sleep(0.002)
         await trio.sleep(after_s)
--- a/tests/test_recover.py
+++ b/tests/test_recover.py
@@ -1,4 +1,5 @@
 """Streams whose writer is lost: joined where that is safe, ended honestly where not, paced when many break at once."""
+
 from __future__ import annotations
 
 import json
@@ -91,7 +92,7 @@
     async with world(("r0", "w0", "w0b", "w1", "w1b"), terms=terms()) as w:
         break_all(w, 2)
         reply = await w.ask(stream_options={"include_usage": True})
-        assert reply.text == whole.text and reply.done == 1    # 2 + 2 + 2 pieces, and then only its end
+        assert reply.text == whole.text and reply.done == 1  # 2 + 2 + 2 pieces, and then only its end
         assert usage_of(reply)["completion_tokens"] == 6 and len(set(legs_at(w))) >= 3
         await w.settled()
     async with world(("r0", "w0", "w0b"), terms=terms()) as w:
@@ -110,6 +111,7 @@
             while len(w.said("leg", stage="read")) < 2:
                 await trio.sleep(0.0005)
             w.engines[w.said("leg", stage="read")[1]["id"]].die()
+
         w.nursery.start_soon(kill)
         reply = await w.ask()
         assert reply.text == whole.text and reply.done == 1
@@ -137,7 +139,7 @@
         break_all(w, 3)
         w.nursery.start_soon(others, w, "other")
         reply = await w.ask("form")
-        assert reply.done == 0 and "another answer" in reply.error["message"]    # type: ignore[index]
+        assert reply.done == 0 and "another answer" in reply.error["message"]  # type: ignore[index]
         assert len(reply.text.split()) == 3
         await w.settled()
 
@@ -145,9 +147,16 @@
 JSON = {"type": "json_object"}
 
 
-@pytest.mark.parametrize("more, joined", [
-    ({"seed": 7}, True), ({"response_format": JSON, "temperature": 0}, True), ({"response_format": JSON}, False),
-    ({"logprobs": True}, False), ({"stop": ["nowhere"], "max_tokens": 5}, True)])
+@pytest.mark.parametrize(
+    "more, joined",
+    [
+        ({"seed": 7}, True),
+        ({"response_format": JSON, "temperature": 0}, True),
+        ({"response_format": JSON}, False),
+        ({"logprobs": True}, False),
+        ({"stop": ["nowhere"], "max_tokens": 5}, True),
+    ],
+)
 async def test_each_kind_of_request_is_joined_or_ended_by_its_rule(more: dict[str, Any], joined: bool) -> None:
     whole = await unbroken(**more)
     async with world(("r0", "w0", "w0b"), terms=terms()) as w:
@@ -175,10 +184,12 @@
         break_all(w, 2)
         with trio.move_on_after(5):
             async with trio.open_nursery() as nursery:
+
                 async def leave() -> None:
                     while len(w.said("leg", stage="read")) < 2:
                         await trio.sleep(0.001)
                     nursery.cancel_scope.cancel()
+
                 nursery.start_soon(leave)
                 await w.ask()
         await w.settled()
@@ -193,6 +204,7 @@
             while not w.said("effect"):
                 await trio.sleep(0.0005)
             w.engines["r0"].trouble.hung = True
+
         w.nursery.start_soon(hang)
         since = trio.current_time()
         reply = await w.ask(headers={"X-Ternlane-Time-Limit-Ms": "600"})
@@ -210,6 +222,7 @@
             while len(w.said("leg", stage="read")) < 2:
                 await trio.sleep(0.001)
             await w.gateway.drain()
+
         w.nursery.start_soon(drain)
         reply = await w.ask()
         assert reply.text == whole.text and reply.done == 1
@@ -219,7 +232,7 @@
     async with world(("r0", "w0", "w0b"), terms=terms(), streams=StreamTerms(keep_bytes=12)) as w:
         break_all(w, 4)
         reply = await w.ask()
-        assert reply.done == 0 and "outgrew" in reply.error["message"]    # type: ignore[index]
+        assert reply.done == 0 and "outgrew" in reply.error["message"]  # type: ignore[index]
         await w.settled()
         assert w.gateway.host.mender.shelf.used == 0 and w.gateway.host.mender.shelf.dropped == 1
     async with world(("r0", "w0", "w0b"), terms=terms(), streams=StreamTerms(resume=False)) as w:
@@ -229,16 +242,21 @@
 
 
 async def test_half_the_writers_go_at_once_and_all_streams_come_through() -> None:
-    async with world(("r0", "r0b", "w0", "w0b", "w1", "w1b"), build=replace(
-            BUILD, tok_ms=25.0, answer_toks=(20, 20)), terms=terms(), products=patient(4)) as w:
+    async with world(
+        ("r0", "r0b", "w0", "w0b", "w1", "w1b"),
+        build=replace(BUILD, tok_ms=25.0, answer_toks=(20, 20)),
+        terms=terms(),
+        products=patient(4),
+    ) as w:
         replies: list[Reply] = []
 
         async def ask(i: int) -> None:
             reply = await w.ask(text=f"folder {i}")
-            while reply.status == 429:    # a busy machine turns some away, and they come again
+            while reply.status == 429:  # a busy machine turns some away, and they come again
                 await trio.sleep(0.05)
                 reply = await w.ask(text=f"folder {i}")
             replies.append(reply)
+
         async with trio.open_nursery() as nursery:
             for i in range(12):
                 nursery.start_soon(ask, i)
@@ -248,12 +266,13 @@
             for ident in sorted(("w0", "w0b", "w1", "w1b"), key=lambda e: -begun[e])[:2]:
                 w.engines[ident].die()
         assert len(replies) == 12 and all(r.done == 1 and len(r.text.split()) == 20 for r in replies)
-        assert len(w.said("effect")) > 12    # some were broken, and went on elsewhere
+        assert len(w.said("effect")) > 12  # some were broken, and went on elsewhere
         await w.settled()
 
 
 # -- without sockets
 
+
 def join(text: str = "", way: Way = Way.GO_ON, stop: Any = None, max_toks: int = 1000) -> Join:
     made = Join(way, "", Shelf(10**6, 10**6, 10**6), max_toks, stop)
     for piece in text.split("|") if text else ():
@@ -268,7 +287,7 @@
     way = data.draw(st.sampled_from([Way.GO_ON, Way.REPLAY]))
     it, seen = join(way=way), ""
     for _ in range(4):
-        said = words[it.toks:] if way is Way.GO_ON else words
+        said = words[it.toks :] if way is Way.GO_ON else words
         upto = data.draw(st.integers(1, max(1, len(said))))
         for piece in said[:upto]:
             seen += it.take(piece)
@@ -277,7 +296,7 @@
             break
         assert it.broke(None) is not None
     else:
-        for piece in words[it.toks:] if way is Way.GO_ON else words:
+        for piece in words[it.toks :] if way is Way.GO_ON else words:
             seen += it.take(piece)
     assert seen == "".join(words) and it.ends()
 
@@ -289,7 +308,7 @@
     it = join("ab|cd", Way.REPLAY)
     it.broke(None)
     it.take("ab")
-    assert not it.ends() and it.way is Way.END    # it ended before it had said what the client has
+    assert not it.ends() and it.way is Way.END  # it ended before it had said what the client has
     it = join("ab|cd", Way.REPLAY)
     it.broke(None)
     with pytest.raises(Differs):
@@ -313,17 +332,26 @@
     it = join("a|b|c", max_toks=3)
     assert it.broke(None) == 3 and it.left() == 0
     it = join("a|b|c", max_toks=9)
-    assert it.broke(5) == 5 and it.left() == 4    # two pieces were two tokens each, by the engine's word
-
-
-@pytest.mark.parametrize("raw, effect, way", [
-    ({}, Effect.IDEMPOTENT, Way.GO_ON), ({}, Effect.SIDE_EFFECTING, Way.END), ({}, Effect.DEDUPLICATED, Way.REPLAY),
-    ({"seed": 7}, Effect.IDEMPOTENT, Way.REPLAY), ({"seed": 7, "temperature": 0}, Effect.IDEMPOTENT, Way.GO_ON),
-    ({"tools": [{}]}, Effect.IDEMPOTENT, Way.END), ({"tools": [{}], "seed": 1}, Effect.IDEMPOTENT, Way.REPLAY),
-    ({"response_format": {"type": "json_object"}}, Effect.IDEMPOTENT, Way.END),
-    ({"response_format": {"type": "json_object"}, "temperature": 0}, Effect.IDEMPOTENT, Way.REPLAY),
-    ({"response_format": {"type": "text"}, "stop": ["x"], "max_tokens": 9}, Effect.IDEMPOTENT, Way.GO_ON),
-    ({"logprobs": True}, Effect.IDEMPOTENT, Way.END), ({"n": 2}, Effect.IDEMPOTENT, Way.END)])
+    assert it.broke(5) == 5 and it.left() == 4  # two pieces were two tokens each, by the engine's word
+
+
+@pytest.mark.parametrize(
+    "raw, effect, way",
+    [
+        ({}, Effect.IDEMPOTENT, Way.GO_ON),
+        ({}, Effect.SIDE_EFFECTING, Way.END),
+        ({}, Effect.DEDUPLICATED, Way.REPLAY),
+        ({"seed": 7}, Effect.IDEMPOTENT, Way.REPLAY),
+        ({"seed": 7, "temperature": 0}, Effect.IDEMPOTENT, Way.GO_ON),
+        ({"tools": [{}]}, Effect.IDEMPOTENT, Way.END),
+        ({"tools": [{}], "seed": 1}, Effect.IDEMPOTENT, Way.REPLAY),
+        ({"response_format": {"type": "json_object"}}, Effect.IDEMPOTENT, Way.END),
+        ({"response_format": {"type": "json_object"}, "temperature": 0}, Effect.IDEMPOTENT, Way.REPLAY),
+        ({"response_format": {"type": "text"}, "stop": ["x"], "max_tokens": 9}, Effect.IDEMPOTENT, Way.GO_ON),
+        ({"logprobs": True}, Effect.IDEMPOTENT, Way.END),
+        ({"n": 2}, Effect.IDEMPOTENT, Way.END),
+    ],
+)
 def test_each_kind_of_request_has_its_way(raw: dict[str, Any], effect: Effect, way: Way) -> None:
     assert way_of(raw, effect)[0] is way
 
@@ -336,13 +364,21 @@
     said = it.request(raw)
     assert said["messages"] == [*raw["messages"], {"role": "assistant", "content": "a b"}]
     assert said["continue_final_message"] and not said["add_generation_prompt"] and len(raw["messages"]) == 1
-    begun = {"messages": [{"role": "assistant", "content": [{"type": "text", "text": "z "}]}],
-             "continue_final_message": True}
+    begun = {
+        "messages": [{"role": "assistant", "content": [{"type": "text", "text": "z "}]}],
+        "continue_final_message": True,
+    }
     assert it.request(begun)["messages"] == [{"role": "assistant", "content": "z a b"}]
 
 
-@given(st.lists(st.tuples(st.floats(0, 400), st.sampled_from(["read", "break", "land"]), st.integers(1, 4000),
-                          st.integers(1, 5)), max_size=80))
+@given(
+    st.lists(
+        st.tuples(
+            st.floats(0, 400), st.sampled_from(["read", "break", "land"]), st.integers(1, 4000), st.integers(1, 5)
+        ),
+        max_size=80,
+    )
+)
 @settings(max_examples=200, deadline=None)
 def test_reading_anew_stays_within_its_share(steps: list[tuple[float, str, int, int]]) -> None:
     share, span = 0.25, 500.0
@@ -371,7 +407,7 @@
         for item in late:
             waiting.pop(item)
         assert charged <= share * peak * (now + span) + largest * (1 + alone) + 1
-        assert not pace.queue or pace.out    # while anything waits, something is under way
+        assert not pace.queue or pace.out  # while anything waits, something is under way
     due = pace.due(now)
     assert (due is None) == (not waiting) and (due is None or due > now - 1)
 
@@ -379,11 +415,15 @@
 def test_what_earns_most_and_has_streamed_most_goes_first_and_the_late_are_named() -> None:
     pace: Pace[str] = Pace(0.5, 1000.0)
     pace.out["busy"] = None
-    for name, revenue, streamed, until in (("low", 1, 9, 99.0), ("short", 3, 1, 99.0), ("long", 3, 8, 99.0),
-                                           ("late", 9, 9, 5.0)):
+    for name, revenue, streamed, until in (
+        ("low", 1, 9, 99.0),
+        ("short", 3, 1, 99.0),
+        ("long", 3, 8, 99.0),
+        ("late", 9, 9, 5.0),
+    ):
         pace.wait(name, 10, revenue, streamed, until)
     pace.wait("left", 10, 9, 9, 99.0)
-    pace.gone("left")    # its client has left: nothing is read for it
+    pace.gone("left")  # its client has left: nothing is read for it
     assert pace.next(6.0) == ([], ["late"])
     order = []
     for _ in range(3):
@@ -403,7 +443,7 @@
         rng, it = random.Random(5), Rhythm(1e-3)
         it.toks = 30
         it.resumed(20.0)
-        assert it.quiet_ms("w0") is None    # nothing is known yet
+        assert it.quiet_ms("w0") is None  # nothing is known yet
         paces = {f"w{i}": 5.0 * (i + 1) for i in range(6)}
         alarms = 0
         for n in range(60_000):
@@ -412,11 +452,11 @@
             explored = n % 30 < 2
             if limit is not None and wait > limit and n > 20_000 and not explored:
                 alarms += 1
-                continue    # given up: how long it would have been is never known
+                continue  # given up: how long it would have been is never known
             it.heard(name, wait, explored)
         assert alarms <= 40_000 / 30 * 1e-3 * 6 + 2
         quiet[pauses] = it.quiet_ms("w3") or 0.0
-        assert quiet[pauses] > (it.quiet_ms("w0") or 0.0)    # each server by its own pace
+        assert quiet[pauses] > (it.quiet_ms("w0") or 0.0)  # each server by its own pace
     assert 20 <= quiet[0.0] < 20 * 12 and quiet[0.01] > 1.5 * quiet[0.0]
 
 
@@ -427,11 +467,11 @@
         it.heard("w0", waits_of(rng, 10.0, 0.0))
     assert it.quiet_ms("w0") == 400.0
     it.resume_ms = 0.0
-    it.first(300.0)    # until a resume was seen, a first token is what one is taken to cost
+    it.first(300.0)  # until a resume was seen, a first token is what one is taken to cost
     assert it.quiet_ms("w0") == 300.0
     it.resume_ms = 1.0
     before = it.quiet_ms("w0") or 0.0
-    for _ in range(60):    # all writers are four times slower from now on
+    for _ in range(60):  # all writers are four times slower from now on
         it.heard("w0", waits_of(rng, 40.0, 0.0))
     assert (it.quiet_ms("w0") or 0.0) > 3 * before
     it.forget("w0")
@@ -439,20 +479,21 @@
 
 
 async def test_a_stalled_stream_goes_on_long_before_the_silence_that_was_allowed() -> None:
-    async with world(("r0", "w0", "w0b"), build=replace(BUILD, answer_toks=(30, 30)), terms=terms(),
-                     streams=StreamTerms(alarms=1e-3)) as w:
+    async with world(
+        ("r0", "w0", "w0b"), build=replace(BUILD, answer_toks=(30, 30)), terms=terms(), streams=StreamTerms(alarms=1e-3)
+    ) as w:
         rhythm, rng = w.gateway.host.mender.rhythm, random.Random(1)
         for _ in range(4000):
             for server in w.gateway.host.book.servers.values():
                 rhythm.heard(server, waits_of(rng, 4.0, 0.0))
         rhythm.resumed(30.0)
-        rhythm.explores = lambda: False    # type: ignore[method-assign]
+        rhythm.explores = lambda: False  # type: ignore[method-assign]
         break_all(w, 12, "stall")
         w.nursery.start_soon(others, w)
         since = trio.current_time()
         reply = await w.ask()
         assert reply.done == 1 and len(reply.text.split()) == 30 and trio.current_time() - since < 0.8
-        assert w.gateway.host.facts.products[0].limit_ms / 2 == 1000    # the silence that the decisions allow
+        assert w.gateway.host.facts.products[0].limit_ms / 2 == 1000  # the silence that the decisions allow
 
 
 # -- what an answer has besides its text
@@ -468,11 +509,12 @@
         arguments = "".join(c["function"]["arguments"] for c in calls)
         assert calls[0]["id"] == "call_1" and calls[0]["function"]["name"] == "look_up" and len(arguments.split()) == 6
         assert said[0]["delta"]["role"] == "assistant" and said[-1]["finish_reason"] == "tool_calls"
-        for _ in range(2):    # as it runs, and as its repeat hears it
+        for _ in range(2):  # as it runs, and as its repeat hears it
             whole = json.loads((await w.ask(stream=False, tools=TOOLS, headers={"Idempotency-Key": "k"})).body)
             message = whole["choices"][0]["message"]
             assert message["content"] is None and message["tool_calls"] == [
-                {"id": "call_1", "type": "function", "function": {"name": "look_up", "arguments": arguments}}]
+                {"id": "call_1", "type": "function", "function": {"name": "look_up", "arguments": arguments}}
+            ]
         probs = json.loads((await w.ask(stream=False, logprobs=True)).body)["choices"][0]
         assert "".join(t["token"] for t in probs["logprobs"]["content"]) == probs["message"]["content"]
         assert len(w.said("effect")) == 3
@@ -482,13 +524,14 @@
     async with world(("r0", "w0", "w0b"), terms=terms()) as w:
         break_all(w, 3)
         reply = await w.ask(tools=TOOLS, temperature=0)
-        assert reply.done == 0 and "more than text" in reply.error["message"]    # type: ignore[index]
+        assert reply.done == 0 and "more than text" in reply.error["message"]  # type: ignore[index]
         assert len(legs_at(w)) == 1
         await w.settled()
 
 
 # -- Last-Event-ID
 
+
 async def test_a_stream_is_taken_up_again_where_its_client_had_it() -> None:
     async with world(("r0", "w0", "w0b"), terms=terms(), streams=StreamTerms(ids=True)) as w:
         whole = await w.ask(temperature=0)
@@ -500,7 +543,7 @@
             assert f"id: {len(whole.text)}\n" in rest.body.decode() or not rest.text
         break_all(w, 4)
         rest = await w.ask(temperature=0, headers={"Last-Event-ID": str(ids[1])})
-        assert rest.text == whole.text[ids[1]:] and rest.done == 1
+        assert rest.text == whole.text[ids[1] :] and rest.done == 1
         for engine in w.engines.values():
             engine.trouble.script = ""
         beyond = await w.ask(temperature=0, headers={"Last-Event-ID": str(len(whole.text) + 5)})
@@ -514,7 +557,7 @@
         assert rest.text == whole.text[5:] and rest.done == 1 and len(w.said("effect")) == 1
         for model, more in (("note", {}), ("summary", {}), ("form", {"temperature": 0})):
             reply = await w.ask(model, headers={"Last-Event-ID": "5"}, **more)
-            assert reply.status == 409 and reply.error["code"] == "resume_not_possible"    # type: ignore[index]
+            assert reply.status == 409 and reply.error["code"] == "resume_not_possible"  # type: ignore[index]
         reply = await w.ask("note", headers={"Last-Event-ID": "five"})
         assert reply.status == 400 and len(w.said("effect")) == 1
         free = await w.ask("note", headers={"Idempotency-Key": "k2", "Last-Event-ID": "5"})
@@ -546,13 +589,13 @@
 async def test_a_client_slower_than_its_writer_holds_the_writer_and_a_loss_is_joined() -> None:
     broke: list[str] = []
     engines = {i: Counted(broke) for i in ("r0", "w0", "w1")}
-    async with open_routing(paper(*engines), LocalTransport(dict(engines))) as routing:    # type: ignore[arg-type]
+    async with open_routing(paper(*engines), LocalTransport(dict(engines))) as routing:  # type: ignore[arg-type]
         async with routing.generation({**REQUEST, "model": "summary"}) as stream:
             got: list[str] = []
             async for text in stream:
                 got.append(text)
                 if len(got) in (3, 14):
-                    await trio.sleep(0.2)    # it takes nothing
+                    await trio.sleep(0.2)  # it takes nothing
                     assert sum(e.made for e in engines.values()) <= len(got) + 1
             assert "".join(got) == "".join(f"p{i} " for i in range(20))
             assert sum(e.made for e in engines.values()) == 20 and broke == ["once"]
@@ -567,7 +610,7 @@
             for server in w.gateway.host.book.servers.values():
                 rhythm.heard(server, waits_of(rng, 9.0, 0.0))
         rhythm.resumed(30.0)
-        rhythm.explores = lambda: False    # type: ignore[method-assign]
+        rhythm.explores = lambda: False  # type: ignore[method-assign]
 
         async def stand_still_and_heal() -> None:
             while not w.said("effect"):
@@ -577,9 +620,10 @@
             old.trouble.hung = True
             while len(legs_at(w)) < 2:
                 await trio.sleep(0.001)
-            await trio.sleep(0.04)    # the other streams by now
+            await trio.sleep(0.04)  # the other streams by now
             old.trouble.hung = False
             old.alter()
+
         w.nursery.start_soon(stand_still_and_heal)
         reply = await w.ask()
         assert reply.done == 1 and len(reply.text.split()) == 30 and reply.text.startswith(whole.text)
@@ -595,6 +639,7 @@
 
         async def ask(i: int) -> None:
             replies.append(await w.ask(text=f"folder {i}"))
+
         for i in range(60):
             w.nursery.start_soon(ask, i)
             await trio.sleep(0.04)
@@ -614,7 +659,7 @@
     made = [Used(100, 0, 0), Used(0, 0, 3), Used(103, 80, 0), Used(0, 0, 5)]
     whole = bill_for(made, True, True, 8, 100, broke_at=2, answered=8)
     assert whole.bill == Used(100, 0, 8) and whole.house == Used(103, 80, 0) and not whole.note
-    left = bill_for(made[:3], True, False, 3, 100, broke_at=2)    # lost again, or its client left
+    left = bill_for(made[:3], True, False, 3, 100, broke_at=2)  # lost again, or its client left
     assert left.bill == Used(100, 0, 3) and left.house == Used(103, 80, 0)
 
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -1,4 +1,5 @@
 """The checker is proved: gateways that are wrong in just one way are caught, by what crossed the sockets alone."""
+
 from __future__ import annotations
 
 from dataclasses import asdict
@@ -22,8 +23,12 @@
 from ternlane.standin.traffic import clock_ms
 
 RULES: dict[str, Any] = {
-    "release_ms": TERMS.release_ms, "drain_grace_ms": 100.0, "connect_ms": TERMS.connect_ms, "fall_ms": TERMS.fall_ms,
-    "products": {p.name: {"effect": p.effect, "group": p.group, "window_ms": p.window_ms} for p in PRODUCTS}}
+    "release_ms": TERMS.release_ms,
+    "drain_grace_ms": 100.0,
+    "connect_ms": TERMS.connect_ms,
+    "fall_ms": TERMS.fall_ms,
+    "products": {p.name: {"effect": p.effect, "group": p.group, "window_ms": p.window_ms} for p in PRODUCTS},
+}
 TALKS = [Talk(p.name, p.effect, 1.0, p.limit_ms, adds=(20, 80), opening_toks=(50, 100)) for p in PRODUCTS]
 
 
@@ -51,7 +56,8 @@
                 if isinstance(final, Streamed):
                     await outlet.exchange.chunk(event_bytes(b"[DONE]"))
                 await end(final)
-            outlet.end = end_twice    # type: ignore[method-assign]
+
+            outlet.end = end_twice  # type: ignore[method-assign]
         super().arrived(ticket)
 
 
@@ -66,8 +72,7 @@
 class Repeats(Host):
     """Rule 2: takes a broken connection for one that was never made."""
 
-    def leg_ended(self, ticket: Ticket, server: Server, stage: Stage, end: LegEnd, took: float,
-                  plan: LegPlan) -> None:
+    def leg_ended(self, ticket: Ticket, server: Server, stage: Stage, end: LegEnd, took: float, plan: LegPlan) -> None:
         if end.verdict in (Verdict.RESET, Verdict.TIMED_OUT) and not end.begun:
             end.verdict = Verdict.UNCONNECTED
         super().leg_ended(ticket, server, stage, end, took, plan)
@@ -83,8 +88,12 @@
             others = [s for s in self.book.servers.values() if s.duty is port.Duty.READ and s is not server]
             place = self.book.places[others[0]]
             again = LegPlan(place.address, [], b"", 400, 400)
-            self.nursery.start_soon(self.transport.read, LegAsk(
-                place.ident, place.address, Stage.READ, ticket.ident, 0, ticket.key, ticket.ask.raw, None, 1, again))
+            self.nursery.start_soon(
+                self.transport.read,
+                LegAsk(
+                    place.ident, place.address, Stage.READ, ticket.ident, 0, ticket.key, ticket.ask.raw, None, 1, again
+                ),
+            )
 
 
 class Undrained(Host):
@@ -118,6 +127,7 @@
 
 class Wrongly(Join):
     """Joins what comes after a loss wrongly."""
+
     how = ""
 
     def take(self, piece: str) -> str:
@@ -135,6 +145,7 @@
 
 class Stutters(Host):
     """Rule 6: says a piece twice."""
+
     how = "twice"
 
     def join_for(self, raw: dict[str, Any], gen: port.Generation) -> Join:
@@ -146,11 +157,13 @@
 
 class Skips(Stutters):
     """Rule 6: leaves a piece out."""
+
     how = "skips"
 
 
 class Anew(Stutters):
     """Rule 6: begins again from the start."""
+
     how = "anew"
 
 
@@ -171,6 +184,7 @@
     import time
 
     import msgspec
+
     if states.get(line.id) == "cold":
         return msgspec.structs.replace(line, started=time.time())
     return msgspec.structs.replace(line, state=states.get(line.id, "up"))
@@ -190,6 +204,7 @@
             await trio.sleep(0.5)
             w.engines["w0"].trouble.hung = False
             w.engines["r0b"].die()
+
         w.nursery.start_soon(strike)
         await talk(w, 40, 1200, retries=1, leave_part=0.2, leave_ms=(5.0, 60.0))
         await trio.sleep(0.9)
@@ -209,6 +224,7 @@
         async def drain() -> None:
             await trio.sleep(0.3)
             told(w, w0="draining", w1="gone")
+
         w.nursery.start_soon(drain)
         await talk(w, 40, 1200)
         return check(w.traffic.lines, RULES)
@@ -216,8 +232,9 @@
 
 async def restarted(host: type[Host]) -> Findings:
     """One writer of two restarts cold, weak, under a load that it could not carry alone."""
-    build = replace(BUILD, slots=8, tok_ms=8.0, answer_toks=(12, 12), cold_from=0.05,
-                    cold_ms=4000, fall_multiple=1.0, fall_ms=500)
+    build = replace(
+        BUILD, slots=8, tok_ms=8.0, answer_toks=(12, 12), cold_from=0.05, cold_ms=4000, fall_multiple=1.0, fall_ms=500
+    )
     terms = replace_paper(cold_from=0.05, cold_ms=4000.0, fall_multiple=1.0, fall_ms=500.0)
     async with world(("r0", "r0b", "w0", "w0b"), build=build, host_type=host, terms=terms, gateways=1) as w:
         for ident in ("r0", "r0b"):
@@ -226,7 +243,7 @@
 
         async def restart() -> None:
             await trio.sleep(0.4)
-            told(w, w0="draining")    # an orderly restart: no failed leg warns of it
+            told(w, w0="draining")  # an orderly restart: no failed leg warns of it
             while w.engines["w0"].busy:
                 await trio.sleep(0.01)
             w.engines["w0"].die()
@@ -234,6 +251,7 @@
             w.engines["w0"].started_ms = clock_ms()
             await w.revive("w0")
             told(w, w0="cold")
+
         w.nursery.start_soon(restart)
         await talk(w, 60, 1600)
         return check(w.traffic.lines, RULES | {"fall_ms": 500.0})
@@ -241,11 +259,13 @@
 
 async def refilled(host: type[Host]) -> Findings:
     """Half the writers die with their streams open and come back cold while those go on."""
-    build = replace(BUILD, cold_ms=3000, cold_from=0.15, fall_multiple=1.2, fall_ms=500, slots=4, tok_ms=12.0,
-                    answer_toks=(20, 20))
+    build = replace(
+        BUILD, cold_ms=3000, cold_from=0.15, fall_multiple=1.2, fall_ms=500, slots=4, tok_ms=12.0, answer_toks=(20, 20)
+    )
     terms = replace_paper(cold_ms=3000, cold_from=0.15, fall_multiple=1.2, fall_ms=500, leg_limit=10)
-    async with world(("r0", "r0b", "w0", "w0b", "w1", "w1b"), build=build, host_type=host, terms=terms,
-                     gateways=1) as w:
+    async with world(
+        ("r0", "r0b", "w0", "w0b", "w1", "w1b"), build=build, host_type=host, terms=terms, gateways=1
+    ) as w:
         for ident in ("r0", "r0b"):
             w.engines[ident].build = BUILD
         told(w)
@@ -259,6 +279,7 @@
                 w.engines[ident].started_ms = clock_ms()
                 await w.revive(ident)
             told(w, w0="cold", w1="cold")
+
         w.nursery.start_soon(strike)
         await talk(w, 25, 1600)
         findings = check(w.traffic.lines, RULES | {"fall_ms": 500.0})
@@ -276,16 +297,18 @@
 
 def replace_paper(**changes: Any) -> Any:
     import msgspec
+
     return msgspec.structs.replace(TERMS, **changes)
 
 
-SCENES = {scene.__name__.replace("_", " "): scene for scene in (
-    troubled, slowly_read, drained, restarted, torn, refilled)}
+SCENES = {
+    scene.__name__.replace("_", " "): scene for scene in (troubled, slowly_read, drained, restarted, torn, refilled)
+}
 
 
 @pytest.mark.parametrize("scene", list(SCENES))
 async def test_the_honest_gateway_breaks_none(scene: str) -> None:
-    for _ in range(3):    # a machine busy with other work may hold an answer up beyond the client's time
+    for _ in range(3):  # a machine busy with other work may hold an answer up beyond the client's time
         findings = await SCENES[scene](Honest)
         if any(f.why != "answered after the client's time" for f in findings.broken) or not findings.broken:
             break
@@ -293,23 +316,26 @@
     assert findings.counted["asked"] > 10 and findings.counted["states"] > 10
 
 
-@pytest.mark.parametrize("host, scene, rule, word", [
-    (Mute, "troubled", 1, "no final answer"),
-    (Talkative, "troubled", 1, "after the final answer"),
-    (Late, "troubled", 1, "after the client's time"),
-    (Repeats, "troubled", 2, ""),
-    (Twice, "slowly read", 2, "two legs at once"),
-    (Undrained, "drained", 3, "told that w"),
-    (Careless, "restarted", 4, "fell over"),
-    (Careless, "refilled", 4, "fell over"),
-    (Keeper, "troubled", 5, "no leg out"),
-    (Stutters, "torn", 6, "not what the engines said"),
-    (Skips, "torn", 6, "not what the engines said"),
-    (Anew, "torn", 6, "not what"),
-])
+@pytest.mark.parametrize(
+    "host, scene, rule, word",
+    [
+        (Mute, "troubled", 1, "no final answer"),
+        (Talkative, "troubled", 1, "after the final answer"),
+        (Late, "troubled", 1, "after the client's time"),
+        (Repeats, "troubled", 2, ""),
+        (Twice, "slowly read", 2, "two legs at once"),
+        (Undrained, "drained", 3, "told that w"),
+        (Careless, "restarted", 4, "fell over"),
+        (Careless, "refilled", 4, "fell over"),
+        (Keeper, "troubled", 5, "no leg out"),
+        (Stutters, "torn", 6, "not what the engines said"),
+        (Skips, "torn", 6, "not what the engines said"),
+        (Anew, "torn", 6, "not what"),
+    ],
+)
 async def test_a_wrong_gateway_is_caught(host: type[Host], scene: str, rule: int, word: str) -> None:
     seen = []
-    for _ in range(4):    # on a machine busy with other work a scene's load may come too thin to do the harm at once
+    for _ in range(4):  # on a machine busy with other work a scene's load may come too thin to do the harm at once
         findings = await SCENES[scene](host)
         seen += [f.why for f in findings.broken[:5]]
         if any(f.rule == rule and word in f.why for f in findings.broken):
--- a/tests/test_run.py
+++ b/tests/test_run.py
@@ -1,4 +1,5 @@
 """What deploy/balancer.toml calls `run` and `sim` start, as the operators start them."""
+
 from __future__ import annotations
 
 import json
@@ -17,12 +18,22 @@
 ROOT = Path(__file__).parent.parent
 DEPLOY = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())
 SETTINGS = {
-    "kinds": ["reader", "writer"], "limits": {"cancel": True, "conn_idle": 2000.0, "connect_timeout": 250.0,
-                                              "most_tries": 5, "retry_after": True, "max_retry_after": 500.0},
+    "kinds": ["reader", "writer"],
+    "limits": {
+        "cancel": True,
+        "conn_idle": 2000.0,
+        "connect_timeout": 250.0,
+        "most_tries": 5,
+        "retry_after": True,
+        "max_retry_after": 500.0,
+    },
     "invariants": {"cold": 2000.0, "cold_from": 0.3, "overload_factor": 4.0, "overload_for": 1000.0},
-    "locality": "hall", "n_instances": 1, "step": 1.0,
+    "locality": "hall",
+    "n_instances": 1,
+    "step": 1.0,
     "profiles": [{"name": "summary", "aim": 2000.0, "deadline": 10000.0, "semantics": "idempotent"}],
-    "specifics": {"duty_by_kind": ["read", "write"], "release": 500.0, "tokens_by_kind": [200000, 200000]}}
+    "specifics": {"duty_by_kind": ["read", "write"], "release": 500.0, "tokens_by_kind": [200000, 200000]},
+}
 
 
 async def test_run_serves_reloads_and_ends_in_one_process(tmp_path: Path) -> None:
@@ -37,11 +48,25 @@
         address = "%s:%d" % spare[0].socket.getsockname()[:2]
         spare[0].socket.close()
         config = tmp_path / "config.json"
-        config.write_text(json.dumps({
-            "name": "n0", "listen": address, "discovery": discovery.address, "seed": "2a", "settings": SETTINGS,
-            "limits": {"cores": 1.0, "memory_mb": 128, "sockets": 256}, "known": discovery.listing()}))
-        env = os.environ | {"NODE_CONFIG": str(config), "NODE_NAME": "n0", "NODE_LISTEN": address,
-                            "NODE_DISCOVERY": discovery.address}
+        config.write_text(
+            json.dumps(
+                {
+                    "name": "n0",
+                    "listen": address,
+                    "discovery": discovery.address,
+                    "seed": "2a",
+                    "settings": SETTINGS,
+                    "limits": {"cores": 1.0, "memory_mb": 128, "sockets": 256},
+                    "known": discovery.listing(),
+                }
+            )
+        )
+        env = os.environ | {
+            "NODE_CONFIG": str(config),
+            "NODE_NAME": "n0",
+            "NODE_LISTEN": address,
+            "NODE_DISCOVERY": discovery.address,
+        }
         process = await trio.lowlevel.open_process(["/bin/sh", "-c", DEPLOY["run"]], env=env, cwd=ROOT)
         try:
             with trio.fail_after(30):
@@ -55,12 +80,20 @@
                     except Unconnected:
                         await trio.sleep(0.05)
                 assert not Path(f"/proc/{process.pid}/task/{process.pid}/children").read_text().split()
-                assert b"ternlane.platform" in Path(f"/proc/{process.pid}/cmdline").read_bytes()    # no shell is left
+                assert b"ternlane.platform" in Path(f"/proc/{process.pid}/cmdline").read_bytes()  # no shell is left
                 for turn in range(2):
                     caller = await pool.connect(address)
-                    head = await caller.ask("POST", "/v1/chat/completions", [
-                        ("Request-Id", f"{turn:016x}"), ("Request-Class", "summary"), ("Request-Timeout", "5.0"),
-                        ("Request-Info", "prompt_len=8,prefix_len=0,max_out=8")], b'{"model":"chat"}')
+                    head = await caller.ask(
+                        "POST",
+                        "/v1/chat/completions",
+                        [
+                            ("Request-Id", f"{turn:016x}"),
+                            ("Request-Class", "summary"),
+                            ("Request-Timeout", "5.0"),
+                            ("Request-Info", "prompt_len=8,prefix_len=0,max_out=8"),
+                        ],
+                        b'{"model":"chat"}',
+                    )
                     body = await caller.body(65536)
                     caller.close_now()
                     assert head.status_code == 200 and b"[DONE]" in body, (head, body)
@@ -75,15 +108,37 @@
 
 def test_run_reads_in_only_what_it_uses() -> None:
     """Restarted gateways have part of a core to be ready in: other fronts, tenants and tools are not imported."""
-    loaded = subprocess.run([sys.executable, "-c", "import sys, ternlane.platform.process; print(*sys.modules)"],
-                            cwd=ROOT, capture_output=True, text=True, check=True).stdout.split()
-    assert not {"click", "json5", "prometheus_client", "xxhash", "numpy", "ternlane.gateway", "ternlane.engine",
-                "ternlane.standin", "ternlane.tenants"} & set(loaded)
+    loaded = subprocess.run(
+        [sys.executable, "-c", "import sys, ternlane.platform.process; print(*sys.modules)"],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        check=True,
+    ).stdout.split()
+    assert not {
+        "click",
+        "json5",
+        "prometheus_client",
+        "xxhash",
+        "numpy",
+        "ternlane.gateway",
+        "ternlane.engine",
+        "ternlane.standin",
+        "ternlane.tenants",
+    } & set(loaded)
 
 
 def test_sim_answers_the_simulator_and_reads_in_no_network() -> None:
-    done = subprocess.run(["/bin/sh", "-c", DEPLOY["sim"]], cwd=ROOT, input="MARK 1.0\nEOB\n", capture_output=True,
-                          text=True, check=True)
+    done = subprocess.run(
+        ["/bin/sh", "-c", DEPLOY["sim"]], cwd=ROOT, input="MARK 1.0\nEOB\n", capture_output=True, text=True, check=True
+    )
     assert done.stdout.strip() == "YIELD"
-    subprocess.run([sys.executable, "-c", "import sys, ternlane.wirehost.host; "
-                    "sys.exit(bool({'trio', 'h11', 'msgspec'} & set(sys.modules)))"], cwd=ROOT, check=True)
+    subprocess.run(
+        [
+            sys.executable,
+            "-c",
+            "import sys, ternlane.wirehost.host; sys.exit(bool({'trio', 'h11', 'msgspec'} & set(sys.modules)))",
+        ],
+        cwd=ROOT,
+        check=True,
+    )
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -3,6 +3,7 @@
 Each scenario is a product and what ails the engines; both ways must come to the same outcome, the same number of
 effects and the same text. Two readers and three writers stand in two cells.
 """
+
 from __future__ import annotations
 
 import json
@@ -39,20 +40,32 @@
 # What ails which engines; "dead" ones refuse connections, "gone" and "drains" are said by the list.
 AILS: dict[str, dict[str, str]] = {
     "all well": {},
-    "one reader full": {"r0": "full"}, "all readers full": dict.fromkeys(READERS, "full"),
-    "one reader fails": {"r0": "error"}, "all readers fail": dict.fromkeys(READERS, "error"),
-    "one reader breaks off": {"r1": "reset"}, "all readers silent": dict.fromkeys(READERS, "silent"),
-    "one reader dead": {"r0": "dead"}, "all readers dead": dict.fromkeys(READERS, "dead"),
-    "all readers gone": dict.fromkeys(READERS, "gone"), "one reader drains": {"r1": "drains"},
-    "one writer full": {"w0": "full"}, "all writers full": dict.fromkeys(WRITERS, "full"),
-    "all writers fail": dict.fromkeys(WRITERS, "error"), "all writers break off": dict.fromkeys(WRITERS, "reset"),
-    "all writers silent": dict.fromkeys(WRITERS, "silent"), "all writers stall": dict.fromkeys(WRITERS, "stall"),
-    "all writers break midway": dict.fromkeys(WRITERS, "midway"), "all writers lack the state": dict.fromkeys(
-        WRITERS, "nostate"),
-    "two writers dead": {"w0": "dead", "w1": "dead"}, "all writers dead": dict.fromkeys(WRITERS, "dead"),
-    "all writers drain": dict.fromkeys(WRITERS, "drains"), "nobody listed": dict.fromkeys(IDENTS, "gone"),
-    "all writers slow": dict.fromkeys(WRITERS, "slow"), "one reader slow": {"r0": "slow"},
-    "new connections slow": dict.fromkeys(IDENTS, "handshake"), "all readers forgot": dict.fromkeys(READERS, "flushed"),
+    "one reader full": {"r0": "full"},
+    "all readers full": dict.fromkeys(READERS, "full"),
+    "one reader fails": {"r0": "error"},
+    "all readers fail": dict.fromkeys(READERS, "error"),
+    "one reader breaks off": {"r1": "reset"},
+    "all readers silent": dict.fromkeys(READERS, "silent"),
+    "one reader dead": {"r0": "dead"},
+    "all readers dead": dict.fromkeys(READERS, "dead"),
+    "all readers gone": dict.fromkeys(READERS, "gone"),
+    "one reader drains": {"r1": "drains"},
+    "one writer full": {"w0": "full"},
+    "all writers full": dict.fromkeys(WRITERS, "full"),
+    "all writers fail": dict.fromkeys(WRITERS, "error"),
+    "all writers break off": dict.fromkeys(WRITERS, "reset"),
+    "all writers silent": dict.fromkeys(WRITERS, "silent"),
+    "all writers stall": dict.fromkeys(WRITERS, "stall"),
+    "all writers break midway": dict.fromkeys(WRITERS, "midway"),
+    "all writers lack the state": dict.fromkeys(WRITERS, "nostate"),
+    "two writers dead": {"w0": "dead", "w1": "dead"},
+    "all writers dead": dict.fromkeys(WRITERS, "dead"),
+    "all writers drain": dict.fromkeys(WRITERS, "drains"),
+    "nobody listed": dict.fromkeys(IDENTS, "gone"),
+    "all writers slow": dict.fromkeys(WRITERS, "slow"),
+    "one reader slow": {"r0": "slow"},
+    "new connections slow": dict.fromkeys(IDENTS, "handshake"),
+    "all readers forgot": dict.fromkeys(READERS, "flushed"),
     "answers lost at one writer, one dead": {"w0": "silent", "w0b": "dead"},
     "a reader and two writers ail": {"r0": "error", "w0": "full", "w0b": "dead"},
 }
@@ -66,7 +79,7 @@
     text: str
 
 
-PORTS = iter(range(31100, 32700))    # below those that the system hands out to the engines meanwhile
+PORTS = iter(range(31100, 32700))  # below those that the system hands out to the engines meanwhile
 
 
 def free(port: int) -> bool:
@@ -139,14 +152,23 @@
 
 def lines(ails: dict[str, str], ports: dict[str, int]) -> list[NodeLine]:
     state = {"gone": "gone", "drains": "draining"}
-    return [NodeLine(id=i, address=f"127.0.0.1:{ports.get(i, 9)}", cell=int(i[1]), mem_toks=2e5,
-                     duty="read" if i[0] == "r" else "write", state=state.get(ails.get(i, ""), "up"))    # type: ignore
-            for i in IDENTS]
+    return [
+        NodeLine(
+            id=i,
+            address=f"127.0.0.1:{ports.get(i, 9)}",
+            cell=int(i[1]),
+            mem_toks=2e5,
+            duty="read" if i[0] == "r" else "write",
+            state=state.get(ails.get(i, ""), "up"),
+        )  # type: ignore
+        for i in IDENTS
+    ]
 
 
 def paper_of(ails: dict[str, str], ports: dict[str, int], listen: str = "127.0.0.1:0") -> GatewayPaper:
-    return GatewayPaper(name="s", listen=listen, products=PRODUCTS, fleet=TERMS,
-                        nodes=InlineSource(nodes=lines(ails, ports)))
+    return GatewayPaper(
+        name="s", listen=listen, products=PRODUCTS, fleet=TERMS, nodes=InlineSource(nodes=lines(ails, ports))
+    )
 
 
 def request(model: str) -> dict[str, Any]:
@@ -163,8 +185,9 @@
     def take(self, now: float, events: list[port.Event]) -> list[port.Action]:
         actions = super().take(now, events)
         self.start = now if self.start < 0 else self.start
-        self.notes.append(f"{now - self.start:.3f} {[type(e).__name__ for e in events]} -> "
-                          f"{[type(a).__name__ for a in actions]}")
+        self.notes.append(
+            f"{now - self.start:.3f} {[type(e).__name__ for e in events]} -> {[type(a).__name__ for a in actions]}"
+        )
         return actions
 
 
@@ -174,7 +197,7 @@
     engines = {i: Played(ails.get(i, ""), effects, states) for i in IDENTS}
     said: list[str] = []
     chooser = partial(Noted, notes=[] if notes is None else notes)
-    transport = LocalTransport(dict(engines))    # type: ignore[arg-type]
+    transport = LocalTransport(dict(engines))  # type: ignore[arg-type]
     async with ternlane.open_routing(paper_of(ails, {}), transport, chooser) as routing:
         try:
             async with routing.generation(request(model), time_limit_ms=LIMIT - 50) as stream:
@@ -195,8 +218,17 @@
     traffic, ports = Traffic(None), {}
     async with trio.open_nursery() as nursery:
         for ident in IDENTS:
-            engine = Engine(ident, "read" if ident[0] == "r" else "write", "hall", int(ident[1]), "127.0.0.1", 0,
-                            replace(BUILD, cold_ms=2000), traffic, 1)
+            engine = Engine(
+                ident,
+                "read" if ident[0] == "r" else "write",
+                "hall",
+                int(ident[1]),
+                "127.0.0.1",
+                0,
+                replace(BUILD, cold_ms=2000),
+                traffic,
+                1,
+            )
             ail = ails.get(ident, "")
             engine.trouble.script = "" if ail in ("dead", "gone", "drains", "slow", "handshake", "flushed") else ail
             engine.trouble.slow = 6.0 if ail == "slow" else 1.0
@@ -210,8 +242,9 @@
         port = next(p for p in PORTS if free(p))
         path = folder / f"{port}.json5"
         path.write_bytes(msgspec.json.encode(paper_of(ails, ports, f"127.0.0.1:{port}")))
-        process = await trio.lowlevel.open_process([sys.executable, "-m", "ternlane", "serve", str(path), "--log",
-                                                    "error"], cwd=ROOT)
+        process = await trio.lowlevel.open_process(
+            [sys.executable, "-m", "ternlane", "serve", str(path), "--log", "error"], cwd=ROOT
+        )
         try:
             pool = Pool(200, 1000)
             with trio.fail_after(20):
@@ -221,8 +254,9 @@
                         break
                     except Exception:
                         await trio.sleep(0.03)
-            reply = await heard(caller, request(model), {"X-Ternlane-Time-Limit-Ms": f"{LIMIT}"},
-                                "/v1/chat/completions")
+            reply = await heard(
+                caller, request(model), {"X-Ternlane-Time-Limit-Ms": f"{LIMIT}"}, "/v1/chat/completions"
+            )
             caller.close_now()
         finally:
             process.send_signal(signal.SIGTERM)
@@ -231,7 +265,8 @@
         nursery.cancel_scope.cancel()
     effects = len([v for v in traffic.lines if v["k"] == "effect"])
     outcome = {429: "throttled", 502: "terminated", 504: "terminated"}.get(
-        reply.status, "streamed" if reply.done else "broken off")
+        reply.status, "streamed" if reply.done else "broken off"
+    )
     said = [json.loads(e) for e in reply.events if e != "[DONE]"]
     pieces = sum(bool(c["delta"].get("content")) for s in said for c in s.get("choices", []))
     return Seen(outcome, effects, str(pieces))
@@ -247,8 +282,9 @@
     seen, events = {}, {}
     for scene in SCENARIOS:
         events[scene] = []
-        seen[scene] = trio.run(by_library, scene[0], AILS[scene[1]], events[scene],
-                               clock=trio.testing.MockClock(autojump_threshold=0))
+        seen[scene] = trio.run(
+            by_library, scene[0], AILS[scene[1]], events[scene], clock=trio.testing.MockClock(autojump_threshold=0)
+        )
     return seen, events
 
 
@@ -256,7 +292,7 @@
     assert len(SCENARIOS) >= 60
     alone, events = played()
     again, events_again = played()
-    assert alone == again    # virtual time: the same each time, event by event
+    assert alone == again  # virtual time: the same each time, event by event
     for scene in SCENARIOS:
         assert events[scene] == events_again[scene] and len(events[scene]) >= 2, scene
     sockets: dict[tuple[str, str], Seen] = {}
@@ -267,9 +303,11 @@
         async def one(scene: tuple[str, str]) -> None:
             async with room:
                 sockets[scene] = await by_daemon(scene[0], AILS[scene[1]], tmp_path)
+
         async with trio.open_nursery() as nursery:
             for scene in SCENARIOS:
                 nursery.start_soon(one, scene)
+
     trio.run(all_of_them)
     differing = {s: (alone[s], sockets[s]) for s in SCENARIOS if coarse(s, alone[s]) != coarse(s, sockets[s])}
     assert not differing, differing
@@ -279,13 +317,21 @@
 def test_what_scenarios_must_come_to(product: Any) -> None:
     def of(ail: str) -> Seen:
         return trio.run(by_library, product.name, AILS[ail], clock=trio.testing.MockClock(autojump_threshold=0))
-    for ail in ("all well", "one reader full", "one reader fails", "one reader dead", "two writers dead",
-                "one writer full", "one reader drains"):
+
+    for ail in (
+        "all well",
+        "one reader full",
+        "one reader fails",
+        "one reader dead",
+        "two writers dead",
+        "one writer full",
+        "one reader drains",
+    ):
         assert of(ail) == Seen("streamed", 1, "6"), ail
     for ail in ("nobody listed", "all readers gone", "all writers drain", "all readers dead", "all writers full"):
         assert of(ail) == Seen("throttled", 0, "0"), ail
     for ail in ("all writers break midway", "all writers stall"):
-        goes_on = product.effect == "idempotent"    # and breaks off again at the next, until the legs are used up
+        goes_on = product.effect == "idempotent"  # and breaks off again at the next, until the legs are used up
         assert of(ail) == (Seen("broken off", 2, "4") if goes_on else Seen("broken off", 1, "2")), ail
     broken = of("all writers break off")
     assert broken.effects == 1 if product.effect == "side-effecting" else broken.effects >= 1
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -5,6 +5,7 @@
 below it, get at least two thirds of the class's answered share on a quiet day and half on others; no session is refused
 throughout while there is room; each third of a day and each class is served.
 """
+
 from __future__ import annotations
 
 import heapq
@@ -40,6 +41,7 @@
 @dataclass(eq=False)
 class Fleet:
     """Prefill servers that read in turn, decode servers whose memory bounds what they take."""
+
     gateways: int
     load: float
     seed: int
@@ -54,14 +56,26 @@
         self.held: defaultdict[int, float] = defaultdict(float)
         self.products = {
             "chat": Product(Effect.IDEMPOTENT, Group.CELL, 0.0, 2000.0, 40.0, 70.0, 8000.0, 3.0, 0.1),
-            "order": Product(Effect.SIDE_EFFECTING, Group.CELL, 0.0, 2000.0, 40.0, 70.0, 9000.0, 1.0, 0.1)}
+            "order": Product(Effect.SIDE_EFFECTING, Group.CELL, 0.0, 2000.0, 40.0, 70.0, 9000.0, 1.0, 0.1),
+        }
         self.of: dict[Generation, Request] = {}
         self.routers, self.servers = list[Router](), list[list[Server]]()
         for nth in range(self.gateways):
-            facts = replace(FACTS, seed=self.seed + nth, gateways=self.gateways, products=tuple(self.products.values()),
-                            idle_ms=30e3, cold_ms=0.0)
-            self.servers.append([Server("east", n, duty, MEMORY_TOKENS, mark=zlib.crc32(b"%d%d" % (n, duty.value)))
-                                 for n in range(self.pairs) for duty in (Duty.READ, Duty.WRITE)])
+            facts = replace(
+                FACTS,
+                seed=self.seed + nth,
+                gateways=self.gateways,
+                products=tuple(self.products.values()),
+                idle_ms=30e3,
+                cold_ms=0.0,
+            )
+            self.servers.append(
+                [
+                    Server("east", n, duty, MEMORY_TOKENS, mark=zlib.crc32(b"%d%d" % (n, duty.value)))
+                    for n in range(self.pairs)
+                    for duty in (Duty.READ, Duty.WRITE)
+                ]
+            )
             self.routers.append(Router(facts))
             self.tell(nth, port.Listed(tuple(self.servers[nth])))
 
@@ -93,13 +107,16 @@
             return
         self.held[place] += tokens
         self.at(since + 50, nth, port.FirstTok(gen, server, 50.0))
-        self.at(since + 50 + TOKEN_MS * gen.max_toks / 4, nth, (place, tokens, port.LegEnded(
-            gen, server, Verdict.STREAMED, 50.0, True)))
+        self.at(
+            since + 50 + TOKEN_MS * gen.max_toks / 4,
+            nth,
+            (place, tokens, port.LegEnded(gen, server, Verdict.STREAMED, 50.0, True)),
+        )
 
     def arrivals(self) -> None:
         """Sessions of some turns each; prompts as people write them, a few of them very long."""
         mean = 1500.0
-        rate = self.load * self.pairs * READ_TOKENS_PER_MS / mean    # requests a ms
+        rate = self.load * self.pairs * READ_TOKENS_PER_MS / mean  # requests a ms
         when = self.now
         while when < 1000.0 + DAY_MS:
             when += self.rng.expovariate(rate) * 3
@@ -139,7 +156,8 @@
 @pytest.mark.parametrize("seed", [1, 2])
 @pytest.mark.parametrize("day, load", [("quiet", 0.5), ("overloaded", 1.4)])
 def test_large_requests_sessions_classes_and_thirds_get_their_part(
-        day: str, load: float, seed: int, gateways: int) -> None:
+    day: str, load: float, seed: int, gateways: int
+) -> None:
     fleet = Fleet(gateways, load, seed)
     fleet.run()
     assert len(fleet.requests) > 300
@@ -147,19 +165,19 @@
         mine = sorted((r for r in fleet.requests if r.name == name), key=lambda r: -r.gen.prompt_toks)
         tenth = len(mine) // 10
         assert share(mine) > (0.9 if day == "quiet" else 0.3)
-        for large in (mine[:tenth], mine[tenth:3 * tenth]):
+        for large in (mine[:tenth], mine[tenth : 3 * tenth]):
             assert share(large) >= SHARE[day] * share(mine), (name, share(large), share(mine))
     for third in range(3):
         begin = 1000.0 + DAY_MS * third / 3
         part = [r for r in fleet.requests if begin <= r.came < begin + DAY_MS / 3]
         assert share(part) >= 0.5 * share(fleet.requests)
-    if day == "quiet":    # whose turns are all refused: no more than chance would have it
+    if day == "quiet":  # whose turns are all refused: no more than chance would have it
         turns: defaultdict[str, list[Request]] = defaultdict(list)
         for one in fleet.requests:
             turns[one.session].append(one)
         shut_out = [t for t in turns.values() if not any(r.answered for r in t)]
         refused = 1 - share(fleet.requests)
-        assert len(shut_out) <= (0.12 + refused ** 3) * len(turns)
+        assert len(shut_out) <= (0.12 + refused**3) * len(turns)
 
 
 def test_a_session_whose_home_congests_is_served_elsewhere_while_there_is_room() -> None:
@@ -169,7 +187,7 @@
     first = Generation(product, "a", None, 0.0, 800.0, 400.0, 7000.0)
     fleet.of[first] = Request("chat", first, "a", fleet.now)
     fleet.tell(0, port.Arrived(first))
-    home = fleet.routers[0].desk.homes["a"]    # type: ignore[attr-defined]
+    home = fleet.routers[0].desk.homes["a"]  # type: ignore[attr-defined]
     fleet.held[fleet.servers[0].index(home.writer.server)] = MEMORY_TOKENS
     for _ in range(8):
         turn = Generation(product, "a", None, 0.0, 800.0, 400.0, 7000.0)
--- a/tests/test_switch.py
+++ b/tests/test_switch.py
@@ -1,4 +1,5 @@
 """Stories of a switch to other settings in a running gateway, and back: nothing is lost, nothing runs twice."""
+
 from __future__ import annotations
 
 import json
@@ -28,13 +29,18 @@
 
 def other_shape(paper: GatewayPaper) -> GatewayPaper:
     """Loads told to probes only, no advice, fewer legs, other terms, one product gone and one new."""
-    fleet = msgspec.structs.replace(TERMS, ask_load=True, reports_mem=False, longest_pause_ms=0.0, leg_limit=4,
-                                    writers_read=True, release_ms=250.0)
+    fleet = msgspec.structs.replace(
+        TERMS, ask_load=True, reports_mem=False, longest_pause_ms=0.0, leg_limit=4, writers_read=True, release_ms=250.0
+    )
     summary, note, _ = paper.products
     quote = ProductTerms(name="quote", effect="idempotent", slo_ms=2000, tok_slo_ms=60, limit_ms=8000)
-    return msgspec.structs.replace(paper, fleet=fleet, gateways=5, zone="hall",
-                                   products=[
-                                       summary, msgspec.structs.replace(note, slo_ms=1500, limit_ms=7000), quote])
+    return msgspec.structs.replace(
+        paper,
+        fleet=fleet,
+        gateways=5,
+        zone="hall",
+        products=[summary, msgspec.structs.replace(note, slo_ms=1500, limit_ms=7000), quote],
+    )
 
 
 def written(w: World) -> Counter[str]:
@@ -79,7 +85,7 @@
         await ask("form")
         assert len(w.said("asked")) == asked
         assert len(replies) == 14
-        for reply in replies:    # each has one final answer, and it is the whole one
+        for reply in replies:  # each has one final answer, and it is the whole one
             assert reply.status == 200 and reply.done == 1 and reply.error is None and len(reply.text.split()) == 16
         assert len(written(w)) == 14 and set(written(w).values()) == {1}
 
@@ -87,6 +93,7 @@
 async def test_what_breaks_after_a_switch_goes_on_or_ends_as_its_old_product_says() -> None:
     replies: dict[str, Reply] = {}
     async with world(("r0", "w0", "w1", "w2"), build=SLOW) as w, trio.open_nursery() as nursery:
+
         async def ask(model: str) -> None:
             replies[model] = await w.ask(model)
 
@@ -94,8 +101,15 @@
         for model in ("summary", "note"):
             nursery.start_soon(ask, model)
         await trio.sleep(0.25)
-        w.gateway.reload(msgspec.structs.replace(w.gateway.paper, products=[    # the two have changed places
-            msgspec.structs.replace(first, effect="side-effecting"), msgspec.structs.replace(first, name="note")]))
+        w.gateway.reload(
+            msgspec.structs.replace(
+                w.gateway.paper,
+                products=[  # the two have changed places
+                    msgspec.structs.replace(first, effect="side-effecting"),
+                    msgspec.structs.replace(first, name="note"),
+                ],
+            )
+        )
         for name in {line["id"] for line in w.said("leg", stage="write")}:
             w.engines[name].die()
         nursery.cancel_scope.deadline = trio.current_time() + 4
@@ -123,10 +137,20 @@
 def test_a_wrong_document_changes_nothing_and_is_named(tmp_path: Path) -> None:
     path, number = gate(tmp_path)
     old = path.read_text()
-    new = json.dumps(json.loads(old) | {"fleet": {"ask_load": True}, "gateways": 7, "products": [
-        {"name": "summary", "slo_ms": 700, "limit_ms": 2500}, {"name": "quote", "slo_ms": 500, "limit_ms": 2000}]})
-    process = subprocess.Popen([sys.executable, "-m", "ternlane", "serve", str(path)], text=True,
-                               stderr=subprocess.PIPE)
+    new = json.dumps(
+        json.loads(old)
+        | {
+            "fleet": {"ask_load": True},
+            "gateways": 7,
+            "products": [
+                {"name": "summary", "slo_ms": 700, "limit_ms": 2500},
+                {"name": "quote", "slo_ms": 500, "limit_ms": 2000},
+            ],
+        }
+    )
+    process = subprocess.Popen(
+        [sys.executable, "-m", "ternlane", "serve", str(path)], text=True, stderr=subprocess.PIPE
+    )
 
     def told(document: str) -> list[str]:
         path.write_text(document)
@@ -176,30 +200,36 @@
     assert host.tell(port.Checked(busy, port.Verdict.STREAMED, port.Report(30.0, 0.99))) == []
     said = host.tell(port.Checked(idle, port.Verdict.STREAMED, port.Report(0.0, 0.05)))
     leg = next(a for a in said if isinstance(a, port.SendLeg))
-    assert leg.server is idle and leg.timeout_ms == 2000.0    # slow, but not silent: twice its SLO time
+    assert leg.server is idle and leg.timeout_ms == 2000.0  # slow, but not silent: twice its SLO time
     assert sent(build().arrive(gen)).timeout_ms == 1000.0
     late = host.gen(opening="other")
     said = host.arrive(late, after=3000.0)
     assert port.Probe in kinds(said) and port.SendLeg not in kinds(said)
-    assert port.SendLeg in kinds(host.tell(after=100.0))    # none has answered
+    assert port.SendLeg in kinds(host.tell(after=100.0))  # none has answered
 
 
 @pytest.mark.parametrize("patience", [20.0, 40.0, 80.0, 150.0])
 def test_nobody_waits_for_loads_beyond_its_clients_patience(patience: float) -> None:
     host = build(may_probe=True, told_if_asked=True)
     gen = host.gen(patience_ms=patience)
-    said = host.arrive(gen, after=20.0)    # between two beats
+    said = host.arrive(gen, after=20.0)  # between two beats
     answered = host.now
     while not any(isinstance(a, (port.SendLeg, port.Throttle)) for a in said):
-        said = host.tell(after=50.0)    # no engine says its load
+        said = host.tell(after=50.0)  # no engine says its load
         answered = host.now
     assert answered <= gen.seat.limit_at - 0.5 * patience
 
 
-@pytest.mark.parametrize("text, report", [
-    ("vllm:num_requests_running 3\nvllm:num_requests_waiting 2\nvllm:kv_cache_usage_perc 0.25\n", (5.0, 0.25)),
-    ('sglang:num_requests_running{model="a"} 1\nsglang:num_requests_running{model="b"} 2\n', (3.0, None)),
-    ("kv_cache_usage_perc 7\n", None), ("<html>", None), ("", None)])
+@pytest.mark.parametrize(
+    "text, report",
+    [
+        ("vllm:num_requests_running 3\nvllm:num_requests_waiting 2\nvllm:kv_cache_usage_perc 0.25\n", (5.0, 0.25)),
+        ('sglang:num_requests_running{model="a"} 1\nsglang:num_requests_running{model="b"} 2\n', (3.0, None)),
+        ("kv_cache_usage_perc 7\n", None),
+        ("<html>", None),
+        ("", None),
+    ],
+)
 def test_metrics_that_say_nothing_are_no_report(text: str, report: tuple[float, float | None] | None) -> None:
     said = load_told(text)
     assert (None if said is None else (said.open_gens, said.mem_share)) == report
--- a/tests/test_tenants.py
+++ b/tests/test_tenants.py
@@ -1,4 +1,5 @@
 """Budgets, keys and the ledger, each with what goes wrong: overruns, faulty engines, clocks, crashes at every write."""
+
 from __future__ import annotations
 
 import random
@@ -23,7 +24,7 @@
 
 
 def tenant(name: str = "noto", **budget: object) -> TenantLine:
-    limits = Budget(**budget)    # type: ignore[arg-type]
+    limits = Budget(**budget)  # type: ignore[arg-type]
     return TenantLine(name=name, budget=limits, prices={"*": Prices(prompt=3, kept=1, answer=12)})
 
 
@@ -39,11 +40,16 @@
 
 # -- keys
 
+
 def test_keys_live_retire_and_are_revoked_and_all_wrong_ones_sound_alike() -> None:
     key, name, salt, kept = new_key()
-    for state, until, now, good in (("live", 0, 5, True), ("retiring", 10, 9, True), ("retiring", 10, 10, False),
-                                    ("revoked", 0, 5, False)):
-        line = KeyLine(name=name, salt=salt, hash=kept, state=state, until=until)    # type: ignore
+    for state, until, now, good in (
+        ("live", 0, 5, True),
+        ("retiring", 10, 9, True),
+        ("retiring", 10, 10, False),
+        ("revoked", 0, 5, False),
+    ):
+        line = KeyLine(name=name, salt=salt, hash=kept, state=state, until=until)  # type: ignore
         roll = Roll(RollPaper(tenants=[TenantLine(name="noto", keys=[line])]))
         if good:
             assert roll.whose(f"Bearer {key}", now).name == "noto"
@@ -58,6 +64,7 @@
 
 # -- budgets
 
+
 def test_an_overrun_of_fifty_times_goes_on_the_overdraft_and_is_repaid_by_refills() -> None:
     cashier, noto = Cashier(), tenant(minute=6000, burst=1000, overdraft=100)
     hold = held(cashier.reserve(noto, "summary", 10, 10, 0.0, NOON))
@@ -109,7 +116,7 @@
     assert (no.code, no.kind, no.wait_ms) == ("insufficient_quota", "period", 1000.0)
     held(cashier.reserve(noto, "s", 90, 10, 0.0, last + 2))
     entry = cashier.settle(hold, "a", "streamed", Billed(Used(90, 0, 10), Used()), 2, 0.0, last + 3)
-    assert entry.period == "2026-12"    # by its arrival
+    assert entry.period == "2026-12"  # by its arrival
     assert refused(cashier.reserve(noto, "s", 1, 1, 0.0, last - 3600)).kind == "period"
     assert cashier.meters["noto", ""].spent == 100
 
@@ -162,14 +169,16 @@
     assert len(lengths.own) <= 50
 
 
-ops = st.lists(st.tuples(st.sampled_from(["reserve", "settle", "wait"]), st.integers(0, 400), st.integers(0, 400)),
-               max_size=60)
+ops = st.lists(
+    st.tuples(st.sampled_from(["reserve", "settle", "wait"]), st.integers(0, 400), st.integers(0, 400)), max_size=60
+)
 
 
 @settings(max_examples=200, deadline=None)
 @given(ops, st.integers(100, 2000), st.integers(50, 1000))
-def test_spending_stays_within_burst_rate_and_overruns(steps: list[tuple[str, int, int]], minute: int, burst: int
-                                                      ) -> None:
+def test_spending_stays_within_burst_rate_and_overruns(
+    steps: list[tuple[str, int, int]], minute: int, burst: int
+) -> None:
     """What settled in any run: at most burst + rate * time + what generations overran their reservations."""
     meter, now = Meter(Budget(minute=minute, burst=burst), "UTC", "month", 1.0, 0.0), 0.0
     opened: list[int] = []
@@ -186,18 +195,24 @@
             meter.settle(reserved, used, None, now, NOON)
             spent += used
             overran += max(0, used - reserved)
-        bigger = max([0, *opened, *[s[1] for s in steps]]) - burst    # one larger than the burst goes when it is full
+        bigger = max([0, *opened, *[s[1] for s in steps]]) - burst  # one larger than the burst goes when it is full
         assert spent + sum(opened) <= burst + minute * now / 60e3 + overran + max(0, bigger) + 1e-6
         assert meter.open == len(opened) and meter.level <= meter.most + 1e-9
 
 
 # -- parts of several gateways
 
+
 @settings(max_examples=200, deadline=None)
-@given(st.integers(1, 12), st.lists(st.tuples(st.integers(0, 11), st.integers(0, 900), st.floats(0, 9)), max_size=80),
-       st.integers(60, 6000), st.integers(10, 3000))
-def test_all_gateways_together_spend_within_the_budget(n: int, steps: list[tuple[int, int, float]], minute: int,
-                                                       burst: int) -> None:
+@given(
+    st.integers(1, 12),
+    st.lists(st.tuples(st.integers(0, 11), st.integers(0, 900), st.floats(0, 9)), max_size=80),
+    st.integers(60, 6000),
+    st.integers(10, 3000),
+)
+def test_all_gateways_together_spend_within_the_budget(
+    n: int, steps: list[tuple[int, int, float]], minute: int, burst: int
+) -> None:
     """Whoever draws, gives back, spends or dies with what it drew: tokens come from floors and the one bucket alone."""
     lender, budget, now, spent = Lender(n), Budget(minute=minute, burst=burst), 0.0, 0
     line = TenantLine(name="t", budget=budget)
@@ -205,7 +220,7 @@
     for who, toks, after in steps:
         now += after
         cashier = cashiers[who % n]
-        if toks % 17 == 0:    # it dies, and comes back with its floor empty of what it drew
+        if toks % 17 == 0:  # it dies, and comes back with its floor empty of what it drew
             old = cashier.meters.get(("t", ""))
             if old is not None:
                 cashier.borrowers.clear()
@@ -217,7 +232,7 @@
                 cashier.meters["t", ""].draw(got, target)
         elif isinstance(cashier.reserve(line, "s", toks, 0 + 1, now * 1000, NOON + now), Hold):
             spent += toks + 1
-        single = max([0, *[t + 1 for _, t, _ in steps]])    # one larger than a bucket goes when that is full
+        single = max([0, *[t + 1 for _, t, _ in steps]])  # one larger than a bucket goes when that is full
         assert spent <= burst + minute * now / 60 + n * single + 1e-6
         held = sum(m.level for c in cashiers for m in c.meters.values())
         assert held + spent <= burst + minute * now / 60 + 1e-6
@@ -249,6 +264,7 @@
 
 # -- the ledger
 
+
 class CrashError(Exception):
     pass
 
@@ -290,12 +306,12 @@
     def write(self, handle: int, data: bytes) -> int:
         name, fails = self.handles[handle], self.failing()
         if fails and self.how == "full":
-            self.files[name] += data[:len(data) // 2]
+            self.files[name] += data[: len(data) // 2]
             raise OSError(28, "full")
         if fails and self.how == "crash":
-            self.files[name] += data[:len(data) // 2]
+            self.files[name] += data[: len(data) // 2]
             raise CrashError
-        part = data[:max(1, len(data) // 2)] if fails and self.how == "short" else data
+        part = data[: max(1, len(data) // 2)] if fails and self.how == "short" else data
         self.files[name] += part
         return len(part)
 
@@ -304,7 +320,7 @@
         if fails and self.how == "crash":
             raise CrashError
         if fails and self.how in ("sync", "full"):
-            del self.files[name][self.synced[name] + (len(self.files[name]) - self.synced[name]) // 3:]
+            del self.files[name][self.synced[name] + (len(self.files[name]) - self.synced[name]) // 3 :]
             raise OSError(5, "sync")
         self.synced[name] = len(self.files[name])
 
@@ -354,7 +370,7 @@
         try:
             store.commit()
         except OSError:
-            continue    # tried again with the next group
+            continue  # tried again with the next group
         except CrashError:
             return kept
         kept += waiting
@@ -368,14 +384,18 @@
 
 
 @settings(max_examples=400, deadline=None)
-@given(st.integers(1, 60), st.sampled_from(["crash", "full", "short", "sync"]),
-       st.lists(st.integers(1, 7), min_size=1, max_size=10), st.integers(0, 2**16))
+@given(
+    st.integers(1, 60),
+    st.sampled_from(["crash", "full", "short", "sync"]),
+    st.lists(st.integers(1, 7), min_size=1, max_size=10),
+    st.integers(0, 2**16),
+)
 def test_no_settled_bill_is_lost_or_doubled_wherever_it_fails(at: int, how: str, groups: list[int], seed: int) -> None:
     disk = FakeDisk(at, how)
-    store = Store(disk, segment_bytes=600)    # type: ignore[arg-type]
+    store = Store(disk, segment_bytes=600)  # type: ignore[arg-type]
     kept = fill(store, groups)
     after = disk.after_crash(random.Random(seed))
-    again, found = Store(after), list[Entry]()    # type: ignore[arg-type]
+    again, found = Store(after), list[Entry]()  # type: ignore[arg-type]
     again.recover(lambda _, e: found.append(e))
     ids = [e.gen for e in found]
     assert len(ids) == len(set(ids))
@@ -384,15 +404,15 @@
     for e in found:
         sums.add(e)
     assert again.totals.sums == sums.sums
-    more = fill(again, [3, 3], first=1000)    # and it can be written to again
-    third, all_found = Store(after), list[str]()    # type: ignore[arg-type]
+    more = fill(again, [3, 3], first=1000)  # and it can be written to again
+    third, all_found = Store(after), list[str]()  # type: ignore[arg-type]
     third.recover(lambda _, e: all_found.append(e.gen))
     assert all_found == ids + [e.gen for e in more] and third.totals.sums == again.totals.sums
 
 
 def test_every_cut_of_a_segment_is_recovered_from() -> None:
     disk = FakeDisk()
-    fill(Store(disk), [1] * 6)    # type: ignore[arg-type]
+    fill(Store(disk), [1] * 6)  # type: ignore[arg-type]
     raw = disk.read(BILLS.segment_name(1))
     whole = [len(read_segment(raw[:n], "s", True, BILLS)[0]) for n in range(len(raw) + 1)]
     assert whole[-1] == 6 and whole == sorted(whole) and set(whole) == set(range(7))
@@ -400,18 +420,18 @@
 
 def test_damage_that_no_crash_leaves_is_refused_by_place() -> None:
     disk = FakeDisk()
-    fill(Store(disk), [4])    # type: ignore[arg-type]
+    fill(Store(disk), [4])  # type: ignore[arg-type]
     disk.files[BILLS.segment_name(1)][40] ^= 4
     with pytest.raises(Damaged, match="byte 8"):
-        Store(disk).recover()    # type: ignore[arg-type]
+        Store(disk).recover()  # type: ignore[arg-type]
 
 
 def test_old_segments_go_once_sums_cover_them_and_the_sums_stay_right() -> None:
     disk = FakeDisk()
-    store = Store(disk, segment_bytes=400, keep_segments=2)    # type: ignore[arg-type]
+    store = Store(disk, segment_bytes=400, keep_segments=2)  # type: ignore[arg-type]
     kept = fill(store, [2] * 30)
     assert sum(n.endswith(".seg") for n in disk.names()) <= 3
-    again = Store(disk)    # type: ignore[arg-type]
+    again = Store(disk)  # type: ignore[arg-type]
     again.recover()
     sums = Totals()
     for e in kept:
--- a/tests/test_till.py
+++ b/tests/test_till.py
@@ -1,4 +1,5 @@
 """Tenants through real sockets: who is let in, what is billed, and what a failing disk or a killed gateway leaves."""
+
 from __future__ import annotations
 
 import json
@@ -27,8 +28,14 @@
         self.folder, self.keys, lines = folder, {}, []
         for name in names:
             self.keys[name], public, salt, kept = new_key()
-            lines.append(TenantLine(name=name, keys=[KeyLine(name=public, salt=salt, hash=kept)],
-                                    budget=Budget(**budget), prices={"*": Prices(prompt=3, kept=1, answer=12)}))
+            lines.append(
+                TenantLine(
+                    name=name,
+                    keys=[KeyLine(name=public, salt=salt, hash=kept)],
+                    budget=Budget(**budget),
+                    prices={"*": Prices(prompt=3, kept=1, answer=12)},
+                )
+            )
         self.write(lines)
 
     def write(self, lines: list[TenantLine]) -> None:
@@ -44,11 +51,15 @@
 
 
 @asynccontextmanager
-async def banked(folder: Path, names: tuple[str, ...] = ("noto", "avola"), engines: tuple[str, ...] = ("r0", "w0"),
-                 build: Any = BUILD, budget: dict[str, Any] | None = None) -> AsyncIterator[tuple[World, Bank]]:
+async def banked(
+    folder: Path,
+    names: tuple[str, ...] = ("noto", "avola"),
+    engines: tuple[str, ...] = ("r0", "w0"),
+    build: Any = BUILD,
+    budget: dict[str, Any] | None = None,
+) -> AsyncIterator[tuple[World, Bank]]:
     bank = Bank(folder, names, **(budget or {}))
-    async with world(engines, build=build, tenants=str(folder / "tenants.json5"),
-                     ledger=str(folder / "ledger")) as w:
+    async with world(engines, build=build, tenants=str(folder / "tenants.json5"), ledger=str(folder / "ledger")) as w:
         yield w, bank
         await w.gateway.drain()
 
@@ -57,16 +68,25 @@
     async with banked(tmp_path, build=replace(BUILD, tok_ms=150.0)) as (w, bank):
         assert (await w.ask()).status == 401
         assert (await w.ask(headers={"Authorization": "Bearer tl-ffff-nothing"})).error == {
-            "message": "Incorrect API key provided", "type": "authentication_error", "param": None,
-            "code": "invalid_api_key"}
+            "message": "Incorrect API key provided",
+            "type": "authentication_error",
+            "param": None,
+            "code": "invalid_api_key",
+        }
         got: list[Reply] = []
         async with trio.open_nursery() as nursery:
+
             async def one() -> None:
                 got.append(await bank.ask(w, "noto"))
+
             nursery.start_soon(one)
             await trio.sleep(0.1)
-            bank.write([msgspec.structs.replace(t, keys=[msgspec.structs.replace(k, state="revoked") for k in t.keys])
-                        for t in bank.lines])
+            bank.write(
+                [
+                    msgspec.structs.replace(t, keys=[msgspec.structs.replace(k, state="revoked") for k in t.keys])
+                    for t in bank.lines
+                ]
+            )
             with trio.fail_after(2):
                 while (await bank.ask(w, "avola", text="x" * 4, model="nobody")).status != 401:
                     await trio.sleep(0.1)
@@ -83,6 +103,7 @@
             while len(w.said("effect")) < 13:
                 await trio.sleep(0.002)
             w.engines[w.said("effect")[-1]["id"]].die()
+
         w.nursery.start_soon(kill)
         lost = await bank.ask(w, "avola", "note", text="lost midway " * 40)
         again = await bank.ask(w, "avola", text="read again " * 40)
@@ -117,7 +138,7 @@
             legs = len(w.said("leg"))
         assert no.status == 429 and no.error is not None and no.error["code"] == "rate_limit_exceeded"
         assert len(w.said("leg")) == legs
-        assert (await bank.ask(w, "avola", text="x" * 200, max_tokens=10)).done == 1    # not another's allowance
+        assert (await bank.ask(w, "avola", text="x" * 200, max_tokens=10)).done == 1  # not another's allowance
         await trio.sleep(float(no.headers["retry-after-ms"]) / 1000 + 0.02)
         assert (await bank.ask(w, "noto", text="x" * 200, max_tokens=10)).done == 1
 
@@ -127,7 +148,7 @@
     budget = {"minute": 60, "burst": 100, "overdraft": 20, "cut": cut}
     build = replace(BUILD, answer_toks=(200, 200), tok_ms=1.0)
     async with banked(tmp_path, names=("noto",), build=build, budget=budget) as (w, bank):
-        for _ in range(20):    # it has given short answers so far
+        for _ in range(20):  # it has given short answers so far
             w.gateway.till.cashier.lengths.learn("noto", "summary", 10)
         reply = await bank.ask(w, "noto", max_tokens=200)
         assert (reply.done == 0 and "over budget" in str(reply.error)) if cut else reply.done == 1
@@ -140,7 +161,8 @@
 
 @pytest.mark.parametrize("metering", ["none", "absurd"])
 async def test_an_engine_that_says_nothing_or_nonsense_of_usage_makes_no_one_free_or_ruined(
-        tmp_path: Path, metering: str) -> None:
+    tmp_path: Path, metering: str
+) -> None:
     async with banked(tmp_path) as (w, bank):
         for engine in w.engines.values():
             engine.trouble.metering = metering
@@ -154,7 +176,7 @@
 
 async def test_a_gateway_killed_between_reserve_and_send_owes_and_bills_nothing(tmp_path: Path) -> None:
     async with banked(tmp_path) as (w, bank):
-        w.gateway.host.send = lambda *_: None    # type: ignore[method-assign]
+        w.gateway.host.send = lambda *_: None  # type: ignore[method-assign]
         with trio.move_on_after(0.2):
             await bank.ask(w, "noto")
         assert w.gateway.till.cashier.meters == {} or w.said("leg") == []
@@ -169,6 +191,7 @@
 
         async def one(name: str) -> None:
             got[name].append((await bank.ask(w, name, text="x" * 100, max_tokens=10)).status)
+
         async with trio.open_nursery() as nursery:
             for _ in range(80):
                 nursery.start_soon(one, "noto")
@@ -197,10 +220,11 @@
 
         def full(handle: int, data: bytes) -> int:
             raise OSError(28, "No space left on device")
-        disk.write = full    # type: ignore[method-assign]
+
+        disk.write = full  # type: ignore[method-assign]
         answers = [(await bank.ask(w, "noto", text=str(i))).status for i in range(6)]
         assert answers[:3] == [200] * 3 and answers[-1] == 503
-        disk.write = write    # type: ignore[method-assign]
+        disk.write = write  # type: ignore[method-assign]
         with trio.fail_after(3):
             while writer.waiting:
                 await trio.sleep(0.02)
@@ -212,11 +236,15 @@
 async def test_a_gateway_whose_block_just_ends_loses_no_bill(tmp_path: Path) -> None:
     bank = Bank(tmp_path, ("noto",))
     async with trio.open_nursery() as nursery:
-        async with world(("r0", "w0"), build=replace(BUILD, tok_ms=40.0), tenants=str(tmp_path / "tenants.json5"),
-                         ledger=str(tmp_path / "ledger")) as w:
+        async with world(
+            ("r0", "w0"),
+            build=replace(BUILD, tok_ms=40.0),
+            tenants=str(tmp_path / "tenants.json5"),
+            ledger=str(tmp_path / "ledger"),
+        ) as w:
             assert (await bank.ask(w, "noto")).done == 1
             nursery.start_soon(bank.ask, w, "noto")
-            await trio.sleep(0.12)    # midway
+            await trio.sleep(0.12)  # midway
         found = list(entries_of([tmp_path / "ledger"]))
         assert [e.outcome for e in found] == ["streamed", "terminated"] and 0 < found[1].bill.answer < 6
 
@@ -255,7 +283,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(bank.ask, w, "avola")
             await trio.sleep(0.1)
-            w.gateway.host.on_done = lambda _: None    # from here on nothing is settled, as after kill -9
+            w.gateway.host.on_done = lambda _: None  # from here on nothing is settled, as after kill -9
             await trio.sleep(0.5)
         found = bank.off(w)
         assert list(found.unsettled.values())[0].answer == 6 and found.off == 0
@@ -286,8 +314,15 @@
 
 def test_the_operators_commands(tmp_path: Path) -> None:
     def run(*args: str) -> subprocess.CompletedProcess[str]:
-        return subprocess.run([sys.executable, "-m", "ternlane", *args], capture_output=True, text=True, timeout=60,
-                              cwd=tmp_path, env={**os.environ, "PYTHONPATH": str(Path(__file__).parent.parent)})
+        return subprocess.run(
+            [sys.executable, "-m", "ternlane", *args],
+            capture_output=True,
+            text=True,
+            timeout=60,
+            cwd=tmp_path,
+            env={**os.environ, "PYTHONPATH": str(Path(__file__).parent.parent)},
+        )
+
     assert run("tenant", "add", "noto", "--zone", "Europe/Rome", "--period", "day").returncode == 0
     assert run("tenant", "add", "noto").returncode == 65
     assert run("tenant", "add", "x", "--zone", "Mars/Base").returncode == 65
@@ -302,6 +337,7 @@
     assert key.split("-")[2] not in (tmp_path / "tenants.json5").read_text()
     store = Store(Disk(tmp_path / "ledger"))
     from tests.test_tenants import entry
+
     for i in range(1, 4):
         store.append(entry(i))
     store.commit()
--- a/tests/test_transports.py
+++ b/tests/test_transports.py
@@ -1,4 +1,5 @@
 """Every transport passes the same suite; the router alone routes by direct calls and leaves nothing behind."""
+
 from __future__ import annotations
 
 import gc
@@ -14,8 +15,7 @@
 from tests.world import BUILD, PRODUCTS, TERMS, World, replace, world
 from ternlane.chat import Wrong
 from ternlane.embed import TerminatedError, ThrottledError, open_routing
-from ternlane.engine import (Kept, LegAsk, LegPlan, LocalTransport, Refuses, SocketTransport, Stage, Transport,
-                             Unreached)
+from ternlane.engine import Kept, LegAsk, LegPlan, LocalTransport, Refuses, SocketTransport, Stage, Transport, Unreached
 from ternlane.engine.leg import ClientGone
 from ternlane.http1 import Exchange, Pool
 from ternlane.paper import GatewayPaper, NodeLine, PaperError, read_text
@@ -68,7 +68,7 @@
 
     async def open(self) -> Transport:
         if self.kind == "local":
-            return LocalTransport(dict(self.local))    # type: ignore[arg-type]
+            return LocalTransport(dict(self.local))  # type: ignore[arg-type]
         for ident in ("r0", "w0"):
             await self.world.add(ident, replace(BUILD, tok_ms=2.0))
         return SocketTransport(Pool(100, 1000), "t (t)")
@@ -95,6 +95,7 @@
     async def pass_on(text: str, first: bool) -> None:
         assert first is (not got)
         got.append(text)
+
     return await transport.stream(ask, pass_on), got
 
 
@@ -109,13 +110,14 @@
         assert wrote.verdict is Verdict.STREAMED and wrote.begun and len(got) == 6
         assert wrote.usage is not None and wrote.usage.completion_tokens == 6
         if kind == "local":
-            bed.local["r0"].states.clear()    # a local engine hands its state on as it likes
+            bed.local["r0"].states.clear()  # a local engine hands its state on as it likes
         again = await transport.read(bed.ask("r0", Stage.READ, ident="h"))
         assert bed.held() == 1 and await transport.release("r0", bed.ask("r0", Stage.READ).address, "h", 200)
         assert bed.held() == 0 and again.verdict is Verdict.READ
 
-        lost, _ = await collect(transport, bed.ask("w0", Stage.WRITE, {
-            "of": "?", "remote_host": "127.0.0.1", "remote_port": 9}, ident="i"))
+        lost, _ = await collect(
+            transport, bed.ask("w0", Stage.WRITE, {"of": "?", "remote_host": "127.0.0.1", "remote_port": 9}, ident="i")
+        )
         assert (lost.verdict, lost.state_lost) == (Verdict.FULL, True)
         bed.trouble("r0", "full")
         assert (await transport.read(bed.ask("r0", Stage.READ))).verdict is Verdict.FULL
@@ -133,6 +135,7 @@
 
         async def gone(text: str, first: bool) -> None:
             raise ClientGone
+
         with pytest.raises(ClientGone):
             await transport.stream(bed.ask("w0", Stage.WRITE, state, ident="j"), gone)
         assert kind == "sockets" or bed.local["w0"].closed == bed.local["w0"].effects
@@ -147,8 +150,16 @@
 
 def paper(*idents: str, **more: Any) -> GatewayPaper:
     duty = {"r": "read", "w": "write"}
-    return GatewayPaper(name="lib", listen="127.0.0.1:0", products=PRODUCTS, fleet=TERMS, nodes=InlineSource(nodes=[
-        NodeLine(id=i, address="127.0.0.1:9", duty=duty[i[0]], mem_toks=2e5) for i in idents]), **more)    # type: ignore
+    return GatewayPaper(
+        name="lib",
+        listen="127.0.0.1:0",
+        products=PRODUCTS,
+        fleet=TERMS,
+        nodes=InlineSource(
+            nodes=[NodeLine(id=i, address="127.0.0.1:9", duty=duty[i[0]], mem_toks=2e5) for i in idents]
+        ),
+        **more,
+    )  # type: ignore
 
 
 REQUEST = {"model": "note", "messages": [{"role": "user", "content": "hello"}]}
@@ -156,7 +167,7 @@
 
 async def test_the_router_alone_routes_by_direct_calls() -> None:
     engines = {i: Local() for i in ("r0", "w0")}
-    async with open_routing(paper("r0", "w0"), LocalTransport(dict(engines))) as routing:    # type: ignore[arg-type]
+    async with open_routing(paper("r0", "w0"), LocalTransport(dict(engines))) as routing:  # type: ignore[arg-type]
         async with routing.generation(REQUEST) as stream:
             assert await stream.text() == "0 1 2 3 4 5 "
         assert stream.usage["completion_tokens"] == 6 and stream.finish == "stop"
@@ -168,14 +179,14 @@
 
 async def test_an_engine_that_raises_is_never_asked_twice_for_a_side_effect() -> None:
     engines = {i: Local() for i in ("r0", "w0", "w1")}
-    async with open_routing(paper("r0", "w0", "w1"), LocalTransport(dict(engines))) as routing:    # type: ignore
+    async with open_routing(paper("r0", "w0", "w1"), LocalTransport(dict(engines))) as routing:  # type: ignore
         for local in ("w0", "w1"):
             engines[local].trouble = "broken"
         with pytest.raises(TerminatedError, match="out of memory") as bad:
             async with routing.generation(REQUEST) as stream:
                 await stream.text()
         assert not bad.value.begun
-        with trio.fail_after(1):    # let go in the background
+        with trio.fail_after(1):  # let go in the background
             while engines["r0"].states:
                 await trio.sleep(0.002)
         engines["r0"].trouble = "full"
@@ -186,7 +197,7 @@
 
 async def test_leaving_early_calls_off_and_lets_go() -> None:
     engines = {i: Local() for i in ("r0", "w0")}
-    async with open_routing(paper("r0", "w0"), LocalTransport(dict(engines))) as routing:    # type: ignore[arg-type]
+    async with open_routing(paper("r0", "w0"), LocalTransport(dict(engines))) as routing:  # type: ignore[arg-type]
         async with routing.generation(REQUEST) as stream:
             async for _ in stream:
                 break
@@ -204,7 +215,7 @@
 async def test_routers_made_and_discarded_leave_nothing() -> None:
     async def round_trip() -> None:
         engines = {i: Local() for i in ("r0", "w0")}
-        async with open_routing(paper("r0", "w0"), LocalTransport(dict(engines))) as routing:    # type: ignore
+        async with open_routing(paper("r0", "w0"), LocalTransport(dict(engines))) as routing:  # type: ignore
             async with routing.generation(REQUEST) as stream:
                 async for _ in stream:
                     break
@@ -212,6 +223,7 @@
     def count() -> tuple[int, int]:
         gc.collect()
         return len(os.listdir("/proc/self/fd")), trio.lowlevel.current_statistics().tasks_living
+
     await round_trip()
     before, objects = count(), len(gc.get_objects())
     for _ in range(100):
@@ -236,6 +248,7 @@
             await exchange.answer(503, [("Retry-After", "1")], b"{}")
         else:
             await super().handle(exchange)
+
     strange: list[str] = []
     down = False
 
@@ -251,13 +264,17 @@
             w.nursery.start_soon(engine.run, w.nursery, up)
             await up.wait()
             engines.append(engine)
-        w.gateway.found([NodeLine(id=e.ident, address=f"{e.host}:{e.port}", duty="both", mem_toks=2e5, protocol="chat")
-                         for e in engines])
+        w.gateway.found(
+            [
+                NodeLine(id=e.ident, address=f"{e.host}:{e.port}", duty="both", mem_toks=2e5, protocol="chat")
+                for e in engines
+            ]
+        )
         reply = await w.ask(model, prompt_cache_key="folder")
         assert reply.done == 1 and not engines[0].strange and not engines[1].strange
         for engine in engines:
             engine.down = True
-        down = await w.ask(model)    # a 503 of a stranger proves nothing
+        down = await w.ask(model)  # a 503 of a stranger proves nothing
         asked = len(w.said("leg"))
         assert down.status == (502 if model == "note" else 429) and asked == 1
         for engine in engines:
@@ -273,9 +290,12 @@
 async def test_typed_settings_meet_the_checks_of_a_document() -> None:
     good = paper("r0", "w0")
     assert ternlane.checked(good) == good
-    for changes, field in (({"gateways": 0}, r"\$.gateways"), ({"fleet": ternlane.FleetTerms(connect_ms=-1)},
-                           r"\$.fleet.connect_ms"), ({"name": "has a space"}, r"\$.name")):
-        wrong = msgspec.structs.replace(good, **changes)    # type: ignore[arg-type]
+    for changes, field in (
+        ({"gateways": 0}, r"\$.gateways"),
+        ({"fleet": ternlane.FleetTerms(connect_ms=-1)}, r"\$.fleet.connect_ms"),
+        ({"name": "has a space"}, r"\$.name"),
+    ):
+        wrong = msgspec.structs.replace(good, **changes)  # type: ignore[arg-type]
         with pytest.raises(PaperError, match=field):
             async with ternlane.open_routing(wrong, LocalTransport({})):
                 pass
--- a/tests/test_upkeep.py
+++ b/tests/test_upkeep.py
@@ -1,4 +1,5 @@
 """What a gateway does beside generations: connections kept and closed, the followed file, metrics, a reload."""
+
 from __future__ import annotations
 
 import json
@@ -56,6 +57,7 @@
     def put(text: str) -> None:
         (tmp_path / "new").write_text(text)
         (tmp_path / "new").rename(path)
+
     put(json.dumps({"nodes": [node]}))
     async with trio.open_nursery() as nursery:
         nursery.start_soon(follow_file, FileSource(path=str(path), look_ms=10), found.append, failed.append)
@@ -64,6 +66,7 @@
             with trio.fail_after(1):
                 while len(found) < many or len(failed) < bad:
                     await trio.sleep(0.005)
+
         await until(1, 0)
         put(json.dumps({"nodes": [node, node]}))
         await until(1, 1)
@@ -95,7 +98,7 @@
     product = Product(Effect.IDEMPOTENT, Group.ALL, 0, 400, 0, 60, 2000, 1, 0)
     intake = Intake({"m": product}, {product: 100}, 500)
     for i in range(20_000):
-        intake.take(ask(f"folder {i} " * 60), 1000)    # type: ignore[arg-type]
+        intake.take(ask(f"folder {i} " * 60), 1000)  # type: ignore[arg-type]
     assert len(intake.sessions.ends) <= 1000 and intake.openings.held <= 4000
 
 
@@ -125,7 +128,7 @@
     after.remember("noto", "s", "2026-12", before.meters["noto", ""].spent)
     assert not isinstance(after.reserve(line, "s", 90, 10, 0.0, NOON), Hold)
     assert after.short_of_period() == [("noto", "", "2026-12", 24_000)]
-    after.meters["noto", ""].allowed += lender.draw("noto", "2026-12", 24_000)    # one chunk, and it goes on
+    after.meters["noto", ""].allowed += lender.draw("noto", "2026-12", 24_000)  # one chunk, and it goes on
     assert isinstance(after.reserve(line, "s", 90, 10, 0.0, NOON), Hold)
 
 
@@ -142,7 +145,7 @@
         self.start()
 
     def start(self) -> None:
-        self.store, self.cashier, self.life = Store(self.disk, 500), Cashier(), object()    # type: ignore[arg-type]
+        self.store, self.cashier, self.life = Store(self.disk, 500), Cashier(), object()  # type: ignore[arg-type]
         self.cashier.clock(NOON + self.now / 1000)
         self.store.recover()
         for (name, product, period), it in self.store.totals.sums.items():
@@ -156,7 +159,7 @@
     @rule(it=consumes(holds), answer=st.integers(0, 100), commit=st.booleans())
     def settle(self, it: object, answer: int, commit: bool) -> None:
         if not isinstance(it, tuple) or it[0] is not self.life:
-            return    # refused, or died with a gateway
+            return  # refused, or died with a gateway
         self.n += 1
         hold = it[1]
         billed = Billed(Used(hold.prompt, 0, answer), Used())
@@ -200,8 +203,9 @@
 @pytest.mark.parametrize("n", [1, 3])
 def test_segments_beyond_those_to_be_kept_are_dropped(n: int) -> None:
     disk = FakeDisk()
-    store = Store(disk, 300, keep_segments=n)    # type: ignore[arg-type]
+    store = Store(disk, 300, keep_segments=n)  # type: ignore[arg-type]
     from tests.test_tenants import entry
+
     for i in range(1, 40):
         store.append(entry(i))
         store.commit()
@@ -219,13 +223,14 @@
                     out.append(port.HoldAhead(action.gen, action.gen.seat.writer.server))
             told.extend(e for e in events if isinstance(e, port.PlaceHeld))
             return out
+
     told: list[port.PlaceHeld] = []
     terms = msgspec.structs.replace(TERMS, holds=True)
     async with world(("r0", "w0"), build=replace(BUILD, read_tok_s=4000.0), chooser=Holds, terms=terms) as w:
         assert (await w.ask("note", "x" * 800)).done == 1
         assert [e.held for e in told] == [True]
         assert len(w.said("taken", id="w0")) == 1 and w.engines["w0"].used == 0
-        with trio.move_on_after(0.05):    # a client that leaves within the read
+        with trio.move_on_after(0.05):  # a client that leaves within the read
             await w.ask("note", "y" * 1600)
         await w.settled()
         assert len(w.said("released", id="w0")) == 1 and w.engines["w0"].used == 0
--- a/tests/test_variants.py
+++ b/tests/test_variants.py
@@ -2,6 +2,7 @@
 
 The settings are made from the site files in `deploy/sites/`, by the protocol page's names.
 """
+
 from __future__ import annotations
 
 import tomllib
@@ -36,23 +37,47 @@
     told = site(name)
     tier, family, allow, rules = told["tier"][0], told["fam"], told["allow"], told["rules"]
     return {
-        "discovery": told["discovery"]["mode"], "locality": told["net"]["zones"][0], "me": 0, "n_instances": 2,
-        "invariants": {"drain_grace": rules["drain_grace_ms"], "overload_factor": rules["fall_multiple"],
-                       "overload_for": rules["fall_ms"], "cold": 1000.0 * tier["kind"][0]["cold_s"][0],
-                       "cold_from": tier["kind"][0]["cold_from"][0]},
+        "discovery": told["discovery"]["mode"],
+        "locality": told["net"]["zones"][0],
+        "me": 0,
+        "n_instances": 2,
+        "invariants": {
+            "drain_grace": rules["drain_grace_ms"],
+            "overload_factor": rules["fall_multiple"],
+            "overload_for": rules["fall_ms"],
+            "cold": 1000.0 * tier["kind"][0]["cold_s"][0],
+            "cold_from": tier["kind"][0]["cold_from"][0],
+        },
         "kinds": [kind["name"] for kind in tier["kind"]],
-        "limits": {"cancel": allow["cancel"], "conn_idle": 1000.0 * tier["conn"]["idle_s"],
-                   "connect_timeout": float(tier["conn"]["connect_timeout_ms"]), "most_tries": allow["max_attempts"],
-                   "max_retry_after": told["clients"]["max_retry_after_ms"], "probes": allow["probes"],
-                   "retry_after": allow["retry_after"]},
-        "profiles": [{"name": one["name"], "aim": float(one["aim_ms"]), "deadline": float(one["deadline_ms"]),
-                      "semantics": EFFECTS[one["effect"]], "worth": one["worth"], "late_worth": one["late_worth"]}
-                     for one in told["class"]],
+        "limits": {
+            "cancel": allow["cancel"],
+            "conn_idle": 1000.0 * tier["conn"]["idle_s"],
+            "connect_timeout": float(tier["conn"]["connect_timeout_ms"]),
+            "most_tries": allow["max_attempts"],
+            "max_retry_after": told["clients"]["max_retry_after_ms"],
+            "probes": allow["probes"],
+            "retry_after": allow["retry_after"],
+        },
+        "profiles": [
+            {
+                "name": one["name"],
+                "aim": float(one["aim_ms"]),
+                "deadline": float(one["deadline_ms"]),
+                "semantics": EFFECTS[one["effect"]],
+                "worth": one["worth"],
+                "late_worth": one["late_worth"],
+            }
+            for one in told["class"]
+        ],
         "report": {"how": HOW[tier["report"]["how"]], "columns": tier["report"]["fields"]},
-        "specifics": {"duty_by_kind": family["role"], "release": family["release_ms"],
-                      "token_aim": [float(one["token_ms"]) for one in family["class"]],
-                      "tokens_by_kind": [1000 * one["memory_k"][0] for one in family["engine"]]},
-        "step": 4.0}
+        "specifics": {
+            "duty_by_kind": family["role"],
+            "release": family["release_ms"],
+            "token_aim": [float(one["token_ms"]) for one in family["class"]],
+            "tokens_by_kind": [1000 * one["memory_k"][0] for one in family["engine"]],
+        },
+        "step": 4.0,
+    }
 
 
 @pytest.mark.parametrize("name", NAMES)
@@ -66,7 +91,7 @@
         assert pool.connect_ms == connection["connect_timeout_ms"] and pool.limit == 225
         assert pool.idle_ms == pytest.approx(900.0 * connection["idle_s"]) and pool.wear.span_ms == pool.idle_ms
         assert (front.conn_limit, front.open_limit) == (225, 200) and front.held_bytes == int(20 * 2**20)
-        limits = p.gateway.node.chooser.limits    # type: ignore[attr-defined]
+        limits = p.gateway.node.chooser.limits  # type: ignore[attr-defined]
         assert limits.slo_ms == min(one["aim_ms"] for one in raw["class"])
         assert limits.retry_ms == 2 * connection["connect_timeout_ms"] and limits.leg_limit == facts.leg_limit
         assert limits.pause_ms == raw["clients"]["max_retry_after_ms"]
@@ -103,7 +128,7 @@
 async def test_a_shutdown_has_the_time_that_the_variants_longest_deadline_leaves(name: str, least_ms: float) -> None:
     """Counted as 3 s where it is longer, by the page; shorter ones leave less."""
     async with platform("r0", "w0", told=settings(name)) as p:
-        desk = p.gateway.node.chooser.desk    # type: ignore[attr-defined]
+        desk = p.gateway.node.chooser.desk  # type: ignore[attr-defined]
         p.gateway.begin_drain()
         assert desk.ends_at - trio.current_time() * 1000 == pytest.approx(least_ms, abs=50)
         short = [one | {"deadline": 900.0} for one in settings(name)["profiles"]]
@@ -115,12 +140,21 @@
 def test_servers_that_do_both_are_known_where_a_variant_has_them() -> None:
     deployment = Deployment(1, settings("vigne-alte"))
     assert {kind: deployment.duty[kind] for kind in deployment.duty} == {
-        "prefill": Duty.READ, "decode": Duty.WRITE, "mixed": Duty.BOTH}
-
-
-@pytest.mark.parametrize("name, raw", [
-    ("küstenplan-für-übermorgen", "küstenplan-für-übermorgen".encode()), ("übersicht", "übersicht".encode("latin-1")),
-    ("名前", "名前".encode()), ("a" * 900, b"a" * 900)])
+        "prefill": Duty.READ,
+        "decode": Duty.WRITE,
+        "mixed": Duty.BOTH,
+    }
+
+
+@pytest.mark.parametrize(
+    "name, raw",
+    [
+        ("küstenplan-für-übermorgen", "küstenplan-für-übermorgen".encode()),
+        ("übersicht", "übersicht".encode("latin-1")),
+        ("名前", "名前".encode()),
+        ("a" * 900, b"a" * 900),
+    ],
+)
 async def test_names_of_classes_outside_ascii_and_long_ones(name: str, raw: bytes) -> None:
     told = settings("porto-atlante") | {"kinds": ["reader", "writer"]}
     profiles = [told["profiles"][0] | {"name": name}]
@@ -136,7 +170,7 @@
     """A gateway that is given another customer's settings, with a request of the first one open, and its own again."""
     first, other = ({**settings(name), "kinds": ["reader", "writer"]} for name in NAMES)
     async with platform("r0", "w0", told=first) as p:
-        node, desk = p.gateway.node, p.gateway.node.chooser.desk    # type: ignore[attr-defined]
+        node, desk = p.gateway.node, p.gateway.node.chooser.desk  # type: ignore[attr-defined]
         name = first["profiles"][0]["name"]
         assert (await p.ask(Request_Class=name)).status == 200
         gate = p.servers["w0"].gates["request"] = Gate()
@@ -149,7 +183,7 @@
         assert not mine & (desk.prompt.keys() | desk.learnt_at.keys() | desk.told.keys())
         assert not mine & {product for product, _ in desk.usual}
         gate.open()
-        assert (await client.answer()).startswith(b"HTTP/1.1 200 ")    # it ends as it came
+        assert (await client.answer()).startswith(b"HTTP/1.1 200 ")  # it ends as it came
         client.sock.close()
         assert (await p.ask(Request_Class=name)).status == 400
         assert (await p.ask(Request_Class=other["profiles"][0]["name"])).status == 200
--- a/tests/world.py
+++ b/tests/world.py
@@ -1,4 +1,5 @@
 """A small world in one trio run: stand-in engines, gateways, clients, all over loopback sockets."""
+
 from __future__ import annotations
 
 import json
@@ -21,8 +22,10 @@
 PRODUCTS = [
     ProductTerms(name="summary", effect="idempotent", slo_ms=400, tok_slo_ms=60, limit_ms=2000, revenue=3),
     ProductTerms(name="note", effect="side-effecting", slo_ms=400, tok_slo_ms=60, limit_ms=1500, revenue=2),
-    ProductTerms(name="form", effect="deduplicated", group="cell", window_ms=1500, slo_ms=400, tok_slo_ms=60,
-                 limit_ms=1500)]
+    ProductTerms(
+        name="form", effect="deduplicated", group="cell", window_ms=1500, slo_ms=400, tok_slo_ms=60, limit_ms=1500
+    ),
+]
 
 
 def patient(times: float) -> list[ProductTerms]:
@@ -82,14 +85,29 @@
         await up.wait()
 
     def lines(self, **changes: str) -> list[NodeLine]:
-        return [NodeLine(id=e.ident, address=f"{e.host}:{e.port}", zone=e.zone, cell=e.cell, duty=e.duty,
-                         mem_toks=e.build.mem_toks, state=changes.get(e.ident, "up")) for e in self.engines.values()]
+        return [
+            NodeLine(
+                id=e.ident,
+                address=f"{e.host}:{e.port}",
+                zone=e.zone,
+                cell=e.cell,
+                duty=e.duty,
+                mem_toks=e.build.mem_toks,
+                state=changes.get(e.ident, "up"),
+            )
+            for e in self.engines.values()
+        ]
 
     def list(self, **changes: str) -> None:
         self.gateway.found(self.lines(**changes))
 
-    async def post(self, body: dict[str, Any] | bytes, headers: dict[str, str] | None = None,
-                   path: str = "/v1/chat/completions", method: str = "POST") -> Reply:
+    async def post(
+        self,
+        body: dict[str, Any] | bytes,
+        headers: dict[str, str] | None = None,
+        path: str = "/v1/chat/completions",
+        method: str = "POST",
+    ) -> Reply:
         caller = await self.pool.connect(self.gateway.address)
         try:
             return await heard(caller, body, headers or {}, path, method)
@@ -98,17 +116,22 @@
 
     async def ask(self, model: str = "summary", text: str = "hello", stream: bool = True, **more: Any) -> Reply:
         headers = more.pop("headers", {})
-        return await self.post({"model": model, "messages": [{"role": "user", "content": text}], "stream": stream,
-                                **more}, headers)
+        return await self.post(
+            {"model": model, "messages": [{"role": "user", "content": text}], "stream": stream, **more}, headers
+        )
 
     def said(self, kind: str, **match: Any) -> list[dict[str, Any]]:
         return [v for v in self.traffic.lines if v["k"] == kind and all(v.get(k) == x for k, x in match.items())]
 
     async def settled(self, within: float = 1.5) -> None:
         """Waits until nothing is open at the gateway and nothing is held at any engine."""
+
         def left() -> list[Any]:
-            return [*self.gateway.host.tickets.values(), *((e.ident, e.states, e.busy) for e in self.engines.values()
-                                                           if e.states or e.busy)]
+            return [
+                *self.gateway.host.tickets.values(),
+                *((e.ident, e.states, e.busy) for e in self.engines.values() if e.states or e.busy),
+            ]
+
         with trio.move_on_after(within):
             while left():
                 await trio.sleep(0.01)
@@ -117,8 +140,9 @@
             raise AssertionError(f"left: {remains}")
 
 
-async def heard(caller: Caller, body: dict[str, Any] | bytes, headers: dict[str, str], path: str,
-                method: str = "POST") -> Reply:
+async def heard(
+    caller: Caller, body: dict[str, Any] | bytes, headers: dict[str, str], path: str, method: str = "POST"
+) -> Reply:
     reply = Reply()
     raw = body if isinstance(body, bytes) else msgspec.json.encode(body)
     try:
@@ -136,16 +160,28 @@
 
 
 @asynccontextmanager
-async def world(engines: tuple[str, ...] = ("r0", "w0", "r1", "w1"), build: Build = BUILD,
-                host_type: type[Host] = Host, chooser: Any = Router, terms: FleetTerms = TERMS,
-                products: list[ProductTerms] = PRODUCTS, **changes: Any) -> AsyncIterator[World]:
+async def world(
+    engines: tuple[str, ...] = ("r0", "w0", "r1", "w1"),
+    build: Build = BUILD,
+    host_type: type[Host] = Host,
+    chooser: Any = Router,
+    terms: FleetTerms = TERMS,
+    products: list[ProductTerms] = PRODUCTS,
+    **changes: Any,
+) -> AsyncIterator[World]:
     async with trio.open_nursery() as nursery:
         made = World(nursery)
         for ident in engines:
             await made.add(ident, build)
-        paper = GatewayPaper(name="g1", listen="127.0.0.1:0", products=products, fleet=terms,
-                             nodes=InlineSource(nodes=made.lines()), door=changes.pop("door", DoorTerms(drain_ms=800)),
-                             **changes)
+        paper = GatewayPaper(
+            name="g1",
+            listen="127.0.0.1:0",
+            products=products,
+            fleet=terms,
+            nodes=InlineSource(nodes=made.lines()),
+            door=changes.pop("door", DoorTerms(drain_ms=800)),
+            **changes,
+        )
         async with open_gateway(paper, chooser=chooser, host_type=host_type) as made.gateway:
             await trio.sleep(0.01)
             try:
