--- a/ternlane/standin/platform.py
+++ b/ternlane/standin/platform.py
@@ -82,6 +82,7 @@
     open: Counter[str] = field(default_factory=Counter)  # legs at each server now
     conns: Counter[str] = field(default_factory=Counter)
     ran: Counter[str] = field(default_factory=Counter)  # answers begun, by id
+    repeated: set[str] = field(default_factory=set)  # ids that came to a decode server after one had run them
     told_s: list[float] = field(default_factory=list)  # the time that each attempt said it would wait
 
     def count(self, kind: str) -> int:
@@ -155,6 +156,8 @@
             self.fleet.seen.append((self.name, "probe", ""))
             return await exchange.answer(200, [], b"inflight=1,x0=0.1", "text/plain")
         self.fleet.seen.append((self.name, self.duty, ident))
+        if self.duty == "write" and self.fleet.ran[ident]:
+            self.fleet.repeated.add(ident)
         self.fleet.told_s.append(float(exchange.header(b"request-timeout") or "nan"))
         self.fleet.open[self.name] += 1
         try:
--- a/tests/crossing.py
+++ b/tests/crossing.py
@@ -145,3 +145,26 @@
 
 def descriptors() -> int:
     return len(os.listdir("/proc/self/fd"))
+
+
+class Turnstile:
+    """A gate that lets those who wait at it through one by one, in any order; `open` lets all through from then on."""
+
+    def __init__(self) -> None:
+        self.waiting: list[trio.Event] = []
+        self.opened = False
+
+    async def hold(self) -> None:
+        if not self.opened:
+            event = trio.Event()
+            self.waiting.append(event)
+            await event.wait()
+
+    def let_through(self, nth: int) -> None:
+        if self.waiting:
+            self.waiting.pop(nth % len(self.waiting)).set()
+
+    def open(self) -> None:
+        self.opened = True
+        while self.waiting:
+            self.let_through(0)
--- a/tests/test_variants.py
+++ b/tests/test_variants.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+import ast
+import re
 import tomllib
 from pathlib import Path
 from typing import Any
@@ -198,3 +200,31 @@
 
 async def switch(p: Platform, told: dict[str, Any]) -> None:
     p.gateway.node.alter(Deployment(1, told, p.gateway.node.deployment))
+
+
+# -- where constants come from
+
+ROOT = Path(__file__).parent.parent
+CHECKED = ["platform", "http1", "turns.py", "deployment.py", "choice.py"]
+
+
+def test_the_page_says_of_every_constant_where_it_comes_from() -> None:
+    """A figure that is nobody's is likely the first customer's."""
+    files = [
+        f
+        for name in CHECKED
+        for f in (
+            [ROOT / "ternlane" / name] if name.endswith(".py") else sorted((ROOT / "ternlane" / name).glob("*.py"))
+        )
+    ]
+    names = set[str]()
+    for file in files:
+        for statement in ast.parse(file.read_text()).body:
+            targets = statement.targets if isinstance(statement, ast.Assign) else []
+            for target in targets:
+                for one in target.elts if isinstance(target, ast.Tuple) else [target]:
+                    if isinstance(one, ast.Name) and re.fullmatch("[A-Z][A-Z_]*", one.id):
+                        names.add(one.id)
+    page = (ROOT / "docs" / "platform.md").read_text().partition("## Where each constant comes from")[2]
+    said = set(re.findall("`([A-Z][A-Z_]*)`", page.partition("\n## ")[0]))
+    assert names - said == set() and said - names == set() and len(names) > 70
