--- a/tests/crossing.py
+++ b/tests/crossing.py
@@ -73,6 +73,10 @@
         """One answer, streamed or with a length."""
         return await self.read_until(answer_end)
 
+    async def rest_of_answer(self) -> bytes:
+        """The rest of a streamed answer whose beginning has been taken already."""
+        return await self.read_until(lambda got: len(got) if got.endswith(b"\r\n0\r\n\r\n") else -1)
+
     async def rest(self) -> bytes:
         """Whatever comes until the other side ends the connection."""
         return await self.read_until(lambda _: -1)
--- a/tests/test_crossings_clients.py
+++ b/tests/test_crossings_clients.py
@@ -349,3 +349,34 @@
     async with platform("r0", "w0") as p:
         said = await p.raw(HEAD + b"Content-Length: 9\r\n\r\n{", within=3.0)
         assert said.startswith(b"HTTP/1.1 408 ")
+
+
+# -- events as they come
+
+
+async def test_an_event_reaches_its_client_before_its_server_writes_the_next_one() -> None:
+    """Never gathered: the server holds behind the first event until the client has it."""
+    async with platform("r0", "w0") as p:
+        gate = p.servers["w0"].gates["event"] = Gate()
+        client = Client(p.address)
+        client.send(request(p))
+        await gate.reached.wait()
+        first = await client.read_until(lambda got: got.find(EVENT) + len(EVENT) if EVENT in got else -1)
+        assert first.endswith(EVENT) and not gate.opened.is_set()
+        gate.open()
+        assert (await client.rest_of_answer()).endswith(b"0\r\n\r\n")
+        client.sock.close()
+
+
+async def test_small_writes_are_held_back_on_neither_side() -> None:
+    async with platform("r0", "w0") as p:
+        client = Client(p.address)
+        await until(lambda: p.gateway.front.idle)
+        streams = [server_side(p, client)]
+        client.send(request(p))
+        assert (await client.answer()).startswith(b"HTTP/1.1 200 ")
+        streams += [caller.stream for caller in p.gateway.pool.open]
+        assert len(streams) == 3
+        for stream in streams:
+            assert stream.getsockopt(trio.socket.IPPROTO_TCP, trio.socket.TCP_NODELAY) == 1
+        client.sock.close()
