--- a/tests/test_crossings_lists.py
+++ b/tests/test_crossings_lists.py
@@ -228,28 +228,11 @@
         assert first[:2] == (150.0, 0.9 * 2000.0)
         assert (await p.ask()).status == 200
         limits = TOLD["limits"] | {"conn_idle": 800.0, "connect_timeout": 90.0}
-        path = tmp_path / "config.json"
-
-        def write(settings: dict[str, Any], **more: Any) -> None:
-            path.write_text(
-                json.dumps(
-                    {
-                        "name": "n0",
-                        "listen": p.address,
-                        "discovery": p.discovery.address,
-                        "seed": "1",
-                        "settings": settings,
-                    }
-                    | more
-                )
-            )
-            monkeypatch.setenv("NODE_CONFIG", str(path))
-            p.gateway.reload()
-
-        write(TOLD | {"limits": limits}, limits={"sockets": 200, "memory_mb": 64})
+        small = {"sockets": 200, "memory_mb": 64}
+        reload(p, tmp_path, monkeypatch, TOLD | {"limits": limits}, limits=small)
         assert (pool.connect_ms, pool.idle_ms, pool.limit) == (90.0, 720.0, 90)
         assert (front.conn_limit, front.open_limit, front.held_bytes) == (90, 80, int(64 * 2**20 * 0.2))
-        write(TOLD)
+        reload(p, tmp_path, monkeypatch, TOLD)
         assert (
             pool.connect_ms,
             pool.idle_ms,
--- a/tests/test_platform_bounds.py
+++ b/tests/test_platform_bounds.py
@@ -120,7 +120,8 @@
 # -- configuration
 
 
-def reload(p: Platform, folder: Path, monkeypatch: pytest.MonkeyPatch, settings: dict[str, Any]) -> None:
+def reload(p: Platform, folder: Path, monkeypatch: pytest.MonkeyPatch, settings: dict[str, Any], **more: Any) -> None:
+    """The gateway is given other settings, and `more` beside them, by its configuration file."""
     path = folder / "config.json"
     path.write_text(
         json.dumps(
@@ -132,6 +133,7 @@
                 "known": p.discovery.listing(),
                 "settings": settings,
             }
+            | more
         )
     )
     monkeypatch.setenv("NODE_CONFIG", str(path))
