--- /dev/null
+++ b/tests/test_fleet_value.py
@@ -0,0 +1,52 @@
+"""Days of a fleet of 200 gateways that share nothing: enough of the traffic's value is served, whatever goes wrong.
+
+The floors are those that the users' acceptance holds against a policy that sees every server's true state late
+(`tests/fleet_day.py`): half of what it serves for the whole day and for each class, a fifth for each third of the day,
+a third for each tenant; on a day without faults all but a tenth.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+
+from tests.fleet_day import Day, Fault, Scene, ail, cut_zone, kill_gateways, restart_servers
+
+FLOORS = {"day": 1 / 2, "class": 1 / 2, "third": 1 / 5, "tenant": 1 / 3}
+CALM_LOSS = 0.1
+LITTLE = 0.3  # where the baseline itself serves less, a class has no floor
+FLEET = Scene(gateways=200, readers=24, writers=16, seconds=10.0, tenants=3)
+UNEVEN = replace(FLEET, unevenness=1.2, seconds=15.0)
+
+
+def below_floor(scene: Scene, *faults: Fault) -> dict[str, tuple[float, float]]:
+    """What falls below its floor: its share of the value served, and the share that is wanted."""
+    served = Day(scene, "router", faults).play().shares()
+    possible = Day(scene, "late", faults).play().shares()
+    wanted = {name: FLOORS[name.split()[0]] * share for name, share in possible.items() if share >= LITTLE}
+    if not faults:
+        wanted["day"] = possible["day"] - CALM_LOSS
+    return {name: (round(served[name], 3), round(least, 3)) for name, least in wanted.items() if served[name] < least}
+
+
+def test_gateways_that_get_several_times_the_mean_serve_what_they_get() -> None:
+    assert below_floor(UNEVEN) == {}
+
+
+def test_the_few_gateways_that_are_left_serve_all_that_comes() -> None:
+    """Nine in ten have died and stay dead. Who is left gets ten times as much as before, and the servers have room."""
+    assert below_floor(FLEET, kill_gateways(0.9, 2000.0, 9000.0)) == {}
+
+
+@pytest.mark.parametrize(
+    "faults",
+    [
+        pytest.param((ail(0.2, 3000.0, 4000.0, silent=True),), id="silent"),
+        pytest.param((ail(0.25, 3000.0, 4000.0, bad=1.0), ail(0.2, 3000.0, 4000.0, slow=6.0)), id="bad and slow"),
+        pytest.param((kill_gateways(0.7, 3000.0, 2500.0), restart_servers(0.3, 3000.0, 3000.0, 1000.0)), id="release"),
+        pytest.param((ail(1.0, 3000.0, 3000.0, resetting=0.3), cut_zone(4000.0, 3000.0)), id="resets and a cut"),
+    ],
+)
+def test_a_fleet_in_trouble_serves_its_share(faults: tuple[Fault, ...]) -> None:
+    assert below_floor(replace(FLEET, zones=2), *faults) == {}
