Own requests times the number of gateways no longer pass for the fleet's load

Root cause: a gateway took its own open requests, times the number of gateways, for the load of all (Desk.look, `scale`; Seat.standing in Engine.standing, `used` and `ahead`), and Desk.congested refused on that guess alone, against a fresh report of room (`free = min(...)`) and against answers that began at once. Of 200 gateways each sees a handful of requests: its count swings by a third by chance, stands for several fleets where it gets several times the mean, and for ten where nine in ten gateways are gone.

Mend: congested is judged by what is known, that is own requests and the last report; the guess counts as far as answers come late or are refused (`late`, by duty). A size for each server, learnt from one answer in 10 s each (Engine.weigh), is gone: the same evidence is kept for all.

--- a/ternlane/choice.py
+++ b/ternlane/choice.py
@@ -28,7 +28,7 @@
 LOOK = 4            # beats between two looks at all servers
 GAIN = 1 / 16       # weight of a new sample in a running mean
 CARE = 0.6          # part of what the rule lets a cold server be sent that this router uses
-CALM = 0.75         # part of its size that a server must be filled to before it can prove to be larger
+CONFIRM = 2.0       # the guess of the others' load counts in full once half of the answers come late
 WORTH = 4.0         # what reading a text anew weighs against room: the readers' time is everybody's
 FAINT = 0.02        # failures of a kind below this part are chance
 FEW = 64            # generations before this gateway's own count of an opening says much
@@ -57,7 +57,6 @@
         self.legs: dict[Leg, None] = {}
         self.said: tuple[float, float, float | None] | None = None   # when, memory share, generations held
         self.done = self.due = self.cold_until = self.linked_until = 0.0
-        self.used, self.size = 0.0, 1.0    # of its memory: by all gateways; what it seems to have
         self.strikes, self.shut_until, self.trial, self.answered = 0, 0.0, False, -inf
         self.beat_at, self.sent, self.fleet = router.now, 0.0, Beat()
 
@@ -82,7 +81,6 @@
                     if good and not leg.writes:
                         self.answered = max(self.answered, leg.sent)
                 else:
-                    self.weigh(now - leg.since)
                     leg.since, leg.usual_ms, leg.counted = now, next_usual, 0.0
                 if good and self.trial and now - leg.since <= CROWD * leg.usual_ms:
                     self.trial, self.strikes = False, 0
@@ -129,31 +127,26 @@
         self.due += ought - leg.counted
         leg.counted = ought
 
-    def weigh(self, took: float) -> None:
-        """How soon answers begin tells whether this gateway's own count, scaled up, is right."""
-        if took > self.limits.slo_ms / 4:
-            self.size = max(self.size * (1 - GAIN), 1 / CROWD ** 2)
-        elif took < self.limits.slo_ms / 8 and self.used > CALM * self.size:
-            self.size = min(self.size * (1 + GAIN), CROWD ** 2)
-
     def standing(self) -> Standing:
         now, own = self.router.now, sum(s for _, s in self.booked.values())
         # How much more than its peers all use it, as far as this one has seen it happen:
         crowding = (self.sent + CROWD) / (self.fleet.mean_sent + CROWD) * (1 - 1 / self.limits.share)
-        used = self.used = own + self.fleet.level * crowding
-        free = 1 - used / self.size
+        used = own + self.fleet.level * crowding
+        free, known = 1 - used, 1 - own
         queue = sum(leg.work_ms for leg in self.legs if leg.sent >= self.answered)    # a lost one is no load
         ahead = CROWD * queue + self.fleet.trust * (self.fleet.queue_ms * crowding)
         if self.said is not None:    # an old report says less than the mean does
             at, mem_share, held = self.said
             since = sum(share for when, share in self.booked.values() if when > at - self.limits.beat_ms)
             fresh = exp((at - now) / self.limits.span_ms)
+            known = min(known, 1 - fresh * (mem_share + since))
             free = min(free, 1 - fresh * (mem_share + since) - (1 - fresh) * used)
             if held is not None:
                 ahead = fresh * held * self.fleet.read_ms + (1 - fresh) * ahead
         if self.reads:
             free = min(free, 1 - ahead / self.limits.slo_ms)
-        return Standing(self, self.server.life is Life.UP, free, queue, len(self.booked),
+            known = min(known, 1 - queue / self.limits.slo_ms)
+        return Standing(self, self.server.life is Life.UP, free, known, queue, len(self.booked),
                         (self.done + DOUBT) / (self.due + DOUBT), now < self.shut_until, self.trial,
                         self.cold_until, own, self.sent, ahead, now < self.linked_until, self.fleet)
 
@@ -180,6 +173,7 @@
         self.fleets = {duty: Beat() for duty in Duty}
         self.foreseen = self.took = self.limits.slo_ms / 8
         self.doubts: dict[Any, Doubt] = {}    # by product, tenant, or the verdict of silence
+        self.late = {duty: 0.0 for duty in Duty}    # part of the answers that came late, or were none
         self.trust = 1.0    # how long reads took, against what the readers' queues were believed to be
 
     def adopt(self, facts: StartFacts) -> None:
@@ -286,8 +280,10 @@
         return self.sound(s)
 
     def congested(self, s: Standing, course: Course) -> bool:
+        """What own requests make a gateway guess of all the others' counts as far as answers come late."""
+        free = s.known + min(1.0, CONFIRM * self.late[s.engine.server.duty]) * (s.free - s.known)
         return (not self.fit(s, course) or s.open > CROWD * max(s.fleet.open, CROWD)
-                or s.free * s.engine.server.mem_toks <= self.toks(course, s.engine))
+                or free * s.engine.server.mem_toks <= self.toks(course, s.engine))
 
     def spent(self, course: Course) -> bool:
         return self.router.now >= course.limit_at or course.legs >= self.limits.leg_limit
@@ -384,17 +380,19 @@
             self.ask(writer)
         self.send(course, reader)
 
-    def record(self, engine: Seat, gen: Generation, verdict: Verdict) -> None:
+    def record(self, engine: Seat, gen: Generation, verdict: Verdict, waited: float) -> None:
         """Guards against servers that fail one product, refuse one tenant or lose answers, and look well.
         A kind is watched from its first failure until hardly any is left (`beat`)."""
-        now, kinds = self.router.now, {Verdict.ERROR: gen.product, Verdict.FULL: gen.tenant}
-        for bad, kind in (kinds | {Verdict.TIMED_OUT: Verdict.TIMED_OUT}).items():
+        if verdict in (Verdict.READ, Verdict.TIMED_OUT, Verdict.FULL):    # two such waits, and more is late
+            late = verdict is Verdict.FULL or 2 * MARGIN * waited > gen.product.slo_ms
+            self.late[engine.server.duty] += GAIN * (late - self.late[engine.server.duty])
+        for bad, kind in ((Verdict.ERROR, gen.product), (Verdict.FULL, gen.tenant), (Verdict.TIMED_OUT,) * 2):
             failed = verdict is bad
             if kind is not None and (failed or verdict is Verdict.READ and kind in self.doubts):
                 doubt = self.doubts.setdefault(kind, Doubt())
                 doubt.rate[engine.writes] += GAIN * (failed - doubt.rate[engine.writes])
                 was, tries = self.seen(engine, doubt)
-                doubt.seen[engine] = Record(was + failed, tries + 1, now)
+                doubt.seen[engine] = Record(was + failed, tries + 1, self.router.now)
 
     def seen(self, engine: Seat, doubt: Doubt) -> tuple[float, float]:
         known = doubt.seen.get(engine, Record())
@@ -538,7 +536,7 @@
         self.learn(product, "open", took)
         if course.reader is not None and course.reader is not course.writer:
             course.reader.post(Unbooked(course))
-        self.record(leg.engine, course.gen, Verdict.READ)    # as good a sign
+        self.record(leg.engine, course.gen, Verdict.READ, took)    # as good a sign
         leg.engine.post(StageEnded(leg, True, self.usual_ms(product, "stream")))
 
     def leg_ended(self, note: port.LegEnded) -> None:
@@ -557,7 +555,8 @@
         if verdict in (Verdict.UNCONNECTED, Verdict.RESET):
             engine.post(Trouble(silent=False))
         if not note.state_lost:
-            self.record(engine, course.gen, Verdict.TIMED_OUT if leg.lost and good is None else verdict)
+            ended = Verdict.TIMED_OUT if leg.lost and good is None else verdict
+            self.record(engine, course.gen, ended, note.took_ms - leg.work_ms)
         if leg.writes and verdict not in NEVER_RAN and course.may_have_run is None:
             course.may_have_run = leg.sent, note.server
         if leg.fresh and good is not None:    # where these fail, the connected are nearer
--- a/ternlane/notes.py
+++ b/ternlane/notes.py
@@ -136,6 +136,7 @@
     engine: Seat
     listed: bool
     free: float  # share of memory, or of reading time if that is scarcer
+    known: float  # the same by own requests and the last report alone, without a guess of the others' load
     queue_ms: float  # reading that this gateway has given it and that is still out
     open: int
     progress: float
--- a/tests/fleet_day.py
+++ b/tests/fleet_day.py
@@ -56,6 +56,7 @@
     prompt_tokens: float = 1800.0
     kept_share: float = 0.6  # of a prompt that a reader holds which read its session or opening before
     answer_tokens: float = 150.0
+    openings: int = 12  # beginnings that sessions share, drawn by Zipf's law
     slo_ms: float = 2000.0
     limit_ms: float = 10000.0
     tries: int = 3
@@ -589,12 +590,13 @@
         )
         when, end = self.now, self.now + scene.seconds * 1000
         sessions: list[tuple[str, str, int]] = []
+        popularity = [1 / (n + 1) ** 0.8 for n in range(scene.openings)]
         while when < end:
             when += rng.expovariate(rate * self.burst(when))
             if sessions and rng.random() < 0.6:
                 session, opening, kind = rng.choice(sessions[-400:])
             else:
-                session, opening = f"s{len(sessions)}", f"o{rng.randrange(12)}"
+                session, opening = f"s{len(sessions)}", f"o{rng.choices(range(scene.openings), popularity)[0]}"
                 kind = int(rng.random() < scene.unsafe_share)
                 sessions.append((session, opening, kind))
             product = self.products[kind]
--- a/tests/test_fleet_value.py
+++ b/tests/test_fleet_value.py
@@ -11,6 +11,9 @@
 
 import pytest
 
+from ternlane import port
+from ternlane.port import Verdict
+from tests.conftest import FakeHost, build, kinds, sent
 from tests.fleet_day import Day, Fault, Scene, ail, cut_zone, kill_gateways, restart_servers
 
 FLOORS = {"day": 1 / 2, "class": 1 / 2, "third": 1 / 5, "tenant": 1 / 3}
@@ -50,3 +53,64 @@
 )
 def test_a_fleet_in_trouble_serves_its_share(faults: tuple[Fault, ...]) -> None:
     assert below_floor(replace(FLEET, zones=2), *faults) == {}
+
+
+# -- one gateway of 200, its decisions alone
+
+
+def streaming(host: FakeHost, count: int) -> None:
+    """So many streams are open, each begun at once."""
+    for _ in range(count):
+        gen, attempt = host.written(opening=None, opening_toks=0.0)
+        host.first(gen, attempt.server, after=20.0)
+
+
+def test_open_streams_of_one_gateway_are_not_counted_once_for_each_gateway() -> None:
+    host = build(gateways=200)
+    streaming(host, 8)
+    host.tell(after=3000.0)
+    assert host.router.desk.fleets[port.Duty.WRITE].level > 1.0  # the guess: all of them are full
+    assert sent(host.arrive(host.gen())).server.duty is port.Duty.READ
+
+
+def test_reads_of_one_gateway_are_not_counted_once_for_each_gateway() -> None:
+    host = build(gateways=200)
+    for _ in range(3):
+        sent(host.arrive(host.gen(opening=None, opening_toks=0.0), after=50.0))
+    host.tell(after=300.0)
+    assert host.router.desk.fleets[port.Duty.READ].queue_ms > 1000.0  # the guess: longer than the SLO time
+    assert sent(host.arrive(host.gen())).server.duty is port.Duty.READ
+
+
+def test_the_guess_counts_once_answers_come_late() -> None:
+    """Overload is real then, and what would be late is refused at once."""
+    host = build(gateways=200, leg_limit=2)
+    streaming(host, 8)
+    served = 0
+    while served < 32:
+        gen = host.gen(opening=None, opening_toks=0.0)
+        said = host.arrive(gen) + host.tell(after=1000.0)
+        attempts = [action for action in said if isinstance(action, port.SendLeg)]
+        if not attempts:
+            break
+        write = sent(host.end(gen, attempts[0].server, Verdict.READ, after=10.0))
+        host.end(gen, write.server, Verdict.TIMED_OUT, after=500.0, over=True)
+        served += 1
+    assert 0 < served < 32 and port.Throttle in kinds(said)
+
+
+def test_what_a_server_reports_and_what_is_booked_there_count_without_a_guess() -> None:
+    host = build(gateways=200)
+    gen, attempt = host.written(opening=None, opening_toks=0.0)
+    for name in ("w0", "w1"):
+        full = port.Report(open_gens=40.0, mem_share=1.0)
+        host.tell(port.Checked(host.servers[name], Verdict.STREAMED, full))
+    said = host.arrive(host.gen())
+    assert port.SendLeg not in kinds(said)
+
+
+def test_one_gateway_alone_knows_all_of_the_load() -> None:
+    host = build(gateways=1)
+    for _ in range(2):
+        sent(host.arrive(host.gen(prompt_toks=180e3, opening=None, opening_toks=0.0)))
+    assert port.SendLeg not in kinds(host.arrive(host.gen(prompt_toks=180e3, opening=None, opening_toks=0.0)))
