A fault of this program leaves no request without its answer

Root cause: three places held an exception, or a decision that never came, to end only their own task, while the request of a client hung on it.

Guards taken out in turn: the check in the moment of a first event and the end of the deadline at it each fail their test. 228 tests of the platform and crossings passed with it.

--- a/ternlane/platform/node.py
+++ b/ternlane/platform/node.py
@@ -5,6 +5,7 @@
 import time
 from collections import Counter, deque
 from dataclasses import dataclass, field
+from math import inf
 from typing import Any
 
 import trio
@@ -18,6 +19,9 @@
 from ternlane.turns import Chooser, Terminated, Throttled, Turns, begin_check, now_ms
 
 TRAILS = 512  # generations whose legs are kept for who asks
+# The decisions end each request by its deadline. Where a fault kept them from it, the request is failed so long after:
+# users count a request without an answer as lost half a second after its time.
+OVERDUE_MS = 300.0
 STREAM_HEAD = [("Content-Type", "text/event-stream"), ("Cache-Control", "no-cache"), ("Transfer-Encoding", "chunked")]
 
 
@@ -79,7 +83,12 @@
     # -- the loop's side
 
     def turn(self) -> None:
-        super().turn()
+        while True:
+            try:
+                super().turn()
+                break
+            except Exception:  # a fault of this program must not take the other requests with it
+                self.log.exception("decisions")
         for ticket in self.ended:
             self.forget(ticket)
         self.ended.clear()
@@ -121,6 +130,7 @@
     def arrived(self, ticket: Ticket) -> None:
         self.tickets[ticket.gen] = self.idents[ticket.ident] = ticket
         self.counts["taken"] += 1
+        ticket.watch.deadline = trio.current_time() + (ticket.gen.patience_ms + OVERDUE_MS) / 1000
         self.tell(port.Arrived(ticket.gen))
 
     def client_left(self, ticket: Ticket) -> None:
@@ -132,6 +142,16 @@
             self.closed(ticket, "left")
             self.tell(port.ClientLeft(ticket.gen))
 
+    def overdue(self, ticket: Ticket) -> None:
+        """Nothing ended it by its deadline: it has failed, and may have run."""
+        self.counts["overdue"] += 1
+        leg = ticket.leg
+        self.settle(ticket, Terminated("nothing was decided in time"))
+        if leg is not None:
+            leg.call_off()
+        else:
+            self.tell(port.ClientLeft(ticket.gen))
+
     def settle(self, ticket: Ticket, final: Final) -> None:
         if ticket.over:
             return
@@ -276,9 +296,12 @@
     since: float
 
     async def first(self, data: bytes) -> None:
+        if not self.ticket.over and self.ticket.watch.cancel_called:  # in the moment in which it became overdue
+            self.node.overdue(self.ticket)
         if self.ticket.over:
             raise ClientGone
         self.ticket.flowing, self.ticket.body = True, b""
+        self.ticket.watch.deadline = inf  # a stream has begun: the deadline has stopped running
         self.node.tell(port.FirstTok(self.ticket.gen, self.server, now_ms() - self.since))
         await self.ticket.first(data)
 
--- a/tests/test_final_answers.py
+++ b/tests/test_final_answers.py
@@ -8,6 +8,8 @@
 import trio
 
 from ternlane import port
+from ternlane.platform.node import OVERDUE_MS, Passing
+from ternlane.standin.platform import Gate
 from tests.crossing import Client, request
 from tests.test_platform import Platform, platform
 
@@ -80,3 +82,37 @@
         assert said.startswith(b"HTTP/1.1 500 ") and not client.reset
         assert (await p.ask()).status == 200
         await p.settled()
+
+
+async def test_a_stream_that_has_begun_outlasts_its_request_s_time() -> None:
+    gate = Gate()
+    async with platform("r0", "w0") as p:
+        p.servers["w0"].gates["event"] = gate
+        client = Client(p.address)
+        client.send(request(p, Request_Timeout="0.3"))
+        await gate.reached.wait()
+        await trio.sleep(0.3 + OVERDUE_MS / 1000 + 0.2)
+        gate.open()
+        said = await client.answer()
+        assert said.startswith(b"HTTP/1.1 200 ") and b"[DONE]" in said
+        assert not p.gateway.node.counts["overdue"]
+
+
+async def test_a_first_event_in_the_moment_in_which_its_request_is_overdue_begins_nothing() -> None:
+    """The request has one answer: it failed. What the server still writes is not passed on behind it."""
+    async with platform("r0", "w0") as p:
+        node = p.gateway.node
+        begin = Passing.first
+
+        async def late_first(passing: Passing, data: bytes) -> None:
+            passing.ticket.watch.deadline = trio.current_time() - 1
+            await begin(passing, data)
+
+        with pytest.MonkeyPatch.context() as patched:
+            patched.setattr(Passing, "first", late_first)
+            client = Client(p.address)
+            client.send(request(p))
+            said = await client.answer()
+        assert said.startswith(b"HTTP/1.1 502 ") and said.count(b"HTTP/1.1 ") == 1 and node.counts["overdue"] == 1
+        assert (await p.ask()).status == 200
+        await p.settled()
