Faults of this program are contained in the loop and the connection that all ways in share

Root cause of the mend before being in the wrong place: kept exceptions and forgotten requests from harm in the platform's node and front alone; the chat gateway and the library, kinds of the same loop, had the same faults (an exception in a handler ended the chat gateway's process). Now Turns contains them (decided, faulted, look_for_overdue, give_up, which took in the chat gateway's own), ServerConnection answers 500 before the close, and a deadline of its own for each connection's watch is gone. A look that fails no longer ends all further looks (a Wake was lost with it). ClientLeft of a request that the decisions never heard of is no fault any more.

--- a/ternlane/choice.py
+++ b/ternlane/choice.py
@@ -191,7 +191,7 @@
             case port.LegEnded():
                 self.stuck = inf
                 self.leg_ended(note)
-            case port.ClientLeft(gen) if not gen.seat.over:
+            case port.ClientLeft(gen) if gen.seat and not gen.seat.over:
                 self.close(gen.seat)
             case Onward(course):
                 self.onward(course)
--- a/ternlane/gateway/door.py
+++ b/ternlane/gateway/door.py
@@ -171,6 +171,8 @@
                 refusal=self.refusal,
                 draining=lambda: self.draining,
             )
+        except Exception:  # a fault of this program must not take the other connections with it
+            self.log.exception("connection")
         finally:
             self.conns -= 1
             self.measures.conns.set(self.conns)
--- a/ternlane/gateway/gateway.py
+++ b/ternlane/gateway/gateway.py
@@ -248,7 +248,7 @@
         """Gives up on what is open, lets go of what is held, and keeps the bills. After `drain` there is nothing left
         to do; a block that ends without it loses nothing either."""
         for ticket in list(self.host.tickets.values()):
-            self.host.give_up(ticket)
+            self.host.give_up(ticket, "the gateway went down")
         with trio.move_on_after(self.facts.release_ms / 1000 + 0.2):  # for last answers and what is let go
             while self.host.tickets or self.host.releasing or self.door.busy:
                 await trio.sleep(0.01)
--- a/ternlane/gateway/host.py
+++ b/ternlane/gateway/host.py
@@ -84,18 +84,21 @@
     def woken(self) -> None:
         self.transport.sweep()
 
+    def faulted(self, fault: Exception) -> None:
+        self.log.error("fault", exc_info=fault)
+
     # -- generations
 
     def join_for(self, raw: dict[str, Any], gen: port.Generation) -> Join:
         return self.mender.join(raw, gen)
 
     def arrived(self, ticket: Ticket) -> None:
-        self.tickets[ticket.gen], ticket.taken = ticket, now_ms()
+        ticket.taken = now_ms()
         self.idents.add(ticket.ident)
         if self.scribe is not None:
             self.scribe.took(ticket)
+        self.taken(ticket)
         self.measures.open.set(len(self.tickets))
-        self.tell(port.Arrived(ticket.gen))
 
     def client_left(self, ticket: Ticket) -> None:
         """The client has gone: nothing is owed any more, and everything held for it is freed."""
@@ -106,14 +109,6 @@
             self.tell(port.ClientLeft(ticket.gen))
             self.close(ticket, "left")
 
-    def give_up(self, ticket: Ticket) -> None:
-        """The gateway goes down: what it still holds is terminated, and its legs are called off."""
-        if ticket.leg is not None:
-            ticket.leg.call_off()
-        if ticket.final is None and not ticket.left:
-            self.settle(ticket, Terminated("the gateway went down"))
-            self.tell(port.ClientLeft(ticket.gen))
-
     def settle(self, ticket: Ticket, final: Throttled | Terminated | Streamed) -> None:
         if ticket.begun and isinstance(final, Throttled):  # its client has a part: nothing to come back for
             final = Terminated(ticket.why or "nobody could go on with it")
@@ -205,7 +200,7 @@
             plan.quiet_ms = self.mender.quiet_ms(ticket.join, server, longest, explores)
 
         async def pass_piece(text: str, first: bool, more: More | None) -> None:
-            if ticket.left:
+            if ticket.left or ticket.final is not None:
                 raise ClientGone
             if first:
                 ticket.flowing = True
@@ -254,6 +249,9 @@
         except ClientGone:
             end = LegEnd(Verdict.CALLED_OFF, begun=True, why="the client left")
             self.client_left(ticket)
+        except Exception as fault:
+            self.faulted(fault)
+            end = LegEnd(Verdict.ERROR, begun=ticket.flowing, why=repr(fault))
         self.leg_ended(ticket, server, stage, end, now_ms() - since, plan)
 
     async def noted(self, number: int, plan: LegPlan) -> bool:
@@ -342,7 +340,7 @@
             ticket.gen,
             None if end.usage is None else end.usage.completion_tokens,
             now_ms(),
-            ticket.taken + ticket.gen.patience_ms,
+            ticket.deadline_ms,
             sum(s.life is Life.UP and s.duty is not Duty.WRITE for s in self.book.servers.values()),
         )
         self.measures.breaks.labels(fate.name.lower()).inc()
--- a/ternlane/gateway/ticket.py
+++ b/ternlane/gateway/ticket.py
@@ -77,6 +77,14 @@
     def gen(self) -> Generation:
         return self.known.gen
 
+    @property
+    def unanswered(self) -> bool:
+        return self.final is None and not self.left and not self.begun
+
+    @property
+    def deadline_ms(self) -> float:
+        return self.taken + self.gen.patience_ms
+
     @property
     def pieces(self) -> list[str]:
         return self.join.pieces
--- a/ternlane/http1/server.py
+++ b/ternlane/http1/server.py
@@ -67,7 +67,8 @@
         self.last_one = False  # the request being served is the last one, as the server is draining
 
     async def serve(self) -> None:
-        """Serves requests until either side ends the connection. Never raises for what the client does."""
+        """Serves requests until either side ends the connection. Never raises for what the client does; what the
+        handler fails with is raised once its request has been answered."""
         first_by = trio.current_time() + self.limits.first_ms / 1000
         exchange: Exchange | None = None
         try:
@@ -94,6 +95,9 @@
             await self._refuse(exchange, bad)
         except (*BROKEN, h11.LocalProtocolError):
             pass
+        except Exception:
+            await self._refuse(exchange, BadRequest(500, "a fault of this server", "fault"))
+            raise
         finally:
             self._set_idle(False)
             self.stream.socket.close()
--- a/ternlane/platform/front.py
+++ b/ternlane/platform/front.py
@@ -5,7 +5,6 @@
 import errno
 from typing import Any
 
-import h11
 import msgspec
 import trio
 
@@ -157,13 +156,6 @@
                 raise Wrong(404, "path", "nothing is served at this path")
         except Wrong as bad:
             raise BadRequest(bad.status, bad.why, bad.code) from None
-        except (BadRequest, OSError, trio.BrokenResourceError, trio.ClosedResourceError, h11.LocalProtocolError):
-            raise
-        except Exception:  # a fault of this program: what was read is answered before its connection closes
-            self.log.exception("request")
-            if exchange.begun:
-                raise
-            raise BadRequest(500, "a fault of this gateway", "fault") from None
 
     async def generation(self, exchange: Exchange) -> None:
         headers: dict[bytes, str] = {}
@@ -206,11 +198,9 @@
     async def answer(self, exchange: Exchange, ticket: Ticket) -> None:
         try:
             if not ticket.over:
-                with ticket.watch:  # cancelled when the answer is settled, and late where nothing settles it
+                with ticket.watch:  # cancelled when the answer is settled
                     await exchange.until_left()
                     self.node.client_left(ticket)
-                if not ticket.over:
-                    self.node.overdue(ticket)
         finally:
             if not ticket.over:  # ended from outside
                 self.node.client_left(ticket)
--- a/ternlane/platform/node.py
+++ b/ternlane/platform/node.py
@@ -5,7 +5,6 @@
 import time
 from collections import Counter, deque
 from dataclasses import dataclass, field
-from math import inf
 from typing import Any
 
 import trio
@@ -19,9 +18,6 @@
 from ternlane.turns import Chooser, Terminated, Throttled, Turns, begin_check, now_ms
 
 TRAILS = 512  # generations whose legs are kept for who asks
-# The decisions end each request by its deadline. Where a fault kept them from it, the request is failed so long after:
-# users count a request without an answer as lost half a second after its time.
-OVERDUE_MS = 300.0
 STREAM_HEAD = [("Content-Type", "text/event-stream"), ("Cache-Control", "no-cache"), ("Transfer-Encoding", "chunked")]
 
 
@@ -59,6 +55,14 @@
     def over(self) -> bool:
         return self.final is not None or self.left
 
+    @property
+    def unanswered(self) -> bool:
+        return not self.over and not self.flowing
+
+    @property
+    def deadline_ms(self) -> float:
+        return self.since + self.gen.patience_ms
+
     async def first(self, data: bytes) -> None:
         await self.exchange.begin(200, [*STREAM_HEAD, *([("Connection", "close")] if self.closing else [])], data)
 
@@ -83,12 +87,7 @@
     # -- the loop's side
 
     def turn(self) -> None:
-        while True:
-            try:
-                super().turn()
-                break
-            except Exception:  # a fault of this program must not take the other requests with it
-                self.log.exception("decisions")
+        super().turn()
         for ticket in self.ended:
             self.forget(ticket)
         self.ended.clear()
@@ -114,6 +113,14 @@
     def woken(self) -> None:
         self.engines.pool.sweep()
 
+    def faulted(self, fault: Exception) -> None:
+        self.counts["fault"] += 1
+        self.log.error("fault", exc_info=fault)
+
+    def give_up(self, ticket: Ticket, why: str) -> None:
+        self.counts["overdue"] += 1
+        super().give_up(ticket, why)
+
     def listed(self, listing: Listing) -> None:
         news = self.roster.take(listing, time.time() * 1000, now_ms())
         self.engines.known([spot.address for spot in self.roster.spots.values()])
@@ -128,10 +135,9 @@
     # -- generations
 
     def arrived(self, ticket: Ticket) -> None:
-        self.tickets[ticket.gen] = self.idents[ticket.ident] = ticket
+        self.idents[ticket.ident] = ticket
         self.counts["taken"] += 1
-        ticket.watch.deadline = trio.current_time() + (ticket.gen.patience_ms + OVERDUE_MS) / 1000
-        self.tell(port.Arrived(ticket.gen))
+        self.taken(ticket)
 
     def client_left(self, ticket: Ticket) -> None:
         """Nothing is owed any more; a stream that nobody reads is given up."""
@@ -142,16 +148,6 @@
             self.closed(ticket, "left")
             self.tell(port.ClientLeft(ticket.gen))
 
-    def overdue(self, ticket: Ticket) -> None:
-        """Nothing ended it by its deadline: it has failed, and may have run."""
-        self.counts["overdue"] += 1
-        leg = ticket.leg
-        self.settle(ticket, Terminated("nothing was decided in time"))
-        if leg is not None:
-            leg.call_off()
-        else:
-            self.tell(port.ClientLeft(ticket.gen))
-
     def settle(self, ticket: Ticket, final: Final) -> None:
         if ticket.over:
             return
@@ -160,7 +156,7 @@
         outcome = type(final).__name__.lower()
         if isinstance(final, Streamed) and not final.whole:
             outcome = "broken"
-        if now_ms() > ticket.since + ticket.gen.patience_ms and not ticket.flowing:
+        if now_ms() > ticket.deadline_ms and not ticket.flowing:
             self.counts["late"] += 1
         self.closed(ticket, outcome)
 
@@ -296,12 +292,9 @@
     since: float
 
     async def first(self, data: bytes) -> None:
-        if not self.ticket.over and self.ticket.watch.cancel_called:  # in the moment in which it became overdue
-            self.node.overdue(self.ticket)
         if self.ticket.over:
             raise ClientGone
         self.ticket.flowing, self.ticket.body = True, b""
-        self.ticket.watch.deadline = inf  # a stream has begun: the deadline has stopped running
         self.node.tell(port.FirstTok(self.ticket.gen, self.server, now_ms() - self.since))
         await self.ticket.first(data)
 
--- a/ternlane/turns.py
+++ b/ternlane/turns.py
@@ -63,6 +63,11 @@
 
 
 LAG_MS = 1000.0  # a loop that was late is expected to be so again, less and less over this
+# The decisions end each request by its deadline. Where a fault kept them from it, the request is failed so long after:
+# users count a request without an answer as lost half a second after its time.
+OVERDUE_MS = 250.0
+OVERDUE_LOOK_MS = 100.0  # between two looks for such requests
+FAULT_PAUSE_MS = 1000.0  # after a fault in what a timer began, until that timer is tried again
 
 
 class Waits(Protocol):
@@ -80,6 +85,17 @@
     @property
     def leg(self) -> Waits | None: ...
 
+    @property
+    def gen(self) -> port.Generation: ...
+
+    @property
+    def unanswered(self) -> bool:
+        """Is its client there, and has nothing of its answer yet?"""
+
+    @property
+    def deadline_ms(self) -> float:
+        """By when it has to begin, by this loop's clock."""
+
 
 T = TypeVar("T", bound=Held)
 
@@ -90,6 +106,7 @@
         self.tickets: dict[port.Generation, T] = {}
         self.heard: list[port.Event] = []
         self.turning = False
+        self.looking = False  # for overdue requests
         self.due: list[tuple[float, int, Callable[[], None]]] = []
         self.asked = 0
         self.alarm = trio.Event()
@@ -110,16 +127,57 @@
         try:
             while self.heard:
                 events, self.heard = self.heard, []
-                for action in self.chooser.take(now_ms(), events):
-                    if isinstance(action, port.Wake):
-                        self.at(action.at_ms, partial(self.hear, port.Woken(action.beat)))
-                    else:
+                for action in self.decided(events):
+                    try:
                         self.carry_out(action)
+                    except Exception as fault:
+                        self.faulted(fault)
         finally:
             self.turning = False
 
+    def decided(self, events: list[port.Event]) -> list[port.Action]:
+        """What the decisions make of these events: nothing, where they fail on them."""
+        try:
+            return self.chooser.take(now_ms(), events)
+        except Exception as fault:
+            self.faulted(fault)
+        for event in events:
+            if isinstance(event, port.Woken):  # the next one is asked for by the turn that has failed
+                self.at(now_ms() + FAULT_PAUSE_MS, partial(self.hear, event))
+        return []
+
+    def faulted(self, fault: Exception) -> None:
+        """A fault of this program. A host that goes on after one logs it; none may take other requests with it."""
+        raise fault
+
+    def look_for_overdue(self) -> None:
+        """Fails the requests that nothing has answered in time, and looks again as long as any is open."""
+        latest = now_ms() - OVERDUE_MS
+        for ticket in list(self.tickets.values()):
+            if ticket.unanswered and ticket.deadline_ms < latest:
+                self.give_up(ticket, "nothing was decided in time")
+        self.looking = bool(self.tickets)
+        if self.looking:
+            self.at(now_ms() + OVERDUE_LOOK_MS, self.look_for_overdue)
+
+    def taken(self, ticket: T) -> None:
+        """A request has come: the decisions hear of it, and it gets its answer also where they fail on it."""
+        self.tickets[ticket.gen] = ticket
+        if not self.looking:
+            self.look_for_overdue()
+        self.tell(port.Arrived(ticket.gen))
+
+    def give_up(self, ticket: T, why: str) -> None:
+        """Fails a request from outside the decisions, which hear that nobody waits for it. It may have run."""
+        if ticket.leg is not None:
+            ticket.leg.call_off()
+        self.settle(ticket, Terminated(why))
+        self.tell(port.ClientLeft(ticket.gen))
+
     def carry_out(self, action: port.Action) -> None:
         match action:
+            case port.Wake(at, beat):
+                self.at(at, partial(self.hear, port.Woken(beat)))
             case port.SendLeg(gen, server):
                 self.send(self.tickets[gen], server, action)
             case port.CallOff(gen):
@@ -147,12 +205,13 @@
 
     @abstractmethod
     def carry_further(self, action: port.Action) -> None:
-        """What else was decided; no Wake."""
+        """What else was decided."""
 
     def at(self, when_ms: float, call: Callable[[], None]) -> None:
         self.asked += 1
         heappush(self.due, (when_ms, self.asked, call))
-        self.alarm.set()
+        if self.due[0][1] == self.asked:  # sooner than what the clock waits for
+            self.alarm.set()
 
     @abstractmethod
     def woken(self) -> None:
@@ -180,7 +239,10 @@
             if -wait > self.lag_ms():
                 self.lagged = -wait, now_ms()
             while self.due and self.due[0][0] <= now_ms():
-                heappop(self.due)[2]()
+                try:
+                    heappop(self.due)[2]()
+                except Exception as fault:
+                    self.faulted(fault)
             if self.heard and not self.turning:
                 self.turn()
             self.woken()
--- a/tests/test_final_answers.py
+++ b/tests/test_final_answers.py
@@ -7,11 +7,15 @@
 import pytest
 import trio
 
-from ternlane import port
-from ternlane.platform.node import OVERDUE_MS, Passing
+from ternlane import SocketTransport, TerminatedError, open_routing, port, turns
+from ternlane.paper import GatewayPaper
+from ternlane.paper.gateway import InlineSource
+from ternlane.platform.node import Passing
 from ternlane.standin.platform import Gate
-from tests.crossing import Client, request
+from ternlane.turns import OVERDUE_MS
+from tests.crossing import Client, request, until
 from tests.test_platform import Platform, platform
+from tests.world import PRODUCTS, TERMS, world
 
 
 class Faulty:
@@ -98,14 +102,14 @@
         assert not p.gateway.node.counts["overdue"]
 
 
-async def test_a_first_event_in_the_moment_in_which_its_request_is_overdue_begins_nothing() -> None:
-    """The request has one answer: it failed. What the server still writes is not passed on behind it."""
+async def test_what_comes_once_its_request_is_overdue_is_not_passed_on() -> None:
+    """The request has one answer: it failed. What the server still writes does not come behind it."""
     async with platform("r0", "w0") as p:
         node = p.gateway.node
         begin = Passing.first
 
         async def late_first(passing: Passing, data: bytes) -> None:
-            passing.ticket.watch.deadline = trio.current_time() - 1
+            node.give_up(passing.ticket, "too late")
             await begin(passing, data)
 
         with pytest.MonkeyPatch.context() as patched:
@@ -116,3 +120,83 @@
         assert said.startswith(b"HTTP/1.1 502 ") and said.count(b"HTTP/1.1 ") == 1 and node.counts["overdue"] == 1
         assert (await p.ask()).status == 200
         await p.settled()
+
+
+async def test_the_regular_looks_go_on_after_one_that_failed(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(turns, "FAULT_PAUSE_MS", 50.0)
+    looks: list[bool] = []
+
+    def fail_first(events: list[port.Event]) -> None:
+        if any(isinstance(event, port.Woken) for event in events):
+            looks.append(True)
+            if len(looks) == 1:
+                raise KeyError("a fault in the decisions")
+
+    async with platform("r0", "w0") as p:
+        make_faulty(p, fail_first)
+        await until(lambda: len(looks) > 5)
+        assert p.gateway.node.counts["fault"] == 1 and (await p.ask()).status == 200
+
+
+async def test_an_action_that_can_t_be_carried_out_keeps_no_other_from_it() -> None:
+    async with platform("r0", "w0") as p:
+        node = p.gateway.node
+        settle, refused = node.settle, list[Any]()
+
+        def settle_second(ticket: Any, final: Any) -> None:
+            refused.append(ticket)
+            if len(refused) == 1:
+                raise OSError("a fault in this program")
+            settle(ticket, final)
+
+        make_faulty(p, lambda events: [port.Throttle(e.gen, 0.0) for e in events if isinstance(e, port.Arrived)])
+        node.settle = settle_second  # type: ignore[method-assign]
+        statuses: list[int] = []
+
+        async def client() -> None:
+            statuses.append((await p.ask(Request_Timeout="0.4")).status)
+
+        with trio.fail_after(3):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(client)
+                nursery.start_soon(client)
+        assert sorted(statuses) == [502, 503]
+
+
+async def test_the_chat_gateway_too_answers_what_its_decisions_fail_on() -> None:
+    async with world() as w:
+        chooser = w.gateway.host.chooser
+        w.gateway.host.chooser = Faulty(chooser, lambda events: 1 / 0 if arrivals(events) else None)
+        with trio.fail_after(3):
+            reply = await w.ask(headers={"X-Ternlane-Time-Limit-Ms": "400"})
+        assert reply.status == 502
+        w.gateway.host.chooser = chooser
+        assert (await w.ask()).done == 1
+        await w.settled()
+
+
+async def test_the_chat_gateway_too_answers_before_the_close_where_its_handler_fails(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async with world() as w:
+
+        def fail(*_: Any) -> None:
+            raise RuntimeError("a fault in this program")
+
+        with monkeypatch.context() as patched:
+            patched.setattr(w.gateway.host, "arrived", fail)
+            assert (await w.ask()).status == 500
+        assert (await w.ask()).done == 1
+
+
+async def test_the_library_too_ends_a_request_that_its_decisions_forget() -> None:
+    async with world() as w:
+        paper = GatewayPaper(
+            name="lib", listen="127.0.0.1:0", products=PRODUCTS, fleet=TERMS, nodes=InlineSource(nodes=w.lines())
+        )
+        async with open_routing(paper, SocketTransport(w.pool, "t")) as routing:
+            routing.host.chooser = Faulty(routing.host.chooser, lambda events: [] if arrivals(events) else None)
+            asked = {"model": "summary", "messages": [{"role": "user", "content": "hello"}]}
+            with trio.fail_after(3), pytest.raises(TerminatedError):
+                async with routing.generation(asked, time_limit_ms=400) as stream:
+                    await stream.text()
