The time of a request that came while the loop was busy has begun already

Cause: a request's time was counted from when its last byte was read, and a loop that stands still reads late; lag_ms knows of it only once the clock's task has had its turn, which trio orders by chance. A turn's own length comes off too, some ms.

--- a/ternlane/platform/front.py
+++ b/ternlane/platform/front.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import errno
-from typing import Any
+from typing import Any, Callable
 
 import msgspec
 import trio
@@ -33,8 +33,8 @@
     open_limit: int
     held_bytes: int
 
-    def __init__(self, node: Node, log: Any) -> None:
-        self.node, self.log = node, log
+    def __init__(self, node: Node, unseen_ms: Callable[[], float], log: Any) -> None:
+        self.node, self.unseen_ms, self.log = node, unseen_ms, log
         self.conns = 0
         self.idle: dict[ServerConnection, None] = {}  # the longest idle first
         self.draining = False
@@ -175,8 +175,9 @@
             await exchange.answer(503, self.closing(), said("room", "this gateway holds as much as it may"))
             return
         product = node.deployment.products[wish.product]
-        # Counted from the request's last byte, as the users' page does: a slow client's time has only begun.
-        patience = (wish.patience_ms or product.limit_ms) - node.lag_ms()
+        # Counted from the request's last byte, as the users' page does: a slow client's time has only begun, and one
+        # that came while this loop was busy has lost some of it already.
+        patience = (wish.patience_ms or product.limit_ms) - self.unseen_ms() - node.lag_ms()
         gen = node.deployment.generation(
             product,
             wish.session,
--- a/ternlane/platform/process.py
+++ b/ternlane/platform/process.py
@@ -23,6 +23,7 @@
 from ternlane.platform.node import Node
 from ternlane.platform.registry import FIRST_LIST_MS, Watch
 from ternlane.platform.settings import Post, Unfit, read_post
+from ternlane.turns import PollTimes
 
 BACKLOG = 1024
 CLIENTS, SERVERS = 0.45, 0.45  # of the descriptors; the rest is for the watch, the log and what is being closed
@@ -42,7 +43,8 @@
         facts = post.deployment.facts
         self.pool = Pool(facts.connect_ms, facts.idle_ms)
         self.node = Node(Router(facts), post.deployment, Engines(self.pool, post.deployment), nursery, log)
-        self.front = Front(self.node, log)
+        self.polls = PollTimes()
+        self.front = Front(self.node, self.polls.unseen_ms, log)
         self.watch = Watch(
             post.discovery, lambda: self.node.roster.index, self.node.listed, self.list_failed, facts.seed, nursery, log
         )
@@ -65,6 +67,7 @@
         self.listener = (await trio.open_tcp_listeners(self.post.listen[1], host=self.post.listen[0], backlog=BACKLOG))[
             0
         ]
+        trio.lowlevel.add_instrument(self.polls)
         self.node.roster.index = self.post.known.index
         self.node.listed(self.post.known)
         self.nursery.start_soon(self.node.clock)
--- a/ternlane/turns.py
+++ b/ternlane/turns.py
@@ -62,6 +62,7 @@
     return barred
 
 
+RESTED_MS = 0.5  # a loop that waited for so long for its sockets was not behind with them
 LAG_MS = 1000.0  # a loop that was late is expected to be so again, less and less over this
 # The decisions end each request by its deadline. Where a fault kept them from it, the request is failed so long after:
 # users count a request without an answer as lost half a second after its time.
@@ -70,6 +71,27 @@
 FAULT_PAUSE_MS = 1000.0  # after a fault in what a timer began, until that timer is tried again
 
 
+class PollTimes(trio.abc.Instrument):
+    """When the loop last looked at its sockets. What it reads now may have arrived at any time since then: while a turn
+    of the loop takes long, nobody notes when bytes come."""
+
+    def __init__(self) -> None:
+        self.began_s = self.ended_s = self.since_s = trio.current_time()
+
+    def before_io_wait(self, timeout: float) -> None:
+        self.began_s = trio.current_time()
+
+    def after_io_wait(self, timeout: float) -> None:
+        now_s = trio.current_time()
+        rested = now_s - self.began_s >= RESTED_MS / 1000  # nothing was there as the wait began
+        self.since_s = now_s if rested else self.ended_s
+        self.ended_s = now_s
+
+    def unseen_ms(self) -> float:
+        """For how long what has just been read may have lain unread."""
+        return (trio.current_time() - self.since_s) * 1000
+
+
 class Waits(Protocol):
     def call_off(self) -> None:
         """Ends the wait for a leg."""
--- a/tests/test_crossings_servers.py
+++ b/tests/test_crossings_servers.py
@@ -38,16 +38,22 @@
     """Connections come up at once, and nobody hears of it before `gate` opens: a slow handshake."""
 
     def __init__(self, monkeypatch: pytest.MonkeyPatch, address: str) -> None:
-        self.gate, reach = Gate(), caller_module.reach
+        self.gate, self.address, reach = Gate(), address, caller_module.reach
+        self.holds: Callable[[str], bool] = lambda address: address == self.address
 
         async def slow(host: str, number: int, source: str | None) -> trio.SocketStream:
             stream = await reach(host, number, source)
-            if f"{host}:{number}" == address:
+            if self.holds(f"{host}:{number}"):
                 await self.gate.hold()
             return stream
 
         monkeypatch.setattr(caller_module, "reach", slow)
 
+    def after(self, p: Platform, duty: str) -> None:
+        """Holds the connections to servers of this duty once one of them has been asked."""
+        addresses = {server.address for server in p.servers.values() if server.duty == duty}
+        self.holds = lambda address: address in addresses and p.fleet.count(duty) > 0
+
 
 # -- draining x send
 
