--- a/tests/fleet/__init__.py
+++ b/tests/fleet/__init__.py
@@ -6,7 +6,18 @@
 """
 
 from tests.fleet.day import Day
-from tests.fleet.faults import Fault, ail, cut_zone, kill_gateways, restart_servers
+from tests.fleet.faults import Fault, ail, cut_zone, discovery_down, kill_gateways, replace_servers, restart_servers
 from tests.fleet.scene import Request, Scene
 
-__all__ = ["Day", "Fault", "Request", "Scene", "ail", "cut_zone", "kill_gateways", "restart_servers"]
+__all__ = [
+    "Day",
+    "Fault",
+    "Request",
+    "Scene",
+    "ail",
+    "cut_zone",
+    "discovery_down",
+    "kill_gateways",
+    "replace_servers",
+    "restart_servers",
+]
--- a/tests/fleet/day.py
+++ b/tests/fleet/day.py
@@ -11,7 +11,6 @@
 from math import inf
 from typing import Any, Callable
 
-from ternlane import port
 from ternlane.choice import Router
 from ternlane.port import Duty, Effect, Group, Product, Tenant, Verdict
 from tests.conftest import FACTS
@@ -31,6 +30,7 @@
         self.models = [ModelServer(self, n, Duty.READ) for n in range(scene.readers)]
         self.models += [ModelServer(self, n, Duty.WRITE) for n in range(scene.writers)]
         spread_cells(self.models)
+        self.discovery_back = -inf  # when it can be reached again
         self.cuts: set[tuple[str, str]] = set()
         self.requests: list[Request] = []
         self.verdicts: defaultdict[tuple[Duty, Verdict], int] = defaultdict(int)
@@ -112,10 +112,10 @@
         return self.seen[model]
 
     def listed(self, model: ModelServer) -> None:
-        """Discovery tells each gateway of a model server that has started."""
+        """Discovery tells each gateway how a model server stands, once it is up itself."""
         for gateway in self.gateways:
-            if gateway.alive:
-                gateway.tell(port.Listed((gateway.know(model),)))
+            notice = self.rng.uniform(0.0, self.scene.notice_ms) if self.scene.notice_ms else 0.0
+            self.at(max(self.now, self.discovery_back) + notice, lambda gateway=gateway: gateway.heard_of(model))
 
     # -- clients
 
@@ -131,7 +131,8 @@
         sessions: list[tuple[str, str, int]] = []
         popularity = [1 / (n + 1) ** 0.8 for n in range(scene.openings)]
         while when < end:
-            when += rng.expovariate(rate)
+            burst = scene.burst if end - 2 * scene.seconds * 1000 / 3 <= when < end - scene.seconds * 1000 / 3 else 1.0
+            when += rng.expovariate(rate * burst)
             if sessions and rng.random() < 0.6:
                 session, opening, kind = rng.choice(sessions[-400:])
             else:
@@ -154,6 +155,8 @@
                 patience,
                 product.revenue * (prompt + 4 * answer),
             )
+            if scene.leave_share and rng.random() < scene.leave_share:
+                request.gives_up_ms = rng.uniform(50.0, 1000.0)
             self.at(when, lambda request=request: self.come(request))
 
     def come(self, request: Request) -> None:
@@ -185,7 +188,7 @@
     def counted(self) -> list[Request]:
         """Those whose time was over before the day's end."""
         end = 1000.0 + self.scene.seconds * 1000
-        return [r for r in self.requests if r.came + r.product.slo_ms < end]
+        return [r for r in self.requests if r.came + r.product.slo_ms < end and not r.left]
 
     def thirds(self) -> list[float]:
         part = self.scene.seconds * 1000 / 3
--- a/tests/fleet/faults.py
+++ b/tests/fleet/faults.py
@@ -81,3 +81,38 @@
         day.at(1000.0 + at_ms + for_ms, day.cuts.clear)
 
     return begin
+
+
+def replace_servers(part: float, at_ms: float, over_ms: float, grace_ms: float) -> Fault:
+    """A part of the model servers are drained one after the other, and gone after a grace; new ones come, cold."""
+
+    def begin(day: Day) -> None:
+        draw = random.Random(day.scene.seed + 6)
+        chosen = draw.sample(day.models, round(part * len(day.models)))
+        for n, model in enumerate(chosen):
+
+            def drain(model: ModelServer = model) -> None:
+                model.draining = True
+                day.listed(model)
+                successor = ModelServer(day, len(day.models), model.duty)
+                successor.cell, successor.zone, successor.started = model.cell, model.zone, day.now
+                day.models.append(successor)
+                day.seen_at = float("-inf")
+                day.listed(successor)
+                day.after(grace_ms, model.die)
+
+            day.at(1000.0 + at_ms + over_ms * n / len(chosen), drain)
+
+    return begin
+
+
+def discovery_down(at_ms: float, for_ms: float) -> Fault:
+    """Nobody hears of a change meanwhile; all of them come at the return."""
+
+    def begin(day: Day) -> None:
+        def fall_silent() -> None:
+            day.discovery_back = day.now + for_ms
+
+        day.at(1000.0 + at_ms, fall_silent)
+
+    return begin
--- a/tests/fleet/gateway.py
+++ b/tests/fleet/gateway.py
@@ -48,9 +48,14 @@
             server = Server(model.zone, model.cell, model.duty, memory, mark=zlib.crc32(model.name.encode()))
             self.known[model], self.truth[server] = server, model
         server.started_ms = max(0.0, model.started)
-        server.life = Life.UP
+        server.life = Life.DRAINING if model.draining else Life.UP
         return server
 
+    def heard_of(self, model: ModelServer) -> None:
+        """Discovery has told of a change."""
+        if self.alive:
+            self.tell(port.Listed((self.know(model),)))
+
     def kill(self) -> None:
         self.alive = False
         jobs, self.jobs = list(self.jobs.values()), {}
@@ -93,6 +98,19 @@
         self.requests[gen] = request
         self.tickets[gen] = Ticket(gen)
         self.tell(port.Arrived(gen))
+        if request.gives_up_ms < inf:
+            self.at(self.day.now + request.gives_up_ms, lambda: self.leave(gen))
+
+    def leave(self, gen: Generation) -> None:
+        """Its client has closed the connection, unless its answer has begun."""
+        request = self.requests.get(gen)
+        if request is None or request.first_token < inf:
+            return
+        request.left = True
+        del self.requests[gen]
+        self.tell(port.ClientLeft(gen))
+        if gen not in self.jobs:
+            self.tickets.pop(gen, None)
 
     def send(self, ticket: Any, server: Server, times: port.SendLeg) -> None:
         gen, now, life = times.gen, self.day.now, self.life
--- a/tests/fleet/scene.py
+++ b/tests/fleet/scene.py
@@ -43,6 +43,9 @@
     tries: int = 3
     cold_ms: float = 10e3
     cold_from: float = 0.35
+    notice_ms: float = 0.0  # until the last gateway has heard of a change of the list
+    leave_share: float = 0.0  # of the clients, that give up within a second
+    burst: float = 1.0  # how much more comes in the second third of the day
 
 
 @dataclass(eq=False)
@@ -58,9 +61,11 @@
     came: float
     patience: float
     value: float
+    gives_up_ms: float = inf  # after each of its tries
     tries: int = 0
     first_token: float = inf
     broken: bool = False
+    left: bool = False  # its client has given up early, and nothing is owed
     outcomes: list[str] = field(default_factory=list)
 
     def served(self) -> float:
--- a/tests/fleet/server.py
+++ b/tests/fleet/server.py
@@ -30,6 +30,7 @@
         self.zone = f"zone-{self.cell % day.scene.zones}"
         self.name = f"{duty.name}-{number}"
         self.up, self.silent, self.hung, self.bad, self.resetting = True, False, False, 0.0, 0.0
+        self.draining = False
         self.slow = 1.0
         self.started = -inf
         self.waiting: deque[Job] = deque()
@@ -56,7 +57,9 @@
         )
 
     def healthy(self) -> bool:
-        return self.up and not (self.silent or self.hung or self.bad or self.resetting) and self.slow < 3
+        return (
+            self.up and not (self.draining or self.silent or self.hung or self.bad or self.resetting) and self.slow < 3
+        )
 
     # -- attempts
 
--- a/tests/test_fleet_value.py
+++ b/tests/test_fleet_value.py
@@ -14,7 +14,17 @@
 from ternlane import port
 from ternlane.port import Verdict
 from tests.conftest import FakeHost, build, kinds, sent
-from tests.fleet import Day, Fault, Scene, ail, cut_zone, kill_gateways, restart_servers
+from tests.fleet import (
+    Day,
+    Fault,
+    Scene,
+    ail,
+    cut_zone,
+    discovery_down,
+    kill_gateways,
+    replace_servers,
+    restart_servers,
+)
 
 FLOORS = {"day": 1 / 2, "class": 1 / 2, "third": 1 / 5, "tenant": 1 / 3}
 CALM_LOSS = 0.1
@@ -55,6 +65,12 @@
     assert below_floor(replace(FLEET, zones=2), *faults) == {}
 
 
+def test_a_release_of_model_servers_in_a_burst_whose_news_comes_late_leaves_its_share() -> None:
+    """Discovery is down as it begins, some clients leave early, and the rest is half as much again for a while."""
+    scene = replace(FLEET, notice_ms=2000.0, leave_share=0.1, burst=1.5, load=0.5)
+    assert below_floor(scene, discovery_down(2000.0, 3000.0), replace_servers(0.5, 3000.0, 3000.0, 2500.0)) == {}
+
+
 # -- one gateway of 200, its decisions alone
 
 
