Settings: every figure is checked as it is read, and named if it is none

Seen: settings with a count of gateways of 0, thousands, none at all, or of a wrong type had no test; negative figures, NaN and infinity were taken, and a figure of a class that was no number was reported without its name.

--- a/ternlane/deployment.py
+++ b/ternlane/deployment.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from dataclasses import astuple
+from math import inf
 from typing import Any, Mapping
 from zlib import crc32
 
@@ -17,6 +18,17 @@
 DUTIES = {"read": Duty.READ, "write": Duty.WRITE, "both": Duty.BOTH}
 
 
+def figure(name: str, section: Mapping[str, Any], key: str, default: float | None) -> float:
+    """A figure of the settings: a number that is not negative. Raises ValueError, which names it, for any other, and
+    where it is missing and has no default."""
+    value = section.get(key)
+    if value is None and default is not None:
+        return default
+    if isinstance(value, bool) or not isinstance(value, (int, float)) or not 0 <= value < inf:
+        raise ValueError(f"settings: {name} ({key}) must be a number, not negative: {value!r}")
+    return value
+
+
 class Deployment:
     """Products, tenants and kinds of servers by their names, and the start facts. A product of `before`, the settings
     that these replace, whose terms are the same stays the object that it is, with all that was learnt of it, and so
@@ -45,52 +57,50 @@
         per_ktok, tok_slo = spec.get("aim_us_per_1000_prompt_tokens", []), spec.get("token_aim", [])
         self.products: dict[str, Product] = {}
         for i, p in enumerate(told.get("profiles", [])):
+            of_class = f"of class {p['name']!r}"
             new = Product(
                 effect=EFFECTS.get(p.get("semantics", ""), Effect.SIDE_EFFECTING),
                 group=GROUPS.get(p.get("group", ""), Group.CELL),
-                window_ms=p.get("key_ttl", 0.0),
-                slo_ms=p["aim"],
+                window_ms=figure(f"window_ms {of_class}", p, "key_ttl", 0.0),
+                slo_ms=figure(f"slo_ms {of_class}", p, "aim", None),
                 slo_per_ktok_ms=per_ktok[i] / 1000.0 if i < len(per_ktok) else 0.0,
                 tok_slo_ms=tok_slo[i] if i < len(tok_slo) else 0.0,
-                limit_ms=p["deadline"],
-                revenue=p.get("worth", 1.0),
-                late_share=p.get("late_worth", 0.0),
+                limit_ms=figure(f"limit_ms {of_class}", p, "deadline", None),
+                revenue=figure(f"revenue {of_class}", p, "worth", 1.0),
+                late_share=figure(f"late_share {of_class}", p, "late_worth", 0.0),
             )
             old = held.get(p["name"])
             self.products[p["name"]] = old if old is not None and astuple(old) == astuple(new) else new
         self.tenants = {t["name"]: held_tenants.get(t["name"]) or Tenant() for t in told.get("tenants", [])}
         self.facts = StartFacts(
             seed=seed,
-            gateways=max(1, told.get("n_instances", 1)),
+            gateways=max(1, int(figure("gateways", told, "n_instances", 1))),
             zone=told.get("locality", ""),
             products=tuple(self.products.values()),
-            leg_limit=limits.get("most_tries", 1),
+            leg_limit=int(figure("leg_limit", limits, "most_tries", 1)),
             may_call_off=bool(limits.get("cancel")),
             may_hold_ahead=self.holds_allowed,
             may_probe=self.probes_allowed,
             may_advise=bool(limits.get("retry_after")),
             must_ask=told.get("discovery") == "ask",
-            ask_within_ms=rules.get("ask_within", 0.0),
+            ask_within_ms=figure("ask_within_ms", rules, "ask_within", 0.0),
             writers_read=bool(spec.get("read_in_place")),
             reports_mem="x0" in self.columns,
-            longest_pause_ms=limits.get("max_retry_after", 0.0),
-            connect_ms=limits.get("connect_timeout", 0.0),
-            idle_ms=limits.get("conn_idle", 0.0),
-            release_ms=spec.get("release", 0.0),
-            drain_grace_ms=rules.get("drain_grace", 0.0),
-            cold_ms=rules.get("cold", 0.0),
-            cold_from=rules.get("cold_from", 1.0),
-            fall_multiple=rules.get("overload_factor", 1.0),
-            fall_ms=rules.get("overload_for", 0.0),
-            step_ms=told.get("step", 1.0),
+            longest_pause_ms=figure("longest_pause_ms", limits, "max_retry_after", 0.0),
+            connect_ms=figure("connect_ms", limits, "connect_timeout", 0.0),
+            idle_ms=figure("idle_ms", limits, "conn_idle", 0.0),
+            release_ms=figure("release_ms", spec, "release", 0.0),
+            drain_grace_ms=figure("drain_grace_ms", rules, "drain_grace", 0.0),
+            cold_ms=figure("cold_ms", rules, "cold", 0.0),
+            cold_from=figure("cold_from", rules, "cold_from", 1.0),
+            fall_multiple=figure("fall_multiple", rules, "overload_factor", 1.0),
+            fall_ms=figure("fall_ms", rules, "overload_for", 0.0),
+            step_ms=figure("step_ms", told, "step", 1.0),
             told_if_asked=how == "on_probe",
         )
-        for name in ("step_ms", "release_ms", "connect_ms", "idle_ms", "cold_ms", "gateways", "leg_limit"):
-            if not isinstance(getattr(self.facts, name), (int, float)):
-                raise ValueError(f"settings: {name} is no number")
         for name, product in self.products.items():
-            if not all(isinstance(v, (int, float)) for v in astuple(product)[2:]):
-                raise ValueError(f"settings: a figure of product {name!r} is no number")
+            if not all(isinstance(v, (int, float)) and 0 <= v < inf for v in astuple(product)[2:]):
+                raise ValueError(f"settings: a figure of class {name!r} is no number, or negative")
 
     def server(self, ident: str, zone: str, kind: str, cell: int) -> Server:
         return Server(zone, cell, self.duty.get(kind, Duty.BOTH), self.mem.get(kind, 0.0), mark=crc32(ident.encode()))
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,129 @@
+"""Settings whose figures are missing, nought, huge or no numbers: a stated default, or one clear error."""
+
+from __future__ import annotations
+
+from copy import deepcopy
+from dataclasses import fields
+from typing import Any
+
+import pytest
+
+from ternlane import port
+from ternlane.choice import Router
+from ternlane.deployment import Deployment
+from ternlane.port import StartFacts, Verdict
+from tests.conftest import FakeHost, build, sent
+from tests.test_platform import TOLD
+
+# Where each figure of the start facts stands in the settings.
+PLACES = {
+    "gateways": ("n_instances",),
+    "leg_limit": ("limits", "most_tries"),
+    "ask_within_ms": ("invariants", "ask_within"),
+    "longest_pause_ms": ("limits", "max_retry_after"),
+    "connect_ms": ("limits", "connect_timeout"),
+    "idle_ms": ("limits", "conn_idle"),
+    "release_ms": ("specifics", "release"),
+    "drain_grace_ms": ("invariants", "drain_grace"),
+    "cold_ms": ("invariants", "cold"),
+    "cold_from": ("invariants", "cold_from"),
+    "fall_multiple": ("invariants", "overload_factor"),
+    "fall_ms": ("invariants", "overload_for"),
+    "step_ms": ("step",),
+}
+ABSENT = object()
+
+
+def settings(name: str, value: Any) -> dict[str, Any]:
+    """The usual settings with another value for one figure, or without it."""
+    told = deepcopy(TOLD)
+    *way, last = PLACES[name]
+    inner = told
+    for step in way:
+        inner = inner[step]
+    inner.pop(last, None)
+    if value is not ABSENT:
+        inner[last] = value
+    return told
+
+
+def test_every_figure_has_its_place_here() -> None:
+    figures = {f.name for f in fields(StartFacts) if f.type in ("int", "float")}
+    assert figures - {"seed"} == set(PLACES)
+
+
+@pytest.mark.parametrize("name", PLACES)
+@pytest.mark.parametrize("value", ["many", [], -1.0, float("nan"), float("inf"), True])
+def test_a_figure_that_is_no_number_is_named(name: str, value: Any) -> None:
+    with pytest.raises(ValueError, match=f"settings: .*{name}"):
+        Deployment(1, settings(name, value))
+
+
+@pytest.mark.parametrize("name", PLACES)
+@pytest.mark.parametrize("value", [ABSENT, None])
+def test_a_figure_that_is_missing_has_a_default(name: str, value: Any) -> None:
+    Router(Deployment(1, settings(name, value)).facts)
+
+
+@pytest.mark.parametrize("key", ["key_ttl", "aim", "deadline", "worth", "late_worth"])
+@pytest.mark.parametrize("value", ["many", [], -1.0, float("nan"), float("inf"), True])
+def test_a_figure_of_a_class_that_is_no_number_is_named_with_its_class(key: str, value: Any) -> None:
+    told = deepcopy(TOLD)
+    told["profiles"][1][key] = value
+    with pytest.raises(ValueError, match=rf"settings: .*of class 'note' \({key}\)"):
+        Deployment(1, told)
+
+
+@pytest.mark.parametrize("key", ["aim", "deadline"])
+def test_a_class_without_its_times_is_named(key: str) -> None:
+    told = deepcopy(TOLD)
+    del told["profiles"][0][key]
+    with pytest.raises(ValueError, match=rf"settings: .*of class 'summary' \({key}\)"):
+        Deployment(1, told)
+
+
+@pytest.mark.parametrize("key, values", [("token_aim", [60.0, -1.0]), ("aim_us_per_1000_prompt_tokens", [0.0, "x"])])
+def test_a_figure_in_a_list_of_all_classes_is_checked(key: str, values: list[Any]) -> None:
+    told = deepcopy(TOLD)
+    told["specifics"][key] = values
+    with pytest.raises(ValueError, match="settings: "):
+        Deployment(1, told)
+
+
+@pytest.mark.parametrize("count, taken", [(ABSENT, 1), (0, 1), (1, 1), (200, 200), (5000, 5000)])
+def test_no_count_of_gateways_and_a_count_of_none_are_one(count: Any, taken: int) -> None:
+    assert Deployment(1, settings("gateways", count)).facts.gateways == taken
+
+
+@pytest.mark.parametrize("gateways", [1, 200, 5000])
+def test_requests_are_served_whatever_the_count_of_gateways(gateways: int) -> None:
+    host = build(gateways=gateways)
+    for _ in range(6):
+        gen, attempt = host.written(opening=None, opening_toks=0.0)
+        host.first(gen, attempt.server, after=20.0)
+    host.tell(after=2000.0)
+    assert sent(host.arrive(host.gen())).server.duty is port.Duty.READ
+
+
+def readers(host: FakeHost, count: int) -> set[str]:
+    """By which readers so many requests are read, one after the other, once r0 has started just now."""
+    host.servers["r0"].started_ms = host.now
+    host.list()
+    host.tell(after=500.0)
+    used = set[str]()
+    for _ in range(count):
+        gen = host.gen(opening=None, opening_toks=0.0)
+        read = sent(host.arrive(gen)).server
+        write = sent(host.end(gen, read, Verdict.READ, after=5.0)).server
+        host.first(gen, write, after=5.0)
+        host.end(gen, write, Verdict.STREAMED, after=5.0, over=True)
+        used |= {name for name, server in host.servers.items() if server is read}
+    return used
+
+
+def test_where_the_settings_allow_a_cold_server_nothing_it_is_sent_nothing() -> None:
+    assert readers(build(gateways=200, fall_multiple=0.0, cold_ms=60e3), 60) == {"r1"}
+
+
+def test_where_the_settings_know_no_slow_start_a_new_server_is_used_at_once() -> None:
+    assert "r0" in readers(build(gateways=200, cold_ms=0.0), 60)
