A text's popularity is judged without the request at hand; late requests give way to others

Root cause: one own request stood for everybody's. A gateway of 200 meets most shared texts once; that one request, counted as a sample of the text's part of the traffic, named five of 87 prefill servers for it instead of two (Desk.agreed), so texts were read at servers that did not keep them and queues grew until reads timed out. A read that had taken the whole SLO time was then begun anew (Desk.place), for a late answer that earns a tenth, before requests that could still be in time: overload kept itself alive after its cause had gone. Mend: the part is counted without the request itself; a request past its SLO time is given up, with when to come back, while the share of reads that come late (Desk.late) is above what a late answer earns (its class's late_share). No new constant.

--- a/ternlane/choice.py
+++ b/ternlane/choice.py
@@ -16,8 +16,7 @@
 from ternlane import port
 from ternlane.notes import (Actor, Beat, Booked, Course, Doubt, Home, Leg, Limits, Loop, Lost, News,
                             Onward, Record, Reported, Seat, Sent, StageEnded, Standing, Trouble, Unbooked)
-from ternlane.port import (Action, Duty, Effect, Event, Generation, Group, Life, Product, Server, StartFacts,
-                           Verdict)
+from ternlane.port import Duty, Effect, Event, Generation, Group, Life, Product, Server, StartFacts, Verdict
 
 STEP = 0.1          # score lost for each step between reader and writer (design page)
 HOME_AGE_MS = 60e3  # a session idle for longer loses its home (design page)
@@ -350,7 +349,7 @@
         if gen.opening is not None:
             key = zlib.crc32(gen.opening.encode())
             readers.sort(key=lambda e: key * (e.server.mark | 1) % 2**32)
-            part = self.asked_for[gen.opening] / (self.asked_for.total() + FEW)
+            part = (max(1, self.asked_for[gen.opening]) - 1) / (self.asked_for.total() + FEW)    # but for this one
             readers = readers[:round(CROWD + CROWD * len(readers) * part)]
         key = zlib.crc32((gen.session or "").encode())
         return sorted(readers, key=lambda e: key * (e.server.mark | 1) % 2**32)
@@ -358,7 +357,7 @@
     def place(self, course: Course) -> None:
         """Home pair if it is calm, else the best calm pair; else the generation waits before its read."""
         now, gen = self.router.now, course.gen
-        if self.spent(course) or self.hopeless(course) or self.cut_off(course):
+        if self.spent(course) or self.hopeless(course) or self.outweighed(course) or self.cut_off(course):
             return self.finish(course)
         home = self.homes.get(gen.session or "")
         if home and all(self.usable(e, course) and not self.congested(self.board[e], course)
@@ -433,6 +432,10 @@
         return (course.limit_at < course.slo_at and now + MARGIN * self.first_ms(product) > course.limit_at
                 and now - self.learnt_at.get(product, -inf) < DOUBT * self.limits.span_ms)
 
+    def outweighed(self, course: Course) -> bool:
+        """Guards against reads for what is late already, where they make others late that earn more."""
+        return self.router.now >= course.slo_at and self.late[Duty.READ] > course.gen.product.late_share
+
     def cut_off(self, course: Course) -> bool:
         """Guards against streams that this gateway will not see to their end: another may, if asked now."""
         product = course.gen.product
@@ -505,9 +508,8 @@
         if course.holds:    # also what a read may yet leave behind whose end was not heard: said to the last
             self.router.out.append(port.LetGo(course.gen, course.over and course.unheard))
             course.state_at, course.holds = None, course.unheard and not course.over
-        for engine in (course.reader, course.writer):
-            if engine is not None:
-                engine.post(Unbooked(course))
+        for engine in filter(None, (course.reader, course.writer)):
+            engine.post(Unbooked(course))
 
     def close(self, course: Course) -> None:
         course.over = True
@@ -620,7 +622,7 @@
     def hand_on(self, course: Course) -> None:
         """The state goes to the home writer, or, if that has congested since, straight to the next best."""
         writer = course.writer
-        assert writer is not None    # chosen with the reader whose state this is
+        assert writer is not None and course.reader is not None    # chosen together
         s = self.board[writer]
         if not self.usable(writer, course) or not self.fit(s, course) or self.ill(writer, course) or (
                 self.told_if_asked and self.congested(s, course)):
@@ -633,9 +635,8 @@
             writer.post(Unbooked(course))
             writer = course.writer = pair[1].engine
             writer.post(Booked(course, self.toks(course, writer)))
-            session = course.gen.session or ""
-            if session in self.homes and course.reader is not None:
-                self.homes[session] = Home(course.reader, writer, self.router.now)
+            if course.gen.session and course.gen.session in self.homes:
+                self.homes[course.gen.session] = Home(course.reader, writer, self.router.now)
         self.send(course, writer)
 
     def usual_ms(self, product: Product, stage: str) -> float:
@@ -706,10 +707,10 @@
     def __init__(self, facts: StartFacts) -> None:
         self.now, self.limits = -inf, limits_from(facts)    # the beat is asked for with the first batch
         self.ready: deque[Actor] = deque()
-        self.out: list[Action] = []
+        self.out: list[port.Action] = []
         self.desk: Desk = Desk(self, facts)
 
-    def take(self, now: float, events: list[Event]) -> list[Action]:
+    def take(self, now: float, events: list[Event]) -> list[port.Action]:
         """What to do about `events`, in this order. `now` is in ms of any clock that never goes back."""
         heard = events if self.now > -inf else [port.Woken(True), *events]
         self.now, self.out = now, []
