--- a/ternlane/choice.py
+++ b/ternlane/choice.py
@@ -349,7 +349,7 @@
         if gen.opening is not None:
             key = zlib.crc32(gen.opening.encode())
             readers.sort(key=lambda e: key * (e.server.mark | 1) % 2**32)
-            part = (max(1, self.asked_for[gen.opening]) - 1) / (self.asked_for.total() + FEW)    # less this one
+            part = (max(1, self.asked_for[gen.opening]) - 1) / (self.asked_for.total() + FEW)    # but this
             readers = readers[:round(CROWD + CROWD * len(readers) * part)]
         key = zlib.crc32((gen.session or "").encode())
         return sorted(readers, key=lambda e: key * (e.server.mark | 1) % 2**32)
--- a/tests/fleet/day.py
+++ b/tests/fleet/day.py
@@ -35,6 +35,7 @@
         self.requests: list[Request] = []
         self.verdicts: defaultdict[tuple[Duty, Verdict], int] = defaultdict(int)
         self.sent: list[tuple[float, ModelServer]] = []
+        self.probes = 0
         self.seen: dict[ModelServer, View] = {}
         self.seen_at = -inf
         self.products = (
@@ -91,6 +92,7 @@
             zone=gateway.zone,
             products=self.products,
             may_probe=True,
+            reports_mem=scene.told_if_asked,
             idle_ms=30e3,
             drain_grace_ms=2000.0,
             cold_ms=scene.cold_ms,
--- a/tests/fleet/gateway.py
+++ b/tests/fleet/gateway.py
@@ -13,6 +13,8 @@
 from tests.fleet.scene import Job, Request
 from tests.fleet.server import ModelServer
 
+PROBE_MS = 2.0
+
 if TYPE_CHECKING:
     from tests.fleet.day import Day
 
@@ -171,7 +173,15 @@
             request.outcomes.append("failed")
 
     def carry_further(self, action: port.Action) -> None:
-        pass
+        if isinstance(action, port.Probe):
+            self.probe(action.server)
+
+    def probe(self, server: Server) -> None:
+        """Asks a model server for its load; one that is gone, silent or cut off gives no report."""
+        model = self.truth[server]
+        self.day.probes += 1
+        if model.up and not model.silent and not model.hung and not self.day.cut(self, model):
+            self.at(self.day.now + PROBE_MS, lambda: self.tell(port.Checked(server, Verdict.STREAMED, model.report())))
 
     def woken(self) -> None:
         pass
--- a/tests/fleet/server.py
+++ b/tests/fleet/server.py
@@ -6,7 +6,7 @@
 from math import inf
 from typing import TYPE_CHECKING
 
-from ternlane.port import Duty, Verdict
+from ternlane.port import Duty, Report, Verdict
 from tests.fleet.scene import Job, Request
 
 if TYPE_CHECKING:
@@ -66,6 +66,12 @@
             self.up and not (self.draining or self.silent or self.hung or self.bad or self.resetting) and self.slow < 3
         )
 
+    def report(self) -> Report:
+        """What it says of its load."""
+        held = len(self.running) + len(self.waiting)
+        share = self.memory / self.day.scene.writer_memory if self.duty is Duty.WRITE else 0.0
+        return Report(open_gens=float(held), mem_share=share)
+
     # -- attempts
 
     def take(self, job: Job) -> None:
--- a/tests/test_fleet_value.py
+++ b/tests/test_fleet_value.py
@@ -85,6 +85,7 @@
     prompt_tokens=6000.0,
     answer_tokens=50.0,
     tenants=0,
+    told_if_asked=True,
 )
 
 
