--- /dev/null
+++ b/tests/platform_world.py
@@ -0,0 +1,168 @@
+"""A small platform in one trio run: the gateway before stand-in model servers and discovery, over loopback sockets."""
+
+from __future__ import annotations
+
+import json
+from contextlib import asynccontextmanager
+from typing import Any, AsyncIterator, Callable
+
+import trio
+
+from ternlane.deployment import Deployment
+from ternlane.http1 import Caller, Pool
+from ternlane.platform.process import Gateway
+from ternlane.platform.roster import read_listing
+from ternlane.platform.settings import Limits, Post
+from ternlane.standin.platform import Discovery, Fleet, ModelServer
+from tests.world import Reply, heard
+
+TOLD: dict[str, Any] = {
+    "discovery": "push",
+    "invariants": {
+        "cold": 2000.0,
+        "cold_from": 0.3,
+        "drain_grace": 300.0,
+        "overload_factor": 4.0,
+        "overload_for": 1000.0,
+    },
+    "kinds": ["reader", "writer"],
+    "limits": {
+        "cancel": True,
+        "conn_idle": 2000.0,
+        "connect_timeout": 150.0,
+        "max_retry_after": 500.0,
+        "most_tries": 5,
+        "probes": True,
+        "retry_after": True,
+    },
+    "locality": "hall",
+    "me": 0,
+    "n_instances": 1,
+    "profiles": [
+        {"aim": 500.0, "deadline": 2000.0, "name": "summary", "semantics": "idempotent", "worth": 3.0},
+        {"aim": 500.0, "deadline": 1500.0, "name": "note", "semantics": "at_most_once", "worth": 2.0},
+    ],
+    "report": {"columns": ["outstanding", "x0"], "how": "inline"},
+    "specifics": {
+        "duty_by_kind": ["read", "write"],
+        "release": 400.0,
+        "token_aim": [100.0, 100.0],
+        "tokens_by_kind": [200000, 200000],
+    },
+    "step": 1.0,
+}
+HEAD = b"POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\n"
+BODY = b'{"model":"chat","stream":true,"messages":[{"role":"user","content":"hello"}]}'
+
+
+class Log:
+    def __init__(self) -> None:
+        self.lines: list[tuple[str, dict[str, Any]]] = []
+
+    def __getattr__(self, level: str) -> Callable[..., None]:
+        return lambda event, **more: self.lines.append((f"{level} {event}", more))
+
+
+class Platform:
+    def __init__(self, nursery: trio.Nursery, told: dict[str, Any], limits: Limits) -> None:
+        self.nursery, self.told, self.limits, self.log = nursery, told, limits, Log()
+        self.fleet, self.discovery = Fleet(nursery), Discovery(nursery, 100.0)
+        self.servers: dict[str, ModelServer] = {}
+        self.count = 0
+        self.pool = Pool(1000, 1000)
+        self.gateway: Gateway
+
+    async def add(self, name: str, script: Callable[[str], str] = lambda _: "", **more: Any) -> ModelServer:
+        server = self.servers[name] = ModelServer(
+            name, "read" if name[0] == "r" else "write", self.fleet, script, **more
+        )
+        await server.start()
+        self.discovery.put(name, server.address, server.duty + "er" if server.duty == "read" else "writer")
+        return server
+
+    async def open(self) -> None:
+        host, _, number = self.discovery.address.partition(":")
+        known = read_listing(json.dumps(self.discovery.listing()).encode())
+        post = Post("n0", ("127.0.0.1", 0), (host, int(number)), self.limits, known, Deployment(1, self.told))
+        self.gateway = Gateway(post, self.nursery, self.log)
+        await self.gateway.start()
+        name = self.gateway.listener.socket.getsockname()
+        self.address = f"{name[0]}:{name[1]}"
+
+    def headers(self, **more: str) -> dict[str, str]:
+        self.count += 1
+        out = {
+            "Request-Id": f"{self.count:016x}",
+            "Request-Class": "summary",
+            "Affinity-Key": f"c{self.count}",
+            "Request-Timeout": "1.5",
+            "Request-Info": "prefix=ab,prompt_len=20,prefix_len=8,max_out=40",
+        }
+        return {k: v for k, v in (out | {k.replace("_", "-"): v for k, v in more.items()}).items() if v != "-"}
+
+    async def ask(
+        self, body: bytes = BODY, path: str = "/v1/chat/completions", method: str = "POST", **more: str
+    ) -> Reply:
+        caller = await self.pool.connect(self.address)
+        try:
+            return await heard(caller, body, self.headers(**more), path, method)
+        finally:
+            caller.close_now()
+
+    async def raw(self, data: bytes, ends: bool = False, within: float = 3.0) -> bytes:
+        """Whatever comes back until the gateway closes; fails when it does not."""
+        host, _, number = self.address.partition(":")
+        stream, out = await trio.open_tcp_stream(host, int(number)), b""
+        with trio.fail_after(within):
+            try:
+                await stream.send_all(data)
+                if ends:
+                    await stream.send_eof()
+                while piece := await stream.receive_some():
+                    out += piece
+            except trio.BrokenResourceError:
+                pass
+        await stream.aclose()
+        return out
+
+    async def settled(self) -> None:
+        node = self.gateway.node
+        with trio.fail_after(3):
+            while node.tickets or node.releasing or node.idents or self.fleet.states or +self.fleet.open:
+                await trio.sleep(0.01)
+
+
+@asynccontextmanager
+async def platform(
+    *names: str, told: dict[str, Any] = TOLD, limits: Limits | None = None, **scripts: Callable[[str], str]
+) -> AsyncIterator[Platform]:
+    async with trio.open_nursery() as nursery:
+        made = Platform(nursery, told, limits or Limits())
+        await made.discovery.start()
+        for name in names or ("r0", "w0", "r1", "w1"):
+            await made.add(name, scripts.get(name, lambda _: ""))
+        await made.open()
+        yield made
+        nursery.cancel_scope.cancel()
+
+
+def once(way: str) -> Callable[[str], str]:
+    """Goes wrong the first time only."""
+    ways = [way]
+    return lambda _: ways.pop() if ways else ""
+
+
+def always(way: str) -> Callable[[str], str]:
+    return lambda _: way
+
+
+async def until_ready(p: Platform) -> None:
+    with trio.fail_after(10):
+        while True:
+            try:
+                caller: Caller = await p.pool.connect(p.address)
+                if (await caller.ask("GET", "/health/ready", [])).status_code == 200:
+                    return caller.close_now()
+            except Exception:
+                pass
+            await trio.sleep(0.05)
--- a/tests/test_crossings_clients.py
+++ b/tests/test_crossings_clients.py
@@ -18,7 +18,7 @@
 from ternlane.platform.settings import Limits
 from ternlane.standin.platform import DONE, EVENT, Gate
 from tests.crossing import Client, LateBytes, Wrapped, arrived, pair, request, server_side, until
-from tests.test_platform import BODY, HEAD, platform
+from tests.platform_world import BODY, HEAD, platform
 
 LIMITS = ServerLimits(2**18, head_ms=3000, body_ms=3000, idle_ms=50, send_ms=3000)
 PLAIN = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
--- a/tests/test_crossings_lists.py
+++ b/tests/test_crossings_lists.py
@@ -25,7 +25,7 @@
 from ternlane.port import Life
 from ternlane.standin.platform import Discovery, Gate
 from tests.crossing import Client, request, until
-from tests.test_platform import TOLD, Platform, platform, until_ready
+from tests.platform_world import TOLD, Platform, platform, until_ready
 from tests.test_platform_bounds import reload
 
 
--- a/tests/test_crossings_servers.py
+++ b/tests/test_crossings_servers.py
@@ -22,7 +22,7 @@
 from ternlane.standin.platform import DONE, EVENT, HEAD, Gate, framed
 from tests.conftest import FACTS, FakeHost, build, kinds, sent
 from tests.crossing import Client, Wrapped, arrived, pair, request, until
-from tests.test_platform import TOLD, Platform, always, once, platform
+from tests.platform_world import TOLD, Platform, always, once, platform
 from tests.world import TERMS, Reply, world
 
 
--- a/tests/test_final_answers.py
+++ b/tests/test_final_answers.py
@@ -14,7 +14,7 @@
 from ternlane.standin.platform import Gate
 from ternlane.turns import OVERDUE_MS
 from tests.crossing import Client, request, until
-from tests.test_platform import Platform, platform
+from tests.platform_world import Platform, platform
 from tests.world import PRODUCTS, TERMS, world
 
 
--- a/tests/test_fleet_trial.py
+++ b/tests/test_fleet_trial.py
@@ -19,7 +19,7 @@
 from ternlane.platform.settings import Limits
 from ternlane.port import Duty, Life, Verdict
 from ternlane.standin.platform import DONE, EVENT, USAGE, Discovery, Fleet, ModelServer
-from tests.test_platform import BODY, TOLD, Platform, platform
+from tests.platform_world import BODY, TOLD, Platform, platform
 
 
 # -- lists in time
--- a/tests/test_interleavings.py
+++ b/tests/test_interleavings.py
@@ -19,7 +19,7 @@
 
 from ternlane.port import Life
 from tests.crossing import Client, Turnstile, request, until
-from tests.test_platform import TOLD, Platform, platform
+from tests.platform_world import TOLD, Platform, platform
 
 PATIENT = TOLD | {
     "limits": TOLD["limits"] | {"connect_timeout": 2000.0},
--- a/tests/test_platform_bounds.py
+++ b/tests/test_platform_bounds.py
@@ -20,7 +20,7 @@
 from ternlane.choice import FEW
 from ternlane.platform import process as process_module
 from ternlane.platform.node import TRAILS
-from tests.test_platform import BODY, HEAD, TOLD, Platform, always, once, platform, until_ready
+from tests.platform_world import BODY, HEAD, TOLD, Platform, always, once, platform, until_ready
 from tests.world import Reply
 
 BAD = HEAD + b"Content-Length: -5\r\n\r\n"
--- /dev/null
+++ b/tests/test_platform_discovery.py
@@ -0,0 +1,79 @@
+"""What the platform's gateway makes of discovery's lists and watches."""
+
+from __future__ import annotations
+
+import pytest
+import trio
+
+from ternlane.port import Life
+from ternlane.standin.platform import Discovery
+from tests.platform_world import platform
+
+
+async def test_changes_whole_lists_and_garbage() -> None:
+    async with platform("r0", "w0") as p:
+        node = p.gateway.node
+
+        async def until(names: set[str]) -> None:
+            with trio.fail_after(3):
+                while set(node.roster.servers) != names:
+                    await trio.sleep(0.01)
+
+        late = await p.add("w1")
+        await until({"r0", "w0", "w1"})
+        p.discovery.garbage = b'{"index":9,"endpoints":[{"name":'
+        p.discovery.put("w0", p.servers["w0"].address, "writer", "DRAINING")
+        with trio.fail_after(3):
+            while len(p.discovery.asked) < 2 or node.roster.servers["w0"].life is not Life.DRAINING:
+                await trio.sleep(0.01)
+        for _ in range(4):
+            assert (await p.ask()).status == 200
+        assert [n for n, k, _ in p.fleet.seen if k == "write"] == ["w1"] * 4
+        p.discovery.put("w0", "", "writer", "DELETED")
+        await until({"r0", "w1"})
+        assert p.servers["w0"].address not in node.engines.pool.idle
+        late.stop()
+        await late.start()
+        assert (await p.ask()).status == 200
+
+
+async def test_a_silent_watch_is_asked_for_anew_and_not_in_a_tight_loop(monkeypatch: pytest.MonkeyPatch) -> None:
+    from ternlane.platform import registry
+
+    monkeypatch.setattr(registry, "SILENT_MS", 200.0)
+    async with platform("r0", "w0") as p:
+        await trio.sleep(0.1)
+        p.discovery.silent = True
+        await trio.sleep(1.0)
+        assert 2 <= len(p.discovery.asked) <= 6 and (await p.ask()).status == 200
+        p.discovery.silent = False
+        await p.add("w1")
+        with trio.fail_after(3):
+            while "w1" not in p.gateway.node.roster.servers:
+                await trio.sleep(0.01)
+
+
+async def test_a_discovery_that_is_down_is_asked_for_with_growing_waits() -> None:
+    async with platform("r0", "w0") as p:
+        p.discovery.listener.socket.close()
+        p.gateway.watch.move(("127.0.0.1", int(p.discovery.address.rpartition(":")[2])))
+        await trio.sleep(1.5)
+        assert 2 <= p.gateway.node.counts["watch broke"] <= 8 and (await p.ask()).status == 200
+
+
+async def test_a_new_discovery_is_followed_with_the_index_kept_and_the_old_one_let_go() -> None:
+    async with platform("r0", "w0") as p:
+        other = Discovery(p.nursery, 100.0)
+        await other.start()
+        other.index, other.log, other.entries = p.discovery.index, p.discovery.log, p.discovery.entries
+        host, _, number = other.address.partition(":")
+        await trio.sleep(0.05)
+        p.gateway.watch.move((host, int(number)))
+        with trio.fail_after(2):
+            while p.discovery.watching or not other.watching:
+                await trio.sleep(0.01)
+        assert other.asked == [str(p.discovery.index)]
+        other.put("w9", p.servers["w0"].address, "writer")
+        with trio.fail_after(2):
+            while "w9" not in p.gateway.node.roster.servers:
+                await trio.sleep(0.01)
--- /dev/null
+++ b/tests/test_platform_process.py
@@ -0,0 +1,186 @@
+"""The gateway's loop and its process: start, reload, drain and restart."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import pytest
+import trio
+
+from ternlane import port
+from ternlane.http1 import Unconnected
+from ternlane.platform.protocol import Events
+from ternlane.standin.platform import DONE, EVENT
+from ternlane.turns import Turns, now_ms
+from tests.platform_world import BODY, TOLD, platform, until_ready
+from tests.world import Reply, heard
+
+# -- the loop
+
+
+class Beats:
+    """A chooser that asks for one beat after the other."""
+
+    def __init__(self) -> None:
+        self.heard = 0
+
+    def take(self, now: float, events: list[port.Event]) -> list[port.Action]:
+        self.heard += sum(isinstance(e, port.Woken) for e in events)
+        return [port.Wake(now + 5, True)]
+
+
+class Quiet(Turns[Any]):
+    def carry_further(self, action: port.Action) -> None:
+        raise AssertionError(action)
+
+    def send(self, ticket: Any, server: port.Server, times: port.SendLeg) -> None:
+        raise AssertionError(times)
+
+    def settle(self, ticket: Any, final: Any) -> None:
+        raise AssertionError(final)
+
+    def woken(self) -> None:
+        pass
+
+
+async def test_beats_go_on_reaching_the_decisions(nursery: trio.Nursery) -> None:
+    chooser = Beats()
+    turns = Quiet(chooser)
+    nursery.start_soon(turns.clock)
+    turns.tell(port.ListFailed())
+    with trio.fail_after(2):
+        while chooser.heard < 5:
+            await trio.sleep(0.005)
+    assert turns.due[0][0] > now_ms() - 1000
+
+
+def test_a_stream_in_any_pieces_gives_its_events_whole() -> None:
+    text = EVENT + b": a comment\n\n" + EVENT + DONE
+    for size in range(1, 40):
+        events, out = Events(), b""
+        for at in range(0, len(text), size):
+            out += events.feed(text[at : at + size])
+        assert out == text and events.done
+
+
+# -- the process
+
+
+async def test_start_reload_drain_and_restart_of_the_process(tmp_path: Path) -> None:
+    async with platform("r0", "w0") as p:
+        spare = (await trio.open_tcp_listeners(0, host="127.0.0.1"))[0]
+        p.address = "127.0.0.1:%d" % spare.socket.getsockname()[1]
+        spare.socket.close()
+        config = tmp_path / "config.json"
+
+        def write(**more: Any) -> None:
+            config.write_text(
+                json.dumps(
+                    {
+                        "name": "n0",
+                        "listen": p.address,
+                        "discovery": p.discovery.address,
+                        "seed": "ff",
+                        "limits": {"cores": 1.0, "memory_mb": 128, "sockets": 256},
+                        "known": p.discovery.listing(),
+                        "settings": TOLD,
+                    }
+                    | more
+                )
+            )
+
+        write()
+        p.servers["w0"].events, p.servers["w0"].event_ms = 20, 40.0
+        env = os.environ | {"NODE_CONFIG": str(config)}
+        for _ in range(2):  # the second is a restart on the same address
+            process = await trio.lowlevel.open_process(
+                [sys.executable, "-m", "ternlane.platform"], env=env, stderr=subprocess.DEVNULL
+            )
+            try:
+                await until_ready(p)
+                replies: list[Reply] = []
+
+                async def one(into: list[Reply]) -> None:
+                    into.append(await p.ask())
+
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(one, replies)
+                    await trio.sleep(0.2)
+                    config.write_text("{")  # bad content keeps the old
+                    process.send_signal(signal.SIGHUP)
+                    await trio.sleep(0.1)
+                    write()
+                    process.send_signal(signal.SIGHUP)
+                    await trio.sleep(0.1)
+                    process.send_signal(signal.SIGTERM)
+                    process.send_signal(signal.SIGTERM)
+                    await trio.sleep(0.1)
+                    nursery.start_soon(one, replies)  # still arrives on a new connection
+                assert [r.status for r in replies] in ([200, 200], [503, 200]) and replies[-1].done == 1
+                with trio.fail_after(5):
+                    assert await process.wait() == 0
+            finally:
+                process.kill()
+
+
+async def test_a_drain_leaves_no_connection_on_which_a_late_request_could_be_cut_off() -> None:
+    async with platform("r0", "w0") as p:
+        p.servers["w0"].events, p.servers["w0"].event_ms = 30, 40.0
+        replies: list[Reply] = []
+
+        async def one() -> None:
+            replies.append(await p.ask())
+
+        kept = await p.pool.connect(p.address)
+        assert (await heard(kept, BODY, p.headers(), "/v1/chat/completions")).done == 1
+        fresh = await p.pool.connect(p.address)
+        p.nursery.start_soon(one)
+        await trio.sleep(0.2)
+        since = trio.current_time()
+        p.nursery.start_soon(p.gateway.drain)
+        with trio.fail_after(0.2):
+            assert await kept.stream.receive_some() == b""  # has been served: may ask elsewhere
+        reply = await heard(fresh, BODY, p.headers(), "/v1/chat/completions")  # new ones still hear an answer
+        assert reply.status == 503 and reply.headers["connection"] == "close" and "retry-after" in reply.headers
+        silent = await p.pool.connect(p.address)
+        with trio.fail_after(1):
+            assert await silent.stream.receive_some() == b""
+        assert trio.current_time() - since < 0.7
+        with pytest.raises(Unconnected):
+            await p.pool.connect(p.address)
+        with trio.fail_after(3):
+            while p.gateway.front.conns:
+                await trio.sleep(0.01)
+        assert [r.done for r in replies] == [1]
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        None,
+        "",
+        "{",
+        "[]",
+        '{"settings":{}}',
+        '{"settings":{"profiles":[{"name":"a"}]}}',
+        '{"settings":{"profiles":7},"discovery":"x"}',
+    ],
+)
+def test_a_start_without_a_usable_configuration_ends_with_one_clear_line(tmp_path: Path, text: str | None) -> None:
+    path = tmp_path / "config.json"
+    if text is not None:
+        path.write_text(text)
+    done = subprocess.run(
+        [sys.executable, "-m", "ternlane.platform"],
+        env=os.environ | {"NODE_CONFIG": str(path)},
+        capture_output=True,
+        text=True,
+        timeout=20,
+    )
+    assert done.returncode == 65 and done.stderr.startswith("ternlane: ") and done.stderr.count("\n") == 1
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -13,7 +13,7 @@
 from ternlane.deployment import Deployment
 from ternlane.port import StartFacts, Verdict
 from tests.conftest import FakeHost, build, sent
-from tests.test_platform import TOLD
+from tests.platform_world import TOLD
 
 # Where each figure of the start facts stands in the settings.
 PLACES = {
--- a/tests/test_terms.py
+++ b/tests/test_terms.py
@@ -14,7 +14,7 @@
 from ternlane.standin.platform import Gate
 from tests.crossing import Client, request, until
 from tests.test_crossings_servers import HeldConnects, told
-from tests.test_platform import Platform, once, platform
+from tests.platform_world import Platform, once, platform
 
 SLACK_S = 0.15  # of the time told to a server
 LATE_S = 0.4  # for which a loop stands still: longer than the slack
--- a/tests/test_variants.py
+++ b/tests/test_variants.py
@@ -22,7 +22,7 @@
 from ternlane.port import Duty, Effect
 from ternlane.standin.platform import Gate
 from tests.crossing import Client, request, until
-from tests.test_platform import Platform, always, platform
+from tests.platform_world import Platform, always, platform
 
 SITES = Path(__file__).parent.parent / "deploy" / "sites"
 NAMES = ["porto-atlante", "vigne-alte"]
