Tests write a started process's configuration in one place

Cause: two test files built the same configuration file by hand (platform process, platform bounds); Platform.configuration does now.

--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -89,6 +89,19 @@
         name = self.gateway.listener.socket.getsockname()
         self.address = f"{name[0]}:{name[1]}"
 
+    def configuration(self, **more: Any) -> str:
+        """The configuration file of a gateway that is a process of its own, at `address`."""
+        told = {
+            "name": "n0",
+            "listen": self.address,
+            "discovery": self.discovery.address,
+            "seed": "ff",
+            "limits": {"cores": 1.0, "memory_mb": 128, "sockets": 256},
+            "known": self.discovery.listing(),
+            "settings": TOLD,
+        }
+        return json.dumps(told | more)
+
     def headers(self, **more: str) -> dict[str, str]:
         self.count += 1
         out = {
--- a/tests/test_platform_bounds.py
+++ b/tests/test_platform_bounds.py
@@ -379,20 +379,7 @@
     p.address = "127.0.0.1:%d" % spare.socket.getsockname()[1]
     spare.socket.close()
     config, log = folder / "config.json", folder / "log"
-    config.write_text(
-        json.dumps(
-            {
-                "name": "n0",
-                "listen": p.address,
-                "discovery": p.discovery.address,
-                "seed": "ff",
-                "settings": TOLD,
-                "limits": {"cores": 1.0, "memory_mb": 128, "sockets": 256},
-                "known": p.discovery.listing(),
-            }
-            | more
-        )
-    )
+    config.write_text(p.configuration(**more))
     with log.open("wb") as out:
         process = await trio.lowlevel.open_process(
             [sys.executable, "-m", "ternlane.platform"], stderr=out, env=os.environ | {"NODE_CONFIG": str(config)}
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 import os
 import signal
 import subprocess
@@ -18,7 +17,7 @@
 from ternlane.platform.protocol import Events
 from ternlane.standin.platform import DONE, EVENT
 from ternlane.turns import Turns, now_ms
-from tests.platform_world import BODY, TOLD, platform, until_ready
+from tests.platform_world import BODY, platform, until_ready
 from tests.world import Reply, heard
 
 # -- the loop
@@ -80,20 +79,7 @@
         config = tmp_path / "config.json"
 
         def write(**more: Any) -> None:
-            config.write_text(
-                json.dumps(
-                    {
-                        "name": "n0",
-                        "listen": p.address,
-                        "discovery": p.discovery.address,
-                        "seed": "ff",
-                        "limits": {"cores": 1.0, "memory_mb": 128, "sockets": 256},
-                        "known": p.discovery.listing(),
-                        "settings": TOLD,
-                    }
-                    | more
-                )
-            )
+            config.write_text(p.configuration(**more))
 
         write()
         p.servers["w0"].events, p.servers["w0"].event_ms = 20, 40.0
