Requests log their transitions, refusals and releases their reasons, held states their time

Cause: the report could not tell whether a release was late, unheard or never sent; nor why a request was refused, retried or released. Change: RequestHistory (transitions by request id, written on SIGUSR1), port.Refusal and port.ReleaseReason carried by the actions and counted, HeldStateMonitor (states held, oldest, longest, a warning by id past the release time), unheard releases as a warning, ejections with their cause. Decisions are unchanged.

--- a/ternlane/choice.py
+++ b/ternlane/choice.py
@@ -16,7 +16,8 @@
 from ternlane import port
 from ternlane.notes import (Actor, Beat, Booked, Course, Doubt, Home, Leg, Limits, Loop, Lost, News,
                             Onward, Record, Reported, Seat, Sent, StageEnded, Standing, Trouble, Unbooked)
-from ternlane.port import Duty, Effect, Event, Generation, Group, Life, Product, Server, StartFacts, Verdict
+from ternlane.port import (Duty, Effect, Event, Generation, Group, Life, Product, Refusal, ReleaseReason,
+                           Server, StartFacts, Verdict)
 
 STEP = 0.1          # score lost for each step between reader and writer (design page)
 HOME_AGE_MS = 60e3  # a session idle for longer loses its home (design page)
@@ -84,9 +85,12 @@
                 if good and self.trial and now - leg.since <= CROWD * leg.usual_ms:
                     self.trial, self.strikes = False, 0
                 elif good is False and self.trial:
-                    self.shut(self.limits.retry_ms)
+                    self.shut(self.limits.retry_ms, "its trial failed")
             case Trouble(silent):
-                self.shut(self.limits.span_ms if silent else self.limits.retry_ms)
+                if silent:
+                    self.shut(self.limits.span_ms, "far behind its peers")
+                else:
+                    self.shut(self.limits.retry_ms, "not reached, or broke off")
                 self.linked_until *= silent
             case Reported(mem_share, held):
                 self.said = now, mem_share, held
@@ -112,12 +116,12 @@
             if leg.sent < min(self.answered, self.router.now - leg.usual_ms) and not leg.writes:
                 self.router.desk.post(Lost(leg))
 
-    def shut(self, wait: float) -> None:
+    def shut(self, wait: float, why: str) -> None:
         """Nothing more for a while, twice as long each time; then one leg at a time."""
         if self.router.now >= self.shut_until:
             self.strikes, wait = self.strikes + 1, min(wait * 2 ** self.strikes, self.limits.cold_ms)
             self.shut_until = self.router.now + wait
-            self.router.out.append(port.Log(self.server, f"shut for {wait:.0f} ms (time {self.strikes})"))
+            self.router.out.append(port.Log(self.server, f"ejected for {wait:.0f} ms (time {self.strikes}): {why}"))
             self.trial, self.done, self.due = True, 0.0, 0.0
 
     def count(self, leg: Leg) -> None:
@@ -357,8 +361,9 @@
     def place(self, course: Course) -> None:
         """Home pair if it is calm, else the best calm pair; else the generation waits before its read."""
         now, gen = self.router.now, course.gen
-        if self.spent(course) or self.hopeless(course) or self.outweighed(course) or self.cut_off(course):
-            return self.finish(course)
+        refusal = self.refusal(course)
+        if refusal is not None:
+            return self.finish(course, refusal)
         home = self.homes.get(gen.session or "")
         if home and all(self.usable(e, course) and not self.congested(self.board[e], course)
                         and not self.ill(e, course) for e in home[:2]):
@@ -367,7 +372,9 @@
             pair = self.best(course)
             if pair is None:
                 course.waited = True
-                return self.wait(course) if self.served(course) else self.finish(course)
+                if self.served(course):
+                    return self.wait(course)
+                return self.finish(course, Refusal.NO_SERVER)
             reader, writer = pair[0].engine, pair[1].engine
         if gen.session:
             self.homes[gen.session] = Home(reader, writer, now)
@@ -379,6 +386,16 @@
             self.ask(writer)
         self.send(course, reader)
 
+    def refusal(self, course: Course) -> Refusal | None:
+        """Why no prefill should begin for it any more."""
+        if self.spent(course):
+            return Refusal.ATTEMPTS_SPENT
+        if self.hopeless(course):
+            return Refusal.DEADLINE_TOO_CLOSE
+        if self.outweighed(course):
+            return Refusal.OVERLOAD
+        return Refusal.SHUTDOWN if self.cut_off(course) else None
+
     def record(self, engine: Seat, gen: Generation, verdict: Verdict, waited: float) -> None:
         """Guards against servers that look well and fail one product, refuse one tenant or lose answers."""
         if verdict in (Verdict.READ, Verdict.TIMED_OUT, Verdict.FULL):    # two such waits, and more is late
@@ -449,7 +466,7 @@
     def wait(self, course: Course) -> None:
         """Waits before its read: what earns most for its work first, then what is due first."""
         if self.router.now >= self.latest(course):
-            return self.finish(course)
+            return self.finish(course, Refusal.QUEUED_TOO_LONG)
         self.turn += 1
         latest = self.latest(course)
         heapq.heappush(self.waiting, (-course.gen.product.revenue, latest, self.turn, course))
@@ -465,7 +482,7 @@
         while queue and not self.router.ready:
             entry = _, latest, _, course = heapq.heappop(queue)
             if latest <= self.router.now and not course.over:
-                self.finish(course)
+                self.finish(course, Refusal.QUEUED_TOO_LONG)
             elif course.gen.prompt_toks >= self.stuck and course.waited and not course.over:
                 heapq.heappush(self.waiting, entry)
             elif not course.over:
@@ -496,17 +513,18 @@
         self.router.out.append(port.SendLeg(course.gen, engine.server, patience, quiet, whole,
                                             self.window_ms(course)))
 
-    def finish(self, course: Course) -> None:
+    def finish(self, course: Course, why: Refusal) -> None:
         """The one final answer, given at once: throttled wherever that promise is true, else terminated."""
         product, window = course.gen.product, self.window_ms(course)
         pause = min(self.limits.pause_ms, product.slo_ms / 2)
         harmless = window == inf or (product.group is Group.ALL and window > pause)
-        self.router.out.append(port.Throttle(course.gen, pause) if harmless else port.Terminate(course.gen))
+        self.router.out.append(
+            port.Throttle(course.gen, pause, why) if harmless else port.Terminate(course.gen, why))
         self.close(course)
 
-    def let_go(self, course: Course) -> None:
+    def let_go(self, course: Course, why: ReleaseReason = ReleaseReason.REQUEST_OVER) -> None:
         if course.holds:    # also what a read may yet leave behind whose end was not heard: said to the last
-            self.router.out.append(port.LetGo(course.gen, course.over and course.unheard))
+            self.router.out.append(port.LetGo(course.gen, course.over and course.unheard, why))
             course.state_at, course.holds = None, course.unheard and not course.over
         for engine in filter(None, (course.reader, course.writer)):
             engine.post(Unbooked(course))
@@ -579,12 +597,12 @@
         if course.over:
             return self.let_go(course)
         if verdict is Verdict.MOOT:
-            return self.finish(course)
+            return self.finish(course, Refusal.CLIENT_LEFT)
         if verdict is not Verdict.READ and not note.state_lost:    # a full one is not asked again either
             course.tried.add(engine)
         if note.broken:    # only the time limit binds one whose client has a part; GoOn says when
             course.slo_at = course.limit_at
-            return self.let_go(course)
+            return self.let_go(course, ReleaseReason.STREAM_BROKE)
         engine.post(Onward(course))
 
     def lost(self, leg: Leg) -> None:
@@ -596,11 +614,14 @@
 
     def onward(self, course: Course) -> None:
         """The next leg, if the effect allows one: with the state at hand a writer, else a pair anew."""
-        if self.spent(course) or not any(self.effect_allows(course, e) for e in self.board):
-            return self.finish(course)
+        if self.spent(course):
+            return self.finish(course, Refusal.ATTEMPTS_SPENT)
+        if not any(self.effect_allows(course, e) for e in self.board):
+            return self.finish(course, Refusal.MAY_HAVE_RUN)
         if course.state_at is not None and self.router.now <= course.held_since + self.limits.hand_ms:
             return self.hand_on(course)
-        self.let_go(course)    # lest one more connection that never comes up outlast its release time
+        # Lest one more connection that never comes up outlast its release time:
+        self.let_go(course, ReleaseReason.BEFORE_NEW_PREFILL)
         self.enter(course)
 
     def read_took(self, course: Course, leg: Leg, note: port.LegEnded) -> None:
--- a/ternlane/platform/engines.py
+++ b/ternlane/platform/engines.py
@@ -59,7 +59,11 @@
     barred: BeginCheck = may_always_begin
     scope: trio.CancelScope = field(default_factory=trio.CancelScope)
     called_off: bool = False
-    written: bool = False  # its last byte: from here on it may run
+    written_at: float | None = None  # when its last byte was, by trio's clock: from then on it may run
+
+    @property
+    def written(self) -> bool:
+        return self.written_at is not None
 
     def call_off(self) -> None:
         self.called_off = True
@@ -150,7 +154,7 @@
             [("Request-Id", leg.ident), ("Request-Timeout", f"{left_s:.3f}"), ("Content-Type", "application/json")],
             leg.body,
         )
-        leg.written = True
+        leg.written_at = trio.current_time()
         leg.scope.deadline = inf  # from here on reads end by themselves, not without what has arrived by then
         caller.expect_by(leg.last_by)
 
@@ -214,17 +218,19 @@
                 caller.close_now()
         return verdict, 0, None, b""
 
-    async def release(self, ident: str, addresses: list[str], within_ms: float) -> bool:
-        """Lets go of all that is held for a generation, wherever: any running engine passes it on. The one that was
-        heard last is asked first, then twice as many of the next ones each time, and all over again, while none has
-        heard it: neither one that is silent, busy or spoils its answers, nor most of a fleet, must hold it up."""
-        heard = trio.Event()
+    async def release(self, ident: str, addresses: list[str], within_ms: float) -> str | None:
+        """Releases all that is held for a request, wherever: any running server passes it on. Returns the address of
+        the one that has heard it, if any. The one that was heard last is asked first, then twice as many of the next
+        ones each time, and all over again, while none has heard it: neither one that is silent, busy or spoils its
+        answers, nor most of a fleet, must hold it up."""
+        heard_by: str | None = None
         rounds = 8
 
         async def one(address: str, cancel: trio.CancelScope) -> None:
+            nonlocal heard_by
             _, status, _, _ = await self.ask(address, "DELETE", LEASE_PATH + ident, within_ms)
             if status == 204:
-                heard.set()
+                heard_by = address
                 cancel.cancel()
 
         order = sorted(addresses, key=lambda a: -self.heard_at.get(a, 0.0))
@@ -236,7 +242,7 @@
                         nursery.start_soon(one, order[asked % len(order)], nursery.cancel_scope)
                         asked += 1
                     await trio.sleep(within_ms / rounds / 1000)
-        return heard.is_set()
+        return heard_by
 
     async def hold(self, address: str, ident: str, within_ms: float) -> bool:
         _, status, _, _ = await self.ask(address, "POST", LEASE_PATH + ident, within_ms)
--- a/ternlane/platform/node.py
+++ b/ternlane/platform/node.py
@@ -13,11 +13,13 @@
 from ternlane.deployment import Deployment
 from ternlane.http1 import Exchange
 from ternlane.platform.engines import ClientGone, Engines, Leg, LegEnd
+from ternlane.platform.held_states import HeldStateMonitor
+from ternlane.platform.request_history import RequestHistory
 from ternlane.platform.roster import Listing, Roster
 from ternlane.port import Generation, Life, Server, Verdict
 from ternlane.turns import Chooser, Terminated, Throttled, Turns, begin_check, now_ms
 
-TRAILS = 512  # generations whose legs are kept for who asks
+TRAILS = 512  # requests whose attempts and transitions are kept for who asks
 STREAM_HEAD = [("Content-Type", "text/event-stream"), ("Cache-Control", "no-cache"), ("Transfer-Encoding", "chunked")]
 
 
@@ -28,6 +30,16 @@
     whole: bool
 
 
+@dataclass(slots=True, frozen=True)
+class RequestRecord:
+    """What is kept of a request for who asks. `outcome`: "open" while it has none."""
+
+    request_id: str
+    outcome: str
+    attempts: list[str]
+    history: RequestHistory
+
+
 Final = Throttled | Terminated | Streamed
 
 
@@ -50,6 +62,14 @@
     trail: list[str] = field(default_factory=list)
     freeing: trio.Event | None = None  # set once what was held before is let go of
     watch: trio.CancelScope = field(default_factory=trio.CancelScope)
+    history: RequestHistory = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.history = RequestHistory(self.since)
+
+    def note(self, event: str) -> None:
+        """A transition, for the operators."""
+        self.history.note(now_ms(), event)
 
     @property
     def over(self) -> bool:
@@ -59,6 +79,11 @@
     def unanswered(self) -> bool:
         return not self.over and not self.flowing
 
+    @property
+    def last_verdict(self) -> str:
+        """How its last attempt ended, "" before one has."""
+        return self.trail[-1].split()[2] if self.trail else ""
+
     @property
     def deadline_ms(self) -> float:
         return self.since + self.gen.patience_ms
@@ -81,7 +106,8 @@
         self.ended: list[Ticket] = []  # to be forgotten once the turn is over
         self.releasing = 0
         self.counts: Counter[str] = Counter()
-        self.trails: deque[tuple[str, str, list[str]]] = deque(maxlen=TRAILS)
+        self.records: deque[RequestRecord] = deque(maxlen=TRAILS)
+        self.held_states = HeldStateMonitor()
         self.draining = False
 
     # -- the loop's side
@@ -94,12 +120,14 @@
 
     def carry_further(self, action: port.Action) -> None:
         match action:
-            case port.LetGo(gen, again):
+            case port.LetGo(gen, again, why):
                 ticket = self.tickets.get(gen)
                 if ticket is not None:
                     self.releasing += 1
+                    self.counts[f"release {why.name}"] += 1
+                    ticket.note(f"release begins: {why.name}")
                     ticket.freeing = trio.Event()
-                    self.nursery.start_soon(self.release, ticket.ident, ticket.freeing, again)
+                    self.nursery.start_soon(self.release, ticket, ticket.freeing, again)
             case port.HoldAhead(gen, server):
                 ticket = self.tickets.get(gen)
                 if ticket is not None and server in self.roster.spots:
@@ -112,6 +140,14 @@
 
     def woken(self) -> None:
         self.engines.pool.sweep()
+        for overdue in self.held_states.newly_overdue(now_ms(), self.deployment.facts.release_ms):
+            self.counts["held overdue"] += 1
+            self.log.warning(
+                "state held past its release time",
+                gen=overdue.request_id,
+                server=overdue.server,
+                held_ms=round(overdue.held_ms, 1),
+            )
 
     def faulted(self, fault: Exception) -> None:
         self.counts["fault"] += 1
@@ -137,6 +173,7 @@
     def arrived(self, ticket: Ticket) -> None:
         self.idents[ticket.ident] = ticket
         self.counts["taken"] += 1
+        ticket.note(f"received, {ticket.gen.patience_ms:.0f} ms left")
         self.taken(ticket)
 
     def client_left(self, ticket: Ticket) -> None:
@@ -154,8 +191,11 @@
         ticket.final = final
         ticket.watch.cancel()
         outcome = type(final).__name__.lower()
-        if isinstance(final, Streamed) and not final.whole:
-            outcome = "broken"
+        if isinstance(final, Streamed):
+            outcome = "streamed" if final.whole else "broken"
+        else:
+            self.counts[f"{outcome} {final.refusal.name}"] += 1
+            ticket.note(f"{outcome}: {final.refusal.name}")
         if now_ms() > ticket.deadline_ms and not ticket.flowing:
             self.counts["late"] += 1
         self.closed(ticket, outcome)
@@ -169,7 +209,8 @@
             took_ms=round(now_ms() - ticket.since, 1),
             patience_ms=round(ticket.gen.patience_ms),
         )
-        self.trails.append((ticket.ident, outcome, ticket.trail))
+        ticket.note(f"closed: {outcome}")
+        self.records.append(RequestRecord(ticket.ident, outcome, ticket.trail, ticket.history))
         self.ended.append(ticket)
 
     def forget(self, ticket: Ticket) -> None:
@@ -195,8 +236,12 @@
             times.quiet_ms,
             barred,
         )
+        name = spot.name if spot is not None else "gone"
+        if ticket.trail:
+            self.counts[f"retry after {ticket.last_verdict}"] += ticket.last_verdict != Verdict.READ.name
         ticket.legs += 1
-        self.nursery.start_soon(self.run, ticket, server, leg, spot.name if spot is not None else "gone")
+        ticket.note(f"attempt {ticket.legs} to {name} decided, {times.timeout_ms:.0f} ms for it")
+        self.nursery.start_soon(self.run, ticket, server, leg, name)
 
     async def run(self, ticket: Ticket, server: Server, leg: Leg, name: str) -> None:
         since, end = now_ms(), LegEnd()
@@ -224,10 +269,16 @@
         self.leg_ended(ticket, server, name, end, now_ms() - since)
 
     def leg_ended(self, ticket: Ticket, server: Server, name: str, end: LegEnd, took: float) -> None:
-        ticket.leg, ticket.flowing = None, False
+        leg, ticket.leg, ticket.flowing = ticket.leg, None, False
         ticket.why = f"{end.verdict.name}: {end.why}" if end.why else ticket.why
         kind = "read" if server.duty is port.Duty.READ else "write"
         ticket.trail.append(f"{name} {kind} {end.verdict.name} {took:.0f} ms {end.why}".rstrip())
+        written = "not written" if leg is None or leg.written_at is None else "written"
+        ticket.note(f"attempt {ticket.legs} ended: {kind} {end.verdict.name}, {written}: {end.why}".rstrip(": "))
+        if end.verdict is Verdict.READ:
+            self.held_states.held(ticket.ident, name, now_ms())
+        elif end.verdict is Verdict.STREAMED or end.state_lost:
+            self.held_states.ended(ticket.ident, now_ms())
         self.counts[f"{kind} {end.verdict.name}"] += 1
         self.log.debug(
             "attempt",
@@ -246,28 +297,45 @@
         )
         self.forget(ticket)
 
+    def oldest_unanswered_ms(self) -> float:
+        """For how long the attempt has waited that was written first of those without a byte of their answer's head."""
+        written = [ticket.leg.written_at for ticket in self.tickets.values() if ticket.leg and not ticket.flowing]
+        return max((trio.current_time() - at for at in written if at is not None), default=0.0) * 1000
+
     # -- what is held
 
     def addresses(self) -> list[str]:
         return [spot.address for server, spot in self.roster.spots.items() if server.life is not Life.GONE]
 
-    async def release(self, ident: str, done: trio.Event, again: bool) -> None:
+    async def release(self, ticket: Ticket, done: trio.Event, again: bool) -> None:
         within = self.deployment.facts.release_ms
         try:
-            heard = await self.engines.release(ident, self.addresses(), within)
+            await self.release_once(ticket, within)
             done.set()
             if again:
                 await trio.sleep(within / 2000)
-                heard = await self.engines.release(ident, self.addresses(), within)
-            if not heard:
-                self.counts["release unheard"] += 1
-            self.log.debug("release", gen=ident, heard=heard, again=again)
+                await self.release_once(ticket, within)
         except Exception:
             self.log.exception("release")
         finally:
             self.releasing -= 1
             done.set()
 
+    async def release_once(self, ticket: Ticket, within_ms: float) -> None:
+        """Asks servers to release what is held for the request until one has heard it."""
+        since = now_ms()
+        heard_by = await self.engines.release(ticket.ident, self.addresses(), within_ms)
+        took = now_ms() - since
+        if heard_by is None:
+            self.counts["release unheard"] += 1
+            ticket.note("release unheard")
+            self.log.warning("release unheard", gen=ticket.ident, took_ms=round(took, 1))
+            return
+        self.counts["release heard"] += 1
+        self.held_states.ended(ticket.ident, now_ms())
+        ticket.note(f"release heard by {heard_by}")
+        self.log.debug("release heard", gen=ticket.ident, by=heard_by, took_ms=round(took, 1))
+
     async def hold(self, ticket: Ticket, server: Server) -> None:
         held = await self.engines.hold(
             self.roster.spots[server].address, ticket.ident, self.deployment.facts.release_ms
@@ -295,6 +363,8 @@
         if self.ticket.over:
             raise ClientGone
         self.ticket.flowing, self.ticket.body = True, b""
+        self.ticket.note("first event")
+        self.node.held_states.ended(self.ticket.ident, now_ms())
         self.node.tell(port.FirstTok(self.ticket.gen, self.server, now_ms() - self.since))
         await self.ticket.first(data)
 
--- a/ternlane/platform/process.py
+++ b/ternlane/platform/process.py
@@ -20,10 +20,10 @@
 from ternlane.http1 import Pool
 from ternlane.platform.engines import Engines
 from ternlane.platform.front import Front
-from ternlane.platform.node import Node
+from ternlane.platform.node import Node, RequestRecord
 from ternlane.platform.registry import FIRST_LIST_MS, Watch
 from ternlane.platform.settings import Post, Unfit, read_post
-from ternlane.turns import PollTimes
+from ternlane.turns import PollTimes, now_ms
 
 BACKLOG = 1024
 CLIENTS, SERVERS = 0.45, 0.45  # of the descriptors; the rest is for the watch, the log and what is being closed
@@ -129,9 +129,14 @@
             counts = {k: v - before.get(k, 0) for k, v in sorted(node.counts.items()) if v != before.get(k, 0)}
             before = dict(node.counts)
             late, node.late_ms = node.late_ms, 0.0
+            longest_held, node.held_states.longest_ms = node.held_states.longest_ms, 0.0
             self.log.info(
                 "report",
                 open=len(node.tickets),
+                held=len(node.held_states),
+                oldest_held_ms=round(node.held_states.oldest_ms(now_ms()), 1),
+                longest_held_ms=round(longest_held, 1),
+                oldest_unanswered_ms=round(node.oldest_unanswered_ms(), 1),
                 connections=self.front.conns,
                 engine_connections=len(node.engines.pool.open),
                 descriptors=descriptors(),
@@ -142,11 +147,16 @@
             )
 
     def trails(self) -> None:
-        """Every leg of the latest generations, one line each by id."""
-        for ticket in list(self.node.tickets.values()):
-            self.log.info("trail", gen=ticket.ident, outcome="open", legs=ticket.trail)
-        for ident, outcome, trail in self.node.trails:
-            self.log.info("trail", gen=ident, outcome=outcome, legs=trail)
+        """Every attempt and transition of the open requests and of the latest others, one line each by id."""
+        records = [RequestRecord(t.ident, "open", t.trail, t.history) for t in self.node.tickets.values() if not t.over]
+        for record in [*records, *self.node.records]:
+            self.log.info(
+                "trail",
+                gen=record.request_id,
+                outcome=record.outcome,
+                legs=record.attempts,
+                transitions=record.history.lines(),
+            )
 
 
 def descriptors() -> int:
--- /dev/null
+++ b/ternlane/platform/request_history.py
@@ -0,0 +1,30 @@
+"""What happened to each request and when, for the operators: state transitions by request id. Free of I/O."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+
+@dataclass(slots=True, frozen=True)
+class Transition:
+    """One step in a request's life, `at_ms` after it was received."""
+
+    at_ms: float
+    event: str
+
+    def __str__(self) -> str:
+        return f"{self.at_ms:.0f} ms {self.event}"
+
+
+@dataclass(slots=True)
+class RequestHistory:
+    """The transitions of one request in their order. Times are milliseconds of any monotonic clock."""
+
+    received_ms: float
+    transitions: list[Transition] = field(default_factory=list)
+
+    def note(self, now_ms: float, event: str) -> None:
+        self.transitions.append(Transition(now_ms - self.received_ms, event))
+
+    def lines(self) -> list[str]:
+        return [str(transition) for transition in self.transitions]
--- a/ternlane/port.py
+++ b/ternlane/port.py
@@ -62,6 +62,29 @@
     READ = auto()
 
 
+class Refusal(Enum):
+    """Why a request is given its final answer without having been served; for logs and metrics."""
+
+    ATTEMPTS_SPENT = auto()  # no attempt or no time is left
+    DEADLINE_TOO_CLOSE = auto()  # an attempt could no longer answer in time
+    OVERLOAD = auto()  # late already, and it would make others late that earn more
+    SHUTDOWN = auto()  # this gateway would end before its answer does
+    NO_SERVER = auto()  # no server is left that could take it
+    QUEUED_TOO_LONG = auto()  # it waited for room until its time was too short
+    MAY_HAVE_RUN = auto()  # an attempt may have run, and its effect permits no other
+    CLIENT_LEFT = auto()
+    UNKNOWN = auto()
+
+
+class ReleaseReason(Enum):
+    """Why what is held for a request is released; for logs and metrics."""
+
+    REQUEST_OVER = auto()  # answered, failed or left by its client
+    BEFORE_NEW_PREFILL = auto()  # the prompt is to be read again, or the request queues for that
+    STREAM_BROKE = auto()  # its client has a part of the answer
+    UNKNOWN = auto()
+
+
 @dataclass(slots=True, eq=False)
 class Product:
     """What is known of a kind of generation. Its first token is due `slo_ms` + `slo_per_ktok_ms` for each thousand
@@ -303,6 +326,7 @@
 
     gen: Generation
     pause_ms: float
+    why: Refusal = Refusal.UNKNOWN
 
 
 @dataclass(slots=True, frozen=True)
@@ -310,6 +334,7 @@
     """The final answer "given up": it may have run."""
 
     gen: Generation
+    why: Refusal = Refusal.UNKNOWN
 
 
 @dataclass(slots=True, frozen=True)
@@ -319,6 +344,7 @@
 
     gen: Generation
     again: bool = False
+    why: ReleaseReason = ReleaseReason.UNKNOWN
 
 
 @dataclass(slots=True, frozen=True)
--- a/ternlane/turns.py
+++ b/ternlane/turns.py
@@ -31,12 +31,14 @@
 @dataclass(slots=True)
 class Throttled:
     pause_ms: float
+    refusal: port.Refusal = port.Refusal.UNKNOWN
 
 
 @dataclass(slots=True)
 class Terminated:
     why: str
     timed_out: bool = False
+    refusal: port.Refusal = port.Refusal.UNKNOWN
 
 
 BeginCheck = Callable[[], port.Verdict | None]
@@ -206,14 +208,14 @@
                 ticket = self.tickets.get(gen)
                 if ticket is not None and ticket.leg is not None and not ticket.flowing:
                     ticket.leg.call_off()
-            case port.Throttle(gen, pause):
+            case port.Throttle(gen, pause, refusal):
                 if gen in self.tickets:
-                    self.settle(self.tickets[gen], Throttled(pause))
-            case port.Terminate(gen):
+                    self.settle(self.tickets[gen], Throttled(pause, refusal))
+            case port.Terminate(gen, refusal):
                 ticket = self.tickets.get(gen)
                 if ticket is not None:
                     timed_out = bool(ticket.trail) and "TIMED_OUT" in ticket.trail[-1].split()
-                    self.settle(ticket, Terminated(ticket.why, timed_out))
+                    self.settle(ticket, Terminated(ticket.why, timed_out, refusal))
             case _:
                 self.carry_further(action)
 
--- a/tests/test_platform_bounds.py
+++ b/tests/test_platform_bounds.py
@@ -61,7 +61,7 @@
                 await trio.sleep(0.02)
         front, pool = p.gateway.front, node.engines.pool
         assert not node.tickets and not node.idents and not node.ended and not node.releasing and not desk.waiting
-        assert len(node.trails) == TRAILS and sum(desk.asked_for.values()) <= 2 * FEW**2
+        assert len(node.records) == TRAILS and sum(desk.asked_for.values()) <= 2 * FEW**2
         assert len(node.engines.heard_at) <= len(node.roster.spots) == len(node.roster.servers) == 3
         assert all(not e.legs and not e.booked for e in desk.board)
         assert front.conns == len(front.idle) == 0 and len(pool.open) == len(pool.resting)
--- /dev/null
+++ b/tests/test_request_history.py
@@ -0,0 +1,40 @@
+"""What operators are told of a request: its transitions, why it was refused, and what is held for how long."""
+
+from __future__ import annotations
+
+from ternlane.platform.held_states import HeldStateMonitor, Overdue
+from tests.platform_world import always, platform
+
+
+def test_a_state_is_named_once_when_it_is_overdue() -> None:
+    monitor = HeldStateMonitor()
+    monitor.held("a", "p0", 0.0)
+    monitor.held("b", "p1", 300.0)
+    assert monitor.newly_overdue(500.0, 500.0) == []
+    assert monitor.newly_overdue(501.0, 500.0) == [Overdue("a", "p0", 501.0)]
+    assert monitor.newly_overdue(700.0, 500.0) == [] and monitor.oldest_ms(700.0) == 700.0
+    monitor.ended("a", 800.0)
+    assert monitor.newly_overdue(801.0, 500.0) == [Overdue("b", "p1", 501.0)]
+    assert len(monitor) == 1 and monitor.longest_ms == 800.0
+
+
+async def test_a_refused_request_says_when_and_why_it_was_retried_released_and_closed() -> None:
+    async with platform("r0", "w0", w0=always("status_500")) as p:
+        assert (await p.ask(Request_Class="note")).status == 502
+        await p.settled()
+        node = p.gateway.node
+        record = node.records[-1]
+        events = [transition.event for transition in record.history.transitions]
+        assert events[0].startswith("received") and events[1].startswith("attempt 1 to r0")
+        assert any(e.startswith("attempt 2 ended: write ERROR, written") for e in events)
+        assert "terminated: MAY_HAVE_RUN" in events and "release begins: REQUEST_OVER" in events
+        assert any(e.startswith("release heard by") for e in events)
+        assert node.counts["terminated MAY_HAVE_RUN"] == node.counts["release heard"] == 1
+        assert not len(node.held_states) and not node.counts["held overdue"]
+
+
+async def test_a_retry_is_counted_by_what_it_follows() -> None:
+    async with platform("r0", "r1", "w0", r0=always("full_503"), r1=always("full_503")) as p:
+        assert (await p.ask()).status == 503
+        counts = p.gateway.node.counts
+        assert counts["retry after FULL"] == 1 and counts["throttled NO_SERVER"] == 1
