Failing tests: states held behind decode attempts that never arrive, on real processes

Cause: confirmed by these tests: a written decode attempt counts as having taken the state, and any outcome but a failed connect begins the release time anew.

--- a/ternlane/standin/platform.py
+++ b/ternlane/standin/platform.py
@@ -71,12 +71,27 @@
         self.opened.set()
 
 
+@dataclass(slots=True)
+class HeldSpan:
+    """A state that was held for a request, by trio's clock. `until` is None while it still is."""
+
+    request_id: str
+    server: str
+    since_s: float
+    until_s: float | None = None
+
+    def held_ms(self, now_s: float) -> float:
+        return ((now_s if self.until_s is None else self.until_s) - self.since_s) * 1000
+
+
 @dataclass(eq=False)
 class Fleet:
     """What all servers share, as on the platform: states by request, and who holds them."""
 
     nursery: trio.Nursery
     states: dict[str, str] = field(default_factory=dict)
+    spans: list[HeldSpan] = field(default_factory=list)  # every state there was
+    awaited: set[str] = field(default_factory=set)  # requests whose attempt has arrived and waits for its state
     seen: list[tuple[str, str, str]] = field(default_factory=list)  # server, kind of call, id
     spread_ms: float = 0.0  # until a DELETE has reached the other servers
     open: Counter[str] = field(default_factory=Counter)  # legs at each server now
@@ -85,6 +100,20 @@
     repeated: set[str] = field(default_factory=set)  # ids that came to a decode server after one had run them
     told_s: list[float] = field(default_factory=list)  # the time that each attempt said it would wait
 
+    def hold(self, request_id: str, server: str) -> None:
+        """A prefill has ended, and its state waits."""
+        self.states[request_id] = server
+        self.spans.append(HeldSpan(request_id, server, trio.current_time()))
+
+    def end_hold(self, request_id: str) -> bool:
+        """Its state is taken or released. False where there was none."""
+        if self.states.pop(request_id, None) is None:
+            return False
+        for span in self.spans:
+            if span.request_id == request_id and span.until_s is None:
+                span.until_s = trio.current_time()
+        return True
+
     def count(self, kind: str) -> int:
         return sum(k == kind for _, k, _ in self.seen)
 
@@ -100,8 +129,9 @@
     events: int = 2
     mute: bool = False  # takes connections and says nothing
     lease_way: str = ""  # how calls for leases go wrong: "silent", or a name of RAW
-    # Where it holds: "request" (whole, nothing done yet), "event" (one event has been sent), "end" (all but the last
-    # chunk has been sent), "lease" (a call for a lease has come), "second" (before a second answer).
+    # Where it holds: "request" (whole, nothing done yet), "queue" (a decode waits for its state), "event" (one event
+    # has been sent), "end" (all but the last chunk has been sent), "lease" (a call for a lease has come), "second"
+    # (before a second answer).
     gates: dict[str, Gate] = field(default_factory=dict)
     address: str = ""
     listener: trio.SocketListener | None = None
@@ -149,8 +179,8 @@
             if self.lease_way:
                 return await self._spoil(exchange, self.lease_way)
             await trio.sleep(self.fleet.spread_ms / 1000)
-            if exchange.method == "DELETE":
-                self.fleet.states.pop(ident, None)
+            if exchange.method == "DELETE" and ident not in self.fleet.awaited:
+                self.fleet.end_hold(ident)
             return await exchange.answer(204, [], b"")
         if exchange.path == "/stats":
             self.fleet.seen.append((self.name, "probe", ""))
@@ -174,17 +204,17 @@
         if way == "late_state":  # its client has gone, and it reads on for a while
             await exchange.until_left()
             await trio.sleep(0.05)
-            self.fleet.states[ident] = self.name
+            self.fleet.hold(ident, self.name)
             return
         if self.duty == "read" and not way:
             await trio.sleep(self.read_ms / 1000)
-            self.fleet.states[ident] = self.name
+            self.fleet.hold(ident, self.name)
             return await exchange.answer(202, [("Server-Load", "inflight=1,x0=0.1")], b'{"cached_tokens":4}')
         if self.duty == "write" and not way.startswith(("status_", "full_", "gone_")):
-            if self.fleet.states.pop(ident, None) is None:
-                way = "gone_410"
-            else:
+            if await self._take_state(ident):
                 self.fleet.ran[ident] += 1
+            else:
+                way = "gone_410"
         if way == "pieces":
             whole = GOOD.replace(b"transfer", b"connection: close\r\ntransfer", 1)
             cuts = sorted(random.Random(ident).sample(range(1, len(whole)), 12))
@@ -212,6 +242,15 @@
             await self._at("second")
             await exchange.stream.send_all(GOOD)
 
+    async def _take_state(self, ident: str) -> bool:
+        """Waits in the queue and takes the state. While it waits, no DELETE releases that state (users' page)."""
+        self.fleet.awaited.add(ident)
+        try:
+            await self._at("queue")
+            return self.fleet.end_hold(ident)
+        finally:
+            self.fleet.awaited.discard(ident)
+
     async def _spoil(self, exchange: Exchange, way: str) -> None:
         if way != "silent":
             await exchange.stream.send_all(RAW[way])
--- /dev/null
+++ b/ternlane/standin/proxy.py
@@ -0,0 +1,88 @@
+"""A TCP proxy that breaks in the ways networks do, to stand between a gateway and a model server in tests.
+
+It forwards bytes in their order. Told to, it stalls: connections stay open, new ones still come up, and nothing that
+is sent in either direction arrives, with no error on either side. After a stall it either resets what was open or
+delivers what it kept back.
+"""
+
+from __future__ import annotations
+
+import socket
+import struct
+
+import trio
+
+CHUNK_BYTES = 65536
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER of no time: closing resets the connection
+
+
+class StallingProxy:
+    """Listens at `address` and forwards to `upstream` (host:port)."""
+
+    def __init__(self, nursery: trio.Nursery, upstream: str) -> None:
+        self.nursery, self.upstream = nursery, upstream
+        self.address = ""
+        self.swallowed_bytes = 0  # taken from either side while stalled
+        self._flowing = trio.Event()
+        self._flowing.set()
+        self._streams: set[trio.SocketStream] = set()
+
+    async def start(self) -> None:
+        listener = (await trio.open_tcp_listeners(0, host="127.0.0.1"))[0]
+        name = listener.socket.getsockname()
+        self.address = f"{name[0]}:{name[1]}"
+        self.nursery.start_soon(self._accept, listener)
+
+    @property
+    def stalled(self) -> bool:
+        return not self._flowing.is_set()
+
+    def stall(self) -> None:
+        """Nothing arrives any more, on open connections and new ones."""
+        self._flowing = trio.Event()
+
+    def deliver(self) -> None:
+        """Ends a stall: what was kept back arrives late."""
+        self._flowing.set()
+
+    def reset_all(self) -> None:
+        """Ends a stall as a network does that has forgotten its connections: they are reset, new ones work."""
+        for stream in list(self._streams):
+            stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            stream.socket.close()
+        self._flowing.set()
+
+    async def _accept(self, listener: trio.SocketListener) -> None:
+        while True:
+            self.nursery.start_soon(self._connection, await listener.accept())
+
+    async def _connection(self, client: trio.SocketStream) -> None:
+        self._streams.add(client)
+        server: trio.SocketStream | None = None
+        try:
+            await self._flowing.wait()
+            host, _, port = self.upstream.rpartition(":")
+            server = await trio.open_tcp_stream(host, int(port))
+            self._streams.add(server)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._forward, client, server, nursery.cancel_scope)
+                nursery.start_soon(self._forward, server, client, nursery.cancel_scope)
+        except (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
+            pass
+        finally:
+            for stream in filter(None, (client, server)):
+                self._streams.discard(stream)
+                stream.socket.close()
+
+    async def _forward(self, source: trio.SocketStream, sink: trio.SocketStream, both: trio.CancelScope) -> None:
+        """One direction, until its source ends or either side breaks; then the whole connection ends."""
+        try:
+            while data := await source.receive_some(CHUNK_BYTES):
+                if self.stalled:
+                    self.swallowed_bytes += len(data)
+                    await self._flowing.wait()
+                await sink.send_all(data)
+            await self._flowing.wait()
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            pass
+        both.cancel()
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -14,6 +14,7 @@
 from ternlane.platform.roster import read_listing
 from ternlane.platform.settings import Limits, Post
 from ternlane.standin.platform import Discovery, Fleet, ModelServer
+from ternlane.standin.proxy import StallingProxy
 from tests.world import Reply, heard
 
 TOLD: dict[str, Any] = {
@@ -77,9 +78,21 @@
             name, "read" if name[0] == "r" else "write", self.fleet, script, **more
         )
         await server.start()
-        self.discovery.put(name, server.address, server.duty + "er" if server.duty == "read" else "writer")
+        self.list(server, server.address)
         return server
 
+    def list(self, server: ModelServer, address: str) -> None:
+        """Puts it on the list of servers at this address, its own or that of a proxy before it."""
+        self.discovery.put(server.name, address, "reader" if server.duty == "read" else "writer")
+
+    async def add_behind_proxy(self, name: str, **more: Any) -> StallingProxy:
+        """Adds a server that is reached by way of a proxy alone."""
+        server = await self.add(name, **more)
+        proxy = StallingProxy(self.nursery, server.address)
+        await proxy.start()
+        self.list(server, proxy.address)
+        return proxy
+
     async def open(self) -> None:
         host, _, number = self.discovery.address.partition(":")
         known = read_listing(json.dumps(self.discovery.listing()).encode())
