State is released in time though the attempt that is to take it is out unanswered

Cause: that a decode attempt was written counted as proof that it had arrived. Desk.let_go ran only when an attempt ended or its request closed, and any outcome but a failed connect set Course.held_since anew, so a connection that had fallen silent kept a state held for the whole time-out (1 s for safe requests of a 2 s target, all that is left for unsafe ones). The class of bug: a local write taken for receipt by the peer. Change: ternlane/policy/lease.py holds what may be held for a request, since when, and what renews that time: an answer, or an attempt that ended after a confirmed release. After three quarters of the release time the state is released while a decode attempt is out unanswered or the request queues, never while a prefill is out. Servers keep what an arrived attempt waits for, so slow ones go on. ReleaseHeard tells the decisions of a confirmed release; a release that nobody heard is said again (8 release times at most). Not in the simulator, where sends can't be lost, nor where a release would harm an attempt (the chat gateway).

--- a/ternlane/choice.py
+++ b/ternlane/choice.py
@@ -16,6 +16,7 @@
 from ternlane import port
 from ternlane.notes import (Actor, Beat, Booked, Course, Doubt, Home, Leg, Limits, Loop, Lost, News,
                             Onward, Record, Reported, Seat, Sent, StageEnded, Standing, Trouble, Unbooked)
+from ternlane.policy.lease import RELEASE_RESERVE, ReleaseSchedule
 from ternlane.port import (Duty, Effect, Event, Generation, Group, Life, Product, Refusal, ReleaseReason,
                            Server, StartFacts, Verdict)
 
@@ -45,6 +46,8 @@
                   cold_part=facts.fall_multiple * facts.cold_from * CARE, cold_ms=facts.cold_ms,
                   retry_ms=2 * facts.connect_ms, idle_ms=facts.idle_ms, leg_limit=facts.leg_limit,
                   hand_ms=max(0.0, facts.release_ms - facts.connect_ms) if facts.holds_run_on else inf,
+                  guard_ms=(1 - RELEASE_RESERVE) * facts.release_ms
+                  if facts.holds_run_on and facts.releases_spare_attempts else inf,
                   pause_ms=facts.longest_pause_ms if facts.may_advise else 0.0)
 
 
@@ -165,6 +168,7 @@
         self.lots: dict[Duty, dict[Seat, tuple[float, float]]] = {d: {} for d in Duty}    # of cold ones
         self.homes: OrderedDict[str, Home] = OrderedDict()
         self.waiting: list[tuple[float, float, int, Course]] = []
+        self.releases: ReleaseSchedule[Course] = ReleaseSchedule()
         # When this gateway is cut off; of those waiting: when the first must begin, the shortest prompt
         self.ends_at = self.next_due = self.least = inf
         self.usual: dict[tuple[Product, str], float] = {}
@@ -223,8 +227,12 @@
                 self.ends_at, self.next_due, self.stuck = self.router.now + within, -inf, inf
             case port.ListFailed():
                 self.asked = False
-            case port.Woken():
+            case port.ReleaseHeard(gen) if gen.seat:
+                gen.seat.lease.release_heard()
+            case port.Woken(True):
                 self.beat()
+            case port.Woken(False):
+                self.release_due()
 
     def arrived(self, gen: Generation) -> None:
         now, product = self.router.now, gen.product
@@ -500,11 +508,12 @@
         now, product, s = self.router.now, course.gen.product, self.board[engine]
         writes, patience = engine is course.writer, course.limit_at - now
         whole = patience if course.gen.whole else inf    # lest a slow writer outlast its client
-        course.legs, held, course.holds = course.legs + 1, course.holds, True
+        course.legs += 1
+        course.lease.attempt_begins()
         work = 0.0 if writes else self.work_ms(engine, course)
         usual = max(self.usual_ms(product, "open" if writes else "read"), work + s.queue_ms)
         course.leg = Leg(engine, course, writes, now, now, usual, work,
-                         work + s.ahead_ms / max(self.trust, GAIN), not s.linked, held=held)
+                         work + s.ahead_ms / max(self.trust, GAIN), not s.linked)
         if course.legs < self.limits.leg_limit and (not writes or product.effect is Effect.IDEMPOTENT):
             slow = 1 / CROWD if writes else CROWD if self.told_if_asked else 1    # a told one is not mute
             patience = min(patience, max(slow * product.slo_ms, 4 * course.leg.usual_ms))
@@ -523,12 +532,31 @@
         self.close(course)
 
     def let_go(self, course: Course, why: ReleaseReason = ReleaseReason.REQUEST_OVER) -> None:
-        if course.holds:    # also what a read may yet leave behind whose end was not heard: said to the last
-            self.router.out.append(port.LetGo(course.gen, course.over and course.unheard, why))
-            course.state_at, course.holds = None, course.unheard and not course.over
+        lease = course.lease
+        if lease.may_hold:    # also what a read may yet leave behind whose end was not heard: said to the last
+            self.router.out.append(port.LetGo(course.gen, course.over and lease.unheard, why))
+            lease.released(course.over)
         for engine in filter(None, (course.reader, course.writer)):
             engine.post(Unbooked(course))
 
+    def guard_lease(self, course: Course) -> None:
+        """Has what may be held released in time, should nothing show by then that the next attempt has arrived."""
+        at = course.lease.since + self.limits.guard_ms
+        if self.releases.add(course, course.lease, at):
+            self.router.out.append(port.Wake(at, False))
+
+    def release_due(self) -> None:
+        """Releases what was neither taken nor released so far, though a decode attempt may be out for it. A prefill
+        that is out would lose what it is about to leave, and gets its own release when it ends."""
+        for course in self.releases.take_due(self.router.now):
+            if course.leg is not None and not course.leg.writes:
+                continue
+            course.lease.released_early()
+            self.router.out.append(port.LetGo(course.gen, why=ReleaseReason.UNCONFIRMED))
+        at = self.releases.next_at()
+        if at < inf:
+            self.router.out.append(port.Wake(at, False))
+
     def close(self, course: Course) -> None:
         course.over = True
         if course.leg is None:
@@ -552,7 +580,8 @@
         return ran[0] + product.window_ms - self.router.now if product.effect is Effect.DEDUPLICATED else -inf
 
     def first_tok(self, course: Course, leg: Leg, took: float) -> None:
-        product, course.state_at, course.holds = course.gen.product, None, False
+        product = course.gen.product
+        course.lease.attempt_answered()
         self.learn(product, "open", took)
         if course.reader is not None and course.reader is not course.writer:
             course.reader.post(Unbooked(course))
@@ -585,17 +614,12 @@
             self.read_took(course, leg, note)
         elif verdict is Verdict.TIMED_OUT:
             self.learn(product, "open", note.took_ms)
-        if verdict in NEVER_RAN and verdict is not Verdict.READ:    # it left nothing behind
-            course.holds = leg.held
-        elif engine.reads:
-            course.unheard = verdict is not Verdict.READ
-        if verdict not in (Verdict.UNCONNECTED, Verdict.WITHHELD):    # the time of what is held runs on then
-            course.held_since = self.router.now
-        if verdict is Verdict.READ or note.state_lost:    # for this writer; its reader may hold it still
-            course.state_at = None if note.state_lost else engine
+        course.lease.attempt_ended(verdict, engine, engine.reads, note.state_lost, self.router.now)
         course.over = course.over or note.over
         if course.over:
             return self.let_go(course)
+        if self.limits.guard_ms < inf and course.lease.may_hold:
+            self.guard_lease(course)
         if verdict is Verdict.MOOT:
             return self.finish(course, Refusal.CLIENT_LEFT)
         if verdict is not Verdict.READ and not note.state_lost:    # a full one is not asked again either
@@ -618,7 +642,7 @@
             return self.finish(course, Refusal.ATTEMPTS_SPENT)
         if not any(self.effect_allows(course, e) for e in self.board):
             return self.finish(course, Refusal.MAY_HAVE_RUN)
-        if course.state_at is not None and self.router.now <= course.held_since + self.limits.hand_ms:
+        if course.lease.held_at is not None and self.router.now <= course.lease.since + self.limits.hand_ms:
             return self.hand_on(course)
         # Lest one more connection that never comes up outlast its release time:
         self.let_go(course, ReleaseReason.BEFORE_NEW_PREFILL)
@@ -647,11 +671,11 @@
         s = self.board[writer]
         if not self.usable(writer, course) or not self.fit(s, course) or self.ill(writer, course) or (
                 self.told_if_asked and self.congested(s, course)):
-            pair = self.best(course, course.state_at)
+            pair = self.best(course, course.lease.held_at)
             if pair is None and self.usable(writer, course) and self.fit(s, course):
                 return self.send(course, writer)
             if pair is None:    # the state is let go, and the prompt, now kept, read again
-                course.state_at = None
+                course.lease.held_at = None
                 return self.onward(course)
             writer.post(Unbooked(course))
             writer = course.writer = pair[1].engine
--- a/ternlane/deployment.py
+++ b/ternlane/deployment.py
@@ -97,6 +97,7 @@
             fall_ms=figure("fall_ms", rules, "overload_for", 0.0),
             step_ms=figure("step_ms", told, "step", 1.0),
             told_if_asked=how == "on_probe",
+            releases_spare_attempts=True,
         )
         for name, product in self.products.items():
             if not all(isinstance(v, (int, float)) and 0 <= v < inf for v in astuple(product)[2:]):
--- a/ternlane/notes.py
+++ b/ternlane/notes.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 from typing import Any, NamedTuple
 
+from ternlane.policy.lease import Lease
 from ternlane.port import Action, Generation, Server
 
 
@@ -65,6 +66,7 @@
     leg_limit: int
     pause_ms: float  # the longest return time a client heeds; 0 where none may be given
     hand_ms: float  # how long after its read a state may still be sent to a writer that must be reached first
+    guard_ms: float  # how long after its prefill a state is released while an attempt for it is out unanswered
 
 
 @dataclass(slots=True, eq=False)
@@ -80,7 +82,6 @@
     fresh: bool = False  # it needs a new connection
     counted: float = 0.0
     lost: bool = False  # its answer will not come
-    held: bool = False  # something may have been held for its course before
 
 
 @dataclass(slots=True, eq=False)
@@ -95,12 +96,9 @@
     writer: Seat | None = None
     leg: Leg | None = None
     legs: int = 0
-    state_at: Seat | None = None
-    held_since: float = 0.0  # the last outcome, from which the release time counts
-    unheard: bool = False  # its last read ended with no word, and may leave a state yet
+    lease: Lease[Seat] = field(default_factory=Lease)  # what may be held for it
     may_have_run: tuple[float, Server] | None = None
     waited: bool = False  # no pair was found for it yet
-    holds: bool = False  # a state may be held for it somewhere
     over: bool = False
     asked: set[Seat] = field(default_factory=set)  # whose report the choice of a pair waits for
     agreed: list[Seat] = field(default_factory=list)  # keep its opening, the first its session
--- a/ternlane/platform/node.py
+++ b/ternlane/platform/node.py
@@ -20,6 +20,7 @@
 from ternlane.turns import Chooser, Terminated, Throttled, Turns, begin_check, now_ms
 
 TRAILS = 512  # requests whose attempts and transitions are kept for who asks
+RELEASE_TRIES = 8  # release times for which a release that no server has heard is said again
 STREAM_HEAD = [("Content-Type", "text/event-stream"), ("Cache-Control", "no-cache"), ("Transfer-Encoding", "chunked")]
 
 
@@ -310,30 +311,36 @@
     async def release(self, ticket: Ticket, done: trio.Event, again: bool) -> None:
         within = self.deployment.facts.release_ms
         try:
-            await self.release_once(ticket, within)
+            await self.release_until_heard(ticket, within)
             done.set()
             if again:
                 await trio.sleep(within / 2000)
-                await self.release_once(ticket, within)
+                await self.release_until_heard(ticket, within)
         except Exception:
             self.log.exception("release")
         finally:
             self.releasing -= 1
             done.set()
 
-    async def release_once(self, ticket: Ticket, within_ms: float) -> None:
-        """Asks servers to release what is held for the request until one has heard it."""
+    async def release_until_heard(self, ticket: Ticket, within_ms: float) -> None:
+        """Asks servers to release what is held for the request until one has heard it. What nobody has heard within the
+        release time is owed all the same: it is said again, a bounded number of times."""
         since = now_ms()
-        heard_by = await self.engines.release(ticket.ident, self.addresses(), within_ms)
-        took = now_ms() - since
-        if heard_by is None:
+        for _ in range(RELEASE_TRIES):
+            heard_by = await self.engines.release(ticket.ident, self.addresses(), within_ms)
+            took = now_ms() - since
+            if heard_by is not None:
+                break
             self.counts["release unheard"] += 1
             ticket.note("release unheard")
             self.log.warning("release unheard", gen=ticket.ident, took_ms=round(took, 1))
+        else:
             return
         self.counts["release heard"] += 1
         self.held_states.ended(ticket.ident, now_ms())
         ticket.note(f"release heard by {heard_by}")
+        if not ticket.over:
+            self.tell(port.ReleaseHeard(ticket.gen))
         self.log.debug("release heard", gen=ticket.ident, by=heard_by, took_ms=round(took, 1))
 
     async def hold(self, ticket: Ticket, server: Server) -> None:
--- a/ternlane/port.py
+++ b/ternlane/port.py
@@ -82,6 +82,7 @@
     REQUEST_OVER = auto()  # answered, failed or left by its client
     BEFORE_NEW_PREFILL = auto()  # the prompt is to be read again, or the request queues for that
     STREAM_BROKE = auto()  # its client has a part of the answer
+    UNCONFIRMED = auto()  # nothing shows in time that the attempt which is to take it has arrived
     UNKNOWN = auto()
 
 
@@ -168,7 +169,9 @@
     fall_ms: float
     step_ms: float
     told_if_asked: bool = False  # model servers report their load to Probe, and in no answer
-    holds_run_on: bool = True  # the release time is not begun anew by a leg that found no connection
+    holds_run_on: bool = True  # only an attempt that has reached a running server stops the release time
+    # A release leaves alone what an attempt waits for that has arrived, so it may be sent while one is out.
+    releases_spare_attempts: bool = False
 
 
 @dataclass(slots=True, frozen=True)
@@ -249,6 +252,13 @@
     gen: Generation
 
 
+@dataclass(slots=True, frozen=True)
+class ReleaseHeard:
+    """A server has confirmed the newest release of what is held for it."""
+
+    gen: Generation
+
+
 @dataclass(slots=True, frozen=True)
 class PlaceHeld:
     """The answer to HoldAhead."""
@@ -289,6 +299,7 @@
     | FirstTok
     | LegEnded
     | GoOn
+    | ReleaseHeard
     | PlaceHeld
     | Checked
     | ClientLeft
@@ -339,8 +350,9 @@
 
 @dataclass(slots=True, frozen=True)
 class LetGo:
-    """Frees what is held for it, at whichever server. `again`: once more within the release time, as a read that ended
-    unheard may yet leave a state, and nothing else is to come."""
+    """Releases what is held for it, at whichever server, but for what an attempt waits for that has arrived. `again`:
+    once more within the release time, as a read that ended unheard may yet leave a state, and nothing else is to
+    come."""
 
     gen: Generation
     again: bool = False
--- a/ternlane/standin/platform.py
+++ b/ternlane/standin/platform.py
@@ -71,26 +71,14 @@
         self.opened.set()
 
 
-@dataclass(slots=True)
-class HeldSpan:
-    """A state that was held for a request, by trio's clock. `until` is None while it still is."""
-
-    request_id: str
-    server: str
-    since_s: float
-    until_s: float | None = None
-
-    def held_ms(self, now_s: float) -> float:
-        return ((now_s if self.until_s is None else self.until_s) - self.since_s) * 1000
-
-
 @dataclass(eq=False)
 class Fleet:
     """What all servers share, as on the platform: states by request, and who holds them."""
 
     nursery: trio.Nursery
     states: dict[str, str] = field(default_factory=dict)
-    spans: list[HeldSpan] = field(default_factory=list)  # every state there was
+    held_since_s: dict[str, float] = field(default_factory=dict)  # by request, by trio's clock
+    longest_held_s: float = 0.0  # of the states that are no more
     awaited: set[str] = field(default_factory=set)  # requests whose attempt has arrived and waits for its state
     seen: list[tuple[str, str, str]] = field(default_factory=list)  # server, kind of call, id
     spread_ms: float = 0.0  # until a DELETE has reached the other servers
@@ -103,17 +91,22 @@
     def hold(self, request_id: str, server: str) -> None:
         """A prefill has ended, and its state waits."""
         self.states[request_id] = server
-        self.spans.append(HeldSpan(request_id, server, trio.current_time()))
+        self.held_since_s[request_id] = trio.current_time()
 
     def end_hold(self, request_id: str) -> bool:
         """Its state is taken or released. False where there was none."""
         if self.states.pop(request_id, None) is None:
             return False
-        for span in self.spans:
-            if span.request_id == request_id and span.until_s is None:
-                span.until_s = trio.current_time()
+        now_s = trio.current_time()
+        self.longest_held_s = max(self.longest_held_s, now_s - self.held_since_s.pop(request_id, now_s))
         return True
 
+    def longest_held_ms(self) -> float:
+        """For how long any state was held, or is held by now."""
+        now_s = trio.current_time()
+        held_s = [now_s - since_s for since_s in self.held_since_s.values()]
+        return max([self.longest_held_s, *held_s]) * 1000
+
     def count(self, kind: str) -> int:
         return sum(k == kind for _, k, _ in self.seen)
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -4,6 +4,7 @@
 
 import zlib
 from dataclasses import dataclass, replace
+from math import inf
 from typing import Any
 
 import pytest
@@ -19,15 +20,27 @@
     servers: dict[str, Server]
     products: dict[Effect, Product]
     now: float = 0.0
+    alarm: float = inf  # when the module wants to be woken besides its beat
+
+    def take(self, *events: Any) -> list[Any]:
+        said = self.router.take(self.now, list(events))
+        self.alarm = min([self.alarm, *(a.at_ms for a in said if isinstance(a, port.Wake) and not a.beat)])
+        return said
 
     def tell(self, *events: Any, after: float = 0.0) -> list[Any]:
         """Lets time pass beat by beat, then hands over the events; answers the actions that are not timers."""
         until, said = self.now + after, []
-        while self.now + 50.0 <= until:
-            self.now += 50.0
-            said += self.router.take(self.now, [port.Woken(True)])
+        beat = self.now + 50.0
+        while min(beat, self.alarm) <= until:
+            self.now = max(self.now, min(beat, self.alarm))
+            if self.alarm <= beat:
+                self.alarm = inf
+                said += self.take(port.Woken(False))
+            else:
+                beat += 50.0
+                said += self.take(port.Woken(True))
         self.now = until
-        said += self.router.take(self.now, list(events))
+        said += self.take(*events)
         return [a for a in said if not isinstance(a, (port.Wake, port.Log))]
 
     def list(self, **lives: Life) -> list[Any]:
--- a/tests/test_held_state.py
+++ b/tests/test_held_state.py
@@ -45,11 +45,6 @@
     await trio.sleep(0.1)  # a connection rests before it is used again
 
 
-def longest_held_ms(p: Platform) -> float:
-    now_s = trio.current_time()
-    return max(span.held_ms(now_s) for span in p.fleet.spans)
-
-
 async def test_a_state_is_released_in_time_though_its_decode_attempt_never_arrives(tmp_path: Path) -> None:
     """Both classes wait for longer than the release time for an answer that will not come."""
     told = settings(target_ms=2000.0, deadline_ms=10e3)
@@ -60,7 +55,7 @@
             proxies[0].stall()
             replies = await ask_all(p, "summary", "note", "summary", timeout_s=2.5)
             assert proxies[0].swallowed_bytes and all(reply.status in (502, 503) for reply in replies)
-            assert longest_held_ms(p) <= RELEASE_MS + SLACK_MS
+            assert p.fleet.longest_held_ms() <= RELEASE_MS + SLACK_MS
 
 
 async def test_attempts_that_never_arrive_one_after_the_other_do_not_prolong_the_release_time(tmp_path: Path) -> None:
@@ -73,4 +68,4 @@
             for proxy in proxies:
                 proxy.stall()
             await ask_all(p, "summary", "summary", timeout_s=2.5)
-            assert longest_held_ms(p) <= RELEASE_MS + SLACK_MS
+            assert p.fleet.longest_held_ms() <= RELEASE_MS + SLACK_MS
--- /dev/null
+++ b/tests/test_lease.py
@@ -0,0 +1,161 @@
+"""What may be held for a request, since when, and by when it is released: the lease by itself, and in the decisions."""
+
+from __future__ import annotations
+
+from math import inf
+from typing import Any
+
+import pytest
+
+from ternlane import port
+from ternlane.policy.lease import RELEASE_RESERVE, Lease, ReleaseSchedule
+from ternlane.port import Effect, ReleaseReason, Verdict
+from tests.conftest import FACTS, FakeHost, build, kinds, sent
+
+GUARD_MS = (1 - RELEASE_RESERVE) * FACTS.release_ms
+PREFILL, DECODE = True, False
+
+
+def prefilled(at: float = 100.0) -> Lease[str]:
+    lease: Lease[str] = Lease()
+    lease.attempt_begins()
+    lease.attempt_ended(Verdict.READ, "p0", PREFILL, False, at)
+    return lease
+
+
+@pytest.mark.parametrize(
+    "verdict, renewed",
+    [
+        (Verdict.FULL, True),  # a running server has answered
+        (Verdict.ERROR, True),
+        (Verdict.TIMED_OUT, False),  # nothing shows that it has arrived
+        (Verdict.RESET, False),
+        (Verdict.CALLED_OFF, False),
+        (Verdict.UNCONNECTED, False),
+        (Verdict.WITHHELD, False),
+    ],
+)
+def test_only_an_answer_begins_the_release_time_anew(verdict: Verdict, renewed: bool) -> None:
+    lease = prefilled(at=100.0)
+    lease.attempt_begins()
+    lease.attempt_ended(verdict, "d0", DECODE, False, 300.0)
+    assert lease.since == (300.0 if renewed else 100.0) and lease.held_at == "p0" and lease.may_hold
+
+
+@pytest.mark.parametrize("verdict", [Verdict.TIMED_OUT, Verdict.RESET])
+def test_what_outlasts_a_confirmed_release_was_kept_for_an_attempt_that_had_arrived(verdict: Verdict) -> None:
+    lease = prefilled()
+    lease.attempt_begins()
+    lease.released_early()
+    lease.release_heard()
+    lease.attempt_ended(verdict, "d0", DECODE, False, 900.0)
+    assert lease.since == 900.0 and lease.held_at == "p0"
+    lease.attempt_begins()  # what was heard for one attempt says nothing of the next
+    lease.attempt_ended(verdict, "d1", DECODE, False, 1000.0)
+    assert lease.since == 900.0
+
+
+def test_a_confirmation_counts_only_for_a_release_while_the_attempt_was_out() -> None:
+    lease = prefilled()
+    lease.release_heard()
+    lease.attempt_begins()
+    lease.release_heard()  # of an earlier release
+    lease.attempt_ended(Verdict.TIMED_OUT, "d0", DECODE, False, 900.0)
+    assert lease.since == 100.0
+
+
+def test_the_schedule_forgets_times_that_no_longer_hold() -> None:
+    schedule: ReleaseSchedule[str] = ReleaseSchedule()
+    a, b = prefilled(), prefilled()
+    assert schedule.add("a", a, 300.0) and not schedule.add("b", b, 400.0)
+    assert schedule.add("a", a, 200.0)  # another time for the same one
+    a.attempt_answered()
+    assert schedule.next_at() == 400.0 and schedule.take_due(399.0) == []
+    assert schedule.take_due(400.0) == ["b"] and schedule.next_at() == inf
+
+
+# -- in the decisions
+
+
+def platform_like(*extra: str, **facts: Any) -> FakeHost:
+    return build(extra, releases_spare_attempts=True, **facts)
+
+
+def released(said: list[Any]) -> list[ReleaseReason]:
+    return [action.why for action in said if isinstance(action, port.LetGo)]
+
+
+@pytest.mark.parametrize("effect", list(Effect))
+def test_a_state_whose_decode_attempt_is_not_answered_is_released_once_and_the_attempt_goes_on(effect: Effect) -> None:
+    host = platform_like()
+    host.written(effect)
+    assert host.tell(after=GUARD_MS - 1) == []
+    said = host.tell(after=1)
+    assert kinds(said) == [port.LetGo] and released(said) == [ReleaseReason.UNCONFIRMED]
+    assert host.tell(after=100) == []
+
+
+def test_a_state_that_a_decode_attempt_has_taken_is_not_released() -> None:
+    host = platform_like()
+    gen, leg = host.written()
+    host.first(gen, leg.server)
+    assert not released(host.tell(after=2 * FACTS.release_ms))
+
+
+def test_an_attempt_that_timed_out_does_not_prolong_the_release_time() -> None:
+    host = platform_like("w2", "w3")
+    gen, leg = host.written()
+    said = host.end(gen, leg.server, Verdict.TIMED_OUT, after=GUARD_MS / 2)
+    leg = sent(said)
+    assert leg.server.duty is port.Duty.WRITE and not released(said)  # another may still take it
+    assert released(host.tell(after=GUARD_MS / 2)) == [ReleaseReason.UNCONFIRMED]
+    said = host.end(gen, leg.server, Verdict.TIMED_OUT, after=50.0)  # nobody has heard the release
+    assert released(said) == [ReleaseReason.BEFORE_NEW_PREFILL] and sent(said).server.duty is port.Duty.READ
+
+
+def test_a_state_that_survives_a_heard_release_is_handed_on() -> None:
+    """The servers kept it for the attempt, which had arrived and was merely slow."""
+    host = platform_like("w2")
+    gen, leg = host.written()
+    assert released(host.tell(after=GUARD_MS)) == [ReleaseReason.UNCONFIRMED]
+    host.tell(port.ReleaseHeard(gen))
+    said = host.end(gen, leg.server, Verdict.TIMED_OUT, after=250.0)
+    assert sent(said).server.duty is port.Duty.WRITE and not released(said)
+    assert released(host.tell(after=GUARD_MS)) == [ReleaseReason.UNCONFIRMED]  # that one has its own time
+
+
+def test_nothing_is_released_while_a_prefill_is_out() -> None:
+    """It would take with it what that prefill is about to leave."""
+    host = platform_like()
+    gen = host.gen()
+    first = sent(host.arrive(gen))
+    said = host.end(gen, first.server, Verdict.RESET)
+    assert released(said) == [ReleaseReason.BEFORE_NEW_PREFILL] and sent(said).server is not first.server
+    assert not released(host.tell(after=2 * FACTS.release_ms))
+
+
+def test_what_an_unheard_prefill_may_leave_is_released_again_while_its_request_queues() -> None:
+    host = platform_like()
+    host.list(r0=port.Life.DRAINING)
+    large = sent(host.arrive(host.gen(prompt_toks=190e3, opening=None)))
+    host.list(r0=port.Life.UP)
+    gen = host.gen(opening=None)
+    first = sent(host.arrive(gen))
+    assert first.server is not large.server
+    said = host.end(gen, first.server, Verdict.RESET)
+    assert kinds(said) == [port.LetGo]  # no prefill server has room
+    assert released(host.tell(after=GUARD_MS)) == [ReleaseReason.UNCONFIRMED]
+
+
+def test_a_client_that_has_left_changes_nothing_where_attempts_can_not_be_cancelled() -> None:
+    host = platform_like(may_call_off=False)
+    gen, _ = host.written(Effect.SIDE_EFFECTING)
+    host.tell(port.ClientLeft(gen))
+    assert released(host.tell(after=GUARD_MS)) == [ReleaseReason.UNCONFIRMED]
+
+
+@pytest.mark.parametrize("facts", [{"releases_spare_attempts": False}, {"holds_run_on": False}])
+def test_where_a_release_would_harm_an_attempt_or_sends_can_not_be_lost_none_is_early(facts: dict[str, bool]) -> None:
+    host = build(**({"releases_spare_attempts": True} | facts))
+    host.written()
+    assert not released(host.tell(after=2 * FACTS.release_ms))
--- a/tests/test_variants.py
+++ b/tests/test_variants.py
@@ -205,7 +205,7 @@
 # -- where constants come from
 
 ROOT = Path(__file__).parent.parent
-CHECKED = ["platform", "http1", "turns.py", "deployment.py", "choice.py"]
+CHECKED = ["platform", "http1", "policy", "turns.py", "deployment.py", "choice.py"]
 
 
 def test_the_page_says_of_every_constant_where_it_comes_from() -> None:
