Fault tests of held state; a state is handed on after a release only if its server was heard

Cause: a confirmed release leaves the state of an attempt that had arrived and takes that of one that had not; handing it on regardless cost a silent server's requests one of their five attempts (transitions of a play with four of five decode servers stalled: two attempts with no state, then 410). Change: the release time begins anew after such an attempt only where its server has answered anything since it was sent; else the prompt is read again. No prefill begins that would be the last attempt, as no decode could follow. Eight fault tests on gateway processes: silent, late, slow, stopped, told to end.

--- a/ternlane/choice.py
+++ b/ternlane/choice.py
@@ -16,7 +16,7 @@
 from ternlane import port
 from ternlane.notes import (Actor, Beat, Booked, Course, Doubt, Home, Leg, Limits, Loop, Lost, News,
                             Onward, Record, Reported, Seat, Sent, StageEnded, Standing, Trouble, Unbooked)
-from ternlane.policy.lease import RELEASE_RESERVE, ReleaseSchedule
+from ternlane.policy.lease import ANSWERED, RELEASE_RESERVE, AttemptEnd, ReleaseSchedule
 from ternlane.port import (Duty, Effect, Event, Generation, Group, Life, Product, Refusal, ReleaseReason,
                            Server, StartFacts, Verdict)
 
@@ -61,6 +61,7 @@
         self.said: tuple[float, float, float | None] | None = None   # when, memory share, generations held
         self.done = self.due = self.cold_until = self.linked_until = 0.0
         self.strikes, self.shut_until, self.trial, self.answered = 0, 0.0, False, -inf
+        self.heard_at = -inf
         self.beat_at, self.sent, self.fleet = router.now, 0.0, Beat()
 
     def handle(self, note: Any) -> None:
@@ -299,6 +300,11 @@
     def spent(self, course: Course) -> bool:
         return self.router.now >= course.limit_at or course.legs >= self.limits.leg_limit
 
+    def too_few_attempts(self, course: Course) -> bool:
+        """A prefill needs a decode after it, but where a server does both in one attempt."""
+        two_stages = not any(e.reads and e.writes for e in self.board)
+        return two_stages and course.legs > 0 and course.legs + 2 > self.limits.leg_limit
+
     def toks(self, course: Course, engine: Seat) -> float:
         return course.gen.prompt_toks + (OUT_SHARE * course.gen.max_toks if engine.writes else 0.0)
 
@@ -396,7 +402,7 @@
 
     def refusal(self, course: Course) -> Refusal | None:
         """Why no prefill should begin for it any more."""
-        if self.spent(course):
+        if self.spent(course) or self.too_few_attempts(course):
             return Refusal.ATTEMPTS_SPENT
         if self.hopeless(course):
             return Refusal.DEADLINE_TOO_CLOSE
@@ -582,6 +588,7 @@
     def first_tok(self, course: Course, leg: Leg, took: float) -> None:
         product = course.gen.product
         course.lease.attempt_answered()
+        leg.engine.heard_at = self.router.now
         self.learn(product, "open", took)
         if course.reader is not None and course.reader is not course.writer:
             course.reader.post(Unbooked(course))
@@ -614,7 +621,10 @@
             self.read_took(course, leg, note)
         elif verdict is Verdict.TIMED_OUT:
             self.learn(product, "open", note.took_ms)
-        course.lease.attempt_ended(verdict, engine, engine.reads, note.state_lost, self.router.now)
+        if verdict in ANSWERED or good:
+            engine.heard_at = self.router.now
+        end = AttemptEnd(verdict, engine.reads, note.state_lost, engine.heard_at > leg.sent)
+        course.lease.attempt_ended(end, engine, self.router.now)
         course.over = course.over or note.over
         if course.over:
             return self.let_go(course)
--- a/ternlane/policy/lease.py
+++ b/ternlane/policy/lease.py
@@ -30,6 +30,16 @@
 RequestT = TypeVar("RequestT")
 
 
+@dataclass(slots=True, frozen=True)
+class AttemptEnd:
+    """What the end of an attempt tells of what is held."""
+
+    verdict: Verdict
+    prefills: bool  # its server may have read the prompt
+    state_lost: bool  # it found no state to go on with
+    server_heard: bool  # its server has answered this or another attempt since it was sent
+
+
 @dataclass(slots=True, eq=False)
 class Lease(Generic[ServerT]):
     """What may be held for one request. Times are milliseconds of the decisions' clock."""
@@ -51,25 +61,26 @@
         """A decode server has begun its answer: it has taken the state."""
         self.held_at, self.may_hold, self.release_at = None, False, inf
 
-    def attempt_ended(self, verdict: Verdict, server: ServerT, prefills: bool, state_lost: bool, now: float) -> None:
-        """`prefills`: the attempt's server may have read the prompt; `state_lost`: it found no state to go on with."""
+    def attempt_ended(self, end: AttemptEnd, server: ServerT, now: float) -> None:
+        verdict = end.verdict
         if verdict in NOTHING_LEFT:
             self.may_hold = self._held_before
-        elif prefills:
+        elif end.prefills:
             self.unheard = verdict is not Verdict.READ
-        if self._renews(verdict, prefills):
+        if self._renews(end):
             self.since = now
-        if state_lost:
+        if end.state_lost:
             self.held_at = None
         elif verdict is Verdict.READ:
             self.held_at = server
 
-    def _renews(self, verdict: Verdict, prefills: bool) -> bool:
+    def _renews(self, end: AttemptEnd) -> bool:
         """Whether the release time begins anew with this outcome: only where the attempt must have been out until now,
-        or has left nothing else. A state that outlasted a confirmed release was kept for an attempt that arrived."""
-        if verdict in NEVER_SENT:
+        or has left nothing else. A state that outlasted a confirmed release was kept for an attempt that arrived; where
+        nothing was heard of its server meanwhile, there is hardly one left to hand on."""
+        if end.verdict in NEVER_SENT:
             return False
-        return prefills or verdict in ANSWERED or self._release_heard
+        return end.prefills or end.verdict in ANSWERED or (self._release_heard and end.server_heard)
 
     def released(self, over: bool) -> None:
         """A release goes out. Once the request is over it is said to the last; before, an unheard prefill may still
--- a/tests/test_held_state.py
+++ b/tests/test_held_state.py
@@ -6,12 +6,16 @@
 
 from __future__ import annotations
 
+import signal
 from pathlib import Path
 from typing import Any
 
+import pytest
 import trio
 
+from ternlane.standin.platform import Gate
 from ternlane.standin.proxy import StallingProxy
+from tests.crossing import until
 from tests.platform_world import TOLD, Platform, platform, until_ready
 from tests.test_platform_bounds import running
 from tests.world import Reply
@@ -27,16 +31,16 @@
 
 async def ask_all(p: Platform, *classes: str, timeout_s: float) -> list[Reply]:
     replies: list[Reply] = []
-
-    async def one(name: str) -> None:
-        replies.append(await p.ask(Request_Class=name, Request_Timeout=str(timeout_s)))
-
     async with trio.open_nursery() as nursery:
         for name in classes:
-            nursery.start_soon(one, name)
+            nursery.start_soon(ask_into, p, name, replies, timeout_s)
     return replies
 
 
+async def ask_into(p: Platform, name: str, replies: list[Reply], timeout_s: float = 4.0) -> None:
+    replies.append(await p.ask(Request_Class=name, Request_Timeout=str(timeout_s)))
+
+
 async def warm_up(p: Platform, proxies: list[StallingProxy]) -> None:
     """Leaves kept connections to all decode servers, as a gateway has that has served for a while."""
     await until_ready(p)
@@ -69,3 +73,114 @@
                 proxy.stall()
             await ask_all(p, "summary", "summary", timeout_s=2.5)
             assert p.fleet.longest_held_ms() <= RELEASE_MS + SLACK_MS
+
+
+async def test_four_decode_servers_in_five_fall_silent_under_many_requests(tmp_path: Path) -> None:
+    """All are answered, the fifth serves, nothing stays held, and no effect happens twice."""
+    told = settings(target_ms=2000.0, deadline_ms=10e3)
+    async with platform("r0", "r1", "w4", told=told) as p:
+        proxies = [await p.add_behind_proxy(f"w{n}") for n in range(4)]
+        async with running(p, tmp_path, settings=told):
+            await warm_up(p, proxies)
+            for proxy in proxies:
+                proxy.stall()
+            replies = await ask_all(p, *["summary"] * 16, *["note"] * 4, timeout_s=4.0)
+            assert p.fleet.longest_held_ms() <= RELEASE_MS + SLACK_MS
+            assert len(replies) == 20 and any(reply.status == 200 for reply in replies)
+            assert set(p.fleet.ran.values()) == {1}
+
+
+@pytest.mark.parametrize("name", ["summary", "note"])
+async def test_an_attempt_that_arrives_after_its_state_was_released_is_prefilled_anew(
+    tmp_path: Path, name: str
+) -> None:
+    """The decode server finds no state and has run nothing, so that even what may run only once is served."""
+    told = settings(target_ms=2000.0, deadline_ms=10e3)
+    async with platform("r0", told=told) as p:
+        proxy = await p.add_behind_proxy("w0")
+        async with running(p, tmp_path, settings=told):
+            await warm_up(p, [proxy])
+            proxy.stall()
+            replies: list[Reply] = []
+            prefills = p.fleet.count("read")
+            p.nursery.start_soon(ask_into, p, name, replies)
+            await until(lambda: p.fleet.count("DELETE") > 0 and not p.fleet.states)
+            proxy.deliver()
+            await until(lambda: replies)
+            assert replies[0].status == 200 and p.fleet.count("read") == prefills + 2
+            assert p.fleet.longest_held_ms() <= RELEASE_MS + SLACK_MS and set(p.fleet.ran.values()) == {1}
+
+
+@pytest.mark.parametrize("name", ["summary", "note"])
+async def test_an_attempt_that_waits_at_its_server_for_longer_than_the_release_time_is_served(
+    tmp_path: Path, name: str
+) -> None:
+    """It has arrived, so the server keeps what it waits for, whatever is released meanwhile."""
+    told = settings(target_ms=2000.0, deadline_ms=10e3)
+    async with platform("r0", "w0", told=told) as p, running(p, tmp_path, settings=told):
+        await until_ready(p)
+        gate = p.servers["w0"].gates["queue"] = Gate()
+        replies: list[Reply] = []
+        p.nursery.start_soon(ask_into, p, name, replies)
+        await until(lambda: p.fleet.count("DELETE") > 0)
+        await trio.sleep(RELEASE_MS / 1000)
+        gate.open()
+        await until(lambda: replies)
+        assert replies[0].status == 200 and p.fleet.count("read") == p.fleet.count("write") == 1
+
+
+async def test_a_release_finds_a_server_though_all_that_answered_last_are_silent_too(tmp_path: Path) -> None:
+    told = settings(target_ms=2000.0, deadline_ms=10e3)
+    async with platform("w9", told=told) as p:
+        proxies = [await p.add_behind_proxy(name) for name in ("r0", "w0", "w1", "w2")]
+        async with running(p, tmp_path, settings=told):
+            await warm_up(p, proxies)
+            p.servers["r0"].gates["request"] = prefill = Gate()
+            replies: list[Reply] = []
+            for _ in range(8):
+                p.nursery.start_soon(ask_into, p, "summary", replies)
+            await prefill.reached.wait()
+            for proxy in proxies[1:]:
+                proxy.stall()
+            prefill.open()
+            await until(lambda: sum(proxy.swallowed_bytes > 0 for proxy in proxies[1:]) == 3)
+            proxies[0].stall()
+            await until(lambda: not p.fleet.states)
+            assert p.fleet.longest_held_ms() <= RELEASE_MS + SLACK_MS
+
+
+async def test_a_gateway_that_is_told_to_end_leaves_nothing_held_behind_a_silent_attempt(tmp_path: Path) -> None:
+    told = settings(target_ms=2000.0, deadline_ms=1500.0)
+    async with platform("r0", told=told) as p:
+        proxy = await p.add_behind_proxy("w0")
+        async with running(p, tmp_path, settings=told) as (process, _):
+            await warm_up(p, [proxy])
+            proxy.stall()
+            replies: list[Reply] = []
+            for name in ("summary", "note"):
+                p.nursery.start_soon(ask_into, p, name, replies, 1.5)
+            await until(lambda: len(p.fleet.states) == 2)
+            process.send_signal(signal.SIGTERM)
+            with trio.fail_after(1.5 + 0.7):  # the longest deadline and 0.7 s: a kill comes no sooner
+                assert await process.wait() == 0
+            assert not p.fleet.states and p.fleet.longest_held_ms() <= RELEASE_MS + SLACK_MS
+            await until(lambda: len(replies) == 2)
+            assert all(reply.status in (502, 503) for reply in replies)
+
+
+async def test_a_gateway_that_stands_still_for_a_moment_releases_in_time_all_the_same(tmp_path: Path) -> None:
+    told = settings(target_ms=2000.0, deadline_ms=10e3)
+    async with platform("r0", told=told) as p:
+        proxy = await p.add_behind_proxy("w0")
+        async with running(p, tmp_path, settings=told) as (process, _):
+            await warm_up(p, [proxy])
+            proxy.stall()
+            replies: list[Reply] = []
+            p.nursery.start_soon(ask_into, p, "note", replies)
+            await until(lambda: p.fleet.states)
+            await trio.sleep(0.7 * RELEASE_MS / 1000)
+            process.send_signal(signal.SIGSTOP)
+            await trio.sleep(0.15)
+            process.send_signal(signal.SIGCONT)
+            await until(lambda: not p.fleet.states)
+            assert p.fleet.longest_held_ms() <= RELEASE_MS + SLACK_MS
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -8,18 +8,21 @@
 import pytest
 
 from ternlane import port
-from ternlane.policy.lease import RELEASE_RESERVE, Lease, ReleaseSchedule
+from ternlane.policy.lease import RELEASE_RESERVE, AttemptEnd, Lease, ReleaseSchedule
 from ternlane.port import Effect, ReleaseReason, Verdict
 from tests.conftest import FACTS, FakeHost, build, kinds, sent
 
 GUARD_MS = (1 - RELEASE_RESERVE) * FACTS.release_ms
-PREFILL, DECODE = True, False
+
+
+def decode_ended(verdict: Verdict, server_heard: bool = False) -> AttemptEnd:
+    return AttemptEnd(verdict, prefills=False, state_lost=False, server_heard=server_heard)
 
 
 def prefilled(at: float = 100.0) -> Lease[str]:
     lease: Lease[str] = Lease()
     lease.attempt_begins()
-    lease.attempt_ended(Verdict.READ, "p0", PREFILL, False, at)
+    lease.attempt_ended(AttemptEnd(Verdict.READ, True, False, True), "p0", at)
     return lease
 
 
@@ -38,7 +41,7 @@
 def test_only_an_answer_begins_the_release_time_anew(verdict: Verdict, renewed: bool) -> None:
     lease = prefilled(at=100.0)
     lease.attempt_begins()
-    lease.attempt_ended(verdict, "d0", DECODE, False, 300.0)
+    lease.attempt_ended(decode_ended(verdict), "d0", 300.0)
     assert lease.since == (300.0 if renewed else 100.0) and lease.held_at == "p0" and lease.may_hold
 
 
@@ -48,19 +51,28 @@
     lease.attempt_begins()
     lease.released_early()
     lease.release_heard()
-    lease.attempt_ended(verdict, "d0", DECODE, False, 900.0)
+    lease.attempt_ended(decode_ended(verdict, server_heard=True), "d0", 900.0)
     assert lease.since == 900.0 and lease.held_at == "p0"
     lease.attempt_begins()  # what was heard for one attempt says nothing of the next
-    lease.attempt_ended(verdict, "d1", DECODE, False, 1000.0)
+    lease.attempt_ended(decode_ended(verdict, server_heard=True), "d1", 1000.0)
     assert lease.since == 900.0
 
 
+def test_a_release_that_was_heard_leaves_nothing_for_an_attempt_to_a_server_that_was_not() -> None:
+    lease = prefilled()
+    lease.attempt_begins()
+    lease.released_early()
+    lease.release_heard()
+    lease.attempt_ended(decode_ended(Verdict.TIMED_OUT, server_heard=False), "d0", 900.0)
+    assert lease.since == 100.0
+
+
 def test_a_confirmation_counts_only_for_a_release_while_the_attempt_was_out() -> None:
     lease = prefilled()
     lease.release_heard()
     lease.attempt_begins()
     lease.release_heard()  # of an earlier release
-    lease.attempt_ended(Verdict.TIMED_OUT, "d0", DECODE, False, 900.0)
+    lease.attempt_ended(decode_ended(Verdict.TIMED_OUT, server_heard=True), "d0", 900.0)
     assert lease.since == 100.0
 
 
@@ -113,15 +125,36 @@
     assert released(said) == [ReleaseReason.BEFORE_NEW_PREFILL] and sent(said).server.duty is port.Duty.READ
 
 
-def test_a_state_that_survives_a_heard_release_is_handed_on() -> None:
-    """The servers kept it for the attempt, which had arrived and was merely slow."""
+@pytest.mark.parametrize("server_heard", [True, False])
+def test_a_state_that_survives_a_heard_release_is_handed_on(server_heard: bool) -> None:
+    """The servers kept it for the attempt, if that had arrived and was merely slow: its server answers others."""
     host = platform_like("w2")
     gen, leg = host.written()
     assert released(host.tell(after=GUARD_MS)) == [ReleaseReason.UNCONFIRMED]
     host.tell(port.ReleaseHeard(gen))
-    said = host.end(gen, leg.server, Verdict.TIMED_OUT, after=250.0)
-    assert sent(said).server.duty is port.Duty.WRITE and not released(said)
-    assert released(host.tell(after=GUARD_MS)) == [ReleaseReason.UNCONFIRMED]  # that one has its own time
+    if server_heard:
+        other = host.gen()
+        prefill = sent(host.arrive(other))
+        host.list(w1=port.Life.DRAINING, w2=port.Life.DRAINING, w0=port.Life.DRAINING)
+        name = next(name for name, server in host.servers.items() if server is leg.server)
+        host.list(**{name: port.Life.UP})
+        decode = sent(host.end(other, prefill.server, Verdict.READ))
+        assert decode.server is leg.server
+        host.first(other, decode.server)
+        host.list(w0=port.Life.UP, w1=port.Life.UP, w2=port.Life.UP)
+    said = host.end(gen, leg.server, Verdict.TIMED_OUT, after=50.0)
+    if server_heard:
+        assert sent(said).server.duty is port.Duty.WRITE and not released(said)
+        assert released(host.tell(after=GUARD_MS)) == [ReleaseReason.UNCONFIRMED]  # that one has its own time
+    else:
+        assert sent(said).server.duty is port.Duty.READ and released(said) == [ReleaseReason.BEFORE_NEW_PREFILL]
+
+
+def test_no_prefill_begins_that_would_be_the_last_attempt() -> None:
+    host = platform_like(leg_limit=3)
+    gen, leg = host.written()
+    said = host.end(gen, leg.server, Verdict.FULL, state_lost=True)
+    assert kinds(said) == [port.LetGo, port.Throttle] and said[-1].why is port.Refusal.ATTEMPTS_SPENT
 
 
 def test_nothing_is_released_while_a_prefill_is_out() -> None:
