Failing accept, connect, log writes and stepped clocks end nothing and count against no server

Cause, found while the paths related to the incident were read: an error of accept that is on no list, or EBADF for a moment, ended the task that serves everybody or the accept loop; a shutdown of the chat gateway caught none; the report task counted descriptors by opening one and ended the process where none was left; a log that is full, closed or not read raised or stopped the loop; a lack of descriptors or addresses on this machine ejected healthy servers; a server's start was dated by a wall clock that may have been stepped. Change: accept is tried again after any error while its listener is open; Pool tries again within the connect time-out on errors that tell of this machine (LOCAL_SHORTAGES, counted in the report); LogOutput drops and counts what can't be written at once; WallClock remembers the wall clock's distances from the monotonic clock and takes the latest possible start.

--- a/ternlane/cli.py
+++ b/ternlane/cli.py
@@ -16,6 +16,7 @@
 import trio
 
 from ternlane import __version__
+from ternlane.log_output import log_file
 from ternlane.paper import GatewayPaper, PaperError, read_paper
 
 USAGE, DATA, UNAVAILABLE = 64, 65, 69
@@ -41,7 +42,7 @@
             structlog.processors.JSONRenderer(),
         ],
         wrapper_class=structlog.make_filtering_bound_logger(logging.getLevelNamesMapping()[level.upper()]),
-        logger_factory=structlog.WriteLoggerFactory(file=sys.stderr),
+        logger_factory=structlog.WriteLoggerFactory(file=log_file(sys.stderr)),
         cache_logger_on_first_use=True,
     )
 
--- a/ternlane/gateway/gateway.py
+++ b/ternlane/gateway/gateway.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import errno
 import time
 from contextlib import asynccontextmanager
 from functools import partial
@@ -31,7 +30,9 @@
 
 BACKLOG = 4096
 ALTERED = ("door", "nodes", "products", "fleet", "gateways", "zone")  # taken over by a running gateway
-SHORT_OF = (errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.ENOBUFS, errno.ECONNABORTED)
+ACCEPT_PAUSE_S = 0.1  # after a connection could not be taken
+ACCEPT_FAILURES = 5  # of these while a listener's queue is emptied at the end
+QUEUE_EMPTY_S = 0.01  # no connection for so long: the queue is empty
 
 
 def split(address: str) -> tuple[str, int]:
@@ -204,13 +205,13 @@
         while True:
             try:
                 stream = await listener.accept()
-            except trio.ClosedResourceError:
-                return  # closed by `drain` or the end, with a connection just arriving
-            except OSError as why:
-                if why.errno not in SHORT_OF:
-                    raise
-                self.log.error("no connection can be taken", why=str(why))
-                await trio.sleep(0.1)  # files or memory ran out: what closes meanwhile makes room
+            except (trio.ClosedResourceError, OSError) as why:
+                if listener.socket.fileno() < 0:
+                    return  # closed by `drain` or the end, with a connection just arriving
+                # Files or memory ran out, and what closes meanwhile makes room; or a connection or the network failed:
+                # none of it may end the connections that are served.
+                self.log.error("no connection can be taken", why=repr(why))
+                await trio.sleep(ACCEPT_PAUSE_S)
             else:
                 self.nursery.start_soon(self.door.connection, stream)
 
@@ -229,13 +230,8 @@
         """Takes nothing new, lets what is open end, and gives up on the rest when the time is over."""
         self.doors.cancel()
         for listener in self.listeners:  # who has come already is served; who comes now hears that nobody listens
-            while not self.handed_over:  # where another process has the socket too, its queue is that one's
-                stream = None
-                with trio.move_on_after(0.01):
-                    stream = await listener.accept()
-                if stream is None:
-                    break
-                self.nursery.start_soon(self.door.connection, stream)
+            if not self.handed_over:  # where another process has the socket too, its queue is that one's
+                await self._accept_the_rest(listener)
             listener.socket.close()
         await trio.sleep(0.05)  # for requests that were under way
         self.door.draining = True
@@ -244,6 +240,23 @@
                 await trio.sleep(0.02)
         await self.stop()
 
+    async def _accept_the_rest(self, listener: trio.SocketListener) -> None:
+        """Takes what waits in the listener's queue. A connection that can't be taken is tried again for a while."""
+        failures = 0
+        while failures < ACCEPT_FAILURES:
+            stream = None
+            try:
+                with trio.move_on_after(QUEUE_EMPTY_S):
+                    stream = await listener.accept()
+            except (trio.ClosedResourceError, OSError) as why:
+                failures += 1
+                self.log.error("no connection can be taken", why=repr(why))
+                await trio.sleep(ACCEPT_PAUSE_S)
+                continue
+            if stream is None:
+                return
+            self.nursery.start_soon(self.door.connection, stream)
+
     async def stop(self) -> None:
         """Gives up on what is open, lets go of what is held, and keeps the bills. After `drain` there is nothing left
         to do; a block that ends without it loses nothing either."""
--- a/ternlane/http1/caller.py
+++ b/ternlane/http1/caller.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 from collections import OrderedDict
 from ipaddress import ip_address
 from math import inf
@@ -17,6 +18,11 @@
 CHUNK = 65536
 PER_PEER = 64  # idle connections kept for each peer
 HEAD_BYTES = 16384  # of an answer's head, or of a chunk's line
+# Errors of socket, bind and connect that tell of this machine, not of the peer; what is short comes back in a moment.
+LOCAL_SHORTAGES = frozenset(
+    {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL, errno.ENETUNREACH, errno.EAGAIN}
+)
+SHORTAGE_PAUSE_S = 0.01
 INTERIM = 16  # heads that may come ahead of the answer's (1xx)
 
 
@@ -151,6 +157,7 @@
         self.open: set[Caller] = set()
         self.opening = 0
         self.made = 0
+        self.shortages = 0  # tries for a connection that failed for want of something on this machine
         self.wear = Wear(idle_ms)
 
     def set_limits(self, connect_ms: float, idle_ms: float, limit: float) -> None:
@@ -187,7 +194,7 @@
         self.opening += 1
         try:
             with trio.fail_after(self.connect_ms / 1000):
-                stream = await reach(host.strip("[]"), int(port), self.source)
+                stream = await self._reach(host.strip("[]"), int(port))
         except (OSError, trio.TooSlowError) as why:
             raise Unconnected(f"{peer}: {why!r}") from None
         finally:
@@ -199,6 +206,17 @@
         caller.on_close = self._closed
         return caller
 
+    async def _reach(self, host: str, port: int) -> trio.SocketStream:
+        """A connection, tried again while this machine is short of something: that is no fault of the peer's."""
+        while True:
+            try:
+                return await reach(host, port, self.source)
+            except OSError as why:
+                if why.errno not in LOCAL_SHORTAGES:
+                    raise
+            self.shortages += 1
+            await trio.sleep(SHORTAGE_PAUSE_S)
+
     def _rested(self, caller: Caller) -> None:
         """It lies idle no more."""
         if self.resting.pop(caller, self) is None:
--- a/ternlane/platform/front.py
+++ b/ternlane/platform/front.py
@@ -54,8 +54,11 @@
         while True:
             try:
                 stream = await listener.accept()
-            except trio.ClosedResourceError:
-                return
+            except trio.ClosedResourceError as why:
+                if listener.socket.fileno() < 0:
+                    return
+                await self.accept_failed(why)
+                continue
             except OSError as why:
                 await self.accept_failed(why)
                 continue
@@ -71,30 +74,31 @@
         by = trio.current_time() + within_ms / 1000
         while True:
             stream: trio.SocketStream | None = None
-            failed: OSError | None = None
+            failed: Exception | None = None
             with trio.move_on_after(QUEUE_EMPTY_MS / 1000):
                 try:
                     stream = await listener.accept()
-                except OSError as why:
+                except (OSError, trio.ClosedResourceError) as why:
                     failed = why
             if stream is not None:
                 self.take(stream, nursery)
             elif failed is None or trio.current_time() >= by:
                 return
             else:
-                try:
-                    await self.accept_failed(failed)
-                except OSError:
-                    self.log.exception("accept")
-                    return
-
-    async def accept_failed(self, why: OSError) -> None:
-        """Makes room where descriptors are short. Raises `why` where that is not the reason."""
-        if why.errno == errno.ECONNABORTED:  # it was reset while it waited to be taken
+                await self.accept_failed(failed)
+
+    async def accept_failed(self, why: Exception) -> None:
+        """Makes room where descriptors are short, and else waits for a moment: no failure to take one connection may
+        end the others, and none is for ever while the listener is open."""
+        number = why.errno if isinstance(why, OSError) else None
+        self.node.counts[f"accept {errno.errorcode.get(number or 0, type(why).__name__)}"] += 1
+        if number == errno.ECONNABORTED:  # it was reset while it waited to be taken
             await trio.sleep(ABORTED_MS / 1000)
             return
-        if why.errno not in SHORT_OF:
-            raise why
+        if number not in SHORT_OF:
+            self.log.error("accept", why=repr(why))
+            await trio.sleep(SHORT_MS / 1000)
+            return
         self.node.counts["no descriptors"] += 1
         for _ in range(1 + len(self.idle) // 8):  # attempts need some too
             if not self.displace():
--- a/ternlane/platform/node.py
+++ b/ternlane/platform/node.py
@@ -140,6 +140,7 @@
                 self.log.info("server", server=spot.name if spot is not None else "gone", text=text)
 
     def woken(self) -> None:
+        self.roster.clock.observe(time.time() * 1000, now_ms())
         self.engines.pool.sweep()
         for overdue in self.held_states.newly_overdue(now_ms(), self.deployment.facts.release_ms):
             self.counts["held overdue"] += 1
--- a/ternlane/platform/process.py
+++ b/ternlane/platform/process.py
@@ -18,6 +18,7 @@
 from ternlane import port
 from ternlane.choice import Router
 from ternlane.http1 import Pool
+from ternlane.log_output import log_file
 from ternlane.platform.engines import Engines
 from ternlane.platform.front import Front
 from ternlane.platform.node import Node, RequestRecord
@@ -139,6 +140,7 @@
                 oldest_unanswered_ms=round(node.oldest_unanswered_ms(), 1),
                 connections=self.front.conns,
                 engine_connections=len(node.engines.pool.open),
+                connect_shortages=node.engines.pool.shortages,
                 descriptors=descriptors(),
                 memory_mb=round(memory_mb(), 1),
                 loop_late_ms=round(late, 1),
@@ -160,7 +162,11 @@
 
 
 def descriptors() -> int:
-    return len(os.listdir("/proc/self/fd")) if os.path.isdir("/proc/self/fd") else -1
+    """How many are open; -1 where that can't be told, as where none is left to look with."""
+    try:
+        return len(os.listdir("/proc/self/fd"))
+    except OSError:
+        return -1
 
 
 def memory_mb() -> float:
@@ -207,7 +213,7 @@
             structlog.processors.format_exc_info,
             structlog.processors.JSONRenderer(),
         ],
-        logger_factory=structlog.WriteLoggerFactory(file=sys.stderr),
+        logger_factory=structlog.WriteLoggerFactory(file=log_file(sys.stderr)),
         cache_logger_on_first_use=True,
     )
     try:
--- a/ternlane/platform/roster.py
+++ b/ternlane/platform/roster.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from ternlane.deployment import Deployment
+from ternlane.platform.wall_clock import WallClock
 from ternlane.port import Life, Listed, Server
 
 BEHIND_MS = 6000.0  # what discovery has to tell has been told by then, says the page
@@ -101,14 +102,16 @@
     def __init__(self, deployment: Deployment) -> None:
         self.deployment = deployment
         self.index, self.behind_since = 0, inf
+        self.clock = WallClock()
         self.servers: dict[str, Server] = {}
         self.spots: dict[Server, Spot] = {}
 
     def take(self, listing: Listing, wall_ms: float, now: float) -> Listed:
         """What is new. `wall_ms` and `now` are one moment by the two clocks; a start time is turned from one into the
-        other once, as it would seem to move otherwise. A list older than what is known, as another agent may give
-        that is behind, undoes nothing. Where that goes on for longer than an agent may be behind, the count itself
-        has begun anew: raises ValueError, and the whole list is asked for."""
+        other once, as it would seem to move otherwise, and by what is known of the wall clock's steps. A list older
+        than what is known, as another agent may give that is behind, undoes nothing. Where that goes on for longer than
+        an agent may be behind, the count itself has begun anew: raises ValueError, and the whole list is asked for."""
+        self.clock.observe(wall_ms, now)
         if listing.index < self.index:
             self.behind_since = min(self.behind_since, now)
             if now < self.behind_since + BEHIND_MS:
@@ -129,10 +132,10 @@
                     entry.name, entry.zone, entry.type, entry.group
                 )
                 self.spots[server] = Spot(entry.name, entry.address, entry)
-                server.started_ms = started(entry, wall_ms, now)
+                server.started_ms = self.started(entry, now)
             spot = self.spots[server]
             if spot.entry.since_ms != entry.since_ms:
-                server.started_ms = started(entry, wall_ms, now)
+                server.started_ms = self.started(entry, now)
             spot.address, spot.entry = entry.address, entry
             server.size, server.life = entry.weight, life
             news.append(server)
@@ -148,12 +151,12 @@
         self.index = listing.index
         return Listed(tuple(news))
 
+    def started(self, entry: Entry, now: float) -> float:
+        """When it started by the monotonic clock; 0 for long ago."""
+        return self.clock.began_ms(entry.since_ms, now) if entry.since_ms > 0 else 0.0
+
     def alter(self, deployment: Deployment) -> None:
         """Other settings: kinds of servers may have other memory."""
         self.deployment = deployment
         for server, spot in self.spots.items():
             server.mem_toks = deployment.mem.get(spot.entry.type, 0.0)
-
-
-def started(entry: Entry, wall_ms: float, now: float) -> float:
-    return now - (wall_ms - entry.since_ms) if entry.since_ms > 0 else 0.0
--- /dev/null
+++ b/tests/test_system_calls.py
@@ -0,0 +1,175 @@
+"""System calls that fail in the ways their manual pages name: none of them ends the gateway or other requests."""
+
+from __future__ import annotations
+
+import errno
+import os
+from pathlib import Path
+from typing import Any
+
+import pytest
+import trio
+import trio.testing
+
+from ternlane.gateway import gateway as gateway_module
+from ternlane.http1 import caller as caller_module
+from ternlane.log_output import PIPE_BYTES, LogOutput
+from ternlane.platform import process as process_module
+from tests.crossing import Client, request, until
+from tests.platform_world import Platform, platform, until_ready
+from tests.test_platform_bounds import running
+from tests.world import world
+
+ACCEPT_ERRORS = [
+    errno.ECONNABORTED,
+    errno.EPROTO,
+    errno.ENETDOWN,
+    errno.EHOSTUNREACH,
+    errno.ENETUNREACH,
+    errno.EPERM,
+    errno.EMFILE,
+    errno.ENFILE,
+    errno.ENOBUFS,
+    errno.ENOMEM,
+    errno.EINVAL,
+    errno.EOPNOTSUPP,
+    errno.EBADF,
+]
+
+
+class FailingAccept:
+    """The accept of the listener at this address fails with these errors first, one after the other."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch, address: str, numbers: list[int]) -> None:
+        self.numbers = list(numbers)
+        with trio.socket.socket() as any_socket:
+            kind = type(any_socket)
+        port, accept = int(address.rpartition(":")[2]), kind.accept
+
+        async def fail_first(sock: Any) -> Any:
+            if self.numbers and sock.getsockname()[1] == port:
+                number = self.numbers.pop(0)
+                raise OSError(number, os.strerror(number))
+            return await accept(sock)
+
+        monkeypatch.setattr(kind, "accept", fail_first)
+
+
+async def served(p: Platform) -> int:
+    with trio.fail_after(5):
+        return (await p.ask()).status
+
+
+async def test_no_error_of_accept_ends_the_gateway() -> None:
+    async with platform("r0", "w0") as p:
+        for number in ACCEPT_ERRORS:
+            with pytest.MonkeyPatch.context() as patch:
+                failing = FailingAccept(patch, p.address, [number] * 3)
+                assert await served(p) == 200  # by the call of accept that waits already
+                await until(lambda failing=failing: not failing.numbers)
+                assert await served(p) == 200, errno.errorcode[number]
+        await p.settled()
+
+
+@pytest.mark.parametrize("number", [errno.EPROTO, errno.ENFILE, errno.EINVAL, errno.EBADF])
+async def test_a_shutdown_takes_what_waits_though_accept_fails(monkeypatch: pytest.MonkeyPatch, number: int) -> None:
+    async with platform("r0", "w0") as p:
+        p.gateway.accepting.cancel()
+        await trio.testing.wait_all_tasks_blocked()
+        client = Client(p.address)
+        client.send(request(p))
+        failing = FailingAccept(monkeypatch, p.address, [number])
+        await p.gateway.front.accept_the_rest(p.gateway.listener, p.nursery, 300.0)
+        assert not failing.numbers
+        assert (await client.answer()).startswith(b"HTTP/1.1 200 ")
+        client.sock.close()
+        await p.settled()
+
+
+async def test_the_chat_gateway_too_outlives_errors_of_accept(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(gateway_module, "ACCEPT_PAUSE_S", 0.01)
+    async with world() as w:
+        failing = FailingAccept(monkeypatch, w.gateway.address, [errno.EINVAL, errno.EBADF, errno.EMFILE])
+        with trio.fail_after(5):
+            for _ in range(2):  # the first by the call of accept that waits already
+                assert (await w.ask()).status == 200
+        assert not failing.numbers
+
+
+@pytest.mark.parametrize(
+    "number, times",
+    [
+        (errno.EMFILE, 6),  # this machine's, whatever the server
+        (errno.ENFILE, 6),
+        (errno.ENOBUFS, 6),
+        (errno.ENOMEM, 6),
+        (errno.EADDRNOTAVAIL, 6),
+        (errno.ENETUNREACH, 6),
+        (errno.EHOSTUNREACH, 1),  # that server's
+        (errno.ETIMEDOUT, 1),
+        (errno.ECONNREFUSED, 1),
+    ],
+)
+async def test_a_connection_that_can_not_be_made_for_a_moment_costs_no_request(
+    monkeypatch: pytest.MonkeyPatch, number: int, times: int
+) -> None:
+    async with platform() as p:
+        servers = {server.address for server in p.servers.values()}
+        failed: list[str] = []
+        reach = caller_module.reach
+
+        async def failing(host: str, port: int, source: str | None) -> trio.SocketStream:
+            address = f"{host}:{port}"
+            if address in servers and len(failed) < times:
+                failed.append(address)
+                raise OSError(number, os.strerror(number))
+            return await reach(host, port, source)
+
+        monkeypatch.setattr(caller_module, "reach", failing)
+        assert await served(p) == 200 and len(failed) == times
+        await p.settled()
+        ejected = any(event == "info server" for event, _ in p.log.lines)
+        assert ejected == (times == 1)  # a fault of ours is not held against a server
+
+
+# -- the log
+
+
+def test_a_log_line_that_can_t_be_written_is_dropped_and_counted() -> None:
+    reader, writer = os.pipe()
+    log = LogOutput(writer)
+    log.write("a line\n")
+    assert os.read(reader, 100) == b"a line\n" and log.dropped == 0
+    while log.dropped == 0:  # nobody reads any more
+        log.write("x" * PIPE_BYTES)
+    os.close(reader)
+    log.write("nobody listens\n")
+    os.close(writer)
+    log.write("it is closed\n")
+    assert log.dropped == 3
+
+
+def test_a_full_disk_ends_no_log_line_s_writer() -> None:
+    full = os.open("/dev/full", os.O_WRONLY)
+    try:
+        log = LogOutput(full)
+        log.write("no room\n")
+        assert log.dropped == 1
+    finally:
+        os.close(full)
+
+
+async def test_a_gateway_whose_log_nobody_reads_goes_on(tmp_path: Path) -> None:
+    async with platform("r0", "w0") as p, running(p, tmp_path) as (process, log):
+        await until_ready(p)
+        os.close(os.open(log, os.O_WRONLY | os.O_TRUNC))
+        for _ in range(3):
+            assert (await p.ask()).status == 200
+
+
+def test_descriptors_can_t_be_counted_where_none_is_left(monkeypatch: pytest.MonkeyPatch) -> None:
+    def no_descriptors(_: str) -> list[str]:
+        raise OSError(errno.EMFILE, "Too many open files")
+
+    monkeypatch.setattr(os, "listdir", no_descriptors)
+    assert process_module.descriptors() == -1
