Release in place of let go, in code, tests, logs and pages; a release asks servers without sorting all

Cause: the actions and methods that free held state went by a phrase of our earlier house style, beside 'release' in settings and logs; and each release sorted the addresses of all servers, which releases of slow attempts make more frequent in big fleets. Change: port.Release, Desk.release, Host.release_all and so on (wire forms and settings' keys unchanged); Engines keeps servers in the order of their last answer and takes as many as it asks.

--- a/bench/lab.py
+++ b/bench/lab.py
@@ -58,7 +58,7 @@
                 job = Job(Course(told.job.course.prompt, rng.randrange(20, 200)))
                 writer = rng.choice(near if rng.random() < 0.5 else writers)
                 if not fleet.write(at, writer, job, held[told.job], told.job):
-                    fleet.let_go(at, seat, told.job)
+                    fleet.release(at, seat, told.job)
                 del held[told.job]
             wrote += told.what is What.TOKEN
         while due <= at:
--- a/ternlane/choice.py
+++ b/ternlane/choice.py
@@ -2,7 +2,7 @@
 
 A host makes one Router(StartFacts) for each gateway and calls take(now, events) -> actions; the interface is
 ternlane/port.py, the reasons are in docs/design.md. The Desk and an Engine for each server are actors that
-talk by notes in inboxes only. Read first place (the ordinary path), leg_ended, send, finish and let_go.
+talk by notes in inboxes only. Read first place (the ordinary path), leg_ended, send, finish and release.
 """
 from __future__ import annotations
 
@@ -537,10 +537,10 @@
             port.Throttle(course.gen, pause, why) if harmless else port.Terminate(course.gen, why))
         self.close(course)
 
-    def let_go(self, course: Course, why: ReleaseReason = ReleaseReason.REQUEST_OVER) -> None:
+    def release(self, course: Course, why: ReleaseReason = ReleaseReason.REQUEST_OVER) -> None:
         lease = course.lease
         if lease.may_hold:    # also what a read may yet leave behind whose end was not heard: said to the last
-            self.router.out.append(port.LetGo(course.gen, course.over and lease.unheard, why))
+            self.router.out.append(port.Release(course.gen, course.over and lease.unheard, why))
             lease.released(course.over)
         for engine in filter(None, (course.reader, course.writer)):
             engine.post(Unbooked(course))
@@ -558,7 +558,7 @@
             if course.leg is not None and not course.leg.writes:
                 continue
             course.lease.released_early()
-            self.router.out.append(port.LetGo(course.gen, why=ReleaseReason.UNCONFIRMED))
+            self.router.out.append(port.Release(course.gen, why=ReleaseReason.UNCONFIRMED))
         at = self.releases.next_at()
         if at < inf:
             self.router.out.append(port.Wake(at, False))
@@ -566,8 +566,8 @@
     def close(self, course: Course) -> None:
         course.over = True
         if course.leg is None:
-            self.let_go(course)
-        elif self.may_call_off:    # what the leg holds is let go when it ends
+            self.release(course)
+        elif self.may_call_off:    # what the leg holds is released when it ends
             self.router.out.append(port.CallOff(course.gen))
 
     def effect_allows(self, course: Course, engine: Seat) -> bool:
@@ -627,7 +627,7 @@
         course.lease.attempt_ended(end, engine, self.router.now)
         course.over = course.over or note.over
         if course.over:
-            return self.let_go(course)
+            return self.release(course)
         if self.limits.guard_ms < inf and course.lease.may_hold:
             self.guard_lease(course)
         if verdict is Verdict.MOOT:
@@ -636,7 +636,7 @@
             course.tried.add(engine)
         if note.broken:    # only the time limit binds one whose client has a part; GoOn says when
             course.slo_at = course.limit_at
-            return self.let_go(course, ReleaseReason.STREAM_BROKE)
+            return self.release(course, ReleaseReason.STREAM_BROKE)
         engine.post(Onward(course))
 
     def lost(self, leg: Leg) -> None:
@@ -655,7 +655,7 @@
         if course.lease.held_at is not None and self.router.now <= course.lease.since + self.limits.hand_ms:
             return self.hand_on(course)
         # Lest one more connection that never comes up outlast its release time:
-        self.let_go(course, ReleaseReason.BEFORE_NEW_PREFILL)
+        self.release(course, ReleaseReason.BEFORE_NEW_PREFILL)
         self.enter(course)
 
     def read_took(self, course: Course, leg: Leg, note: port.LegEnded) -> None:
@@ -684,7 +684,7 @@
             pair = self.best(course, course.lease.held_at)
             if pair is None and self.usable(writer, course) and self.fit(s, course):
                 return self.send(course, writer)
-            if pair is None:    # the state is let go, and the prompt, now kept, read again
+            if pair is None:    # the state is released, and the prompt, now kept, read again
                 course.lease.held_at = None
                 return self.onward(course)
             writer.post(Unbooked(course))
--- a/ternlane/days/baseline.py
+++ b/ternlane/days/baseline.py
@@ -28,16 +28,16 @@
                     self.legs[gen], self.until[gen] = 0, now + gen.patience_ms
                     out += self.send(gen, now, {Duty.READ, Duty.BOTH})
                 case port.LegEnded(gen, server, verdict, _, over):
-                    out += [port.LetGo(gen), *self.forget(gen)] if over else self.next(gen, server, verdict, now)
+                    out += [port.Release(gen), *self.forget(gen)] if over else self.next(gen, server, verdict, now)
                 case port.ClientLeft(gen):
-                    out += [port.CallOff(gen), port.LetGo(gen), *self.forget(gen)]
+                    out += [port.CallOff(gen), port.Release(gen), *self.forget(gen)]
         return out
 
     def send(self, gen: Generation, now: float, duties: set[Duty]) -> list[Action]:
         able = [s for s in self.servers if s.life is Life.UP and s.duty in duties]
         if not able or self.legs[gen] >= self.facts.leg_limit or now >= self.until[gen]:
             final: Action = port.Terminate(gen) if gen in self.ran else port.Throttle(gen, 0.0)
-            return [final, port.LetGo(gen), *self.forget(gen)]
+            return [final, port.Release(gen), *self.forget(gen)]
         self.legs[gen] += 1
         left = self.until[gen] - now
         return [
@@ -48,7 +48,7 @@
 
     def next(self, gen: Generation, server: Server, verdict: Verdict, now: float) -> list[Action]:
         if gen not in self.legs:
-            return [port.LetGo(gen)]
+            return [port.Release(gen)]
         if verdict is Verdict.READ:
             return self.send(gen, now, {Duty.WRITE})
         if (
@@ -57,8 +57,8 @@
             and gen.product.effect is not Effect.IDEMPOTENT
         ):
             self.ran.add(gen)
-            return [port.Terminate(gen), port.LetGo(gen), *self.forget(gen)]
-        return [port.LetGo(gen), *self.send(gen, now, {Duty.READ, Duty.BOTH})]
+            return [port.Terminate(gen), port.Release(gen), *self.forget(gen)]
+        return [port.Release(gen), *self.send(gen, now, {Duty.READ, Duty.BOTH})]
 
     def forget(self, gen: Generation) -> list[Action]:
         self.legs.pop(gen, None)
--- a/ternlane/embed/routing.py
+++ b/ternlane/embed/routing.py
@@ -6,7 +6,7 @@
                 ...
 
 When the outer block ends nothing is left: no task, timer, descriptor or module state. Leaving the inner block early is
-what a client's leaving is to a gateway: the legs are called off and everything held is let go.
+what a client's leaving is to a gateway: the legs are called off and everything held is released.
 """
 
 from __future__ import annotations
--- a/ternlane/emulator/batch.py
+++ b/ternlane/emulator/batch.py
@@ -53,7 +53,7 @@
     kept: int = 0  # tokens found kept when it was first let in
     preempted: int = 0
     ended: bool = False
-    stays: bool = False  # its memory is kept once it is read, until it is let go
+    stays: bool = False  # its memory is kept once it is read, until it is released
     fetches: bool = False  # its prompt comes from elsewhere: it holds slot and memory until `came`
 
     @property
@@ -94,9 +94,9 @@
             self.running.remove(it)
         elif it in self.queue:
             self.queue.remove(it)
-        self.let_go(it)
+        self.release(it)
 
-    def let_go(self, it: Course) -> None:
+    def release(self, it: Course) -> None:
         it.ended = True
         if it.held is not None:
             self.memory.give_back(it.held)
@@ -177,7 +177,7 @@
             if it.stays:
                 it.ended = True
             else:
-                self.let_go(it)
+                self.release(it)
             out.finished.append(it)
         out.ms = self.build.pace.ms(len(out.wrote), out.read_toks, back)
         return out
--- a/ternlane/emulator/engine.py
+++ b/ternlane/emulator/engine.py
@@ -95,7 +95,7 @@
         self.rng = random.Random(zlib.crc32(b"%d" % seed))
         self.ailment = Ailment()
         self.jobs: dict[Course, Job] = {}
-        self.states: dict[Job, None] = {}  # read, and waiting to be fetched or let go
+        self.states: dict[Job, None] = {}  # read, and waiting to be fetched or released
         self.told: list[Told] = []
         self.begin(started)
 
@@ -144,12 +144,12 @@
             self.batch.came(job.course)
             self.go_on(now)
 
-    def let_go(self, now: float, job: Job) -> bool:
+    def release(self, now: float, job: Job) -> bool:
         """Frees the state that waits here; false where there is none."""
         if job not in self.states:
             return False
         del self.states[job]
-        self.batch.let_go(job.course)
+        self.batch.release(job.course)
         self.go_on(now)
         return True
 
@@ -218,7 +218,7 @@
                 job = self.jobs.get(course)
                 if job is None:  # cancelled while the step ran
                     if course.stays:
-                        self.batch.let_go(course)
+                        self.batch.release(course)
                     continue
                 if what is What.DONE:
                     del self.jobs[course]
--- a/ternlane/emulator/fleet.py
+++ b/ternlane/emulator/fleet.py
@@ -93,9 +93,9 @@
         seat.engine.cancel(now, job)
         self.watch(seat)
 
-    def let_go(self, now: float, seat: Seat, held: Job) -> bool:
+    def release(self, now: float, seat: Seat, held: Job) -> bool:
         """Frees a state that no writer waits for; false where there is none such."""
-        freed = held not in self.claimed and seat.engine.let_go(now, held)
+        freed = held not in self.claimed and seat.engine.release(now, held)
         self.watch(seat)
         return freed
 
@@ -168,7 +168,7 @@
         assert isinstance(move, Move)
         self.moves.pop(move.job, None)
         self.claimed.discard(move.held)
-        move.source.engine.let_go(at, move.held)
+        move.source.engine.release(at, move.held)
         self.watch(move.source)
         move.target.engine.came(at, move.job)
         self.watch(move.target)
--- a/ternlane/engine/kinds.py
+++ b/ternlane/engine/kinds.py
@@ -24,7 +24,7 @@
 
 
 class EngineProtocol(Protocol):
-    lets_go: bool  # is there anything held that can be let go?
+    holds_states: bool  # is there anything held that can be released?
     goes_on: bool  # can it continue a last message? (continue_final_message, as servers of the field have it)
 
     def request(self, ask: Asked, agent: str) -> tuple[Headers, bytes]:
@@ -34,7 +34,7 @@
 class Disaggregated:
     """Readers and writers that hand a state on by kv_transfer_params; mixed ones too."""
 
-    lets_go = goes_on = True
+    holds_states = goes_on = True
 
     def request(self, ask: Asked, agent: str) -> tuple[Headers, bytes]:
         headers = [
@@ -54,7 +54,7 @@
     """Any server of the public chat completions API: it reads and writes whole generations, and nothing of ours is
     asked of it. It keeps no state between legs, and vouches for nothing: only a 429 proves that nothing ran."""
 
-    lets_go = goes_on = False
+    holds_states = goes_on = False
 
     def request(self, ask: Asked, agent: str) -> tuple[Headers, bytes]:
         if ask.stage is not Stage.WHOLE:
--- a/ternlane/engine/leg.py
+++ b/ternlane/engine/leg.py
@@ -210,7 +210,7 @@
 
 
 async def release(pool: Pool, address: str, ident: str, headers: list[tuple[str, str]], within_ms: float) -> bool:
-    """Lets go of all that an engine holds for a generation. True if the engine has confirmed it. One that holds nothing
+    """Releases all that an engine holds for a generation. True if the engine has confirmed it. One that holds nothing
     is asked again while there is time: it may not have ended a read yet that was given up on, and keep its state."""
     body, heard = msgspec.json.encode({"request_id": ident}), False
     with trio.move_on_after(within_ms / 1000):
--- a/ternlane/engine/transport.py
+++ b/ternlane/engine/transport.py
@@ -49,7 +49,7 @@
     async def release(
         self, server: str, address: str, ident: str, within_ms: float, protocol: str = "disaggregated"
     ) -> bool:
-        """Lets go of what a server holds for a generation; true once it has confirmed."""
+        """Releases what a server holds for a generation; true once it has confirmed."""
 
     async def hold(
         self, server: str, address: str, ident: str, toks: float, within_ms: float, protocol: str = "disaggregated"
@@ -101,14 +101,14 @@
     async def release(
         self, server: str, address: str, ident: str, within_ms: float, protocol: str = "disaggregated"
     ) -> bool:
-        if not KINDS[protocol].lets_go:
+        if not KINDS[protocol].holds_states:
             return True
         return await release(self.pool, address, ident, [("User-Agent", self.agent)], within_ms)
 
     async def hold(
         self, server: str, address: str, ident: str, toks: float, within_ms: float, protocol: str = "disaggregated"
     ) -> bool:
-        return KINDS[protocol].lets_go and await hold(
+        return KINDS[protocol].holds_states and await hold(
             self.pool, address, ident, toks, [("User-Agent", self.agent)], within_ms
         )
 
--- a/ternlane/gateway/door.py
+++ b/ternlane/gateway/door.py
@@ -374,7 +374,7 @@
 
     def ident(self, exchange: Exchange, tenant: str) -> str:
         """The client's own name for it if it is a plain one that is not in use; a tenant's go by the tenant, as a
-        stranger who guessed one could otherwise have its state let go."""
+        stranger who guessed one could otherwise have its state released."""
         said = exchange.header(b"x-request-id") or ""
         ident = f"{tenant}:{said}" if tenant else said  # no tenant's name holds a colon
         if not IDENT.fullmatch(said) or ident in self.host.idents:
--- a/ternlane/gateway/gateway.py
+++ b/ternlane/gateway/gateway.py
@@ -258,11 +258,11 @@
             self.nursery.start_soon(self.door.connection, stream)
 
     async def stop(self) -> None:
-        """Gives up on what is open, lets go of what is held, and keeps the bills. After `drain` there is nothing left
+        """Gives up on what is open, releases what is held, and keeps the bills. After `drain` there is nothing left
         to do; a block that ends without it loses nothing either."""
         for ticket in list(self.host.tickets.values()):
             self.host.give_up(ticket, "the gateway went down")
-        with trio.move_on_after(self.facts.release_ms / 1000 + 0.2):  # for last answers and what is let go
+        with trio.move_on_after(self.facts.release_ms / 1000 + 0.2):  # for last answers and what is released
             while self.host.tickets or self.host.releasing or self.door.busy:
                 await trio.sleep(0.01)
         if self.till is not None:
--- a/ternlane/gateway/host.py
+++ b/ternlane/gateway/host.py
@@ -70,8 +70,8 @@
 
     def carry_further(self, action: port.Action) -> None:
         match action:
-            case port.LetGo(gen):
-                self.let_go(self.tickets.get(gen))
+            case port.Release(gen):
+                self.release_all(self.tickets.get(gen))
             case port.Follow():
                 self.on_follow()
             case port.Log(server, text):
@@ -134,7 +134,7 @@
         self.forget(ticket)
 
     def forget(self, ticket: Ticket) -> None:
-        """A ticket stays until its answer is settled, its last leg has ended and what it held is let go."""
+        """A ticket stays until its answer is settled, its last leg has ended and what it held is released."""
         if ticket.leg is None and (ticket.final is not None or ticket.left) and not ticket.holders:
             if self.tickets.pop(ticket.gen, None) is not None:
                 self.mender.ended(ticket, ticket.join, isinstance(ticket.final, Streamed))
@@ -367,7 +367,7 @@
         self.resume_at = float("inf")
         self.resume()
 
-    def let_go(self, ticket: Ticket | None) -> None:
+    def release_all(self, ticket: Ticket | None) -> None:
         if ticket is None:
             return
         ticket.state = None
@@ -378,7 +378,7 @@
         self.forget(ticket)
 
     def hold(self, ticket: Ticket | None, server: Server) -> None:
-        """A place ahead: let go of like a state, so the server counts as a holder from now on."""
+        """A place ahead: released like a state, so the server counts as a holder from now on."""
         if ticket is not None:
             ticket.holders[server] = None
             self.nursery.start_soon(self.hold_ahead, ticket, server)
--- a/ternlane/gateway/measures.py
+++ b/ternlane/gateway/measures.py
@@ -21,7 +21,7 @@
         self.open = Gauge("ternlane_open_generations", "Generations held now", registry=r)
         self.conns = Gauge("ternlane_connections", "Clients' connections", registry=r)
         self.refused = Counter("ternlane_refused_requests", "Requests that were not taken", ["code"], registry=r)
-        self.releases = Counter("ternlane_releases", "States let go", ["how"], registry=r)
+        self.releases = Counter("ternlane_releases", "States released", ["how"], registry=r)
         self.probes = Counter("ternlane_probes", "Servers asked for their load", ["how"], registry=r)
         self.lists = Counter("ternlane_node_lists", "Node lists by how reading them went", ["how"], registry=r)
         self.servers = Gauge("ternlane_servers", "Model servers on the list", ["life"], registry=r)
--- a/ternlane/gateway/scribe.py
+++ b/ternlane/gateway/scribe.py
@@ -92,13 +92,13 @@
     # -- after a loss
 
     async def take_up(self, transport: Transport, within_ms: float) -> list[Known]:
-        """Waits until the folder is this process's; lets go of what servers hold still. Gives what repeats hear."""
+        """Waits until the folder is this process's; releases what servers hold still. Gives what repeats hear."""
         await self.up.wait()
         lost, self.lost = self.lost or InFlight(), None
         answers = lost.answers(time.time() * 1000)  # before the ends below come to the same objects
         async with trio.open_nursery() as nursery:
             for ident, held in lost.held():
-                nursery.start_soon(self.let_go, transport, ident, held, within_ms)
+                nursery.start_soon(self.release, transport, ident, held, within_ms)
         for ident, it in lost.opened.items():
             if not it.ended:
                 self.writer.add(it.lost())
@@ -107,7 +107,7 @@
             self.log.warning("generations were open when the process before was lost", open=len(lost.opened))
         return answers
 
-    async def let_go(
+    async def release(
         self, transport: Transport, ident: str, held: list[tuple[str, str, str]], within_ms: float
     ) -> None:
         for server, address, protocol in held:
--- a/ternlane/platform/engines.py
+++ b/ternlane/platform/engines.py
@@ -1,13 +1,15 @@
-"""Legs to readers and writers, what is let go of, places held ahead and probes, over sockets.
+"""Legs to readers and writers, what is released, places held ahead and probes, over sockets.
 
 It decides nothing: where to, for how long and what then come from the decisions by way of the node.
 """
 
 from __future__ import annotations
 
+from collections import OrderedDict
 from dataclasses import dataclass, field
+from itertools import islice
 from math import inf
-from typing import Awaitable, Protocol
+from typing import Awaitable, Iterable, Protocol
 
 import h11
 import trio
@@ -19,6 +21,7 @@
 from ternlane.turns import BeginCheck, may_always_begin
 
 BROKEN = (trio.BrokenResourceError, trio.ClosedResourceError, OSError)
+RELEASE_ROUNDS = 8  # of servers asked within one release time; this many at most in one round
 PLAIN_BYTES = 65536  # of an answer that is no stream
 # A spoilt answer may be followed by another some milliseconds later (users' page). On a connection that is used again
 # sooner, that one would be taken for the answer to the next request; within this time it is seen, and the connection
@@ -93,7 +96,7 @@
 
     def __init__(self, pool: Pool, deployment: Deployment) -> None:
         self.pool, self.deployment = pool, deployment
-        self.heard_at: dict[str, float] = {}  # when each address last answered
+        self.heard: OrderedDict[str, None] = OrderedDict()  # addresses that answer, the one heard last at the end
 
     async def run(self, leg: Leg, outlet: Outlet) -> LegEnd:
         """Never raises but for an outer cancellation, and ClientGone."""
@@ -104,7 +107,7 @@
                 caller = await self.pool.take(leg.address, REST_MS)
                 await self.begin(leg, caller)
                 head = await caller.read_head()
-                self.heard_at[leg.address] = trio.current_time()
+                self.has_answered(leg.address)
                 said = {name: value.decode("latin-1") for name, value in head.headers}
                 end.report = load_of(said.get(LOAD), self.deployment)
                 outcome = outcome_of(head.status_code, said.get(NOT_STARTED) == "1", leg.duty)
@@ -123,7 +126,7 @@
         except Silent:
             end.verdict, end.why = Verdict.TIMED_OUT, "silent within the stream" if end.begun else "no answer in time"
         except Unconnected as why:
-            self.heard_at[leg.address] = 0.0
+            self.heard.pop(leg.address, None)
             end.verdict, end.why = Verdict.UNCONNECTED, str(why)
         except BROKEN as why:
             end.verdict, end.why = Verdict.RESET, repr(why)
@@ -190,7 +193,7 @@
             raise ValueError("the stream ended before its last event")
         end.verdict, end.kept = Verdict.STREAMED, events.kept
         end.report = load_of(events.load, self.deployment) or end.report
-        self.heard_at[leg.address] = trio.current_time()
+        self.has_answered(leg.address)
         return True
 
     async def ask(
@@ -204,12 +207,12 @@
                 head = await caller.ask(method, target, [])
                 body = await caller.body(PLAIN_BYTES)
                 said = next((v.decode("latin-1") for n, v in head.headers if n == LOAD), None)
-                self.heard_at[address] = trio.current_time()
+                self.has_answered(address)
                 self.pool.give_back(caller)
                 caller = None
                 return Verdict.STREAMED, head.status_code, said, body
         except Unconnected:
-            self.heard_at[address] = 0.0
+            self.heard.pop(address, None)
             verdict = Verdict.UNCONNECTED
         except (h11.RemoteProtocolError, *BROKEN):
             verdict = Verdict.RESET
@@ -218,13 +221,12 @@
                 caller.close_now()
         return verdict, 0, None, b""
 
-    async def release(self, ident: str, addresses: list[str], within_ms: float) -> str | None:
+    async def release(self, ident: str, addresses: Iterable[str], within_ms: float) -> str | None:
         """Releases all that is held for a request, wherever: any running server passes it on. Returns the address of
         the one that has heard it, if any. The one that was heard last is asked first, then twice as many of the next
         ones each time, and all over again, while none has heard it: neither one that is silent, busy or spoils its
         answers, nor most of a fleet, must hold it up."""
         heard_by: str | None = None
-        rounds = 8
 
         async def one(address: str, cancel: trio.CancelScope) -> None:
             nonlocal heard_by
@@ -233,17 +235,29 @@
                 heard_by = address
                 cancel.cancel()
 
-        order = sorted(addresses, key=lambda a: -self.heard_at.get(a, 0.0))
+        order = self.by_last_answer(addresses, RELEASE_ROUNDS**2)
         with trio.move_on_after(within_ms / 1000):
             async with trio.open_nursery() as nursery:
                 asked = 0
-                for turn in range(rounds if order else 0):
-                    for _ in range(min(2**turn, rounds, len(order))):
+                for turn in range(RELEASE_ROUNDS if order else 0):
+                    for _ in range(min(2**turn, RELEASE_ROUNDS, len(order))):
                         nursery.start_soon(one, order[asked % len(order)], nursery.cancel_scope)
                         asked += 1
-                    await trio.sleep(within_ms / rounds / 1000)
+                    await trio.sleep(within_ms / RELEASE_ROUNDS / 1000)
         return heard_by
 
+    def has_answered(self, address: str) -> None:
+        self.heard[address] = None
+        self.heard.move_to_end(address)
+
+    def by_last_answer(self, addresses: Iterable[str], most: int) -> list[str]:
+        """So many addresses at most: first those that have answered, the latest first, then any others."""
+        order = list(islice(reversed(self.heard), most))
+        if len(order) < most:
+            others = (address for address in addresses if address not in self.heard)
+            order += islice(others, most - len(order))
+        return order
+
     async def hold(self, address: str, ident: str, within_ms: float) -> bool:
         _, status, _, _ = await self.ask(address, "POST", LEASE_PATH + ident, within_ms)
         return status == 200
@@ -259,6 +273,6 @@
 
     def known(self, addresses: list[str]) -> None:
         """Forgets what is no longer among these."""
-        for address in self.heard_at.keys() - set(addresses):
+        for address in (self.heard.keys() | self.pool.idle.keys()) - set(addresses):
             self.pool.forget(address)
-            del self.heard_at[address]
+            self.heard.pop(address, None)
--- a/ternlane/platform/front.py
+++ b/ternlane/platform/front.py
@@ -1,4 +1,4 @@
-"""The clients' side: connections taken and let go, requests read, answers given."""
+"""The clients' side: connections taken and closed, requests read, answers given."""
 
 from __future__ import annotations
 
--- a/ternlane/platform/node.py
+++ b/ternlane/platform/node.py
@@ -5,7 +5,7 @@
 import time
 from collections import Counter, deque
 from dataclasses import dataclass, field
-from typing import Any
+from typing import Any, Iterator
 
 import trio
 
@@ -61,7 +61,7 @@
     legs: int = 0
     why: str = ""
     trail: list[str] = field(default_factory=list)
-    freeing: trio.Event | None = None  # set once what was held before is let go of
+    freeing: trio.Event | None = None  # set once what was held before is released
     watch: trio.CancelScope = field(default_factory=trio.CancelScope)
     history: RequestHistory = field(init=False)
 
@@ -121,7 +121,7 @@
 
     def carry_further(self, action: port.Action) -> None:
         match action:
-            case port.LetGo(gen, again, why):
+            case port.Release(gen, again, why):
                 ticket = self.tickets.get(gen)
                 if ticket is not None:
                     self.releasing += 1
@@ -247,7 +247,7 @@
 
     async def run(self, ticket: Ticket, server: Server, leg: Leg, name: str) -> None:
         since, end = now_ms(), LegEnd()
-        if ticket.freeing is not None:  # lest a late DELETE let go of what this leg has read
+        if ticket.freeing is not None:  # lest a late DELETE release what this leg has read
             with trio.move_on_after(self.deployment.facts.connect_ms / 1000):
                 await ticket.freeing.wait()
         try:
@@ -306,8 +306,9 @@
 
     # -- what is held
 
-    def addresses(self) -> list[str]:
-        return [spot.address for server, spot in self.roster.spots.items() if server.life is not Life.GONE]
+    def addresses(self) -> Iterator[str]:
+        """Of all servers, one after the other as they are asked for."""
+        return (spot.address for server, spot in self.roster.spots.items() if server.life is not Life.GONE)
 
     async def release(self, ticket: Ticket, done: trio.Event, again: bool) -> None:
         within = self.deployment.facts.release_ms
--- a/ternlane/platform/process.py
+++ b/ternlane/platform/process.py
@@ -109,7 +109,7 @@
         self.front.close_idle(served_only=True)
 
     async def drain(self) -> None:
-        """Takes what still arrives, answers everything, lets go of what is held, and returns once all has ended. New
+        """Takes what still arrives, answers everything, releases what is held, and returns once all has ended. New
         connections close only when all that was sent to them must have come."""
         self.begin_drain()
         await trio.sleep(LATE_COMERS_MS / 1000)
--- a/ternlane/port.py
+++ b/ternlane/port.py
@@ -349,7 +349,7 @@
 
 
 @dataclass(slots=True, frozen=True)
-class LetGo:
+class Release:
     """Releases what is held for it, at whichever server, but for what an attempt waits for that has arrived. `again`:
     once more within the release time, as a read that ended unheard may yet leave a state, and nothing else is to
     come."""
@@ -395,4 +395,4 @@
     text: str
 
 
-Action = SendLeg | CallOff | Throttle | Terminate | LetGo | HoldAhead | Probe | Follow | Wake | Log
+Action = SendLeg | CallOff | Throttle | Terminate | Release | HoldAhead | Probe | Follow | Wake | Log
--- a/ternlane/rules/check.py
+++ b/ternlane/rules/check.py
@@ -312,7 +312,7 @@
     # -- rule 5
 
     def pinned(self, counted: dict[str, int]) -> Iterable[Finding]:
-        """With no leg out, a state is taken or let go in time. Excused: what a killed gateway held, and engines that
+        """With no leg out, a state is taken or released in time. Excused: what a killed gateway held, and engines that
         died. A connection that is being tried is a leg that no engine sees: `connect_ms` is granted for it."""
         ends: defaultdict[tuple[str, str], list[Line]] = defaultdict(list)
         for kind in ("taken", "released", "lost"):
--- a/ternlane/wirehost/host.py
+++ b/ternlane/wirehost/host.py
@@ -22,7 +22,7 @@
     Group,
     HoldAhead,
     LegEnded,
-    LetGo,
+    Release,
     Life,
     Listed,
     ListFailed,
@@ -201,7 +201,7 @@
                 case Terminate(gen):
                     yield f"DROP_REQUEST {number_} {self.gen_ids[gen]}"
                     self.closed.add(gen)
-                case LetGo(gen):
+                case Release(gen):
                     yield f"DROP_STATE {number_} {self.gen_ids[gen]}"
                 case HoldAhead(gen, server):
                     yield f"RESERVE {number_} {self.gen_ids[gen]} {self.server_ids[server]}"
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -35,7 +35,7 @@
     leg = sent(host.arrive(gen))
     said = host.end(gen, leg.server, Verdict.RESET)
     assert sent(said).server is not leg.server
-    assert port.LetGo in kinds(said)  # the read may have gone on unheard and left its state
+    assert port.Release in kinds(said)  # the read may have gone on unheard and left its state
 
 
 @pytest.mark.parametrize("effect", [Effect.IDEMPOTENT, Effect.SIDE_EFFECTING])
@@ -108,13 +108,13 @@
     assert other.duty is leg.server.duty and other is not leg.server
 
 
-def test_a_state_is_let_go_before_connections_that_never_come_up_outlast_its_release_time() -> None:
+def test_a_state_is_released_before_connections_that_never_come_up_outlast_its_release_time() -> None:
     host = build(("w2", "w3"))  # 250 ms to connect, 500 to release: one failed connection leaves time for one more
     gen, leg = host.written()
     second = sent(host.end(gen, leg.server, Verdict.UNCONNECTED, after=250.0)).server
     assert second.duty is port.Duty.WRITE
     said = host.end(gen, second, Verdict.UNCONNECTED, after=250.0)
-    assert [type(a) for a in said] == [port.LetGo, port.SendLeg]
+    assert [type(a) for a in said] == [port.Release, port.SendLeg]
     assert sent(said).server.duty is port.Duty.READ
     other = build(("w2", "w3"), holds_run_on=False)  # where an outcome of any kind begins that time anew
     gen, leg = other.written()
@@ -126,15 +126,15 @@
 
 
 @pytest.mark.parametrize("verdict", [Verdict.UNCONNECTED, Verdict.FULL])
-def test_a_read_that_never_ran_left_nothing_to_let_go_of(host: FakeHost, verdict: Verdict) -> None:
+def test_a_read_that_never_ran_left_nothing_to_release(host: FakeHost, verdict: Verdict) -> None:
     gen = host.gen()
     said = host.end(gen, sent(host.arrive(gen)).server, verdict)
     assert kinds(said) == [port.SendLeg]
-    assert port.LetGo in kinds(host.end(gen, sent(said).server, Verdict.TIMED_OUT))  # it may have run
+    assert port.Release in kinds(host.end(gen, sent(said).server, Verdict.TIMED_OUT))  # it may have run
 
 
 @pytest.mark.parametrize("verdict", [Verdict.TIMED_OUT, Verdict.CALLED_OFF, Verdict.RESET])
-def test_what_a_read_may_yet_leave_is_let_go_of_once_more_when_nothing_follows_it(
+def test_what_a_read_may_yet_leave_is_released_once_more_when_nothing_follows_it(
     host: FakeHost, verdict: Verdict
 ) -> None:
     """It ended unheard, its state came after the first release, and nobody was left for another read."""
@@ -142,7 +142,7 @@
     reader = sent(host.arrive(gen)).server
     host.list(**{name: Life.GONE for name, s in host.servers.items() if s.duty is port.Duty.READ and s is not reader})
     said = host.end(gen, reader, verdict)
-    assert [a.again for a in said if isinstance(a, port.LetGo)] == [False, True] and port.Throttle in kinds(said)
+    assert [a.again for a in said if isinstance(a, port.Release)] == [False, True] and port.Throttle in kinds(said)
     assert host.tell(after=3000.0) == []
 
 
@@ -150,19 +150,19 @@
     gen, leg = host.written()
     said = host.end(gen, leg.server, Verdict.FULL, state_lost=True)
     assert sent(said).server.duty is port.Duty.READ
-    assert port.LetGo in kinds(said)  # its reader may only be cut off from that writer
+    assert port.Release in kinds(said)  # its reader may only be cut off from that writer
 
 
 @pytest.mark.parametrize("verdict", [Verdict.TIMED_OUT, Verdict.RESET, Verdict.ERROR, Verdict.CALLED_OFF])
 def test_a_side_effect_that_may_have_happened_is_not_tried_again(host: FakeHost, verdict: Verdict) -> None:
     gen, leg = host.written(Effect.SIDE_EFFECTING)
-    assert kinds(host.end(gen, leg.server, verdict)) == [port.Terminate, port.LetGo]
+    assert kinds(host.end(gen, leg.server, verdict)) == [port.Terminate, port.Release]
     assert host.tell(after=3000.0) == []
 
 
 def test_a_deduplicated_generation_is_repeated_only_in_its_group_and_window(host: FakeHost) -> None:
     gen, leg = host.written(Effect.DEDUPLICATED)
-    assert kinds(host.end(gen, leg.server, Verdict.RESET)) == [port.LetGo, port.Terminate]
+    assert kinds(host.end(gen, leg.server, Verdict.RESET)) == [port.Release, port.Terminate]
     gen, leg = host.written(Effect.IDEMPOTENT)
     assert sent(host.end(gen, leg.server, Verdict.RESET)).server.duty is port.Duty.WRITE
 
@@ -188,17 +188,17 @@
     assert kinds(host.tell(port.Arrived(later), port.Listed(tuple(host.servers.values())))) == [port.Throttle]
 
 
-def test_a_state_read_for_a_client_that_left_is_let_go(host: FakeHost) -> None:
+def test_a_state_read_for_a_client_that_left_is_released(host: FakeHost) -> None:
     gen = host.gen()
     leg = sent(host.arrive(gen))
     assert kinds(host.tell(port.ClientLeft(gen))) == [port.CallOff]
-    assert kinds(host.end(gen, leg.server, Verdict.READ, over=True)) == [port.LetGo]
+    assert kinds(host.end(gen, leg.server, Verdict.READ, over=True)) == [port.Release]
 
 
-def test_a_state_that_a_writer_did_not_take_is_let_go_after_the_client_left(host: FakeHost) -> None:
+def test_a_state_that_a_writer_did_not_take_is_released_after_the_client_left(host: FakeHost) -> None:
     gen, leg = host.written()
     assert kinds(host.tell(port.ClientLeft(gen))) == [port.CallOff]
-    assert kinds(host.end(gen, leg.server, Verdict.CALLED_OFF, over=True)) == [port.LetGo]
+    assert kinds(host.end(gen, leg.server, Verdict.CALLED_OFF, over=True)) == [port.Release]
 
 
 def test_a_restarted_server_gets_its_cold_share_only() -> None:
--- a/tests/test_crossings_servers.py
+++ b/tests/test_crossings_servers.py
@@ -128,7 +128,7 @@
     second = sent(host.end(gen, leg.server, Verdict.WITHHELD, after=200.0))
     assert second.server is not leg.server and second.server.duty is port.Duty.WRITE
     said = host.end(gen, second.server, Verdict.WITHHELD, after=200.0)  # 400 of 500 ms, and 250 to connect
-    assert port.LetGo in kinds(said) and sent(said).server.duty is port.Duty.READ
+    assert port.Release in kinds(said) and sent(said).server.duty is port.Duty.READ
     assert not host.router.desk.board[leg.server.seat].shut
 
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -87,7 +87,7 @@
     return Counter(t.job for _, t in told if t.what is what)
 
 
-def test_a_state_is_read_moved_and_written_and_the_readers_memory_let_go() -> None:
+def test_a_state_is_read_moved_and_written_and_the_readers_memory_released() -> None:
     fleet = Fleet(port_rate=200.0, link_rate=100.0)
     reader, near, far = cell(fleet), cell(fleet), cell(fleet, zone="b", at=1)
     ends: list[float] = []
@@ -132,7 +132,7 @@
     for _ in range(data.draw(st.integers(5, 40))):
         now = fleet.now + data.draw(st.integers(0, 30))
         told += fleet.advance(now)
-        what = data.draw(st.sampled_from(["read", "write", "cancel", "die", "cut", "place", "let go", "hang"]))
+        what = data.draw(st.sampled_from(["read", "write", "cancel", "die", "cut", "place", "release", "hang"]))
         seat = data.draw(st.sampled_from(writers if what in ("write", "place") else readers + writers))
         if what == "read":
             job = Job(Course(data.draw(st.integers(1, 300)), 0))
@@ -151,9 +151,9 @@
             job = data.draw(st.sampled_from(list(jobs)))
             fleet.cancel(now, jobs[job], job)
             stopped.add(job)
-        elif what == "let go" and helds:
+        elif what == "release" and helds:
             held = data.draw(st.sampled_from(list(helds)))
-            fleet.let_go(now, helds[held], held)
+            fleet.release(now, helds[held], held)
         elif what == "die":
             stopped |= set(fleet.die(now, seat))
             seat.engine.begin(now)
@@ -172,9 +172,9 @@
         assert done[job] <= 1 and wrote[job] <= job.course.answer
         if job not in stopped:
             assert done[job] == 1 and wrote[job] == job.course.answer
-    for _ in helds:  # what is let go makes room for reads that waited
+    for _ in helds:  # what is released makes room for reads that waited
         for held, seat in helds.items():
-            fleet.let_go(fleet.now, seat, held)
+            fleet.release(fleet.now, seat, held)
         run(fleet)
     for seat in readers + writers:
         memory = seat.engine.memory
--- a/tests/test_fleet_trial.py
+++ b/tests/test_fleet_trial.py
@@ -1,4 +1,4 @@
-"""Stories of the fleet trial's further terms: lists in time, clients that leave, what is let go of under silence."""
+"""Stories of the fleet trial's further terms: lists in time, clients that leave, what is released under silence."""
 
 from __future__ import annotations
 
@@ -249,19 +249,19 @@
         assert out.endswith(b"0\r\n\r\n")
 
 
-# -- what is let go of
+# -- what is released
 
 
-async def test_a_state_is_let_go_of_in_time_though_four_servers_in_five_have_fallen_silent(
+async def test_a_state_is_released_in_time_though_four_servers_in_five_have_fallen_silent(
     nursery: trio.Nursery,
 ) -> None:
     fleet, deployment = Fleet(nursery), Deployment(1, TOLD)
     engines = Engines(Pool(150.0, 1000.0), deployment)
     servers = [ModelServer(f"w{n}", "write", fleet) for n in range(20)]
-    for n, server in enumerate(servers):
+    for server in reversed(servers):
         await server.start()
-        engines.heard_at[server.address] = 100.0 - n  # the silent ones were heard last
-        server.mute = n < 16
+        engines.has_answered(server.address)  # the silent ones were heard last
+        server.mute = server in servers[:16]
     fleet.states["ab"] = "w19"
     with trio.move_on_after(deployment.facts.release_ms / 1000):
         nursery.start_soon(engines.release, "ab", [s.address for s in servers], deployment.facts.release_ms)
@@ -270,7 +270,7 @@
     assert "ab" not in fleet.states
 
 
-async def test_a_server_that_could_not_be_reached_is_asked_last_to_let_go(nursery: trio.Nursery) -> None:
+async def test_a_server_that_could_not_be_reached_is_asked_last_to_release(nursery: trio.Nursery) -> None:
     fleet = Fleet(nursery)
     engines = Engines(Pool(150.0, 1000.0), Deployment(1, TOLD))
     well, away = ModelServer("w0", "write", fleet), ModelServer("w1", "write", fleet)
@@ -280,7 +280,8 @@
     away.stop()
     engines.pool.forget(away.address)
     assert (await engines.ask(away.address, "GET", "/stats", 500.0))[0] is Verdict.UNCONNECTED
-    assert engines.heard_at[away.address] < engines.heard_at[well.address]
+    assert engines.by_last_answer([away.address, well.address], 2) == [well.address, away.address]
+    assert engines.by_last_answer([away.address, well.address], 1) == [well.address]
 
 
 async def test_a_connection_on_which_nothing_was_asked_is_kept(nursery: trio.Nursery) -> None:
@@ -400,7 +401,7 @@
             stream.socket.close()
 
 
-async def test_as_many_attempts_as_may_be_out_leave_connections_for_letting_go() -> None:
+async def test_as_many_attempts_as_may_be_out_leave_connections_for_releases() -> None:
     async with platform("r0", "w0", "w1", limits=Limits(sockets=100)) as p:
         node, front = p.gateway.node, p.gateway.front
         out = [await node.engines.pool.connect(p.servers["r0"].address) for _ in range(front.open_limit)]
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -575,7 +575,7 @@
         await w.settled()
 
 
-async def test_a_state_that_a_read_left_late_is_let_go_of_again(monkeypatch: pytest.MonkeyPatch) -> None:
+async def test_a_state_that_a_read_left_late_is_released_again(monkeypatch: pytest.MonkeyPatch) -> None:
     async with world(("r0", "r0b", "w0")) as w:
         heard: list[str] = []
         for ident in ("r0", "r0b"):  # each hears the first word of it too early
--- a/tests/test_inflight.py
+++ b/tests/test_inflight.py
@@ -241,7 +241,7 @@
         assert (await w.ask(headers={"Idempotency-Key": "k1"})).done == 1
 
 
-async def test_states_that_the_lost_gateway_held_are_let_go(tmp_path: Path) -> None:
+async def test_states_that_the_lost_gateway_held_are_released(tmp_path: Path) -> None:
     async with world(("r0", "w0"), journal=str(tmp_path / "j")) as w:
         w.engines["w0"].busy = w.engines["w0"].build.slots  # writes wait: the state stays at its reader
         async with trio.open_nursery() as nursery:
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -94,7 +94,7 @@
 
 
 def released(said: list[Any]) -> list[ReleaseReason]:
-    return [action.why for action in said if isinstance(action, port.LetGo)]
+    return [action.why for action in said if isinstance(action, port.Release)]
 
 
 @pytest.mark.parametrize("effect", list(Effect))
@@ -103,7 +103,7 @@
     host.written(effect)
     assert host.tell(after=GUARD_MS - 1) == []
     said = host.tell(after=1)
-    assert kinds(said) == [port.LetGo] and released(said) == [ReleaseReason.UNCONFIRMED]
+    assert kinds(said) == [port.Release] and released(said) == [ReleaseReason.UNCONFIRMED]
     assert host.tell(after=100) == []
 
 
@@ -154,7 +154,7 @@
     host = platform_like(leg_limit=3)
     gen, leg = host.written()
     said = host.end(gen, leg.server, Verdict.FULL, state_lost=True)
-    assert kinds(said) == [port.LetGo, port.Throttle] and said[-1].why is port.Refusal.ATTEMPTS_SPENT
+    assert kinds(said) == [port.Release, port.Throttle] and said[-1].why is port.Refusal.ATTEMPTS_SPENT
 
 
 def test_nothing_is_released_while_a_prefill_is_out() -> None:
@@ -176,7 +176,7 @@
     first = sent(host.arrive(gen))
     assert first.server is not large.server
     said = host.end(gen, first.server, Verdict.RESET)
-    assert kinds(said) == [port.LetGo]  # no prefill server has room
+    assert kinds(said) == [port.Release]  # no prefill server has room
     assert released(host.tell(after=GUARD_MS)) == [ReleaseReason.UNCONFIRMED]
 
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -156,7 +156,7 @@
         assert way != "second_answer" or not p.gateway.node.engines.pool.idle.get(p.servers["w0"].address)
 
 
-async def test_a_new_read_does_not_lose_its_state_to_the_letting_go_of_the_old() -> None:
+async def test_a_new_read_does_not_lose_its_state_to_the_release_of_the_old() -> None:
     """The DELETE for what a failed writer left was still under way when the prompt had been read anew."""
     async with platform("r0", "w0", "w1", w0=once("gone_410"), w1=once("gone_410")) as p:
         p.fleet.spread_ms = 20.0
@@ -168,7 +168,7 @@
 # -- what is held
 
 
-async def test_a_state_is_let_go_of_though_its_holder_is_silent() -> None:
+async def test_a_state_is_released_though_its_holder_is_silent() -> None:
     async with platform("r0", "r1", "w0", w0=always("status_500")) as p:
         assert (await p.ask(Request_Class="note")).status == 502
         await p.settled()
@@ -176,12 +176,13 @@
             p.servers[name].mute = True
             await p.gateway.node.engines.pool.connect(p.servers[name].address)
         p.fleet.states["00000000000000aa"] = "r0"
-        p.gateway.node.engines.heard_at = {p.servers["r0"].address: 9e9, p.servers["r1"].address: 9e8}
+        for name in ("r1", "r0"):
+            p.gateway.node.engines.has_answered(p.servers[name].address)
         assert await p.gateway.node.engines.release("00000000000000aa", p.gateway.node.addresses(), 400.0)
         assert not p.fleet.states
 
 
-async def test_a_client_that_leaves_has_its_leg_called_off_and_its_state_let_go() -> None:
+async def test_a_client_that_leaves_has_its_leg_called_off_and_its_state_released() -> None:
     async with platform("r0", "w0", w0=always("silent")) as p:
         with trio.move_on_after(0.3):
             await p.ask(Request_Class="note")
--- a/tests/test_platform_bounds.py
+++ b/tests/test_platform_bounds.py
@@ -62,13 +62,13 @@
         front, pool = p.gateway.front, node.engines.pool
         assert not node.tickets and not node.idents and not node.ended and not node.releasing and not desk.waiting
         assert len(node.records) == TRAILS and sum(desk.asked_for.values()) <= 2 * FEW**2
-        assert len(node.engines.heard_at) <= len(node.roster.spots) == len(node.roster.servers) == 3
+        assert len(node.engines.heard) <= len(node.roster.spots) == len(node.roster.servers) == 3
         assert all(not e.legs and not e.booked for e in desk.board)
         assert front.conns == len(front.idle) == 0 and len(pool.open) == len(pool.resting)
         for name in list(p.servers):
             p.discovery.put(name, "", "writer", "DELETED")
         with trio.fail_after(3):
-            while desk.board or pool.open or node.engines.heard_at:
+            while desk.board or pool.open or node.engines.heard:
                 await trio.sleep(0.02)
 
 
@@ -301,7 +301,7 @@
 
 
 @pytest.mark.parametrize("way", ["silent", "noise", "status_503", "opening_cut"])
-async def test_a_server_that_garbles_or_is_too_busy_does_not_keep_a_state_from_being_let_go(way: str) -> None:
+async def test_a_server_that_garbles_or_is_too_busy_does_not_keep_a_state_from_being_released(way: str) -> None:
     async with platform("r0", "w0", "w1", w0=always("status_500"), w1=always("status_500")) as p:
         for name in ("r0", "w0"):
             p.servers[name].lease_way = way
@@ -322,7 +322,7 @@
         assert not p.gateway.node.counts["release unheard"]
 
 
-async def test_a_state_that_comes_after_its_read_was_called_off_is_let_go_too() -> None:
+async def test_a_state_that_comes_after_its_read_was_called_off_is_released_too() -> None:
     async with platform("r0", "w0", r0=once("late_state")) as p:
         with trio.move_on_after(0.1):
             await p.ask()
--- a/tests/test_platform_discovery.py
+++ b/tests/test_platform_discovery.py
@@ -61,7 +61,7 @@
         assert 2 <= p.gateway.node.counts["watch broke"] <= 8 and (await p.ask()).status == 200
 
 
-async def test_a_new_discovery_is_followed_with_the_index_kept_and_the_old_one_let_go() -> None:
+async def test_a_new_discovery_is_followed_with_the_index_kept_and_the_old_one_closed() -> None:
     async with platform("r0", "w0") as p:
         other = Discovery(p.nursery, 100.0)
         await other.start()
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -117,9 +117,9 @@
 
 
 class Keeper(Host):
-    """Rule 5: lets go of nothing."""
+    """Rule 5: releases nothing."""
 
-    def let_go(self, ticket: Ticket | None) -> None:
+    def release_all(self, ticket: Ticket | None) -> None:
         if ticket is not None:
             ticket.state, ticket.holders = None, {}
             self.forget(ticket)
--- a/tests/test_switch.py
+++ b/tests/test_switch.py
@@ -179,7 +179,7 @@
 def test_fewer_legs_than_one_has_had_end_it_at_its_next_outcome(host: FakeHost) -> None:
     gen, leg = host.written()
     assert host.tell(port.Altered(replace(FACTS, leg_limit=1))) == []
-    assert kinds(host.end(gen, leg.server, port.Verdict.FULL)) == [port.Throttle, port.LetGo]
+    assert kinds(host.end(gen, leg.server, port.Verdict.FULL)) == [port.Throttle, port.Release]
 
 
 def test_homes_are_kept_over_a_switch(host: FakeHost) -> None:
--- a/tests/test_till.py
+++ b/tests/test_till.py
@@ -205,7 +205,7 @@
         assert bank.off(w).off == 0
 
 
-async def test_strangers_can_not_let_go_of_each_others_states_by_a_guessed_name(tmp_path: Path) -> None:
+async def test_strangers_can_not_release_each_others_states_by_a_guessed_name(tmp_path: Path) -> None:
     async with banked(tmp_path) as (w, bank):
         for name in bank.keys:
             assert (await bank.ask(w, name, headers={"X-Request-Id": "same"})).done == 1
--- a/tests/test_transports.py
+++ b/tests/test_transports.py
@@ -186,7 +186,7 @@
             async with routing.generation(REQUEST) as stream:
                 await stream.text()
         assert not bad.value.begun
-        with trio.fail_after(1):  # let go in the background
+        with trio.fail_after(1):  # released in the background
             while engines["r0"].states:
                 await trio.sleep(0.002)
         engines["r0"].trouble = "full"
@@ -195,7 +195,7 @@
                 await stream.text()
 
 
-async def test_leaving_early_calls_off_and_lets_go() -> None:
+async def test_leaving_early_calls_off_and_releases() -> None:
     engines = {i: Local() for i in ("r0", "w0")}
     async with open_routing(paper("r0", "w0"), LocalTransport(dict(engines))) as routing:  # type: ignore[arg-type]
         async with routing.generation(REQUEST) as stream:
--- a/tests/test_upkeep.py
+++ b/tests/test_upkeep.py
@@ -212,7 +212,7 @@
     assert sum(name.endswith(".seg") for name in disk.names()) <= n + 1
 
 
-async def test_a_place_held_ahead_is_taken_by_the_write_or_let_go() -> None:
+async def test_a_place_held_ahead_is_taken_by_the_write_or_released() -> None:
     class Holds(Router):
         """The decisions, with a place held at the home writer beside each read."""
 
