--- a/ternlane/choice.py
+++ b/ternlane/choice.py
@@ -4,6 +4,7 @@
 ternlane/port.py, the reasons are in docs/design.md. The Desk and an Engine for each server are actors that
 talk by notes in inboxes only. Read first place (the ordinary path), leg_ended, send, finish and release.
 """
+
 from __future__ import annotations
 
 import heapq
@@ -14,51 +15,92 @@
 from typing import Any, Iterator
 
 from ternlane import port
-from ternlane.notes import (Actor, Beat, Booked, Course, Doubt, Home, Leg, Limits, Loop, Lost, News,
-                            Onward, Record, Reported, Seat, Sent, StageEnded, Standing, Trouble, Unbooked)
+from ternlane.notes import (
+    Actor,
+    Beat,
+    Booked,
+    Course,
+    Doubt,
+    Home,
+    Leg,
+    Limits,
+    Loop,
+    Lost,
+    News,
+    Onward,
+    Record,
+    Reported,
+    Seat,
+    Sent,
+    StageEnded,
+    Standing,
+    Trouble,
+    Unbooked,
+)
 from ternlane.policy.lease import ANSWERED, RELEASE_RESERVE, AttemptEnd, ReleaseSchedule
-from ternlane.port import (Duty, Effect, Event, Generation, Group, Life, Product, Refusal, ReleaseReason,
-                           Server, StartFacts, Verdict)
-
-STEP = 0.1          # score lost for each step between reader and writer (design page)
+from ternlane.port import (
+    Duty,
+    Effect,
+    Event,
+    Generation,
+    Group,
+    Life,
+    Product,
+    Refusal,
+    ReleaseReason,
+    Server,
+    StartFacts,
+    Verdict,
+)
+
+STEP = 0.1  # score lost for each step between reader and writer (design page)
 HOME_AGE_MS = 60e3  # a session idle for longer loses its home (design page)
-CROWD = 2.0         # congested: open streams over this many times the median (design page)
-MARGIN = 2.0        # usual times to the first token that must be left when a read begins
-SICK = 0.4          # congested: progress under this part of the peers' median
-DOUBT = 4.0         # legs at the peers' pace that a server is credited with before its own count
-LOOK = 4            # beats between two looks at all servers
-GAIN = 1 / 16       # weight of a new sample in a running mean
-CARE = 0.6          # part of what the rule lets a cold server be sent that this router uses
-CONFIRM = 2.0       # the guess of the others' load counts in full once half of the answers come late
-WORTH = 4.0         # what reading a text anew weighs against room: the readers' time is everybody's
-FAINT = 0.02        # failures of a kind below this part are chance
-FEW = 64            # generations before this gateway's own count of an opening says much
+CROWD = 2.0  # congested: open streams over this many times the median (design page)
+MARGIN = 2.0  # usual times to the first token that must be left when a read begins
+SICK = 0.4  # congested: progress under this part of the peers' median
+DOUBT = 4.0  # legs at the peers' pace that a server is credited with before its own count
+LOOK = 4  # beats between two looks at all servers
+GAIN = 1 / 16  # weight of a new sample in a running mean
+CARE = 0.6  # part of what the rule lets a cold server be sent that this router uses
+CONFIRM = 2.0  # the guess of the others' load counts in full once half of the answers come late
+WORTH = 4.0  # what reading a text anew weighs against room: the readers' time is everybody's
+FAINT = 0.02  # failures of a kind below this part are chance
+FEW = 64  # generations before this gateway's own count of an opening says much
 LONG_READ = 1000.0  # tokens
-LOT = 0.618         # of the way round between two draws of a generation, as far from all before as can be
-OUT_SHARE = 0.25    # part of the longest answer that a generation is expected to fill
+LOT = 0.618  # of the way round between two draws of a generation, as far from all before as can be
+OUT_SHARE = 0.25  # part of the longest answer that a generation is expected to fill
 NEVER_RAN = {Verdict.FULL, Verdict.UNCONNECTED, Verdict.MOOT, Verdict.WITHHELD, Verdict.READ}
 NO_SIGN = {Verdict.TIMED_OUT, Verdict.ERROR, Verdict.FULL, Verdict.CALLED_OFF, Verdict.MOOT, Verdict.WITHHELD}
 
 
 def limits_from(facts: StartFacts) -> Limits:
     slo = min((p.slo_ms for p in facts.products if p.slo_ms), default=1000.0)
-    return Limits(slo_ms=slo, span_ms=2 * slo, beat_ms=max(facts.step_ms, slo / 20), share=facts.gateways,
-                  cold_part=facts.fall_multiple * facts.cold_from * CARE, cold_ms=facts.cold_ms,
-                  retry_ms=2 * facts.connect_ms, idle_ms=facts.idle_ms, leg_limit=facts.leg_limit,
-                  hand_ms=max(0.0, facts.release_ms - facts.connect_ms) if facts.holds_run_on else inf,
-                  guard_ms=(1 - RELEASE_RESERVE) * facts.release_ms
-                  if facts.holds_run_on and facts.releases_spare_attempts else inf,
-                  pause_ms=facts.longest_pause_ms if facts.may_advise else 0.0)
-
-
-class Engine(Seat):    # one model server as this gateway knows it
+    return Limits(
+        slo_ms=slo,
+        span_ms=2 * slo,
+        beat_ms=max(facts.step_ms, slo / 20),
+        share=facts.gateways,
+        cold_part=facts.fall_multiple * facts.cold_from * CARE,
+        cold_ms=facts.cold_ms,
+        retry_ms=2 * facts.connect_ms,
+        idle_ms=facts.idle_ms,
+        leg_limit=facts.leg_limit,
+        hand_ms=max(0.0, facts.release_ms - facts.connect_ms) if facts.holds_run_on else inf,
+        guard_ms=(1 - RELEASE_RESERVE) * facts.release_ms
+        if facts.holds_run_on and facts.releases_spare_attempts
+        else inf,
+        pause_ms=facts.longest_pause_ms if facts.may_advise else 0.0,
+    )
+
+
+class Engine(Seat):  # one model server as this gateway knows it
     def __init__(self, router: Loop, server: Server) -> None:
         super().__init__(router)
         self.server = server
         self.reads, self.writes = server.duty is not Duty.WRITE, server.duty is not Duty.READ
-        self.booked: dict[Course, tuple[float, float]] = {}    # when, how much of its memory
+        self.booked: dict[Course, tuple[float, float]] = {}  # when, how much of its memory
         self.legs: dict[Leg, None] = {}
-        self.said: tuple[float, float, float | None] | None = None   # when, memory share, generations held
+        self.said: tuple[float, float, float | None] | None = None  # when, memory share, generations held
         self.done = self.due = self.cold_until = self.linked_until = 0.0
         self.strikes, self.shut_until, self.trial, self.answered = 0, 0.0, False, -inf
         self.heard_at = -inf
@@ -79,7 +121,7 @@
                 if good is not False:
                     self.linked_until = now + self.limits.idle_ms
                 self.done += good is True
-                self.due += (good is False) * DOUBT / 2    # guards against one that fails fast and looks free
+                self.due += (good is False) * DOUBT / 2  # guards against one that fails fast and looks free
                 if next_usual is None:
                     self.legs.pop(leg, None)
                     if good and not leg.writes:
@@ -123,7 +165,7 @@
     def shut(self, wait: float, why: str) -> None:
         """Nothing more for a while, twice as long each time; then one leg at a time."""
         if self.router.now >= self.shut_until:
-            self.strikes, wait = self.strikes + 1, min(wait * 2 ** self.strikes, self.limits.cold_ms)
+            self.strikes, wait = self.strikes + 1, min(wait * 2**self.strikes, self.limits.cold_ms)
             self.shut_until = self.router.now + wait
             self.router.out.append(port.Log(self.server, f"ejected for {wait:.0f} ms (time {self.strikes}): {why}"))
             self.trial, self.done, self.due = True, 0.0, 0.0
@@ -140,9 +182,9 @@
         crowding = (self.sent + CROWD) / (self.fleet.mean_sent + CROWD) * (1 - 1 / self.limits.share)
         used = own + self.fleet.level * crowding
         free, known = 1 - used, 1 - own
-        queue = sum(leg.work_ms for leg in self.legs if leg.sent >= self.answered)    # a lost one is no load
+        queue = sum(leg.work_ms for leg in self.legs if leg.sent >= self.answered)  # a lost one is no load
         ahead = CROWD * queue + self.fleet.trust * (self.fleet.queue_ms * crowding)
-        if self.said is not None:    # an old report says less than the mean does
+        if self.said is not None:  # an old report says less than the mean does
             at, mem_share, held = self.said
             since = sum(share for when, share in self.booked.values() if when > at - self.limits.beat_ms)
             fresh = exp((at - now) / self.limits.span_ms)
@@ -153,20 +195,34 @@
         if self.reads:
             free = min(free, 1 - ahead / self.limits.slo_ms)
             known = min(known, 1 - queue / self.limits.slo_ms)
-        return Standing(self, self.server.life is Life.UP, free, known, queue, len(self.booked),
-                        (self.done + DOUBT) / (self.due + DOUBT), now < self.shut_until, self.trial,
-                        self.cold_until, own, self.sent, ahead, now < self.linked_until, self.fleet)
-
-
-class Desk(Actor):    # sessions' homes, generations' courses
+        return Standing(
+            self,
+            self.server.life is Life.UP,
+            free,
+            known,
+            queue,
+            len(self.booked),
+            (self.done + DOUBT) / (self.due + DOUBT),
+            now < self.shut_until,
+            self.trial,
+            self.cold_until,
+            own,
+            self.sent,
+            ahead,
+            now < self.linked_until,
+            self.fleet,
+        )
+
+
+class Desk(Actor):  # sessions' homes, generations' courses
     def __init__(self, router: Loop, facts: StartFacts) -> None:
         super().__init__(router)
         self.adopt(facts)
         self.asking: list[Course] = []
-        self.read_ms, self.asked, self.unmet = 0.0, False, 0.0    # part of new connections that fail
-        self.seed, self.turn, self.beats, self.stuck = facts.seed, 0, 0, inf    # no room for prompts so large
+        self.read_ms, self.asked, self.unmet = 0.0, False, 0.0  # part of new connections that fail
+        self.seed, self.turn, self.beats, self.stuck = facts.seed, 0, 0, inf  # no room for prompts so large
         self.board: dict[Seat, Standing] = {}
-        self.lots: dict[Duty, dict[Seat, tuple[float, float]]] = {d: {} for d in Duty}    # of cold ones
+        self.lots: dict[Duty, dict[Seat, tuple[float, float]]] = {d: {} for d in Duty}  # of cold ones
         self.homes: OrderedDict[str, Home] = OrderedDict()
         self.waiting: list[tuple[float, float, int, Course]] = []
         self.releases: ReleaseSchedule[Course] = ReleaseSchedule()
@@ -175,14 +231,14 @@
         self.usual: dict[tuple[Product, str], float] = {}
         self.learnt_at: dict[Product, float] = {}
         self.prompt: dict[Product, float] = {}
-        self.told: defaultdict[Product, float] = defaultdict(lambda: 0.5)    # part kept at the agreed reader
-        self.asked_for: Counter[str | None] = Counter()    # generations of each opening
+        self.told: defaultdict[Product, float] = defaultdict(lambda: 0.5)  # part kept at the agreed reader
+        self.asked_for: Counter[str | None] = Counter()  # generations of each opening
         self.tok_ms = self.limits.slo_ms / 10e3
         self.fleets = {duty: Beat() for duty in Duty}
         self.foreseen = self.took = self.limits.slo_ms / 8
-        self.doubts: dict[Any, Doubt] = {}    # by product, tenant, or the verdict of silence
-        self.late = {duty: 0.0 for duty in Duty}    # part of the answers that came late, or were none
-        self.trust = 1.0    # how long reads took, against what the readers' queues were believed to be
+        self.doubts: dict[Any, Doubt] = {}  # by product, tenant, or the verdict of silence
+        self.late = {duty: 0.0 for duty in Duty}  # part of the answers that came late, or were none
+        self.trust = 1.0  # how long reads took, against what the readers' queues were believed to be
 
     def adopt(self, facts: StartFacts) -> None:
         self.may_call_off, self.must_ask = facts.may_call_off, facts.must_ask
@@ -217,7 +273,7 @@
             case port.Altered(facts):
                 self.router.limits, self.stuck = limits_from(facts), inf
                 self.adopt(facts)
-                kept = set(facts.products)    # what was learnt of those that are no more must not pile up
+                kept = set(facts.products)  # what was learnt of those that are no more must not pile up
                 self.usual = {kind: ms for kind, ms in self.usual.items() if kind[0] in kept}
                 for table in (self.prompt, self.learnt_at, self.told):
                     for product in table.keys() - kept:
@@ -244,9 +300,9 @@
         mean = self.prompt.setdefault(product, max(gen.prompt_toks, 1.0))
         self.prompt[product] = mean + GAIN * (gen.prompt_toks - mean)
         self.asked_for[gen.opening] += gen.opening is not None
-        if self.told_if_asked and course.limit_at > now + CROWD * self.limits.beat_ms:    # or time runs out
+        if self.told_if_asked and course.limit_at > now + CROWD * self.limits.beat_ms:  # or time runs out
             course.agreed = self.agreed(gen)
-            course.asked = {e for e in course.agreed[:round(CROWD)] if self.ask(e)}
+            course.asked = {e for e in course.agreed[: round(CROWD)] if self.ask(e)}
         if course.asked:
             self.asking.append(course)
         else:
@@ -286,7 +342,7 @@
         return not s.shut and not s.trial and s.progress >= SICK * s.fleet.pace
 
     def fit(self, s: Standing, course: Course) -> bool:
-        if s.trial and not s.shut:    # one leg at a time finds out, and none that can't be made good
+        if s.trial and not s.shut:  # one leg at a time finds out, and none that can't be made good
             barred = any(b[0] >= s.engine.shut_until for c, b in s.engine.booked.items() if c is not course)
             return not barred and (not s.engine.writes or course.gen.product.effect is Effect.IDEMPOTENT)
         return self.sound(s)
@@ -294,8 +350,11 @@
     def congested(self, s: Standing, course: Course) -> bool:
         """What own requests make a gateway guess of all the others' counts as far as answers come late."""
         free = s.known + min(1.0, CONFIRM * self.late[s.engine.server.duty]) * (s.free - s.known)
-        return (not self.fit(s, course) or s.open > CROWD * max(s.fleet.open, CROWD)
-                or free * s.engine.server.mem_toks <= self.toks(course, s.engine))
+        return (
+            not self.fit(s, course)
+            or s.open > CROWD * max(s.fleet.open, CROWD)
+            or free * s.engine.server.mem_toks <= self.toks(course, s.engine)
+        )
 
     def spent(self, course: Course) -> bool:
         return self.router.now >= course.limit_at or course.legs >= self.limits.leg_limit
@@ -308,8 +367,9 @@
     def toks(self, course: Course, engine: Seat) -> float:
         return course.gen.prompt_toks + (OUT_SHARE * course.gen.max_toks if engine.writes else 0.0)
 
-    def pairs(self, readers: list[Standing], writers: list[Standing],
-              lost: dict[Seat, float]) -> Iterator[tuple[Standing, Standing]]:
+    def pairs(
+        self, readers: list[Standing], writers: list[Standing], lost: dict[Seat, float]
+    ) -> Iterator[tuple[Standing, Standing]]:
         """Each reader with the best writer of its cell, of its zone and of all (no other scores more), a
         mixed one with itself. Equals go by chance, or all gateways would fill the first in the list."""
         freest: dict[Any, tuple[float, int, Standing]] = {}
@@ -329,7 +389,7 @@
                 at = r.engine.server
                 yield from ((r, freest[by][2]) for by in (at.cell, at.zone, None) if by in freest)
 
-    def work_ms(self, engine: Seat, course: Course) -> float:    # to read what it is not thought to keep
+    def work_ms(self, engine: Seat, course: Course) -> float:  # to read what it is not thought to keep
         gen, agreed = course.gen, course.agreed
         if engine not in agreed:
             return self.tok_ms * gen.prompt_toks
@@ -346,7 +406,7 @@
         """The best pair that is not congested. With no server of a duty sound, the view is suspected."""
         able = [s for s in self.board.values() if self.usable(s.engine, course)]
         ill = {s.engine for s in able if self.ill(s.engine, course)} if self.doubts else set()
-        for duty in Duty if ill else ():    # where all are, it is not theirs
+        for duty in Duty if ill else ():  # where all are, it is not theirs
             if all(s.engine in ill for s in able if s.engine.server.duty is duty):
                 ill = {e for e in ill if e.server.duty is not duty}
         calm = [s for s in able if s.engine not in ill and not self.congested(s, course)]
@@ -357,8 +417,11 @@
         lost = {s.engine: self.loss(s.engine, course) if self.doubts else 0.0 for s in calm}
         work = {r.engine: WORTH * self.work_ms(r.engine, course) / self.limits.slo_ms for r in readers}
         less = {r: work[r] + lost.get(r, 0.0) * (not r.writes) for r in work}
-        return max(self.pairs(readers, calm, lost), default=None,
-                   key=lambda p: self.score(p[0], p[1], less[p[0].engine] + lost[p[1].engine]))
+        return max(
+            self.pairs(readers, calm, lost),
+            default=None,
+            key=lambda p: self.score(p[0], p[1], less[p[0].engine] + lost[p[1].engine]),
+        )
 
     def agreed(self, gen: Generation) -> list[Seat]:
         """The reader that every gateway holds nearest, as openings and sessions come to all of them.
@@ -367,8 +430,8 @@
         if gen.opening is not None:
             key = zlib.crc32(gen.opening.encode())
             readers.sort(key=lambda e: key * (e.server.mark | 1) % 2**32)
-            part = (max(1, self.asked_for[gen.opening]) - 1) / (self.asked_for.total() + FEW)    # but this
-            readers = readers[:round(CROWD + CROWD * len(readers) * part)]
+            part = (max(1, self.asked_for[gen.opening]) - 1) / (self.asked_for.total() + FEW)  # but this
+            readers = readers[: round(CROWD + CROWD * len(readers) * part)]
         key = zlib.crc32((gen.session or "").encode())
         return sorted(readers, key=lambda e: key * (e.server.mark | 1) % 2**32)
 
@@ -379,8 +442,10 @@
         if refusal is not None:
             return self.finish(course, refusal)
         home = self.homes.get(gen.session or "")
-        if home and all(self.usable(e, course) and not self.congested(self.board[e], course)
-                        and not self.ill(e, course) for e in home[:2]):
+        if home and all(
+            self.usable(e, course) and not self.congested(self.board[e], course) and not self.ill(e, course)
+            for e in home[:2]
+        ):
             reader, writer = home[:2]
         else:
             pair = self.best(course)
@@ -396,7 +461,7 @@
         course.reader, course.writer = reader, writer
         for engine in {reader: None, writer: None}:
             engine.post(Booked(course, self.toks(course, engine)))
-        if self.told_if_asked and writer is not reader:    # its report comes while the prompt is read
+        if self.told_if_asked and writer is not reader:  # its report comes while the prompt is read
             self.ask(writer)
         self.send(course, reader)
 
@@ -412,7 +477,7 @@
 
     def record(self, engine: Seat, gen: Generation, verdict: Verdict, waited: float) -> None:
         """Guards against servers that look well and fail one product, refuse one tenant or lose answers."""
-        if verdict in (Verdict.READ, Verdict.TIMED_OUT, Verdict.FULL):    # two such waits, and more is late
+        if verdict in (Verdict.READ, Verdict.TIMED_OUT, Verdict.FULL):  # two such waits, and more is late
             late = verdict is Verdict.FULL or 2 * MARGIN * waited > gen.product.slo_ms
             self.late[engine.server.duty] += GAIN * (late - self.late[engine.server.duty])
         for bad, kind in ((Verdict.ERROR, gen.product), (Verdict.FULL, gen.tenant), (Verdict.TIMED_OUT,) * 2):
@@ -459,12 +524,15 @@
         """Guards against last tries, with less than the SLO time, whose reads could only be thrown away. What
         is usual is believed while it is fresh, or nobody would find out that all is well again."""
         product, now = course.gen.product, self.router.now
-        return (course.limit_at < course.slo_at and now + MARGIN * self.first_ms(product) > course.limit_at
-                and now - self.learnt_at.get(product, -inf) < DOUBT * self.limits.span_ms)
+        return (
+            course.limit_at < course.slo_at
+            and now + MARGIN * self.first_ms(product) > course.limit_at
+            and now - self.learnt_at.get(product, -inf) < DOUBT * self.limits.span_ms
+        )
 
     def outweighed(self, course: Course) -> bool:
         """Guards against reads for what is late already, where they make others late that earn more."""
-        least = max(1.5 * GAIN, course.gen.product.late_share)    # one late read in ten is no overload
+        least = max(1.5 * GAIN, course.gen.product.late_share)  # one late read in ten is no overload
         return self.router.now >= course.slo_at and self.late[Duty.READ] > least
 
     def cut_off(self, course: Course) -> bool:
@@ -472,9 +540,12 @@
         product = course.gen.product
         return self.router.now + self.first_ms(product) + self.usual_ms(product, "stream") > self.ends_at
 
-    def served(self, course: Course) -> bool:    # is anyone left who could read it, and who could write it?
-        able = [e for e in self.board if e.server.life is Life.UP and e not in course.tried
-                and self.effect_allows(course, e)]
+    def served(self, course: Course) -> bool:  # is anyone left who could read it, and who could write it?
+        able = [
+            e
+            for e in self.board
+            if e.server.life is Life.UP and e not in course.tried and self.effect_allows(course, e)
+        ]
         return any(e.reads for e in able) and any(e.writes for e in able)
 
     def wait(self, course: Course) -> None:
@@ -491,7 +562,7 @@
         """Places the waiting generation that comes first and throws off, at once, what has waited too long.
         Smaller ones may pass a large one that finds no room; one must not have all the others thrown off."""
         if self.router.now < self.next_due and self.least >= self.stuck:
-            return False    # lest a long line be gone through for each event
+            return False  # lest a long line be gone through for each event
         queue, self.waiting = self.waiting, []
         while queue and not self.router.ready:
             entry = _, latest, _, course = heapq.heappop(queue)
@@ -513,33 +584,32 @@
         assert not course.over and course.leg is None and engine.server.life is Life.UP
         now, product, s = self.router.now, course.gen.product, self.board[engine]
         writes, patience = engine is course.writer, course.limit_at - now
-        whole = patience if course.gen.whole else inf    # lest a slow writer outlast its client
+        whole = patience if course.gen.whole else inf  # lest a slow writer outlast its client
         course.legs += 1
         course.lease.attempt_begins()
         work = 0.0 if writes else self.work_ms(engine, course)
         usual = max(self.usual_ms(product, "open" if writes else "read"), work + s.queue_ms)
-        course.leg = Leg(engine, course, writes, now, now, usual, work,
-                         work + s.ahead_ms / max(self.trust, GAIN), not s.linked)
+        course.leg = Leg(
+            engine, course, writes, now, now, usual, work, work + s.ahead_ms / max(self.trust, GAIN), not s.linked
+        )
         if course.legs < self.limits.leg_limit and (not writes or product.effect is Effect.IDEMPOTENT):
-            slow = 1 / CROWD if writes else CROWD if self.told_if_asked else 1    # a told one is not mute
+            slow = 1 / CROWD if writes else CROWD if self.told_if_asked else 1  # a told one is not mute
             patience = min(patience, max(slow * product.slo_ms, 4 * course.leg.usual_ms))
         engine.post(Sent(course.leg))
-        quiet = max(self.limits.span_ms, DOUBT * product.tok_slo_ms)    # a mute stream has broken
-        self.router.out.append(port.SendLeg(course.gen, engine.server, patience, quiet, whole,
-                                            self.window_ms(course)))
+        quiet = max(self.limits.span_ms, DOUBT * product.tok_slo_ms)  # a mute stream has broken
+        self.router.out.append(port.SendLeg(course.gen, engine.server, patience, quiet, whole, self.window_ms(course)))
 
     def finish(self, course: Course, why: Refusal) -> None:
         """The one final answer, given at once: throttled wherever that promise is true, else terminated."""
         product, window = course.gen.product, self.window_ms(course)
         pause = min(self.limits.pause_ms, product.slo_ms / 2)
         harmless = window == inf or (product.group is Group.ALL and window > pause)
-        self.router.out.append(
-            port.Throttle(course.gen, pause, why) if harmless else port.Terminate(course.gen, why))
+        self.router.out.append(port.Throttle(course.gen, pause, why) if harmless else port.Terminate(course.gen, why))
         self.close(course)
 
     def release(self, course: Course, why: ReleaseReason = ReleaseReason.REQUEST_OVER) -> None:
         lease = course.lease
-        if lease.may_hold:    # also what a read may yet leave behind whose end was not heard: said to the last
+        if lease.may_hold:  # also what a read may yet leave behind whose end was not heard: said to the last
             self.router.out.append(port.Release(course.gen, course.over and lease.unheard, why))
             lease.released(course.over)
         for engine in filter(None, (course.reader, course.writer)):
@@ -567,7 +637,7 @@
         course.over = True
         if course.leg is None:
             self.release(course)
-        elif self.may_call_off:    # what the leg holds is released when it ends
+        elif self.may_call_off:  # what the leg holds is released when it ends
             self.router.out.append(port.CallOff(course.gen))
 
     def effect_allows(self, course: Course, engine: Seat) -> bool:
@@ -592,7 +662,7 @@
         self.learn(product, "open", took)
         if course.reader is not None and course.reader is not course.writer:
             course.reader.post(Unbooked(course))
-        self.record(leg.engine, course.gen, Verdict.READ, took)    # as good a sign
+        self.record(leg.engine, course.gen, Verdict.READ, took)  # as good a sign
         leg.engine.post(StageEnded(leg, True, self.usual_ms(product, "stream")))
 
     def leg_ended(self, note: port.LegEnded) -> None:
@@ -615,7 +685,7 @@
             self.record(engine, course.gen, ended, note.took_ms - leg.work_ms)
         if leg.writes and verdict not in NEVER_RAN and course.may_have_run is None:
             course.may_have_run = leg.sent, note.server
-        if leg.fresh and good is not None:    # where these fail, the connected are nearer
+        if leg.fresh and good is not None:  # where these fail, the connected are nearer
             self.unmet += 4 * GAIN * ((verdict is Verdict.UNCONNECTED) - self.unmet)
         if not leg.writes and verdict in (Verdict.READ, Verdict.TIMED_OUT):
             self.read_took(course, leg, note)
@@ -632,17 +702,22 @@
             self.guard_lease(course)
         if verdict is Verdict.MOOT:
             return self.finish(course, Refusal.CLIENT_LEFT)
-        if verdict is not Verdict.READ and not note.state_lost:    # a full one is not asked again either
+        if verdict is not Verdict.READ and not note.state_lost:  # a full one is not asked again either
             course.tried.add(engine)
-        if note.broken:    # only the time limit binds one whose client has a part; GoOn says when
+        if note.broken:  # only the time limit binds one whose client has a part; GoOn says when
             course.slo_at = course.limit_at
             return self.release(course, ReleaseReason.STREAM_BROKE)
         engine.post(Onward(course))
 
     def lost(self, leg: Leg) -> None:
         """A read whose answer will not come is called off, if legs for another pair are left."""
-        if (leg.course.leg is leg and not leg.lost and not leg.course.over and self.may_call_off
-                and leg.course.legs + 2 <= self.limits.leg_limit):
+        if (
+            leg.course.leg is leg
+            and not leg.lost
+            and not leg.course.over
+            and self.may_call_off
+            and leg.course.legs + 2 <= self.limits.leg_limit
+        ):
             leg.lost = True
             self.router.out.append(port.CallOff(leg.course.gen))
 
@@ -662,29 +737,33 @@
         """One that ran out of time took at least as long; were it not counted, ever more would."""
         gen, took, unread = course.gen, note.took_ms, course.gen.prompt_toks - note.kept_toks
         usual = took / max(1.0, gen.prompt_toks / self.prompt.get(gen.product, gen.prompt_toks))
-        if note.verdict is Verdict.READ or usual > self.usual_ms(gen.product, "read"):    # or it was cut
+        if note.verdict is Verdict.READ or usual > self.usual_ms(gen.product, "read"):  # or it was cut
             self.learn(gen.product, "read", usual)
         self.foreseen += GAIN * (leg.foreseen - self.foreseen)
         self.took += GAIN * (took - self.took)
-        self.trust = min(CROWD ** 2, self.took / self.foreseen)
+        self.trust = min(CROWD**2, self.took / self.foreseen)
         if note.verdict is Verdict.READ and leg.engine in course.agreed[:1]:
             self.told[gen.product] += GAIN * (1 - unread / max(gen.prompt_toks, 1.0) - self.told[gen.product])
         self.read_ms += GAIN * (self.tok_ms * unread - self.read_ms)
-        if note.verdict is Verdict.READ and unread > LONG_READ:    # short ones tell of steps and queues
+        if note.verdict is Verdict.READ and unread > LONG_READ:  # short ones tell of steps and queues
             pace = took / unread
             self.tok_ms += (pace - self.tok_ms) * (4 * GAIN if pace < self.tok_ms else GAIN / 4)
 
     def hand_on(self, course: Course) -> None:
         """The state goes to the home writer, or, if that has congested since, straight to the next best."""
         writer = course.writer
-        assert writer is not None and course.reader is not None    # chosen together
+        assert writer is not None and course.reader is not None  # chosen together
         s = self.board[writer]
-        if not self.usable(writer, course) or not self.fit(s, course) or self.ill(writer, course) or (
-                self.told_if_asked and self.congested(s, course)):
+        if (
+            not self.usable(writer, course)
+            or not self.fit(s, course)
+            or self.ill(writer, course)
+            or (self.told_if_asked and self.congested(s, course))
+        ):
             pair = self.best(course, course.lease.held_at)
             if pair is None and self.usable(writer, course) and self.fit(s, course):
                 return self.send(course, writer)
-            if pair is None:    # the state is released, and the prompt, now kept, read again
+            if pair is None:  # the state is released, and the prompt, now kept, read again
                 course.lease.held_at = None
                 return self.onward(course)
             writer.post(Unbooked(course))
@@ -708,12 +787,13 @@
         if self.must_ask and not self.asked:
             self.asked = True
             out.append(port.Follow())
-        while self.homes and (len(self.homes) > CROWD * FEW ** 2
-                              or next(iter(self.homes.values())).used < now - HOME_AGE_MS):
+        while self.homes and (
+            len(self.homes) > CROWD * FEW**2 or next(iter(self.homes.values())).used < now - HOME_AGE_MS
+        ):
             self.homes.popitem(last=False)
         self.beats += 1
         late, self.asking = [course for course in self.asking if not course.over], []
-        for course in late:    # a server that does not answer holds nobody up
+        for course in late:  # a server that does not answer holds nobody up
             self.onward(course)
         if self.beats % LOOK == 1:
             for doubt in self.doubts.values():
@@ -721,10 +801,10 @@
                     doubt.rate[writes] *= exp(-LOOK * self.limits.beat_ms / HOME_AGE_MS)
             self.doubts = {kind: d for kind, d in self.doubts.items() if max(d.rate.values()) > FAINT}
             for engine in [e for e in self.board if e.server.life is Life.GONE and not (e.legs or e.booked)]:
-                del self.board[engine]    # fleets change for ever; what is known of them must not grow
+                del self.board[engine]  # fleets change for ever; what is known of them must not grow
                 for doubt in self.doubts.values():
                     doubt.seen.pop(engine, None)
-            if len(self.asked_for) > FEW ** 2:
+            if len(self.asked_for) > FEW**2:
                 self.asked_for = Counter({name: n // 2 for name, n in self.asked_for.items() if n > 1})
         for duty in Duty if self.beats % LOOK == 1 else ():
             peers = [s for s in self.board.values() if s.engine.server.duty is duty and s.listed]
@@ -736,13 +816,18 @@
         old, ms, self.stuck = self.fleets[duty], LOOK * self.limits.beat_ms, inf
         fit = [s for s in peers if not s.shut and not s.trial] or peers
         now, able = self.router.now, [e for e, s in self.board.items() if s.listed]
-        warm = [s for s in fit if s.cold_until <= now] or fit    # lest the warm look as full as the cold
+        warm = [s for s in fit if s.cold_until <= now] or fit  # lest the warm look as full as the cold
         even = self.limits.cold_part / sum(e.writes if duty is Duty.WRITE else e.reads for e in able)
         cold = [s for s in peers if s.cold_until > now]
-        self.lots[duty] = {s.engine: (i / len(cold), even * (1 + 3 * max(0.0, 1 - (
-            s.cold_until - now) / max(self.limits.cold_ms, 1.0)) ** 2)) for i, s in enumerate(cold)}
+        self.lots[duty] = {
+            s.engine: (
+                i / len(cold),
+                even * (1 + 3 * max(0.0, 1 - (s.cold_until - now) / max(self.limits.cold_ms, 1.0)) ** 2),
+            )
+            for i, s in enumerate(cold)
+        }
         mid = median(s.open for s in fit)
-        new = min(1.0, (1 + mid) * ms / self.limits.span_ms)    # the more of one's own, the sooner believed
+        new = min(1.0, (1 + mid) * ms / self.limits.span_ms)  # the more of one's own, the sooner believed
         scale = new * self.limits.share / len(warm)
         level = (1 - new) * old.level + scale * sum(s.own for s in warm)
         queue = (1 - new) * old.queue_ms + scale * sum(s.queue_ms for s in warm)
@@ -752,7 +837,7 @@
             if s.progress < SICK * view.pace and not s.shut and not s.trial:
                 s.engine.post(Trouble(silent=True))
             stirred = s.open or s.shut or s.trial or s.cold_until > now
-            if stirred or (i + self.beats // LOOK) % (len(peers) // (3 * LOOK) or 1) == 0:    # idle in turns
+            if stirred or (i + self.beats // LOOK) % (len(peers) // (3 * LOOK) or 1) == 0:  # idle in turns
                 s.engine.post(view)
 
 
@@ -760,7 +845,7 @@
     """One gateway's decisions, without clock, loop or sockets. Nothing is shared between two of them."""
 
     def __init__(self, facts: StartFacts) -> None:
-        self.now, self.limits = -inf, limits_from(facts)    # the beat is asked for with the first batch
+        self.now, self.limits = -inf, limits_from(facts)  # the beat is asked for with the first batch
         self.ready: deque[Actor] = deque()
         self.out: list[port.Action] = []
         self.desk: Desk = Desk(self, facts)
@@ -772,7 +857,7 @@
         for event in heard:
             self.desk.post(event)
             self._empty()
-        while self.desk.pump():    # once all is heard, lest thousands at once cost as many tries
+        while self.desk.pump():  # once all is heard, lest thousands at once cost as many tries
             self._empty()
         return self.out
 
