Failure rates by kind and server are a policy module of their own

Cause: the counts of failures by request class, tenant and silence were spread over six methods of Desk, which share twenty fields. Change: ternlane/policy/failure_rates.py with named figures and typed tallies; choice.py asks it.

--- a/ternlane/choice.py
+++ b/ternlane/choice.py
@@ -20,7 +20,6 @@
     Beat,
     Booked,
     Course,
-    Doubt,
     Home,
     Leg,
     Limits,
@@ -28,7 +27,6 @@
     Lost,
     News,
     Onward,
-    Record,
     Reported,
     Seat,
     Sent,
@@ -37,6 +35,7 @@
     Trouble,
     Unbooked,
 )
+from ternlane.policy.failure_rates import FailureRates
 from ternlane.policy.lease import ANSWERED, RELEASE_RESERVE, AttemptEnd, ReleaseSchedule
 from ternlane.port import (
     Duty,
@@ -64,7 +63,6 @@
 CARE = 0.6  # part of what the rule lets a cold server be sent that this router uses
 CONFIRM = 2.0  # the guess of the others' load counts in full once half of the answers come late
 WORTH = 4.0  # what reading a text anew weighs against room: the readers' time is everybody's
-FAINT = 0.02  # failures of a kind below this part are chance
 FEW = 64  # generations before this gateway's own count of an opening says much
 LONG_READ = 1000.0  # tokens
 LOT = 0.618  # of the way round between two draws of a generation, as far from all before as can be
@@ -236,7 +234,7 @@
         self.tok_ms = self.limits.slo_ms / 10e3
         self.fleets = {duty: Beat() for duty in Duty}
         self.foreseen = self.took = self.limits.slo_ms / 8
-        self.doubts: dict[Any, Doubt] = {}  # by product, tenant, or the verdict of silence
+        self.failures: FailureRates[Seat] = FailureRates()  # by product, tenant, or the verdict of silence
         self.late = {duty: 0.0 for duty in Duty}  # part of the answers that came late, or were none
         self.trust = 1.0  # how long reads took, against what the readers' queues were believed to be
 
@@ -405,7 +403,7 @@
     def best(self, course: Course, holder: Seat | None = None) -> tuple[Standing, Standing] | None:
         """The best pair that is not congested. With no server of a duty sound, the view is suspected."""
         able = [s for s in self.board.values() if self.usable(s.engine, course)]
-        ill = {s.engine for s in able if self.ill(s.engine, course)} if self.doubts else set()
+        ill = {s.engine for s in able if self.ill(s.engine, course)} if self.failures else set()
         for duty in Duty if ill else ():  # where all are, it is not theirs
             if all(s.engine in ill for s in able if s.engine.server.duty is duty):
                 ill = {e for e in ill if e.server.duty is not duty}
@@ -414,7 +412,7 @@
             if not any(s.listed and e.server.duty is duty and self.sound(s) for e, s in self.board.items()):
                 calm += [s for s in able if s.engine.server.duty is duty and s not in calm]
         course.agreed, readers = self.agreed(course.gen), [self.board[holder]] if holder else calm
-        lost = {s.engine: self.loss(s.engine, course) if self.doubts else 0.0 for s in calm}
+        lost = {s.engine: self.loss(s.engine, course) if self.failures else 0.0 for s in calm}
         work = {r.engine: WORTH * self.work_ms(r.engine, course) / self.limits.slo_ms for r in readers}
         less = {r: work[r] + lost.get(r, 0.0) * (not r.writes) for r in work}
         return max(
@@ -480,25 +478,14 @@
         if verdict in (Verdict.READ, Verdict.TIMED_OUT, Verdict.FULL):  # two such waits, and more is late
             late = verdict is Verdict.FULL or 2 * MARGIN * waited > gen.product.slo_ms
             self.late[engine.server.duty] += GAIN * (late - self.late[engine.server.duty])
+        decodes, now = engine.writes, self.router.now
         for bad, kind in ((Verdict.ERROR, gen.product), (Verdict.FULL, gen.tenant), (Verdict.TIMED_OUT,) * 2):
-            failed = verdict is bad
-            if kind is not None and (failed or verdict is Verdict.READ and kind in self.doubts):
-                doubt = self.doubts.setdefault(kind, Doubt())
-                doubt.rate[engine.writes] += GAIN * (failed - doubt.rate[engine.writes])
-                was, tries = self.seen(engine, doubt)
-                doubt.seen[engine] = Record(was + failed, tries + 1, self.router.now)
-
-    def seen(self, engine: Seat, doubt: Doubt) -> tuple[float, float]:
-        known = doubt.seen.get(engine, Record())
-        fade = exp((known.at - self.router.now) / (HOME_AGE_MS / CROWD))
-        return known.bad * fade, known.tries * fade
+            if kind is not None and verdict in (bad, Verdict.READ):
+                self.failures.add(kind, engine, decodes, verdict is bad, now)
 
     def risk(self, engine: Seat, kind: Any) -> float:
         """The chance that this server fails this product or refuses this tenant, shrunk to that of all."""
-        if kind not in self.doubts:
-            return 0.0
-        (bad, tries), rate = self.seen(engine, self.doubts[kind]), self.doubts[kind].rate[engine.writes]
-        return (bad + rate / CROWD) / (tries + 1 / CROWD)
+        return self.failures.risk(kind, engine, engine.writes, self.router.now)
 
     def loss(self, engine: Seat, course: Course) -> float:
         """What that risk costs: a leg's time, or all where an error of a writer ends it."""
@@ -509,8 +496,8 @@
 
     def ill(self, engine: Seat, course: Course) -> bool:
         """Has it failed this product, or refused this tenant, more often than not lately?"""
-        kinds = [self.doubts[k] for k in (course.gen.product, course.gen.tenant) if k in self.doubts]
-        return any(2 * bad > tries > 1 / CROWD for bad, tries in (self.seen(engine, kind) for kind in kinds))
+        kinds = (course.gen.product, course.gen.tenant)
+        return any(self.failures.fails_mostly(kind, engine, self.router.now) for kind in kinds)
 
     def latest(self, course: Course) -> float:
         """The last time at which a read may begin and the first token still come within the SLO time."""
@@ -796,14 +783,10 @@
         for course in late:  # a server that does not answer holds nobody up
             self.onward(course)
         if self.beats % LOOK == 1:
-            for doubt in self.doubts.values():
-                for writes in doubt.rate:
-                    doubt.rate[writes] *= exp(-LOOK * self.limits.beat_ms / HOME_AGE_MS)
-            self.doubts = {kind: d for kind, d in self.doubts.items() if max(d.rate.values()) > FAINT}
+            self.failures.fade(exp(-LOOK * self.limits.beat_ms / HOME_AGE_MS))
             for engine in [e for e in self.board if e.server.life is Life.GONE and not (e.legs or e.booked)]:
                 del self.board[engine]  # fleets change for ever; what is known of them must not grow
-                for doubt in self.doubts.values():
-                    doubt.seen.pop(engine, None)
+                self.failures.forget(engine)
             if len(self.asked_for) > FEW**2:
                 self.asked_for = Counter({name: n // 2 for name, n in self.asked_for.items() if n > 1})
         for duty in Duty if self.beats % LOOK == 1 else ():
--- a/ternlane/notes.py
+++ b/ternlane/notes.py
@@ -106,23 +106,6 @@
     tried: set[Seat] = field(default_factory=set)
 
 
-@dataclass(slots=True)
-class Record:
-    """How legs of one kind ended at one server, since the kind's first failure."""
-
-    bad: float = 0.0
-    tries: float = 0.0
-    at: float = 0.0
-
-
-@dataclass(slots=True)
-class Doubt:
-    """Failures of one kind: of a product, of a tenant, or answers that never came."""
-
-    rate: dict[bool, float] = field(default_factory=lambda: {False: 0.0, True: 0.0})  # at readers, at writers
-    seen: dict[Seat, Record] = field(default_factory=dict)
-
-
 class Home(NamedTuple):
     reader: Seat
     writer: Seat
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -344,13 +344,13 @@
     ill = host.servers["w0"]
     for _ in range(30):
         serve(host, host.gen(opening=None, tenant=port.Tenant()), ill, None)
-    assert not host.router.desk.doubts  # type: ignore[attr-defined]
+    assert not host.router.desk.failures  # type: ignore[attr-defined]
     while not serve(host, host.gen(opening=None), ill, Verdict.ERROR):
         pass
-    assert host.router.desk.doubts  # type: ignore[attr-defined]
+    assert host.router.desk.failures  # type: ignore[attr-defined]
     for _ in range(60):
         serve(host, host.gen(opening=None), ill, None)
-    assert not host.router.desk.doubts  # type: ignore[attr-defined]
+    assert not host.router.desk.failures  # type: ignore[attr-defined]
 
 
 def test_a_last_try_without_time_for_a_first_token_is_answered_at_once(host: FakeHost) -> None:
--- a/tests/test_held_state.py
+++ b/tests/test_held_state.py
@@ -16,7 +16,7 @@
 from ternlane.standin.platform import Gate
 from ternlane.standin.proxy import StallingProxy
 from tests.crossing import until
-from tests.platform_world import TOLD, Platform, platform, until_ready
+from tests.platform_world import TOLD, Platform, always, platform, until_ready
 from tests.test_platform_bounds import running
 from tests.world import Reply
 
@@ -184,3 +184,20 @@
             process.send_signal(signal.SIGCONT)
             await until(lambda: not p.fleet.states)
             assert p.fleet.longest_held_ms() <= RELEASE_MS + SLACK_MS
+
+
+async def test_a_release_that_no_server_hears_for_a_while_is_said_again() -> None:
+    """In the test's own process, as a server's way of answering changes meanwhile."""
+    async with platform("r0", "w0", w0=always("status_500")) as p:
+        for server in p.servers.values():
+            server.lease_way = "silent"
+        p.fleet.hold("00000000000000cc", "r0")
+        assert (await p.ask(Request_Class="note", Request_Id="00000000000000cc")).status == 502
+        p.fleet.hold("00000000000000cc", "r0")  # the decode has failed, and a state waits
+        counts = p.gateway.node.counts
+        await until(lambda: counts["release unheard"] >= 2)
+        assert p.gateway.node.releasing == 1
+        for server in p.servers.values():
+            server.lease_way = ""
+        await until(lambda: counts["release heard"] == 1)
+        await p.settled()
