--- a/tests/test_fleet_trial.py
+++ b/tests/test_fleet_trial.py
@@ -18,7 +18,7 @@
 from ternlane.platform.roster import BEHIND_MS, Listing, Lists, Roster, read_listing
 from ternlane.platform.settings import Limits
 from ternlane.port import Duty, Life, Verdict
-from ternlane.standin.platform import DONE, EVENT, USAGE, Discovery, Fleet, ModelServer
+from ternlane.standin.platform import DONE, EVENT, USAGE, Discovery, Fleet, Gate, ModelServer
 from tests.platform_world import BODY, TOLD, Platform, platform
 
 
@@ -171,12 +171,10 @@
 async def test_nothing_is_begun_for_a_client_that_has_left(how: str, ahead: bytes) -> None:
     """It leaves while its read is out; also behind more than is kept of what it sends ahead."""
     async with platform("r0", "w0") as p:
-        p.servers["r0"].read_ms = 150.0
+        read = p.servers["r0"].gates["request"] = Gate()
         stream = await gone(p, how, ahead)
         with trio.fail_after(2):
-            while not p.fleet.count("read"):
-                await trio.sleep(0.005)
-        await trio.sleep(0.05)
+            await read.reached.wait()
         if how == "half-closed":
             await stream.send_eof()
         elif how == "reset":
@@ -184,11 +182,14 @@
             stream.socket.close()
         else:
             stream.socket.close()
-        await trio.sleep(0.1)
-        assert p.gateway.node.counts["left"] == 1
-        await trio.sleep(0.2)
-        assert p.fleet.count("write") == 0
+        with trio.fail_after(2):
+            while not p.gateway.node.counts["left"]:
+                await trio.sleep(0.002)
+        read.open()  # only now the prompt is read
         await p.settled()
+        await trio.sleep(0.2)
+        assert p.fleet.count("read") == 1 and p.fleet.count("write") == 0
+        assert p.gateway.node.counts["left"] == 1
 
 
 async def test_an_attempt_does_not_begin_where_its_client_left_during_the_connect() -> None:
