--- a/tests/test_fleet_trial.py
+++ b/tests/test_fleet_trial.py
@@ -182,7 +182,7 @@
             stream.socket.close()
         else:
             stream.socket.close()
-        with trio.fail_after(2):
+        with trio.fail_after(0.1):  # nothing may begin later than that after a client's close
             while not p.gateway.node.counts["left"]:
                 await trio.sleep(0.002)
         read.open()  # only now the prompt is read
