Shutdowns log each request's end and what is unfinished; closes of connections have reasons

Cause: the incident's logs can't tell whether a first event was passed on, how late a request came and on which grounds, nor why a connection was closed. Change: CloseReason counted for each client connection; phase, age and time after SIGTERM of requests; lines 'closed' from SIGTERM on and 'unfinished before the end' 0.1 s before the earliest SIGKILL; SIGUSR1 is answered during a shutdown.

--- a/ternlane/http1/__init__.py
+++ b/ternlane/http1/__init__.py
@@ -4,11 +4,12 @@
 from ternlane.http1.events import EventReader, event_bytes
 from ternlane.http1.exchange import BadRequest, Exchange
 from ternlane.http1.nonblocking import keep_open
-from ternlane.http1.server import ServerConnection, ServerLimits, serve_connection
+from ternlane.http1.server import CloseReason, ServerConnection, ServerLimits, serve_connection
 
 __all__ = [
     "BadRequest",
     "Caller",
+    "CloseReason",
     "EventReader",
     "Exchange",
     "Pool",
--- a/ternlane/http1/server.py
+++ b/ternlane/http1/server.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from enum import Enum, auto
 from math import inf
 from typing import Awaitable, Callable
 
@@ -37,6 +38,21 @@
     first_ms: float = inf  # from the connection's start to its first request's last byte
 
 
+class CloseReason(Enum):
+    """Why a client's connection was closed from this side, for logs and metrics."""
+
+    CLIENT_ENDED = auto()  # the client closed it between requests, or within one
+    IDLE = auto()  # no request came within the idle time
+    MADE_ROOM = auto()  # it lay idle, and another connection needed its place
+    DRAINING = auto()  # the server is shutting down, and no request was open on it
+    ANSWERED = auto()  # after an answer that said that the connection ends, or a client that asked for it
+    CUT = auto()  # the answer is not whole: its client has left, or its stream broke
+    REFUSED = auto()  # after the error answer to a bad request
+    BROKEN = auto()  # the connection broke
+    FAULT = auto()  # the handler failed
+    CANCELLED = auto()  # the server stopped without draining
+
+
 def plain_refusal(_: Exchange | None, bad: BadRequest) -> tuple[bytes, str]:
     """The body and content type of an answer to a bad request: its reason as text."""
     return bad.why.encode(), "text/plain"
@@ -45,8 +61,9 @@
 class ServerConnection:
     """One client's connection. `idle` while it waits for the first byte of a request; `served` once it has had one.
 
-    `on_idle` is told each time that `idle` has changed. A request that comes before the one ahead of it is answered is
-    refused, or with `early_ok` served in its turn. While `draining()` the connection ends with its next answer.
+    `on_idle` is told each time that `idle` has changed, `on_close` once, with the reason. A request that comes before
+    the one ahead of it is answered is refused, or with `early_ok` served in its turn. While `draining()` the connection
+    ends with its next answer.
     """
 
     def __init__(
@@ -59,9 +76,11 @@
         draining: Callable[[], bool] = lambda: False,
         early_ok: bool = False,
         on_idle: Callable[[ServerConnection], None] = lambda _: None,
+        on_close: Callable[[CloseReason], None] = lambda _: None,
     ) -> None:
         self.stream, self.handler, self.limits = stream, handler, limits
         self.refusal, self.draining, self.early_ok, self.on_idle = refusal, draining, early_ok, on_idle
+        self.on_close, self.close_reason = on_close, CloseReason.CANCELLED
         self.conn = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.head_bytes)
         self.idle = self.served = False
         self.last_one = False  # the request being served is the last one, as the server is draining
@@ -92,20 +111,25 @@
                         400, "a second request came before the first was answered (pipelining)", "pipelined"
                     )
         except BadRequest as bad:
+            self.close_reason = CloseReason.REFUSED
             await self._refuse(exchange, bad)
         except (*BROKEN, h11.LocalProtocolError):
-            pass
+            if self.close_reason not in (CloseReason.MADE_ROOM, CloseReason.DRAINING):  # else it was closed from here
+                self.close_reason = CloseReason.BROKEN
         except Exception:
+            self.close_reason = CloseReason.FAULT
             await self._refuse(exchange, BadRequest(500, "a fault of this server", "fault"))
             raise
         finally:
             self._set_idle(False)
             self.stream.socket.close()
+            self.on_close(self.close_reason)
 
-    def close_if_idle(self) -> bool:
+    def close_if_idle(self, reason: CloseReason = CloseReason.MADE_ROOM) -> bool:
         """Closes the connection unless a request is being served or any byte of one has arrived. True if closed."""
         if not self.idle or is_readable(self.stream):
             return False
+        self.close_reason = reason
         self.stream.socket.close()  # wakes `serve`, which ends
         return True
 
@@ -126,6 +150,8 @@
                 self.conn.receive_data(waiting)
             if self.conn.trailing_data[0]:
                 return True
+        ended = self.conn.our_state in (h11.DONE, h11.MUST_CLOSE)
+        self.close_reason = CloseReason.ANSWERED if ended else CloseReason.CUT
         await linger(self.stream)
         return False
 
@@ -151,12 +177,14 @@
         if not self.conn.trailing_data[0]:
             first = await self._first_bytes(by)
             if not first:
+                self.close_reason = CloseReason.IDLE if first is None else CloseReason.CLIENT_ENDED
                 return None
             arrived = trio.current_time()
             self.conn.receive_data(first)
         try:
             request = await self._head(min(by, arrived + self.limits.head_ms / 1000))
             if request is None:
+                self.close_reason = CloseReason.CLIENT_ENDED
                 return None
             exchange = Exchange(self.stream, self.conn, request, self.limits.send_ms, arrived)
             self._check_head(exchange)
@@ -166,6 +194,7 @@
         except h11.RemoteProtocolError as why:
             raise BadRequest(why.error_status_hint or 400, f"not HTTP/1.1: {why}", "bad_http") from None
         if body is None:
+            self.close_reason = CloseReason.CLIENT_ENDED
             return None
         exchange.body = body
         return exchange
--- a/ternlane/platform/front.py
+++ b/ternlane/platform/front.py
@@ -8,7 +8,7 @@
 import msgspec
 import trio
 
-from ternlane.http1 import BadRequest, Exchange, ServerConnection, ServerLimits
+from ternlane.http1 import BadRequest, CloseReason, Exchange, ServerConnection, ServerLimits
 from ternlane.platform.node import Node, Streamed, Ticket
 from ternlane.platform.protocol import BODY_BYTES, CHAT_PATH, READY_PATH, Wrong, wish_of
 from ternlane.turns import Terminated, Throttled, now_ms
@@ -118,7 +118,7 @@
         """Closes the idle connections on which nothing has arrived; the others are answered, and end with that."""
         for connection in list(self.idle):
             if connection.served or not served_only:
-                connection.close_if_idle()
+                connection.close_if_idle(CloseReason.DRAINING)
 
     def idle_changed(self, connection: ServerConnection) -> None:
         if connection.idle:
@@ -126,6 +126,9 @@
         else:
             self.idle.pop(connection, None)
 
+    def closed(self, reason: CloseReason) -> None:
+        self.node.counts[f"connection {reason.name}"] += 1
+
     async def connection(self, stream: trio.SocketStream) -> None:
         """Serves one client's connection to its end."""
         try:
@@ -136,6 +139,7 @@
                 refusal=self.refusal,
                 draining=lambda: self.draining,
                 on_idle=self.idle_changed,
+                on_close=self.closed,
             ).serve()
         except Exception:  # a fault of this program must not take the other connections with it
             self.log.exception("connection")
--- a/ternlane/platform/node.py
+++ b/ternlane/platform/node.py
@@ -14,6 +14,7 @@
 from ternlane.http1 import Exchange
 from ternlane.platform.engines import ClientGone, Engines, Leg, LegEnd
 from ternlane.platform.held_states import HeldStateMonitor
+from ternlane.platform.open_requests import OpenRequest, Phase
 from ternlane.platform.request_history import RequestHistory
 from ternlane.platform.roster import Listing, Roster
 from ternlane.port import Generation, Life, Server, Verdict
@@ -58,6 +59,7 @@
     left: bool = False
     flowing: bool = False
     leg: Leg | None = None
+    server_name: str = ""  # of the newest attempt
     legs: int = 0
     why: str = ""
     trail: list[str] = field(default_factory=list)
@@ -89,6 +91,17 @@
     def deadline_ms(self) -> float:
         return self.since + self.gen.patience_ms
 
+    @property
+    def phase(self) -> Phase:
+        """How far it has come."""
+        if self.flowing:
+            return Phase.STREAMING
+        if self.leg is None:
+            return Phase.QUEUED
+        if not self.leg.written:
+            return Phase.CONNECTING
+        return Phase.PREFILL if self.leg.duty is port.Duty.READ else Phase.DECODE
+
     async def first(self, data: bytes) -> None:
         await self.exchange.begin(200, [*STREAM_HEAD, *([("Connection", "close")] if self.closing else [])], data)
 
@@ -109,7 +122,7 @@
         self.counts: Counter[str] = Counter()
         self.records: deque[RequestRecord] = deque(maxlen=TRAILS)
         self.held_states = HeldStateMonitor()
-        self.draining = False
+        self.sigterm_ms: float | None = None  # when this gateway was told to end
 
     # -- the loop's side
 
@@ -175,9 +188,38 @@
     def arrived(self, ticket: Ticket) -> None:
         self.idents[ticket.ident] = ticket
         self.counts["taken"] += 1
-        ticket.note(f"received, {ticket.gen.patience_ms:.0f} ms left")
+        ticket.note(f"received, {ticket.gen.patience_ms:.0f} ms left{self.after_sigterm(ticket)}")
         self.taken(ticket)
 
+    def after_sigterm_ms(self, ticket: Ticket) -> float | None:
+        """How long after the signal to end the request was received; None where it was received before, or there was
+        none."""
+        if self.sigterm_ms is None or ticket.since < self.sigterm_ms:
+            return None
+        return round(ticket.since - self.sigterm_ms, 1)
+
+    def after_sigterm(self, ticket: Ticket) -> str:
+        """The same as the end of a sentence."""
+        after_ms = self.after_sigterm_ms(ticket)
+        return "" if after_ms is None else f", {after_ms:.0f} ms after SIGTERM"
+
+    def open_requests(self) -> list[OpenRequest]:
+        """Those without their whole answer, the oldest first."""
+        now = now_ms()
+        return [
+            OpenRequest(
+                ticket.ident,
+                ticket.phase,
+                round(now - ticket.since, 1),
+                round(ticket.deadline_ms - now, 1),
+                ticket.legs,
+                ticket.server_name if ticket.leg is not None else "",
+                self.after_sigterm_ms(ticket),
+            )
+            for ticket in self.tickets.values()
+            if not ticket.over
+        ]
+
     def client_left(self, ticket: Ticket) -> None:
         """Nothing is owed any more; a stream that nobody reads is given up."""
         if not ticket.over:
@@ -204,10 +246,16 @@
 
     def closed(self, ticket: Ticket, outcome: str) -> None:
         self.counts[outcome] += 1
-        self.log.debug(
+        # While it shuts down each end of a request is told: who asks later finds no process to ask.
+        log = self.log.debug if self.sigterm_ms is None else self.log.info
+        log(
             "closed",
             gen=ticket.ident,
             outcome=outcome,
+            phase=ticket.phase.value,
+            refusal=getattr(ticket.final, "refusal", port.Refusal.UNKNOWN).name,
+            attempts=ticket.trail,
+            after_sigterm_ms=self.after_sigterm_ms(ticket),
             took_ms=round(now_ms() - ticket.since, 1),
             patience_ms=round(ticket.gen.patience_ms),
         )
@@ -238,7 +286,7 @@
             times.quiet_ms,
             barred,
         )
-        name = spot.name if spot is not None else "gone"
+        name = ticket.server_name = spot.name if spot is not None else "gone"
         if ticket.trail:
             self.counts[f"retry after {ticket.last_verdict}"] += ticket.last_verdict != Verdict.READ.name
         ticket.legs += 1
--- a/ternlane/platform/process.py
+++ b/ternlane/platform/process.py
@@ -33,6 +33,7 @@
 IDLE_PART = 0.9  # of the servers' idle limit: what is closed well before crosses no request of ours
 LATE_COMERS_MS = 450.0  # new connections still arrive for so long after SIGTERM
 LONGEST_MS, ENDS_MS = 3000.0, 700.0  # no SIGKILL before the longest time limit, cut to the one, plus the other
+UNFINISHED_S = 0.1  # before that, what is still open is logged
 END_POLL_MS = 20.0  # between two looks at whether all has ended
 REPORT_MS = 10e3
 UNFIT, TAKEN = 65, 69
@@ -104,8 +105,14 @@
         """From here on each connection ends with its next answer. Those that have been served and rest close at once:
         a request that came later might be cut off without an answer."""
         self.front.draining = True
+        self.node.sigterm_ms = now_ms()
         longest = max(product.limit_ms for product in self.node.deployment.products.values())
-        self.node.tell(port.Ending(min(longest, LONGEST_MS) + ENDS_MS))
+        within_ms = min(longest, LONGEST_MS) + ENDS_MS
+        self.log.info(
+            "draining", open=len(self.node.tickets), connections=self.front.conns, may_be_killed_in_ms=round(within_ms)
+        )
+        self.node.tell(port.Ending(within_ms))
+        self.nursery.start_soon(self.report_unfinished, within_ms)
         self.front.close_idle(served_only=True)
 
     async def drain(self) -> None:
@@ -121,6 +128,12 @@
             self.front.close_idle()  # also those that were still to be read when the loop before looked
             await trio.sleep(END_POLL_MS / 1000)
 
+    async def report_unfinished(self, within_ms: float) -> None:
+        """Names what is open shortly before this process may be killed: afterwards nothing can."""
+        await trio.sleep(within_ms / 1000 - UNFINISHED_S)
+        for request in self.node.open_requests():
+            self.log.warning("unfinished before the end", **request.as_fields())
+
     async def report(self) -> None:
         """What an operator needs, one line every ten seconds."""
         before: dict[str, int] = {}
@@ -186,7 +199,7 @@
             gc.freeze()
             if not told_early:
                 await until_told(gateway, signals)
-            log.info("draining", open=len(gateway.node.tickets))
+            nursery.start_soon(say_trails, gateway, signals)
             await gateway.drain()
             log.info("ended", taken=gateway.node.counts["taken"])
             nursery.cancel_scope.cancel()
@@ -202,6 +215,13 @@
             return
 
 
+async def say_trails(gateway: Gateway, signals: AsyncIterator[int]) -> None:
+    """During a shutdown, too, whoever asks is told what is open."""
+    async for number in signals:
+        if number == signal.SIGUSR1:
+            gateway.trails()
+
+
 def main(told_early: list[int]) -> int:
     """`told_early`: SIGTERM that came while the program was still being read in."""
     level = logging.DEBUG if os.environ.get("TERNLANE_LOG") == "debug" else logging.INFO
--- /dev/null
+++ b/tests/test_shutdown.py
@@ -0,0 +1,112 @@
+"""Every request that a gateway has taken has its final answer before the gateway may be killed.
+
+The gateway is a process of its own. It is told to end by SIGTERM and killed at the earliest time that the users' page
+allows; until then clients go on writing on the connections that are open.
+"""
+
+from __future__ import annotations
+
+import json
+import signal
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any, AsyncIterator
+
+import trio
+
+from ternlane.standin.platform import DONE, EVENT
+from tests.crossing import Client, request, until
+from tests.platform_world import TOLD, Platform, platform, until_ready
+from tests.test_platform_bounds import running
+
+LONGEST_S, AFTER_S = 3.0, 0.7  # SIGKILL comes no sooner after SIGTERM than the longest deadline, 3 s at most, and 0.7 s
+LATE_S = 0.9  # a request that comes so late has to be answered, however long its client would wait
+SETTINGS = TOLD | {
+    "profiles": [profile | {"aim": 2000.0, "deadline": 12e3} for profile in TOLD["profiles"]],
+    "specifics": TOLD["specifics"] | {"token_aim": [10.0, 10.0]},  # so that a usual stream fits into the time left
+}
+CLASSES = ("summary", "note")  # one that may be repeated, one that may run only once
+
+
+@dataclass
+class Stopping:
+    """A gateway that has been told to end."""
+
+    p: Platform
+    process: trio.Process
+    log: Path
+    told_at: float = 0.0
+
+    def tell(self) -> None:
+        self.process.send_signal(signal.SIGTERM)
+        self.told_at = trio.current_time()
+
+    async def until(self, after_s: float) -> None:
+        """Waits until so long after SIGTERM."""
+        await trio.sleep_until(self.told_at + after_s)
+
+    async def kill(self) -> None:
+        """At the earliest time that is allowed."""
+        await self.until(LONGEST_S + AFTER_S)
+        self.process.kill()
+        await self.process.wait()
+
+    def lines(self, event: str) -> list[dict[str, Any]]:
+        lines = [json.loads(line) for line in self.log.read_text().splitlines() if line.startswith("{")]
+        return [line for line in lines if line["event"] == event]
+
+
+@asynccontextmanager
+async def serving(p: Platform, folder: Path, **more: Any) -> AsyncIterator[Stopping]:
+    async with running(p, folder, **({"settings": SETTINGS} | more)) as (process, log):
+        await until_ready(p)
+        yield Stopping(p, process, log)
+
+
+def whole(answer: bytes) -> bool:
+    """Is this one final answer from its first byte to its last?"""
+    head, _, body = answer.partition(b"\r\n\r\n")
+    if head.startswith(b"HTTP/1.1 200 "):
+        return DONE in body and body.endswith(b"\r\n0\r\n\r\n")
+    length = next((line for line in head.lower().split(b"\r\n") if line.startswith(b"content-length:")), b":-1")
+    return head.startswith((b"HTTP/1.1 503 ", b"HTTP/1.1 502 ")) and len(body) == int(length.partition(b":")[2])
+
+
+def long_streams(p: Platform) -> None:
+    """Each takes longer than a gateway that is told to end may have."""
+    p.servers["w0"].events, p.servers["w0"].event_ms = 150, 30.0
+
+
+async def test_a_shutdown_tells_of_every_request_that_it_ends_and_of_what_it_can_not_finish(tmp_path: Path) -> None:
+    async with platform("r0", "w0", told=SETTINGS) as p, serving(p, tmp_path) as gateway:
+        long_streams(p)
+        streaming, refused = Client(p.address), Client(p.address)
+        streaming.send(request(p))
+        await streaming.read_until(lambda got: got.find(EVENT))
+        gateway.tell()
+        await gateway.until(0.1)
+        refused.send(request(p, Request_Timeout="0.05"))
+        assert (await refused.answer()).startswith(b"HTTP/1.1 503 ")
+        await gateway.kill()
+        began, closed, unfinished = map(gateway.lines, ("draining", "closed", "unfinished before the end"))
+        assert [line["may_be_killed_in_ms"] for line in began] == [3700]
+        assert [line["refusal"] for line in closed] == ["DEADLINE_TOO_CLOSE"] and closed[0]["after_sigterm_ms"] >= 0
+        assert [(line["phase"], line["server"]) for line in unfinished] == [("streaming", "w0")]
+        assert unfinished[0]["after_sigterm_ms"] is None and unfinished[0]["age_ms"] > 3000
+
+
+async def test_the_reason_of_every_close_of_a_connection_is_counted() -> None:
+    async with platform("r0", "w0") as p:
+        served, left, bad, idle = (Client(p.address) for _ in range(4))
+        served.send(request(p))
+        assert (await served.answer()).startswith(b"HTTP/1.1 200 ")
+        bad.send(b"nonsense\r\n\r\n")
+        assert (await bad.rest()).startswith(b"HTTP/1.1 400 ")
+        left.leave("close")
+        p.nursery.start_soon(p.gateway.drain)
+        assert await served.rest() == await idle.rest() == b""
+        await until(lambda: not p.gateway.front.conns)
+        counts = p.gateway.node.counts
+        reasons = {name: count for name, count in counts.items() if name.startswith("connection ")}
+        assert reasons == {"connection DRAINING": 2, "connection REFUSED": 1, "connection CLIENT_ENDED": 1}
