A stopping gateway enforces its end: late requests are rejected, all others answered before a kill

Cause: port.Ending's time was compared once, before a prefill, with the usual length of a prefill, decode and stream; nothing enforced it. Attempts kept their client's time (9 to 12 s), and half of all streams are longer than usual. Class: an estimate in the place of an enforced limit. Times count from the signal, not from when it is handled. Heads written after SIGTERM say Connection: close, also where the request came before.

--- a/ternlane/choice.py
+++ b/ternlane/choice.py
@@ -37,6 +37,7 @@
 )
 from ternlane.policy.failure_rates import FailureRates
 from ternlane.policy.lease import RELEASE_RESERVE, AttemptEnd, ReleaseSchedule
+from ternlane.policy.shutdown import ShutdownSchedule
 from ternlane.port import (
     Duty,
     Effect,
@@ -223,8 +224,9 @@
         self.homes: OrderedDict[str, Home] = OrderedDict()
         self.waiting: list[tuple[float, float, int, Course]] = []
         self.releases: ReleaseSchedule[Course] = ReleaseSchedule()
-        # When this gateway is cut off; of those waiting: when the first must begin, the shortest prompt
-        self.ends_at = self.next_due = self.least = inf
+        self.next_due = self.least = inf  # of those waiting: when the first must begin, the shortest prompt
+        self.shutdown = ShutdownSchedule()
+        self.unanswered: dict[Course, None] = {}  # requests without a first token and without a final answer
         self.usual: dict[tuple[Product, str], float] = {}
         self.learnt_at: dict[Product, float] = {}
         self.prompt: dict[Product, float] = {}
@@ -277,8 +279,10 @@
                         del table[product]
                 for engine in self.board:
                     engine.post(News())
-            case port.Ending(within):
-                self.ends_at, self.next_due, self.stuck = self.router.now + within, -inf, inf
+            case port.Ending(times):
+                self.shutdown.begin(self.router.now, times)
+                self.next_due, self.stuck = -inf, inf
+                self.router.out.append(port.Wake(self.shutdown.answers_by, False))
             case port.ListFailed():
                 self.asked = False
             case port.ReleaseHeard(gen) if gen.seat:
@@ -287,6 +291,7 @@
                 self.beat()
             case port.Woken(False):
                 self.release_due()
+                self.answer_before_the_end()
 
     def arrived(self, gen: Generation) -> None:
         now, product = self.router.now, gen.product
@@ -294,9 +299,12 @@
         self.turn += 1
         lot = zlib.crc32(b"%d lot %d" % (self.seed, self.turn)) / 2**32
         gen.seat = course = Course(gen, now + slo, now + gen.patience_ms, lot)
+        self.unanswered[course] = None
         mean = self.prompt.setdefault(product, max(gen.prompt_toks, 1.0))
         self.prompt[product] = mean + GAIN * (gen.prompt_toks - mean)
         self.asked_for[gen.opening] += gen.opening is not None
+        if now >= self.shutdown.admits_until:
+            return self.finish(course, Refusal.SHUTDOWN)
         if self.told_if_asked and course.limit_at > now + CROWD * self.limits.beat_ms:  # or time runs out
             course.agreed = self.agreed(gen)
             course.asked = {e for e in course.agreed[: round(CROWD)] if self.ask(e)}
@@ -524,7 +532,18 @@
     def cut_off(self, course: Course) -> bool:
         """Guards against streams that this gateway will not see to their end: another may, if asked now."""
         product = course.gen.product
-        return self.router.now + self.first_ms(product) + self.usual_ms(product, "stream") > self.ends_at
+        usual_ms = self.first_ms(product) + self.usual_ms(product, "stream")
+        return self.router.now + usual_ms > self.shutdown.ends_at
+
+    def answer_before_the_end(self) -> None:
+        """The final answer for all that have no first token shortly before this gateway may be killed."""
+        if self.router.now < self.shutdown.answers_by:
+            return
+        for course in list(self.unanswered):
+            leg = course.leg
+            if leg is not None and leg.writes and course.may_have_run is None:  # it is out, and nothing shows how far
+                course.may_have_run = leg.sent, leg.engine.server
+            self.finish(course, Refusal.SHUTDOWN)
 
     def served(self, course: Course) -> bool:  # is anyone left who could read it, and who could write it?
         able = [
@@ -621,6 +640,7 @@
 
     def close(self, course: Course) -> None:
         course.over = True
+        self.unanswered.pop(course, None)
         if course.leg is None:
             self.release(course)
         elif self.may_call_off:  # what the leg holds is released when it ends
@@ -644,6 +664,7 @@
     def first_tok(self, course: Course, leg: Leg, took: float) -> None:
         product = course.gen.product
         course.lease.attempt_answered()
+        self.unanswered.pop(course, None)
         self.learn(product, "open", took)
         if course.reader is not None and course.reader is not course.writer:
             course.reader.post(Unbooked(course))
@@ -680,6 +701,7 @@
         course.lease.attempt_ended(end, engine, self.router.now)
         course.over = course.over or note.over
         if course.over:
+            self.unanswered.pop(course, None)
             return self.release(course)
         if self.limits.guard_ms < inf and course.lease.may_hold:
             self.guard_lease(course)
--- a/ternlane/http1/exchange.py
+++ b/ternlane/http1/exchange.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import Sequence
+from typing import Callable, Sequence
 
 import h11
 import trio
@@ -31,8 +31,10 @@
         request: h11.Request,
         send_ms: float,
         arrived: float | None = None,
+        closing: Callable[[], bool] = lambda: False,
     ) -> None:
         self.stream, self.conn, self.request, self.send_ms = stream, conn, request, send_ms
+        self.closing = closing  # whether the connection is to end with this answer, asked when its head is written
         self.body = b""
         self.begun = False
         self.early = 0  # bytes that came behind the request while it was served
@@ -77,7 +79,7 @@
     ) -> None:
         """A whole answer at once."""
         self.begun = True
-        head = [("Content-Type", content), ("Content-Length", str(len(body))), *headers]
+        head = [("Content-Type", content), ("Content-Length", str(len(body))), *headers, *self._connection_header()]
         out = self.conn.send(h11.Response(status_code=status, headers=head)) or b""
         out += self.conn.send(h11.Data(data=body)) or b""
         out += self.conn.send(h11.EndOfMessage()) or b""
@@ -87,11 +89,15 @@
     async def begin(self, status: int, headers: Sequence[tuple[str, str]], first: bytes = b"") -> None:
         """The head of a streamed answer, together with its first bytes."""
         self.begun = True
-        out = self.conn.send(h11.Response(status_code=status, headers=list(headers))) or b""
+        head = [*headers, *self._connection_header()]
+        out = self.conn.send(h11.Response(status_code=status, headers=head)) or b""
         if first:
             out += self.conn.send(h11.Data(data=first)) or b""
         await self.send(out)
 
+    def _connection_header(self) -> list[tuple[str, str]]:
+        return [("Connection", "close")] if self.closing() else []
+
     async def chunk(self, data: bytes) -> None:
         await self.send(self.conn.send(h11.Data(data=data)) or b"")
 
--- a/ternlane/http1/server.py
+++ b/ternlane/http1/server.py
@@ -7,10 +7,11 @@
 
 from __future__ import annotations
 
+from contextlib import contextmanager
 from dataclasses import dataclass
 from enum import Enum, auto
 from math import inf
-from typing import Awaitable, Callable
+from typing import Awaitable, Callable, Iterator
 
 import h11
 import trio
@@ -84,6 +85,8 @@
         self.conn = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.head_bytes)
         self.idle = self.served = False
         self.last_one = False  # the request being served is the last one, as the server is draining
+        self.reading_stopped = False
+        self._reading: trio.CancelScope | None = None  # while a request is read, from its first byte on
 
     async def serve(self) -> None:
         """Serves requests until either side ends the connection. Never raises for what the client does; what the
@@ -133,6 +136,13 @@
         self.stream.socket.close()  # wakes `serve`, which ends
         return True
 
+    def stop_reading(self) -> None:
+        """Refuses the request that is being read, and any later one that is not whole at once, as one that nothing has
+        been done for. Requests that have been read are not touched, nor is an idle connection."""
+        self.reading_stopped = True
+        if self._reading is not None:
+            self._reading.cancel()
+
     def _set_idle(self, idle: bool) -> None:
         if idle != self.idle:
             self.idle = idle
@@ -186,7 +196,7 @@
             if request is None:
                 self.close_reason = CloseReason.CLIENT_ENDED
                 return None
-            exchange = Exchange(self.stream, self.conn, request, self.limits.send_ms, arrived)
+            exchange = Exchange(self.stream, self.conn, request, self.limits.send_ms, arrived, self.draining)
             self._check_head(exchange)
             if self.conn.they_are_waiting_for_100_continue:
                 await exchange.send(self.conn.send(h11.InformationalResponse(status_code=100, headers=[])) or b"")
@@ -214,14 +224,29 @@
 
     async def _head(self, by: float) -> h11.Request | None:
         event = self.conn.next_event()
-        with trio.CancelScope(deadline=by) as limit:
+        with self._reading_until(by) as limit:
             while event is h11.NEED_DATA:
                 self.conn.receive_data(await self.stream.receive_some(RECEIVE_BYTES))
                 event = self.conn.next_event()
         if limit.cancelled_caught:
-            raise BadRequest(408, "the request's head did not come in time", "slow_request")
+            raise self._not_whole("head")
         return event if isinstance(event, h11.Request) else None
 
+    @contextmanager
+    def _reading_until(self, by: float) -> Iterator[trio.CancelScope]:
+        with trio.CancelScope(deadline=by) as self._reading:
+            if self.reading_stopped:
+                self._reading.cancel()
+            try:
+                yield self._reading
+            finally:
+                self._reading = None
+
+    def _not_whole(self, part: str) -> BadRequest:
+        if self.reading_stopped:
+            return BadRequest(503, f"the server is shutting down, and the request's {part} is not whole", "draining")
+        return BadRequest(408, f"the request's {part} did not come in time", "slow_request")
+
     def _check_head(self, exchange: Exchange) -> None:
         request, limits = exchange.request, self.limits
         length = len(request.target) + sum(len(name) + len(value) for name, value in request.headers)
@@ -239,7 +264,7 @@
         """The request's body; None where the client left within it."""
         parts: list[bytes] = []
         length = 0
-        with trio.CancelScope(deadline=by):
+        with self._reading_until(by):
             while True:
                 event = self.conn.next_event()
                 if event is h11.NEED_DATA:
@@ -255,7 +280,7 @@
                     return b"".join(parts)
                 else:
                     return None
-        raise BadRequest(408, "the request's body did not come in time", "slow_request")
+        raise self._not_whole("body")
 
 
 async def serve_connection(
--- a/ternlane/platform/__main__.py
+++ b/ternlane/platform/__main__.py
@@ -2,11 +2,12 @@
 
 import signal
 import sys
+import time
 
 if __name__ == "__main__":
-    told_early: list[int] = []
+    told_at: list[float] = []  # to end, by the monotonic clock
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # neither may end a program that is only just starting
-    signal.signal(signal.SIGTERM, lambda number, _: told_early.append(number))
+    signal.signal(signal.SIGTERM, lambda *_: told_at.append(time.monotonic()))
     from ternlane.platform.process import main
 
-    sys.exit(main(told_early))
+    sys.exit(main(told_at))
--- a/ternlane/platform/front.py
+++ b/ternlane/platform/front.py
@@ -35,9 +35,10 @@
 
     def __init__(self, node: Node, unseen_ms: Callable[[], float], log: Any) -> None:
         self.node, self.unseen_ms, self.log = node, unseen_ms, log
-        self.conns = 0
+        self.open: set[ServerConnection] = set()
         self.idle: dict[ServerConnection, None] = {}  # the longest idle first
         self.draining = False
+        self.reading_stopped = False
         self.ready = False
         self.limits = ServerLimits(
             BODY_BYTES,
@@ -69,8 +70,8 @@
             self.take(stream, nursery)
 
     async def accept_the_rest(self, listener: trio.SocketListener, nursery: trio.Nursery, within_ms: float) -> None:
-        """Takes what waits in the listener's queue, and returns once that is empty, or after `within_ms` where
-        descriptors stay short. Never raises."""
+        """Takes what waits in the listener's queue, and returns once that is empty, or after `within_ms`, as where
+        descriptors stay short or connections go on coming. Never raises."""
         by = trio.current_time() + within_ms / 1000
         while True:
             stream: trio.SocketStream | None = None
@@ -82,9 +83,9 @@
                     failed = why
             if stream is not None:
                 self.take(stream, nursery)
-            elif failed is None or trio.current_time() >= by:
+            if trio.current_time() >= by or (stream is None and failed is None):
                 return
-            else:
+            if failed is not None:
                 await self.accept_failed(failed)
 
     async def accept_failed(self, why: Exception) -> None:
@@ -107,8 +108,24 @@
 
     def take(self, stream: trio.SocketStream, nursery: trio.Nursery) -> None:
         """Serves a connection in a task of its own."""
-        self.conns += 1
-        nursery.start_soon(self.connection, stream)
+        connection = ServerConnection(
+            stream,
+            self.handle,
+            self.limits,
+            refusal=self.refusal,
+            draining=lambda: self.draining,
+            on_idle=self.idle_changed,
+            on_close=self.closed,
+        )
+        if self.reading_stopped:
+            connection.stop_reading()
+        self.open.add(connection)
+        nursery.start_soon(self.serve, connection)
+
+    @property
+    def conns(self) -> int:
+        """How many clients' connections are open."""
+        return len(self.open)
 
     def displace(self) -> bool:
         """Closes the connection that has been idle for longest, lest new clients find no way in."""
@@ -129,22 +146,20 @@
     def closed(self, reason: CloseReason) -> None:
         self.node.counts[f"connection {reason.name}"] += 1
 
-    async def connection(self, stream: trio.SocketStream) -> None:
+    async def serve(self, connection: ServerConnection) -> None:
         """Serves one client's connection to its end."""
         try:
-            await ServerConnection(
-                stream,
-                self.handle,
-                self.limits,
-                refusal=self.refusal,
-                draining=lambda: self.draining,
-                on_idle=self.idle_changed,
-                on_close=self.closed,
-            ).serve()
+            await connection.serve()
         except Exception:  # a fault of this program must not take the other connections with it
             self.log.exception("connection")
         finally:
-            self.conns -= 1
+            self.open.discard(connection)
+
+    def stop_reading(self) -> None:
+        """Refuses what is not a whole request yet, from here on."""
+        self.reading_stopped = True
+        for connection in list(self.open):
+            connection.stop_reading()
 
     def refusal(self, _: Exchange | None, bad: BadRequest) -> tuple[bytes, str]:
         self.node.counts[f"refused {bad.code}"] += 1
@@ -180,7 +195,7 @@
             or sum(len(t.body) for t in node.tickets.values()) + len(exchange.body) > self.held_bytes
         ):
             node.counts["refused room"] += 1
-            await exchange.answer(503, self.closing(), said("room", "this gateway holds as much as it may"))
+            await exchange.answer(503, [], said("room", "this gateway holds as much as it may"))
             return
         product = node.deployment.products[wish.product]
         # Counted from the request's last byte, as the users' page does: a slow client's time has only begun, and one
@@ -196,14 +211,11 @@
             max(0.0, patience),
             wish.tenant,
         )
-        ticket = Ticket(wish.ident, gen, exchange, exchange.body, now_ms(), self.draining)
+        ticket = Ticket(wish.ident, gen, exchange, exchange.body, now_ms())
         exchange.body = b""
         node.arrived(ticket)
         await self.answer(exchange, ticket)
 
-    def closing(self) -> list[tuple[str, str]]:
-        return [("Connection", "close")] if self.draining else []
-
     async def answer(self, exchange: Exchange, ticket: Ticket) -> None:
         try:
             if not ticket.over:
@@ -218,11 +230,9 @@
                 pass
             case Throttled(pause):
                 head = [("Retry-After", f"{pause / 1000:.3f}")] if pause > 0 else []
-                await exchange.answer(
-                    503, [*head, *self.closing()], said("throttled", "nothing has run; a new try does no harm")
-                )
+                await exchange.answer(503, head, said("throttled", "nothing has run; a new try does no harm"))
             case Terminated(why):
-                await exchange.answer(502, self.closing(), said("terminated", why or "no server could finish it"))
+                await exchange.answer(502, [], said("terminated", why or "no server could finish it"))
             case _:  # it left, or its stream broke: the connection ends without the last chunk
                 pass
 
--- a/ternlane/platform/node.py
+++ b/ternlane/platform/node.py
@@ -54,7 +54,6 @@
     exchange: Exchange
     body: bytes
     since: float
-    closing: bool = False  # its client's connection ends with the answer
     final: Final | None = None
     left: bool = False
     flowing: bool = False
@@ -103,7 +102,7 @@
         return Phase.PREFILL if self.leg.duty is port.Duty.READ else Phase.DECODE
 
     async def first(self, data: bytes) -> None:
-        await self.exchange.begin(200, [*STREAM_HEAD, *([("Connection", "close")] if self.closing else [])], data)
+        await self.exchange.begin(200, STREAM_HEAD, data)
 
     async def more(self, data: bytes) -> None:
         await self.exchange.chunk(data)
--- a/ternlane/platform/process.py
+++ b/ternlane/platform/process.py
@@ -19,11 +19,13 @@
 from ternlane.choice import Router
 from ternlane.http1 import Pool
 from ternlane.log_output import log_file
+from ternlane.platform.end_signal import EndSignal
 from ternlane.platform.engines import Engines
 from ternlane.platform.front import Front
 from ternlane.platform.node import Node, RequestRecord
 from ternlane.platform.registry import FIRST_LIST_MS, Watch
 from ternlane.platform.settings import Post, Unfit, read_post
+from ternlane.policy.shutdown import shutdown_times
 from ternlane.turns import PollTimes, now_ms
 
 BACKLOG = 1024
@@ -33,7 +35,8 @@
 IDLE_PART = 0.9  # of the servers' idle limit: what is closed well before crosses no request of ours
 LATE_COMERS_MS = 450.0  # new connections still arrive for so long after SIGTERM
 LONGEST_MS, ENDS_MS = 3000.0, 700.0  # no SIGKILL before the longest time limit, cut to the one, plus the other
-UNFINISHED_S = 0.1  # before that, what is still open is logged
+LAST_ANSWER_MS = 250.0  # before that, what the decisions have not answered is failed: an answer needs its way
+UNFINISHED_MS = 100.0  # before that, what is still open is logged
 END_POLL_MS = 20.0  # between two looks at whether all has ended
 REPORT_MS = 10e3
 UNFIT, TAKEN = 65, 69
@@ -101,25 +104,34 @@
             self.watch.move(post.discovery)
         self.log.info("reloaded", discovery_moved=moved, settings_changed=altered)
 
-    def begin_drain(self) -> None:
+    def begin_drain(self, since_signal_ms: float = 0.0) -> None:
         """From here on each connection ends with its next answer. Those that have been served and rest close at once:
         a request that came later might be cut off without an answer."""
+        deployment, now = self.node.deployment, now_ms()
+        longest_ms = min(LONGEST_MS, max(product.limit_ms for product in deployment.products.values()))
+        times = shutdown_times(longest_ms, ENDS_MS, deployment.facts.release_ms, since_signal_ms)
         self.front.draining = True
-        self.node.sigterm_ms = now_ms()
-        longest = max(product.limit_ms for product in self.node.deployment.products.values())
-        within_ms = min(longest, LONGEST_MS) + ENDS_MS
+        self.node.sigterm_ms = now - since_signal_ms
+        self.node.answer_all_by_ms = now + times.ends_ms - LAST_ANSWER_MS
         self.log.info(
-            "draining", open=len(self.node.tickets), connections=self.front.conns, may_be_killed_in_ms=round(within_ms)
+            "draining",
+            open=len(self.node.tickets),
+            connections=self.front.conns,
+            since_signal_ms=round(since_signal_ms, 1),
+            rejects_new_in_ms=round(times.admits_ms),
+            answers_all_in_ms=round(times.answers_ms),
+            may_be_killed_in_ms=round(times.ends_ms),
         )
-        self.node.tell(port.Ending(within_ms))
-        self.nursery.start_soon(self.report_unfinished, within_ms)
+        self.node.tell(port.Ending(times))
+        self.nursery.start_soon(self.end_reading, times.answers_ms)
+        self.nursery.start_soon(self.report_unfinished, times.ends_ms)
         self.front.close_idle(served_only=True)
 
-    async def drain(self) -> None:
+    async def drain(self, since_signal_ms: float = 0.0) -> None:
         """Takes what still arrives, answers everything, releases what is held, and returns once all has ended. New
         connections close only when all that was sent to them must have come."""
-        self.begin_drain()
-        await trio.sleep(LATE_COMERS_MS / 1000)
+        self.begin_drain(since_signal_ms)
+        await trio.sleep(max(0.0, LATE_COMERS_MS - since_signal_ms) / 1000)
         self.accepting.cancel()
         await self.front.accept_the_rest(self.listener, self.nursery, LATE_COMERS_MS)
         self.listener.socket.close()
@@ -128,9 +140,14 @@
             self.front.close_idle()  # also those that were still to be read when the loop before looked
             await trio.sleep(END_POLL_MS / 1000)
 
+    async def end_reading(self, within_ms: float) -> None:
+        """What is not a whole request by then is refused: a later last byte would leave no time for an answer."""
+        await trio.sleep(max(0.0, within_ms) / 1000)
+        self.front.stop_reading()
+
     async def report_unfinished(self, within_ms: float) -> None:
         """Names what is open shortly before this process may be killed: afterwards nothing can."""
-        await trio.sleep(within_ms / 1000 - UNFINISHED_S)
+        await trio.sleep(max(0.0, within_ms - UNFINISHED_MS) / 1000)
         for request in self.node.open_requests():
             self.log.warning("unfinished before the end", **request.as_fields())
 
@@ -190,40 +207,33 @@
         return resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024
 
 
-async def run(post: Post, log: Any, told_early: list[int]) -> None:
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGUSR1) as signals:
+async def run(post: Post, log: Any, told_at: list[float]) -> None:
+    """Serves until this process is told to end, and then drains. `told_at`: see `main`."""
+    end = EndSignal(told_at)
+    with trio.open_signal_receiver(signal.SIGHUP, signal.SIGUSR1) as signals:
         async with trio.open_nursery() as nursery:
             gateway = Gateway(post, nursery, log)
             await gateway.start()
             gc.collect()
             gc.freeze()
-            if not told_early:
-                await until_told(gateway, signals)
-            nursery.start_soon(say_trails, gateway, signals)
-            await gateway.drain()
+            nursery.start_soon(heed, gateway, signals)
+            await end.received.wait()
+            await gateway.drain(end.since_ms())
             log.info("ended", taken=gateway.node.counts["taken"])
             nursery.cancel_scope.cancel()
 
 
-async def until_told(gateway: Gateway, signals: AsyncIterator[int]) -> None:
-    async for number in signals:
-        if number == signal.SIGHUP:
-            gateway.reload()
-        elif number == signal.SIGUSR1:
-            gateway.trails()
-        else:
-            return
-
-
-async def say_trails(gateway: Gateway, signals: AsyncIterator[int]) -> None:
-    """During a shutdown, too, whoever asks is told what is open."""
+async def heed(gateway: Gateway, signals: AsyncIterator[int]) -> None:
+    """Reloads, but not during a shutdown, and tells what is open, then too."""
     async for number in signals:
         if number == signal.SIGUSR1:
             gateway.trails()
+        elif not gateway.front.draining:
+            gateway.reload()
 
 
-def main(told_early: list[int]) -> int:
-    """`told_early`: SIGTERM that came while the program was still being read in."""
+def main(told_at: list[float]) -> int:
+    """`told_at`: when this process was told to end while the program was being read in, by the monotonic clock."""
     level = logging.DEBUG if os.environ.get("TERNLANE_LOG") == "debug" else logging.INFO
     structlog.configure(
         wrapper_class=structlog.make_filtering_bound_logger(level),
@@ -243,7 +253,7 @@
         return UNFIT
     status = 0
     try:
-        trio.run(partial(run, post, structlog.get_logger(gateway=post.name), told_early))
+        trio.run(partial(run, post, structlog.get_logger(gateway=post.name), told_at))
     except* OSError as group:
         print(f"ternlane: {group.exceptions[0]}", file=sys.stderr)
         status = TAKEN
--- a/ternlane/port.py
+++ b/ternlane/port.py
@@ -200,11 +200,20 @@
     facts: StartFacts
 
 
+@dataclass(slots=True, frozen=True)
+class ShutdownTimes:
+    """When what ends, from the moment at which the gateway acts on its signal (`ternlane/policy/shutdown.py`)."""
+
+    admits_ms: float  # requests that arrive later are rejected
+    answers_ms: float  # requests without a first token are given their final answer
+    ends_ms: float  # the process may be killed
+
+
 @dataclass(slots=True, frozen=True)
 class Ending:
-    """This gateway goes: what is not over within this time is cut off."""
+    """This gateway goes, and all that is not over by then is cut off. Told again, the earlier times hold."""
 
-    within_ms: float
+    times: ShutdownTimes
 
 
 @dataclass(slots=True, frozen=True)
--- a/ternlane/turns.py
+++ b/ternlane/turns.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 from functools import partial
 from heapq import heappop, heappush
-from math import exp
+from math import exp, inf
 from typing import Callable, Generic, Protocol, TypeVar
 
 import trio
@@ -135,6 +135,7 @@
         self.asked = 0
         self.alarm = trio.Event()
         self.late_ms = 0.0  # the most that a due time was passed by since whoever reads it set it back
+        self.answer_all_by_ms = inf  # a shutdown's: whatever was not decided by then is failed
         self.lagged = 0.0, 0.0  # by how much one was passed by lately, and when
 
     def hear(self, event: port.Event) -> None:
@@ -176,9 +177,9 @@
 
     def look_for_overdue(self) -> None:
         """Fails the requests that nothing has answered in time, and looks again as long as any is open."""
-        latest = now_ms() - OVERDUE_MS
+        now = now_ms()
         for ticket in list(self.tickets.values()):
-            if ticket.unanswered and ticket.deadline_ms < latest:
+            if ticket.unanswered and (ticket.deadline_ms < now - OVERDUE_MS or now >= self.answer_all_by_ms):
                 self.give_up(ticket, "nothing was decided in time")
         self.looking = bool(self.tickets)
         if self.looking:
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -453,7 +453,7 @@
     streams, leg = host.written()
     reads = host.gen(Effect.SIDE_EFFECTING)
     read = sent(host.arrive(reads))
-    assert not host.tell(port.Ending(1000.0))
+    assert not host.tell(port.Ending(port.ShutdownTimes(500.0, 800.0, 1000.0)))
     said = host.arrive(host.gen(Effect.SIDE_EFFECTING))
     assert kinds(said) == [port.Throttle]  # another gateway may do it: nothing has run
     assert sent(host.end(reads, read.server, Verdict.READ)).server.duty is port.Duty.WRITE
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -15,7 +15,7 @@
 
 import trio
 
-from ternlane.standin.platform import DONE, EVENT
+from ternlane.standin.platform import DONE, EVENT, Gate
 from tests.crossing import Client, request, until
 from tests.platform_world import TOLD, Platform, always, platform, until_ready
 from tests.test_platform_bounds import running
@@ -26,6 +26,7 @@
     "profiles": [profile | {"aim": 2000.0, "deadline": 12e3} for profile in TOLD["profiles"]],
     "specifics": TOLD["specifics"] | {"token_aim": [10.0, 10.0]},  # so that a usual stream fits into the time left
 }
+CROWD = 24  # clients at once
 CLASSES = ("summary", "note")  # one that may be repeated, one that may run only once
 
 
@@ -155,3 +156,131 @@
             folder.mkdir()  # noqa: ASYNC240 - the test's own disk
             nursery.start_soon(lost_late_requests, way, folder, lost)
     assert not lost
+
+
+async def test_requests_that_a_shutdown_finds_open_are_answered_before_the_kill(tmp_path: Path) -> None:
+    """Their clients would wait for longer. What may run only once may have run, so it may not be called rejected."""
+    async with platform("r0", "w0", told=SETTINGS, w0=always("silent")) as p, serving(p, tmp_path) as gateway:
+        clients = {name: Client(p.address) for name in CLASSES}
+        for name, client in clients.items():
+            client.send(request(p, Request_Class=name, Request_Timeout="9"))
+        await until(lambda: p.fleet.count("write") == len(CLASSES))
+        gateway.tell()
+        await gateway.kill()
+        answers = {name: await client.rest() for name, client in clients.items()}
+        assert all(whole(answer) for answer in answers.values()), answers
+        assert answers["note"].startswith(b"HTTP/1.1 502 ") and p.fleet.ran["note"] <= 1
+        assert answers["summary"].startswith(b"HTTP/1.1 503 ") and b"Retry-After" in answers["summary"]
+        assert not p.fleet.states
+
+
+async def test_a_stream_of_before_goes_on_up_to_the_kill(tmp_path: Path) -> None:
+    """Nothing is gained by cutting it sooner: the kill may come later than at its earliest."""
+    async with platform("r0", "w0", told=SETTINGS) as p, serving(p, tmp_path) as gateway:
+        p.servers["w0"].events, p.servers["w0"].event_ms = 110, 30.0
+        client = Client(p.address)
+        client.send(request(p))
+        await client.read_until(lambda got: got.find(EVENT))
+        gateway.tell()
+        assert (await client.rest()).endswith(b"\r\n0\r\n\r\n")
+        assert 2.8 < trio.current_time() - gateway.told_at < LONGEST_S + AFTER_S
+
+
+async def test_half_a_request_is_answered_before_the_kill(tmp_path: Path) -> None:
+    """A slow client has time for its head and again for its body, together more than a gateway that ends. It stops
+    within its request, or its last byte comes just before the kill."""
+    async with platform("r0", "w0", told=SETTINGS) as p, serving(p, tmp_path) as gateway:
+        clients = [Client(p.address) for _ in CLASSES]
+        for client in clients:
+            client.send(request(p))
+            assert whole(await client.answer())
+        await trio.sleep(0.1)  # they rest
+        halves = [request(p, Request_Timeout="9") for _ in clients]
+        for client, data in zip(clients, halves):
+            client.send(data[:40])
+        await trio.sleep(0.1)
+        gateway.tell()
+        await gateway.until(2.3)
+        for client, data in zip(clients, halves):
+            client.send(data[40:-9])
+        await gateway.until(LONGEST_S + AFTER_S - 0.1)
+        with suppress(OSError):
+            clients[0].send(halves[0][-9:])
+        await gateway.kill()
+        answers = [await client.rest() for client in clients]
+        assert all(whole(answer) and answer.startswith(b"HTTP/1.1 503 ") for answer in answers), answers
+
+
+async def test_a_gateway_that_is_told_to_end_while_it_starts_answers_in_time(tmp_path: Path) -> None:
+    """It waits for its agent's first list; its time has run since the signal all the same."""
+    async with platform("r0", "w0", told=SETTINGS, w0=always("silent")) as p:
+        p.discovery.silent = True
+        async with running(p, tmp_path, settings=SETTINGS) as (process, log):
+            gateway = Stopping(p, process, log)
+            clients: list[Client] = []
+            with trio.fail_after(5):
+                while not clients:
+                    try:
+                        clients = [Client(p.address) for _ in CLASSES]
+                    except ConnectionRefusedError:
+                        await trio.sleep(0.01)
+            for name, client in zip(CLASSES, clients):
+                client.send(request(p, Request_Class=name, Request_Timeout="9"))
+            gateway.tell()
+            await gateway.kill()
+            answers = [await client.rest() for client in clients]
+            assert all(whole(answer) for answer in answers), answers
+
+
+async def test_a_gateway_that_stands_still_around_its_signal_and_its_end_answers_in_time(tmp_path: Path) -> None:
+    """The signal is seen 0.15 s late, and requests come around the time after which they have to be answered."""
+    async with platform("r0", "w0", told=SETTINGS, w0=always("silent")) as p, serving(p, tmp_path) as gateway:
+        clients = [late_client(p, name) for name in CLASSES * 4]
+        await trio.sleep(0.1)
+        gateway.process.send_signal(signal.SIGSTOP)
+        gateway.tell()
+        await gateway.until(0.15)
+        gateway.process.send_signal(signal.SIGCONT)
+        for nth, (client, rest) in enumerate(clients):
+            await gateway.until(0.55 + 0.05 * nth)
+            client.send(rest)
+        await gateway.until(LONGEST_S + AFTER_S - 0.45)
+        gateway.process.send_signal(signal.SIGSTOP)
+        await trio.sleep(0.15)
+        gateway.process.send_signal(signal.SIGCONT)
+        await gateway.kill()
+        answers = [await client.rest() for client, _ in clients]
+        assert all(whole(answer) for answer in answers), answers
+
+
+async def test_a_request_on_a_connection_whose_stream_ends_late_in_a_shutdown_is_answered_or_not_read(
+    tmp_path: Path,
+) -> None:
+    """The answer's head was written before the signal and could not say that the connection ends."""
+    async with platform("r0", "w0", told=SETTINGS) as p, serving(p, tmp_path) as gateway:
+        gate = p.servers["w0"].gates["end"] = Gate()
+        replies: dict[str, bytes] = {}
+
+        async def ask_again() -> None:
+            client = Client(p.address)
+            client.send(request(p))
+            assert whole(await client.answer())
+            again = request(p, Request_Timeout="9")
+            ident = f"{p.count:016x}"
+            with suppress(OSError):
+                client.send(again)
+            replies[ident] = await client.rest()
+
+        async with trio.open_nursery() as nursery:
+            for nth in range(CROWD):
+                nursery.start_soon(ask_again)
+                await until(lambda nth=nth: p.fleet.open["w0"] == nth + 1)
+            p.servers["w0"].script = always("silent")
+            gateway.tell()
+            await gateway.until(LATE_S)
+            gate.open()  # all streams end at once, and a loop with much to do reads on before it closes
+            await gateway.kill()
+        assert len(replies) == CROWD
+        sent_on = {ident for _, _, ident in p.fleet.seen}
+        lost = {ident: reply for ident, reply in replies.items() if not whole(reply) and (reply or ident in sent_on)}
+        assert not lost
--- /dev/null
+++ b/tests/test_shutdown_policy.py
@@ -0,0 +1,150 @@
+"""What the decisions still take once their gateway is told to end, and by when they have answered everything."""
+
+from __future__ import annotations
+
+import pytest
+import trio
+
+from ternlane import port
+from ternlane.platform.process import ENDS_MS, LONGEST_MS
+from ternlane.policy.shutdown import STALL_MS, ShutdownSchedule, shutdown_times
+from ternlane.port import Effect, Group, Refusal, ShutdownTimes, Verdict
+from ternlane.standin.platform import Gate
+from tests.conftest import FakeHost, build, kinds, sent
+from tests.crossing import Client, request, until
+from tests.platform_world import always, platform
+from tests.test_final_answers import make_faulty
+
+TIMES = ShutdownTimes(admits_ms=500.0, answers_ms=3000.0, ends_ms=3700.0)
+
+
+@pytest.mark.parametrize("release_ms", [0.0, 500.0, 5000.0])
+@pytest.mark.parametrize("longest_ms", [100.0, 900.0, LONGEST_MS])
+@pytest.mark.parametrize("since_ms", [0.0, 150.0, 1600.0, 9000.0])
+def test_no_request_is_taken_that_the_kill_could_meet_unanswered(
+    release_ms: float, longest_ms: float, since_ms: float
+) -> None:
+    """Whether the signal is acted on at once or a stall late, and whatever the settings say."""
+    times = shutdown_times(longest_ms, ENDS_MS, release_ms, since_ms)
+    assert times.admits_ms + since_ms + STALL_MS <= ENDS_MS
+    assert times.ends_ms + since_ms == longest_ms + ENDS_MS
+    reserve = times.ends_ms - times.answers_ms
+    assert reserve >= min(2 * STALL_MS, (longest_ms + ENDS_MS) / 2)
+    assert times.answers_ms + since_ms >= (longest_ms + ENDS_MS) / 2  # what was taken is not given up for nothing
+
+
+def test_a_shutdown_that_is_told_again_does_not_last_longer() -> None:
+    schedule = ShutdownSchedule()
+    schedule.begin(1000.0, TIMES)
+    schedule.begin(2000.0, TIMES)
+    assert (schedule.admits_until, schedule.answers_by, schedule.ends_at) == (1500.0, 4000.0, 4700.0)
+    schedule.begin(2000.0, ShutdownTimes(0.0, 100.0, 200.0))
+    assert schedule.ends_at == 2200.0 and schedule.admits_until == 1500.0
+
+
+def learn_short_streams(host: FakeHost, effect: Effect) -> None:
+    """Usual streams take no time, so that no estimate keeps the decisions from beginning one."""
+    for _ in range(60):
+        gen, leg = host.written(effect)
+        host.first(gen, leg.server, after=1.0)
+        host.end(gen, leg.server, Verdict.STREAMED, after=1.0, over=True)
+
+
+@pytest.mark.parametrize("effect", Effect)
+def test_a_request_that_comes_late_in_a_shutdown_is_rejected_at_once_whatever_is_usual(effect: Effect) -> None:
+    host = build()
+    learn_short_streams(host, effect)
+    host.tell(port.Ending(TIMES))
+    early = host.gen(effect)
+    assert kinds(host.arrive(early, after=TIMES.admits_ms - 10)) == [port.SendLeg]
+    late = host.gen(effect)
+    said = host.arrive(late, after=20.0)
+    assert [type(action) for action in said if action.gen is late] == [port.Throttle]
+    assert said[-1].why is Refusal.SHUTDOWN and said[-1].pause_ms > 0
+    assert late not in host.router.desk.unanswered
+
+
+@pytest.mark.parametrize("effect", Effect)
+def test_what_has_no_first_token_before_the_end_gets_the_answer_that_is_true_of_it(effect: Effect) -> None:
+    host = build()
+    learn_short_streams(host, effect)
+    read = host.gen(effect, patience_ms=9000.0)
+    reader = sent(host.arrive(read)).server
+    host.tell(port.Ending(TIMES), after=1.0)
+    decoded, leg = host.written(effect, patience_ms=9000.0)
+    streamed, stream = host.written(effect, patience_ms=9000.0)
+    host.first(streamed, stream.server)
+    said = host.tell(after=TIMES.answers_ms)
+    finals = {action.gen: action for action in said if isinstance(action, (port.Throttle, port.Terminate))}
+    ended = {action.gen for action in said if isinstance(action, port.CallOff)}
+    assert streamed not in finals and streamed not in ended  # its client has a part of it
+    if read in finals:  # not tried elsewhere meanwhile: a prefill has no effect
+        assert isinstance(finals[read], port.Throttle)
+    harmless = effect is Effect.IDEMPOTENT
+    assert isinstance(finals[decoded], port.Throttle if harmless else port.Terminate)
+    assert not host.router.desk.unanswered
+    # What they held is released once their attempts have ended.
+    assert port.Release in kinds(host.end(decoded, leg.server, Verdict.CALLED_OFF, after=1.0, over=True))
+    assert reader is not None
+
+
+def test_a_repeat_that_stays_harmless_is_rejected_and_one_that_does_not_is_failed() -> None:
+    host = build()
+    product = host.products[Effect.DEDUPLICATED]
+    assert product.group is Group.CELL
+    host.tell(port.Ending(TIMES))
+    gen, _ = host.written(Effect.DEDUPLICATED, patience_ms=9000.0)
+    said = host.tell(after=TIMES.answers_ms)
+    assert [type(action) for action in said if getattr(action, "gen", None) is gen][0] is port.Terminate
+
+
+def test_requests_that_wait_for_room_are_answered_before_the_end_too(host: FakeHost) -> None:
+    for name in ("r0", "r1"):
+        host.list(**{name: port.Life.DRAINING})
+    waiting = host.gen(patience_ms=9000.0)
+    host.router.desk.served = lambda course: True  # type: ignore[method-assign]
+    host.arrive(waiting)
+    host.tell(port.Ending(TIMES))
+    said = host.tell(after=TIMES.answers_ms)
+    assert [type(action) for action in said] == [port.Throttle] and not host.router.desk.unanswered
+
+
+def test_nothing_is_kept_of_requests_that_are_over(host: FakeHost) -> None:
+    streamed, leg = host.written()
+    host.first(streamed, leg.server)
+    left, _ = host.written()
+    host.tell(port.ClientLeft(left))
+    whole, leg = host.written()
+    host.end(whole, leg.server, Verdict.STREAMED, over=True)  # a host that passes answers on whole tells no first token
+    failed, leg = host.written(Effect.SIDE_EFFECTING)
+    host.end(failed, leg.server, Verdict.ERROR)
+    assert not host.router.desk.unanswered
+
+
+async def test_a_gateway_whose_decisions_forget_a_request_answers_it_before_it_may_be_killed() -> None:
+    """The decisions fail in the shutdown; the request's own time would outlast the process."""
+    async with platform("r0", "w0", w0=always("silent")) as p:
+        client = Client(p.address)
+        client.send(request(p, Request_Class="note", Request_Timeout="1.5"))
+        await until(lambda: p.fleet.count("write"))
+        make_faulty(p, lambda events: [])
+        ticket = next(iter(p.gateway.node.tickets.values()))
+        ticket.gen.patience_ms = 60e3
+        since = trio.current_time()
+        p.nursery.start_soon(p.gateway.drain)
+        answer = await client.rest()
+        longest_ms = max(product.limit_ms for product in p.gateway.node.deployment.products.values())
+        assert answer.startswith(b"HTTP/1.1 502 ") and (trio.current_time() - since) * 1000 < longest_ms + ENDS_MS
+
+
+async def test_an_answer_that_begins_after_the_signal_says_that_its_connection_ends() -> None:
+    """Also where its request came before: its client asks elsewhere next."""
+    async with platform("r0", "w0") as p:
+        client = Client(p.address)
+        gate = p.servers["w0"].gates["request"] = Gate()
+        client.send(request(p))
+        await gate.reached.wait()
+        p.gateway.begin_drain()
+        gate.open()
+        answer = await client.rest()
+        assert answer.startswith(b"HTTP/1.1 200 ") and b"\r\nConnection: close\r\n" in answer
--- a/tests/test_variants.py
+++ b/tests/test_variants.py
@@ -132,11 +132,11 @@
     async with platform("r0", "w0", told=settings(name)) as p:
         desk = p.gateway.node.chooser.desk  # type: ignore[attr-defined]
         p.gateway.begin_drain()
-        assert desk.ends_at - trio.current_time() * 1000 == pytest.approx(least_ms, abs=50)
+        assert desk.shutdown.ends_at - trio.current_time() * 1000 == pytest.approx(least_ms, abs=50)
         short = [one | {"deadline": 900.0} for one in settings(name)["profiles"]]
         p.gateway.node.alter(Deployment(1, settings(name) | {"profiles": short}))
         p.gateway.begin_drain()
-        assert desk.ends_at - trio.current_time() * 1000 == pytest.approx(900.0 + process.ENDS_MS, abs=50)
+        assert desk.shutdown.ends_at - trio.current_time() * 1000 == pytest.approx(900.0 + process.ENDS_MS, abs=50)
 
 
 def test_servers_that_do_both_are_known_where_a_variant_has_them() -> None:
