Shutdown: an attempt is called off and has ended before its request gets its final answer

Change: called off first, answered when the attempt has ended (onward); where nothing may be called off, failed unless it may be repeated freely.

--- a/ternlane/choice.py
+++ b/ternlane/choice.py
@@ -536,13 +536,16 @@
         return self.router.now + usual_ms > self.shutdown.ends_at
 
     def answer_before_the_end(self) -> None:
-        """The final answer for all that have no first token shortly before this gateway may be killed."""
+        """The final answer for all that have no first token shortly before this gateway may be killed. An attempt that
+        is out is called off first: whether a request may be called rejected shows only once it has ended."""
         if self.router.now < self.shutdown.answers_by:
             return
         for course in list(self.unanswered):
-            leg = course.leg
-            if leg is not None and leg.writes and course.may_have_run is None:  # it is out, and nothing shows how far
-                course.may_have_run = leg.sent, leg.engine.server
+            if course.leg is not None and self.may_call_off:
+                self.router.out.append(port.CallOff(course.gen))  # it is answered when that has ended
+                continue
+            if course.leg is not None and course.may_have_run is None:
+                course.may_have_run = course.leg.sent, course.leg.engine.server
             self.finish(course, Refusal.SHUTDOWN)
 
     def served(self, course: Course) -> bool:  # is anyone left who could read it, and who could write it?
@@ -728,6 +731,8 @@
 
     def onward(self, course: Course) -> None:
         """The next leg, if the effect allows one: with the state at hand a writer, else a pair anew."""
+        if self.router.now >= self.shutdown.answers_by:
+            return self.finish(course, Refusal.SHUTDOWN)
         if self.spent(course):
             return self.finish(course, Refusal.ATTEMPTS_SPENT)
         if not any(self.effect_allows(course, e) for e in self.board):
