Drawn shutdowns run longer, mend what broke, and judge times told and repeat windows

Change: a stand-in prefill ends with its connection; a mended network resets its old connections; told times and windows are judged; plays of up to 8 s before the signal.

--- a/ternlane/standin/platform.py
+++ b/ternlane/standin/platform.py
@@ -200,7 +200,9 @@
             self.fleet.hold(ident, self.name)
             return
         if self.duty == "read" and not way:
-            await trio.sleep(self.read_ms / 1000)
+            with trio.move_on_after(self.read_ms / 1000):
+                await exchange.until_left()
+                return  # it was given up
             self.fleet.hold(ident, self.name)
             return await exchange.answer(202, [("Server-Load", "inflight=1,x0=0.1")], b'{"cached_tokens":4}')
         if self.duty == "write" and not way.startswith(("status_", "full_", "gone_")):
--- a/tests/shutdown_play.py
+++ b/tests/shutdown_play.py
@@ -67,6 +67,7 @@
     ident: str
     at: float
     way: str
+    told_s: float  # how long the gateway said that it would wait
 
 
 @dataclass
@@ -97,16 +98,17 @@
             | {"release": rng.choice([300.0, 500.0, 800.0]), "token_aim": [rng.choice([5.0, 20.0, 100.0])] * 2},
         }
         self.users = rng.choice([6, 12, 20, 30])
-        self.told_after_s = rng.uniform(0.8, 2.0)
-        self.faults = sorted(self.fault() for _ in range(rng.randint(1, 6)))
+        self.told_after_s = rng.choice([rng.uniform(0.8, 2.0), rng.uniform(0.8, 2.0), rng.uniform(4.0, 8.0)])
+        self.faults = sorted(self.fault() for _ in range(rng.randint(1, 4 + round(self.told_after_s))))
 
     def fault(self) -> tuple[float, str, str]:
-        """Most of them around the signal and after it."""
+        """Half of them around the signal and after it."""
         kind = self.rng.choice(
-            ["hang", "hang", "fail", "slow", "stall", "stall", "reset", "vanish", "drain"]
+            ["hang", "hang", "fail", "slow", "stall", "stall", "reset", "vanish", "mend", "drain"]
             + ["hush", "agent silent", "agent resets", "stop", "stop", "signals", "flood"]
         )
-        at = self.told_after_s + self.rng.choice([-0.3, 0.0, 0.5, self.rng.uniform(-0.8, 3.2)])
+        around = self.told_after_s + self.rng.choice([-0.3, 0.0, 0.5, self.rng.uniform(-0.8, 3.2)])
+        at = self.rng.choice([around, self.rng.uniform(0.0, self.told_after_s + 3.0)])
         return max(0.0, at), kind, self.rng.choice([*DECODE, *DECODE, *PREFILL])
 
     @property
@@ -139,7 +141,8 @@
 
     def script(self, name: str) -> Callable[[str], str]:
         def way(ident: str) -> str:
-            self.attempts.append(Attempt(name, ident, trio.current_time(), self.ways[name]))
+            told_s = self.p.fleet.told_s[-1]  # its own: nothing comes between the two
+            self.attempts.append(Attempt(name, ident, trio.current_time(), self.ways[name], told_s))
             return self.ways[name]
 
         return way
@@ -193,6 +196,9 @@
             case "reset":
                 self.faulty.add(server)
                 self.proxies[server].reset_all()
+            case "mend":
+                self.ways[server] = ""
+                self.proxies[server].reset_all()  # connections that were silent are reset once all is back (page)
             case "vanish":
                 self.faulty.add(server)
                 self.p.servers[server].stop()
@@ -286,7 +292,8 @@
     # -- verdict
 
     def broken_rules(self, log: str) -> list[str]:
-        return [*self.lost(), *self.repeated(), *self.misplaced(), *self.held(), *self.faults(log)]
+        checks = (self.lost, self.repeated, self.misplaced, self.overstated, self.held)
+        return [line for check in checks for line in check()] + self.faults(log)
 
     def attempts_for(self, sent: Sent) -> list[Attempt]:
         return [attempt for attempt in self.attempts if attempt.ident == sent.ident]
@@ -331,8 +338,22 @@
                 out.append(self.said("duplicate", sent, "ran twice"))
             if sent.product == "note" and sent.status == "503" and may_have_run:
                 out.append(self.said("duplicate", sent, "rejected though it may have run"))
+            if sent.product == "form" and may_have_run:
+                window_s = self.plan.settings["profiles"][2]["key_ttl"] / 1000 + self.own_lateness_s
+                if any(a.at > may_have_run[0].at + window_s and a.server not in self.faulty for a in began):
+                    out.append(self.said("duplicate", sent, f"repeated after its window of {window_s:.3f} s"))
         return out
 
+    def overstated(self) -> list[str]:
+        """Attempts that told their server more time than was left. What a stalled network delays is not judged."""
+        slack_s = TOLD_SLACK_S + self.own_lateness_s
+        return [
+            self.said("time told", sent, f"{attempt.told_s} s at {attempt.server}")
+            for sent in self.sent
+            for attempt in self.attempts_for(sent)
+            if attempt.server not in self.faulty and attempt.told_s > sent.timeout_s - (attempt.at - sent.at) + slack_s
+        ]
+
     def misplaced(self) -> list[str]:
         out = []
         grace_s = self.plan.settings["invariants"]["drain_grace"] / 1000
