An attempt that waits for a release ends as soon as it is called off; tests reserve ports

Cause: read in review: such an attempt waited out the connect time-out before it ended, and its request's answer with it; the host's last look would have failed it (502). A signal in the moment in which the loop has ended raised in the handler. Change: Leg.release_wait; the signal after the end is ignored; tests keep the port bound meanwhile; a mended network's resets are counted as its faults.

--- a/ternlane/platform/end_signal.py
+++ b/ternlane/platform/end_signal.py
@@ -6,6 +6,7 @@
 
 import signal
 import time
+from contextlib import suppress
 
 import trio
 
@@ -27,7 +28,8 @@
 
     def _note(self, *_: object) -> None:
         self._at.append(time.monotonic())
-        self._token.run_sync_soon(self.received.set, idempotent=True)
+        with suppress(trio.RunFinishedError):  # it comes again as this process ends
+            self._token.run_sync_soon(self.received.set, idempotent=True)
 
     def since_ms(self) -> float:
         """How long ago it first came; 0 where it has not."""
--- a/ternlane/platform/engines.py
+++ b/ternlane/platform/engines.py
@@ -63,6 +63,7 @@
     quiet_ms: float
     barred: BeginCheck = may_always_begin
     scope: trio.CancelScope = field(default_factory=trio.CancelScope)
+    release_wait: trio.CancelScope = field(default_factory=trio.CancelScope)  # for what was held before
     called_off: bool = False
     written_at: float | None = None  # when its last byte was, by trio's clock: from then on it may run
 
@@ -72,6 +73,7 @@
 
     def call_off(self) -> None:
         self.called_off = True
+        self.release_wait.cancel()
         self.scope.cancel()
 
 
--- a/ternlane/platform/node.py
+++ b/ternlane/platform/node.py
@@ -295,7 +295,8 @@
     async def run(self, ticket: Ticket, server: Server, leg: Leg, name: str) -> None:
         since, end = now_ms(), LegEnd()
         if ticket.freeing is not None:  # lest a late DELETE release what this leg has read
-            with trio.move_on_after(self.deployment.facts.connect_ms / 1000):
+            leg.release_wait.deadline = trio.current_time() + self.deployment.facts.connect_ms / 1000
+            with leg.release_wait:
                 await ticket.freeing.wait()
         try:
             end = await self.engines.run(leg, Passing(self, ticket, server, since))
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import socket
 from contextlib import asynccontextmanager
 from typing import Any, AsyncIterator, Callable
 
@@ -71,6 +72,7 @@
         self.servers: dict[str, ModelServer] = {}
         self.count = 0
         self.pool = Pool(1000, 1000)
+        self.reserved: list[socket.socket] = []
         self.gateway: Gateway
 
     async def add(self, name: str, script: Callable[[str], str] = lambda _: "", **more: Any) -> ModelServer:
@@ -102,6 +104,15 @@
         name = self.gateway.listener.socket.getsockname()
         self.address = f"{name[0]}:{name[1]}"
 
+    def reserve_address(self) -> None:
+        """Makes `address` one for a process to listen at. Its port is bound until the end, though nobody listens by
+        that: else an outgoing connection of another test could take it before the process has it."""
+        kept = socket.socket()
+        kept.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        kept.bind(("127.0.0.1", 0))
+        self.reserved.append(kept)
+        self.address = "127.0.0.1:%d" % kept.getsockname()[1]
+
     def configuration(self, **more: Any) -> str:
         """The configuration file of a gateway that is a process of its own, at `address`."""
         told = {
@@ -187,7 +198,11 @@
         for name in names or ("r0", "w0", "r1", "w1"):
             await made.add(name, scripts.get(name, lambda _: ""))
         await made.open()
-        yield made
+        try:
+            yield made
+        finally:
+            for kept in made.reserved:
+                kept.close()
         nursery.cancel_scope.cancel()
 
 
--- a/tests/shutdown_play.py
+++ b/tests/shutdown_play.py
@@ -198,6 +198,7 @@
                 self.proxies[server].reset_all()
             case "mend":
                 self.ways[server] = ""
+                self.faulty.add(server)
                 self.proxies[server].reset_all()  # connections that were silent are reset once all is back (page)
             case "vanish":
                 self.faulty.add(server)
--- a/tests/test_shutdown_policy.py
+++ b/tests/test_shutdown_policy.py
@@ -14,7 +14,7 @@
 from ternlane.standin.platform import Gate
 from tests.conftest import FakeHost, build, kinds, sent
 from tests.crossing import Client, request, until
-from tests.platform_world import always, platform
+from tests.platform_world import TOLD, always, platform
 from tests.test_final_answers import make_faulty
 
 TIMES = ShutdownTimes(admits_ms=500.0, answers_ms=3000.0, ends_ms=3700.0)
@@ -145,6 +145,20 @@
         assert answer.startswith(b"HTTP/1.1 502 ") and (trio.current_time() - since) * 1000 < longest_ms + ENDS_MS
 
 
+async def test_an_attempt_that_waits_for_a_release_is_called_off_at_once() -> None:
+    """No server confirms the release, and the connect time-out, for which it is waited, is long."""
+    told = TOLD | {"limits": TOLD["limits"] | {"connect_timeout": 8000.0}}
+    async with platform("r0", "w0", told=told, w0=always("gone_410")) as p:
+        for server in p.servers.values():
+            server.lease_way = "silent"
+        client = Client(p.address)
+        client.send(request(p, Request_Timeout="9"))
+        await until(lambda: any(ticket.legs == 3 for ticket in p.gateway.node.tickets.values()))
+        p.nursery.start_soon(p.gateway.drain)
+        answer = await client.rest()
+        assert answer.startswith(b"HTTP/1.1 503 ") and not p.gateway.node.counts["overdue"]
+
+
 async def test_an_answer_that_begins_after_the_signal_says_that_its_connection_ends() -> None:
     """Also where its request came before: its client asks elsewhere next."""
     async with platform("r0", "w0") as p:
