--- a/review/standin/standins.py
+++ b/review/standin/standins.py
@@ -178,6 +178,7 @@
         self.name = name
         self.kind = kind
         self.port = 0
+        self.group = 0
         self.status = "SERVING"
         self.read_s = 0.06
         self.event_s = 0.04
@@ -197,7 +198,7 @@
             "address": f"127.0.0.1:{self.port}",
             "zone": "hall-one",
             "type": self.kind,
-            "group": 0,
+            "group": self.group,
             "status": self.status,
             "weight": 1.0,
             "since_ms": 0,
@@ -446,6 +447,11 @@
                     return int(line.split()[1]) / 1024
         return 0.0
 
+    def cpu_s(self) -> float:
+        """The processor time that it has used."""
+        fields = Path(f"/proc/{self.pid}/stat").read_text().rpartition(")")[2].split()
+        return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
     async def wait_until_ready(self, within_s: float = 30.0) -> bool:
         """Asks for /health/ready until it answers 200."""
         by = time.monotonic() + within_s
