--- a/review/1/case.py
+++ b/review/1/case.py
@@ -6,6 +6,7 @@
 import logging
 import multiprocessing
 import os
+import signal
 import sys
 import tempfile
 import time
@@ -30,15 +31,19 @@
 BODY_BYTES = 60_000_000
 
 
-async def bad_client(port: int, number: int, until: float, ends: Counter[str]) -> None:
+Event = tuple[float, str]  # when, by the monotonic clock, and what
+
+
+async def bad_client(port: int, number: int, until: float, events: list[Event]) -> None:
     """Sends a 60 MB body in small chunks, reads what it is sent, and does the same again once it is turned away."""
     data = PIECE * (65536 // len(PIECE))
     tries = 0
     while time.monotonic() < until:
         tries += 1
+        ident = f"{0xBAD0000000 + number * 10000 + tries:016x}"
         head = (
             "POST /v1/chat/completions HTTP/1.1\r\nHost: app.svc\r\n"
-            f"Request-Id: {0xBAD0000000 + number * 10000 + tries:016x}\r\nRequest-Class: summary\r\n"
+            f"Request-Id: {ident}\r\nRequest-Class: summary\r\n"
             "Request-Timeout: 5.000\r\nTransfer-Encoding: chunked\r\n\r\n"
         ).encode()
         writer = None
@@ -46,11 +51,14 @@
         try:
             reader, writer = await asyncio.open_connection("127.0.0.1", port)
             writer.write(head)
+            began = time.monotonic()
+            events.append((began, f"bad client sends {ident}, 60 MB in chunks of {len(PIECE) - 5} bytes"))
             sender = asyncio.create_task(push(writer, data))
             answer = await reader.read(4096)
-            ends[answer[9:12].decode() or "closed"] += 1
+            end = answer[9:12].decode() or "closed"
+            events.append((time.monotonic(), f"bad client {ident}: {end} after {time.monotonic() - began:.3f} s"))
         except OSError as error:
-            ends[type(error).__name__] += 1
+            events.append((time.monotonic(), f"bad client {ident}: {type(error).__name__}"))
             await asyncio.sleep(0.05)
         finally:
             if sender is not None:
@@ -69,19 +77,19 @@
         pass
 
 
-def bad_clients(port: int, until: float, ends: multiprocessing.SimpleQueue[dict[str, int]]) -> None:
-    """The process of the bad clients."""
+def bad_clients(port: int, until: float, file: str) -> None:
+    """The process of the bad clients. Writes what they sent and were answered into a file."""
     logging.disable(logging.CRITICAL)
-    counts: Counter[str] = Counter()
+    events: list[Event] = []
 
     async def all_of_them() -> None:
         await asyncio.wait(
-            [asyncio.create_task(bad_client(port, nth, until, counts)) for nth in range(BAD_CLIENTS)],
+            [asyncio.create_task(bad_client(port, nth, until, events)) for nth in range(BAD_CLIENTS)],
             timeout=until - time.monotonic() + 1.0,
         )
 
     asyncio.run(all_of_them())
-    ends.put(dict(counts))
+    Path(file).write_text("".join(f"{at} {text}\n" for at, text in events))
 
 
 async def play(folder: Path, record: Record) -> int:
@@ -93,7 +101,7 @@
     gateway = GatewayProcess(folder, discovery, LIMITS, settings())
     gateway.start()
     bad: multiprocessing.Process | None = None
-    ends: multiprocessing.SimpleQueue[dict[str, int]] = multiprocessing.SimpleQueue()
+    file = folder / "bad-clients.txt"
     try:
         if not await gateway.wait_until_ready():
             record.line("the gateway was not ready within 30 s")
@@ -104,7 +112,9 @@
         while time.monotonic() - began < USUAL_S:
             if TROUBLE and bad is None and time.monotonic() - began >= BAD_FROM_S:
                 record.line(f"{BAD_CLIENTS} bad clients begin")
-                bad = multiprocessing.Process(target=bad_clients, args=(gateway.port, began + BAD_UNTIL_S, ends))
+                bad = multiprocessing.Process(
+                    target=bad_clients, args=(gateway.port, began + BAD_UNTIL_S, str(file)), daemon=True
+                )
                 bad.start()
             request = Request(f"{len(tasks) + 1:016x}", "summary" if len(tasks) % 2 else "case-note", TIMEOUT_S)
             tasks.append(asyncio.create_task(ask(record, fleet, gateway.port, request)))
@@ -112,8 +122,9 @@
         requests = await asyncio.gather(*tasks)
         if bad is not None:
             await asyncio.to_thread(bad.join, 10)
-            if not ends.empty():
-                record.line(f"bad clients' connections ended with: {ends.get()}")
+            for line in file.read_text().splitlines() if file.exists() else ():
+                at, _, text = line.partition(" ")
+                record.line(f"at {float(at) - record.began:.3f} {text}")
         return judge(record, gateway, requests)
     finally:
         if bad is not None and bad.is_alive():
@@ -152,6 +163,7 @@
 def main() -> int:
     """Runs the case."""
     logging.disable(logging.CRITICAL)
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # what was started is ended on the way out
     record = Record(HERE / "record.txt")
     try:
         with tempfile.TemporaryDirectory() as folder:
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import os
+import signal
 import sys
 import tempfile
 import time
@@ -49,7 +50,7 @@
             await asyncio.sleep(SAMPLE_S)
 
 
-async def bad_client(port: int, number: int, until: float, ends: Counter[str]) -> None:
+async def bad_client(record: Record, port: int, number: int, until: float, ends: Counter[str]) -> None:
     """Sends most of a request, stops and stays; does the same again once it is turned away."""
     tries = 0
     while time.monotonic() < until:
@@ -63,7 +64,9 @@
                 f"Request-Timeout: 8.000\r\nContent-Length: {BODY_BYTES}\r\n\r\n"
             )
             writer.write(head.encode() + b" " * SENT_BYTES)
+            record.line(f"bad client {number} sends {SENT_BYTES} of {BODY_BYTES} bytes and stays")
             answer = await reader.read(4096)
+            record.line(f"bad client {number}: {answer[9:12].decode() or 'closed'}")
             ends[answer[9:12].decode() or "closed"] += 1
         except OSError as error:
             ends[type(error).__name__] += 1
@@ -97,7 +100,8 @@
                 record.line(f"{BAD_CLIENTS} bad clients begin, {gateway.memory_mb():.1f} MB")
                 until = began + BAD_UNTIL_S
                 others += [
-                    asyncio.create_task(bad_client(gateway.port, nth, until, ends)) for nth in range(BAD_CLIENTS)
+                    asyncio.create_task(bad_client(record, gateway.port, nth, until, ends))
+                    for nth in range(BAD_CLIENTS)
                 ]
             request = Request(f"{len(tasks) + 1:016x}", "summary" if len(tasks) % 2 else "case-note", TIMEOUT_S)
             tasks.append(asyncio.create_task(send_request(record, fleet, gateway.port, request, TIMEOUT_S + 10)))
@@ -128,6 +132,7 @@
 def main() -> int:
     """Runs the case."""
     logging.disable(logging.CRITICAL)
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # what was started is ended on the way out
     record = Record(HERE / "record.txt")
     try:
         with tempfile.TemporaryDirectory() as folder:
