Bound the parsing of each loop iteration: small chunks no longer hold up others

Cause: only bytes were bounded, not work. h11 takes 7 us for each chunk, however small, and ServerConnection._read_body parsed all chunks of a read of 64 KiB without a pause (71 ms for 10,922), on each connection, in each iteration. Evidence: timing of the parser alone on one core; loop_late_ms; the core at 100%. Related paths, each measured: heads and trailers of thousands of lines (7 ms each), and three parsers that began anew with every piece: the platform's event stream (61 s for 48 KB of comments), discovery's lists, the chat gateway's events (4.6 s for 20,000 lines).

Change: 16 events of a message are parsed at once; what has more takes turns of 128, one in each iteration for all connections together, fewest events first (ParseTurns), shared by clients, model servers and discovery. Heads and trailers have 128 lines at most, counted before they are parsed. The three parsers look at each byte once. Reads are 16 KiB instead of 64.

Why it works: whatever peers send, an iteration holds one turn (under 1 ms) and at most 16 events a connection, so a request that needs ten iterations gets them in time, and the least served message is never starved.

--- a/ternlane/gateway/chat_api.py
+++ b/ternlane/gateway/chat_api.py
@@ -20,7 +20,7 @@
 from ternlane.gateway.request_admission import RequestAdmission
 from ternlane.gateway.response_writers import StreamResponseWriter
 from ternlane.gateway.runtime import GatewayRuntime
-from ternlane.http1 import Exchange
+from ternlane.http1 import Exchange, ParseTurns
 from ternlane.policy.messages import RequestClass
 from ternlane.recovery.inflight import RecoveredAnswer
 
@@ -40,12 +40,13 @@
         models: dict[str, RequestClass],
         metrics: GatewayMetrics,
         log: Any,
-        budget_enforcer: BudgetEnforcer | None = None,
+        budget_enforcer: BudgetEnforcer | None,
+        parse_turns: ParseTurns,
     ) -> None:
         self.runtime = runtime
         self.metrics = metrics
         self.admission = RequestAdmission(config, runtime, intake, models, budget_enforcer)
-        self.connections = ClientConnections(config.door, self.handle, lambda: self.draining, metrics, log)
+        self.connections = ClientConnections(config.door, self.handle, lambda: self.draining, metrics, log, parse_turns)
         self.started = int(time.time())
         self.busy = 0
 
--- a/ternlane/gateway/client_connections.py
+++ b/ternlane/gateway/client_connections.py
@@ -12,7 +12,7 @@
 from ternlane.chat import error_body
 from ternlane.config import ServerLimits
 from ternlane.gateway.metrics import GatewayMetrics
-from ternlane.http1 import BadRequest, Exchange, serve_connection
+from ternlane.http1 import BadRequest, Exchange, ParseTurns, serve_connection
 
 
 class ClientConnections:
@@ -25,12 +25,14 @@
         is_draining: Callable[[], bool],
         metrics: GatewayMetrics,
         log: Any,
+        parse_turns: ParseTurns,
     ) -> None:
         self.limits = limits
         self.handle = handle
         self.is_draining = is_draining
         self.metrics = metrics
         self.log = log
+        self.parse_turns = parse_turns
         self.open = 0
 
     async def serve(self, stream: trio.SocketStream) -> None:
@@ -63,6 +65,7 @@
             send_ms=limits.send_ms,
             error_body=self._bad_request,
             draining=self.is_draining,
+            parse_turns=self.parse_turns,
         )
 
     def _bad_request(self, _: Exchange | None, bad: BadRequest) -> tuple[bytes, str]:
--- a/ternlane/gateway/gateway.py
+++ b/ternlane/gateway/gateway.py
@@ -27,7 +27,7 @@
 from ternlane.gateway.metrics_server import serve_metrics
 from ternlane.gateway.router_config import configure_models
 from ternlane.gateway.runtime import GatewayRuntime
-from ternlane.http1 import ConnectionPool
+from ternlane.http1 import ConnectionPool, ParseTurns
 from ternlane.policy.messages import EndpointListFailed, RouterConfig
 from ternlane.policy.router import Router
 from ternlane.version import VERSION
@@ -67,7 +67,9 @@
         self.metrics = GatewayMetrics()
         self.registry = EndpointRegistry()
         self.agent = f"ternlane/{VERSION} ({config.name})"
-        self.pool = ConnectionPool(config.fleet.connect_ms, config.fleet.idle_ms, config.source)
+        parse_turns = ParseTurns()
+        fleet = config.fleet
+        self.pool = ConnectionPool(fleet.connect_ms, fleet.idle_ms, config.source, parse_turns=parse_turns)
         self.transport = transport or SocketTransport(self.pool, self.agent)
         intake = RequestIntake(self.configured.models, self.configured.max_tokens, config.door.session_limit)
         self.runtime = host_type(
@@ -88,7 +90,9 @@
         self.journal_writer = JournalWriter(Path(config.journal), log) if config.journal is not None else None
         self.runtime.journal_writer = self.journal_writer
         models = self.configured.models
-        self.chat_api = ChatApi(config, self.runtime, intake, models, self.metrics, log, self.budget_enforcer)
+        self.chat_api = ChatApi(
+            config, self.runtime, intake, models, self.metrics, log, self.budget_enforcer, parse_turns
+        )
         self.listeners = Listeners(self.chat_api.connection, nursery, log)
         self.endpoint_watcher = EndpointWatcher(
             config,
--- a/ternlane/http1/__init__.py
+++ b/ternlane/http1/__init__.py
@@ -8,6 +8,7 @@
 from ternlane.http1.events import EventReader, encode_event
 from ternlane.http1.exchange import Exchange
 from ternlane.http1.nonblocking import extend_deadline
+from ternlane.http1.parse_turns import ParseTurns
 from ternlane.http1.server_connection import ServerConnection, serve_connection
 
 __all__ = [
@@ -19,6 +20,7 @@
     "EventReader",
     "Exchange",
     "Http1Error",
+    "ParseTurns",
     "ReadTimeout",
     "ServerConnection",
     "ConnectionLimits",
--- a/ternlane/http1/client_connection.py
+++ b/ternlane/http1/client_connection.py
@@ -10,12 +10,14 @@
 import trio
 
 from ternlane.http1.errors import ConnectError, ReadTimeout
+from ternlane.http1.line_limits import MAX_LINES, TrailerLimit, has_too_many_lines
 from ternlane.http1.nonblocking import is_readable, receive_now, send
+from ternlane.http1.parse_turns import MessageParser, ParseTurns
 
 Headers = Sequence[tuple[str, str]]
 
-# Largest single read.
-CHUNK_BYTES = 65536
+# Largest single read. Also what one connection may hold unparsed while others have their turns.
+CHUNK_BYTES = 16384
 # Largest response head or chunk-size line.
 HEAD_BYTES = 16384
 # Interim responses (status 1xx) accepted ahead of the final one.
@@ -33,13 +35,19 @@
 
 
 class ClientConnection:
-    """An HTTP/1.1 connection. `ask` sends a request and returns the response head; `chunks` or `body` read the rest."""
+    """An HTTP/1.1 connection. `ask` sends a request and returns the response head; `chunks` or `body` read the rest.
 
-    def __init__(self, stream: trio.SocketStream, peer: str, local: tuple[str, int]) -> None:
+    All connections of an event loop should share `parse_turns`.
+    """
+
+    def __init__(
+        self, stream: trio.SocketStream, peer: str, local: tuple[str, int], parse_turns: ParseTurns | None = None
+    ) -> None:
         self.stream = stream
         self.peer = peer
         self.local = local
         self.conn = h11.Connection(h11.CLIENT, max_incomplete_event_size=HEAD_BYTES)
+        self.parser = MessageParser(parse_turns or ParseTurns())
         self.state = CallState.NOT_SENT
         self.idle_since = 0.0  # s, trio's clock; set by the pool
         self.idled_ms: float | None = None  # idle time before this request; None for a new connection
@@ -47,6 +55,9 @@
         self.on_close: Callable[[ClientConnection], None] = lambda _: None
         self._read_deadline_s = inf  # see `set_read_deadline`
         self._read_after_deadline = False
+        self._trailer_limit: TrailerLimit | None = None  # for a chunked response
+        self._is_complete = False  # the response's last byte has been parsed
+        self._deferred_error: h11.RemoteProtocolError | None = None  # follows the chunks that have been yielded
 
     @property
     def written(self) -> bool:
@@ -81,6 +92,9 @@
     async def send_request(self, method: str, target: str, headers: Headers, body: bytes = b"") -> None:
         """Writes a request. Raises ConnectError if the connection breaks before the last byte is written."""
         self.state = CallState.NOT_SENT
+        self.parser.begin_message()
+        self._is_complete = False
+        self._deferred_error = None
         head = [("Host", self.peer), *headers]
         if body or method != "GET":
             head.append(("Content-Length", str(len(body))))
@@ -102,21 +116,15 @@
         closes early or violates the protocol.
         """
         for _ in range(MAX_INTERIM_HEADS):
-            event = await self.event()
+            event = await self._head_event()
             if isinstance(event, h11.Response):
+                is_chunked = any(name == b"transfer-encoding" for name, _ in event.headers)
+                self._trailer_limit = TrailerLimit() if is_chunked else None
                 return event
             if not isinstance(event, h11.InformationalResponse):
                 raise h11.RemoteProtocolError("the connection closed before the answer began")
         raise h11.RemoteProtocolError("interim answers without end")
 
-    async def event(self) -> h11.Event | type[h11.PAUSED]:
-        """Returns the next event of the response. Raises as `read_head` does."""
-        while True:
-            event = self.conn.next_event()
-            if event is not h11.NEED_DATA:
-                return event  # type: ignore[return-value]
-            self.conn.receive_data(await self._receive())
-
     def set_read_deadline(self, when_s: float) -> None:
         """Sets the time (trio's clock) from which reads raise ReadTimeout.
 
@@ -127,14 +135,62 @@
 
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yields the body. Raises as `read_head` does, also if the body is shorter than its stated length."""
+        while not self._is_complete:
+            for chunk in await self._next_chunks():
+                yield chunk
+            if self._deferred_error is not None:
+                raise self._deferred_error
+
+    async def _next_chunks(self) -> list[bytes]:
+        """Returns the next chunks of the body, none at its end. An error behind them is deferred.
+
+        Parses as many as it may at once, since it must not keep its turn while the caller uses them.
+        """
+        chunks: list[bytes] = []
+        try:
+            while not (chunks and self.parser.must_wait):
+                event = await self._body_event()
+                if isinstance(event, h11.Data):
+                    chunks.append(bytes(event.data))
+                elif isinstance(event, h11.EndOfMessage):
+                    self._is_complete = True
+                    break
+                elif event is not h11.NEED_DATA:
+                    raise h11.RemoteProtocolError("the connection closed within the answer")
+                elif chunks:
+                    break
+                else:
+                    self.parser.pause()
+                    await self._receive_more()
+        except h11.RemoteProtocolError as error:
+            self._deferred_error = error
+        finally:
+            self.parser.pause()
+        return chunks
+
+    async def _head_event(self) -> h11.Event | type[h11.PAUSED]:
         while True:
-            event = await self.event()
-            if isinstance(event, h11.Data):
-                yield bytes(event.data)
-            elif isinstance(event, h11.EndOfMessage):
-                return
-            else:
-                raise h11.RemoteProtocolError("the connection closed within the answer")
+            if has_too_many_lines(self.conn.trailing_data[0]):
+                raise h11.RemoteProtocolError(f"a head of more than {MAX_LINES} lines")
+            event = self.conn.next_event()
+            if event is not h11.NEED_DATA:
+                return event  # type: ignore[return-value]
+            await self._receive_more()
+
+    async def _body_event(self) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]:
+        limit = self._trailer_limit
+        if limit is not None and limit.is_exceeded(self.conn.trailing_data[0]):
+            raise h11.RemoteProtocolError(f"a trailer of more than {MAX_LINES} lines")
+        event = await self.parser.next_event(self.conn.next_event)
+        if limit is not None and isinstance(event, h11.Data):
+            limit.observe(event)
+        return event
+
+    async def _receive_more(self) -> None:
+        """Waits for more bytes of the response. Raises as `read_head` does."""
+        data = await self._receive()
+        self.parser.allow_free_events()
+        self.conn.receive_data(data)
 
     async def body(self, limit: int) -> bytes:
         """Returns the whole body. Raises as `chunks` does, and h11.RemoteProtocolError beyond `limit` bytes."""
--- a/ternlane/http1/connection_pool.py
+++ b/ternlane/http1/connection_pool.py
@@ -13,6 +13,7 @@
 from ternlane.http1.client_connection import ClientConnection
 from ternlane.http1.errors import ConnectError
 from ternlane.http1.idle_reuse import IdleReuseStats
+from ternlane.http1.parse_turns import ParseTurns
 
 # Idle connections kept per peer.
 MAX_IDLE_PER_PEER = 64
@@ -29,13 +30,22 @@
 
     With `limit` connections open, the one idle for longest is closed before a new one is opened. `connect_ms` bounds
     the time to connect and `idle_ms` how long an idle connection is kept; `source` is the local address to bind to.
+    Pools and servers of one event loop should share `parse_turns`.
     """
 
-    def __init__(self, connect_ms: float, idle_ms: float, source: str | None = None, limit: float = inf) -> None:
+    def __init__(
+        self,
+        connect_ms: float,
+        idle_ms: float,
+        source: str | None = None,
+        limit: float = inf,
+        parse_turns: ParseTurns | None = None,
+    ) -> None:
         self.connect_ms = connect_ms
         self.idle_ms = idle_ms
         self.source = source
         self.limit = limit
+        self.parse_turns = parse_turns or ParseTurns()
         self.idle: dict[str, OrderedDict[ClientConnection, None]] = {}  # by peer, the most recently used last
         self.idle_of_all: OrderedDict[ClientConnection, None] = OrderedDict()  # the longest idle first
         self.open: set[ClientConnection] = set()
@@ -91,7 +101,7 @@
             self.connecting -= 1
         self.made += 1
         local = stream.socket.getsockname()
-        connection = ClientConnection(stream, peer, (local[0], local[1]))
+        connection = ClientConnection(stream, peer, (local[0], local[1]), self.parse_turns)
         connection.on_close = self._on_closed
         self.open.add(connection)
         return connection
--- a/ternlane/http1/events.py
+++ b/ternlane/http1/events.py
@@ -14,8 +14,10 @@
 
     def __init__(self, limit: int = EVENT_LIMIT) -> None:
         self.limit = limit
-        self._rest = b""
+        self._rest = bytearray()  # of an incomplete line
+        self._ends_with_cr = False  # the last byte was a CR, which may be the first half of a CRLF
         self._data: list[bytes] = []  # data lines of the incomplete event
+        self._data_bytes = 0
 
     @property
     def unfinished(self) -> bool:
@@ -24,26 +26,42 @@
 
     def feed(self, more: bytes) -> list[str]:
         """Returns the data of each event that these bytes complete."""
-        *lines, self._rest = _normalize_line_ends(self._rest + more).split(b"\n")
-        if len(self._rest) + sum(map(len, self._data)) > self.limit:
-            raise ValueError(f"an event is longer than {self.limit} bytes")
+        *line_ends, rest = self._normalize_line_ends(more).split(b"\n")
         events: list[str] = []
-        for line in lines:
+        for line_end in line_ends:
+            self._rest += line_end
+            line = bytes(self._rest)
+            self._rest.clear()
             if line.startswith(b"data:"):
-                self._data.append(line[6:] if line[5:6] == b" " else line[5:])
+                self._add_data(line[6:] if line[5:6] == b" " else line[5:])
             elif not line and self._data:
                 events.append(b"\n".join(self._data).decode("utf-8"))
                 self._data = []
+                self._data_bytes = 0
+        self._rest += rest
+        self._check_length()
         return events
 
+    def _add_data(self, data: bytes) -> None:
+        self._data.append(data)
+        self._data_bytes += len(data)
+        self._check_length()
+
+    def _check_length(self) -> None:
+        if len(self._rest) + self._data_bytes > self.limit:
+            raise ValueError(f"an event is longer than {self.limit} bytes")
 
-def _normalize_line_ends(text: bytes) -> bytes:
-    """Converts CR and CRLF to LF, except for a trailing CR, which may be the first half of a CRLF."""
-    if b"\r" not in text:
-        return text
-    tail = b"\r" if text.endswith(b"\r") else b""
-    body = text[: len(text) - len(tail)]
-    return body.replace(b"\r\n", b"\n").replace(b"\r", b"\n") + tail
+    def _normalize_line_ends(self, text: bytes) -> bytes:
+        """Converts CR and CRLF to LF, except for a CR at the end, which is kept for the next bytes."""
+        if self._ends_with_cr:
+            text = b"\r" + text
+            self._ends_with_cr = False
+        if b"\r" not in text:
+            return text
+        if text.endswith(b"\r"):
+            self._ends_with_cr = True
+            text = text[:-1]
+        return text.replace(b"\r\n", b"\n").replace(b"\r", b"\n")
 
 
 def encode_event(data: bytes, ident: int | None = None) -> bytes:
--- a/ternlane/http1/exchange.py
+++ b/ternlane/http1/exchange.py
@@ -9,9 +9,9 @@
 
 from ternlane.http1.nonblocking import has_hung_up, send_now
 
-# Largest single read.
-RECEIVE_BYTES = 65536
-# Bytes buffered of what a client sends before its response is complete; the size of one read.
+# Largest single read. Also what one connection may hold unparsed while others have their turns.
+RECEIVE_BYTES = 16384
+# Bytes buffered of what a client sends before its response is complete.
 MAX_EARLY_BYTES = 65536
 
 
--- a/ternlane/http1/server_connection.py
+++ b/ternlane/http1/server_connection.py
@@ -19,7 +19,9 @@
 from ternlane.http1.connection_limits import ConnectionLimits
 from ternlane.http1.errors import BadRequest
 from ternlane.http1.exchange import MAX_EARLY_BYTES, RECEIVE_BYTES, Exchange
+from ternlane.http1.line_limits import MAX_LINES, TrailerLimit, has_too_many_lines
 from ternlane.http1.nonblocking import is_readable, receive_now
+from ternlane.http1.parse_turns import MessageParser, ParseTurns
 
 # How long bytes are read and discarded before a connection is closed; longer than any round trip.
 LINGER_S = 0.25
@@ -48,7 +50,7 @@
 
     `on_idle_changed` is called each time `idle` changes and `on_close` once, with the reason. A request that arrives
     before the previous one is answered is refused, or with `allow_pipelining` served in turn. While `draining()` is
-    true the connection closes after its next response.
+    true the connection closes after its next response. All connections of an event loop should share `parse_turns`.
     """
 
     def __init__(
@@ -60,6 +62,7 @@
         error_body: ErrorBody = plain_text_error,
         draining: Callable[[], bool] = lambda: False,
         allow_pipelining: bool = False,
+        parse_turns: ParseTurns | None = None,
         on_idle_changed: Callable[[ServerConnection], None] = lambda _: None,
         on_close: Callable[[CloseReason], None] = lambda _: None,
     ) -> None:
@@ -72,6 +75,7 @@
         self.on_idle_changed = on_idle_changed
         self.on_close = on_close
         self.conn = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.head_bytes)
+        self.parser = MessageParser(parse_turns or ParseTurns())
         self.state = ConnectionState.READING
         self.has_received_request = False
         self.close_reason = CloseReason.CANCELLED
@@ -216,7 +220,7 @@
             self._check_head(exchange)
             if self.conn.they_are_waiting_for_100_continue:
                 await exchange.send(self.conn.send(h11.InformationalResponse(status_code=100, headers=[])) or b"")
-            body = await self._read_body(min(deadline, trio.current_time() + self.limits.body_ms / 1000))
+            body = await self._read_body(exchange, min(deadline, trio.current_time() + self.limits.body_ms / 1000))
         except h11.RemoteProtocolError as why:
             raise BadRequest(why.error_status_hint or 400, f"not HTTP/1.1: {why}", "bad_http") from None
         if body is None:
@@ -241,11 +245,15 @@
     async def _read_head(self, deadline: float) -> h11.Request | None:
         """Returns the request's head, or None if the client has closed the connection. Raises BadRequest if it is
         incomplete at the deadline."""
-        event = self.conn.next_event()
+        self.parser.begin_message()
         with self._reading_until(deadline) as limit:
-            while event is h11.NEED_DATA:
-                self.conn.receive_data(await self.stream.receive_some(RECEIVE_BYTES))
+            while True:
+                if has_too_many_lines(self.conn.trailing_data[0]):
+                    raise BadRequest(431, f"the head has more than {MAX_LINES} lines", "head_too_large")
                 event = self.conn.next_event()
+                if event is not h11.NEED_DATA:
+                    break
+                self.conn.receive_data(await self.stream.receive_some(RECEIVE_BYTES))
         if limit.cancelled_caught:
             raise self._incomplete("head")
         return event if isinstance(event, h11.Request) else None
@@ -259,6 +267,7 @@
                 yield self._reading_scope
             finally:
                 self._reading_scope = None
+                self.parser.pause()
 
     def _incomplete(self, part: str) -> BadRequest:
         if self._reading_stopped:
@@ -278,24 +287,28 @@
         if int(stated) > limits.body_bytes:
             raise BadRequest(413, f"the body is longer than {limits.body_bytes} bytes", "body_too_large")
 
-    async def _read_body(self, deadline: float) -> bytes | None:
+    async def _read_body(self, exchange: Exchange, deadline: float) -> bytes | None:
         """Returns the request body, or None if the client disconnected within it."""
-        parts: list[bytes] = []
-        length = 0
+        body = bytearray()
+        trailer_limit = TrailerLimit() if exchange.header(b"transfer-encoding") is not None else None
         with self._reading_until(deadline):
             while True:
-                event = self.conn.next_event()
+                if trailer_limit is not None and trailer_limit.is_exceeded(self.conn.trailing_data[0]):
+                    raise BadRequest(431, f"the trailer has more than {MAX_LINES} lines", "head_too_large")
+                event = await self.parser.next_event(self.conn.next_event)
                 if event is h11.NEED_DATA:
+                    self.parser.pause()
                     self.conn.receive_data(await self.stream.receive_some(RECEIVE_BYTES))
                 elif isinstance(event, h11.Data):
-                    parts.append(bytes(event.data))
-                    length += len(event.data)
-                    if length > self.limits.body_bytes:
+                    body += event.data
+                    if len(body) > self.limits.body_bytes:
                         raise BadRequest(
                             413, f"the body is longer than {self.limits.body_bytes} bytes", "body_too_large"
                         )
+                    if trailer_limit is not None:
+                        trailer_limit.observe(event)
                 elif isinstance(event, h11.EndOfMessage):
-                    return b"".join(parts)
+                    return bytes(body)
                 else:
                     return None
         raise self._incomplete("body")
@@ -313,11 +326,18 @@
     error_body: ErrorBody = plain_text_error,
     draining: Callable[[], bool] = lambda: False,
     allow_pipelining: bool = False,
+    parse_turns: ParseTurns | None = None,
 ) -> None:
     """Serves one connection until either side closes it. Never raises for what the client does."""
     limits = ConnectionLimits(body_bytes, head_ms, body_ms, idle_ms, send_ms)
     await ServerConnection(
-        stream, handler, limits, error_body=error_body, draining=draining, allow_pipelining=allow_pipelining
+        stream,
+        handler,
+        limits,
+        error_body=error_body,
+        draining=draining,
+        allow_pipelining=allow_pipelining,
+        parse_turns=parse_turns,
     ).serve()
 
 
--- a/ternlane/platform/chat_server.py
+++ b/ternlane/platform/chat_server.py
@@ -9,7 +9,7 @@
 import trio
 
 from ternlane.event_loop import Failed, Rejected, now_ms
-from ternlane.http1 import BadRequest, CloseReason, ConnectionLimits, Exchange, ServerConnection
+from ternlane.http1 import BadRequest, CloseReason, ConnectionLimits, Exchange, ParseTurns, ServerConnection
 from ternlane.platform.active_request import ActiveRequest, Streamed
 from ternlane.platform.errors import InvalidRequestError
 from ternlane.platform.protocol import CHAT_PATH, MAX_BODY_BYTES, READY_PATH, ParsedRequest, parse_request
@@ -39,10 +39,13 @@
     request_limit: int
     body_bytes_limit: int
 
-    def __init__(self, runtime: PlatformRuntime, max_unread_ms: Callable[[], float], log: Any) -> None:
+    def __init__(
+        self, runtime: PlatformRuntime, max_unread_ms: Callable[[], float], parse_turns: ParseTurns, log: Any
+    ) -> None:
         """`max_unread_ms` returns for how long bytes that have just been read may have been waiting in the socket."""
         self.runtime = runtime
         self.max_unread_ms = max_unread_ms
+        self.parse_turns = parse_turns
         self.log = log
         self.open: set[ServerConnection] = set()
         self.idle: dict[ServerConnection, None] = {}  # the longest idle first
@@ -78,6 +81,7 @@
             self.limits,
             error_body=self._error_body,
             draining=lambda: self.draining,
+            parse_turns=self.parse_turns,
             on_idle_changed=self._idle_changed,
             on_close=self._closed,
         )
--- a/ternlane/platform/discovery_watch.py
+++ b/ternlane/platform/discovery_watch.py
@@ -10,7 +10,7 @@
 import h11
 import trio
 
-from ternlane.http1 import ClientConnection, ConnectError, ConnectionPool
+from ternlane.http1 import ClientConnection, ConnectError, ConnectionPool, ParseTurns
 from ternlane.platform.endpoint_list import EndpointList, EndpointListParser, parse_endpoint_list
 from ternlane.platform.endpoint_registry import MAX_STALENESS_MS
 
@@ -69,6 +69,7 @@
         seed: int,
         nursery: trio.Nursery,
         log: Any,
+        parse_turns: ParseTurns | None = None,
     ) -> None:
         self.address = address
         self.index = index
@@ -77,6 +78,7 @@
         self.seed = seed
         self.nursery = nursery
         self.log = log
+        self.parse_turns = parse_turns
         self.opened = trio.Event()
         self.watch_scopes: list[trio.CancelScope] = []  # of each watch, the newest last
         self._pauses = 0
@@ -103,7 +105,7 @@
 
     async def _watch_address(self, address: tuple[str, int], scope: trio.CancelScope) -> None:
         """Watches one address until another one has replaced it."""
-        pool = ConnectionPool(CONNECT_TIMEOUT_MS, inf)
+        pool = ConnectionPool(CONNECT_TIMEOUT_MS, inf, parse_turns=self.parse_turns)
         backoff_ms = 0.0
         try:
             with scope:
--- a/ternlane/platform/endpoint_list.py
+++ b/ternlane/platform/endpoint_list.py
@@ -12,8 +12,8 @@
 STATUSES = {"SERVING": EndpointStatus.READY, "DRAINING": EndpointStatus.DRAINING, "DELETED": EndpointStatus.REMOVED}
 # Size limit of one list: fits thousands of servers, and keeps an endless one from filling the memory.
 MAX_LIST_BYTES = 4 * 2**20
-# A JSON string, which never extends beyond its line.
-JSON_STRING = re.compile(rb'"(?:[^"\\]|\\.)*"')
+# A JSON string, which never extends beyond its line. It matches without backtracking, also where no quote ends it.
+JSON_STRING = re.compile(rb'"(?:[^"\\]|\\.)*+"?')
 
 
 class EndpointEntry(msgspec.Struct, frozen=True):
@@ -45,25 +45,31 @@
     two lists is a heartbeat."""
 
     def __init__(self) -> None:
-        self._rest = b""
+        self._rest = bytearray()  # of an incomplete line
         self._lines: list[bytes] = []
+        self._lines_bytes = 0
         self._depth = 0  # number of open braces
 
     @property
     def has_partial_list(self) -> bool:
         """Whether a list has begun that is not complete yet."""
-        return bool(self._rest.strip() or self._lines)
+        return bool(self._lines) or (bool(self._rest) and not self._rest.isspace())
 
     def feed(self, data: bytes) -> list[bytes]:
         """The lists that these bytes complete. Raises ValueError if the bytes cannot be part of a list."""
         complete: list[bytes] = []
-        *lines, self._rest = (self._rest + data).split(b"\n")
-        for line in lines:
+        *line_ends, rest = data.split(b"\n")
+        for line_end in line_ends:
+            self._rest += line_end
+            line = bytes(self._rest)
+            self._rest.clear()
             self._add_line(line)
             if self._lines and not self._depth:
                 complete.append(b"\n".join(self._lines))
                 self._lines = []
-        if len(self._rest) + sum(map(len, self._lines)) > MAX_LIST_BYTES:
+                self._lines_bytes = 0
+        self._rest += rest
+        if len(self._rest) + self._lines_bytes > MAX_LIST_BYTES:
             raise ValueError("endpoint list is too long")
         return complete
 
@@ -72,6 +78,7 @@
         self._depth += without_strings.count(b"{") - without_strings.count(b"}")
         if line.strip():
             self._lines.append(line)
+            self._lines_bytes += len(line)
         elif self._lines:
             raise ValueError("heartbeat within an endpoint list")  # the rest of the list will not arrive
         begins_with_brace = not self._lines or self._lines[0].lstrip().startswith(b"{")
--- a/ternlane/platform/event_stream.py
+++ b/ternlane/platform/event_stream.py
@@ -49,28 +49,39 @@
         self.done = False
         self.cached_tokens = 0.0
         self.load: str | None = None
-        self._rest = b""
+        self._rest = bytearray()  # of an incomplete event
+        self._comments = bytearray()  # ahead of the first event
 
     def feed(self, data: bytes) -> bytes:
-        """The events that these bytes complete."""
-        text = self._rest + data if self._rest else data
-        end = text.rfind(b"\n\n") + 2
+        """Returns the events that these bytes complete. Comments before the first event are held back until that
+        arrives."""
+        searched = max(0, len(self._rest) - 1)  # an empty line does not end before this
+        self._rest += data
+        end = self._rest.rfind(b"\n\n", searched) + 2
         if end < 2:
             end = 0
-        complete = text[:end]
-        self._rest = text[end:]
+        complete = bytes(self._rest[:end])
+        del self._rest[:end]
         if len(self._rest) > MAX_EVENT_BYTES:
             raise ValueError(f"an event of more than {MAX_EVENT_BYTES} bytes")
         for event in complete.split(b"\n\n")[:-1]:
             self._read_event(event)
         self._check_rest()
-        return complete
-
-    def put_back(self, comments: bytes) -> None:
-        """Holds back comments before the first event until that arrives. Raises ValueError if they grow too long."""
-        if len(comments) > MAX_EVENT_BYTES:
-            raise ValueError(f"comments of more than {MAX_EVENT_BYTES} bytes ahead of the first event")
-        self._rest = comments + self._rest
+        return self._with_comments(complete)
+
+    def _with_comments(self, complete: bytes) -> bytes:
+        """Holds back comments until the first event, and puts them before it. Raises ValueError if they grow too
+        long."""
+        if self.begun and not self._comments:
+            return complete
+        self._comments += complete
+        if not self.begun:
+            if len(self._comments) > MAX_EVENT_BYTES:
+                raise ValueError(f"comments of more than {MAX_EVENT_BYTES} bytes ahead of the first event")
+            return b""
+        held = bytes(self._comments)
+        self._comments.clear()
+        return held
 
     def _check_rest(self) -> None:
         """Checks the incomplete rest. Raises ValueError if it cannot become an event: its end may never arrive."""
--- a/ternlane/platform/gateway.py
+++ b/ternlane/platform/gateway.py
@@ -11,7 +11,7 @@
 import trio
 
 from ternlane.event_loop import PollTimes, now_ms
-from ternlane.http1 import ConnectionPool
+from ternlane.http1 import ConnectionPool, ParseTurns
 from ternlane.platform.acceptor import Acceptor
 from ternlane.platform.chat_server import ChatServer
 from ternlane.platform.discovery_watch import FIRST_LIST_MS, DiscoveryWatch
@@ -61,11 +61,12 @@
         self.configuration = configuration
         self.nursery = nursery
         self.log = log
-        self.pool = ConnectionPool(router_config.connect_ms, router_config.idle_ms)
+        parse_turns = ParseTurns()
+        self.pool = ConnectionPool(router_config.connect_ms, router_config.idle_ms, parse_turns=parse_turns)
         model_servers = ModelServerClient(self.pool, deployment)
         self.runtime = PlatformRuntime(Router(router_config), deployment, model_servers, nursery, log)
         self.poll_times = PollTimes()
-        self.chat_server = ChatServer(self.runtime, self.poll_times.max_unread_ms, log)
+        self.chat_server = ChatServer(self.runtime, self.poll_times.max_unread_ms, parse_turns, log)
         self.acceptor = Acceptor(self.chat_server, log)
         self.watch = DiscoveryWatch(
             configuration.discovery,
@@ -75,6 +76,7 @@
             router_config.seed,
             nursery,
             log,
+            parse_turns,
         )
         self.listener: trio.SocketListener
         self.accept_scope = trio.CancelScope()
--- a/ternlane/platform/model_server_client.py
+++ b/ternlane/platform/model_server_client.py
@@ -163,9 +163,6 @@
         parser = EventStreamParser()
         async for piece in connection.chunks():
             events = parser.feed(piece)
-            if events and not (result.begun or parser.begun):
-                parser.put_back(events)
-                continue
             if not events:
                 continue
             # An attempt that is cancelled by now must not send the client anything.
--- /dev/null
+++ b/tests/hostile_peers.py
@@ -0,0 +1,160 @@
+"""Peers that send bytes at full speed, each kind in a process of its own: clients, model servers and discovery.
+
+python -m tests.hostile_peers clients KIND PORT COUNT SECONDS
+python -m tests.hostile_peers server KIND               # prints its port
+python -m tests.hostile_peers judge PORT PATH PID SECONDS    # prints a Verdict as JSON
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import sys
+import time
+from contextlib import suppress
+from dataclasses import asdict, dataclass
+from pathlib import Path
+
+READ_BYTES = 65536
+BLOCK_BYTES = 65536
+PROBE_PAUSE_S = 0.01
+PROBE_TIMEOUT_S = 10.0
+CLIENT_PAUSE_S = 0.02
+
+POST = b"POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\n"
+CHAT_HEADERS = b"Request-Id: 0bad0bad0bad0bad\r\nRequest-Class: summary\r\nRequest-Timeout: 5.000\r\n"
+CHAT_BODY = b'{"model":"summary","stream":true,"messages":[{"role":"user","content":"hello"}]}'
+CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
+STREAM_HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" + CHUNKED
+PREFILL_HEAD = b"HTTP/1.1 202 Accepted\r\n" + CHUNKED
+
+
+def chunks_of(data: bytes, size: int) -> bytes:
+    """The data in chunks of `size` bytes."""
+    pieces = (data[at : at + size] for at in range(0, len(data), size))
+    return b"".join(b"%x\r\n%b\r\n" % (len(piece), piece) for piece in pieces)
+
+
+# What a client sends: once, and then for as long as it is read.
+CLIENT_BYTES: dict[str, tuple[bytes, bytes]] = {
+    "small chunks": (POST + CHAT_HEADERS + CHUNKED, chunks_of(b"word" * 8192, 4)),
+    "header lines": (POST + b"a:\r\n" * 3900 + b"Content-Length: 70000000\r\n\r\n", b""),
+    "trailer lines": (POST + CHAT_HEADERS + CHUNKED + b"1\r\nx\r\n0\r\n" + b"a:\r\n" * 3900 + b"\r\n", b""),
+    "chat requests": (POST + b"Content-Length: %d\r\n\r\n" % len(CHAT_BODY) + CHAT_BODY, b""),
+}
+# What a server answers: once, and then for as long as it is read.
+SERVER_BYTES: dict[str, tuple[bytes, bytes]] = {
+    "prefill in small chunks": (PREFILL_HEAD, chunks_of(b" " * BLOCK_BYTES, 1)),
+    "comments in small chunks": (STREAM_HEAD, chunks_of(b":\n\n" * 5000, 3)),
+    "data lines in small chunks": (STREAM_HEAD, chunks_of(b"data: x\n" * 5000, 8)),
+    "events in large chunks": (STREAM_HEAD, chunks_of(b"data: {}\n\n" * 60000, 600_000)),
+    "events in small chunks": (STREAM_HEAD, chunks_of(b"data: {}\n\n" * 5000, 10)),
+    "list in small chunks": (
+        STREAM_HEAD + chunks_of(b'{"index": 1, "endpoints": [\n', 30),
+        chunks_of(b"1,\n" * 5000, 3),
+    ),
+}
+
+
+async def send_endlessly(writer: asyncio.StreamWriter, block: bytes) -> None:
+    with suppress(OSError):
+        while block:
+            writer.write(block)
+            await writer.drain()
+
+
+async def run_client(kind: str, port: int, until: float) -> None:
+    """Sends, reads what it is sent, and does the same again once it is turned away."""
+    first, block = CLIENT_BYTES[kind]
+    while time.monotonic() < until:
+        with suppress(OSError):
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(first)
+            sender = asyncio.create_task(send_endlessly(writer, block))
+            with suppress(TimeoutError):
+                async with asyncio.timeout_at(asyncio.get_running_loop().time() + until - time.monotonic()):
+                    while await reader.read(READ_BYTES):
+                        pass
+            sender.cancel()
+            writer.close()
+        await asyncio.sleep(CLIENT_PAUSE_S)
+
+
+async def run_clients(kind: str, port: int, count: int, seconds: float) -> None:
+    until = time.monotonic() + seconds
+    await asyncio.gather(*(run_client(kind, port, until) for _ in range(count)))
+
+
+async def run_server(kind: str) -> None:
+    first, block = SERVER_BYTES[kind]
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with suppress(OSError):
+            await reader.read(READ_BYTES)
+            writer.write(first)
+            await send_endlessly(writer, block)
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    print(server.sockets[0].getsockname()[1], flush=True)
+    await server.serve_forever()
+
+
+@dataclass
+class Verdict:
+    """What a process saw of the gateway from outside: how long small requests waited, and its memory."""
+
+    waits_s: list[float]
+    peak_mb: float
+
+    def late_share(self, limit_s: float) -> float:
+        return sum(wait_s > limit_s for wait_s in self.waits_s) / len(self.waits_s)
+
+
+def anonymous_mb(pid: int) -> float:
+    """The process's own memory, without shared libraries and files; 0 if it has ended."""
+    with suppress(OSError):
+        for line in Path(f"/proc/{pid}/status").read_text().splitlines():
+            if line.startswith("RssAnon:"):
+                return int(line.split()[1]) / 1024
+    return 0.0
+
+
+async def probe(port: int, path: str) -> float:
+    """How long a small request takes, on a connection of its own."""
+    began = time.monotonic()
+    with suppress(OSError, TimeoutError):
+        async with asyncio.timeout(PROBE_TIMEOUT_S):
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(f"GET {path} HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n".encode())
+            answered = (await reader.read(READ_BYTES)).startswith(b"HTTP/1.1 200 ")
+            writer.close()
+            if answered:
+                return time.monotonic() - began
+    return PROBE_TIMEOUT_S
+
+
+async def run_judge(port: int, path: str, pid: int, seconds: float) -> Verdict:
+    verdict = Verdict([], 0.0)
+    until = time.monotonic() + seconds
+    while time.monotonic() < until:
+        verdict.waits_s.append(await probe(port, path))
+        verdict.peak_mb = max(verdict.peak_mb, anonymous_mb(pid))
+        await asyncio.sleep(PROBE_PAUSE_S)
+    return verdict
+
+
+def main(role: str, *arguments: str) -> None:
+    if role == "clients":
+        kind, port, count, seconds = arguments
+        asyncio.run(run_clients(kind, int(port), int(count), float(seconds)))
+    elif role == "server":
+        asyncio.run(run_server(*arguments))
+    else:
+        port, path, pid, seconds = arguments
+        print(json.dumps(asdict(asyncio.run(run_judge(int(port), path, int(pid), float(seconds))))))
+
+
+if __name__ == "__main__":
+    with suppress(KeyboardInterrupt):
+        main(*sys.argv[1:])
