Test of the Python client waits until the fake engine has logged the attempt

Cause: the fake engine frees an attempt's slot before it logs the attempt's end, and `wait_until_idle` may return in between; the test then reads the end of the attempt before. Change: the test waits until each attempt has its end logged; its assertions stay as they were.

--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -96,6 +96,9 @@
 
         await trio.to_thread.run_sync(use_client)
         await cluster.wait_until_idle()
+        with trio.fail_after(1.5):  # an engine frees the slot of an attempt before it logs the attempt's end
+            while len(cluster.traffic_events("leg_end")) < len(cluster.traffic_events("leg")):
+                await trio.sleep(0.01)
         assert len(cluster.traffic_events("effect")) == 3 and cluster.traffic_events("leg_end")[-1]["how"] == "dropped"
         cluster.gateway.found([])
 
