Bound the memory of all messages together: half requests no longer kill a gateway

Cause: the limit on bodies counted those of open requests only, which had been read to their end; incomplete ones counted nowhere. Evidence: RssAnon by sampling from outside, bytes per connection at five body sizes (a first read kept in a local variable: 16 KiB each), peaks per kind of peer. Also held and not counted: the body in an attempt while its answer was streamed, and after its client had gone; a copy of a body that waits to be written; chunks kept as a list. Related paths: the chat gateway had no bound (549 MB).

Change: one account for all connections to clients, model servers and discovery (BufferMemory). Small amounts are held in any case. Complete bodies count until they are dropped. Both gateways.

Why it works: what is reserved or complete stays under the limit, what is small is bounded by the descriptors, and unread bytes stay in the kernel, so messages with room can be completed.

Three tests read the limit at its new place, as strict as before.

--- a/ternlane/engine/stream_attempt.py
+++ b/ternlane/engine/stream_attempt.py
@@ -66,7 +66,9 @@
         """Forwards the stream; false if the engine ended it with an error event."""
         events = EventReader()
         async for data in connection.chunks():
-            for event in events.feed(data):
+            complete_events = events.feed(data)
+            connection.kept_bytes = events.held_bytes
+            for event in complete_events:
                 if event == END_OF_STREAM:
                     self.read_to_end = True
                 elif not await self.handle_event(event):
--- a/ternlane/gateway/chat_api.py
+++ b/ternlane/gateway/chat_api.py
@@ -20,7 +20,7 @@
 from ternlane.gateway.request_admission import RequestAdmission
 from ternlane.gateway.response_writers import StreamResponseWriter
 from ternlane.gateway.runtime import GatewayRuntime
-from ternlane.http1 import Exchange, ParseTurns
+from ternlane.http1 import Exchange, SharedLimits
 from ternlane.policy.messages import RequestClass
 from ternlane.recovery.inflight import RecoveredAnswer
 
@@ -41,12 +41,14 @@
         metrics: GatewayMetrics,
         log: Any,
         budget_enforcer: BudgetEnforcer | None,
-        parse_turns: ParseTurns,
+        shared_limits: SharedLimits,
     ) -> None:
         self.runtime = runtime
         self.metrics = metrics
         self.admission = RequestAdmission(config, runtime, intake, models, budget_enforcer)
-        self.connections = ClientConnections(config.door, self.handle, lambda: self.draining, metrics, log, parse_turns)
+        self.connections = ClientConnections(
+            config.door, self.handle, lambda: self.draining, metrics, log, shared_limits
+        )
         self.started = int(time.time())
         self.busy = 0
 
@@ -63,7 +65,7 @@
         """Applies changed limits from the next connection on, and request classes from the next request on. Answers
         stored for repeats are kept."""
         self.admission.alter(config, models)
-        self.connections.limits = config.door
+        self.connections.alter(config.door)
 
     def restore(self, recovered_answers: list[RecoveredAnswer]) -> None:
         """Takes over from the journal what a previous process had answered, or had in flight when it was lost."""
--- a/ternlane/gateway/client_connections.py
+++ b/ternlane/gateway/client_connections.py
@@ -12,11 +12,18 @@
 from ternlane.chat import error_body
 from ternlane.config import ServerLimits
 from ternlane.gateway.metrics import GatewayMetrics
-from ternlane.http1 import BadRequest, Exchange, ParseTurns, serve_connection
+from ternlane.gateway.request_admission import RETRY_AFTER_S
+from ternlane.http1 import BadRequest, Exchange, SharedLimits, serve_connection
+
+# What all connections together may hold of request bodies and incomplete messages: so many of the largest bodies, and
+# at least so many bytes.
+MAX_LARGEST_BODIES = 64
+MIN_MESSAGES_BYTES = 256 * 2**20
 
 
 class ClientConnections:
-    """`open`: number of open connections. A change of `limits` applies from the next connection on."""
+    """`open`: number of open connections. A change of the limits applies from the next connection on, that of the
+    shared memory at once."""
 
     def __init__(
         self,
@@ -25,16 +32,21 @@
         is_draining: Callable[[], bool],
         metrics: GatewayMetrics,
         log: Any,
-        parse_turns: ParseTurns,
+        shared_limits: SharedLimits,
     ) -> None:
-        self.limits = limits
+        self.shared_limits = shared_limits
+        self.alter(limits)
         self.handle = handle
         self.is_draining = is_draining
         self.metrics = metrics
         self.log = log
-        self.parse_turns = parse_turns
         self.open = 0
 
+    def alter(self, limits: ServerLimits) -> None:
+        """Applies changed limits."""
+        self.limits = limits
+        self.shared_limits.memory.limit_bytes = max(MIN_MESSAGES_BYTES, MAX_LARGEST_BODIES * limits.body_bytes)
+
     async def serve(self, stream: trio.SocketStream) -> None:
         """Serves one client connection; closes it at once if the limit is reached."""
         if self.open >= self.limits.conn_limit:
@@ -65,7 +77,8 @@
             send_ms=limits.send_ms,
             error_body=self._bad_request,
             draining=self.is_draining,
-            parse_turns=self.parse_turns,
+            shared_limits=self.shared_limits,
+            retry_after_ms=lambda: RETRY_AFTER_S * 1000,
         )
 
     def _bad_request(self, _: Exchange | None, bad: BadRequest) -> tuple[bytes, str]:
--- a/ternlane/gateway/gateway.py
+++ b/ternlane/gateway/gateway.py
@@ -27,7 +27,7 @@
 from ternlane.gateway.metrics_server import serve_metrics
 from ternlane.gateway.router_config import configure_models
 from ternlane.gateway.runtime import GatewayRuntime
-from ternlane.http1 import ConnectionPool, ParseTurns
+from ternlane.http1 import ConnectionPool, SharedLimits
 from ternlane.policy.messages import EndpointListFailed, RouterConfig
 from ternlane.policy.router import Router
 from ternlane.version import VERSION
@@ -67,9 +67,9 @@
         self.metrics = GatewayMetrics()
         self.registry = EndpointRegistry()
         self.agent = f"ternlane/{VERSION} ({config.name})"
-        parse_turns = ParseTurns()
+        shared_limits = SharedLimits()
         fleet = config.fleet
-        self.pool = ConnectionPool(fleet.connect_ms, fleet.idle_ms, config.source, parse_turns=parse_turns)
+        self.pool = ConnectionPool(fleet.connect_ms, fleet.idle_ms, config.source, shared_limits=shared_limits)
         self.transport = transport or SocketTransport(self.pool, self.agent)
         intake = RequestIntake(self.configured.models, self.configured.max_tokens, config.door.session_limit)
         self.runtime = host_type(
@@ -91,7 +91,7 @@
         self.runtime.journal_writer = self.journal_writer
         models = self.configured.models
         self.chat_api = ChatApi(
-            config, self.runtime, intake, models, self.metrics, log, self.budget_enforcer, parse_turns
+            config, self.runtime, intake, models, self.metrics, log, self.budget_enforcer, shared_limits
         )
         self.listeners = Listeners(self.chat_api.connection, nursery, log)
         self.endpoint_watcher = EndpointWatcher(
--- a/ternlane/http1/__init__.py
+++ b/ternlane/http1/__init__.py
@@ -8,10 +8,11 @@
 from ternlane.http1.events import EventReader, encode_event
 from ternlane.http1.exchange import Exchange
 from ternlane.http1.nonblocking import extend_deadline
-from ternlane.http1.parse_turns import ParseTurns
-from ternlane.http1.server_connection import ServerConnection, serve_connection
+from ternlane.http1.server_connection import NO_MEMORY, ServerConnection, serve_connection
+from ternlane.http1.shared_limits import SharedLimits
 
 __all__ = [
+    "NO_MEMORY",
     "BadRequest",
     "ClientConnection",
     "CloseReason",
@@ -20,9 +21,9 @@
     "EventReader",
     "Exchange",
     "Http1Error",
-    "ParseTurns",
     "ReadTimeout",
     "ServerConnection",
+    "SharedLimits",
     "ConnectionLimits",
     "encode_event",
     "extend_deadline",
--- a/ternlane/http1/client_connection.py
+++ b/ternlane/http1/client_connection.py
@@ -12,14 +12,19 @@
 from ternlane.http1.errors import ConnectError, ReadTimeout
 from ternlane.http1.line_limits import MAX_LINES, TrailerLimit, has_too_many_lines
 from ternlane.http1.nonblocking import is_readable, receive_now, send
-from ternlane.http1.parse_turns import MessageParser, ParseTurns
+from ternlane.http1.parse_turns import MessageParser
+from ternlane.http1.shared_limits import SharedLimits
 
 Headers = Sequence[tuple[str, str]]
 
 # Largest single read. Also what one connection may hold unparsed while others have their turns.
 CHUNK_BYTES = 16384
+# What a connection may hold of a response even if the shared memory is used up: a read, and an ordinary response.
+SMALL_RESPONSE_BYTES = CHUNK_BYTES
 # Largest response head or chunk-size line.
 HEAD_BYTES = 16384
+# A larger request body is sent by itself. A smaller one is joined to the head, which saves a system call.
+MAX_JOINED_BYTES = 8192
 # Interim responses (status 1xx) accepted ahead of the final one.
 MAX_INTERIM_HEADS = 16
 
@@ -37,17 +42,21 @@
 class ClientConnection:
     """An HTTP/1.1 connection. `ask` sends a request and returns the response head; `chunks` or `body` read the rest.
 
-    All connections of an event loop should share `parse_turns`.
+    All connections of an event loop should share `shared_limits`.
     """
 
     def __init__(
-        self, stream: trio.SocketStream, peer: str, local: tuple[str, int], parse_turns: ParseTurns | None = None
+        self, stream: trio.SocketStream, peer: str, local: tuple[str, int], shared_limits: SharedLimits | None = None
     ) -> None:
         self.stream = stream
         self.peer = peer
         self.local = local
         self.conn = h11.Connection(h11.CLIENT, max_incomplete_event_size=HEAD_BYTES)
-        self.parser = MessageParser(parse_turns or ParseTurns())
+        shared_limits = shared_limits or SharedLimits()
+        self.parser = MessageParser(shared_limits.parse_turns)
+        self.account = shared_limits.memory.open_account(self.close_now)
+        self.kept_bytes = 0  # of the response, held by the caller
+        self.is_essential = False  # its responses are held even if the shared memory is used up
         self.state = CallState.NOT_SENT
         self.idle_since = 0.0  # s, trio's clock; set by the pool
         self.idled_ms: float | None = None  # idle time before this request; None for a new connection
@@ -95,15 +104,20 @@
         self.parser.begin_message()
         self._is_complete = False
         self._deferred_error = None
+        self.kept_bytes = 0
         head = [("Host", self.peer), *headers]
         if body or method != "GET":
             head.append(("Content-Length", str(len(body))))
         data = self.conn.send(h11.Request(method=method, target=target, headers=head)) or b""
         if body:
-            data += self.conn.send(h11.Data(data=body)) or b""
-        data += self.conn.send(h11.EndOfMessage()) or b""
+            self.conn.send(h11.Data(data=body))  # has a stated length, so that it is sent as it is
+        self.conn.send(h11.EndOfMessage())
         try:
-            await send(self.stream, data)
+            if len(body) <= MAX_JOINED_BYTES:
+                await send(self.stream, data + body)
+            else:  # not copied, as it may have to wait for the peer to read
+                await send(self.stream, data)
+                await send(self.stream, body)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
             self.state = CallState.BROKE_SENDING
             raise ConnectError(f"{self.peer}: broke before all was written: {error}") from None
@@ -191,18 +205,27 @@
         data = await self._receive()
         self.parser.allow_free_events()
         self.conn.receive_data(data)
+        held_bytes = self.kept_bytes + len(self.conn.trailing_data[0])
+        if self.is_essential or held_bytes <= SMALL_RESPONSE_BYTES:
+            self.account.release(held_bytes)
+        elif self.account.try_reserve(held_bytes):
+            self.account.received()
+        else:
+            raise h11.RemoteProtocolError("no memory is left for so long an answer")
 
     async def body(self, limit: int) -> bytes:
         """Returns the whole body. Raises as `chunks` does, and h11.RemoteProtocolError beyond `limit` bytes."""
         whole = bytearray()
         async for chunk in self.chunks():
             whole += chunk
+            self.kept_bytes = len(whole)
             if len(whole) > limit:
                 raise h11.RemoteProtocolError(f"the answer is longer than {limit} bytes")
         return bytes(whole)
 
     def close_now(self) -> None:
         """Closes without waiting; the kernel answers later bytes from the peer with a reset."""
+        self.account.close()
         self.stream.socket.close()
         self.on_close(self)
 
--- a/ternlane/http1/connection_pool.py
+++ b/ternlane/http1/connection_pool.py
@@ -13,7 +13,7 @@
 from ternlane.http1.client_connection import ClientConnection
 from ternlane.http1.errors import ConnectError
 from ternlane.http1.idle_reuse import IdleReuseStats
-from ternlane.http1.parse_turns import ParseTurns
+from ternlane.http1.shared_limits import SharedLimits
 
 # Idle connections kept per peer.
 MAX_IDLE_PER_PEER = 64
@@ -30,7 +30,7 @@
 
     With `limit` connections open, the one idle for longest is closed before a new one is opened. `connect_ms` bounds
     the time to connect and `idle_ms` how long an idle connection is kept; `source` is the local address to bind to.
-    Pools and servers of one event loop should share `parse_turns`.
+    Pools and servers of one event loop should share `shared_limits`.
     """
 
     def __init__(
@@ -39,13 +39,13 @@
         idle_ms: float,
         source: str | None = None,
         limit: float = inf,
-        parse_turns: ParseTurns | None = None,
+        shared_limits: SharedLimits | None = None,
     ) -> None:
         self.connect_ms = connect_ms
         self.idle_ms = idle_ms
         self.source = source
         self.limit = limit
-        self.parse_turns = parse_turns or ParseTurns()
+        self.shared_limits = shared_limits or SharedLimits()
         self.idle: dict[str, OrderedDict[ClientConnection, None]] = {}  # by peer, the most recently used last
         self.idle_of_all: OrderedDict[ClientConnection, None] = OrderedDict()  # the longest idle first
         self.open: set[ClientConnection] = set()
@@ -101,7 +101,7 @@
             self.connecting -= 1
         self.made += 1
         local = stream.socket.getsockname()
-        connection = ClientConnection(stream, peer, (local[0], local[1]), self.parse_turns)
+        connection = ClientConnection(stream, peer, (local[0], local[1]), self.shared_limits)
         connection.on_close = self._on_closed
         self.open.add(connection)
         return connection
@@ -121,6 +121,7 @@
             return
         if was_used:
             connection.conn.start_next_cycle()
+            connection.account.release()
             connection.has_completed_request = True
         connection.idle_since = trio.current_time()
         self.idle.setdefault(connection.peer, OrderedDict())[connection] = None
--- a/ternlane/http1/events.py
+++ b/ternlane/http1/events.py
@@ -16,8 +16,12 @@
         self.limit = limit
         self._rest = bytearray()  # of an incomplete line
         self._ends_with_cr = False  # the last byte was a CR, which may be the first half of a CRLF
-        self._data: list[bytes] = []  # data lines of the incomplete event
-        self._data_bytes = 0
+        self._data = bytearray()  # data lines of the incomplete event, each with its line end
+
+    @property
+    def held_bytes(self) -> int:
+        """What is held of an incomplete event."""
+        return len(self._rest) + len(self._data)
 
     @property
     def unfinished(self) -> bool:
@@ -35,20 +39,19 @@
             if line.startswith(b"data:"):
                 self._add_data(line[6:] if line[5:6] == b" " else line[5:])
             elif not line and self._data:
-                events.append(b"\n".join(self._data).decode("utf-8"))
-                self._data = []
-                self._data_bytes = 0
+                events.append(self._data[:-1].decode("utf-8"))
+                self._data = bytearray()
         self._rest += rest
         self._check_length()
         return events
 
     def _add_data(self, data: bytes) -> None:
-        self._data.append(data)
-        self._data_bytes += len(data)
+        self._data += data
+        self._data += b"\n"
         self._check_length()
 
     def _check_length(self) -> None:
-        if len(self._rest) + self._data_bytes > self.limit:
+        if self.held_bytes > self.limit:
             raise ValueError(f"an event is longer than {self.limit} bytes")
 
     def _normalize_line_ends(self, text: bytes) -> bytes:
--- a/ternlane/http1/exchange.py
+++ b/ternlane/http1/exchange.py
@@ -7,6 +7,7 @@
 import h11
 import trio
 
+from ternlane.http1.buffer_memory import BufferAccount, BufferMemory
 from ternlane.http1.nonblocking import has_hung_up, send_now
 
 # Largest single read. Also what one connection may hold unparsed while others have their turns.
@@ -26,15 +27,17 @@
         send_ms: float,
         arrived: float | None = None,
         closing: Callable[[], bool] = lambda: False,
+        account: BufferAccount | None = None,
     ) -> None:
         """`send_ms` is the send time-out and `arrived` when the request's first byte was received (s, trio's clock).
         `closing`, called when the response head is written, returns whether the connection closes after this
-        response."""
+        response. `account` counts what the connection holds, with the body, until `body_dropped`."""
         self.stream = stream
         self.conn = conn
         self.request = request
         self.send_ms = send_ms
         self.closing = closing
+        self.account = account or BufferMemory().open_account(lambda: None)
         self.body = b""
         self.begun = False
         self.early_bytes = 0  # bytes received after the request while it was handled
@@ -68,6 +71,11 @@
         """Returns the first header of this name (in lower case), or None."""
         return next((value.decode("latin-1") for key, value in self.request.headers if key == name), None)
 
+    def body_dropped(self) -> None:
+        """The body is not needed any more, and whoever has taken it has dropped it."""
+        self.body = b""
+        self.account.release(len(self.conn.trailing_data[0]))
+
     async def send(self, data: bytes) -> None:
         """Sends bytes to the client. Raises trio.BrokenResourceError if it has disconnected or does not read within
         `send_ms`."""
@@ -138,13 +146,22 @@
             if not data:
                 return
             if self.finishing:  # the response's last bytes are still being written: this is the next request
+                self.account.hold_small(len(data))
                 self.conn.receive_data(data)
                 await trio.sleep_forever()
             self.early_bytes += len(data)
-            self.early_overflow = self.early_overflow or self.early_bytes > MAX_EARLY_BYTES
+            self.early_overflow = self.early_overflow or not self._has_room_for_early(len(data))
             if not self.early_overflow:
                 self.conn.receive_data(data)
 
+    def _has_room_for_early(self, more_bytes: int) -> bool:
+        if self.early_bytes <= RECEIVE_BYTES:
+            self.account.hold_small(self.early_bytes)
+            return True
+        return self.early_bytes <= MAX_EARLY_BYTES and self.account.try_reserve(
+            self.account.reserved_bytes + more_bytes
+        )
+
     @property
     def closed(self) -> bool:
         """Whether the client has closed its side, even if `wait_until_disconnected` has not run since."""
--- a/ternlane/http1/server_connection.py
+++ b/ternlane/http1/server_connection.py
@@ -15,16 +15,22 @@
 import h11
 import trio
 
+from ternlane.http1.body_buffer import BodyBuffer
 from ternlane.http1.close_reason import CloseReason
 from ternlane.http1.connection_limits import ConnectionLimits
 from ternlane.http1.errors import BadRequest
 from ternlane.http1.exchange import MAX_EARLY_BYTES, RECEIVE_BYTES, Exchange
 from ternlane.http1.line_limits import MAX_LINES, TrailerLimit, has_too_many_lines
 from ternlane.http1.nonblocking import is_readable, receive_now
-from ternlane.http1.parse_turns import MessageParser, ParseTurns
+from ternlane.http1.parse_turns import MessageParser
+from ternlane.http1.shared_limits import SharedLimits
 
 # How long bytes are read and discarded before a connection is closed; longer than any round trip.
 LINGER_S = 0.25
+# A body that may become longer than this is read on only once there is room for all of it.
+FREE_BODY_BYTES = 2 * RECEIVE_BYTES
+# Error code of a request that was given up because its connection would hold too much.
+NO_MEMORY = "room"
 BROKEN = (trio.BrokenResourceError, trio.ClosedResourceError, OSError)
 
 Handler = Callable[[Exchange], Awaitable[None]]
@@ -50,7 +56,8 @@
 
     `on_idle_changed` is called each time `idle` changes and `on_close` once, with the reason. A request that arrives
     before the previous one is answered is refused, or with `allow_pipelining` served in turn. While `draining()` is
-    true the connection closes after its next response. All connections of an event loop should share `parse_turns`.
+    true the connection closes after its next response. All connections of an event loop should share `shared_limits`.
+    `retry_after_ms` returns the pause that a client is told whose request was given up for lack of memory; 0 for none.
     """
 
     def __init__(
@@ -62,7 +69,8 @@
         error_body: ErrorBody = plain_text_error,
         draining: Callable[[], bool] = lambda: False,
         allow_pipelining: bool = False,
-        parse_turns: ParseTurns | None = None,
+        shared_limits: SharedLimits | None = None,
+        retry_after_ms: Callable[[], float] = lambda: 0.0,
         on_idle_changed: Callable[[ServerConnection], None] = lambda _: None,
         on_close: Callable[[CloseReason], None] = lambda _: None,
     ) -> None:
@@ -75,12 +83,18 @@
         self.on_idle_changed = on_idle_changed
         self.on_close = on_close
         self.conn = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.head_bytes)
-        self.parser = MessageParser(parse_turns or ParseTurns())
+        shared_limits = shared_limits or SharedLimits()
+        self.parser = MessageParser(shared_limits.parse_turns)
+        self.account = shared_limits.memory.open_account(self._give_up_request)
+        self.retry_after_ms = retry_after_ms
         self.state = ConnectionState.READING
         self.has_received_request = False
         self.close_reason = CloseReason.CANCELLED
         self._handling_last_request = False  # the request being handled is the last one, as the server is draining
         self._reading_stopped = False
+        self._body = BodyBuffer()  # of the request being read
+        self._waits_for_memory = False  # the body being read is not read on until there is room for it
+        self._given_up = False  # the request being read was given up for lack of memory
         self._reading_scope: trio.CancelScope | None = None  # set while a request is read, from its first byte on
 
     @property
@@ -103,6 +117,7 @@
                 self.close_reason = CloseReason.BROKEN
         finally:
             self._set_state(ConnectionState.CLOSED)
+            self.account.close()
             self.stream.socket.close()
             self.on_close(self.close_reason)
 
@@ -119,6 +134,7 @@
                 self.has_received_request = True
                 self._set_state(ConnectionState.HANDLING)
                 await self.handler(exchange)
+                exchange.body_dropped()
                 if not await self._can_continue(exchange):
                     return
                 self._set_state(ConnectionState.READING)
@@ -187,10 +203,14 @@
 
     async def _refuse(self, exchange: Exchange | None, refusal: BadRequest) -> None:
         """Sends the error response, unless a response has begun, and ends the connection."""
+        self._body.clear()
+        self.account.release()
         if self.conn.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
         body, content = self.error_body(exchange, refusal)
         head = [("Content-Type", content), ("Content-Length", str(len(body))), ("Connection", "close")]
+        if refusal.code == NO_MEMORY and self.retry_after_ms() > 0:
+            head.append(("Retry-After", f"{self.retry_after_ms() / 1000:.3f}"))
         out = self.conn.send(h11.Response(status_code=refusal.status, headers=head)) or b""
         out += self.conn.send(h11.Data(data=body)) or b""
         out += self.conn.send(h11.EndOfMessage()) or b""
@@ -203,20 +223,17 @@
 
     async def _next_request(self, deadline: float) -> Exchange | None:
         """Returns the next complete request, or None if the connection is to end without one. Raises BadRequest."""
+        if not self.conn.trailing_data[0] and not await self._receive_first_bytes(deadline):
+            return None
         arrived = trio.current_time()
-        if not self.conn.trailing_data[0]:
-            first = await self._read_first_bytes(deadline)
-            if not first:
-                self.close_reason = CloseReason.IDLE if first is None else CloseReason.CLIENT_ENDED
-                return None
-            arrived = trio.current_time()
-            self.conn.receive_data(first)
         try:
             request = await self._read_head(min(deadline, arrived + self.limits.head_ms / 1000))
             if request is None:
                 self.close_reason = CloseReason.CLIENT_ENDED
                 return None
-            exchange = Exchange(self.stream, self.conn, request, self.limits.send_ms, arrived, self.draining)
+            exchange = Exchange(
+                self.stream, self.conn, request, self.limits.send_ms, arrived, self.draining, self.account
+            )
             self._check_head(exchange)
             if self.conn.they_are_waiting_for_100_continue:
                 await exchange.send(self.conn.send(h11.InformationalResponse(status_code=100, headers=[])) or b"")
@@ -229,8 +246,8 @@
         exchange.body = body
         return exchange
 
-    async def _read_first_bytes(self, deadline: float) -> bytes | None:
-        """Returns the first bytes of the next request, b"" if the client has closed, or None after the idle time-out.
+    async def _receive_first_bytes(self, deadline: float) -> bool:
+        """Receives the first bytes of the next request. False if the client has closed, or after the idle time-out.
 
         Bytes that arrive just as the time-out expires count as a request."""
         self._set_state(ConnectionState.IDLE)
@@ -240,7 +257,11 @@
         if wait.cancelled_caught:
             data = receive_now(self.stream, RECEIVE_BYTES)
         self._set_state(ConnectionState.READING)
-        return data
+        if not data:
+            self.close_reason = CloseReason.IDLE if data is None else CloseReason.CLIENT_ENDED
+            return False
+        self.conn.receive_data(data)
+        return True
 
     async def _read_head(self, deadline: float) -> h11.Request | None:
         """Returns the request's head, or None if the client has closed the connection. Raises BadRequest if it is
@@ -248,6 +269,7 @@
         self.parser.begin_message()
         with self._reading_until(deadline) as limit:
             while True:
+                self.account.hold_small(len(self.conn.trailing_data[0]))
                 if has_too_many_lines(self.conn.trailing_data[0]):
                     raise BadRequest(431, f"the head has more than {MAX_LINES} lines", "head_too_large")
                 event = self.conn.next_event()
@@ -269,7 +291,16 @@
                 self._reading_scope = None
                 self.parser.pause()
 
+    def _give_up_request(self) -> None:
+        """Drops what has been read of the body. The request is then refused."""
+        self._given_up = True
+        self._body.clear()
+        if self._reading_scope is not None:
+            self._reading_scope.cancel()
+
     def _incomplete(self, part: str) -> BadRequest:
+        if self._given_up or self._waits_for_memory:
+            return BadRequest(503, f"no memory is left for the rest of the request's {part}", NO_MEMORY)
         if self._reading_stopped:
             return BadRequest(503, f"the server is shutting down, and the request's {part} is not whole", "draining")
         return BadRequest(408, f"the request's {part} did not come in time", "slow_request")
@@ -289,30 +320,58 @@
 
     async def _read_body(self, exchange: Exchange, deadline: float) -> bytes | None:
         """Returns the request body, or None if the client disconnected within it."""
-        body = bytearray()
-        trailer_limit = TrailerLimit() if exchange.header(b"transfer-encoding") is not None else None
+        body = self._body
+        is_chunked = exchange.header(b"transfer-encoding") is not None
+        trailer_limit = TrailerLimit() if is_chunked else None
+        expected_bytes = self.limits.body_bytes if is_chunked else int(exchange.header(b"content-length") or 0)
         with self._reading_until(deadline):
-            while True:
+            while not self._given_up:
                 if trailer_limit is not None and trailer_limit.is_exceeded(self.conn.trailing_data[0]):
                     raise BadRequest(431, f"the trailer has more than {MAX_LINES} lines", "head_too_large")
                 event = await self.parser.next_event(self.conn.next_event)
                 if event is h11.NEED_DATA:
                     self.parser.pause()
-                    self.conn.receive_data(await self.stream.receive_some(RECEIVE_BYTES))
+                    await self._receive_body_bytes(expected_bytes)
                 elif isinstance(event, h11.Data):
-                    body += event.data
+                    body.add(event.data)
                     if len(body) > self.limits.body_bytes:
                         raise BadRequest(
                             413, f"the body is longer than {self.limits.body_bytes} bytes", "body_too_large"
                         )
                     if trailer_limit is not None:
                         trailer_limit.observe(event)
-                elif isinstance(event, h11.EndOfMessage):
-                    return bytes(body)
-                else:
+                elif isinstance(event, h11.EndOfMessage) and not self._given_up:
+                    return self._take_body()
+                elif not isinstance(event, h11.EndOfMessage):
                     return None
         raise self._incomplete("body")
 
+    async def _receive_body_bytes(self, expected_bytes: int) -> None:
+        """Receives more of a body, for a large one once there is room for all of it."""
+        is_large = min(expected_bytes, len(self._body) + RECEIVE_BYTES) > FREE_BODY_BYTES
+        if is_large and not self.account.reserved_bytes:
+            self._waits_for_memory = True
+            await self.account.reserve(expected_bytes)
+            self._waits_for_memory = False
+        data = await self.stream.receive_some(RECEIVE_BYTES)
+        self.conn.receive_data(data)
+        if is_large:
+            self.account.received()
+        else:
+            self.account.hold_small(len(self._body) + len(self.conn.trailing_data[0]))
+
+    def _take_body(self) -> bytes:
+        """Returns the complete body, which the account counts until the exchange says that it has been dropped.
+
+        Raises BadRequest if there is no room for it, which is not known if it has come together with its head.
+        """
+        body = self._body.take()
+        if not body:
+            self.account.release()
+        elif not self.account.complete(len(body)):
+            raise BadRequest(503, "this server holds as many requests as it may", NO_MEMORY)
+        return body
+
 
 async def serve_connection(
     stream: trio.SocketStream,
@@ -326,7 +385,8 @@
     error_body: ErrorBody = plain_text_error,
     draining: Callable[[], bool] = lambda: False,
     allow_pipelining: bool = False,
-    parse_turns: ParseTurns | None = None,
+    shared_limits: SharedLimits | None = None,
+    retry_after_ms: Callable[[], float] = lambda: 0.0,
 ) -> None:
     """Serves one connection until either side closes it. Never raises for what the client does."""
     limits = ConnectionLimits(body_bytes, head_ms, body_ms, idle_ms, send_ms)
@@ -337,7 +397,8 @@
         error_body=error_body,
         draining=draining,
         allow_pipelining=allow_pipelining,
-        parse_turns=parse_turns,
+        shared_limits=shared_limits,
+        retry_after_ms=retry_after_ms,
     ).serve()
 
 
--- a/ternlane/platform/active_request.py
+++ b/ternlane/platform/active_request.py
@@ -58,6 +58,11 @@
         """Adds a transition to the request's history."""
         self.history.record(now_ms(), event)
 
+    def drop_body(self) -> None:
+        """The body is not needed any more: no further attempt will be sent."""
+        self.body = b""
+        self.exchange.body_dropped()
+
     @property
     def is_finished(self) -> bool:
         """Whether the request has its final answer, or its client has disconnected."""
--- a/ternlane/platform/chat_server.py
+++ b/ternlane/platform/chat_server.py
@@ -9,7 +9,15 @@
 import trio
 
 from ternlane.event_loop import Failed, Rejected, now_ms
-from ternlane.http1 import BadRequest, CloseReason, ConnectionLimits, Exchange, ParseTurns, ServerConnection
+from ternlane.http1 import (
+    NO_MEMORY,
+    BadRequest,
+    CloseReason,
+    ConnectionLimits,
+    Exchange,
+    ServerConnection,
+    SharedLimits,
+)
 from ternlane.platform.active_request import ActiveRequest, Streamed
 from ternlane.platform.errors import InvalidRequestError
 from ternlane.platform.protocol import CHAT_PATH, MAX_BODY_BYTES, READY_PATH, ParsedRequest, parse_request
@@ -29,23 +37,22 @@
 
 
 class ChatServer:
-    """Serves clients' connections. The gateway sets the three limits at the start and on each reload.
+    """Serves clients' connections. The gateway sets the limits at the start and on each reload.
 
     When `connection_limit` connections are open, a new one replaces the one that has been idle for longest. Beyond
-    `request_limit` active requests, or `body_bytes_limit` bytes of their bodies, requests are rejected at once.
+    `request_limit` active requests, or what `shared_limits` allow to hold of messages, requests are rejected at once.
     """
 
     connection_limit: int
     request_limit: int
-    body_bytes_limit: int
 
     def __init__(
-        self, runtime: PlatformRuntime, max_unread_ms: Callable[[], float], parse_turns: ParseTurns, log: Any
+        self, runtime: PlatformRuntime, max_unread_ms: Callable[[], float], shared_limits: SharedLimits, log: Any
     ) -> None:
         """`max_unread_ms` returns for how long bytes that have just been read may have been waiting in the socket."""
         self.runtime = runtime
         self.max_unread_ms = max_unread_ms
-        self.parse_turns = parse_turns
+        self.shared_limits = shared_limits
         self.log = log
         self.open: set[ServerConnection] = set()
         self.idle: dict[ServerConnection, None] = {}  # the longest idle first
@@ -81,7 +88,8 @@
             self.limits,
             error_body=self._error_body,
             draining=lambda: self.draining,
-            parse_turns=self.parse_turns,
+            shared_limits=self.shared_limits,
+            retry_after_ms=self._retry_after_ms,
             on_idle_changed=self._idle_changed,
             on_close=self._closed,
         )
@@ -151,9 +159,9 @@
         parsed = parse_request(_headers(exchange), exchange.body, runtime.deployment)
         if parsed.request_id in runtime.requests_by_id:
             raise InvalidRequestError(409, "open_id", "a request with this Request-Id is open")
-        if not self._has_capacity(len(exchange.body)):
-            runtime.reporter.counts["refused room"] += 1
-            await exchange.answer(503, [], error_body("room", "this gateway holds as much as it may"))
+        if len(runtime.active_requests) >= self.request_limit:
+            runtime.reporter.counts[f"refused {NO_MEMORY}"] += 1
+            await exchange.answer(503, [], error_body(NO_MEMORY, "this gateway holds as much as it may"))
             return
         active_request = ActiveRequest(
             parsed.request_id, self._request(parsed), exchange, exchange.body, received_ms=now_ms()
@@ -162,12 +170,6 @@
         runtime.receive_request(active_request)
         await self._answer(exchange, active_request)
 
-    def _has_capacity(self, body_bytes: int) -> bool:
-        active_requests = self.runtime.active_requests
-        held_bytes = sum(len(active_request.body) for active_request in active_requests.values())
-        has_memory = held_bytes + body_bytes <= self.body_bytes_limit
-        return len(active_requests) < self.request_limit and has_memory
-
     def _request(self, parsed: ParsedRequest) -> Request:
         """The request in the router's terms.
 
@@ -189,6 +191,11 @@
             parsed.tenant,
         )
 
+    def _retry_after_ms(self) -> float:
+        """The longest pause that the settings allow; 0 if they allow none."""
+        router_config = self.runtime.deployment.router_config
+        return router_config.max_retry_after_ms if router_config.may_send_retry_after else 0.0
+
     async def _answer(self, exchange: Exchange, active_request: ActiveRequest) -> None:
         """Waits for the final answer, and writes it unless it was streamed."""
         try:
--- a/ternlane/platform/discovery_watch.py
+++ b/ternlane/platform/discovery_watch.py
@@ -10,7 +10,7 @@
 import h11
 import trio
 
-from ternlane.http1 import ClientConnection, ConnectError, ConnectionPool, ParseTurns
+from ternlane.http1 import ClientConnection, ConnectError, ConnectionPool, SharedLimits
 from ternlane.platform.endpoint_list import EndpointList, EndpointListParser, parse_endpoint_list
 from ternlane.platform.endpoint_registry import MAX_STALENESS_MS
 
@@ -69,7 +69,7 @@
         seed: int,
         nursery: trio.Nursery,
         log: Any,
-        parse_turns: ParseTurns | None = None,
+        shared_limits: SharedLimits | None = None,
     ) -> None:
         self.address = address
         self.index = index
@@ -78,7 +78,7 @@
         self.seed = seed
         self.nursery = nursery
         self.log = log
-        self.parse_turns = parse_turns
+        self.shared_limits = shared_limits
         self.opened = trio.Event()
         self.watch_scopes: list[trio.CancelScope] = []  # of each watch, the newest last
         self._pauses = 0
@@ -105,7 +105,7 @@
 
     async def _watch_address(self, address: tuple[str, int], scope: trio.CancelScope) -> None:
         """Watches one address until another one has replaced it."""
-        pool = ConnectionPool(CONNECT_TIMEOUT_MS, inf, parse_turns=self.parse_turns)
+        pool = ConnectionPool(CONNECT_TIMEOUT_MS, inf, shared_limits=self.shared_limits)
         backoff_ms = 0.0
         try:
             with scope:
@@ -140,6 +140,7 @@
         return "discovery closed the watch"
 
     async def _read_watch(self, connection: ClientConnection, scope: trio.CancelScope) -> None:
+        connection.is_essential = True  # without lists, requests would go to servers that have gone
         with trio.fail_after(HEAD_TIMEOUT_MS / 1000) as timeout:
             head = await connection.ask("GET", WATCH_PATH.format(self.index()), [])
             if head.status_code != 200:
@@ -150,6 +151,7 @@
                 timeout.deadline = trio.current_time() + WATCH_TIMEOUT_MS / 1000
                 self._cancel_older(scope)
                 lists = parser.feed(piece)
+                connection.kept_bytes = parser.held_bytes
                 for raw in lists:
                     self.on_list(parse_endpoint_list(raw))
                 if lists or not parser.has_partial_list:  # a list, or a heartbeat without changes
--- a/ternlane/platform/endpoint_list.py
+++ b/ternlane/platform/endpoint_list.py
@@ -46,14 +46,18 @@
 
     def __init__(self) -> None:
         self._rest = bytearray()  # of an incomplete line
-        self._lines: list[bytes] = []
-        self._lines_bytes = 0
+        self._list = bytearray()  # the complete lines of the incomplete list
         self._depth = 0  # number of open braces
 
+    @property
+    def held_bytes(self) -> int:
+        """What is held of an incomplete list."""
+        return len(self._rest) + len(self._list)
+
     @property
     def has_partial_list(self) -> bool:
         """Whether a list has begun that is not complete yet."""
-        return bool(self._lines) or (bool(self._rest) and not self._rest.isspace())
+        return bool(self._list) or (bool(self._rest) and not self._rest.isspace())
 
     def feed(self, data: bytes) -> list[bytes]:
         """The lists that these bytes complete. Raises ValueError if the bytes cannot be part of a list."""
@@ -64,12 +68,11 @@
             line = bytes(self._rest)
             self._rest.clear()
             self._add_line(line)
-            if self._lines and not self._depth:
-                complete.append(b"\n".join(self._lines))
-                self._lines = []
-                self._lines_bytes = 0
+            if self._list and not self._depth:
+                complete.append(bytes(self._list))
+                self._list.clear()
         self._rest += rest
-        if len(self._rest) + self._lines_bytes > MAX_LIST_BYTES:
+        if self.held_bytes > MAX_LIST_BYTES:
             raise ValueError("endpoint list is too long")
         return complete
 
@@ -77,11 +80,11 @@
         without_strings = JSON_STRING.sub(b"", line)
         self._depth += without_strings.count(b"{") - without_strings.count(b"}")
         if line.strip():
-            self._lines.append(line)
-            self._lines_bytes += len(line)
-        elif self._lines:
+            self._list += line if self._list else line.lstrip()
+            self._list += b"\n"
+        elif self._list:
             raise ValueError("heartbeat within an endpoint list")  # the rest of the list will not arrive
-        begins_with_brace = not self._lines or self._lines[0].lstrip().startswith(b"{")
+        begins_with_brace = not self._list or self._list.startswith(b"{")
         if self._depth < 0 or not begins_with_brace:
             raise ValueError("not an endpoint list")
 
--- a/ternlane/platform/event_stream.py
+++ b/ternlane/platform/event_stream.py
@@ -52,6 +52,11 @@
         self._rest = bytearray()  # of an incomplete event
         self._comments = bytearray()  # ahead of the first event
 
+    @property
+    def held_bytes(self) -> int:
+        """What is held of events that are not complete, or ahead of the first."""
+        return len(self._rest) + len(self._comments)
+
     def feed(self, data: bytes) -> bytes:
         """Returns the events that these bytes complete. Comments before the first event are held back until that
         arrives."""
--- a/ternlane/platform/gateway.py
+++ b/ternlane/platform/gateway.py
@@ -11,7 +11,7 @@
 import trio
 
 from ternlane.event_loop import PollTimes, now_ms
-from ternlane.http1 import ConnectionPool, ParseTurns
+from ternlane.http1 import ConnectionPool, SharedLimits
 from ternlane.platform.acceptor import Acceptor
 from ternlane.platform.chat_server import ChatServer
 from ternlane.platform.discovery_watch import FIRST_LIST_MS, DiscoveryWatch
@@ -31,8 +31,8 @@
 SERVER_SOCKETS_SHARE = 0.45
 # Active requests per descriptor: each has one attempt in flight, and releases (DELETE) need connections as well.
 REQUESTS_SHARE = 0.4
-# Share of the memory for the bodies of active requests.
-BODIES_MEMORY_SHARE = 0.2
+# Share of the memory for what connections hold of messages: bodies of active requests, and incomplete messages.
+MESSAGES_MEMORY_SHARE = 0.2
 # Share of the model servers' idle timeout after which this gateway closes an idle connection, so that no request is
 # written to a connection that its server is closing.
 IDLE_TIMEOUT_SHARE = 0.9
@@ -61,12 +61,12 @@
         self.configuration = configuration
         self.nursery = nursery
         self.log = log
-        parse_turns = ParseTurns()
-        self.pool = ConnectionPool(router_config.connect_ms, router_config.idle_ms, parse_turns=parse_turns)
+        self.shared_limits = SharedLimits()
+        self.pool = ConnectionPool(router_config.connect_ms, router_config.idle_ms, shared_limits=self.shared_limits)
         model_servers = ModelServerClient(self.pool, deployment)
         self.runtime = PlatformRuntime(Router(router_config), deployment, model_servers, nursery, log)
         self.poll_times = PollTimes()
-        self.chat_server = ChatServer(self.runtime, self.poll_times.max_unread_ms, parse_turns, log)
+        self.chat_server = ChatServer(self.runtime, self.poll_times.max_unread_ms, self.shared_limits, log)
         self.acceptor = Acceptor(self.chat_server, log)
         self.watch = DiscoveryWatch(
             configuration.discovery,
@@ -76,7 +76,7 @@
             router_config.seed,
             nursery,
             log,
-            parse_turns,
+            self.shared_limits,
         )
         self.listener: trio.SocketListener
         self.accept_scope = trio.CancelScope()
@@ -90,7 +90,7 @@
         self.pool.set_limits(router_config.connect_ms, idle_ms, int(limits.sockets * SERVER_SOCKETS_SHARE))
         self.chat_server.connection_limit = int(limits.sockets * CLIENT_SOCKETS_SHARE)
         self.chat_server.request_limit = int(limits.sockets * REQUESTS_SHARE)
-        self.chat_server.body_bytes_limit = int(limits.memory_mb * 2**20 * BODIES_MEMORY_SHARE)
+        self.shared_limits.memory.limit_bytes = int(limits.memory_mb * 2**20 * MESSAGES_MEMORY_SHARE)
 
     def _watch_failed(self, why: str) -> None:
         self.runtime.reporter.counts["watch broke"] += 1
--- a/ternlane/platform/model_server_client.py
+++ b/ternlane/platform/model_server_client.py
@@ -122,6 +122,7 @@
         ]
         await connection.send_request(attempt.method, attempt.target, headers, attempt.body)
         attempt.written_at_s = trio.current_time()
+        attempt.body = b""  # no longer needed, and would be held for as long as the answer is streamed
         attempt.scope.deadline = inf  # reads have their own deadline, at which bytes that have arrived are still read
         connection.set_read_deadline(attempt.answer_by_s)
 
@@ -163,6 +164,7 @@
         parser = EventStreamParser()
         async for piece in connection.chunks():
             events = parser.feed(piece)
+            connection.kept_bytes = parser.held_bytes
             if not events:
                 continue
             # An attempt that is cancelled by now must not send the client anything.
--- a/ternlane/platform/runtime.py
+++ b/ternlane/platform/runtime.py
@@ -120,6 +120,7 @@
         if active_request.is_finished:
             return
         active_request.client_gone = True
+        active_request.drop_body()
         attempt = active_request.attempt
         if attempt is not None and (active_request.streaming or not attempt.written):
             attempt.cancel()
@@ -137,6 +138,7 @@
         if active_request.is_finished:
             return
         active_request.final = final
+        active_request.drop_body()
         active_request.client_watch.cancel()
         self.reporter.finished(active_request, final)
         self.ended_requests.append(active_request)
--- a/ternlane/platform/stream_forwarder.py
+++ b/ternlane/platform/stream_forwarder.py
@@ -32,7 +32,7 @@
         if active_request.is_finished:
             raise ClientDisconnectedError
         active_request.streaming = True
-        active_request.body = b""  # no other attempt will be sent
+        active_request.drop_body()
         self.on_first_event(active_request)
         self.dispatch(messages.FirstToken(active_request.request, self.server, now_ms() - self.since_ms))
         await active_request.write_first_events(data)
--- a/tests/hostile_peers.py
+++ b/tests/hostile_peers.py
@@ -14,12 +14,14 @@
 from contextlib import suppress
 from dataclasses import asdict, dataclass
 from pathlib import Path
+from secrets import randbits
 
 READ_BYTES = 65536
 BLOCK_BYTES = 65536
 PROBE_PAUSE_S = 0.01
 PROBE_TIMEOUT_S = 10.0
 CLIENT_PAUSE_S = 0.02
+USUAL_BODY_BYTES = 2000
 
 POST = b"POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\n"
 CHAT_HEADERS = b"Request-Id: 0bad0bad0bad0bad\r\nRequest-Class: summary\r\nRequest-Timeout: 5.000\r\n"
@@ -40,6 +42,10 @@
     "small chunks": (POST + CHAT_HEADERS + CHUNKED, chunks_of(b"word" * 8192, 4)),
     "header lines": (POST + b"a:\r\n" * 3900 + b"Content-Length: 70000000\r\n\r\n", b""),
     "trailer lines": (POST + CHAT_HEADERS + CHUNKED + b"1\r\nx\r\n0\r\n" + b"a:\r\n" * 3900 + b"\r\n", b""),
+    "stalled bodies": (POST + CHAT_HEADERS + b"Content-Length: 262144\r\n\r\n" + b" " * 261120, b""),
+    "stalled chunked bodies": (POST + CHAT_HEADERS + CHUNKED + chunks_of(b" " * 261120, 60), b""),
+    "stalled heads": (POST + b"X: " + b" " * 16000, b""),
+    "stalled large bodies": (POST + b"Content-Length: 4194304\r\n\r\n" + b" " * 4_193_000, b""),
     "chat requests": (POST + b"Content-Length: %d\r\n\r\n" % len(CHAT_BODY) + CHAT_BODY, b""),
 }
 # What a server answers: once, and then for as long as it is read.
@@ -49,6 +55,8 @@
     "data lines in small chunks": (STREAM_HEAD, chunks_of(b"data: x\n" * 5000, 8)),
     "events in large chunks": (STREAM_HEAD, chunks_of(b"data: {}\n\n" * 60000, 600_000)),
     "events in small chunks": (STREAM_HEAD, chunks_of(b"data: {}\n\n" * 5000, 10)),
+    "stalled events": (STREAM_HEAD + b"ffff0\r\ndata: {" + b" " * 60_000, b""),
+    "stalled prefills": (PREFILL_HEAD + b"ffff0\r\n" + b" " * 60_000, b""),
     "list in small chunks": (
         STREAM_HEAD + chunks_of(b'{"index": 1, "endpoints": [\n', 30),
         chunks_of(b"1,\n" * 5000, 3),
@@ -56,6 +64,14 @@
 }
 
 
+def usual_request() -> tuple[bytes, bytes]:
+    """A request to the platform gateway with an id of its own."""
+    headers = f"Request-Id: {randbits(64):016x}\r\nRequest-Class: summary\r\nRequest-Timeout: 1.500\r\n"
+    info = "Request-Info: prefix=ab,prompt_len=20,prefix_len=8,max_out=40\r\n"
+    body = CHAT_BODY[:-1] + b" " * USUAL_BODY_BYTES + b"}"
+    return POST + (headers + info).encode() + b"Content-Length: %d\r\n\r\n" % len(body) + body, b""
+
+
 async def send_endlessly(writer: asyncio.StreamWriter, block: bytes) -> None:
     with suppress(OSError):
         while block:
@@ -65,8 +81,8 @@
 
 async def run_client(kind: str, port: int, until: float) -> None:
     """Sends, reads what it is sent, and does the same again once it is turned away."""
-    first, block = CLIENT_BYTES[kind]
     while time.monotonic() < until:
+        first, block = usual_request() if kind == "usual requests" else CLIENT_BYTES[kind]
         with suppress(OSError):
             reader, writer = await asyncio.open_connection("127.0.0.1", port)
             writer.write(first)
@@ -93,6 +109,7 @@
             await reader.read(READ_BYTES)
             writer.write(first)
             await send_endlessly(writer, block)
+            await reader.read()
         writer.close()
 
     server = await asyncio.start_server(serve, "127.0.0.1", 0)
--- a/tests/test_hostile_peers.py
+++ b/tests/test_hostile_peers.py
@@ -15,9 +15,10 @@
 import pytest
 import trio
 
+from ternlane.gateway.client_connections import MIN_MESSAGES_BYTES
 from ternlane.http1.line_limits import MAX_LINES, TrailerLimit
-from tests.hostile_peers import CHUNKED, POST, Verdict, chunks_of
-from tests.platform_gateway import Platform, platform, wait_until_ready
+from tests.hostile_peers import CHUNKED, POST, Verdict, anonymous_mb, chunks_of
+from tests.platform_gateway import BODY, Platform, platform, wait_until_ready
 from tests.test_days import gateway_config, wait_for
 
 # The platform's pages: an event is forwarded within 0.3 s, and at most one stream in twenty may be slower.
@@ -86,12 +87,12 @@
     return f"127.0.0.1:{int(await read_line(server))}"
 
 
-async def judge_with_requests(p: Platform, gateway: trio.Process) -> tuple[Verdict, list[int]]:
+async def judge_with_requests(p: Platform, gateway: trio.Process, body: bytes = BODY) -> tuple[Verdict, list[int]]:
     """The verdict, and the statuses of usual requests that were sent meanwhile."""
     statuses: list[int] = []
 
     async def ask() -> None:
-        statuses.append((await p.ask()).status)
+        statuses.append((await p.ask(body)).status)
 
     async def ask_regularly() -> None:
         while True:
@@ -194,3 +195,63 @@
             await stack.enter_async_context(process("-m", "tests.hostile_peers", *command))
             verdict = await judge(str(port), "/healthz", gateway.pid)
     assert verdict.late_share(FORWARD_S) <= MAX_LATE_SHARE, sorted(verdict.waits_s)[-9:]
+
+
+# -- memory
+
+
+MEMORY_MB, SOCKETS = 112, 960
+MAX_CLIENTS = SOCKETS // 3  # by the platform's pages, for requests
+LIMITS = {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": SOCKETS}
+
+
+@pytest.mark.parametrize("kind", ["stalled bodies", "stalled chunked bodies", "stalled heads", "small chunks"])
+async def test_clients_that_stop_within_requests_do_not_fill_the_memory(kind: str, tmp_path: Path) -> None:
+    """As many clients as may be stop within their requests, and come again when they are turned away. What had been
+    read of incomplete requests was counted nowhere, and the platform kills a gateway over its memory limit."""
+    async with platform() as p, gateway_process(p, tmp_path, limits=LIMITS) as gateway, AsyncExitStack() as stack:
+        await attack(kind, p, stack, MAX_CLIENTS)
+        verdict, statuses = await judge_with_requests(p, gateway)
+        assert gateway.poll() is None
+    assert 0 < verdict.peak_mb < MEMORY_MB
+    assert set(statuses) == {200} and len(statuses) > ATTACK_S
+
+
+async def test_large_requests_are_served_while_others_hold_the_memory(tmp_path: Path) -> None:
+    """Clients that stop within large bodies use up the memory for messages. A large request that keeps coming must get
+    room, and must not be given up instead of them."""
+    body = BODY[:-1] + b" " * 200_000 + b"}"
+    async with platform() as p, gateway_process(p, tmp_path, limits=LIMITS) as gateway, AsyncExitStack() as stack:
+        await attack("stalled bodies", p, stack, 100)  # 26 MB of 22
+        verdict, statuses = await judge_with_requests(p, gateway, body)
+    assert 0 < verdict.peak_mb < MEMORY_MB
+    assert set(statuses) == {200} and len(statuses) > ATTACK_S
+
+
+@pytest.mark.parametrize("kind", ["stalled events", "stalled prefills"])
+async def test_model_servers_that_stop_within_answers_do_not_fill_the_memory(kind: str, tmp_path: Path) -> None:
+    """Model servers stop within large events or answers, for as many requests as a gateway may have open."""
+    limits = LIMITS | {"memory_mb": 48}
+    async with platform("r0", "w0") as p, AsyncExitStack() as stack:
+        address = await serve_hostile(kind, stack)
+        name, role = ("r0", "reader") if kind == "stalled prefills" else ("w0", "writer")
+        p.discovery.put(name, address, role)
+        async with gateway_process(p, tmp_path, limits=limits) as gateway:
+            await attack("usual requests", p, stack, MAX_CLIENTS)
+            verdict = await judge(p.address.rpartition(":")[2], "/health/ready", gateway.pid)
+            assert gateway.poll() is None
+    assert 0 < verdict.peak_mb < limits["memory_mb"]
+
+
+async def test_clients_that_stop_within_requests_do_not_fill_the_memory_of_the_chat_gateway(tmp_path: Path) -> None:
+    """Clients of the chat gateway stop within bodies of its size limit, together twice what may be held of them."""
+    path, port = gateway_config(tmp_path)
+    count = 2 * MIN_MESSAGES_BYTES // (4 * 2**20)
+    async with process("-m", "ternlane", "serve", str(path)) as gateway, AsyncExitStack() as stack:
+        await trio.to_thread.run_sync(wait_for, port)
+        before_mb = anonymous_mb(gateway.pid)
+        command = ("clients", "stalled large bodies", str(port), str(count), str(2 * ATTACK_S))
+        await stack.enter_async_context(process("-m", "tests.hostile_peers", *command))
+        verdict = await judge(str(port), "/healthz", gateway.pid)
+    assert verdict.peak_mb - before_mb < 1.25 * MIN_MESSAGES_BYTES / 2**20
+    assert verdict.late_share(FORWARD_S) <= MAX_LATE_SHARE, sorted(verdict.waits_s)[-9:]
--- a/tests/test_platform_bounds.py
+++ b/tests/test_platform_bounds.py
@@ -277,7 +277,7 @@
 async def test_requests_and_bodies_beyond_the_limits_are_rejected() -> None:
     async with platform("r0", "w0", w0=fault_always("silent")) as p:
         chat_server, runtime = p.gateway.chat_server, p.gateway.runtime
-        chat_server.request_limit, chat_server.body_bytes_limit = 2, 1000
+        chat_server.request_limit, p.gateway.shared_limits.memory.limit_bytes = 2, 1000
         async with trio.open_nursery() as nursery:
             for _ in range(2):
                 nursery.start_soon(p.ask)
--- a/tests/test_races_discovery.py
+++ b/tests/test_races_discovery.py
@@ -262,7 +262,7 @@
             pool.limit,
             chat_server.connection_limit,
             chat_server.request_limit,
-            chat_server.body_bytes_limit,
+            p.gateway.shared_limits.memory.limit_bytes,
         )
         assert first[:2] == (150.0, 0.9 * 2000.0)
         assert (await p.ask()).status == 200
@@ -270,7 +270,11 @@
         small = {"sockets": 200, "memory_mb": 64}
         reload(p, tmp_path, monkeypatch, PLATFORM_SETTINGS | {"limits": limits}, limits=small)
         assert (pool.connect_ms, pool.idle_ms, pool.limit) == (90.0, 720.0, 90)
-        assert (chat_server.connection_limit, chat_server.request_limit, chat_server.body_bytes_limit) == (
+        assert (
+            chat_server.connection_limit,
+            chat_server.request_limit,
+            p.gateway.shared_limits.memory.limit_bytes,
+        ) == (
             90,
             80,
             int(64 * 2**20 * 0.2),
@@ -282,7 +286,7 @@
             pool.limit,
             chat_server.connection_limit,
             chat_server.request_limit,
-            chat_server.body_bytes_limit,
+            p.gateway.shared_limits.memory.limit_bytes,
         ) == first
 
 
--- a/tests/test_site_settings.py
+++ b/tests/test_site_settings.py
@@ -102,7 +102,7 @@
         assert pool.connect_ms == connection["connect_timeout_ms"] and pool.limit == 225
         assert pool.idle_ms == pytest.approx(900.0 * connection["idle_s"]) and pool.reuse_stats.span_ms == pool.idle_ms
         limits_of_requests = (chat_server.connection_limit, chat_server.request_limit)
-        assert limits_of_requests == (225, 200) and chat_server.body_bytes_limit == int(20 * 2**20)
+        assert limits_of_requests == (225, 200) and p.gateway.shared_limits.memory.limit_bytes == int(20 * 2**20)
         limits = p.gateway.runtime.router.scheduler.context.limits  # type: ignore[attr-defined]
         assert limits.min_slo_ms == min(profile["aim_ms"] for profile in raw["class"])
         assert (
