--- a/tests/race_helpers.py
+++ b/tests/race_helpers.py
@@ -150,10 +150,6 @@
     )
 
 
-def open_descriptor_count() -> int:
-    return len(os.listdir("/proc/self/fd"))
-
-
 class StepGate:
     """A gate that releases waiting tasks one by one, in any order; after `open` it blocks no task."""
 
--- a/tests/shutdown_scenario.py
+++ b/tests/shutdown_scenario.py
@@ -128,7 +128,6 @@
         self.p, self.plan, self.process = p, plan, process
         self.sent: list[SentRequest] = []
         self.attempts: list[Attempt] = []
-        self.stated_timeouts: dict[int, float] = {}
         self.started_at = trio.current_time()
         self.sigterm_at = self.started_at + plan.sigterm_after_s
         self.killed_at = self.sigterm_at + plan.kill_delay_s
--- a/tests/test_races_servers.py
+++ b/tests/test_races_servers.py
@@ -228,7 +228,7 @@
                 arrived_at = now() + 5
                 while now() < arrived_at and not connection_module.is_readable(self.stream):
                     await trio.sleep(0.001)
-                self.silent_by = now() - 1
+                self.set_read_deadline(now() - 1)
             return await receive(self)
 
         monkeypatch.setattr(ClientConnection, "_receive", at_the_limit)
--- a/tests/test_recover.py
+++ b/tests/test_recover.py
@@ -42,8 +42,6 @@
 from tests.test_rules import RULES
 from tests.test_transports import REQUEST, FakeLocalEngine, gateway_config
 
-WHOLE = 10**9
-
 
 def fleet_config(**changes: Any) -> FleetConfig:
     return msgspec.structs.replace(FLEET_CONFIG, max_attempts=12, **changes)
