--- a/tests/race_helpers.py
+++ b/tests/race_helpers.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import os
 import select
 import socket
 import struct
