A gateway that falls behind rejects what it can't serve in time

Cause: the time of a request began when the loop had read it, or at most two turns of the loop before: its wait in the listener's queue counted nowhere. One connection is accepted in a turn, whatever has waited. And nothing compared what a request still needs with how long turns take; usual times follow too late. Change: LoopTimes.waited_ms asks the socket when its last byte came (TCP_INFO), so the wait to be accepted counts; turn_ms is the second longest recent turn (one pause alone says nothing of the next turns). AdmissionPolicy rejects with Retry-After where the turns up to the first token, or twice the usual time, are more than what is left (GATEWAY_BEHIND). Connections that have waited are accepted several in a turn (waiting_connections.py). Both gateways. Why it works: a rejection costs little, so the loop comes round to what it can still serve.

--- a/ternlane/event_loop.py
+++ b/ternlane/event_loop.py
@@ -18,8 +18,6 @@
 
 from ternlane.policy import messages
 
-# A poll that waited at least this long for I/O shows that the loop had read everything that had arrived.
-IDLE_WAIT_MS = 0.5
 # Time constant of the expected lateness of timers after a late one.
 LATENESS_DECAY_MS = 1000.0
 # The router ends each request by its deadline. If a bug prevents that, the event loop fails the request this long after
@@ -95,35 +93,6 @@
     return start_check
 
 
-class PollTimes(trio.abc.Instrument):
-    """Tracks when the loop polled for I/O.
-
-    Data that is read now may have arrived at any time since the previous poll; during a long iteration of the loop, the
-    time of arrival is unknown.
-    """
-
-    def __init__(self) -> None:
-        now_s = trio.current_time()
-        self._wait_began_s = now_s
-        self._wait_ended_s = now_s
-        self._unread_since_s = now_s
-
-    def before_io_wait(self, timeout: float) -> None:
-        """Called by trio before it waits for I/O."""
-        self._wait_began_s = trio.current_time()
-
-    def after_io_wait(self, timeout: float) -> None:
-        """Called by trio after it has waited for I/O."""
-        now_s = trio.current_time()
-        was_idle = now_s - self._wait_began_s >= IDLE_WAIT_MS / 1000  # no data was available at the start of the wait
-        self._unread_since_s = now_s if was_idle else self._wait_ended_s
-        self._wait_ended_s = now_s
-
-    def max_unread_ms(self) -> float:
-        """The longest time for which data that was just read may have been waiting."""
-        return (trio.current_time() - self._unread_since_s) * 1000
-
-
 class Cancellable(Protocol):
     """An attempt in flight."""
 
--- a/ternlane/gateway/gateway.py
+++ b/ternlane/gateway/gateway.py
@@ -132,6 +132,7 @@
     # -- start and stop
 
     async def _start(self, listeners: list[trio.SocketListener] | None = None) -> None:
+        trio.lowlevel.add_instrument(self.runtime.loop_times)
         self.endpoint_watcher.load_cache()
         self.address = await self.listeners.open(self.config.listen, listeners)
         self.nursery.start_soon(self.endpoint_watcher.watch)
--- a/ternlane/gateway/listeners.py
+++ b/ternlane/gateway/listeners.py
@@ -7,6 +7,8 @@
 
 import trio
 
+from ternlane.http1.waiting_connections import accept_waiting
+
 BACKLOG = 4096  # pending connections: a burst must not be refused while the event loop is busy
 ACCEPT_PAUSE_S = 0.1  # after a failed accept: file descriptors or memory have to become free first
 MAX_ACCEPT_FAILURES = 5  # while a queue is emptied at shutdown, which must not hang on failures
@@ -58,6 +60,9 @@
         while True:
             try:
                 stream = await listener.accept()
+                self.nursery.start_soon(self.serve, stream)
+                for waiting in accept_waiting(listener, stream):
+                    self.nursery.start_soon(self.serve, waiting)
             except (trio.ClosedResourceError, OSError) as error:
                 if listener.socket.fileno() < 0:
                     return  # closed by `drain` or `close` while a connection was arriving
@@ -65,8 +70,6 @@
                 # network failed. None of this may end the connections being served.
                 self.log.error("accept failed", why=repr(error))
                 await trio.sleep(ACCEPT_PAUSE_S)
-            else:
-                self.nursery.start_soon(self.serve, stream)
 
     async def drain(self) -> None:
         """Stops listening. Connections already in the queue are served, later ones are refused."""
--- a/ternlane/http1/nonblocking.py
+++ b/ternlane/http1/nonblocking.py
@@ -4,9 +4,15 @@
 
 import os
 import select
+import socket
+import struct
 
 import trio
 
+# Linux: `tcpi_last_data_recv` of `struct tcp_info`, a 32-bit number of milliseconds.
+LAST_DATA_RECEIVED_OFFSET = 52
+LAST_DATA_RECEIVED = struct.Struct("=I")
+
 
 def send_now(stream: trio.SocketStream, data: bytes) -> int:
     """Writes without waiting and returns how many bytes were accepted.
@@ -34,6 +40,32 @@
         raise trio.BrokenResourceError(str(why)) from why
 
 
+def since_last_data_ms(stream: trio.SocketStream) -> float:
+    """For how long (ms) the latest bytes that have arrived on a TCP connection have been here, read or unread, also
+    before the connection was accepted; 0 if the system does not tell."""
+    size = LAST_DATA_RECEIVED_OFFSET + LAST_DATA_RECEIVED.size
+    try:
+        info = stream.socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, size)
+    except OSError:  # closed, or not a TCP connection
+        return 0.0
+    if len(info) < size:
+        return 0.0
+    (elapsed_ms,) = LAST_DATA_RECEIVED.unpack_from(info, LAST_DATA_RECEIVED_OFFSET)
+    return float(elapsed_ms)
+
+
+def accept_now(listener: trio.SocketListener) -> trio.SocketStream | None:
+    """Accepts a connection that waits in the listener's queue; None if there is none. Raises OSError as `accept`."""
+    borrowed = socket.socket(fileno=listener.socket.fileno())
+    try:
+        connection, _ = borrowed.accept()
+    except BlockingIOError:
+        return None
+    finally:
+        borrowed.detach()  # the listener keeps its descriptor
+    return trio.SocketStream(trio.socket.from_stdlib_socket(connection))
+
+
 def is_readable(stream: trio.SocketStream) -> bool:
     """Whether bytes, end of file or an error can be read. True for a socket closed on this side."""
     return _polled(stream, select.POLLIN | select.POLLHUP | select.POLLERR)
--- a/ternlane/platform/acceptor.py
+++ b/ternlane/platform/acceptor.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from ternlane.http1.waiting_connections import accept_waiting
 from ternlane.platform.chat_server import ChatServer
 
 # Errors of `accept` for too few file descriptors or too little memory on this machine.
@@ -39,11 +40,21 @@
                     return
                 await self.recover(error)
                 continue
-            if self.server.has_room():
-                self.server.serve_connection(stream, nursery)
-            else:
-                self.server.runtime.reporter.counts["refused conn_limit"] += 1
-                stream.socket.close()
+            self._serve(stream, nursery)
+            try:
+                waiting = accept_waiting(listener, stream)
+            except OSError as error:
+                await self.recover(error)
+                continue
+            for stream in waiting:
+                self._serve(stream, nursery)
+
+    def _serve(self, stream: trio.SocketStream, nursery: trio.Nursery) -> None:
+        if self.server.has_room():
+            self.server.serve_connection(stream, nursery)
+        else:
+            self.server.runtime.reporter.counts["refused conn_limit"] += 1
+            stream.socket.close()
 
     async def accept_queued(self, listener: trio.SocketListener, nursery: trio.Nursery, within_ms: float) -> None:
         """Accepts the connections that wait in the listener's queue. Never raises.
--- a/ternlane/platform/chat_server.py
+++ b/ternlane/platform/chat_server.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from typing import Any
 
 import msgspec
@@ -18,6 +17,7 @@
     ServerConnection,
     SharedLimits,
 )
+from ternlane.http1.loop_times import LoopTimes
 from ternlane.platform.active_request import ActiveRequest, Streamed
 from ternlane.platform.errors import InvalidRequestError
 from ternlane.platform.protocol import CHAT_PATH, MAX_BODY_BYTES, READY_PATH, ParsedRequest, parse_request
@@ -46,12 +46,9 @@
     connection_limit: int
     request_limit: int
 
-    def __init__(
-        self, runtime: PlatformRuntime, max_unread_ms: Callable[[], float], shared_limits: SharedLimits, log: Any
-    ) -> None:
-        """`max_unread_ms` returns for how long bytes that have just been read may have been waiting in the socket."""
+    def __init__(self, runtime: PlatformRuntime, loop_times: LoopTimes, shared_limits: SharedLimits, log: Any) -> None:
         self.runtime = runtime
-        self.max_unread_ms = max_unread_ms
+        self.loop_times = loop_times
         self.shared_limits = shared_limits
         self.log = log
         self.open: set[ServerConnection] = set()
@@ -164,23 +161,25 @@
             await exchange.answer(503, [], error_body(NO_MEMORY, "this gateway holds as much as it may"))
             return
         active_request = ActiveRequest(
-            parsed.request_id, self._request(parsed), exchange, exchange.body, received_ms=now_ms()
+            parsed.request_id, self._request(parsed, exchange), exchange, exchange.body, received_ms=now_ms()
         )
         exchange.body = b""
         runtime.receive_request(active_request)
         await self._answer(exchange, active_request)
 
-    def _request(self, parsed: ParsedRequest) -> Request:
+    def _request(self, parsed: ParsedRequest, exchange: Exchange) -> Request:
         """The request in the router's terms.
 
         The platform protocol counts the timeout from the request's last byte: the time that a slow client took to send
-        it does not count, but the time for which it waited unread while this event loop was busy does.
+        it does not count, but the time for which it waited unread while this event loop was busy does, also before its
+        connection was accepted.
         """
         deployment = self.runtime.deployment
         request_class = deployment.request_classes[parsed.request_class]
         timeout_ms = parsed.client_timeout_ms or request_class.deadline_ms
-        left_ms = timeout_ms - self.max_unread_ms() - self.runtime.expected_lateness_ms()
-        return deployment.request(
+        waited_ms = self.loop_times.waited_ms(exchange.stream)
+        left_ms = timeout_ms - waited_ms - self.runtime.expected_lateness_ms()
+        request = deployment.request(
             request_class,
             parsed.session,
             parsed.prefix,
@@ -190,6 +189,9 @@
             max(0.0, left_ms),
             parsed.tenant,
         )
+        request.waited_ms = waited_ms
+        request.turn_ms = self.loop_times.turn_ms()
+        return request
 
     def _retry_after_ms(self) -> float:
         """The longest pause that the settings allow; 0 if they allow none."""
--- a/ternlane/policy/admission.py
+++ b/ternlane/policy/admission.py
@@ -15,6 +15,9 @@
 # Required time at the start of a prefill, as a multiple of the usual time to first token. About half of all requests
 # take longer than the usual time.
 MIN_USUAL_TIMES_LEFT = 2.0
+# Turns of the event loop from the arrival of a request to its first token: the start of two attempts, a connection and
+# an answer for each, and the write to the client.
+TURNS_TO_FIRST_TOKEN = 8.0
 # Usual times are used for this many multiples of `Limits.memory_ms` after the last sample. After that a request is
 # admitted in any case, to get a new sample.
 USUAL_TIMES_FRESH_SPANS = 4.0
@@ -49,6 +52,8 @@
             return RejectReason.ATTEMPTS_SPENT
         if self._misses_deadline(state):
             return RejectReason.DEADLINE_TOO_CLOSE
+        if self._gateway_is_behind(state):
+            return RejectReason.GATEWAY_BEHIND
         if self._delays_others(state):
             return RejectReason.OVERLOAD
         if self._outlasts_shutdown(state):
@@ -71,6 +76,16 @@
         fresh_ms = USUAL_TIMES_FRESH_SPANS * self._context.limits.memory_ms
         return now + needed_ms > state.deadline and self._latency.sample_age_ms(request_class, now) < fresh_ms
 
+    def _gateway_is_behind(self, state: RequestState) -> bool:
+        """Whether this gateway's event loop is too late for the request: it has waited here, and each step up to the
+        first token waits for a turn of the loop. The usual times may be from before the loop fell behind."""
+        request = state.request
+        usual_ms = self._latency.first_token_ms(request.request_class)
+        ahead_ms = TURNS_TO_FIRST_TOKEN * request.turn_ms
+        if state.attempts or request.waited_ms + ahead_ms <= usual_ms:
+            return False
+        return self._context.now + max(MIN_USUAL_TIMES_LEFT * usual_ms, ahead_ms) > state.deadline
+
     def _delays_others(self, state: RequestState) -> bool:
         """Whether the request is late already during an overload. It has a lower value now, and its prefill would delay
         requests of full value, so that the overload would outlast its cause."""
--- a/ternlane/policy/messages.py
+++ b/ternlane/policy/messages.py
@@ -101,6 +101,9 @@
     # No reason: the request was streamed, or its client disconnected. For a failed request: the event loop failed it as
     # the router decided nothing in time, which is a bug in this program.
     UNKNOWN = auto()
+    # The event loop of this gateway is so far behind that the answer would be too late. Find out what keeps it busy, or
+    # add gateways.
+    GATEWAY_BEHIND = auto()
 
 
 class TimerKind(Enum):
@@ -181,6 +184,8 @@
     whole: bool = False
     router_state: RequestState | None = None
     tenant: Tenant | None = None
+    waited_ms: float = 0.0  # since its last byte arrived, before this gateway handled it
+    turn_ms: float = 0.0  # how long a turn of the host's event loop takes when it arrives; 0 if that is negligible
 
 
 @dataclass(slots=True, frozen=True)
--- a/ternlane/policy/request_flow.py
+++ b/ternlane/policy/request_flow.py
@@ -57,7 +57,7 @@
         objective_ms = request_class.slo_ms or request.client_timeout_ms
         slo_ms = objective_ms + request_class.slo_per_1000_tokens_ms * request.prompt_tokens / 1000
         draw = self._rules.draws.slow_start_draw()
-        state = RequestState(request, now + slo_ms, now + request.client_timeout_ms, draw)
+        state = RequestState(request, now + slo_ms - request.waited_ms, now + request.client_timeout_ms, draw)
         request.router_state = state
         self.unanswered[state] = None
         self._rules.latency.record_prompt(request)
