--- a/ternlane/policy/preferred_servers.py
+++ b/ternlane/policy/preferred_servers.py
@@ -69,6 +69,9 @@
     def __iter__(self) -> Iterator[EndpointState]:
         return iter(self.ranked)
 
+    def __len__(self) -> int:
+        return len(self.ranked)
+
     def all_ranks(self) -> range:
         """The ranks of the servers, from 1 on."""
         return range(1, len(self.ranked) + 1)
