A long turn accepts by its length, and recent turns tell how late a loop is

The second longest turn of several seconds also told of lateness for too long, and its record grew while no request asked for it.

Change: a turn accepts one more connection for each 10 ms that the turn before has taken. LoopTimes.turn_ms is the mean of the last 16 turns, weighted by their durations, without the longest. The event loop owns the measurement for both gateways, removes its instrument at its end, and sets Request.turn_ms; the chat gateway asks for the wait once. Also mended from a review of the diff: paired assignments and blank lines.

--- a/ternlane/event_loop.py
+++ b/ternlane/event_loop.py
@@ -16,6 +16,7 @@
 
 import trio
 
+from ternlane.http1.loop_times import LoopTimes
 from ternlane.policy import messages
 
 # Time constant of the expected lateness of timers after a late one.
@@ -152,6 +153,7 @@
         self.max_lateness_ms = 0.0  # of any timer; whoever reports it resets it
         self.answer_all_by_ms = inf  # in a shutdown, requests without an answer are failed at this time
         self.recent_lateness = Lateness(0.0, 0.0)
+        self.loop_times = LoopTimes()
 
     # -- events and actions
 
@@ -247,6 +249,7 @@
 
     def add_request(self, active_request: RequestT) -> None:
         """Adds a request and passes it to the router. It is answered in time even if the router fails to decide."""
+        active_request.request.turn_ms = self.loop_times.turn_ms()
         self.active_requests[active_request.request] = active_request
         if not self.checking_overdue:
             self.fail_overdue_requests()
@@ -294,18 +297,26 @@
         return self.recent_lateness.late_ms * exp((self.recent_lateness.at_ms - now_ms()) / LATENESS_DECAY_MS)
 
     async def run_timers(self) -> None:
-        """Fires timers when they are due. The events of all timers due are passed to the router in one batch."""
-        while True:
-            wait_ms = self.timers[0][0] - now_ms() if self.timers else inf
-            if wait_ms > 0:
-                await self._wait_for_timer_change(wait_ms)
-                continue
-            self._note_lateness(-wait_ms)
-            self._fire_due_timers()
-            if self.pending_events and not self.processing:
-                self.process_events()
-            self.on_timers_fired()
-            await trio.lowlevel.checkpoint()
+        """Fires timers when they are due, and measures the turns of the loop. The events of all timers due are passed
+        to the router in one batch."""
+        trio.lowlevel.add_instrument(self.loop_times)
+        try:
+            while True:
+                await self._wait_and_fire()
+        finally:
+            trio.lowlevel.remove_instrument(self.loop_times)
+
+    async def _wait_and_fire(self) -> None:
+        wait_ms = self.timers[0][0] - now_ms() if self.timers else inf
+        if wait_ms > 0:
+            await self._wait_for_timer_change(wait_ms)
+            return
+        self._note_lateness(-wait_ms)
+        self._fire_due_timers()
+        if self.pending_events and not self.processing:
+            self.process_events()
+        self.on_timers_fired()
+        await trio.lowlevel.checkpoint()
 
     async def _wait_for_timer_change(self, at_most_ms: float) -> None:
         self.timer_changed = trio.Event()
--- a/ternlane/gateway/chat_api.py
+++ b/ternlane/gateway/chat_api.py
@@ -146,11 +146,12 @@
         """The request to run; None for a repeat, which this method answers itself. Raises InvalidRequestError and
         RequestNotAdmittedError."""
         received_ms = now_ms()
+        waited_ms = self.runtime.loop_times.waited_ms(exchange.stream)
         admission = self.admission
         tenant = admission.tenant(exchange)
         chat_request = parse_chat_request(exchange.body)
         admission.check_open_limit()
-        client_timeout_ms = admission.client_timeout_ms(exchange, chat_request.model)
+        client_timeout_ms = admission.client_timeout_ms(exchange, chat_request.model, waited_ms)
         after = admission.resume_position(exchange, chat_request)
         key = admission.repeat_key(exchange, tenant) if chat_request.model in admission.models else None
         if key is not None:
@@ -161,11 +162,13 @@
                 await send_replayed(exchange, final, chat_request, ident, after, event_ids)
                 return None
         try:
-            return admission.admit(exchange, chat_request, tenant, key, client_timeout_ms, received_ms, after)
+            active_request = admission.admit(exchange, chat_request, tenant, key, client_timeout_ms, received_ms, after)
         except BaseException:
             if key is not None:  # the first request with this key did not run: the next one counts as the first
                 admission.release_key(key)
             raise
+        active_request.request.waited_ms = waited_ms
+        return active_request
 
     async def run(self, exchange: Exchange, active_request: ActiveRequest) -> None:
         """Runs an admitted request and answers it."""
--- a/ternlane/gateway/gateway.py
+++ b/ternlane/gateway/gateway.py
@@ -93,7 +93,7 @@
         self.chat_api = ChatApi(
             config, self.runtime, intake, models, self.metrics, log, self.budget_enforcer, shared_limits
         )
-        self.listeners = Listeners(self.chat_api.connection, nursery, log)
+        self.listeners = Listeners(self.chat_api.connection, nursery, self.runtime.loop_times, log)
         self.endpoint_watcher = EndpointWatcher(
             config,
             self.registry,
@@ -132,7 +132,6 @@
     # -- start and stop
 
     async def _start(self, listeners: list[trio.SocketListener] | None = None) -> None:
-        trio.lowlevel.add_instrument(self.runtime.loop_times)
         self.endpoint_watcher.load_cache()
         self.address = await self.listeners.open(self.config.listen, listeners)
         self.nursery.start_soon(self.endpoint_watcher.watch)
--- a/ternlane/gateway/listeners.py
+++ b/ternlane/gateway/listeners.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from ternlane.http1.loop_times import LoopTimes
 from ternlane.http1.waiting_connections import accept_waiting
 
 BACKLOG = 4096  # pending connections: a burst must not be refused while the event loop is busy
@@ -28,9 +29,10 @@
 
     `is_shared`: the sockets are shared with another process, which serves the connections left in their queues."""
 
-    def __init__(self, serve: Serve, nursery: trio.Nursery, log: Any) -> None:
+    def __init__(self, serve: Serve, nursery: trio.Nursery, loop_times: LoopTimes, log: Any) -> None:
         self.serve = serve
         self.nursery = nursery
+        self.loop_times = loop_times
         self.log = log
         self.listeners: list[trio.SocketListener] = []
         self.is_shared = False
@@ -61,7 +63,7 @@
             try:
                 stream = await listener.accept()
                 self.nursery.start_soon(self.serve, stream)
-                for waiting in accept_waiting(listener, stream):
+                for waiting in accept_waiting(listener, self.loop_times):
                     self.nursery.start_soon(self.serve, waiting)
             except (trio.ClosedResourceError, OSError) as error:
                 if listener.socket.fileno() < 0:
--- a/ternlane/gateway/request_admission.py
+++ b/ternlane/gateway/request_admission.py
@@ -96,16 +96,16 @@
                 503, "This gateway holds as many generations as it may", "open_limit", RETRY_AFTER_S
             )
 
-    def client_timeout_ms(self, exchange: Exchange, model: str) -> float:
-        """The shorter of the request class's deadline and the client's time limit, less the time since arrival (also
-        unread) and the time that the answer may take to reach the client; 0 for an unknown model, which is rejected
-        later. Raises InvalidRequestError."""
+    def client_timeout_ms(self, exchange: Exchange, model: str, waited_ms: float) -> float:
+        """The shorter of the request class's deadline and the client's time limit, less the time since arrival, or
+        since its last bytes came (`waited_ms`) if that is longer, and the time that the answer may take to reach the
+        client; 0 for an unknown model, which is rejected later. Raises InvalidRequestError."""
         request_class = self.models.get(model)
         limit_ms = request_class.deadline_ms if request_class is not None else 0.0
         header = exchange.header(TIME_LIMIT_HEADER)
         if header is not None:
             limit_ms = min(limit_ms, parse_time_limit(header))
-        spent_ms = max(now_ms() - exchange.arrived * 1000, self.runtime.loop_times.waited_ms(exchange.stream))
+        spent_ms = max(now_ms() - exchange.arrived * 1000, waited_ms)
         return max(0.0, limit_ms - spent_ms - self.config.door.answer_ms)
 
     def resume_position(self, exchange: Exchange, chat_request: ChatRequest) -> int:
@@ -209,8 +209,6 @@
         InvalidRequestError; RequestNotAdmittedError if a stream's rest isn't reproducible or the budget has no room."""
         owner = tenant.name if tenant is not None else ""
         record = self.intake.take(chat_request, client_timeout_ms, owner)
-        record.request.waited_ms = self.runtime.loop_times.waited_ms(exchange.stream)
-        record.request.turn_ms = self.runtime.loop_times.turn_ms()
         if after and not is_reproducible(chat_request.raw, record.request.request_class.effect):
             raise RequestNotAdmittedError(
                 409,
--- a/ternlane/gateway/runtime.py
+++ b/ternlane/gateway/runtime.py
@@ -37,7 +37,6 @@
 from ternlane.gateway.server_calls import ServerCalls
 from ternlane.gateway.stream_forwarder import StreamForwarder
 from ternlane.gateway.stream_resumer import StreamResumer
-from ternlane.http1.loop_times import LoopTimes
 from ternlane.policy import messages
 from ternlane.policy.messages import AttemptOutcome, EndpointStatus, Role, RouterConfig, Server
 from ternlane.recovery import StreamJoin, StreamRecovery
@@ -72,7 +71,6 @@
         self.stream_resumer = StreamResumer(self)
         self.attempt_recorder = AttemptRecorder(self, intake)
         self.server_calls = ServerCalls(self)
-        self.loop_times = LoopTimes()
         self.idents: set[str] = set()
         self.journal_writer: JournalWriter | None = None
         self.on_done: Callable[[ActiveRequest], None] = lambda _: None
--- a/ternlane/http1/loop_times.py
+++ b/ternlane/http1/loop_times.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections import deque
-from typing import NamedTuple
 
 import trio
 
@@ -11,17 +10,8 @@
 
 # A poll that waited at least this long for I/O shows that the loop had read everything that had arrived.
 IDLE_WAIT_MS = 0.5
-# Shorter turns of the loop do not make requests late.
-MIN_TURN_MS = 5.0
-# A turn is remembered for this many times its duration.
-TURN_MEMORY_TIMES = 8.0
-
-
-class Turn(NamedTuple):
-    """One turn of the loop, from one wait for I/O to the next."""
-
-    took_ms: float
-    ended_ms: float
+# The turns that say how long the next ones will take.
+RECENT_TURNS = 16
 
 
 class LoopTimes(trio.abc.Instrument):
@@ -32,15 +22,13 @@
         self._wait_began_s = now_s
         self._wait_ended_s = now_s
         self._unread_since_s = now_s
-        self._long_turns: deque[Turn] = deque()
+        self._turns_ms = deque([0.0] * RECENT_TURNS, maxlen=RECENT_TURNS)
 
     def before_io_wait(self, timeout: float) -> None:
         """Called by trio before it waits for I/O."""
         now_s = trio.current_time()
         self._wait_began_s = now_s
-        took_ms = (now_s - self._wait_ended_s) * 1000
-        if took_ms >= MIN_TURN_MS:
-            self._long_turns.append(Turn(took_ms, now_s * 1000))
+        self._turns_ms.append((now_s - self._wait_ended_s) * 1000)
 
     def after_io_wait(self, timeout: float) -> None:
         """Called by trio after it has waited for I/O."""
@@ -59,18 +47,15 @@
         queue too."""
         return max(self.max_unread_ms(), since_last_data_ms(stream))
 
-    def turn_ms(self) -> float:
-        """How long a turn of the loop takes at present; 0 if that makes no request late.
+    @property
+    def latest_turn_ms(self) -> float:
+        """How long the turn before the present one took."""
+        return self._turns_ms[-1]
 
-        It is the second longest of the recent turns: one long turn alone, as after a pause of the whole process, does
-        not mean that the next ones will be long.
-        """
-        now_ms = trio.current_time() * 1000
-        self._long_turns = deque(
-            turn for turn in self._long_turns if now_ms - turn.ended_ms < TURN_MEMORY_TIMES * turn.took_ms
-        )
-        durations = [turn.took_ms for turn in self._long_turns]
-        current_ms = now_ms - self._wait_ended_s * 1000
-        if current_ms >= MIN_TURN_MS:
-            durations.append(current_ms)
-        return sorted(durations)[-2] if len(durations) > 1 else 0.0
+    def turn_ms(self) -> float:
+        """How long a turn of the loop takes at present: the mean of the recent turns, each weighted by its duration, as
+        a request is the likelier to arrive during a turn the longer it is. The longest turn is left out: one alone, as
+        after a pause of the whole process, does not mean that the next ones will be long."""
+        turns_ms = sorted(self._turns_ms)[:-1]
+        total_ms = sum(turns_ms)
+        return sum(turn_ms * turn_ms for turn_ms in turns_ms) / total_ms if total_ms > 0 else 0.0
--- a/ternlane/http1/waiting_connections.py
+++ b/ternlane/http1/waiting_connections.py
@@ -1,26 +1,25 @@
-"""Accepts the connections that have waited for long in a listener's queue, several in one turn of the event loop.
+"""Accepts as many connections in a long turn of the event loop as short turns would accept in the same time.
 
-An event loop accepts one connection in each turn, which spreads the work of a burst. While turns take long, that would
-be too few, and requests would wait unread for longer and longer.
+An event loop accepts one connection in each turn, so that requests that arrive together are begun one after another.
+While turns take long, one would be too few, and requests would wait unread for longer and longer.
 """
 
 from __future__ import annotations
 
 import trio
 
-from ternlane.http1.nonblocking import accept_now, since_last_data_ms
+from ternlane.http1.loop_times import LoopTimes
+from ternlane.http1.nonblocking import accept_now
 
-# One more connection is accepted in a turn for each time this long that the latest one has waited.
-WAIT_PER_CONNECTION_MS = 100.0
-# The most connections accepted in one turn, besides the first one.
-MAX_ACCEPTED_PER_TURN = 64
+# One more connection is accepted for each time this long that the turn before has taken.
+TURN_PER_CONNECTION_MS = 10.0
 
 
-def accept_waiting(listener: trio.SocketListener, latest: trio.SocketStream) -> list[trio.SocketStream]:
-    """The connections to accept in this turn after the latest one. Raises OSError as `accept`, if it fails for the
+def accept_waiting(listener: trio.SocketListener, loop_times: LoopTimes) -> list[trio.SocketStream]:
+    """The connections to accept in this turn besides the first one. Raises OSError as `accept`, if it fails for the
     first of them."""
     streams: list[trio.SocketStream] = []
-    most = min(MAX_ACCEPTED_PER_TURN, int(since_last_data_ms(latest) / WAIT_PER_CONNECTION_MS))
+    most = int(loop_times.latest_turn_ms / TURN_PER_CONNECTION_MS)
     while len(streams) < most:
         try:
             stream = accept_now(listener)
--- a/ternlane/platform/acceptor.py
+++ b/ternlane/platform/acceptor.py
@@ -42,7 +42,7 @@
                 continue
             self._serve(stream, nursery)
             try:
-                waiting = accept_waiting(listener, stream)
+                waiting = accept_waiting(listener, self.server.runtime.loop_times)
             except OSError as error:
                 await self.recover(error)
                 continue
--- a/ternlane/platform/chat_server.py
+++ b/ternlane/platform/chat_server.py
@@ -17,7 +17,6 @@
     ServerConnection,
     SharedLimits,
 )
-from ternlane.http1.loop_times import LoopTimes
 from ternlane.platform.active_request import ActiveRequest, Streamed
 from ternlane.platform.errors import InvalidRequestError
 from ternlane.platform.protocol import CHAT_PATH, MAX_BODY_BYTES, READY_PATH, ParsedRequest, parse_request
@@ -46,9 +45,8 @@
     connection_limit: int
     request_limit: int
 
-    def __init__(self, runtime: PlatformRuntime, loop_times: LoopTimes, shared_limits: SharedLimits, log: Any) -> None:
+    def __init__(self, runtime: PlatformRuntime, shared_limits: SharedLimits, log: Any) -> None:
         self.runtime = runtime
-        self.loop_times = loop_times
         self.shared_limits = shared_limits
         self.log = log
         self.open: set[ServerConnection] = set()
@@ -177,7 +175,7 @@
         deployment = self.runtime.deployment
         request_class = deployment.request_classes[parsed.request_class]
         timeout_ms = parsed.client_timeout_ms or request_class.deadline_ms
-        waited_ms = self.loop_times.waited_ms(exchange.stream)
+        waited_ms = self.runtime.loop_times.waited_ms(exchange.stream)
         left_ms = timeout_ms - waited_ms - self.runtime.expected_lateness_ms()
         request = deployment.request(
             request_class,
@@ -190,7 +188,6 @@
             parsed.tenant,
         )
         request.waited_ms = waited_ms
-        request.turn_ms = self.loop_times.turn_ms()
         return request
 
     def _retry_after_ms(self) -> float:
--- a/ternlane/platform/gateway.py
+++ b/ternlane/platform/gateway.py
@@ -12,7 +12,6 @@
 
 from ternlane.event_loop import now_ms
 from ternlane.http1 import ConnectionPool, SharedLimits
-from ternlane.http1.loop_times import LoopTimes
 from ternlane.platform.acceptor import Acceptor
 from ternlane.platform.chat_server import ChatServer
 from ternlane.platform.discovery_watch import FIRST_LIST_MS, DiscoveryWatch
@@ -66,8 +65,7 @@
         self.pool = ConnectionPool(router_config.connect_ms, router_config.idle_ms, shared_limits=self.shared_limits)
         model_servers = ModelServerClient(self.pool, deployment)
         self.runtime = PlatformRuntime(Router(router_config), deployment, model_servers, nursery, log)
-        self.loop_times = LoopTimes()
-        self.chat_server = ChatServer(self.runtime, self.loop_times, self.shared_limits, log)
+        self.chat_server = ChatServer(self.runtime, self.shared_limits, log)
         self.acceptor = Acceptor(self.chat_server, log)
         self.watch = DiscoveryWatch(
             configuration.discovery,
@@ -104,7 +102,6 @@
         host, port = self.configuration.listen
         listeners = await trio.open_tcp_listeners(port, host=host, backlog=LISTEN_BACKLOG)
         self.listener = listeners[0]
-        trio.lowlevel.add_instrument(self.loop_times)
         self.runtime.endpoint_registry.index = self.configuration.known_endpoints.index
         self.runtime.update_endpoints(self.configuration.known_endpoints)
         self.nursery.start_soon(self.runtime.run_timers)
@@ -228,7 +225,7 @@
             descriptors=open_descriptors(),
             memory_mb=round(memory_mb(), 1),
             loop_late_ms=round(runtime.max_lateness_ms, 1),
-            loop_turn_ms=round(self.loop_times.turn_ms(), 1),
+            loop_turn_ms=round(runtime.loop_times.turn_ms(), 1),
             cpu_s=round(time.process_time(), 2),
             **counts,
         )
--- a/ternlane/policy/candidate_index.py
+++ b/ternlane/policy/candidate_index.py
@@ -88,7 +88,8 @@
         indexed = self._servers.pop(endpoint, None)
         if indexed is None:
             return
-        role, zone = indexed.role, indexed.zone
+        role = indexed.role
+        zone = indexed.zone
         for place, ranking in zip((indexed.cell, zone, None), indexed.rankings, strict=True):
             move_entry(ranking, indexed.key, None, endpoint)
             if not ranking:
--- a/ternlane/policy/endpoint_state.py
+++ b/ternlane/policy/endpoint_state.py
@@ -28,8 +28,6 @@
 # Time constant of the count of sent requests, in multiples of `Limits.memory_ms`, the time constant of the router's
 # statistics. It is longer than that of other counts, as each of many gateways sends only few requests to a server.
 SENT_MEMORY_SPANS = 4
-
-
 # A server has too many open requests if this gateway has more there than this multiple of the median of its role.
 MAX_TIMES_MEDIAN_OPEN = 2.0
 # Lower bound of that median: below it, a difference of one request is noise.
--- a/ternlane/policy/messages.py
+++ b/ternlane/policy/messages.py
@@ -185,7 +185,7 @@
     router_state: RequestState | None = None
     tenant: Tenant | None = None
     waited_ms: float = 0.0  # since its last byte arrived, before this gateway handled it
-    turn_ms: float = 0.0  # how long a turn of the host's event loop takes when it arrives; 0 if that is negligible
+    turn_ms: float = 0.0  # how long a turn of the host's event loop takes when it arrives
 
 
 @dataclass(slots=True, frozen=True)
--- a/ternlane/policy/pair_search.py
+++ b/ternlane/policy/pair_search.py
@@ -259,7 +259,8 @@
         for endpoint in self._unindexed_in(place):
             rank = self._decode_rank(endpoint)
             if rank > best_rank:
-                best, best_rank = endpoint, rank
+                best = endpoint
+                best_rank = rank
         for connected in CONNECTED_FIRST:
             connect_cost = 0.0 if connected else self._connect_cost
             for key, endpoint in self._index.freest_first(Role.DECODE, place, connected):
@@ -271,7 +272,8 @@
                     continue
                 rank = self._decode_rank(endpoint)
                 if rank > best_rank:
-                    best, best_rank = endpoint, rank
+                    best = endpoint
+                    best_rank = rank
         return best
 
     def _decode_rank(self, endpoint: EndpointState) -> DecodeRank:
