LoopTimes may be made before the loop runs

Change: the clock is read when the measurement begins; before that nothing counts as unread.

Measured: tests/test_decision_digests.py and tests/test_loop_overload.py 69 passed; the library's, fleet's, pins' and time-outs' files 106 passed.

--- a/ternlane/event_loop.py
+++ b/ternlane/event_loop.py
@@ -299,12 +299,9 @@
     async def run_timers(self) -> None:
         """Fires timers when they are due, and measures the turns of the loop. The events of all timers due are passed
         to the router in one batch."""
-        trio.lowlevel.add_instrument(self.loop_times)
-        try:
+        with self.loop_times.measuring():
             while True:
                 await self._wait_and_fire()
-        finally:
-            trio.lowlevel.remove_instrument(self.loop_times)
 
     async def _wait_and_fire(self) -> None:
         wait_ms = self.timers[0][0] - now_ms() if self.timers else inf
--- a/ternlane/http1/loop_times.py
+++ b/ternlane/http1/loop_times.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Iterator
+from contextlib import contextmanager
+from math import inf
 
 import trio
 
@@ -18,11 +21,23 @@
     """Tracks the polls and turns of the loop. All times are of trio's clock."""
 
     def __init__(self) -> None:
+        self._wait_began_s = inf
+        self._wait_ended_s = inf
+        self._unread_since_s = inf
+        self._turns_ms = deque([0.0] * RECENT_TURNS, maxlen=RECENT_TURNS)
+
+    @contextmanager
+    def measuring(self) -> Iterator[None]:
+        """Measures the loop of this task until the context ends."""
         now_s = trio.current_time()
         self._wait_began_s = now_s
         self._wait_ended_s = now_s
         self._unread_since_s = now_s
-        self._turns_ms = deque([0.0] * RECENT_TURNS, maxlen=RECENT_TURNS)
+        trio.lowlevel.add_instrument(self)
+        try:
+            yield
+        finally:
+            trio.lowlevel.remove_instrument(self)
 
     def before_io_wait(self, timeout: float) -> None:
         """Called by trio before it waits for I/O."""
@@ -38,9 +53,9 @@
         self._wait_ended_s = now_s
 
     def max_unread_ms(self) -> float:
-        """The longest time for which data that was just read may have been waiting, since it could be read. During a
-        long turn of the loop, the time of its arrival is unknown."""
-        return (trio.current_time() - self._unread_since_s) * 1000
+        """The longest time for which data that was just read may have been waiting, since it could be read; 0 before
+        the first measurement. During a long turn of the loop, the time of its arrival is unknown."""
+        return max(0.0, (trio.current_time() - self._unread_since_s) * 1000)
 
     def waited_ms(self, stream: trio.SocketStream) -> float:
         """For how long a request that has just been read may have waited since its last byte arrived, in the listener's
