A message whose bytes lie unread has not stalled: it isn't given up for memory

Seen by callers: 503 room for large requests that were sent without a pause, while others used up the memory for messages.

Cause: a message of which nothing had been read for 0.25 s was given up. With a late event loop its bytes lay unread in the socket.

Change: the shared memory asks the connection whether bytes have come that it is about to read. The list of incomplete messages is copied only if something must be given up.

--- a/ternlane/http1/buffer_memory.py
+++ b/ternlane/http1/buffer_memory.py
@@ -3,7 +3,7 @@
 Each connection has an account. Small amounts are held in any case: the number of connections bounds them. A message
 that grows large reserves room for all of it, and waits if there is none; meanwhile its bytes stay in the kernel, so
 that the messages with room can be completed. One of which nothing has come for `STALL_S` is given up when others wait:
-a peer that stops in the middle of a large message loses its place.
+a peer that stops in the middle of a large message loses its place. Bytes that a late event loop has not read have come.
 """
 
 from __future__ import annotations
@@ -30,19 +30,24 @@
         self._incomplete: OrderedDict[BufferAccount, None] = OrderedDict()  # messages, the longest without a byte first
         self._waiting: OrderedDict[BufferAccount, trio.Event] = OrderedDict()  # for room, in the order of their coming
 
-    def open_account(self, give_up: Callable[[], None]) -> BufferAccount:
-        """Opens an account. `give_up` must drop the connection's incomplete message at once, without waiting."""
-        return BufferAccount(self, give_up)
+    def open_account(self, give_up: Callable[[], None], has_unread: Callable[[], bool]) -> BufferAccount:
+        """Opens an account. `give_up` must drop the connection's incomplete message at once, without waiting;
+        `has_unread` returns whether bytes of it have come that the connection is about to read."""
+        return BufferAccount(self, give_up, has_unread)
 
     def make_room(self, more_bytes: int, requester: BufferAccount) -> bool:
         """Returns whether so many bytes more can be reserved. Stalled messages of others are given up for them."""
         limit_bytes = self.limit_bytes - self.small_bytes - more_bytes
-        self._give_up_messages(limit_bytes, trio.current_time() - STALL_S, requester)
+        if self.reserved_bytes > limit_bytes:
+            self._give_up_stalled_messages(limit_bytes, requester)
         return self.reserved_bytes <= limit_bytes
 
     def make_room_for_complete(self) -> bool:
         """Returns whether complete messages have room. Incomplete ones are given up for them."""
-        self._give_up_messages(self.limit_bytes, inf, None)
+        for account in self._longest_silent_first():
+            if self.reserved_bytes <= self.limit_bytes:
+                break
+            account.give_up()
         return self.reserved_bytes <= self.limit_bytes
 
     async def wait_for_room(self, more_bytes: int, account: BufferAccount) -> None:
@@ -81,14 +86,23 @@
         """The message is complete or dropped, and can't be given up any more."""
         self._incomplete.pop(account, None)
 
-    def _give_up_messages(self, limit_bytes: float, before_s: float, requester: BufferAccount | None) -> None:
-        """Gives up messages of which nothing has come since `before_s` until no more than the limit is reserved."""
-        for account in list(self._incomplete):
+    def _give_up_stalled_messages(self, limit_bytes: float, requester: BufferAccount) -> None:
+        """Gives up messages of which nothing has come for `STALL_S` until no more than the limit is reserved."""
+        before_s = trio.current_time() - STALL_S
+        for account in self._longest_silent_first():
             if self.reserved_bytes <= limit_bytes or account.received_at_s > before_s:
                 return
-            if account is not requester:
+            if account is requester:
+                continue
+            if account.has_unread():
+                self.received(account)
+            else:
                 account.give_up()
 
+    def _longest_silent_first(self) -> list[BufferAccount]:
+        """The accounts with incomplete messages. The caller may change them meanwhile."""
+        return list(self._incomplete)
+
     def _wake_first(self) -> None:
         if self._waiting:
             next(iter(self._waiting.values())).set()
@@ -97,11 +111,12 @@
 class BufferAccount:
     """What one connection holds: small amounts, and what is reserved for a large or a complete message."""
 
-    __slots__ = ("_give_up", "is_closed", "memory", "received_at_s", "reserved_bytes", "small_bytes")
+    __slots__ = ("_give_up", "has_unread", "is_closed", "memory", "received_at_s", "reserved_bytes", "small_bytes")
 
-    def __init__(self, memory: BufferMemory, give_up: Callable[[], None]) -> None:
+    def __init__(self, memory: BufferMemory, give_up: Callable[[], None], has_unread: Callable[[], bool]) -> None:
         self.memory = memory
         self._give_up = give_up
+        self.has_unread = has_unread
         self.small_bytes = 0
         self.reserved_bytes = 0
         self.is_closed = False
@@ -153,8 +168,15 @@
         """The connection has ended."""
         self.is_closed = True
         self.release()
-        self._give_up = _nothing  # a reference to the connection would keep its buffers until the garbage collection
+        # References to the connection would keep its buffers until the garbage collection.
+        self._give_up = do_nothing
+        self.has_unread = has_nothing_unread
 
 
-def _nothing() -> None:
+def do_nothing() -> None:
     """Gives up nothing."""
+
+
+def has_nothing_unread() -> bool:
+    """For a connection that nothing is about to be read from, as its reader waits for another peer."""
+    return False
--- a/ternlane/http1/client_connection.py
+++ b/ternlane/http1/client_connection.py
@@ -9,6 +9,7 @@
 import h11
 import trio
 
+from ternlane.http1.buffer_memory import has_nothing_unread
 from ternlane.http1.errors import ConnectError, ReadTimeout
 from ternlane.http1.line_limits import MAX_LINES, TrailerLimit, has_too_many_lines
 from ternlane.http1.nonblocking import is_readable, receive_now, send
@@ -54,7 +55,7 @@
         self.conn = h11.Connection(h11.CLIENT, max_incomplete_event_size=HEAD_BYTES)
         shared_limits = shared_limits or SharedLimits()
         self.parser = MessageParser(shared_limits.parse_turns)
-        self.account = shared_limits.memory.open_account(self.close_now)
+        self.account = shared_limits.memory.open_account(self.close_now, has_nothing_unread)
         self.kept_bytes = 0  # of the response, held by the caller
         self.is_essential = False  # its responses are held even if the shared memory is used up
         self.state = CallState.NOT_SENT
--- a/ternlane/http1/exchange.py
+++ b/ternlane/http1/exchange.py
@@ -7,7 +7,7 @@
 import h11
 import trio
 
-from ternlane.http1.buffer_memory import BufferAccount, BufferMemory
+from ternlane.http1.buffer_memory import BufferAccount, BufferMemory, do_nothing, has_nothing_unread
 from ternlane.http1.nonblocking import has_hung_up, send_now
 
 # Largest single read. Also what one connection may hold unparsed while others have their turns.
@@ -37,7 +37,7 @@
         self.request = request
         self.send_ms = send_ms
         self.closing = closing
-        self.account = account or BufferMemory().open_account(lambda: None)
+        self.account = account or BufferMemory().open_account(do_nothing, has_nothing_unread)
         self.body = b""
         self.begun = False
         self.early_bytes = 0  # bytes received after the request while it was handled
--- a/ternlane/http1/server_connection.py
+++ b/ternlane/http1/server_connection.py
@@ -85,7 +85,7 @@
         self.conn = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.head_bytes)
         shared_limits = shared_limits or SharedLimits()
         self.parser = MessageParser(shared_limits.parse_turns)
-        self.account = shared_limits.memory.open_account(self._give_up_request)
+        self.account = shared_limits.memory.open_account(self._give_up_request, self._has_unread)
         self.retry_after_ms = retry_after_ms
         self.state = ConnectionState.READING
         self.has_received_request = False
@@ -291,6 +291,9 @@
                 self._reading_scope = None
                 self.parser.pause()
 
+    def _has_unread(self) -> bool:
+        return is_readable(self.stream)
+
     def _give_up_request(self) -> None:
         """Drops what has been read of the body. The request is then refused."""
         self._given_up = True
--- a/tests/test_buffer_memory.py
+++ b/tests/test_buffer_memory.py
@@ -15,10 +15,13 @@
         self.memory = BufferMemory(100)
         self.accounts: dict[str, BufferAccount] = {}
         self.given_up: list[str] = []
+        self.unread: set[str] = set()  # names of those of whose messages bytes have come that are not read yet
         self.with_room: list[str] = []
 
     def open(self, name: str) -> BufferAccount:
-        account = self.accounts[name] = self.memory.open_account(lambda: self.given_up.append(name))
+        account = self.accounts[name] = self.memory.open_account(
+            lambda: self.given_up.append(name), lambda: name in self.unread
+        )
         return account
 
     async def hold(self, name: str, held_bytes: int) -> None:
@@ -44,6 +47,22 @@
     assert holders.memory.reserved_bytes == 90
 
 
+async def test_a_message_whose_bytes_are_unread_has_not_stalled(
+    nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
+) -> None:
+    """While the event loop is late, messages that keep coming were given up for each other (issue 62)."""
+    holders = Holders()
+    await holders.hold("unread", 50)
+    await holders.hold("read", 50)
+    holders.unread.add("unread")
+    await trio.sleep(2 * STALL_S)
+    assert not holders.open("third").try_reserve(60) and holders.given_up == ["read"]
+    assert holders.accounts["third"].try_reserve(40)
+    holders.unread.clear()
+    await trio.sleep(2 * STALL_S)
+    assert holders.open("fourth").try_reserve(60) and holders.given_up == ["read", "unread"]
+
+
 async def test_messages_get_room_in_the_order_of_their_coming(
     nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
 ) -> None:
