Equally free servers, comparisons, reports and lists no longer cost by the fleet

Cause: where no cell has servers of both roles, a choice still looked at every idle decode server of a zone, as all are equally free. The periodic comparison called Python functions for every server, a load report looked at all waiting requests, and every list at all addresses.

Change: of more than 128 equally free decode servers, 128 are compared, from a random one on; smaller groups as before. The comparison selects the servers to tell in comprehensions. Waiting requests are kept by the server whose report they wait for. The registry counts the servers of an address, and connections are looked through only if one has gone.

--- a/ternlane/platform/endpoint_registry.py
+++ b/ternlane/platform/endpoint_registry.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import dataclass
 from math import inf
 
@@ -32,6 +33,8 @@
         self.clock = WallClock()
         self.servers: dict[str, Server] = {}
         self.endpoints: dict[Server, Endpoint] = {}
+        self.addresses: Counter[str] = Counter()  # how many listed servers have each address
+        self.has_unlisted_addresses = False  # whether the latest list has changed or removed the last server of one
         self._outdated_since_ms = inf  # since when the lists have been older than the newest one
 
     def apply_list(self, endpoint_list: EndpointList, wall_ms: float, now_ms: float) -> EndpointsUpdated:
@@ -42,6 +45,7 @@
         have been observed. Raises ValueError if discovery's index has restarted; the full list must then be requested.
         """
         self.clock.observe(wall_ms, now_ms)
+        self.has_unlisted_addresses = False
         if self._is_outdated(endpoint_list, now_ms):
             return EndpointsUpdated(())
         changed: list[Server] = []
@@ -53,7 +57,9 @@
             changed += self._remove_unlisted({entry.name for entry in endpoint_list.endpoints})
         for server in changed:
             if server.status is EndpointStatus.REMOVED:
-                del self.servers[self.endpoints.pop(server).name]
+                endpoint = self.endpoints.pop(server)
+                del self.servers[endpoint.name]
+                self._unlist_address(endpoint.address)
         self.index = endpoint_list.index
         return EndpointsUpdated(tuple(changed))
 
@@ -92,7 +98,10 @@
         endpoint = self.endpoints[server]
         if endpoint.entry.since_ms != entry.since_ms:
             server.started_ms = self._started_ms(entry, now_ms)
-        endpoint.address = entry.address
+        if endpoint.address != entry.address:
+            self.addresses[entry.address] += 1
+            self._unlist_address(endpoint.address)
+            endpoint.address = entry.address
         endpoint.entry = entry
         server.size = entry.weight
         server.status = status
@@ -103,8 +112,15 @@
         server.started_ms = self._started_ms(entry, now_ms)
         self.servers[entry.name] = server
         self.endpoints[server] = Endpoint(entry.name, entry.address, entry)
+        self.addresses[entry.address] += 1
         return server
 
+    def _unlist_address(self, address: str) -> None:
+        self.addresses[address] -= 1
+        if not self.addresses[address]:
+            del self.addresses[address]
+            self.has_unlisted_addresses = True
+
     def _remove_unlisted(self, listed: set[str]) -> list[Server]:
         removed = [server for name, server in self.servers.items() if name not in listed]
         for server in removed:
--- a/ternlane/platform/model_server_client.py
+++ b/ternlane/platform/model_server_client.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Set
 from dataclasses import dataclass
 from itertools import islice
 from math import inf
@@ -70,9 +70,9 @@
         """Records that this server has just answered a call."""
         self.answer_order.record_answer(address, trio.current_time())
 
-    def forget_unlisted(self, addresses: Iterable[str]) -> None:
+    def forget_unlisted(self, addresses: Set[str]) -> None:
         """Drops idle connections and answer times of servers at other than these addresses."""
-        for address in (self.answer_order.answered_at_s.keys() | self.pool.idle.keys()) - set(addresses):
+        for address in (self.answer_order.answered_at_s.keys() | self.pool.idle.keys()) - addresses:
             self.pool.forget(address)
             self.answer_order.forget(address)
 
--- a/ternlane/platform/runtime.py
+++ b/ternlane/platform/runtime.py
@@ -89,8 +89,8 @@
     def update_endpoints(self, endpoint_list: EndpointList) -> None:
         """Applies a list of discovery. Raises ValueError if the full list must be requested."""
         update = self.endpoint_registry.apply_list(endpoint_list, time.time() * 1000, now_ms())
-        endpoints = self.endpoint_registry.endpoints.values()
-        self.model_servers.forget_unlisted([endpoint.address for endpoint in endpoints])
+        if self.endpoint_registry.has_unlisted_addresses:
+            self.model_servers.forget_unlisted(self.endpoint_registry.addresses.keys())
         if update.servers:
             self.dispatch(update)
 
--- a/ternlane/policy/endpoint_table.py
+++ b/ternlane/policy/endpoint_table.py
@@ -102,6 +102,12 @@
         self._refresh()
         return (endpoint for _, endpoint in self._ready[role].entries)
 
+    def ready_snapshots(self, role: Role) -> list[EndpointSnapshot]:
+        """The snapshots of the same servers."""
+        self._refresh()
+        snapshots = self._snapshots
+        return [snapshots[endpoint] for _, endpoint in self._ready[role].entries]
+
     def ready_count(self, role: Role) -> int:
         """The number of ready servers of a role."""
         self._refresh()
--- a/ternlane/policy/fleet_monitor.py
+++ b/ternlane/policy/fleet_monitor.py
@@ -55,7 +55,7 @@
         self._affinity.halve_counts()
         compared = False
         for role in Role:
-            peers = [self._endpoints[endpoint] for endpoint in self._endpoints.each_ready(role)]
+            peers = self._endpoints.ready_snapshots(role)
             if peers:
                 self._compare(role, peers)
                 compared = True
@@ -75,21 +75,34 @@
         self._slow_start.update(role, peers, capable)
         stats = self._summarize(self.stats[role], peers)
         self.stats[role] = stats
-        for index, snapshot in enumerate(peers):
-            if (
-                snapshot.progress < MIN_PROGRESS * stats.median_progress
-                and not snapshot.ejected
-                and not snapshot.half_open
-            ):
-                snapshot.endpoint.post(EndpointTooSlow())
-            if self._needs_stats(index, snapshot, len(peers)):
-                snapshot.endpoint.post(stats)
+        idle_turn = set(self._idle_servers_updated(len(peers)))
+        min_progress = MIN_PROGRESS * stats.median_progress
+        not_idle = self._not_idle(peers)
+        too_slow = {
+            index
+            for index, snapshot in enumerate(peers)
+            if snapshot.progress < min_progress and not snapshot.ejected and not snapshot.half_open
+        }
+        for index in sorted(not_idle | idle_turn | too_slow):
+            endpoint = peers[index].endpoint
+            if index in too_slow:
+                endpoint.post(EndpointTooSlow())
+            if index in not_idle or index in idle_turn:
+                endpoint.post(stats)
 
-    def _needs_stats(self, index: int, snapshot: EndpointSnapshot, servers: int) -> bool:
-        """Whether to send the statistics to this server now; idle servers take turns."""
-        if snapshot.open_requests or snapshot.ejected or snapshot.half_open or snapshot.warm_at > self._context.now:
-            return True
-        return (index + self._ticks // COMPARISON_TICKS) % (servers // IDLE_SERVERS_UPDATED or 1) == 0
+    def _not_idle(self, peers: list[EndpointSnapshot]) -> set[int]:
+        """The indexes of the servers that are sent the statistics at each comparison."""
+        now = self._context.now
+        return {
+            index
+            for index, snapshot in enumerate(peers)
+            if snapshot.open_requests or snapshot.ejected or snapshot.half_open or snapshot.warm_at > now
+        }
+
+    def _idle_servers_updated(self, servers: int) -> range:
+        """The indexes of the servers that are sent the statistics now even if they are idle; all take turns."""
+        step = servers // IDLE_SERVERS_UPDATED or 1
+        return range(-(self._ticks // COMPARISON_TICKS) % step, servers, step)
 
     def _summarize(self, before: FleetStats, peers: list[EndpointSnapshot]) -> FleetStats:
         """Estimates the load of all gateways as this gateway's mean over the warm servers times the number of gateways.
@@ -99,17 +112,17 @@
         now = self._context.now
         healthy = [snapshot for snapshot in peers if not snapshot.ejected and not snapshot.half_open] or peers
         warm = [snapshot for snapshot in healthy if snapshot.warm_at <= now] or healthy
-        median_open = median(snapshot.open_requests for snapshot in healthy)
+        median_open = median([snapshot.open_requests for snapshot in healthy])
         interval_ms = COMPARISON_TICKS * limits.tick_ms
         weight = min(1.0, (1 + median_open) * interval_ms / limits.memory_ms)
         scale = weight * limits.gateways / len(warm)
         return FleetStats(
             median_open=median_open,
-            median_progress=min(1.0, median(snapshot.progress for snapshot in healthy)),
+            median_progress=min(1.0, median([snapshot.progress for snapshot in healthy])),
             memory_level=(1 - weight) * before.memory_level
-            + scale * sum(snapshot.own_memory_share for snapshot in warm),
-            queue_ms=(1 - weight) * before.queue_ms + scale * sum(snapshot.queue_ms for snapshot in warm),
-            mean_sent=sum(snapshot.sent for snapshot in warm) / len(warm),
+            + scale * sum([snapshot.own_memory_share for snapshot in warm]),
+            queue_ms=(1 - weight) * before.queue_ms + scale * sum([snapshot.queue_ms for snapshot in warm]),
+            mean_sent=sum([snapshot.sent for snapshot in warm]) / len(warm),
             queue_correction=self._latency.queue_correction,
             mean_prefill_ms=self._latency.mean_prefill_ms,
         )
--- a/ternlane/policy/load_probes.py
+++ b/ternlane/policy/load_probes.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
+
 from ternlane.policy.actors import RouterContext
 from ternlane.policy.endpoint_state import EndpointState
 from ternlane.policy.messages import Probe
@@ -19,7 +21,8 @@
 
     def __init__(self, context: RouterContext) -> None:
         self._context = context
-        self._waiting: list[RequestState] = []
+        self._waiting: dict[RequestState, None] = {}  # in the order of their arrival
+        self._waiting_for: defaultdict[EndpointState, dict[RequestState, None]] = defaultdict(dict)
 
     def has_time(self, state: RequestState) -> bool:
         """Whether the request has enough time left for a probe."""
@@ -39,16 +42,20 @@
             endpoint for endpoint in state.preferred.ranked[:PROBED_SERVERS] if self.probe_if_stale(endpoint)
         }
         if state.probed:
-            self._waiting.append(state)
+            self._waiting[state] = None
+        for endpoint in state.probed:
+            self._waiting_for[endpoint][state] = None
         return bool(state.probed)
 
     def report_received(self, endpoint: EndpointState) -> list[RequestState]:
         """Handles a report. Returns the open requests that were waiting for this report only."""
         ready = []
-        for state in [state for state in self._waiting if endpoint in state.probed]:
+        for state in self._waiting_for.pop(endpoint, {}):
+            if endpoint not in state.probed:  # it has been probed for anew meanwhile
+                continue
             state.probed.discard(endpoint)
             if not state.probed:
-                self._waiting.remove(state)
+                del self._waiting[state]
                 if not state.is_finished:
                     ready.append(state)
         return ready
@@ -56,5 +63,6 @@
     def stop_waiting(self) -> list[RequestState]:
         """Ends all waiting, as servers may not answer. Returns the open requests that were waiting."""
         waiting = [state for state in self._waiting if not state.is_finished]
-        self._waiting = []
+        self._waiting.clear()
+        self._waiting_for.clear()
         return waiting
--- a/ternlane/policy/pair_search.py
+++ b/ternlane/policy/pair_search.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from bisect import bisect_left
 from itertools import product
 from math import inf
 from typing import NamedTuple
@@ -16,7 +17,7 @@
 from ternlane.policy.endpoint_state import EndpointSnapshot, EndpointState
 from ternlane.policy.endpoint_table import EndpointTable
 from ternlane.policy.messages import Role
-from ternlane.policy.preferred_servers import HASH_RANGE, PreferredServers
+from ternlane.policy.preferred_servers import HASH_RANGE, MAX_COMPARED_SERVERS, PreferredServers
 
 # Reduction of the score per step of distance between the servers: 0 steps within a cell, 1 within a zone, 2 across
 # zones.
@@ -43,8 +44,20 @@
     negative_position: float
 
 
+class DecodeCandidate(NamedTuple):
+    """A decode server and its rank; the server is None if none was found."""
+
+    rank: DecodeRank
+    endpoint: EndpointState | None
+
+
 LOWEST_SCORE = Score(-inf, -inf, -inf)
-LOWEST_RANK = DecodeRank(-inf, -1, -inf)
+NO_DECODE_CANDIDATE = DecodeCandidate(DecodeRank(-inf, -1, -inf), None)
+
+
+def by_rank(candidate: DecodeCandidate) -> DecodeRank:
+    """The sort key of candidates."""
+    return candidate.rank
 
 
 class PairSearch:
@@ -254,31 +267,50 @@
         return self._decode_servers[place]
 
     def _find_decode_server(self, place: Place) -> EndpointState | None:
-        best: EndpointState | None = None
-        best_rank = LOWEST_RANK
+        best = NO_DECODE_CANDIDATE
         for endpoint in self._unindexed_in(place):
-            rank = self._decode_rank(endpoint)
-            if rank > best_rank:
-                best = endpoint
-                best_rank = rank
+            best = max(best, self._decode_candidate(endpoint), key=by_rank)
         for connected in CONNECTED_FIRST:
             connect_cost = 0.0 if connected else self._connect_cost
-            for key, endpoint in self._index.freest_first(Role.DECODE, place, connected):
-                most_free = -key[0] - connect_cost
-                if most_free < best_rank.free:
-                    break
-                draw = self._draw * endpoint.server.hash_key % HASH_RANGE
-                if DecodeRank(most_free, draw, -key[1]) <= best_rank or not self._filter.is_available(endpoint):
-                    continue
-                rank = self._decode_rank(endpoint)
-                if rank > best_rank:
-                    best = endpoint
-                    best_rank = rank
+            entries = self._index.freest_first(Role.DECODE, place, connected)
+            best = self._search_decode_servers(entries, connect_cost, best)
+        return best.endpoint
+
+    def _search_decode_servers(
+        self, entries: FreestFirst, connect_cost: float, best: DecodeCandidate
+    ) -> DecodeCandidate:
+        """The best of these servers and the best one so far."""
+        start = 0
+        while start < len(entries):
+            key = entries[start][0]
+            most_free = -key[0] - connect_cost
+            if most_free < best.rank.free:
+                break
+            end = bisect_left(entries, ((key[0], inf),), start)
+            best = self._search_equally_free(entries[start:end], most_free, best)
+            start = end
+        return best
+
+    def _search_equally_free(self, entries: FreestFirst, most_free: float, best: DecodeCandidate) -> DecodeCandidate:
+        """The best of these servers and the best one so far. Of very many, as in a large fleet of idle servers, only
+        some are compared if one of them has no costs: those from a random one on."""
+        if len(entries) > MAX_COMPARED_SERVERS:
+            first = self._draw % len(entries)
+            entries = entries[first:] + entries[:first]
+        for count, (key, endpoint) in enumerate(entries):
+            if count >= MAX_COMPARED_SERVERS and best.rank.free >= most_free:
+                break
+            bound = DecodeRank(most_free, self._tie_break(endpoint), -key[1])
+            if bound > best.rank and self._filter.is_available(endpoint):
+                best = max(best, self._decode_candidate(endpoint), key=by_rank)
         return best
 
-    def _decode_rank(self, endpoint: EndpointState) -> DecodeRank:
+    def _decode_candidate(self, endpoint: EndpointState) -> DecodeCandidate:
         snapshot = self._endpoints[endpoint]
         connect_cost = 0.0 if snapshot.connected else self._connect_cost
         free = snapshot.free - self._filter.failure_cost(endpoint) - connect_cost
-        draw = self._draw * endpoint.server.hash_key % HASH_RANGE
-        return DecodeRank(free, draw, -self._endpoints.position(endpoint))
+        rank = DecodeRank(free, self._tie_break(endpoint), -self._endpoints.position(endpoint))
+        return DecodeCandidate(rank, endpoint)
+
+    def _tie_break(self, endpoint: EndpointState) -> int:
+        return self._draw * endpoint.server.hash_key % HASH_RANGE
--- a/tests/test_pair_search.py
+++ b/tests/test_pair_search.py
@@ -7,6 +7,8 @@
 from __future__ import annotations
 
 import sys
+from collections import Counter
+from collections.abc import Callable
 from dataclasses import replace
 from typing import Any
 
@@ -83,6 +85,7 @@
 # The usual size, and the largest that the router is meant for.
 USUAL_SERVERS = 200
 MAX_SERVERS = 3200
+REQUEST_CLASS = RequestClass(Effect.IDEMPOTENT, Group.CELL, 3000.0, 1000.0, 50.0, 60.0, 5000.0, 1.0, 0.2)
 # What a request costs in the large fleet, relative to the usual one.
 MAX_COST_RATIO = 1.4
 
@@ -108,23 +111,40 @@
 OPEN_REQUESTS = 20
 
 
-def calls_per_request(server_count: int, requests: int = 100) -> float:
-    """Serves requests one after another, and counts once OPEN_REQUESTS are open and the servers are indexed."""
-    request_class = RequestClass(Effect.IDEMPOTENT, Group.CELL, 3000.0, 1000.0, 50.0, 60.0, 5000.0, 1.0, 0.2)
-    router = Router(replace(ROUTER_CONFIG, request_classes=(request_class,)))
+def mixed_cell(number: int, server_count: int) -> int:
+    """The cell of a server in a fleet whose cells have servers of both roles."""
+    return number % (server_count // 5)
+
+
+def cell_of_one_role(number: int, server_count: int) -> int:
+    """The cell of a server in a fleet whose cells have servers of one role: all idle ones of a zone are equal."""
+    return number // 5
+
+
+def fleet(server_count: int, cell_of: Callable[[int, int], int]) -> tuple[Server, ...]:
+    """Idle servers, half of them for each role."""
     half = server_count // 2
-    servers = tuple(
-        Server("z", n % (server_count // 5), Role.PREFILL if n < half else Role.DECODE, 2e5, hash_key=n * 0x9E3779B1)
-        for n in range(server_count)
+    return tuple(
+        Server(
+            "z",
+            cell_of(number, server_count),
+            Role.PREFILL if number < half else Role.DECODE,
+            2e5,
+            hash_key=number * 0x9E3779B1 % 2**32,
+        )
+        for number in range(server_count)
     )
-    for server in servers:
-        server.hash_key %= 2**32
+
+
+def calls_per_request(servers: tuple[Server, ...], requests: int = 100) -> float:
+    """Serves requests one after another, and counts once OPEN_REQUESTS are open and the servers are indexed."""
+    router = Router(replace(ROUTER_CONFIG, request_classes=(REQUEST_CLASS,)))
     router.take(1000.0, [messages.EndpointsUpdated(servers)])
     counter = CallCounter()
     open_requests: list[tuple[messages.Request, Server]] = []
     for number in range(requests + OPEN_REQUESTS):
         now = 1000.0 + 25.0 * number
-        request = messages.Request(request_class, f"s{number}", None, 0.0, 600.0, 200.0, request_class.deadline_ms)
+        request = messages.Request(REQUEST_CLASS, f"s{number}", None, 0.0, 600.0, 200.0, REQUEST_CLASS.deadline_ms)
         with counter:
             prefill = attempt_at(router, now, messages.RequestArrived(request))
             decode = attempt_at(
@@ -146,5 +166,27 @@
     return next(a.server for a in router.take(now, [event]) if isinstance(a, messages.StartAttempt))
 
 
-def test_a_request_costs_no_more_in_a_large_fleet() -> None:
-    assert calls_per_request(MAX_SERVERS) <= MAX_COST_RATIO * calls_per_request(USUAL_SERVERS)
+@pytest.mark.parametrize("cell_of", [mixed_cell, cell_of_one_role])
+def test_a_request_costs_no_more_in_a_large_fleet(cell_of: Callable[[int, int], int]) -> None:
+    usual = calls_per_request(fleet(USUAL_SERVERS, cell_of))
+    assert calls_per_request(fleet(MAX_SERVERS, cell_of)) <= MAX_COST_RATIO * usual
+
+
+def test_requests_are_spread_over_all_equally_free_servers() -> None:
+    """Only some of very many idle servers are compared. Each must still get about its share of requests."""
+    router = Router(replace(ROUTER_CONFIG, request_classes=(REQUEST_CLASS,)))
+    servers = fleet(1000, cell_of_one_role)
+    router.take(1000.0, [messages.EndpointsUpdated(servers)])
+    counts: Counter[Server] = Counter()
+    for number in range(5000):
+        now = 1000.0 + number
+        request = messages.Request(REQUEST_CLASS, f"s{number}", None, 0.0, 600.0, 200.0, REQUEST_CLASS.deadline_ms)
+        prefill = attempt_at(router, now, messages.RequestArrived(request))
+        decode = attempt_at(router, now, messages.AttemptEnded(request, prefill, AttemptOutcome.PREFILLED, 5.0, False))
+        router.take(now, [messages.FirstToken(request, decode, 5.0)])
+        router.take(now, [messages.AttemptEnded(request, decode, AttemptOutcome.STREAMED, 400.0, True)])
+        counts[decode] += 1
+    decode_servers = [server for server in servers if server.role is Role.DECODE]
+    mean = 5000 / len(decode_servers)
+    assert min(counts[server] for server in decode_servers) > 0
+    assert max(counts.values()) <= 3 * mean
