Requests are read by a module of their own: RequestReader

Change: ternlane/http1/request_reader.py reads heads and bodies within the shared memory; ServerConnection serves, refuses and closes. Code is moved, not changed.

--- a/ternlane/http1/__init__.py
+++ b/ternlane/http1/__init__.py
@@ -8,7 +8,8 @@
 from ternlane.http1.events import EventReader, encode_event
 from ternlane.http1.exchange import Exchange
 from ternlane.http1.nonblocking import extend_deadline
-from ternlane.http1.server_connection import NO_MEMORY, ServerConnection, serve_connection
+from ternlane.http1.request_reader import NO_MEMORY
+from ternlane.http1.server_connection import ServerConnection, serve_connection
 from ternlane.http1.shared_limits import SharedLimits
 
 __all__ = [
