--- a/tests/test_platform_faults.py
+++ b/tests/test_platform_faults.py
@@ -380,12 +380,14 @@
 
 async def test_request_and_answer_in_any_pieces() -> None:
     """The request is sent in two pieces, split at each of its bytes in turn; its answer arrives in a dozen pieces. The
-    latency objective is long, as a slow machine would otherwise reject some of the 24 requests at once for waiting."""
+    latency objective is long, as a slow machine would otherwise reject some of the 24 requests at once for waiting. So
+    is the release time: a pause of the process that outlasts it costs a state, and there are no attempts to spare."""
     long_deadlines = [profile | {"aim": 10e3, "deadline": 20e3} for profile in PLATFORM_SETTINGS["profiles"]]
     # Few attempts, so that no prefill is cancelled when other requests overtake it.
     platform_settings = PLATFORM_SETTINGS | {
         "limits": PLATFORM_SETTINGS["limits"] | {"most_tries": 2},
         "profiles": long_deadlines,
+        "specifics": PLATFORM_SETTINGS["specifics"] | {"release": 20e3},
     }
     async with platform("r0", "w0", platform_settings=platform_settings, w0=lambda _: "pieces") as p:
         replies: list[bytes] = []
