--- a/review/standin2/world.py
+++ b/review/standin2/world.py
@@ -769,12 +769,13 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def run() -> tuple[bool, Record]:
-        result: tuple[bool, Record] = await asyncio.wait_for(play(trouble), within_s)
-        return result
+        playing: asyncio.Task[tuple[bool, Record]] = asyncio.ensure_future(play(trouble))
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, playing.cancel)  # ends the processes as well
+        return await asyncio.wait_for(playing, within_s)
 
     try:
         broken, record = asyncio.run(run())
-    except Exception as error:
+    except (Exception, asyncio.CancelledError, KeyboardInterrupt) as error:
         (folder / "record.txt").write_text(f"the case could not run: {error!r}\n")
         print(f"could not run: {error!r}")
         return 2
