Runs at the same time reserve different ports

Cause: `free_ports` looked for ports on which nobody listens and returned their number; the processes of the run listened on them some seconds later. Six processes that asked at the same time all got 20014. tests/test_scenarios.py had a second range with the same gap.

Change: `reserve_ports` binds a socket to each port and holds it until the run has ended; the kernel gives a port to one reservation only. `prepare_run` is told the first port. test_scenarios.py, the example and bench/gateway.py use the same reservation.

--- a/bench/gateway.py
+++ b/bench/gateway.py
@@ -45,7 +45,7 @@
 from ternlane.config import GatewayConfig, read_config
 from ternlane.gateway import open_gateway
 from ternlane.http1 import ConnectionPool
-from ternlane.scenarios.ports import free_ports
+from ternlane.scenarios.ports import reserve_ports
 
 DIRECT = "direct"
 WARM_UP_SHARE = 1 / 10  # share of rounds left out of the results
@@ -133,8 +133,8 @@
 
 def compare_variants(options: argparse.Namespace) -> None:
     """Starts engines and all variants, and prints latency and full-load results."""
-    first_port = free_ports(PORTS)
-    with tempfile.TemporaryDirectory() as name, ExitStack() as stack:
+    with reserve_ports(PORTS) as ports, tempfile.TemporaryDirectory() as name, ExitStack() as stack:
+        first_port = ports.first
         folder = Path(name)
         addresses = write_configs(folder, first_port)
         for index in range(2):
@@ -152,9 +152,9 @@
 
 def profile(seconds: float, width: int) -> None:
     """Profiles a gateway in this process; engines and load run in other processes."""
-    first_port = free_ports(PORTS)
     structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(logging.WARNING))
-    with tempfile.TemporaryDirectory() as name:
+    with reserve_ports(PORTS) as ports, tempfile.TemporaryDirectory() as name:
+        first_port = ports.first
         folder = Path(name)
         address = write_configs(folder, first_port)["gateway"]
 
--- a/examples/three_gateways.py
+++ b/examples/three_gateways.py
@@ -11,7 +11,7 @@
 import trio
 
 from ternlane.client import Client
-from ternlane.scenarios.ports import free_ports
+from ternlane.scenarios.ports import reserve_ports
 from ternlane.testing.engine import EngineProfile, FakeEngine
 from ternlane.testing.traffic import TrafficLog
 
@@ -27,7 +27,8 @@
     trio.run(serve)
 
 
-first = free_ports(5)
+ports = reserve_ports(5)
+first = ports.first
 threading.Thread(target=engines, args=(first,), daemon=True).start()
 nodes = [
     {"id": role, "address": f"127.0.0.1:{first + i}", "duty": role, "mem_toks": 1e5}
--- a/ternlane/scenarios/runner.py
+++ b/ternlane/scenarios/runner.py
@@ -18,11 +18,12 @@
 from ternlane.scenarios.faults import GatewayRestart, RegistryFailure
 from ternlane.scenarios.fleet_plan import PlannedEngine, engines_of
 from ternlane.scenarios.layout import RunLayout
+from ternlane.scenarios.ports import reserve_ports
 from ternlane.scenarios.registry_faults import RegistryFaults
 from ternlane.scenarios.report import report_of
 from ternlane.scenarios.report_table import table_of
 from ternlane.scenarios.scenario import Scenario
-from ternlane.scenarios.setup import limits_of, prepare_run
+from ternlane.scenarios.setup import limits_of, ports_needed, prepare_run
 from ternlane.scenarios.supervisor import Supervisor
 from ternlane.testing.registry import FakeRegistry, RegisteredEndpoint
 from ternlane.testing.traffic import TrafficLog, clock_ms
@@ -77,7 +78,11 @@
 
     async def run(self) -> dict[str, Any]:
         """Runs the scenario and returns the report, which is also written to the folder. Raises RunError."""
-        self.layout = prepare_run(self.folder, self.scenario, self.text)
+        with reserve_ports(ports_needed(self.scenario)) as ports:
+            return await self._run(ports.first)
+
+    async def _run(self, first_port: int) -> dict[str, Any]:
+        self.layout = prepare_run(self.folder, self.scenario, self.text, first_port)
         self.traffic = TrafficLog(self.folder / "day.jsonl")
         self.registry = FakeRegistry(TrafficLog(self.folder / "registry.jsonl"))
         self.supervisor = Supervisor(self.folder, self.traffic, self.chooser)
--- a/ternlane/scenarios/setup.py
+++ b/ternlane/scenarios/setup.py
@@ -13,7 +13,6 @@
 from ternlane.rules.limits import RuleLimits
 from ternlane.scenarios.fleet_plan import GATEWAY_NET, address_of, engines_of, zones_of
 from ternlane.scenarios.layout import KEYS_FILE, SCENARIO_FILE, RunLayout
-from ternlane.scenarios.ports import free_ports
 from ternlane.scenarios.scenario import Scenario
 from ternlane.tenants import ApiKey, Prices, Tenant, new_key
 from ternlane.tenants.tenant_registry import TenantRegistryConfig
@@ -52,15 +51,20 @@
     }
 
 
-def prepare_run(folder: Path, scenario: Scenario, scenario_text: str) -> RunLayout:
-    """Writes all files that the run's processes read. Raises RunError if there are not enough free ports."""
+def ports_needed(scenario: Scenario) -> int:
+    """The number of ports of a run: for each engine and gateway, the front and the registry."""
+    return len(engines_of(scenario)) + scenario.gateways + 2
+
+
+def prepare_run(folder: Path, scenario: Scenario, scenario_text: str, first_port: int) -> RunLayout:
+    """Writes all files that the run's processes read. They listen on `ports_needed` ports from `first_port` on."""
     folder.mkdir(parents=True, exist_ok=True)
     for old in folder.iterdir():
         if old.suffix in OLD_RUN_SUFFIXES:
             old.unlink()
     (folder / SCENARIO_FILE).write_text(scenario_text)
     (folder / "rules.json").write_text(json.dumps(limits_of(scenario)))
-    layout = _layout(folder, scenario)
+    layout = _layout(folder, scenario, first_port)
     layout.save()
     _write_tenants(folder, scenario)
     for index, name in enumerate(layout.gateways):
@@ -69,11 +73,9 @@
     return layout
 
 
-def _layout(folder: Path, scenario: Scenario) -> RunLayout:
-    engines = len(engines_of(scenario))
+def _layout(folder: Path, scenario: Scenario, first_port: int) -> RunLayout:
     zones = len(zones_of(scenario))
-    first_port = free_ports(engines + scenario.gateways + 2)
-    front_port = first_port + engines
+    front_port = first_port + len(engines_of(scenario))
     registry_port = front_port + 1
     gateways = {
         f"g{index + 1}": (address_of(GATEWAY_NET, index % zones), registry_port + 1 + index)
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -9,7 +9,6 @@
 import json
 import os
 import signal
-import socket
 import sys
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
@@ -28,6 +27,7 @@
 from ternlane.engine import AttemptRejectedError, AttemptRequest, EngineUnreachableError, LocalTransport, PrefillResult
 from ternlane.http1 import ConnectionPool
 from ternlane.policy import messages
+from ternlane.scenarios.ports import reserve_ports
 from ternlane.testing.engine import FakeEngine
 from ternlane.testing.traffic import TrafficLog
 from tests.gateway_cluster import ENGINE_PROFILE, replace, scaled_request_classes, send_request
@@ -91,18 +91,6 @@
     pieces: str  # number of pieces of text
 
 
-PORTS = iter(range(31100, 32700))  # below the ephemeral ports, which the system assigns to the engines
-
-
-def is_free(port: int) -> bool:
-    with socket.socket() as probe:
-        try:
-            probe.bind(("127.0.0.1", port))
-        except OSError:
-            return False
-    return True
-
-
 class ScriptedEngine:
     """A local engine with a scripted fault. A state can be fetched only once, as between real engines."""
 
@@ -257,7 +245,8 @@
             ports[ident] = engine.port
             if faults.get(ident) == "unreachable":
                 engine.die()
-        port = next(p for p in PORTS if is_free(p))
+        reservation = reserve_ports(1)
+        port = reservation.first
         path = folder / f"{port}.json5"
         path.write_bytes(msgspec.json.encode(gateway_config(faults, ports, f"127.0.0.1:{port}")))
         process = await trio.lowlevel.open_process(
@@ -280,6 +269,7 @@
             process.send_signal(signal.SIGTERM)
             with trio.CancelScope(shield=True), trio.move_on_after(5):
                 await process.wait()
+            reservation.close()
         nursery.cancel_scope.cancel()
     effects = len([v for v in traffic.lines if v["k"] == "effect"])
     outcome = {429: "throttled", 502: "terminated", 504: "terminated"}.get(
