A list of discovery that names a server several times no longer ends the gateway

Cause: after an outage one list holds all changes that a gateway has missed. EndpointRegistry.apply_list noted the server of each entry and dropped the removed ones in a second pass. A server that was named twice was dropped twice: KeyError, which the watch of discovery does not expect and which ends the process.

The same cause on related paths, found by comparing each order of changes in one list with the same changes one by one: a server that came and went (KeyError), one that went and came back (its former role, attempts and idle connections stayed), an address that passed on to another server (idle connections to the former one stayed), a complete list with a name twice, and at the chat gateway a name in two roles (replaced twice at each reading). What else from a peer could end the process: a list nested too deeply, an address that is none once it was probed or a reservation was made there, a server removed just before its reservation's task, any defect while a list is applied.

Change: entries are applied in order and completely; each changed server is reported once, one that came and went not at all, one that came back as a new server. The registries of both gateways name the addresses that were handed over, and the pool closes their connections, those in use when they are given back. One bad list, address or answer ends one watch or one call and is logged. With the exception out of the way at its source and at the border of each task, no order of entries can end the process.

--- a/ternlane/discovery/consul.py
+++ b/ternlane/discovery/consul.py
@@ -55,9 +55,13 @@
 
 
 def nodes_from_health(body: bytes) -> tuple[list[NodeLine], list[str]]:
-    """Returns the node lines, and a message for each invalid entry. Raises ValueError if the body can't be parsed."""
-    lines = []
-    invalid = []
+    """Returns the node lines, and a message for each invalid entry. Raises ValueError if the body can't be parsed.
+
+    Consul lists a service once for each agent that it is registered at. Of several entries with one id, the last
+    applies.
+    """
+    lines: dict[str, NodeLine] = {}
+    invalid: list[str] = []
     for entry in decode_entries(body):
         service = entry.service
         meta = service.meta
@@ -77,7 +81,10 @@
                 "protocol": meta.get("protocol", "disaggregated"),
                 "started": float(meta.get("started", "0")),
             }
-            lines.append(msgspec.convert(raw, NodeLine))
+            line = msgspec.convert(raw, NodeLine)
+            if line.id in lines:
+                invalid.append(f"{line.id}: listed twice")
+            lines[line.id] = line
         except (msgspec.ValidationError, ValueError) as why:
             invalid.append(f"{service.ident}: {why}")
-    return lines, invalid
+    return list(lines.values()), invalid
--- a/ternlane/discovery/endpoint_registry.py
+++ b/ternlane/discovery/endpoint_registry.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Set
 from dataclasses import dataclass
 from zlib import crc32
 
@@ -31,13 +31,17 @@
     def __init__(self) -> None:
         self.servers: dict[str, Server] = {}
         self.endpoints: dict[Server, Endpoint] = {}
+        # Those that the latest list has taken from a server, perhaps for another one: open connections to them may lead
+        # to the former server.
+        self.handed_over_addresses: set[str] = set()
 
     def update(self, lines: Iterable[NodeLine], wall_s: float, now_ms: float) -> EndpointsUpdated:
-        """Applies a complete list, removing servers that it omits. Returns only the servers that changed."""
+        """Applies a complete list, removing servers that it omits. Returns only the servers that changed, each once. Of
+        several lines of one server, the last applies."""
+        holders = self._address_holders()
         changed: list[Server] = []
-        listed: set[str] = set()
-        for line in lines:
-            listed.add(line.id)
+        listed = {line.id: line for line in lines}
+        for line in listed.values():
             server = self.servers.get(line.id)
             if server is not None and self.endpoints[server].line == line:
                 continue
@@ -48,9 +52,22 @@
                 server = self.add(line)
             self.apply(server, line, wall_s, now_ms)
             changed.append(server)
-        changed.extend(self.remove_unlisted(listed))
+        changed.extend(self.remove_unlisted(listed.keys()))
+        remaining = self._address_holders()
+        self.handed_over_addresses = {
+            address for address, before in holders.items() if before - remaining.get(address, set())
+        }
         return EndpointsUpdated(tuple(changed))
 
+    def _address_holders(self) -> dict[str, set[tuple[Server, float]]]:
+        """The listed servers at each address, with their start times."""
+        holders: dict[str, set[tuple[Server, float]]] = {}
+        for server in self.servers.values():
+            if server.status is not EndpointStatus.REMOVED:
+                endpoint = self.endpoints[server]
+                holders.setdefault(endpoint.address, set()).add((server, endpoint.line.started))
+        return holders
+
     def add(self, line: NodeLine) -> Server:
         """Adds a server that was not listed before, or not in this role. `apply` must follow, which sets its
         endpoint."""
@@ -70,7 +87,7 @@
         server.status = STATUSES[line.state]
         self.endpoints[server] = Endpoint(line.id, line.address, line)
 
-    def remove_unlisted(self, listed: set[str]) -> list[Server]:
+    def remove_unlisted(self, listed: Set[str]) -> list[Server]:
         """Marks the servers that the list omits as removed.
 
         Their line is replaced by a placeholder, so that a server that is listed again counts as changed.
--- a/ternlane/discovery/watch.py
+++ b/ternlane/discovery/watch.py
@@ -56,7 +56,7 @@
             if identity != last:
                 on_list(read_nodes(path.read_text(encoding="utf-8"), str(path)))
                 last = identity
-        except (OSError, UnicodeDecodeError, ConfigError) as why:
+        except (OSError, UnicodeDecodeError, ConfigError, RecursionError) as why:
             on_failure(str(why))
         await trio.sleep(source.look_ms / 1000)
 
@@ -82,6 +82,7 @@
                 trio.TooSlowError,
                 h11.RemoteProtocolError,
                 ValueError,
+                RecursionError,
             ) as why:
                 on_failure(f"{source.address}: {why!r}")
                 index = 0  # the agent may have restarted with other indexes
--- a/ternlane/engine/http_attempt.py
+++ b/ternlane/engine/http_attempt.py
@@ -65,7 +65,7 @@
     except h11.RemoteProtocolError as error:  # a truncated answer is a broken connection, a malformed one an error
         result.outcome = AttemptOutcome.RESET if "closed" in str(error) else AttemptOutcome.ERROR
         result.why = str(error)
-    except (msgspec.DecodeError, UnicodeDecodeError, ValueError) as error:
+    except (msgspec.DecodeError, UnicodeDecodeError, ValueError, RecursionError) as error:
         result.outcome = AttemptOutcome.ERROR
         result.why = f"not understood: {error}"
     record_cancellation(plan, result)
--- a/ternlane/engine/load_report.py
+++ b/ternlane/engine/load_report.py
@@ -26,7 +26,7 @@
                     values[name] = values.get(name, 0.0) + sample.value
                 else:
                     values["kv_cache_usage_perc"] = max(values.get("kv_cache_usage_perc", 0.0), sample.value)
-    except (ValueError, KeyError, IndexError):
+    except (ValueError, KeyError, IndexError, AttributeError, TypeError, OverflowError):
         return None
     return load_report(values)
 
@@ -47,7 +47,7 @@
             for part in text.split(","):
                 name, _, value = part.strip().partition("=")
                 values[name.removeprefix("named_metrics.")] = float(value)
-    except (msgspec.DecodeError, ValueError, AttributeError, TypeError):
+    except (msgspec.DecodeError, ValueError, AttributeError, TypeError, OverflowError, RecursionError):
         return None
     return load_report(values)
 
--- a/ternlane/gateway/endpoint_watcher.py
+++ b/ternlane/gateway/endpoint_watcher.py
@@ -22,6 +22,9 @@
 from ternlane.gateway.metrics import STATUS_LABELS, GatewayMetrics
 from ternlane.policy.messages import EndpointStatus, EndpointsUpdated
 
+# Until the source is watched again after a programming error, so that a repeated one does not flood the log.
+FAULT_PAUSE_S = 1.0
+
 
 class EndpointWatcher:
     """`on_change` is called with the changes of each list, `on_failure` when the list could not be read."""
@@ -95,14 +98,22 @@
         """Follows the source as long as the gateway runs; `restart` switches to another one."""
         while True:
             with trio.CancelScope() as self.watch_scope:
-                match self.config.nodes:
-                    case FileSource() as source:
-                        await watch_file(source, self.apply_list, self.report_failure)
-                    case ConsulSource() as source:
-                        await watch_consul(source, self.apply_list, self.report_failure, self.agent)
-                    case inline:
-                        self.apply_list(inline.nodes)
-                        await trio.sleep_forever()
+                try:
+                    await self._watch_source()
+                except Exception as fault:  # a programming error must not end the gateway
+                    self.log.error("fault", exc_info=fault)
+                    self.report_failure(repr(fault))
+                    await trio.sleep(FAULT_PAUSE_S)
+
+    async def _watch_source(self) -> None:
+        match self.config.nodes:
+            case FileSource() as source:
+                await watch_file(source, self.apply_list, self.report_failure)
+            case ConsulSource() as source:
+                await watch_consul(source, self.apply_list, self.report_failure, self.agent)
+            case inline:
+                self.apply_list(inline.nodes)
+                await trio.sleep_forever()
 
     def restart(self, config: GatewayConfig) -> None:
         """Switches to the source of another configuration."""
--- a/ternlane/gateway/gateway.py
+++ b/ternlane/gateway/gateway.py
@@ -28,7 +28,7 @@
 from ternlane.gateway.router_config import configure_models
 from ternlane.gateway.runtime import GatewayRuntime
 from ternlane.http1 import ConnectionPool, SharedLimits
-from ternlane.policy.messages import EndpointListFailed, RouterConfig
+from ternlane.policy.messages import EndpointListFailed, EndpointsUpdated, RouterConfig
 from ternlane.policy.router import Router
 from ternlane.version import VERSION
 
@@ -97,7 +97,7 @@
         self.endpoint_watcher = EndpointWatcher(
             config,
             self.registry,
-            self.runtime.endpoints_changed,
+            self._endpoints_changed,
             lambda: self.runtime.dispatch(EndpointListFailed()),
             self.agent,
             self.metrics,
@@ -108,6 +108,11 @@
         """Applies a complete list of model servers."""
         self.endpoint_watcher.apply_list(lines)
 
+    def _endpoints_changed(self, change: EndpointsUpdated) -> None:
+        for address in self.registry.handed_over_addresses:
+            self.pool.forget(address)
+        self.runtime.endpoints_changed(change)
+
     def list_failed(self, why: str) -> None:
         """Reports that the list could not be read; the previous one stays in use."""
         self.endpoint_watcher.report_failure(why)
--- a/ternlane/gateway/runtime_port.py
+++ b/ternlane/gateway/runtime_port.py
@@ -33,6 +33,9 @@
     def dispatch(self, event: messages.Event) -> None:
         """Dispatches an event to the router."""
 
+    def on_fault(self, fault: Exception) -> None:
+        """Logs a defect in this program or in the transport."""
+
     def call_at(self, when_ms: float, call: Callable[[], None]) -> None:
         """Calls `call` at this time."""
 
--- a/ternlane/gateway/server_calls.py
+++ b/ternlane/gateway/server_calls.py
@@ -6,7 +6,7 @@
 from ternlane.gateway.metrics import OUTCOME_LABELS
 from ternlane.gateway.runtime_port import RuntimePort
 from ternlane.policy import messages
-from ternlane.policy.messages import AttemptOutcome, Server
+from ternlane.policy.messages import AttemptOutcome, Report, Server
 
 
 class ServerCalls:
@@ -30,6 +30,7 @@
     async def _release_at(self, active_request: ActiveRequest, server: Server) -> None:
         runtime = self.runtime
         endpoint = runtime.registry.endpoints[server]
+        confirmed = False
         try:
             confirmed = await runtime.transport.release(
                 endpoint.ident,
@@ -38,6 +39,8 @@
                 runtime.router_config.release_ms,
                 endpoint.line.protocol,
             )
+        except Exception as fault:  # of the transport: it must not end the other requests
+            runtime.on_fault(fault)
         finally:
             self.releases_in_flight -= 1
             if runtime.journal_writer is not None:
@@ -55,14 +58,18 @@
     async def _reserve_at(self, active_request: ActiveRequest, server: Server) -> None:
         endpoint = self.runtime.registry.endpoints[server]
         request = active_request.request
-        reserved = await self.runtime.transport.hold(
-            endpoint.ident,
-            endpoint.address,
-            active_request.ident,
-            request.prompt_tokens + request.max_tokens,
-            self.runtime.router_config.release_ms,
-            endpoint.line.protocol,
-        )
+        reserved = False
+        try:
+            reserved = await self.runtime.transport.hold(
+                endpoint.ident,
+                endpoint.address,
+                active_request.ident,
+                request.prompt_tokens + request.max_tokens,
+                self.runtime.router_config.release_ms,
+                endpoint.line.protocol,
+            )
+        except Exception as fault:  # of the transport: it must not end the other requests
+            self.runtime.on_fault(fault)
         if request in self.runtime.active_requests and not active_request.is_finished:
             self.runtime.dispatch(messages.ReservationResult(request, reserved))
 
@@ -74,9 +81,14 @@
         """A server that answers without a load report counts as reachable, and is logged once."""
         runtime = self.runtime
         endpoint = runtime.registry.endpoints[server]
-        outcome, report = await runtime.transport.load(
-            endpoint.ident, endpoint.address, runtime.router_config.connect_ms, endpoint.line.protocol
-        )
+        outcome = AttemptOutcome.ERROR
+        report: Report | None = None
+        try:
+            outcome, report = await runtime.transport.load(
+                endpoint.ident, endpoint.address, runtime.router_config.connect_ms, endpoint.line.protocol
+            )
+        except Exception as fault:  # of the transport: it must not end the other requests
+            runtime.on_fault(fault)
         runtime.metrics.probes.labels("told" if report is not None else OUTCOME_LABELS[outcome]).inc()
         answered = outcome in (AttemptOutcome.STREAMED, AttemptOutcome.ERROR)
         if report is None and answered and endpoint.ident not in self.servers_without_load:
--- a/ternlane/http1/client_connection.py
+++ b/ternlane/http1/client_connection.py
@@ -63,6 +63,7 @@
         self.idled_ms: float | None = None  # idle time before this request; None for a new connection
         self.has_completed_request = False  # has completed a request before
         self.on_close: Callable[[ClientConnection], None] = lambda _: None
+        self.is_retired = False  # takes no further request
         self._read_deadline_s = inf  # see `set_read_deadline`
         self._read_after_deadline = False
         self._trailer_limit: TrailerLimit | None = None  # for a chunked response
--- a/ternlane/http1/connection_pool.py
+++ b/ternlane/http1/connection_pool.py
@@ -95,7 +95,7 @@
         try:
             with trio.fail_after(self.connect_ms / 1000):
                 stream = await self._open_stream(host.strip("[]"), int(port))
-        except (OSError, trio.TooSlowError) as error:
+        except (OSError, trio.TooSlowError, ValueError, OverflowError) as error:  # the latter two: no valid address
             raise ConnectError(f"{peer}: {error!r}") from None
         finally:
             self.connecting -= 1
@@ -115,7 +115,7 @@
         was_used = connection.conn.our_state is not h11.IDLE
         if was_used:
             self._record_reuse(connection)
-        is_spent = was_used and not connection.reusable
+        is_spent = connection.is_retired or (was_used and not connection.reusable)
         if is_spent or len(self.idle.get(connection.peer, ())) >= MAX_IDLE_PER_PEER:
             connection.close_now()
             return
@@ -128,9 +128,12 @@
         self.idle_of_all[connection] = None
 
     def forget(self, peer: str) -> None:
-        """Closes the idle connections to a peer that has been removed."""
+        """Closes the idle connections to a peer that has been removed, and the others once they are given back."""
         for connection in list(self.idle.get(peer, ())):
             connection.close_now()
+        for connection in self.open:
+            if connection.peer == peer:
+                connection.is_retired = True
 
     def sweep(self) -> None:
         """Closes the connections that have been idle for longer than `idle_ms`."""
--- a/ternlane/platform/discovery_watch.py
+++ b/ternlane/platform/discovery_watch.py
@@ -137,6 +137,9 @@
                 connection.close_now()
         except WATCH_ERRORS as error:
             return repr(error)
+        except Exception as error:  # a programming error must not end the gateway
+            self.log.exception("watch fault")
+            return repr(error)
         return "discovery closed the watch"
 
     async def _read_watch(self, connection: ClientConnection, scope: trio.CancelScope) -> None:
--- a/ternlane/platform/endpoint_list.py
+++ b/ternlane/platform/endpoint_list.py
@@ -93,7 +93,7 @@
     """Decodes a list. Raises ValueError if any part of it is invalid: a list is applied completely or not at all."""
     try:
         endpoint_list = _list_decoder.decode(raw)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         raise ValueError(f"endpoint list: {error}") from None
     for entry in endpoint_list.endpoints:
         if not _is_usable(entry):
--- a/ternlane/platform/event_stream.py
+++ b/ternlane/platform/event_stream.py
@@ -112,9 +112,17 @@
         elif self.done:
             raise ValueError("an event behind the last")
         elif not self.begun or b'"usage"' in data:
-            event = _event_decoder.decode(data)  # the first event must be valid before the client is sent a byte
+            event = _decode_event(data)  # the first event must be valid before the client is sent a byte
             self.begun = True
             if event.usage is not None:
                 self.cached_tokens = event.usage.prompt_tokens_details.cached_tokens
         elif not (data.startswith(b"{") and data.endswith(b"}")):
             raise ValueError("not an event")
+
+
+def _decode_event(data: bytes) -> StreamEvent:
+    """Decodes an event's data. Raises ValueError if it is invalid."""
+    try:
+        return _event_decoder.decode(data)
+    except RecursionError:
+        raise ValueError("an event that is nested too deeply") from None
--- a/ternlane/platform/model_server_client.py
+++ b/ternlane/platform/model_server_client.py
@@ -70,9 +70,11 @@
         """Records that this server has just answered a call."""
         self.answer_order.record_answer(address, trio.current_time())
 
-    def forget_unlisted(self, addresses: Set[str]) -> None:
-        """Drops idle connections and answer times of servers at other than these addresses."""
-        for address in (self.answer_order.answered_at_s.keys() | self.pool.idle.keys()) - addresses:
+    def forget(self, handed_over: Set[str], listed: Set[str]) -> None:
+        """Drops connections and answer times: those at addresses that were handed over, which may lead to another
+        server than the listed one, and those at addresses that are not listed."""
+        known = self.answer_order.answered_at_s.keys() | self.pool.idle.keys()
+        for address in handed_over | (known - listed):
             self.pool.forget(address)
             self.answer_order.forget(address)
 
--- a/ternlane/platform/protocol.py
+++ b/ternlane/platform/protocol.py
@@ -104,7 +104,7 @@
     """The prompt tokens that a prefill found cached; 0 if its answer is invalid."""
     try:
         return max(0.0, _prefill_decoder.decode(body).cached_tokens)
-    except msgspec.DecodeError:
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
         return 0.0
 
 
--- a/ternlane/platform/runtime.py
+++ b/ternlane/platform/runtime.py
@@ -20,7 +20,7 @@
 from ternlane.platform.request_reporter import RequestReporter
 from ternlane.platform.stream_forwarder import StreamForwarder
 from ternlane.policy import messages
-from ternlane.policy.messages import AttemptOutcome, EndpointStatus, Server
+from ternlane.policy.messages import AttemptOutcome, EndpointStatus, Report, Server
 from ternlane.wire_names import OUTCOME_NAMES
 
 # Tries of a release that no server confirms, each with twice the time of the one before: enough to outlast a few
@@ -68,8 +68,9 @@
                     self._begin_release(active_request, reason, again)
             case messages.Reserve(request, server):
                 active_request = self.active_requests.get(request)
-                if active_request is not None and server in self.endpoint_registry.endpoints:
-                    self.nursery.start_soon(self._reserve, active_request, server)
+                endpoint = self.endpoint_registry.endpoints.get(server)
+                if active_request is not None and endpoint is not None:
+                    self.nursery.start_soon(self._reserve, active_request, endpoint.address)
             case messages.Probe(server):
                 self.nursery.start_soon(self._probe, server)
             case messages.Log(server, text):
@@ -89,8 +90,9 @@
     def update_endpoints(self, endpoint_list: EndpointList) -> None:
         """Applies a list of discovery. Raises ValueError if the full list must be requested."""
         update = self.endpoint_registry.apply_list(endpoint_list, time.time() * 1000, now_ms())
-        if self.endpoint_registry.has_unlisted_addresses:
-            self.model_servers.forget_unlisted(self.endpoint_registry.addresses.keys())
+        handed_over = self.endpoint_registry.handed_over_addresses
+        if handed_over:
+            self.model_servers.forget(handed_over, self.endpoint_registry.addresses.keys())
         if update.servers:
             self.dispatch(update)
 
@@ -305,10 +307,13 @@
                 self.dispatch(messages.ReleaseConfirmed(active_request.request))
             return
 
-    async def _reserve(self, active_request: ActiveRequest, server: Server) -> None:
-        address = self.endpoint_registry.endpoints[server].address
+    async def _reserve(self, active_request: ActiveRequest, address: str) -> None:
         release_ms = self.deployment.router_config.release_ms
-        reserved = await self.model_servers.reserve(address, active_request.request_id, release_ms)
+        reserved = False
+        try:
+            reserved = await self.model_servers.reserve(address, active_request.request_id, release_ms)
+        except Exception as fault:  # a programming error must not end the other requests
+            self.on_fault(fault)
         if not active_request.is_finished:
             self.dispatch(messages.ReservationResult(active_request.request, reserved))
 
@@ -318,7 +323,12 @@
             self.dispatch(messages.ProbeResult(server, AttemptOutcome.CONNECT_FAILED, None))
             return
         connect_ms = self.deployment.router_config.connect_ms
-        outcome, report = await self.model_servers.probe_load(endpoint.address, connect_ms)
+        outcome = AttemptOutcome.ERROR
+        report: Report | None = None
+        try:
+            outcome, report = await self.model_servers.probe_load(endpoint.address, connect_ms)
+        except Exception as fault:  # a programming error must not end the other requests
+            self.on_fault(fault)
         self.dispatch(messages.ProbeResult(server, outcome, report))
 
     def _server_name(self, server: Server) -> str:
--- a/tests/platform_gateway.py
+++ b/tests/platform_gateway.py
@@ -199,6 +199,10 @@
         remaining = find_open_items()
         assert not remaining, remaining
 
+    def log_lines(self, text: str) -> list[tuple[str, dict[str, Any]]]:
+        """The gateway's log lines with this text in their event."""
+        return [line for line in self.log.lines if text in line[0]]
+
     def history_of(self, ident: str) -> list[str]:
         return next(
             (r.history.lines() for r in self.gateway.runtime.reporter.records if r.request_id == ident), ["not known"]
