A stream ends where it can't belong to the answer that was asked for

Cause: nothing bounded the length of a stream. The read deadline was set anew with all that came, the parsers check the form of an event only, and h11 takes chunks of any size. Related paths, each shown against gateways as processes with forty streams at a time: a stated length of 3 GB, endless events, events without text, comments, blank lines, comments after the last event; at the chat gateway these and an event byte by byte, with the text kept in memory; engines of the library that never stop; resumed streams whose engines report no tokens.

Change: policy/stream_limits.py derives an answer's limits from what was asked for: events, bytes, and for how long a stream may bring no event. A length or a chunk that states more is refused as soon as it is stated (http1/body_size.py). Both gateways and the library use the same limits for each attempt, StreamJoin for all attempts of a request together. A tripped limit is an ERROR of the attempt, so that it counts against the server and is retried or resumed where that is harmless. The platform gateway logs `stream broke` with the reason and counts it. This works because each way to go on needs events, bytes or time without an event, and each of the three is bounded by what was asked for; a sound stream has at most one event a token.

--- a/ternlane/engine/http_attempt.py
+++ b/ternlane/engine/http_attempt.py
@@ -13,8 +13,9 @@
 from ternlane.engine.http_constants import LOAD_HEADER, NOT_RUN_HEADER
 from ternlane.engine.load_report import load_from_header
 from ternlane.engine.rejection import classify_rejection
-from ternlane.http1 import ClientConnection, ConnectError, ConnectionPool
+from ternlane.http1 import BodyTooLargeError, ClientConnection, ConnectError, ConnectionPool
 from ternlane.policy.messages import AttemptOutcome
+from ternlane.policy.stream_limits import StreamLimitExceededError
 
 CONNECTION_BROKEN = (trio.BrokenResourceError, trio.ClosedResourceError, OSError)
 
@@ -62,6 +63,9 @@
     except CONNECTION_BROKEN as error:
         result.outcome = AttemptOutcome.RESET
         result.why = repr(error)
+    except (BodyTooLargeError, StreamLimitExceededError) as error:
+        result.outcome = AttemptOutcome.ERROR
+        result.why = f"longer than asked for: {error}"
     except h11.RemoteProtocolError as error:  # a truncated answer is a broken connection, a malformed one an error
         result.outcome = AttemptOutcome.RESET if "closed" in str(error) else AttemptOutcome.ERROR
         result.why = str(error)
--- a/ternlane/engine/local_transport.py
+++ b/ternlane/engine/local_transport.py
@@ -13,6 +13,7 @@
 from ternlane.engine.transport import Transport
 from ternlane.http1 import extend_deadline
 from ternlane.policy.messages import AttemptOutcome
+from ternlane.policy.stream_limits import stream_limits
 
 
 class LocalTransport(Transport):
@@ -64,15 +65,19 @@
         pass_on: TextSink,
         deadline_s: float,
     ) -> int:
-        """Forwards the engine's pieces; returns their number."""
+        """Forwards the engine's pieces; returns their number. Raises StreamLimitExceededError."""
         scope = ask.plan.scope
+        limits = stream_limits(ask.max_tokens)
         piece_count = 0
+        size_bytes = 0
         async for text in pieces:
             if not result.begun:
                 await extend_deadline(scope, deadline_s)
             first = not result.begun
             result.begun = True
             piece_count += 1
+            size_bytes += len(text.encode("utf-8", "surrogatepass"))
+            limits.check(piece_count, size_bytes)
             scope.deadline = deadline_s  # the time of a slow client does not count as the engine's
             await pass_on(text, first)
             scope.deadline = min(deadline_s, trio.current_time() + ask.plan.idle_timeout_ms / 1000)
--- a/ternlane/engine/socket_transport.py
+++ b/ternlane/engine/socket_transport.py
@@ -12,6 +12,7 @@
 from ternlane.engine.transport import Transport
 from ternlane.http1 import ConnectionPool
 from ternlane.policy.messages import AttemptOutcome, Report
+from ternlane.policy.stream_limits import stream_limits
 
 
 class SocketTransport(Transport):
@@ -42,7 +43,7 @@
     async def stream(self, ask: AttemptRequest, pass_on: TextSink) -> AttemptResult:
         """Has an answer generated; OVERLOADED if the server's protocol does not support it. Raises ClientGone."""
         try:
-            return await stream_attempt(self.pool, self._fill_plan(ask), pass_on)
+            return await stream_attempt(self.pool, self._fill_plan(ask), pass_on, stream_limits(ask.max_tokens))
         except UnsupportedAttemptError as error:
             return AttemptResult(AttemptOutcome.OVERLOADED, why=str(error))
 
--- a/ternlane/engine/stream_attempt.py
+++ b/ternlane/engine/stream_attempt.py
@@ -10,24 +10,28 @@
 from ternlane.engine.messages import END_OF_STREAM, StreamChoice, decode_stream_chunk
 from ternlane.http1 import ClientConnection, ConnectionPool, EventReader, extend_deadline
 from ternlane.policy.messages import AttemptOutcome
+from ternlane.policy.stream_limits import DEFAULT_STREAM_LIMITS, StreamLimits, StreamMeter
 
 MAX_ERROR_TEXT = 200  # characters of an engine's error message that are logged
 
 
-async def stream_attempt(pool: ConnectionPool, plan: AttemptPlan, pass_on: TextSink) -> AttemptResult:
+async def stream_attempt(
+    pool: ConnectionPool, plan: AttemptPlan, pass_on: TextSink, limits: StreamLimits = DEFAULT_STREAM_LIMITS
+) -> AttemptResult:
     """Has an answer generated. Each piece goes to `pass_on(text, first)`, with a third value if it has more than text.
-    Raises ClientGone if that does."""
-    attempt = StreamAttempt(pool, plan, pass_on)
+    Raises ClientGone if that does. An answer beyond `limits` is an error."""
+    attempt = StreamAttempt(pool, plan, pass_on, limits)
     return await run_attempt(plan, attempt.result, attempt.run)
 
 
 class StreamAttempt:
     """Runs one streamed attempt. `read_to_end`: the answer was read completely, so the connection can be reused."""
 
-    def __init__(self, pool: ConnectionPool, plan: AttemptPlan, pass_on: TextSink) -> None:
+    def __init__(self, pool: ConnectionPool, plan: AttemptPlan, pass_on: TextSink, limits: StreamLimits) -> None:
         self.pool = pool
         self.plan = plan
         self.pass_on = pass_on
+        self.limits = limits
         self.result = AttemptResult(AttemptOutcome.TIMED_OUT)
         self.deadline_s = trio.current_time() + plan.total_timeout_ms / 1000
         self.read_to_end = False
@@ -64,17 +68,24 @@
 
     async def read_events(self, connection: ClientConnection) -> bool:
         """Forwards the stream; false if the engine ended it with an error event."""
+        connection.limit_body(self.limits.max_bytes)
         events = EventReader()
+        meter = StreamMeter(self.limits, trio.current_time())
         async for data in connection.chunks():
             complete_events = events.feed(data)
             connection.kept_bytes = events.held_bytes
+            received_s = trio.current_time()
             for event in complete_events:
+                meter.count(1, received_s)
                 if event == END_OF_STREAM:
                     self.read_to_end = True
                 elif not await self.handle_event(event):
                     return False
+            handled_s = trio.current_time()
+            meter.exclude(handled_s - received_s)
             if self.result.begun:
-                self.plan.scope.deadline = min(self.deadline_s, trio.current_time() + self.plan.idle_timeout_ms / 1000)
+                silent_at_s = meter.silent_at_s(handled_s, self.plan.idle_timeout_ms)
+                self.plan.scope.deadline = min(self.deadline_s, silent_at_s)
         return True
 
     async def handle_event(self, event: str) -> bool:
--- a/ternlane/http1/__init__.py
+++ b/ternlane/http1/__init__.py
@@ -4,7 +4,7 @@
 from ternlane.http1.close_reason import CloseReason
 from ternlane.http1.connection_limits import ConnectionLimits
 from ternlane.http1.connection_pool import ConnectionPool
-from ternlane.http1.errors import BadRequest, ConnectError, Http1Error, ReadTimeout
+from ternlane.http1.errors import BadRequest, BodyTooLargeError, ConnectError, Http1Error, ReadTimeout
 from ternlane.http1.events import EventReader, encode_event
 from ternlane.http1.exchange import Exchange
 from ternlane.http1.nonblocking import extend_deadline
@@ -15,6 +15,7 @@
 __all__ = [
     "NO_MEMORY",
     "BadRequest",
+    "BodyTooLargeError",
     "ClientConnection",
     "CloseReason",
     "ConnectError",
--- a/ternlane/http1/client_connection.py
+++ b/ternlane/http1/client_connection.py
@@ -9,6 +9,7 @@
 import h11
 import trio
 
+from ternlane.http1.body_size import BodySizeLimit
 from ternlane.http1.buffer_memory import has_nothing_unread
 from ternlane.http1.errors import ConnectError, ReadTimeout
 from ternlane.http1.line_limits import MAX_LINES, TrailerLimit, has_too_many_lines
@@ -62,11 +63,13 @@
         self.idle_since = 0.0  # s, trio's clock; set by the pool
         self.idled_ms: float | None = None  # idle time before this request; None for a new connection
         self.has_completed_request = False  # has completed a request before
-        self.on_close: Callable[[ClientConnection], None] = lambda _: None
         self.is_retired = False  # takes no further request
+        self.on_close: Callable[[ClientConnection], None] = lambda _: None
         self._read_deadline_s = inf  # see `set_read_deadline`
         self._read_after_deadline = False
         self._trailer_limit: TrailerLimit | None = None  # for a chunked response
+        self._size_limit: BodySizeLimit | None = None  # see `limit_body`
+        self._stated_bytes = 0  # Content-Length of the response; 0 for none
         self._is_complete = False  # the response's last byte has been parsed
         self._deferred_error: h11.RemoteProtocolError | None = None  # follows the chunks that have been yielded
 
@@ -106,6 +109,7 @@
         self.parser.begin_message()
         self._is_complete = False
         self._deferred_error = None
+        self._size_limit = None
         self.kept_bytes = 0
         head = [("Host", self.peer), *headers]
         if body or method != "GET":
@@ -136,6 +140,8 @@
             if isinstance(event, h11.Response):
                 is_chunked = any(name == b"transfer-encoding" for name, _ in event.headers)
                 self._trailer_limit = TrailerLimit() if is_chunked else None
+                lengths = (int(value) for name, value in event.headers if name == b"content-length")
+                self._stated_bytes = 0 if is_chunked else next(lengths, 0)
                 return event
             if not isinstance(event, h11.InformationalResponse):
                 raise h11.RemoteProtocolError("the connection closed before the answer began")
@@ -149,6 +155,14 @@
         self._read_deadline_s = when_s
         self._read_after_deadline = False
 
+    def limit_body(self, max_bytes: float) -> None:
+        """Limits the body of the response whose head has been read. Raises BodyTooLargeError if the head states more.
+
+        `chunks` raises it if a chunk states more, and beyond that many bytes.
+        """
+        self._size_limit = BodySizeLimit(max_bytes, is_chunked=self._trailer_limit is not None)
+        self._size_limit.check_stated(self._stated_bytes)
+
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yields the body. Raises as `read_head` does, also if the body is shorter than its stated length."""
         while not self._is_complete:
@@ -194,14 +208,24 @@
             await self._receive_more()
 
     async def _body_event(self) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]:
-        limit = self._trailer_limit
-        if limit is not None and limit.is_exceeded(self.conn.trailing_data[0]):
-            raise h11.RemoteProtocolError(f"a trailer of more than {MAX_LINES} lines")
+        if self._trailer_limit is not None:
+            self._check_chunked(self._trailer_limit, self.conn.trailing_data[0])
         event = await self.parser.next_event(self.conn.next_event)
-        if limit is not None and isinstance(event, h11.Data):
-            limit.observe(event)
+        if not isinstance(event, h11.Data):
+            return event
+        if self._trailer_limit is not None:
+            self._trailer_limit.observe(event)
+        if self._size_limit is not None:
+            self._size_limit.observe(event)
         return event
 
+    def _check_chunked(self, trailer_limit: TrailerLimit, unparsed: bytes) -> None:
+        """Checks what is about to be parsed of a chunked response. Raises h11.RemoteProtocolError."""
+        if trailer_limit.is_exceeded(unparsed):
+            raise h11.RemoteProtocolError(f"a trailer of more than {MAX_LINES} lines")
+        if self._size_limit is not None:
+            self._size_limit.check_next(unparsed)
+
     async def _receive_more(self) -> None:
         """Waits for more bytes of the response. Raises as `read_head` does."""
         data = await self._receive()
--- a/ternlane/http1/errors.py
+++ b/ternlane/http1/errors.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import h11
+
 
 class Http1Error(Exception):
     """Base class of the HTTP errors that callers distinguish."""
@@ -15,6 +17,10 @@
     """The peer sent nothing before the read deadline."""
 
 
+class BodyTooLargeError(h11.RemoteProtocolError):
+    """A response has a larger body, or states one, than its reader accepts."""
+
+
 class BadRequest(Http1Error):
     """An invalid or unacceptable request; the connection closes after the error response.
 
--- a/ternlane/platform/active_request.py
+++ b/ternlane/platform/active_request.py
@@ -14,6 +14,7 @@
 from ternlane.platform.request_history import RequestHistory
 from ternlane.policy import messages
 from ternlane.policy.messages import Request
+from ternlane.policy.stream_limits import StreamLimits
 
 STREAM_HEAD = [("Content-Type", "text/event-stream"), ("Cache-Control", "no-cache"), ("Transfer-Encoding", "chunked")]
 
@@ -39,6 +40,7 @@
     exchange: Exchange
     body: bytes
     received_ms: float
+    stream_limits: StreamLimits  # of its answer
     final: FinalAnswer | None = None
     client_gone: bool = False
     streaming: bool = False  # the first event of the current attempt has been sent to the client
--- a/ternlane/platform/attempt.py
+++ b/ternlane/platform/attempt.py
@@ -10,6 +10,7 @@
 
 from ternlane.event_loop import StartCheck, always_allowed
 from ternlane.policy.messages import AttemptOutcome, Report, Role
+from ternlane.policy.stream_limits import DEFAULT_STREAM_LIMITS, StreamLimits
 
 
 @dataclass(slots=True, eq=False)
@@ -24,6 +25,7 @@
     body: bytes
     answer_by_s: float  # trio's clock: deadline for a prefill's answer or a decode's first token
     idle_timeout_ms: float  # the longest time between two events of the stream
+    stream_limits: StreamLimits = DEFAULT_STREAM_LIMITS  # of a decode's answer
     start_check: StartCheck = always_allowed
     scope: trio.CancelScope = field(default_factory=trio.CancelScope)
     release_wait: trio.CancelScope = field(default_factory=trio.CancelScope)  # of the wait for an earlier release
@@ -52,6 +54,7 @@
     state_lost: bool = False  # the prefill server no longer holds the state
     report: Report | None = None
     why: str = ""
+    exceeded_limits: bool = False  # the answer was longer than it can be
 
 
 class ResponseWriter(Protocol):
--- a/ternlane/platform/chat_server.py
+++ b/ternlane/platform/chat_server.py
@@ -22,6 +22,7 @@
 from ternlane.platform.protocol import CHAT_PATH, MAX_BODY_BYTES, READY_PATH, ParsedRequest, parse_request
 from ternlane.platform.runtime import PlatformRuntime
 from ternlane.policy.messages import Request
+from ternlane.policy.stream_limits import stream_limits
 
 # Size limit of a request's head.
 MAX_HEAD_BYTES = 16384
@@ -159,7 +160,12 @@
             await exchange.answer(503, [], error_body(NO_MEMORY, "this gateway holds as much as it may"))
             return
         active_request = ActiveRequest(
-            parsed.request_id, self._request(parsed, exchange), exchange, exchange.body, received_ms=now_ms()
+            parsed.request_id,
+            self._request(parsed, exchange),
+            exchange,
+            exchange.body,
+            received_ms=now_ms(),
+            stream_limits=stream_limits(parsed.answer_tokens),
         )
         exchange.body = b""
         runtime.receive_request(active_request)
--- a/ternlane/platform/event_stream.py
+++ b/ternlane/platform/event_stream.py
@@ -42,11 +42,13 @@
 
     Raises ValueError on bytes that are no event and on an event that is too long: neither reaches the client. `begun`
     is set by the first event, `done` by the last; `cached_tokens` and `load` are the latest values in the stream.
+    `event_count` counts events with data.
     """
 
     def __init__(self) -> None:
         self.begun = False
         self.done = False
+        self.event_count = 0
         self.cached_tokens = 0.0
         self.load: str | None = None
         self._rest = bytearray()  # of an incomplete event
@@ -105,6 +107,7 @@
                 raise ValueError("not an event")
 
     def _read_data(self, data: bytes) -> None:
+        self.event_count += 1
         if data == LAST_EVENT:
             if not self.begun:
                 raise ValueError("a stream of no events")
--- a/ternlane/platform/model_server_client.py
+++ b/ternlane/platform/model_server_client.py
@@ -14,7 +14,14 @@
 import trio
 
 from ternlane.deployment import Deployment
-from ternlane.http1 import ClientConnection, ConnectError, ConnectionPool, ReadTimeout, extend_deadline
+from ternlane.http1 import (
+    BodyTooLargeError,
+    ClientConnection,
+    ConnectError,
+    ConnectionPool,
+    ReadTimeout,
+    extend_deadline,
+)
 from ternlane.platform.answer_order import AnswerOrder
 from ternlane.platform.attempt import AttemptResult, ModelServerAttempt, ResponseWriter
 from ternlane.platform.errors import NOT_STARTED_REASONS, AttemptNotStartedError, ClientDisconnectedError
@@ -29,6 +36,7 @@
     parse_load_report,
 )
 from ternlane.policy.messages import AttemptOutcome, Report
+from ternlane.policy.stream_limits import StreamLimitExceededError, StreamMeter
 
 CONNECTION_ERRORS = (trio.BrokenResourceError, trio.ClosedResourceError, OSError)
 # Rounds of calls within one release time, and the most calls in one round: a server that does not answer delays a
@@ -161,12 +169,17 @@
     ) -> bool:
         """Forwards a decode server's events as they arrive. Returns True once the last chunk has been read.
 
-        Raises ReadTimeout, ClientDisconnectedError, and ValueError if the answer is not a valid stream of events.
+        Raises ReadTimeout, ClientDisconnectedError, BodyTooLargeError and StreamLimitExceededError if the answer is
+        longer than what was asked for, and ValueError if it is not a valid stream of events.
         """
+        connection.limit_body(attempt.stream_limits.max_bytes)
         parser = EventStreamParser()
+        meter = StreamMeter(attempt.stream_limits, trio.current_time())
         async for piece in connection.chunks():
             events = parser.feed(piece)
             connection.kept_bytes = parser.held_bytes
+            received_s = trio.current_time()
+            meter.count(parser.event_count - meter.events, received_s)
             if not events:
                 continue
             # An attempt that is cancelled by now must not send the client anything.
@@ -177,8 +190,9 @@
                 await (response_writer.write_first_events(events) if is_first else response_writer.write_events(events))
             except CONNECTION_ERRORS:
                 raise ClientDisconnectedError from None
-            # Counted from here, as the time for which a slow client delays the write is not the server's.
-            connection.set_read_deadline(trio.current_time() + attempt.idle_timeout_ms / 1000)
+            written_s = trio.current_time()
+            meter.exclude(written_s - received_s)
+            connection.set_read_deadline(meter.silent_at_s(written_s, attempt.idle_timeout_ms))
         if not parser.done:
             raise ValueError("the stream ended before its last event")
         result.outcome = AttemptOutcome.STREAMED
@@ -200,6 +214,10 @@
             case trio.BrokenResourceError() | trio.ClosedResourceError() | OSError():
                 result.outcome = AttemptOutcome.RESET
                 result.why = repr(error)
+            case BodyTooLargeError() | StreamLimitExceededError():
+                result.outcome = AttemptOutcome.ERROR
+                result.why = f"longer than asked for: {error}"
+                result.exceeded_limits = True
             case h11.RemoteProtocolError():  # a truncated answer is a broken connection, a corrupt one an error
                 is_truncated = "closed" in str(error)
                 result.outcome = AttemptOutcome.RESET if is_truncated else AttemptOutcome.ERROR
--- a/ternlane/platform/protocol.py
+++ b/ternlane/platform/protocol.py
@@ -46,6 +46,7 @@
 }
 
 _body_decoder = msgspec.json.Decoder(dict[str, msgspec.Raw])
+_count_decoder = msgspec.json.Decoder(int)
 
 
 # -- answers of model servers
@@ -113,7 +114,10 @@
 
 @dataclass(slots=True)
 class ParsedRequest:
-    """A client's request as stated in its headers. `client_timeout_ms` is None if it states no timeout."""
+    """A client's request as stated in its headers. `client_timeout_ms` is None if it states no timeout.
+
+    `answer_tokens`: the most tokens that its answer may have, by its headers and its body; 0 if neither states it.
+    """
 
     request_id: str
     request_class: str
@@ -122,6 +126,7 @@
     prefix_tokens: float
     prompt_tokens: float
     max_tokens: float
+    answer_tokens: float
     client_timeout_ms: float | None
     tenant: str
 
@@ -136,10 +141,11 @@
         raise InvalidRequestError(400, "bad_class", "Request-Class names no class that is served here")
     client_timeout_ms = _parse_timeout_ms(headers.get(b"request-timeout"))
     info = _parse_info(headers.get(b"request-info", ""))
-    _check_body(body)
+    fields = _parse_body(body)
     # Without a stated prompt length: about four bytes of text are one token.
     prompt_tokens = _parse_number(info["prompt_len"], "prompt_len") if "prompt_len" in info else len(body) / 4
     prefix_tokens = _parse_number(info.get("prefix_len", "0"), "prefix_len")
+    max_tokens = _parse_number(info.get("max_out", "0"), "max_out")
     return ParsedRequest(
         request_id=request_id,
         request_class=request_class,
@@ -147,7 +153,8 @@
         prefix=_shorten(info.get("prefix")),
         prefix_tokens=min(prompt_tokens, prefix_tokens),
         prompt_tokens=prompt_tokens,
-        max_tokens=_parse_number(info.get("max_out", "0"), "max_out"),
+        max_tokens=max_tokens,
+        answer_tokens=max(max_tokens, _answer_tokens(fields)),
         client_timeout_ms=client_timeout_ms,
         tenant=headers.get(b"tenant", ""),
     )
@@ -176,13 +183,28 @@
     return info
 
 
-def _check_body(body: bytes) -> None:
+def _parse_body(body: bytes) -> dict[str, msgspec.Raw]:
+    """The undecoded fields of a body. Raises InvalidRequestError."""
     try:
-        _body_decoder.decode(body)
+        return _body_decoder.decode(body)
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
         raise InvalidRequestError(400, "bad_body", "the body is no JSON object") from None
 
 
+def _answer_tokens(fields: Mapping[str, msgspec.Raw]) -> float:
+    """The most tokens that the body asks for, over all its choices; 0 if it states no limit."""
+    tokens = max(_count(fields, "max_tokens"), _count(fields, "max_completion_tokens"))
+    return tokens * max(1, _count(fields, "n"))
+
+
+def _count(fields: Mapping[str, msgspec.Raw], name: str) -> int:
+    """A count in the body; 0 if there is none. Whether it is valid is for the model server to say."""
+    try:
+        return max(0, _count_decoder.decode(fields[name]))
+    except (KeyError, msgspec.DecodeError, UnicodeDecodeError):
+        return 0
+
+
 def _shorten(name: str | None) -> str | None:
     """Replaces a long name by its digest, which is the same at every gateway.
 
--- a/ternlane/platform/request_reporter.py
+++ b/ternlane/platform/request_reporter.py
@@ -129,6 +129,19 @@
             why=result.why,
         )
 
+    def stream_broke(self, active_request: ActiveRequest, result: AttemptResult) -> None:
+        """The client's stream ends before its last event. Counts and logs the reason."""
+        reason = "LIMIT" if result.exceeded_limits else result.outcome.name
+        self.counts[f"stream broke {reason}"] += 1
+        if result.outcome is not AttemptOutcome.CANCELLED:  # by the client
+            self.log.warning(
+                "stream broke",
+                request_id=active_request.request_id,
+                server=active_request.server_name,
+                reason=reason,
+                why=result.why,
+            )
+
     def first_event(self, active_request: ActiveRequest) -> None:
         """The client is about to be sent its first event, which shows that the decode server has taken the state."""
         active_request.record("first event")
--- a/ternlane/platform/runtime.py
+++ b/ternlane/platform/runtime.py
@@ -168,6 +168,7 @@
             body=active_request.body,
             answer_by_s=trio.current_time() + times.timeout_ms / 1000,
             idle_timeout_ms=times.idle_timeout_ms,
+            stream_limits=active_request.stream_limits,
             start_check=make_start_check(
                 server, times.start_within_ms, lambda: active_request.is_finished or exchange.closed
             ),
@@ -187,6 +188,7 @@
         if result.outcome is AttemptOutcome.STREAMED and not active_request.is_finished:
             await self._end_stream(active_request)
         elif result.begun:
+            self.reporter.stream_broke(active_request, result)
             self.finish_request(active_request, Streamed(is_complete=False))
         self._attempt_ended(active_request, server, result, now_ms() - since_ms)
 
--- a/ternlane/recovery/stream_join.py
+++ b/ternlane/recovery/stream_join.py
@@ -4,6 +4,7 @@
 
 from typing import Any
 
+from ternlane.policy.stream_limits import StreamLimitExceededError, text_limits
 from ternlane.recovery.errors import ReplayMismatchError
 from ternlane.recovery.replay_buffer import ReplayBuffer
 from ternlane.recovery.resume_strategy import ResumeStrategy
@@ -25,6 +26,7 @@
         self.why = why
         self.replay_buffer = replay_buffer
         self.max_tokens = max_tokens
+        self.limits = text_limits(max_tokens)  # of the text of all attempts together
         self.pieces: list[str] = []
         self.buffered_bytes = 0
         self.delivered_tokens = 0  # that the client has from attempts that are over
@@ -57,7 +59,10 @@
         return self.max_tokens - self.delivered_tokens if self.strategy is ResumeStrategy.CONTINUE else self.max_tokens
 
     def take(self, piece: str) -> str:
-        """Takes a piece of the present attempt; returns what is new to the client. Raises ReplayMismatchError."""
+        """Takes a piece of the present attempt; returns what is new to the client.
+
+        Raises ReplayMismatchError, and StreamLimitExceededError if the attempts together bring more than was asked for.
+        """
         if self.mismatched:
             raise ReplayMismatchError
         if self.stopped:
@@ -110,12 +115,22 @@
         self.pieces.append(piece)
         self.buffered_bytes += size
         self.replay_buffer.add(size)
+        self.check_length()
         if self.strategy is ResumeStrategy.END:
             return
         if self.replay_buffer.is_exceeded_by(self.buffered_bytes, self.delivered_tokens + self.attempt_pieces):
             self.replay_buffer.overflowed_streams += 1
             self.disable("it outgrew what is kept for a loss")
 
+    def check_length(self) -> None:
+        """Raises StreamLimitExceededError if the text is longer than what was asked for. It is not to be trusted then,
+        and no other attempt continues it."""
+        try:
+            self.limits.check(len(self.pieces), self.buffered_bytes)
+        except StreamLimitExceededError:
+            self.disable("it is longer than what was asked for")
+            raise
+
     def record_mismatch(self) -> None:
         """A replay produced another text, which cannot be joined to the client's."""
         self.mismatched = True
--- a/ternlane/testing/engine_breakage.py
+++ b/ternlane/testing/engine_breakage.py
@@ -11,6 +11,11 @@
 from ternlane.testing.engine_profile import AttemptOutcome, EngineFault
 from ternlane.testing.sockets import reset_when_closed
 
+# The beginning of a chunk that is said to have 3 GB.
+HUGE_CHUNK = b"c0000000\r\n"
+# How each script breaks a stream.
+BREAKS = {"midway": "reset", "stall": "stall", "huge_chunk": "huge_chunk"}
+
 
 async def _stay_silent() -> Never:
     await trio.sleep_forever()
@@ -42,7 +47,11 @@
 
 
 async def break_stream(broken_by: str, exchange: Exchange) -> AttemptOutcome:
-    """Breaks an answer off. `broken_by`: "reset" resets the connection, "stall" sends nothing more."""
+    """Breaks an answer off. `broken_by`: "reset" resets the connection, "stall" sends nothing more,
+    "huge_chunk" begins a chunk without end."""
+    if broken_by == "huge_chunk":
+        await exchange.stream.send_all(HUGE_CHUNK)
+        await _stay_silent()
     if broken_by == "stall":
         await _stay_silent()
     reset_when_closed(exchange.stream)
--- a/ternlane/testing/engine_decode.py
+++ b/ternlane/testing/engine_decode.py
@@ -10,7 +10,7 @@
 import trio
 
 from ternlane.http1 import ClientConnection, ConnectError, Exchange
-from ternlane.testing.engine_breakage import apply_script, break_stream, lose_answer
+from ternlane.testing.engine_breakage import BREAKS, apply_script, break_stream, lose_answer
 from ternlane.testing.engine_core import AttemptRefusedError, EngineCore
 from ternlane.testing.engine_prefill import prefill_ms
 from ternlane.testing.engine_profile import DECODE_ROLE, PREFILL_ROLE, AttemptOutcome, Stage
@@ -72,9 +72,9 @@
     def _draw_break(self, answer_tokens: int) -> None:
         """Draws whether the answer breaks off, and after how many words."""
         fault = self.engine.fault
-        if fault.script in ("midway", "stall"):
+        if fault.script in BREAKS:
             self.break_after = fault.break_after_events
-            self.broken_by = "reset" if fault.script == "midway" else "stall"
+            self.broken_by = BREAKS[fault.script]
         elif answer_tokens and self.engine.rng.random() < fault.broken_stream_share:
             self.break_after = self.engine.rng.randint(1, answer_tokens)
             self.broken_by = fault.broken_by
--- a/ternlane/testing/platform/answers.py
+++ b/ternlane/testing/platform/answers.py
@@ -32,6 +32,8 @@
     "later_chunk_misfit": RESPONSE_HEAD + encode_chunk(EVENT) + b"%x\r\n" % (len(EVENT) - 9) + EVENT + b"\r\n",
     "later_noise": RESPONSE_HEAD + encode_chunk(EVENT) + encode_chunk(b"\x00\x01\x02 noise"),
     "huge_chunk": RESPONSE_HEAD + encode_chunk(EVENT) + b"c0000000\r\n" + b"z" * 400_000,
+    "huge_chunk_of_events": RESPONSE_HEAD + encode_chunk(EVENT) + b"c0000000\r\n" + EVENT * 3,
+    "huge_stated_length": RESPONSE_HEAD.replace(b"transfer-encoding: chunked", b"content-length: 3000000000") + EVENT,
     "endless_event": RESPONSE_HEAD + encode_chunk(EVENT) + b"c0000000\r\ndata: {" + b"z" * 400_000,
     "later_not_event": RESPONSE_HEAD
     + encode_chunk(EVENT)
--- a/tests/hostile_peers.py
+++ b/tests/hostile_peers.py
@@ -2,6 +2,7 @@
 
 python -m tests.hostile_peers clients KIND PORT COUNT SECONDS
 python -m tests.hostile_peers server KIND               # prints its port
+python -m tests.hostile_peers readers KIND PORT COUNT SECONDS    # prints a list of StreamEnd as JSON
 python -m tests.hostile_peers judge PORT PATH PID SECONDS    # prints a Verdict as JSON
 """
 
@@ -26,6 +27,7 @@
 POST = b"POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\n"
 CHAT_HEADERS = b"Request-Id: 0bad0bad0bad0bad\r\nRequest-Class: summary\r\nRequest-Timeout: 5.000\r\n"
 CHAT_BODY = b'{"model":"summary","stream":true,"messages":[{"role":"user","content":"hello"}]}'
+SHORT_CHAT_BODY = CHAT_BODY[:-1] + b',"max_tokens":40}'
 CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
 STREAM_HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" + CHUNKED
 PREFILL_HEAD = b"HTTP/1.1 202 Accepted\r\n" + CHUNKED
@@ -46,6 +48,7 @@
     "stalled chunked bodies": (POST + CHAT_HEADERS + CHUNKED + chunks_of(b" " * 261120, 60), b""),
     "stalled heads": (POST + b"X: " + b" " * 16000, b""),
     "stalled large bodies": (POST + b"Content-Length: 4194304\r\n\r\n" + b" " * 4_193_000, b""),
+    "short chat requests": (POST + b"Content-Length: %d\r\n\r\n" % len(SHORT_CHAT_BODY) + SHORT_CHAT_BODY, b""),
     "chat requests": (POST + b"Content-Length: %d\r\n\r\n" % len(CHAT_BODY) + CHAT_BODY, b""),
 }
 # What a server answers: once, and then for as long as it is read.
@@ -62,6 +65,24 @@
         chunks_of(b"1,\n" * 5000, 3),
     ),
 }
+# What a server streams: once, and then again after each pause for as long as it is read.
+EVENT = b'data: {"choices":[{"index":0,"delta":{"content":"abcd"},"finish_reason":null}]}\n\n'
+EMPTY_EVENT = b'data: {"choices":[]}\n\n'
+DONE_EVENT = b"data: [DONE]\n\n"
+STREAM_BEGIN = STREAM_HEAD + chunks_of(EVENT + EVENT, len(EVENT))
+LENGTH_HEAD = STREAM_HEAD.replace(CHUNKED, b"Content-Length: 3000000000\r\n\r\n")
+BLOCK_PAUSE_S = 0.02
+PACED_BYTES: dict[str, tuple[bytes, bytes]] = {
+    "a chunk of 3 GB": (STREAM_BEGIN + b"c0000000\r\n", EVENT),
+    "a length of 3 GB": (LENGTH_HEAD, EVENT),
+    "events": (STREAM_BEGIN, chunks_of(EVENT, len(EVENT))),
+    "events without text": (STREAM_BEGIN, chunks_of(EMPTY_EVENT, len(EMPTY_EVENT))),
+    "comments": (STREAM_BEGIN, chunks_of(b": working\n\n", 11)),
+    "comments after the last event": (STREAM_BEGIN + chunks_of(DONE_EVENT, 14), chunks_of(b": working\n\n", 11)),
+    "blank lines": (STREAM_BEGIN, chunks_of(b"\n\n", 2)),
+    "an event": (STREAM_BEGIN + chunks_of(b"data: {", 7), chunks_of(b" ", 1)),
+    "comments ahead of the first event": (STREAM_HEAD, chunks_of(b": working\n\n", 11)),
+}
 
 
 def usual_request() -> tuple[bytes, bytes]:
@@ -101,14 +122,23 @@
     await asyncio.gather(*(run_client(kind, port, until) for _ in range(count)))
 
 
+async def send_paced(writer: asyncio.StreamWriter, block: bytes) -> None:
+    with suppress(OSError):
+        while True:
+            writer.write(block)
+            await writer.drain()
+            await asyncio.sleep(BLOCK_PAUSE_S)
+
+
 async def run_server(kind: str) -> None:
-    first, block = SERVER_BYTES[kind]
+    first, block = PACED_BYTES[kind] if kind in PACED_BYTES else SERVER_BYTES[kind]
+    send = send_paced if kind in PACED_BYTES else send_endlessly
 
     async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         with suppress(OSError):
             await reader.read(READ_BYTES)
             writer.write(first)
-            await send_endlessly(writer, block)
+            await send(writer, block)
             await reader.read()
         writer.close()
 
@@ -117,6 +147,39 @@
     await server.serve_forever()
 
 
+@dataclass
+class StreamEnd:
+    """How an answer ended, as its client saw it: after how long (None: not at all), and what it had received."""
+
+    after_s: float | None
+    status: str
+    size_bytes: int
+    last_bytes: str
+
+
+async def run_reader(kind: str, port: int, seconds: float) -> StreamEnd:
+    """Sends one request, and reads its answer to the end of the connection."""
+    request, _ = usual_request() if kind == "usual requests" else CLIENT_BYTES[kind]
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    began = time.monotonic()
+    writer.write(request.replace(b"Host: a", b"Host: a\r\nConnection: close", 1))
+    received = b""
+    ended_s: float | None = None
+    with suppress(TimeoutError):
+        async with asyncio.timeout(seconds):
+            with suppress(ConnectionResetError):
+                while data := await reader.read(READ_BYTES):
+                    received += data
+            ended_s = time.monotonic() - began
+    writer.close()
+    return StreamEnd(ended_s, received[9:12].decode(), len(received), received[-40:].decode("latin-1"))
+
+
+async def run_readers(kind: str, port: int, count: int, seconds: float) -> None:
+    ends = await asyncio.gather(*(run_reader(kind, port, seconds) for _ in range(count)))
+    print(json.dumps([asdict(end) for end in ends]), flush=True)
+
+
 @dataclass
 class Verdict:
     """What a process saw of the gateway from outside: how long small requests waited, and its memory."""
@@ -165,6 +228,9 @@
     if role == "clients":
         kind, port, count, seconds = arguments
         asyncio.run(run_clients(kind, int(port), int(count), float(seconds)))
+    elif role == "readers":
+        kind, port, count, seconds = arguments
+        asyncio.run(run_readers(kind, int(port), int(count), float(seconds)))
     elif role == "server":
         asyncio.run(run_server(*arguments))
     else:
