--- a/ternlane/discovery/endpoint_cache.py
+++ b/ternlane/discovery/endpoint_cache.py
@@ -38,7 +38,7 @@
 
 
 def read_cache(path: Path) -> list[NodeLine] | None:
-    """Returns the cached lines, or None if there is no file. Raises TornCacheError."""
+    """Returns the cached lines, or None if there is no file. Raises CorruptCacheError."""
     try:
         raw = path.read_bytes()
     except FileNotFoundError:
--- a/ternlane/engine/prefill_attempt.py
+++ b/ternlane/engine/prefill_attempt.py
@@ -35,7 +35,7 @@
     response = decode_prefill_response(body)
     if response.kv_transfer_params is None:
         result.outcome = AttemptOutcome.ERROR
-        result.why = "no kv_transfer_params in a reader's answer"
+        result.why = "no kv_transfer_params in a prefill server's answer"
         return
     result.outcome = AttemptOutcome.PREFILLED
     result.state = response.kv_transfer_params
--- a/ternlane/engine/protocols/plain_chat.py
+++ b/ternlane/engine/protocols/plain_chat.py
@@ -19,7 +19,7 @@
     def request(self, ask: AttemptRequest, agent: str) -> tuple[Headers, bytes]:
         """The headers and body of an attempt. Raises ValueError for any stage but WHOLE."""
         if ask.stage is not Stage.WHOLE:
-            raise ValueError("a plain chat server reads and writes in one leg")
+            raise ValueError("a plain chat server prefills and decodes in one attempt")
         body = combined_body(ask.raw, ask.max_tokens)
         body.pop("prompt_cache_key", None)  # servers with strict validation reject it
         headers = [
--- a/tests/test_hostile_peers.py
+++ b/tests/test_hostile_peers.py
@@ -87,6 +87,18 @@
     return f"127.0.0.1:{int(await read_line(server))}"
 
 
+@asynccontextmanager
+async def chat_gateway_of(kind: str, folder: Path) -> AsyncIterator[tuple[trio.Process, int]]:
+    """The chat gateway as a process, and its port. Its only engine is of this kind."""
+    async with AsyncExitStack() as stack:
+        address = await serve_hostile(kind, stack)
+        node = {"id": "m0", "address": address, "duty": "both", "mem_toks": 1e6, "protocol": "chat"}
+        path, port = gateway_config(folder, nodes={"from": "inline", "nodes": [node]})
+        async with process("-m", "ternlane", "serve", str(path)) as gateway:
+            await trio.to_thread.run_sync(wait_for, port)
+            yield gateway, port
+
+
 async def judge_with_requests(p: Platform, gateway: trio.Process, body: bytes = BODY) -> tuple[Verdict, list[int]]:
     """The verdict, and the statuses of usual requests that were sent meanwhile."""
     statuses: list[int] = []
@@ -185,15 +197,10 @@
 @pytest.mark.parametrize("kind", ["data lines in small chunks", "events in small chunks", "events in large chunks"])
 async def test_a_stream_in_many_small_pieces_does_not_hold_up_the_chat_gateway(kind: str, tmp_path: Path) -> None:
     """An engine streams endless events, or one event of endless lines, all of which were counted anew with each."""
-    async with AsyncExitStack() as stack:
-        address = await serve_hostile(kind, stack)
-        node = {"id": "m0", "address": address, "duty": "both", "mem_toks": 1e6, "protocol": "chat"}
-        path, port = gateway_config(tmp_path, nodes={"from": "inline", "nodes": [node]})
-        async with process("-m", "ternlane", "serve", str(path)) as gateway:
-            await trio.to_thread.run_sync(wait_for, port)
-            command = ("clients", "chat requests", str(port), "4", str(2 * ATTACK_S))
-            await stack.enter_async_context(process("-m", "tests.hostile_peers", *command))
-            verdict = await judge(str(port), "/healthz", gateway.pid)
+    async with chat_gateway_of(kind, tmp_path) as (gateway, port), AsyncExitStack() as stack:
+        command = ("clients", "chat requests", str(port), "4", str(2 * ATTACK_S))
+        await stack.enter_async_context(process("-m", "tests.hostile_peers", *command))
+        verdict = await judge(str(port), "/healthz", gateway.pid)
     assert verdict.late_share(FORWARD_S) <= MAX_LATE_SHARE, sorted(verdict.waits_s)[-9:]
 
 
--- a/tests/test_stream_limits.py
+++ b/tests/test_stream_limits.py
@@ -35,12 +35,11 @@
 from tests.gateway_cluster import gateway_cluster
 from tests.hostile_peers import BLOCK_PAUSE_S, PACED_BYTES, POST, StreamEnd
 from tests.platform_gateway import fault_always, platform
-from tests.test_days import gateway_config as daemon_config
-from tests.test_days import wait_for
 from tests.test_gateway import HEAD, PIECE, chunked
 from tests.test_hostile_peers import (
     FORWARD_S,
     MAX_LATE_SHARE,
+    chat_gateway_of,
     gateway_process,
     judge,
     process,
@@ -192,14 +191,9 @@
 @pytest.mark.parametrize("kind", PACED_BYTES)
 async def test_no_stream_of_an_engine_goes_on_for_good(kind: str, tmp_path: Path) -> None:
     """The same at the chat gateway, which also kept all of the text in memory."""
-    async with AsyncExitStack() as stack:
-        address = await serve_hostile(kind, stack)
-        node = {"id": "m0", "address": address, "duty": "both", "mem_toks": 1e6, "protocol": "chat"}
-        path, port = daemon_config(tmp_path, nodes={"from": "inline", "nodes": [node]})
-        async with process("-m", "ternlane", "serve", str(path)) as gateway:
-            await trio.to_thread.run_sync(wait_for, port)
-            ends = await judge_streams("short chat requests", str(port), "/healthz", gateway.pid)
-            assert gateway.poll() is None
+    async with chat_gateway_of(kind, tmp_path) as (gateway, port):
+        ends = await judge_streams("short chat requests", str(port), "/healthz", gateway.pid)
+        assert gateway.poll() is None
     for end in ends:
         assert end.after_s is not None and end.after_s <= longest_stream_s(kind), (kind, end)
         assert "[DONE]" not in end.last_bytes, (kind, end)
