--- a/ternlane/platform/model_server_client.py
+++ b/ternlane/platform/model_server_client.py
@@ -150,6 +150,7 @@
         result.report = parse_load_report(headers.get(LOAD_HEADER), self.deployment)
         response = classify_response(head.status_code, headers.get(NOT_STARTED_HEADER) == "1", attempt.role)
         if response.outcome is None:
+            connection.limit_body(attempt.stream_limits.max_bytes)
             return await self.forward_stream(attempt, connection, response_writer, result)
         body = await connection.body(MAX_BODY_BYTES)
         result.outcome = response.outcome
@@ -172,7 +173,6 @@
         Raises ReadTimeout, ClientDisconnectedError, BodyTooLargeError and StreamLimitExceededError if the answer is
         longer than what was asked for, and ValueError if it is not a valid stream of events.
         """
-        connection.limit_body(attempt.stream_limits.max_bytes)
         parser = EventStreamParser()
         meter = StreamMeter(attempt.stream_limits, trio.current_time())
         async for piece in connection.chunks():
--- a/tests/platform_gateway.py
+++ b/tests/platform_gateway.py
@@ -55,6 +55,8 @@
     "step": 1.0,
 }
 HEAD = b"POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\n"
+# Of a request whose answer may have several hundred events; by default a request asks for 40 tokens.
+LONG_ANSWER = "prefix=ab,prompt_len=20,prefix_len=8,max_out=400"
 BODY = b'{"model":"chat","stream":true,"messages":[{"role":"user","content":"hello"}]}'
 
 
